Number the refusal of a home whose configuration is older than the entry's

Cause: such a home would send work to targets that a confirmed plan took away; the entry must tell this case from others to go on to the next candidate.

--- a/packages/base/src/result/common/resultCode.ts
+++ b/packages/base/src/result/common/resultCode.ts
@@ -45,6 +45,7 @@
   TargetShed: 3005,
   AnswerTooLarge: 3006,
   PeerUnreachable: 3007,
+  PeerBehind: 3008,
   IdempotencyKeyMissing: 4001,
   IdempotencyKeyConflict: 4002,
   ClaimStoreUnavailable: 4003,
