--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -3,3 +3,7 @@
 export * from './gen/parsleymux/control/v1/control_pb.js';
 export * from './gen/parsleymux/options/v1/options_pb.js';
 export * from './gen/parsleymux/settings/v1/settings_pb.js';
+export * from './rules/common/checkMessageText.js';
+export * from './rules/common/fieldRules.js';
+export * from './rules/common/settingsError.js';
+export * from './settings/common/parseSettings.js';
--- /dev/null
+++ b/packages/schema/src/rules/common/fieldRules.ts
@@ -0,0 +1,31 @@
+/** Reads the constraints that the schema gives its fields. */
+import type { DescField, DescMessage } from '@bufbuild/protobuf';
+import { getOption } from '@bufbuild/protobuf';
+import type { JsonValue } from '@bufbuild/protobuf';
+import type { FieldRule } from '../../gen/parsleymux/options/v1/options_pb.js';
+import { rule } from '../../gen/parsleymux/options/v1/options_pb.js';
+
+/**
+ * The rule of a field; one without constraints when the schema gives none.
+ *
+ * @example
+ * getFieldRule(LimitsSchema.field.headerBytes).unit; // 'bytes'
+ */
+export function getFieldRule(field: DescField): FieldRule {
+  return getOption(field, rule);
+}
+
+/** The value that an absent field takes, or undefined when the schema names none. */
+export function getDefaultValue(field: DescField): JsonValue | undefined {
+  const text = getFieldRule(field).default;
+  return text === '' ? undefined : (JSON.parse(text) as JsonValue);
+}
+
+/**
+ * Whether an absent message field stands for a message of defaults. It does when nothing in that
+ * message is required: `timing` left out means every default of `timing`, but `callerTls` left
+ * out means no TLS, because a certificate has no default.
+ */
+export function isFilledWhenAbsent(message: DescMessage): boolean {
+  return !message.fields.some((field) => getFieldRule(field).required);
+}
--- /dev/null
+++ b/packages/schema/src/rules/common/settingsError.ts
@@ -0,0 +1,50 @@
+/** What is wrong with a file that people wrote, told so that they can mend it in one go. */
+import VError from 'verror';
+
+/** A place in a text; both numbers start at 1. */
+export interface ITextPosition {
+  readonly line: number;
+  readonly column: number;
+}
+
+/** One fault of one field. */
+export interface IFieldProblem extends ITextPosition {
+  readonly file: string;
+  /** Path of the field, such as `timing.configPollMs` or `services[2].name`. Empty for the whole file. */
+  readonly field: string;
+  readonly message: string;
+  /** How to mend it. Empty when the message says all. */
+  readonly hint: string;
+}
+
+/**
+ * Writes a problem on one line, in the form that editors recognize as a link.
+ *
+ * @example
+ * formatProblem(problem); // node.jsonc:3:5: timing.configPollMs: must be at least 50 ms, is 10
+ */
+export function formatProblem(problem: IFieldProblem): string {
+  const place = `${problem.file}:${problem.line}:${problem.column}`;
+  const field = problem.field === '' ? '' : `${problem.field}: `;
+  const hint = problem.hint === '' ? '' : ` (${problem.hint})`;
+  return `${place}: ${field}${problem.message}${hint}`;
+}
+
+/**
+ * A settings or intent file that was refused. Its message has one line for each problem.
+ *
+ * @example
+ * throw new SettingsError('node.jsonc', problems);
+ */
+export class SettingsError extends VError {
+  readonly file: string;
+  /** In the order of their places in the text; never empty. */
+  readonly problems: readonly IFieldProblem[];
+
+  constructor(file: string, problems: readonly IFieldProblem[]) {
+    super('%s', problems.map(formatProblem).join('\n'));
+    this.name = 'SettingsError';
+    this.file = file;
+    this.problems = problems;
+  }
+}
