Keep membership from the platform's list, corrected by own experience

Cause: the list lags by seconds, so a killed home stays in it, and a home that is paused or cut one way never leaves it. Ruled out: one failure is enough (an overloaded home that answers some requests would flap); contact lifts a suspicion (the live set changes with each request).

--- /dev/null
+++ b/packages/fleet/src/membership/common/listedMembershipService.ts
@@ -0,0 +1,198 @@
+/** Membership from the platform's VM list, corrected by this node's own experience. */
+import type { Clock, Event, IDisposable, RandomSource } from '@parsleymux/base';
+import { Emitter } from '@parsleymux/base';
+import type { IVm, VmList } from '@parsleymux/platform';
+import { VmState } from '@parsleymux/platform';
+import type { INode } from './membershipService.js';
+import { MembershipService } from './membershipService.js';
+import type { ISuspicionOptions } from './peerExperience.js';
+import { PeerExperience } from './peerExperience.js';
+
+const DEFAULT_POLL_MS = 2000;
+const DEFAULT_MAX_POLL_MS = 30_000;
+
+/** Options of a {@link ListedMembershipService}. */
+export interface IListedMembershipOptions {
+  /** This node; it is always part of its own live set. */
+  readonly self: INode;
+  readonly vms: VmList;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** Mean time between two reads of the list, in ms. Default 2000. */
+  readonly pollMs?: number;
+  /** Longest mean time between two reads while the list can't be read, in ms. Default 30,000. */
+  readonly maxPollMs?: number;
+  readonly suspicion?: ISuspicionOptions;
+}
+
+/** Counts since the start. */
+export interface IMembershipCounters {
+  readonly polls: number;
+  readonly failedPolls: number;
+  readonly suspicions: number;
+  readonly changes: number;
+}
+
+/**
+ * Reads the list in {@link run}; everything else follows from what callers record.
+ *
+ * @example
+ * const membership = new ListedMembershipService({ self, vms: platform.vms, clock, random });
+ * const done = membership.run(signal);
+ * membership.onDidChange((nodes) => placement.setNodes(nodes));
+ */
+export class ListedMembershipService extends MembershipService implements IDisposable {
+  private readonly options: IListedMembershipOptions;
+  private readonly didChange = new Emitter<readonly INode[]>();
+  private readonly experiences = new Map<string, PeerExperience>();
+  private listed: readonly INode[] = [];
+  private live: readonly INode[];
+  private returnTimer: IDisposable | undefined;
+  private readonly counters = { polls: 0, failedPolls: 0, suspicions: 0, changes: 0 };
+
+  constructor(options: IListedMembershipOptions) {
+    super();
+    this.options = options;
+    this.live = [options.self];
+  }
+
+  override readonly onDidChange: Event<readonly INode[]> = (listener) =>
+    this.didChange.onDidFire(listener);
+
+  override getLiveNodes(): readonly INode[] {
+    return this.live;
+  }
+
+  override recordContact(address: string): void {
+    this.experiences.get(address)?.recordContact(this.getNow());
+  }
+
+  override recordFailure(address: string): void {
+    if (address === this.options.self.address) return;
+    if (!this.getExperience(address).recordFailure(this.getNow())) return;
+    this.counters.suspicions += 1;
+    this.updateLiveNodes();
+  }
+
+  override recordLeaving(address: string): void {
+    if (address === this.options.self.address) return;
+    this.getExperience(address).recordLeaving(this.getNow());
+    this.updateLiveNodes();
+  }
+
+  /** What happened since the start. */
+  getCounters(): IMembershipCounters {
+    return { ...this.counters };
+  }
+
+  /** Nodes that the platform lists as live, whatever this node experienced with them. */
+  getListedNodes(): readonly INode[] {
+    return this.listed;
+  }
+
+  /** Polls the list until `signal` aborts. While it can't be read, the last one stays in force. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.options;
+    const pollMs = this.options.pollMs ?? DEFAULT_POLL_MS;
+    const maxPollMs = Math.max(pollMs, this.options.maxPollMs ?? DEFAULT_MAX_POLL_MS);
+    let failedInRow = 0;
+    while (!signal.aborted) {
+      const isRead = await this.tryPoll(signal);
+      failedInRow = isRead ? 0 : failedInRow + 1;
+      // A list that comes back after hours would meet the polls of the whole fleet at once, just
+      // when it is weakest; slower, jittered polls while it is out spread them.
+      const delayMs = Math.min(maxPollMs, pollMs * 2 ** Math.min(failedInRow, 10));
+      await clock.sleep(random.getJittered(delayMs, 0.5), signal).catch(() => undefined);
+    }
+  }
+
+  dispose(): void {
+    void this.returnTimer?.dispose();
+    this.didChange.dispose();
+  }
+
+  private async tryPoll(signal: AbortSignal): Promise<boolean> {
+    this.counters.polls += 1;
+    try {
+      this.applyList(await this.options.vms.list(signal));
+      return true;
+    } catch {
+      this.counters.failedPolls += 1;
+      return false;
+    }
+  }
+
+  private applyList(vms: readonly IVm[]): void {
+    // This node runs, so a list without any VM is not the truth but a fault of the platform;
+    // to believe it would make every node home of everything at once.
+    if (vms.length === 0) return;
+    this.listed = vms.filter((vm) => vm.state === VmState.Live).map(toNode);
+    const addresses = new Set(vms.map((vm) => vm.address));
+    for (const address of this.experiences.keys()) {
+      if (!addresses.has(address)) this.experiences.delete(address);
+    }
+    this.updateLiveNodes();
+  }
+
+  private updateLiveNodes(): void {
+    const { self } = this.options;
+    const nowMs = this.getNow();
+    const peers = this.listed.filter((node) => {
+      return node.address !== self.address && this.isUsable(node.address, nowMs);
+    });
+    this.startReturnTimer(nowMs);
+    const live = [...peers, self].sort(compareAddresses);
+    if (isSameSet(live, this.live)) return;
+    this.live = live;
+    this.counters.changes += 1;
+    this.didChange.fire(live);
+  }
+
+  private isUsable(address: string, nowMs: number): boolean {
+    return this.experiences.get(address)?.isUsable(nowMs) ?? true;
+  }
+
+  /** Brings peers back when their time is over, without a timer for each of them. */
+  private startReturnTimer(nowMs: number): void {
+    void this.returnTimer?.dispose();
+    let earliestMs = Infinity;
+    for (const experience of this.experiences.values()) {
+      const fromMs = experience.getUsableFrom();
+      if (fromMs > nowMs) earliestMs = Math.min(earliestMs, fromMs);
+    }
+    if (earliestMs === Infinity) return;
+    const delayMs = earliestMs - nowMs;
+    this.returnTimer = this.options.clock.startTimer(delayMs, () => {
+      this.updateLiveNodes();
+    });
+  }
+
+  private getExperience(address: string): PeerExperience {
+    const known = this.experiences.get(address);
+    if (known !== undefined) return known;
+    const experience = new PeerExperience(this.options.suspicion);
+    this.experiences.set(address, experience);
+    return experience;
+  }
+
+  private getNow(): number {
+    return this.options.clock.getMonotonicTime();
+  }
+}
+
+function toNode(vm: IVm): INode {
+  return { address: vm.address, failureDomain: vm.failureDomain };
+}
+
+function compareAddresses(left: INode, right: INode): number {
+  if (left.address === right.address) return 0;
+  return left.address < right.address ? -1 : 1;
+}
+
+function isSameSet(left: readonly INode[], right: readonly INode[]): boolean {
+  if (left.length !== right.length) return false;
+  return left.every((node, index) => {
+    const other = right[index];
+    return node.address === other?.address && node.failureDomain === other.failureDomain;
+  });
+}
