Call peers by connect-es, proved by the fleet's key

Cause: nodes need control calls whose outcome feeds membership. A proof is an HMAC over instant, receiver and path: the key never travels. Ruled out: a bare shared secret in a header (whoever sees one request has it).

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,3 +1,9 @@
 /** The nodes acting together: membership, placement, control traffic between peers. */
+export * from './membership/common/listedMembershipService.js';
 export * from './membership/common/membershipService.js';
+export * from './membership/common/peerExperience.js';
+export * from './peers/node/controlHandler.js';
+export * from './peers/node/peerAuthenticator.js';
+export * from './peers/node/peerClients.js';
 export * from './placement/common/placement.js';
+export * from './placement/common/rendezvousPlacement.js';
--- /dev/null
+++ b/packages/fleet/src/peers/node/controlHandler.ts
@@ -0,0 +1,51 @@
+/** The receiving side of control calls between nodes. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { ServiceImpl } from '@connectrpc/connect';
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+import { ControlService } from '@parsleymux/schema';
+import type { PeerAuthenticator } from './peerAuthenticator.js';
+import { PROOF_HEADER } from './peerAuthenticator.js';
+
+/** Paths that begin so belong to {@link makeControlHandler}. */
+export const CONTROL_PATH_PREFIX = '/parsleymux.control.v1.';
+
+const UNAUTHORIZED = 401;
+const DEFAULT_MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
+
+/** What answers control calls; a method that is left out answers "unimplemented". */
+export type ControlImplementation = Partial<ServiceImpl<typeof ControlService>>;
+
+/** Handles a request of Node's HTTP server. */
+export type HttpHandler = (request: IncomingMessage, response: ServerResponse) => void;
+
+/** Options of {@link makeControlHandler}. */
+export interface IControlHandlerOptions {
+  readonly implementation: ControlImplementation;
+  readonly authenticator: PeerAuthenticator;
+  /** Largest message that is read. Default 16 MiB. */
+  readonly maxMessageBytes?: number;
+}
+
+/**
+ * Makes the handler for the peer port's control paths.
+ *
+ * @example
+ * const handleControl = makeControlHandler({ implementation, authenticator });
+ * createServer((request, response) => {
+ *   if (request.url?.startsWith(CONTROL_PATH_PREFIX)) handleControl(request, response);
+ * });
+ */
+export function makeControlHandler(options: IControlHandlerOptions): HttpHandler {
+  const adapter = connectNodeAdapter({
+    routes: (router) => router.service(ControlService, options.implementation),
+    readMaxBytes: options.maxMessageBytes ?? DEFAULT_MAX_MESSAGE_BYTES,
+  });
+  return (request, response) => {
+    const proof = request.headers[PROOF_HEADER];
+    if (!options.authenticator.verifyProof(proof, request.url ?? '')) {
+      response.writeHead(UNAUTHORIZED, { connection: 'close' }).end();
+      return;
+    }
+    adapter(request, response);
+  };
+}
