Guard non-idempotent requests by one conditional claim per key

Cause: a retry through another node, or a claim whose answer was lost, must not run a booking twice. The guard claims the caller's key by one conditional write without a lease, dispatches once, records the whole answer and replays it.

Ruled out: deleting the row on release. A row that is inserted anew starts at version 1, so a release that arrives late would match and wipe out the claim of another attempt; the row is marked not-run instead and versions only grow. Ruled out: reading back after a lost answer. A late write lands after the read; sending the same conditional write again is decided by the token in the row.

With the claim turned off (every claim won), the retry test fails: the second and third guards book again.

--- /dev/null
+++ b/packages/claims/src/guard/common/backgroundRetrier.ts
@@ -0,0 +1,75 @@
+/** Work that must get done although the store is out, after its caller has been answered. */
+import type { Clock, IDisposable, RandomSource } from '@parsleymux/base';
+import { waitAtMost } from '../../attempt/common/waitAtMost.js';
+
+const FIRST_DELAY_MS = 50;
+const MAX_DELAY_MS = 5000;
+
+/** Options of a {@link BackgroundRetrier}. */
+export interface IBackgroundRetrierOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
+
+/**
+ * Repeats actions until they succeed, with growing, jittered delays.
+ *
+ * @example
+ * await retrier.start(() => store.writeOutcome(rowKey, version, claim), 500);
+ */
+export class BackgroundRetrier implements IDisposable {
+  private readonly clock: Clock;
+  private readonly random: RandomSource;
+  private readonly stop = new AbortController();
+  private readonly pending = new Set<Promise<void>>();
+
+  constructor(options: IBackgroundRetrierOptions) {
+    this.clock = options.clock;
+    this.random = options.random;
+  }
+
+  /** Starts `action` and resolves after its first try, or after `waitMs` if that is sooner. */
+  async start(action: () => Promise<void>, waitMs: number): Promise<void> {
+    const firstTry = tryOnce(action);
+    const done = this.runUntilDone(firstTry, action);
+    this.pending.add(done);
+    void done.finally(() => this.pending.delete(done));
+    await waitAtMost(this.clock, firstTry, waitMs);
+  }
+
+  /** Actions that have not succeeded yet. */
+  getPendingCount(): number {
+    return this.pending.size;
+  }
+
+  /** Resolves when nothing is pending. Shutdown waits for it, so that no outcome is lost. */
+  async flush(): Promise<void> {
+    while (this.pending.size > 0) await Promise.all(this.pending);
+  }
+
+  dispose(): void {
+    this.stop.abort(new Error('disposed'));
+  }
+
+  private async runUntilDone(
+    firstTry: Promise<boolean>,
+    action: () => Promise<void>,
+  ): Promise<void> {
+    let hasSucceeded = await firstTry;
+    for (let delayMs = FIRST_DELAY_MS; !hasSucceeded; delayMs *= 2) {
+      const jitteredMs = this.random.getJittered(Math.min(delayMs, MAX_DELAY_MS));
+      const hasSlept = await tryOnce(() => this.clock.sleep(jitteredMs, this.stop.signal));
+      if (!hasSlept) return;
+      hasSucceeded = await tryOnce(action);
+    }
+  }
+}
+
+async function tryOnce(action: () => Promise<void>): Promise<boolean> {
+  try {
+    await action();
+    return true;
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/claims/src/guard/common/claimGuard.ts
@@ -0,0 +1,256 @@
+/**
+ * Lets a request that is not idempotent run at most once across the fleet.
+ *
+ * Whoever is about to dispatch claims the caller's key by one conditional write. The claim has
+ * no lease: only its winner ever dispatches, once, however long it is paused in between. Its
+ * outcome is recorded under the key and replayed to later requests. A claim that provably did
+ * not run is released; one whose outcome nobody knows is never run again.
+ */
+import { randomUUID } from 'node:crypto';
+import type { Clock, IDisposable, InvariantRegistry, RandomSource } from '@parsleymux/base';
+import type { ObjectStore, TableService } from '@parsleymux/platform';
+import type { IAnswer, IGuardedAttempt } from '@parsleymux/routing';
+import { DispatchGuard } from '@parsleymux/routing';
+import type { IAttemptOutcome } from '../../attempt/common/attemptRegistry.js';
+import { AttemptEnd, AttemptRegistry } from '../../attempt/common/attemptRegistry.js';
+import { waitAtMost } from '../../attempt/common/waitAtMost.js';
+import { markReplayed } from '../../claim/common/answerCodec.js';
+import type { IVersionedClaim } from '../../claim/common/claim.js';
+import { ClaimState } from '../../claim/common/claim.js';
+import type { IClaimIdentity } from '../../claim/common/claimIdentity.js';
+import { formatClaimRowKey, getClaimIdentity } from '../../claim/common/claimIdentity.js';
+import type { OutcomeLookUp } from '../../outcome/common/outcomeLookUp.js';
+import { NoOutcomeLookUp } from '../../outcome/common/outcomeLookUp.js';
+import { ClaimLookUpHandler } from '../../peer/common/claimLookUpHandler.js';
+import type { ClaimPeer } from '../../peer/common/claimPeer.js';
+import { ClaimStore } from '../../store/common/claimStore.js';
+import { GroupCommitter } from '../../store/common/groupCommitter.js';
+import { BackgroundRetrier } from './backgroundRetrier.js';
+import {
+  makeAnswerNotKept,
+  makeCallerGone,
+  makeDeadlinePassed,
+  makeKeyConflict,
+  makeOutcomeUnknown,
+  makeStillRunning,
+  makeStoreUnavailable,
+} from './claimErrors.js';
+import { ClaimFollower } from './claimFollower.js';
+import { ClaimRunner } from './claimRunner.js';
+
+const DEFAULT_MAX_ANSWER_BYTES = 1 << 20;
+const DEFAULT_MAX_ROW_BYTES = 8 << 10;
+const DEFAULT_CLAIM_WAIT_MS = 1000;
+const DEFAULT_RECORD_WAIT_MS = 500;
+const DEFAULT_ANSWER_MARGIN_MS = 50;
+const DEFAULT_GONE_WAIT_MS = 1000;
+const DEFAULT_QUIET_MS = 60_000;
+
+/** Options of a {@link ClaimGuard}. All times are in ms. */
+export interface IClaimGuardOptions {
+  readonly table: TableService;
+  readonly objects: ObjectStore;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly invariants: InvariantRegistry;
+  /** Peer address of this node, under which other nodes ask it about its claims. */
+  readonly nodeAddress: string;
+  readonly peer: ClaimPeer;
+  /** Whether the platform still lists the node, or it was heard of. Default: always. */
+  readonly isLive?: (address: string) => boolean;
+  /** Default: no route can be asked. */
+  readonly lookUp?: OutcomeLookUp;
+  /** Shared with other users of the table, or undefined for one of its own. */
+  readonly committer?: GroupCommitter;
+  /** Time that a claim waits for others to be committed with. Default 2. */
+  readonly groupMs?: number;
+  /** Name of a new attempt; must be unique in the fleet for ever. Default: a random UUID. */
+  readonly makeToken?: () => string;
+  /** Largest answer that is kept, in bytes. Default 1 MiB. */
+  readonly maxAnswerBytes?: number;
+  /** Largest body recorded in the row rather than in an object, in bytes. Default 8 KiB. */
+  readonly maxRowBytes?: number;
+  /** Longest wait for the fate of a claim whose answer was lost. Default 1000. */
+  readonly claimWaitMs?: number;
+  /** Longest time that an answer is held back for its record. Default 500. */
+  readonly recordWaitMs?: number;
+  /** Time before the deadline at which waiting for another's run ends. Default 50. */
+  readonly answerMarginMs?: number;
+  /** Longest time that a claimer listed as gone is asked again. Default 1000. */
+  readonly goneWaitMs?: number;
+  /** Time after an unknown outcome from which a target's "never ran" counts. Default 60000. */
+  readonly quietMs?: number;
+}
+
+/**
+ * The guard over the platform's table.
+ *
+ * @example
+ * const guard = new ClaimGuard({ table, objects, clock, random, invariants, nodeAddress, peer });
+ * const answer = await guard.execute(attempt, signal);
+ */
+export class ClaimGuard extends DispatchGuard implements IDisposable {
+  /** Serves other nodes' questions about this node's claims. */
+  readonly lookUpHandler: ClaimLookUpHandler;
+  private readonly clock: Clock;
+  private readonly random: RandomSource;
+  private readonly store: ClaimStore;
+  private readonly registry = new AttemptRegistry();
+  private readonly retrier: BackgroundRetrier;
+  private readonly runner: ClaimRunner;
+  private readonly follower: ClaimFollower;
+
+  constructor(options: IClaimGuardOptions) {
+    super();
+    const { table, objects, clock, random, invariants, nodeAddress, peer } = options;
+    const { registry } = this;
+    const groupMs = options.groupMs === undefined ? {} : { groupMs: options.groupMs };
+    const committer = options.committer ?? new GroupCommitter({ table, clock, ...groupMs });
+    const store = new ClaimStore({ table, committer, clock, random });
+    const retrier = new BackgroundRetrier({ clock, random });
+    const handler = new ClaimLookUpHandler({ registry, clock });
+    const shared = { store, objects, retrier, clock, random, nodeAddress };
+    this.clock = clock;
+    this.random = random;
+    this.store = store;
+    this.retrier = retrier;
+    this.lookUpHandler = handler;
+    this.runner = new ClaimRunner({
+      ...shared,
+      registry,
+      invariants,
+      // Not from the injected source: two nodes seeded alike would make the same tokens, and
+      // each would take the other's claim for its own.
+      makeToken: options.makeToken ?? randomUUID,
+      maxAnswerBytes: options.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES,
+      maxRowBytes: options.maxRowBytes ?? DEFAULT_MAX_ROW_BYTES,
+      claimWaitMs: options.claimWaitMs ?? DEFAULT_CLAIM_WAIT_MS,
+      recordWaitMs: options.recordWaitMs ?? DEFAULT_RECORD_WAIT_MS,
+    });
+    this.follower = new ClaimFollower({
+      ...shared,
+      handler,
+      peer,
+      lookUp: options.lookUp ?? new NoOutcomeLookUp(),
+      isLive: options.isLive ?? (() => true),
+      answerMarginMs: options.answerMarginMs ?? DEFAULT_ANSWER_MARGIN_MS,
+      goneWaitMs: options.goneWaitMs ?? DEFAULT_GONE_WAIT_MS,
+      quietMs: options.quietMs ?? DEFAULT_QUIET_MS,
+    });
+  }
+
+  override async execute(guarded: IGuardedAttempt, signal: AbortSignal): Promise<IAnswer> {
+    const identity = getClaimIdentity(guarded.request);
+    const rowKey = formatClaimRowKey(identity.member, identity.claimKey);
+    let known: IVersionedClaim | undefined;
+    for (;;) {
+      this.checkStillWanted(guarded, signal);
+      const joined = await this.joinLocal(guarded, identity, rowKey);
+      if (joined !== undefined) return joined;
+      known ??= await this.readBeforeRefusing(guarded, rowKey);
+      const version = known === undefined ? 0 : await this.resolveKnown(guarded, identity, known);
+      if (typeof version !== 'number') return version;
+      const refusal = guarded.estimateRefusal();
+      if (refusal !== undefined) throw refusal;
+      const result = await this.runner.run(guarded, identity, version, signal);
+      if (result.outcome !== undefined) return getAnswer(result.outcome);
+      known = result.current;
+    }
+  }
+
+  /** Outcomes and releases that are not in the store yet. */
+  getPendingRecordCount(): number {
+    return this.retrier.getPendingCount();
+  }
+
+  /** Resolves when the store has every outcome; shutdown waits for it, within its own limit. */
+  flush(): Promise<void> {
+    return this.retrier.flush();
+  }
+
+  dispose(): void {
+    this.retrier.dispose();
+  }
+
+  private checkStillWanted(guarded: IGuardedAttempt, signal: AbortSignal): void {
+    if (signal.aborted) throw makeCallerGone();
+    if (this.clock.getMonotonicTime() >= guarded.request.deadlineMs) throw makeDeadlinePassed();
+  }
+
+  /**
+   * Under overload a key that ran must still be told so; only a key that did not run may be
+   * refused as not run. Reading instead of claiming spares the store a write and a release.
+   */
+  private async readBeforeRefusing(
+    guarded: IGuardedAttempt,
+    rowKey: string,
+  ): Promise<IVersionedClaim | undefined> {
+    const refusal = guarded.estimateRefusal();
+    if (refusal === undefined) return undefined;
+    const known = await this.read(rowKey);
+    if (known === undefined || known.claim.state === ClaimState.NotRun) throw refusal;
+    return known;
+  }
+
+  private async read(rowKey: string): Promise<IVersionedClaim | undefined> {
+    try {
+      return await this.store.read(rowKey);
+    } catch {
+      throw makeStoreUnavailable(this.random.getFloat());
+    }
+  }
+
+  /** The recorded answer, or the version at which the row may be claimed again. */
+  private async resolveKnown(
+    guarded: IGuardedAttempt,
+    identity: IClaimIdentity,
+    known: IVersionedClaim,
+  ): Promise<IAnswer | number> {
+    const { request } = guarded;
+    // A key whose request never ran is free, also for another request.
+    if (known.claim.state === ClaimState.NotRun) return known.version;
+    if (known.claim.digest !== identity.digest) throw makeKeyConflict();
+    const followed = await this.follower.resolve(request, identity, known);
+    return followed.answer ?? followed.claimableVersion;
+  }
+
+  /** Waits for an attempt of this very process: that works with the store out, too. */
+  private async joinLocal(
+    guarded: IGuardedAttempt,
+    identity: IClaimIdentity,
+    rowKey: string,
+  ): Promise<IAnswer | undefined> {
+    const attempt = this.registry.findByRow(rowKey);
+    if (attempt === undefined || isNotRun(attempt.getOutcome())) return undefined;
+    if (attempt.digest !== identity.digest) throw makeKeyConflict();
+    const leftMs = this.follower.getTimeLeft(guarded.request);
+    const outcome = await waitAtMost(this.clock, attempt.ended, leftMs);
+    if (outcome === undefined) throw makeStillRunning();
+    if (isNotRun(outcome)) return undefined;
+    if (outcome.answer !== undefined) return markReplayed(outcome.answer);
+    return this.resolveLocal(guarded, identity, rowKey, outcome);
+  }
+
+  private async resolveLocal(
+    guarded: IGuardedAttempt,
+    identity: IClaimIdentity,
+    rowKey: string,
+    outcome: IAttemptOutcome,
+  ): Promise<IAnswer | undefined> {
+    if (outcome.end === AttemptEnd.RanNotKept) throw makeAnswerNotKept();
+    const known = await this.store.read(rowKey).catch(() => undefined);
+    if (known === undefined) throw makeOutcomeUnknown(true);
+    const followed = await this.resolveKnown(guarded, identity, known);
+    return typeof followed === 'number' ? undefined : followed;
+  }
+}
+
+function isNotRun(outcome: IAttemptOutcome | undefined): boolean {
+  return outcome?.end === AttemptEnd.NotRun;
+}
+
+/** What the caller of the attempt itself is given: the answer as it came, or the true error. */
+function getAnswer(outcome: IAttemptOutcome): IAnswer {
+  if (outcome.answer !== undefined) return outcome.answer;
+  throw outcome.error ?? makeOutcomeUnknown(true);
+}
--- /dev/null
+++ b/packages/claims/src/outcome/common/outcomeLookUp.ts
@@ -0,0 +1,33 @@
+/** Asks the targets themselves whether a key was executed, where its route names a way to ask. */
+import type { IRoutedRequest } from '@parsleymux/routing';
+import type { IWholeAnswer } from '../../claim/common/answerCodec.js';
+
+/** What the targets said. */
+export const TargetWord = {
+  Ran: 'ran',
+  /** No execution so far. One that was sent may still be on its way. */
+  NotRun: 'not-run',
+  /** No usable answer. */
+  Silent: 'silent',
+} as const;
+
+export type TargetWord = (typeof TargetWord)[keyof typeof TargetWord];
+
+/** The targets' word, with the recorded answer when it ran. */
+export interface ITargetOutcome {
+  readonly word: TargetWord;
+  readonly answer?: IWholeAnswer;
+}
+
+/** Sends a route's look-up request. */
+export abstract class OutcomeLookUp {
+  /** Never rejects: a failure is {@link TargetWord.Silent}. */
+  abstract lookUp(request: IRoutedRequest, signal: AbortSignal): Promise<ITargetOutcome>;
+}
+
+/** For fleets whose routes name no look-up. */
+export class NoOutcomeLookUp extends OutcomeLookUp {
+  override lookUp(): Promise<ITargetOutcome> {
+    return Promise.resolve({ word: TargetWord.Silent });
+  }
+}
--- /dev/null
+++ b/packages/claims/src/store/common/claimStore.ts
@@ -0,0 +1,154 @@
+/** Claims in the platform's table, with every lost answer settled by asking again. */
+import type { Clock, RandomSource } from '@parsleymux/base';
+import type { TableService } from '@parsleymux/platform';
+import { PlatformError, PlatformFailure } from '@parsleymux/platform';
+import type { IClaim, IVersionedClaim } from '../../claim/common/claim.js';
+import { ClaimState, decodeClaim, encodeClaim } from '../../claim/common/claim.js';
+import type { GroupCommitter } from './groupCommitter.js';
+
+const RETRY_MS = 20;
+
+/** What an attempt to claim came to. */
+export const ClaimVerdict = {
+  Won: 'won',
+  /** The row is not as expected; nothing of ours is in it or ever will be. */
+  Lost: 'lost',
+  /** Provably not written. */
+  Unavailable: 'unavailable',
+  /** It may be written, now or later. */
+  Unresolved: 'unresolved',
+} as const;
+
+export type ClaimVerdict = (typeof ClaimVerdict)[keyof typeof ClaimVerdict];
+
+/** The verdict, with the version won or the row that stands in the way. */
+export interface IClaimResult {
+  readonly verdict: ClaimVerdict;
+  /** Version of the row when won. */
+  readonly version: number;
+  /** The row when lost; undefined when it has gone. */
+  readonly current: IVersionedClaim | undefined;
+}
+
+/** What became of writing an outcome. */
+export const OutcomeWrite = {
+  Written: 'written',
+  /** The row holds an outcome already, or has expired. */
+  Settled: 'settled',
+  /** The row holds another attempt. */
+  Overtaken: 'overtaken',
+} as const;
+
+export type OutcomeWrite = (typeof OutcomeWrite)[keyof typeof OutcomeWrite];
+
+/** Options of a {@link ClaimStore}. */
+export interface IClaimStoreOptions {
+  readonly table: TableService;
+  readonly committer: GroupCommitter;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
+
+/**
+ * Reads and writes claim rows.
+ *
+ * @example
+ * const result = await store.claim(rowKey, 0, claim, clock.getMonotonicTime() + 500);
+ */
+export class ClaimStore {
+  private readonly table: TableService;
+  private readonly committer: GroupCommitter;
+  private readonly clock: Clock;
+  private readonly random: RandomSource;
+
+  constructor(options: IClaimStoreOptions) {
+    this.table = options.table;
+    this.committer = options.committer;
+    this.clock = options.clock;
+    this.random = options.random;
+  }
+
+  /** The claim of a row; undefined when there is none. Rejects with a PlatformError. */
+  async read(rowKey: string): Promise<IVersionedClaim | undefined> {
+    const rows = await this.table.read([rowKey]);
+    const row = rows[0];
+    return row === undefined ? undefined : decodeClaim(row);
+  }
+
+  /**
+   * Writes `claim` if the row has `expectedVersion`; 0 means no row. An answer that is lost
+   * after the write is settled by sending the same write again: if the first took effect, the
+   * second finds our own token in the row. A read would not do, for a write that is late can
+   * land after the read. Gives up at the monotonic instant `untilMs`.
+   */
+  async claim(
+    rowKey: string,
+    expectedVersion: number,
+    claim: IClaim,
+    untilMs: number,
+  ): Promise<IClaimResult> {
+    const change = { key: rowKey, expectedVersion, value: encodeClaim(claim) };
+    let mayBeWritten = false;
+    for (;;) {
+      try {
+        const result = await this.committer.commit(change);
+        if (result.committed) return makeWon(expectedVersion + 1);
+        const current = result.row === undefined ? undefined : decodeClaim(result.row);
+        return isHeldBy(current, claim.token) ? makeWon(current.version) : makeLost(current);
+      } catch (error) {
+        if (!(error instanceof PlatformError)) throw error;
+        mayBeWritten ||= error.failure === PlatformFailure.Unknown;
+      }
+      if (!mayBeWritten) return makeUndecided(ClaimVerdict.Unavailable);
+      if (this.clock.getMonotonicTime() + RETRY_MS >= untilMs) {
+        return makeUndecided(ClaimVerdict.Unresolved);
+      }
+      await this.clock.sleep(this.random.getJittered(RETRY_MS));
+    }
+  }
+
+  /**
+   * Writes the outcome of the attempt `claim.token`, whatever version its row has come to.
+   * Rejects with a PlatformError when the platform gave no answer; calling it again is safe.
+   */
+  async writeOutcome(
+    rowKey: string,
+    expectedVersion: number,
+    claim: IClaim,
+  ): Promise<OutcomeWrite> {
+    const value = encodeClaim(claim);
+    let version = expectedVersion;
+    for (;;) {
+      const result = await this.committer.commit({ key: rowKey, expectedVersion: version, value });
+      if (result.committed) return OutcomeWrite.Written;
+      if (result.row === undefined) return OutcomeWrite.Settled;
+      const current = decodeClaim(result.row);
+      if (current.claim.token !== claim.token) return OutcomeWrite.Overtaken;
+      if (!isReplaceable(current.claim, claim)) return OutcomeWrite.Settled;
+      version = current.version;
+    }
+  }
+}
+
+function isHeldBy(current: IVersionedClaim | undefined, token: string): current is IVersionedClaim {
+  return current?.claim.token === token && current.claim.state === ClaimState.Running;
+}
+
+/** A proven outcome replaces what was open, and also an operator's word that it contradicts. */
+function isReplaceable(current: IClaim, next: IClaim): boolean {
+  if (current.state === ClaimState.Running) return true;
+  if (next.state === ClaimState.NotRun || next.state === ClaimState.Unknown) return false;
+  return current.state === ClaimState.Unknown || current.settlement !== undefined;
+}
+
+function makeWon(version: number): IClaimResult {
+  return { verdict: ClaimVerdict.Won, version, current: undefined };
+}
+
+function makeLost(current: IVersionedClaim | undefined): IClaimResult {
+  return { verdict: ClaimVerdict.Lost, version: 0, current };
+}
+
+function makeUndecided(verdict: ClaimVerdict): IClaimResult {
+  return { verdict, version: 0, current: undefined };
+}
--- /dev/null
+++ b/packages/claims/src/test/fakeTable.ts
@@ -0,0 +1,128 @@
+/** A table in memory whose answers can be lost and whose writes can be late. For tests. */
+import type { Clock } from '@parsleymux/base';
+import type {
+  IScanOptions,
+  ITableRow,
+  ITableTransaction,
+  ITransactionResult,
+} from '@parsleymux/platform';
+import { ObjectStore, PlatformError, PlatformFailure, TableService } from '@parsleymux/platform';
+
+/** What happens to one call. */
+export const TableFault = {
+  None: 'none',
+  /** Refused; nothing done. */
+  Refuse: 'refuse',
+  /** Lost on the way there; the caller can't know. */
+  LoseRequest: 'lose-request',
+  /** Done, and the answer lost. */
+  LoseAnswer: 'lose-answer',
+  /** The caller is told nothing; the write lands `lateMs` after. */
+  LandLate: 'land-late',
+} as const;
+
+export type TableFault = (typeof TableFault)[keyof typeof TableFault];
+
+const MAX_SCAN_ROWS = 1000;
+
+/** Options of a {@link FakeTable}. */
+export interface IFakeTableOptions {
+  readonly clock: Clock;
+  /** Time that each call takes, in ms. Default 1. */
+  readonly latencyMs?: number;
+  /** Delay of late writes, in ms. Default 50. */
+  readonly lateMs?: number;
+}
+
+/** Rows with versions, as the platform keeps them. */
+export class FakeTable extends TableService {
+  /** Chooses the fault of each call. */
+  chooseFault: () => TableFault = () => TableFault.None;
+  /** Transactions that reached the table. */
+  transactions = 0;
+  private readonly rows = new Map<string, ITableRow>();
+  private readonly clock: Clock;
+  private readonly latencyMs: number;
+  private readonly lateMs: number;
+
+  constructor(options: IFakeTableOptions) {
+    super();
+    this.clock = options.clock;
+    this.latencyMs = options.latencyMs ?? 1;
+    this.lateMs = options.lateMs ?? 50;
+  }
+
+  override async read(keys: readonly string[]): Promise<readonly ITableRow[]> {
+    await this.checkReadFault();
+    return keys.flatMap((key) => this.rows.get(key) ?? []);
+  }
+
+  override async scan(options: IScanOptions): Promise<readonly ITableRow[]> {
+    await this.checkReadFault();
+    return [...this.rows.values()]
+      .filter(({ key }) => key.startsWith(options.prefix) && key > (options.after ?? ''))
+      .sort((left, right) => (left.key < right.key ? -1 : 1))
+      .slice(0, options.limit ?? MAX_SCAN_ROWS);
+  }
+
+  override async transact(transaction: ITableTransaction): Promise<ITransactionResult> {
+    const fault = this.chooseFault();
+    await this.clock.sleep(this.latencyMs);
+    switch (fault) {
+      case TableFault.None:
+        return this.applyNow(transaction);
+      case TableFault.Refuse:
+        throw new PlatformError(PlatformFailure.Refused, 'refused');
+      case TableFault.LoseAnswer:
+        this.applyNow(transaction);
+        break;
+      case TableFault.LandLate:
+        this.clock.startTimer(this.lateMs, () => this.applyNow(transaction));
+        break;
+      case TableFault.LoseRequest:
+        break;
+    }
+    throw new PlatformError(PlatformFailure.Unknown, 'answer lost');
+  }
+
+  private async checkReadFault(): Promise<void> {
+    const fault = this.chooseFault();
+    await this.clock.sleep(this.latencyMs);
+    if (fault === TableFault.None) return;
+    throw new PlatformError(PlatformFailure.Unknown, 'answer lost');
+  }
+
+  private applyNow(transaction: ITableTransaction): ITransactionResult {
+    this.transactions += 1;
+    const failed = transaction.conditions.filter(
+      ({ key, version }) => (this.rows.get(key)?.version ?? 0) !== version,
+    );
+    if (failed.length > 0) {
+      return { committed: false, conflicts: failed.flatMap(({ key }) => this.rows.get(key) ?? []) };
+    }
+    for (const { key, value } of transaction.writes) {
+      const version = (this.rows.get(key)?.version ?? 0) + 1;
+      if (value === null) this.rows.delete(key);
+      else this.rows.set(key, { key, value, version });
+    }
+    return { committed: true, conflicts: [] };
+  }
+}
+
+/** Objects in memory. */
+export class FakeObjects extends ObjectStore {
+  readonly bytes = new Map<string, Uint8Array>();
+
+  override get(key: string): Promise<Uint8Array | undefined> {
+    return Promise.resolve(this.bytes.get(key));
+  }
+
+  override put(key: string, bytes: Uint8Array): Promise<void> {
+    this.bytes.set(key, bytes);
+    return Promise.resolve();
+  }
+
+  override list(prefix: string): Promise<readonly string[]> {
+    return Promise.resolve([...this.bytes.keys()].filter((key) => key.startsWith(prefix)).sort());
+  }
+}
