Serve services from their home: slots, bounded fair queue, retries, ejection ledger

LocalHomeService keeps one home per service (shard id member/service): the least loaded target with a free slot, a queue that is bounded, fair between callers and ordered by time left, refusals that are not run and say when to come back, retries from a budget and only when idempotent or provably not run.

EjectionLedger gains readEjected; IEjectionRequest gains memberRevision.

--- /dev/null
+++ b/packages/routing/src/attempt/common/attemptOutcome.ts
@@ -0,0 +1,111 @@
+/** What came of sending a request to one target, and what a caller is told of it. */
+import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import type { IAnswer } from '../../request/common/request.js';
+import type { ITargetAnswer } from '../../transport/common/targetTransport.js';
+import { TransportError, TransportFailure } from '../../transport/common/targetTransport.js';
+
+const FIRST_SERVER_ERROR = 500;
+
+/** An attempt that ended with the target's answer, of any status. */
+export interface IAnsweredAttempt {
+  readonly kind: 'answered';
+  readonly target: string;
+  readonly answer: ITargetAnswer;
+}
+
+/** An attempt that ended without a whole answer. */
+export interface IFailedAttempt {
+  readonly kind: 'failed';
+  readonly target: string;
+  readonly error: TransportError;
+}
+
+export type AttemptOutcome = IAnsweredAttempt | IFailedAttempt;
+
+/** True when the caller can be given this outcome as a success. */
+export function isGood(outcome: AttemptOutcome): boolean {
+  return (
+    outcome.kind === 'answered' &&
+    !outcome.answer.notRun &&
+    outcome.answer.status < FIRST_SERVER_ERROR
+  );
+}
+
+/** True when it is certain that the target executed nothing. */
+export function isProvablyNotRun(outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'answered' ? outcome.answer.notRun : !outcome.error.mayHaveRun;
+}
+
+/** True when another target might do better. */
+export function isWorthRetrying(outcome: AttemptOutcome): boolean {
+  if (outcome.kind === 'answered') return !isGood(outcome);
+  const { failure } = outcome.error;
+  return failure !== TransportFailure.Cancelled && failure !== TransportFailure.TooLarge;
+}
+
+/** The answer to give, or the refusal to throw, for the last outcome of a request. */
+export function toAnswer(outcome: AttemptOutcome, retryAfterMs: number): IAnswer {
+  if (outcome.kind === 'failed') throw toMuxError(outcome.error);
+  const { answer } = outcome;
+  if (answer.notRun) {
+    throw new MuxError({
+      code: ResultCode.TargetShed,
+      message: 'the target shed the request',
+      runState: RunState.NotRun,
+      retryAfterMs: Math.ceil(retryAfterMs),
+    });
+  }
+  const isFailure = answer.status >= FIRST_SERVER_ERROR;
+  return {
+    status: answer.status,
+    headers: answer.headers,
+    body: answer.body,
+    code: isFailure ? ResultCode.TargetFailed : ResultCode.Ok,
+    // An error status can come from something in front of the target, so it proves no execution.
+    runState: isFailure ? RunState.MayHaveRun : RunState.Ran,
+  };
+}
+
+const CODES: Readonly<Record<TransportFailure, ResultCode>> = {
+  [TransportFailure.Connect]: ResultCode.TargetUnreachable,
+  [TransportFailure.NoConnection]: ResultCode.TargetUnreachable,
+  [TransportFailure.Broken]: ResultCode.TargetFailed,
+  [TransportFailure.Truncated]: ResultCode.AnswerTruncated,
+  [TransportFailure.Timeout]: ResultCode.TargetTimeout,
+  [TransportFailure.Cancelled]: ResultCode.CallerGone,
+  [TransportFailure.TooLarge]: ResultCode.AnswerTooLarge,
+};
+
+function toMuxError(error: TransportError): MuxError {
+  return new MuxError({
+    code: CODES[error.failure],
+    message: `no whole answer from the target: ${error.failure}`,
+    runState: error.mayHaveRun ? RunState.MayHaveRun : RunState.NotRun,
+    cause: error,
+  });
+}
+
+/** The same refusal for a request of which an earlier attempt may have been executed. */
+export function markMayHaveRun(error: MuxError): MuxError {
+  return new MuxError({
+    code: error.code,
+    message: error.message,
+    runState: RunState.MayHaveRun,
+    cause: error,
+    ...(error.retryAfterMs === undefined ? {} : { retryAfterMs: error.retryAfterMs }),
+  });
+}
+
+/** Wraps what a transport threw, so that a fault of the transport itself is not taken for "not run". */
+export function toFailedAttempt(target: string, thrown: unknown): IFailedAttempt {
+  const error =
+    thrown instanceof TransportError
+      ? thrown
+      : new TransportError({
+          failure: TransportFailure.Broken,
+          mayHaveRun: true,
+          reusedConnection: false,
+          cause: thrown,
+        });
+  return { kind: 'failed', target, error };
+}
--- /dev/null
+++ b/packages/routing/src/attempt/common/attemptRunner.ts
@@ -0,0 +1,135 @@
+/** Sends one request to one target, and keeps count of what may have been executed. */
+import { InvariantName } from '@parsleymux/base';
+import type { IHomeContext } from '../../home/common/homeOptions.js';
+import type { ISlot } from '../../home/common/slotPool.js';
+import type { IRoutedRequest } from '../../request/common/request.js';
+import type { TargetHandle } from '../../target/common/targetHandle.js';
+import type { ISendOptions, ITargetAnswer } from '../../transport/common/targetTransport.js';
+import type { AttemptOutcome } from './attemptOutcome.js';
+import { isProvablyNotRun, toFailedAttempt } from './attemptOutcome.js';
+
+/** Work handed out this long after a target's leaving instant is a broken promise. */
+const LEAVING_GRACE_MS = 3000;
+const MIN_TIMEOUT_MS = 1;
+
+/** What was dispatched for one request so far. */
+export class DispatchCount {
+  dispatched = 0;
+  provablyNotRun = 0;
+
+  /** True when some target may have executed the request. */
+  isMaybeRun(): boolean {
+    return this.dispatched > this.provablyNotRun;
+  }
+}
+
+/** One attempt. */
+export interface IAttempt {
+  readonly slot: ISlot;
+  readonly request: IRoutedRequest;
+  readonly signal: AbortSignal;
+  readonly isFresh: boolean;
+  readonly count: DispatchCount;
+}
+
+/** Runs attempts of one member. */
+export class AttemptRunner {
+  constructor(
+    private readonly context: IHomeContext,
+    private readonly member: string,
+  ) {}
+
+  /** Resolves with what came of it; the slot is given back when the answer has passed. */
+  async run(attempt: IAttempt): Promise<AttemptOutcome> {
+    const { slot, count } = attempt;
+    const target = slot.handle.address;
+    try {
+      const answer = await this.send(attempt);
+      const outcome: AttemptOutcome = {
+        kind: 'answered',
+        target,
+        answer: reserveSlot(answer, slot),
+      };
+      if (isProvablyNotRun(outcome)) count.provablyNotRun += 1;
+      return outcome;
+    } catch (error) {
+      slot.release();
+      const outcome = toFailedAttempt(target, error);
+      const didDispatch = !isProvablyNotRun(outcome);
+      if (!didDispatch) count.provablyNotRun = Math.min(count.dispatched, count.provablyNotRun + 1);
+      return outcome;
+    }
+  }
+
+  private send(attempt: IAttempt): Promise<ITargetAnswer> {
+    const { request, slot } = attempt;
+    const leftMs = request.deadlineMs - this.context.clock.getMonotonicTime();
+    return this.context.transport.send(
+      {
+        target: slot.handle.address,
+        member: this.member,
+        method: request.method,
+        path: request.path,
+        headers: request.headers,
+        body: request.body,
+        timeoutMs: Math.max(MIN_TIMEOUT_MS, leftMs),
+      },
+      this.buildSendOptions(attempt),
+    );
+  }
+
+  private buildSendOptions(attempt: IAttempt): ISendOptions {
+    return {
+      signal: attempt.signal,
+      freshConnection: attempt.isFresh,
+      maxAnswerBytes: this.context.maxAnswerBytes,
+      streamLarge: attempt.request.route.streamLargeAnswers,
+      onDispatch: () => {
+        this.checkDispatch(attempt);
+        attempt.count.dispatched += 1;
+      },
+    };
+  }
+
+  /** Asserts, at the last instant before a byte may leave, what must hold of every dispatch. */
+  private checkDispatch(attempt: IAttempt): void {
+    const { request, slot, count } = attempt;
+    const { invariants, clock } = this.context;
+    invariants.check(
+      InvariantName.AtMostOnce,
+      request.route.idempotent || !count.isMaybeRun(),
+      () => `${this.member}/${request.route.service}: second dispatch of one attempt`,
+    );
+    const isInTime = !hasLeft(slot.handle, clock.getWallTime() - LEAVING_GRACE_MS);
+    invariants.check(
+      InvariantName.LeavingTarget,
+      isInTime,
+      () => `${this.member}/${request.route.service}: ${slot.handle.address} has left`,
+    );
+  }
+}
+
+function hasLeft(handle: TargetHandle, wallTimeMs: number): boolean {
+  const leaveAtMs = Number(handle.target.leaveAtMs);
+  return leaveAtMs !== 0 && wallTimeMs >= leaveAtMs;
+}
+
+/** Gives the slot back at once for a whole answer, or when a streamed one has passed or broken. */
+function reserveSlot(answer: ITargetAnswer, slot: ISlot): ITargetAnswer {
+  if (answer.body instanceof Uint8Array) {
+    slot.release();
+    return answer;
+  }
+  return { ...answer, body: streamAndRelease(answer.body, slot) };
+}
+
+async function* streamAndRelease(
+  body: AsyncIterable<Uint8Array>,
+  slot: ISlot,
+): AsyncIterable<Uint8Array> {
+  try {
+    yield* body;
+  } finally {
+    slot.release();
+  }
+}
--- /dev/null
+++ b/packages/routing/src/home/common/localHomeService.ts
@@ -0,0 +1,111 @@
+/** All services that this node is home of, made on demand from the configuration in force. */
+import type { IDisposable } from '@parsleymux/base';
+import type { Service, ShardStatus } from '@parsleymux/schema';
+import type { IAnswer, IRoutedRequest } from '../../request/common/request.js';
+import { makeMemberLimit, makeNoTarget } from '../../refusal/common/refusals.js';
+import type { IHomeContext, IHomeOptions } from './homeOptions.js';
+import { withHomeDefaults } from './homeOptions.js';
+import { HomeService } from './homeService.js';
+import { ServiceHome } from './serviceHome.js';
+import { describeShard } from './shardStatus.js';
+
+const RETRY_AFTER_MS = 1000;
+
+/**
+ * Serves requests on this node.
+ *
+ * @example
+ * const home = new LocalHomeService({ configService, clock, random, transport, guard, ledger, invariants });
+ * const answer = await home.handle(request, signal);
+ */
+export class LocalHomeService extends HomeService implements IDisposable {
+  private readonly context: IHomeContext;
+  private readonly homes = new Map<string, ServiceHome>();
+  private readonly subscription: IDisposable;
+
+  constructor(options: IHomeOptions) {
+    super();
+    this.context = withHomeDefaults(options);
+    this.subscription = options.configService.onDidChange((change) => {
+      this.update(change.members);
+    });
+  }
+
+  override async handle(request: IRoutedRequest, signal: AbortSignal): Promise<IAnswer> {
+    const home = this.findHome(request.member, request.route.service);
+    if (home === undefined) throw makeNoTarget(this.context.random.getJittered(RETRY_AFTER_MS));
+    this.checkShare(request.member);
+    return home.handle(request, signal);
+  }
+
+  override getSpareSlots(member: string, service: string): number {
+    return this.findHome(member, service)?.pool.getSpare() ?? 0;
+  }
+
+  override getInFlight(): number {
+    return this.countInFlight(() => true);
+  }
+
+  override getStatus(): readonly ShardStatus[] {
+    return [...this.homes.values()].map((home) => describeShard(home, this.context));
+  }
+
+  dispose(): void | Promise<void> {
+    return this.subscription.dispose();
+  }
+
+  /**
+   * While the node is full, each member is held to its share, so that one member's flood can't
+   * take the memory and processor time that the others' requests need.
+   */
+  private checkShare(member: string): void {
+    if (this.getInFlight() < this.context.maxInFlight / 2) return;
+    const members = new Set([...this.homes.values()].filter(isBusy).map((home) => home.member));
+    const share = this.context.maxInFlight / Math.max(1, members.add(member).size);
+    const own = this.countInFlight((home) => home.member === member);
+    if (own < share && this.getInFlight() < this.context.maxInFlight) return;
+    throw makeMemberLimit(this.context.random.getJittered(RETRY_AFTER_MS));
+  }
+
+  private countInFlight(isCounted: (home: ServiceHome) => boolean): number {
+    let sum = 0;
+    for (const home of this.homes.values()) {
+      if (isCounted(home)) sum += home.inFlight;
+    }
+    return sum;
+  }
+
+  private findHome(member: string, serviceName: string): ServiceHome | undefined {
+    const key = formatKey(member, serviceName);
+    const existing = this.homes.get(key);
+    if (existing !== undefined) return existing;
+    const service = this.findService(member, serviceName);
+    if (service === undefined) return undefined;
+    const home = new ServiceHome({ context: this.context, member, service });
+    this.homes.set(key, home);
+    return home;
+  }
+
+  private findService(member: string, serviceName: string): Service | undefined {
+    const config = this.context.configService.getCurrent().members.get(member);
+    return config?.intent?.services.find((service) => service.name === serviceName);
+  }
+
+  private update(members: readonly string[]): void {
+    const changed = new Set(members);
+    for (const [key, home] of this.homes) {
+      if (!changed.has(home.member)) continue;
+      const service = this.findService(home.member, home.getService().name);
+      if (service === undefined) this.homes.delete(key);
+      else home.update(service);
+    }
+  }
+}
+
+function formatKey(member: string, service: string): string {
+  return `${member}/${service}`;
+}
+
+function isBusy(home: ServiceHome): boolean {
+  return home.inFlight > 0;
+}
--- /dev/null
+++ b/packages/routing/src/home/common/slotPool.ts
@@ -0,0 +1,263 @@
+/** The slots of one service's targets, and the bounded queue of requests that wait for one. */
+import type { Clock, MuxError, RandomSource } from '@parsleymux/base';
+import type { Service } from '@parsleymux/schema';
+import { ServiceTimeEstimate } from '../../queue/common/serviceTimeEstimate.js';
+import { WaitQueue } from '../../queue/common/waitQueue.js';
+import {
+  makeCallerGone,
+  makeDeadlinePassed,
+  makeNoTarget,
+  makeQueueFull,
+  makeQueueTimeout,
+} from '../../refusal/common/refusals.js';
+import type { IRoutedRequest } from '../../request/common/request.js';
+import { TargetHandle } from '../../target/common/targetHandle.js';
+import { pickTarget } from '../../target/common/targetPicker.js';
+
+const DEFAULT_QUEUE_FACTOR = 2;
+const MIN_QUEUE = 1;
+const MIN_RETRY_AFTER_MS = 100;
+const NO_TARGET_RETRY_AFTER_MS = 2000;
+
+/** A slot that is held. */
+export interface ISlot {
+  readonly handle: TargetHandle;
+  /** Gives the slot back. Calling it again does nothing. */
+  release(): void;
+}
+
+/** What a request waits for. */
+export interface ISlotWish {
+  readonly request: IRoutedRequest;
+  /** Targets that are out of the question. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/** Options of a {@link SlotPool}. */
+export interface ISlotPoolOptions {
+  readonly service: Service;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
+
+interface IWaiter {
+  readonly caller: string;
+  readonly deadlineMs: number;
+  readonly wish: ISlotWish;
+  finish(result: ISlot | MuxError): void;
+}
+
+/**
+ * Owns slots and queue.
+ *
+ * @example
+ * const slot = await pool.acquire({ request, excluded: new Set() }, signal);
+ * try { await send(slot.handle); } finally { slot.release(); }
+ */
+export class SlotPool {
+  readonly handles = new Map<string, TargetHandle>();
+  readonly serviceTime = new ServiceTimeEstimate();
+  private service: Service;
+  private readonly clock: Clock;
+  private readonly random: RandomSource;
+  private readonly queue = new WaitQueue<IWaiter>();
+  private isPumping = false;
+
+  constructor(options: ISlotPoolOptions) {
+    this.service = options.service;
+    this.clock = options.clock;
+    this.random = options.random;
+    this.update(options.service);
+  }
+
+  /** Takes over the configured targets. What a removed target still runs is left to finish. */
+  update(service: Service): void {
+    this.service = service;
+    const configured = new Set(service.targets.map((target) => target.address));
+    for (const address of this.handles.keys()) {
+      if (!configured.has(address)) this.handles.delete(address);
+    }
+    for (const target of service.targets) {
+      const handle = this.handles.get(target.address);
+      if (handle !== undefined) handle.update(target);
+      else this.handles.set(target.address, this.createHandle(target));
+    }
+    this.serveWaiting();
+  }
+
+  /** A free slot at once, or undefined. */
+  take(wish: ISlotWish): ISlot | undefined {
+    const handle = pickTarget({
+      handles: this.handles.values(),
+      excluded: wish.excluded,
+      isIdempotent: wish.request.route.idempotent,
+      wallTimeMs: this.clock.getWallTime(),
+      random: this.random,
+    });
+    return handle === undefined ? undefined : this.reserveSlot(handle);
+  }
+
+  /** Waits for a slot in the queue. Rejects with a refusal that is not run. */
+  wait(wish: ISlotWish, signal: AbortSignal): Promise<ISlot> {
+    if (signal.aborted) return Promise.reject(makeCallerGone());
+    const refusal = this.estimateRefusal(wish);
+    if (refusal !== undefined) return Promise.reject(refusal);
+    const slot = this.queue.size === 0 ? this.take(wish) : undefined;
+    if (slot !== undefined) return Promise.resolve(slot);
+    return this.addWaiter(wish, signal);
+  }
+
+  /** A slot of one given target, whatever its standing, if one is free: for trials. */
+  takeOf(handle: TargetHandle): ISlot | undefined {
+    return handle.inUse < handle.target.slots ? this.reserveSlot(handle) : undefined;
+  }
+
+  /** The refusal that a request would meet now; undefined when it would be served. */
+  estimateRefusal(wish: ISlotWish): MuxError | undefined {
+    const leftMs = wish.request.deadlineMs - this.clock.getMonotonicTime();
+    if (leftMs <= 0) return makeDeadlinePassed();
+    if (!this.hasUsable(wish.excluded)) {
+      return makeNoTarget(this.random.getJittered(NO_TARGET_RETRY_AFTER_MS));
+    }
+    if (this.queue.size === 0 && this.getFree() > 0) return undefined;
+    const waitMs = this.estimateWait(wish.request.caller);
+    if (waitMs + this.serviceTime.getMean() > leftMs) {
+      return makeQueueTimeout(this.computeRetryAfter());
+    }
+    const isFull = this.queue.size >= this.getQueueLimit();
+    if (isFull && !this.queue.hasRoomFor(wish.request.caller)) {
+      return makeQueueFull(this.computeRetryAfter());
+    }
+    return undefined;
+  }
+
+  /** When asking again makes sense: once the present queue has drained, spread at random. */
+  computeRetryAfter(): number {
+    const drainMs = ((this.queue.size + 1) * this.serviceTime.getMean()) / this.getAllowed();
+    return Math.max(MIN_RETRY_AFTER_MS, this.random.getJittered(drainMs, 0.3));
+  }
+
+  /** Slots that are free now, less the requests that wait. */
+  getSpare(): number {
+    return this.getFree() - this.queue.size;
+  }
+
+  /** Requests that wait. */
+  getQueued(): number {
+    return this.queue.size;
+  }
+
+  /** Gives free slots to those that wait. To be called whenever a slot may have become free. */
+  serveWaiting(): void {
+    // Finishing a waiter can release or take slots at once, which would serveWaiting again underneath.
+    if (this.isPumping) return;
+    this.isPumping = true;
+    try {
+      while (this.queue.size > 0 && this.getFree() > 0 && this.serveNext());
+    } finally {
+      this.isPumping = false;
+    }
+  }
+
+  private serveNext(): boolean {
+    let slot: ISlot | undefined;
+    const waiter = this.queue.take((candidate) => {
+      slot = this.take(candidate.wish);
+      return slot !== undefined;
+    });
+    if (waiter === undefined || slot === undefined) return false;
+    waiter.finish(slot);
+    return true;
+  }
+
+  private addWaiter(wish: ISlotWish, signal: AbortSignal): Promise<ISlot> {
+    if (this.queue.size >= this.getQueueLimit()) {
+      this.queue
+        .takeFromLongest(wish.request.caller)
+        ?.finish(makeQueueFull(this.computeRetryAfter()));
+    }
+    return new Promise((resolve, reject) => {
+      const { request } = wish;
+      // Past this instant the answer would most likely come too late, and the slot be wasted.
+      const latestStartMs = request.deadlineMs - this.serviceTime.getMean();
+      const timer = this.clock.startTimer(latestStartMs - this.clock.getMonotonicTime(), () => {
+        this.queue.remove(waiter);
+        waiter.finish(makeQueueTimeout(this.computeRetryAfter()));
+      });
+      const onAbort = () => {
+        this.queue.remove(waiter);
+        waiter.finish(makeCallerGone());
+      };
+      const waiter: IWaiter = {
+        caller: request.caller,
+        deadlineMs: request.deadlineMs,
+        wish,
+        finish: (result) => {
+          void timer.dispose();
+          signal.removeEventListener('abort', onAbort);
+          if ('handle' in result) resolve(result);
+          else reject(result);
+        },
+      };
+      signal.addEventListener('abort', onAbort, { once: true });
+      this.queue.add(waiter);
+      this.serveWaiting();
+    });
+  }
+
+  private reserveSlot(handle: TargetHandle): ISlot {
+    handle.inUse += 1;
+    let isHeld = true;
+    return {
+      handle,
+      release: () => {
+        if (!isHeld) return;
+        isHeld = false;
+        handle.inUse -= 1;
+        this.serveWaiting();
+      },
+    };
+  }
+
+  private estimateWait(caller: string): number {
+    return ((this.queue.countAhead(caller) + 1) * this.serviceTime.getMean()) / this.getAllowed();
+  }
+
+  private getQueueLimit(): number {
+    const factor = this.service.queueFactor || DEFAULT_QUEUE_FACTOR;
+    const slots = this.service.targets.reduce((sum, target) => sum + target.slots, 0);
+    return Math.max(MIN_QUEUE, Math.round(factor * slots));
+  }
+
+  private getAllowed(): number {
+    return Math.max(
+      1,
+      this.countUsable((handle) => handle.getAllowed()),
+    );
+  }
+
+  private getFree(): number {
+    return this.countUsable((handle) => Math.max(0, handle.getAllowed() - handle.inUse));
+  }
+
+  private hasUsable(excluded: ReadonlySet<string>): boolean {
+    const wallTimeMs = this.clock.getWallTime();
+    for (const handle of this.handles.values()) {
+      if (handle.isUsable(wallTimeMs) && !excluded.has(handle.address)) return true;
+    }
+    return false;
+  }
+
+  private countUsable(count: (handle: TargetHandle) => number): number {
+    const wallTimeMs = this.clock.getWallTime();
+    let sum = 0;
+    for (const handle of this.handles.values()) {
+      if (handle.isUsable(wallTimeMs)) sum += count(handle);
+    }
+    return sum;
+  }
+
+  private createHandle(target: Service['targets'][number]): TargetHandle {
+    return new TargetHandle(target, this.clock.getMonotonicTime());
+  }
+}
--- a/packages/routing/src/ledger/common/ejectionLedger.ts
+++ b/packages/routing/src/ledger/common/ejectionLedger.ts
@@ -22,6 +22,8 @@
   readonly target: string;
   /** Targets that the home knows to be cold, draining by their own word, or on trial. */
   readonly otherwiseUnhealthy: readonly string[];
+  /** The member revision that `service` was read from. */
+  readonly memberRevision: number;
 }
 
 /** Grants ejections against the floor. */
@@ -39,6 +41,9 @@
     signal: AbortSignal,
   ): Promise<void>;
 
+  /** Reads the ledger again, so that ejections by other homes are seen. Rejects when it can't. */
+  abstract readEjected(member: string, service: string, signal: AbortSignal): Promise<void>;
+
   /** Targets that the ledger has as ejected, as last seen. */
   abstract getEjected(member: string, service: string): ReadonlySet<string>;
 }
--- /dev/null
+++ b/packages/routing/src/ledger/common/floorArithmetic.ts
@@ -0,0 +1,52 @@
+/** The one place that decides whether a service can spare a target. */
+import type { Service, Target } from '@parsleymux/schema';
+import { TargetState } from '@parsleymux/schema';
+
+/** What is known when a target is to be ejected. */
+export interface IFloorQuestion {
+  readonly service: Service;
+  /** Targets that the ledger has as ejected. */
+  readonly ejected: ReadonlySet<string>;
+  /** Targets that are cold, draining by their own word, or on trial. */
+  readonly otherwiseUnhealthy: ReadonlySet<string>;
+  /** Milliseconds since the Unix epoch. */
+  readonly wallTimeMs: number;
+}
+
+/** True when the configuration lets the target have new work at `wallTimeMs`. */
+export function isConfiguredServing(target: Target, wallTimeMs: number): boolean {
+  if (target.state === TargetState.DRAINING) return false;
+  const leaveAtMs = Number(target.leaveAtMs);
+  return leaveAtMs === 0 || wallTimeMs < leaveAtMs;
+}
+
+/**
+ * Healthy slots of the service: slots of targets that the configuration lets serve, that are not
+ * ejected, and that the home knows of no other reason against. Cold, draining and probationary
+ * targets count as missing: they may come to nothing, and the floor is a promise about capacity
+ * that is there.
+ *
+ * @example
+ * const spare = computeHealthySlots(question) - question.service.floorSlots;
+ */
+export function computeHealthySlots(question: IFloorQuestion): number {
+  return question.service.targets
+    .filter((target) => isHealthy(target, question))
+    .reduce((sum, target) => sum + target.slots, 0);
+}
+
+/** True when ejecting `address` leaves at least the floor. A target that is not healthy costs nothing. */
+export function isSpare(address: string, question: IFloorQuestion): boolean {
+  const ejected = new Set(question.ejected).add(address);
+  const before = computeHealthySlots(question);
+  const after = computeHealthySlots({ ...question, ejected });
+  return after === before || after >= question.service.floorSlots;
+}
+
+function isHealthy(target: Target, question: IFloorQuestion): boolean {
+  return (
+    isConfiguredServing(target, question.wallTimeMs) &&
+    !question.ejected.has(target.address) &&
+    !question.otherwiseUnhealthy.has(target.address)
+  );
+}
--- /dev/null
+++ b/packages/routing/src/target/common/targetPicker.ts
@@ -0,0 +1,47 @@
+/** Chooses among the targets of a service. */
+import type { RandomSource } from '@parsleymux/base';
+import { Standing } from './targetHandle.js';
+import type { TargetHandle } from './targetHandle.js';
+
+/** What a request asks of a target. */
+export interface IPickOptions {
+  readonly handles: Iterable<TargetHandle>;
+  /** Targets that the request already failed on. */
+  readonly excluded: ReadonlySet<string>;
+  readonly isIdempotent: boolean;
+  readonly wallTimeMs: number;
+  readonly random: RandomSource;
+}
+
+/**
+ * The least loaded usable target with a free slot. A suspect target is the last choice, and for a
+ * request that must not run twice it is a choice only while no other target is usable at all.
+ *
+ * @example
+ * const handle = pickTarget({ handles, excluded: new Set(), isIdempotent: true, wallTimeMs, random });
+ */
+export function pickTarget(options: IPickOptions): TargetHandle | undefined {
+  const usable = [...options.handles].filter((handle) => {
+    return handle.isUsable(options.wallTimeMs) && !options.excluded.has(handle.address);
+  });
+  const trusted = usable.filter((handle) => handle.standing !== Standing.Suspect);
+  const best = pickLeastLoaded(trusted, options.random);
+  if (best !== undefined) return best;
+  if (trusted.length > 0 && !options.isIdempotent) return undefined;
+  const suspects = usable.filter((handle) => handle.standing === Standing.Suspect);
+  return pickLeastLoaded(suspects, options.random);
+}
+
+function pickLeastLoaded(
+  handles: readonly TargetHandle[],
+  random: RandomSource,
+): TargetHandle | undefined {
+  const free = handles.filter((handle) => handle.hasFreeSlot());
+  const lowest = Math.min(...free.map(computeLoad));
+  const ties = free.filter((handle) => computeLoad(handle) <= lowest);
+  return ties[random.getInteger(ties.length)];
+}
+
+function computeLoad(handle: TargetHandle): number {
+  return handle.inUse / handle.getAllowed();
+}
--- /dev/null
+++ b/packages/routing/src/test/common/fakeTable.ts
@@ -0,0 +1,56 @@
+/** A table in memory for tests, with outages and lost answers. */
+import type {
+  IScanOptions,
+  ITableRow,
+  ITableTransaction,
+  ITransactionResult,
+} from '@parsleymux/platform';
+import { PlatformError, PlatformFailure, TableService } from '@parsleymux/platform';
+
+/** Transactions in memory. */
+export class FakeTable extends TableService {
+  readonly rows = new Map<string, ITableRow>();
+  isDown = false;
+  /** Transactions whose answer is lost after they took effect. */
+  lostAnswers = 0;
+  /** Runs before each transaction, to let something come in between. */
+  beforeTransact: (() => void) | undefined;
+
+  override async read(keys: readonly string[]): Promise<readonly ITableRow[]> {
+    await this.checkUp();
+    return keys.flatMap((key) => this.rows.get(key) ?? []);
+  }
+
+  override async scan(options: IScanOptions): Promise<readonly ITableRow[]> {
+    await this.checkUp();
+    return [...this.rows.values()].filter((row) => row.key.startsWith(options.prefix));
+  }
+
+  override async transact(transaction: ITableTransaction): Promise<ITransactionResult> {
+    await this.checkUp();
+    this.beforeTransact?.();
+    const failed = transaction.conditions.filter(({ key, version }) => {
+      return (this.rows.get(key)?.version ?? 0) !== version;
+    });
+    const conflicts = failed.flatMap(({ key }) => this.rows.get(key) ?? []);
+    if (failed.length > 0) return { committed: false, conflicts };
+    for (const { key, value } of transaction.writes) this.write(key, value);
+    if (this.lostAnswers > 0) {
+      this.lostAnswers -= 1;
+      throw new PlatformError(PlatformFailure.Unknown, 'answer lost');
+    }
+    return { committed: true, conflicts: [] };
+  }
+
+  /** Writes a row without conditions. */
+  write(key: string, value: string | null): void {
+    const version = (this.rows.get(key)?.version ?? 0) + 1;
+    if (value === null) this.rows.delete(key);
+    else this.rows.set(key, { key, value, version });
+  }
+
+  private async checkUp(): Promise<void> {
+    await Promise.resolve();
+    if (this.isDown) throw new PlatformError(PlatformFailure.Unknown, 'table is down');
+  }
+}
