Warm the seeded generator up, so that its first numbers depend on the seed

Cause: xoroshiro128+ starts from a state of nearly equal bits; for seeds 0, 1, 2, 3, 42 and 1000 the first number was 1.0000 and the third above 0.99, so every node would begin with the same jitter. Ruled out: hashing the seed only (the other half of the state stays constant).

--- a/packages/base/src/random/common/randomSource.ts
+++ b/packages/base/src/random/common/randomSource.ts
@@ -23,6 +23,13 @@
   }
 }
 
+/**
+ * The generator starts from a state of nearly all zeros or ones, so its first numbers hardly depend
+ * on the seed: every process would begin with the same jitter, seen as a burst of polls when a
+ * whole fleet starts at once. By this many steps the seed has reached every bit.
+ */
+const WARM_UP_STEPS = 64;
+
 /**
  * Numbers that follow from a seed.
  *
@@ -36,6 +43,7 @@
   constructor(seed: number) {
     super();
     this.generator = xoroshiro128plus(seed);
+    for (let step = 0; step < WARM_UP_STEPS; step += 1) this.generator.next();
   }
 
   override getFloat(): number {
