Say that a row made again goes on counting versions

Cause: the contract gave version 1 to every row just made. A writer that read version 1, paused through a deletion and a new insert, would pass its condition against a row it never saw. Ruled out: starting at 1 with an epoch beside the version (a second field in every condition). Conclusion: versions of a key only grow.

--- a/packages/platform/src/table/common/tableService.ts
+++ b/packages/platform/src/table/common/tableService.ts
@@ -8,7 +8,10 @@
 export interface ITableRow {
   readonly key: string;
   readonly value: string;
-  /** 1 for a row just made, growing by one with each write. */
+  /**
+   * 1 for the first row that its key ever had, growing by one with each write. A row made again
+   * after a deletion goes on counting, so that no condition on the former row holds for it.
+   */
   readonly version: number;
 }
 
