Add stand-ins for the platform, targets and faulty links

Cause: nothing to run the node against. Choices: the platform's lost answers come after the write took effect; a delayed request takes effect though its sender gave up, as in a slow server's queue; a deleted key goes on counting versions. The target counts an execution when it begins, so that a stopped one still counts; targets of one service share the record, or a look-up at one would deny what another ran. Ruled out: refusing connections by closing each at accept (the client sees a reset, which it must read as unknown); the listener is closed instead, and control has its own address.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,13 @@
-export {};
+/** Stand-ins for the platform, the targets and the network between, for tests and the lab. */
+export * from './control/common/faultSettings.js';
+export * from './link/node/faultyLink.js';
+export * from './platform/common/platformFaults.js';
+export * from './platform/common/versionedTable.js';
+export * from './platform/node/platformStandIn.js';
+export * from './target/common/executionLog.js';
+export * from './target/common/serviceTime.js';
+export * from './target/common/slotQueue.js';
+export * from './target/common/standInAnswer.js';
+export * from './target/common/targetConfig.js';
+export * from './target/node/targetControl.js';
+export * from './target/node/targetStandIn.js';
--- /dev/null
+++ b/packages/standins/src/link/node/faultyLink.test.ts
@@ -0,0 +1,113 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import type { AddressInfo, Socket } from 'node:net';
+import { connect, createServer } from 'node:net';
+import { test } from 'node:test';
+import { FaultyLink } from './faultyLink.js';
+
+interface IParties {
+  readonly link: FaultyLink;
+  readonly received: string[];
+  readonly accepted: Socket[];
+  readonly open: () => Promise<Socket>;
+}
+
+/** A server that echoes in upper case, with a link before it. */
+async function withLink(use: (parties: IParties) => Promise<void>): Promise<void> {
+  const received: string[] = [];
+  const accepted: Socket[] = [];
+  const server = createServer((socket) => {
+    accepted.push(socket);
+    socket.on('error', () => socket.destroy());
+    socket.on('data', (chunk) => {
+      received.push(chunk.toString());
+      socket.write(chunk.toString().toUpperCase());
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const link = new FaultyLink({ to: `127.0.0.1:${(server.address() as AddressInfo).port}` });
+  await link.start();
+  const opened: Socket[] = [];
+  const open = async () => {
+    const socket = connect(Number(link.getAddress().split(':')[1]), '127.0.0.1');
+    socket.on('error', () => socket.destroy());
+    opened.push(socket);
+    await once(socket, 'connect');
+    return socket;
+  };
+  try {
+    await use({ link, received, accepted, open });
+  } finally {
+    for (const socket of [...opened, ...accepted]) socket.destroy();
+    await link.dispose();
+    server.close();
+  }
+}
+
+async function exchange(socket: Socket, text: string): Promise<string> {
+  const answer = once(socket, 'data') as Promise<[Buffer]>;
+  socket.write(text);
+  return (await answer)[0].toString();
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise((resolve) => setImmediate(resolve));
+}
+
+test('each direction can be cut by itself while the connection stays open', async () => {
+  await withLink(async ({ link, received, open }) => {
+    const socket = await open();
+    assert.equal(await exchange(socket, 'a'), 'A');
+    await link.setFaults({ cutBackward: true });
+    socket.write('b');
+    await waitUntil(() => received.length === 2 && link.getBytesSwallowed() === 1);
+    await link.setFaults({ cutForward: true, cutBackward: false });
+    socket.write('c');
+    await waitUntil(() => link.getBytesSwallowed() === 2);
+    await link.setFaults({ cutForward: false });
+    assert.equal(await exchange(socket, 'd'), 'D');
+    assert.deepEqual(received, ['a', 'b', 'd']);
+    assert.equal(socket.destroyed, false);
+  });
+});
+
+test('silenced connections stay open and mute while new ones work; a reset ends them all', async () => {
+  await withLink(async ({ link, received, accepted, open }) => {
+    const old = await open();
+    assert.equal(await exchange(old, 'a'), 'A');
+    link.markConnectionsSilent();
+    old.write('b');
+    await waitUntil(() => link.getBytesSwallowed() === 1);
+    const fresh = await open();
+    assert.equal(await exchange(fresh, 'c'), 'C');
+    assert.deepEqual(received, ['a', 'c']);
+    link.resetConnections();
+    await waitUntil(() => old.destroyed && fresh.destroyed);
+    await waitUntil(() => accepted.every((socket) => socket.destroyed));
+  });
+});
+
+test('a refusing link refuses new connections, keeps open ones, and comes back on its port', async () => {
+  await withLink(async ({ link, open }) => {
+    const socket = await open();
+    assert.equal(await exchange(socket, 'a'), 'A');
+    const address = link.getAddress();
+    await link.setFaults({ refuse: true });
+    await assert.rejects(open());
+    assert.equal(await exchange(socket, 'b'), 'B');
+    await link.setFaults({ refuse: false });
+    assert.equal(link.getAddress(), address);
+    assert.equal(await exchange(await open(), 'c'), 'C');
+  });
+});
+
+test('a close on one side reaches the other', async () => {
+  await withLink(async ({ link, accepted, open }) => {
+    const socket = await open();
+    assert.equal(await exchange(socket, 'a'), 'A');
+    socket.end();
+    await waitUntil(() => accepted.length === 1 && accepted.every((other) => other.destroyed));
+    await waitUntil(() => link.getConnectionCount() === 0);
+  });
+});
--- /dev/null
+++ b/packages/standins/src/platform/common/versionedTable.ts
@@ -0,0 +1,117 @@
+/**
+ * The table's rows in memory, with the recent past of each so that stale reads can be served.
+ *
+ * Versions: the first write of a key makes version 1, and every further write adds one. A key
+ * that was deleted goes on counting: made again, its row has the version after the last one
+ * that it ever had. Starting at 1 again would let a writer that read version 1 of the former
+ * row, and then slept through the deletion, pass its condition against the new row.
+ */
+import type {
+  IScanOptions,
+  ITableRow,
+  ITableTransaction,
+  ITransactionResult,
+} from '@parsleymux/platform';
+
+const MAX_SCAN_ROWS = 1000;
+const DEFAULT_HISTORY_MS = 60_000;
+
+interface IRowState {
+  readonly sinceMs: number;
+  /** Null for a deleted row. */
+  readonly value: string | null;
+  readonly version: number;
+}
+
+/** Options of a {@link VersionedTable}. */
+export interface IVersionedTableOptions {
+  /** How far back reads may ask, in ms. Default 60000. */
+  readonly historyMs?: number;
+}
+
+/**
+ * Rows, transactions, and reads as of an earlier instant.
+ *
+ * @example
+ * const table = new VersionedTable();
+ * table.transact({ conditions: [], writes: [{ key: 'a', value: '1' }] }, 0);
+ * table.read(['a'], 0);
+ */
+export class VersionedTable {
+  private readonly historyMs: number;
+  private readonly states = new Map<string, IRowState[]>();
+  /** Every key that ever had a row, sorted, so that a scan touches only its prefix. */
+  private readonly sortedKeys: string[] = [];
+
+  constructor(options: IVersionedTableOptions = {}) {
+    this.historyMs = options.historyMs ?? DEFAULT_HISTORY_MS;
+  }
+
+  /** Rows by key as of `instantMs`; absent ones are left out. */
+  read(keys: readonly string[], instantMs: number): readonly ITableRow[] {
+    return keys.flatMap((key) => this.getRow(key, instantMs) ?? []);
+  }
+
+  /** Rows with a prefix as of `instantMs`. */
+  scan(options: IScanOptions, instantMs: number): readonly ITableRow[] {
+    const limit = Math.min(options.limit ?? MAX_SCAN_ROWS, MAX_SCAN_ROWS);
+    const after = options.after ?? '';
+    const rows: ITableRow[] = [];
+    for (let index = this.findIndex(options.prefix); rows.length < limit; index += 1) {
+      const key = this.sortedKeys[index];
+      if (key?.startsWith(options.prefix) !== true) break;
+      const row = key > after ? this.getRow(key, instantMs) : undefined;
+      if (row !== undefined) rows.push(row);
+    }
+    return rows;
+  }
+
+  /** Writes all or nothing at `nowMs`. */
+  transact(transaction: ITableTransaction, nowMs: number): ITransactionResult {
+    const failed = transaction.conditions.filter(({ key, version }) => {
+      return (this.getRow(key, nowMs)?.version ?? 0) !== version;
+    });
+    if (failed.length > 0) {
+      const keys = failed.map(({ key }) => key);
+      return { committed: false, conflicts: this.read(keys, nowMs) };
+    }
+    for (const { key, value } of transaction.writes) this.writeRow(key, value, nowMs);
+    return { committed: true, conflicts: [] };
+  }
+
+  private getRow(key: string, instantMs: number): ITableRow | undefined {
+    const state = this.states.get(key)?.findLast(({ sinceMs }) => sinceMs <= instantMs);
+    if (state === undefined || state.value === null) return undefined;
+    return { key, value: state.value, version: state.version };
+  }
+
+  private writeRow(key: string, value: string | null, nowMs: number): void {
+    const states = this.states.get(key) ?? this.addKey(key);
+    const last = states.at(-1);
+    const isAbsent = last === undefined || last.value === null;
+    if (value === null && isAbsent) return;
+    const version = (last?.version ?? 0) + (value === null ? 0 : 1);
+    states.push({ sinceMs: nowMs, value, version });
+    const horizonMs = nowMs - this.historyMs;
+    while ((states[1]?.sinceMs ?? Infinity) <= horizonMs) states.shift();
+  }
+
+  private addKey(key: string): IRowState[] {
+    const states: IRowState[] = [];
+    this.states.set(key, states);
+    this.sortedKeys.splice(this.findIndex(key), 0, key);
+    return states;
+  }
+
+  /** Index of the first key that is not before `key`. */
+  private findIndex(key: string): number {
+    let low = 0;
+    let high = this.sortedKeys.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if ((this.sortedKeys[middle] ?? '') < key) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+}
--- /dev/null
+++ b/packages/standins/src/target/common/slotQueue.ts
@@ -0,0 +1,67 @@
+/** A target's slots, with first-in-first-out waiting. */
+
+interface IWaiter {
+  readonly resume: (hasSlot: boolean) => void;
+}
+
+/** What became of a wish for a slot. */
+export const SlotOutcome = { Acquired: 'acquired', Full: 'full', GaveUp: 'gave-up' } as const;
+
+export type SlotOutcome = (typeof SlotOutcome)[keyof typeof SlotOutcome];
+
+/**
+ * At most `slots` holders and `queueLimit` waiters.
+ *
+ * @example
+ * const queue = new SlotQueue(4, 0);
+ * if ((await queue.take(signal)) === SlotOutcome.Acquired) queue.release();
+ */
+export class SlotQueue {
+  private readonly waiters: IWaiter[] = [];
+  private running = 0;
+
+  constructor(
+    private readonly slots: number,
+    private readonly queueLimit: number,
+  ) {}
+
+  getRunning(): number {
+    return this.running;
+  }
+
+  /** Waits for a slot until `signal` aborts. Every acquired slot must be released. */
+  async take(signal: AbortSignal): Promise<SlotOutcome> {
+    if (signal.aborted) return SlotOutcome.GaveUp;
+    if (this.running < this.slots) {
+      this.running += 1;
+      return SlotOutcome.Acquired;
+    }
+    if (this.waiters.length >= this.queueLimit) return SlotOutcome.Full;
+    const hasSlot = await this.waitForTurn(signal);
+    return hasSlot ? SlotOutcome.Acquired : SlotOutcome.GaveUp;
+  }
+
+  release(): void {
+    const next = this.waiters.shift();
+    if (next === undefined) this.running -= 1;
+    else next.resume(true);
+  }
+
+  private waitForTurn(signal: AbortSignal): Promise<boolean> {
+    return new Promise((resolve) => {
+      const onAbort = () => {
+        const index = this.waiters.indexOf(waiter);
+        if (index >= 0) this.waiters.splice(index, 1);
+        resolve(false);
+      };
+      const waiter: IWaiter = {
+        resume: (hasSlot) => {
+          signal.removeEventListener('abort', onAbort);
+          resolve(hasSlot);
+        },
+      };
+      this.waiters.push(waiter);
+      signal.addEventListener('abort', onAbort, { once: true });
+    });
+  }
+}
--- /dev/null
+++ b/packages/standins/src/target/common/standInAnswer.ts
@@ -0,0 +1,71 @@
+/** The body of a target stand-in's answer, by which a caller knows its own whole answer. */
+import { createHash } from 'node:crypto';
+
+const CHECKSUM_LENGTH = 16;
+
+/** What an answer says of the request that it belongs to. */
+export interface IAnswerContent {
+  readonly member: string;
+  readonly service: string;
+  readonly target: string;
+  readonly requestId: string;
+  readonly method: string;
+  readonly path: string;
+  /** Checksum of the request's body as the target received it. */
+  readonly requestChecksum: string;
+  readonly filler: string;
+}
+
+/** What a caller expects of its answer. */
+export type ExpectedAnswer = Pick<
+  IAnswerContent,
+  'member' | 'service' | 'requestId' | 'method' | 'path' | 'requestChecksum'
+>;
+
+/** How an answer falls short. */
+export const AnswerFault = {
+  None: 'none',
+  /** Cut short or altered. */
+  Partial: 'partial',
+  /** Whole, but the answer to another request. */
+  Foreign: 'foreign',
+} as const;
+
+export type AnswerFault = (typeof AnswerFault)[keyof typeof AnswerFault];
+
+/** Checksum of bytes, for comparison only. */
+export function computeChecksum(bytes: Uint8Array | string): string {
+  return createHash('sha256').update(bytes).digest('hex').slice(0, CHECKSUM_LENGTH);
+}
+
+/** The answer's body: the content as JSON, with its checksum as the last field. */
+export function encodeAnswer(content: IAnswerContent): Buffer {
+  const checksum = computeChecksum(JSON.stringify(content));
+  return Buffer.from(JSON.stringify({ ...content, checksum }));
+}
+
+/**
+ * Tells whether a body is the whole answer to the caller's own request.
+ *
+ * @example
+ * if (verifyAnswer(bytes, expected) !== AnswerFault.None) report();
+ */
+export function verifyAnswer(body: Uint8Array, expected: ExpectedAnswer): AnswerFault {
+  const content = parseAnswer(body);
+  if (content === undefined) return AnswerFault.Partial;
+  const fields = Object.entries(expected);
+  const isOwn = fields.every(([name, value]) => content[name as keyof ExpectedAnswer] === value);
+  return isOwn ? AnswerFault.None : AnswerFault.Foreign;
+}
+
+function parseAnswer(body: Uint8Array): IAnswerContent | undefined {
+  try {
+    const parsed = JSON.parse(Buffer.from(body).toString('utf8')) as IAnswerContent & {
+      readonly checksum: string;
+    };
+    const { checksum, ...content } = parsed;
+    return checksum === computeChecksum(JSON.stringify(content)) ? content : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/standins/src/target/node/targetStandIn.ts
@@ -0,0 +1,325 @@
+/**
+ * Stands in for one target. Apart from real work, under any path, it serves
+ *
+ * - `GET /health` and `GET /load`, which lag behind or mislead as told;
+ * - `GET /lookup/KEY`: 200 with the recorded answer, 404 when the key never ran, 409 while its
+ *   outcome is open;
+ * - on a second address, `/control/*`: see targetControl.ts.
+ *
+ * Request headers: `idempotency-key`, `x-request-id`, `parsleymux-timeout-ms`. Answer headers:
+ * `parsleymux-draining: true` while draining, `parsleymux-run-state: not-run` on refusals.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Clock, IDisposable, RandomSource } from '@parsleymux/base';
+import { RunState, SeededRandom, SystemClock } from '@parsleymux/base';
+import { mergeFaults } from '../../control/common/faultSettings.js';
+import { readBody, sendBytes, sendJson } from '../../server/node/httpBody.js';
+import { LoopbackServer } from '../../server/node/loopbackServer.js';
+import { ExecutionLog } from '../common/executionLog.js';
+import { sampleServiceTime } from '../common/serviceTime.js';
+import { SlotOutcome, SlotQueue } from '../common/slotQueue.js';
+import { computeChecksum, encodeAnswer } from '../common/standInAnswer.js';
+import type { ITargetConfig, ITargetCounters, ITargetFaults } from '../common/targetConfig.js';
+import { DEFAULT_TARGET_CONFIG, NO_TARGET_FAULTS } from '../common/targetConfig.js';
+import { Exchange } from './exchange.js';
+import { handleTargetControl } from './targetControl.js';
+
+const OK = 200;
+const NOT_FOUND = 404;
+const CONFLICT = 409;
+const FAILED = 500;
+const UNAVAILABLE = 503;
+const TIMED_OUT = 504;
+const LOOK_UP_PREFIX = '/lookup/';
+const NOT_RUN = { 'parsleymux-run-state': RunState.NotRun };
+
+/** Options of a {@link TargetStandIn}. */
+export interface ITargetStandInOptions extends Partial<ITargetConfig> {
+  /** Address within 127.0.0.0/8. Default 127.0.0.1. */
+  readonly host?: string;
+  /** Port for work. Default 0: the operating system chooses. */
+  readonly port?: number;
+  readonly faults?: Partial<ITargetFaults>;
+  /** Shared by the targets of one service. Default: a log of its own. */
+  readonly executions?: ExecutionLog;
+  readonly clock?: Clock;
+}
+
+type MutableCounters = { -readonly [K in keyof ITargetCounters]: ITargetCounters[K] };
+
+/**
+ * A target with slots, service times and faults.
+ *
+ * @example
+ * const target = new TargetStandIn({ member: 'relinieri', service: 'booking', slots: 4 });
+ * await target.start();
+ * await target.setFaults({ failShare: 0.3 });
+ * await target.dispose();
+ */
+export class TargetStandIn implements IDisposable {
+  readonly config: ITargetConfig;
+  readonly executions: ExecutionLog;
+  private readonly clock: Clock;
+  private readonly random: RandomSource;
+  private readonly service: LoopbackServer;
+  private readonly control: LoopbackServer;
+  private readonly queue: SlotQueue;
+  private readonly silentSockets = new WeakSet<Socket>();
+  private readonly counters: MutableCounters = {
+    executed: 0,
+    finished: 0,
+    cancelled: 0,
+    timedOut: 0,
+    shed: 0,
+    failed: 0,
+    truncated: 0,
+    swallowed: 0,
+    probes: 0,
+    connectionsRefused: 0,
+    connectionsOpened: 0,
+    maxRunning: 0,
+  };
+  private faults: ITargetFaults;
+  private warmAtMs = 0;
+
+  constructor(options: ITargetStandInOptions = {}) {
+    const { host = '127.0.0.1', port = 0, faults, executions, clock, ...config } = options;
+    this.config = { ...DEFAULT_TARGET_CONFIG, ...config };
+    this.faults = mergeFaults(NO_TARGET_FAULTS, faults ?? {});
+    this.executions = executions ?? new ExecutionLog();
+    this.clock = clock ?? new SystemClock();
+    this.random = new SeededRandom(this.config.seed);
+    this.queue = new SlotQueue(this.config.slots, this.config.queueLimit);
+    this.service = new LoopbackServer({
+      host,
+      port,
+      handle: (request, response) => this.handle(request, response),
+      acceptConnection: (openConnections) => this.acceptConnection(openConnections),
+    });
+    this.control = new LoopbackServer({
+      host,
+      handle: (request, response) => handleTargetControl(this, request, response),
+    });
+  }
+
+  async start(): Promise<void> {
+    this.warmAtMs = this.clock.getMonotonicTime() + this.config.coldStartMs;
+    await this.control.open();
+    await this.service.open();
+    await this.setFaults({});
+  }
+
+  /** IP number and port for work. */
+  getAddress(): string {
+    return this.service.getAddress();
+  }
+
+  /** IP number and port of `/control/*`. */
+  getControlAddress(): string {
+    return this.control.getAddress();
+  }
+
+  getFaults(): ITargetFaults {
+    return this.faults;
+  }
+
+  getCounters(): ITargetCounters {
+    return { ...this.counters };
+  }
+
+  getRunning(): number {
+    return this.queue.getRunning();
+  }
+
+  /** Open connections for work. */
+  getConnectionCount(): number {
+    return this.service.getSockets().size;
+  }
+
+  /** Changes the faults in part. A target that comes up again is cold. */
+  async setFaults(patch: Partial<ITargetFaults>): Promise<void> {
+    const wasDown = this.faults.down;
+    this.faults = mergeFaults(this.faults, patch);
+    if (this.faults.down) await this.service.close();
+    else await this.service.open();
+    if (wasDown && !this.faults.down) {
+      this.warmAtMs = this.clock.getMonotonicTime() + this.config.coldStartMs;
+    }
+  }
+
+  /** Ends every fault. Connections that were silenced stay silent: nothing brings those back. */
+  clearFaults(): Promise<void> {
+    return this.setFaults(NO_TARGET_FAULTS);
+  }
+
+  /**
+   * Makes every connection that is open now silent for good: it stays open, what comes in is
+   * never executed, and what would go out is never sent. New connections work.
+   */
+  markConnectionsSilent(): number {
+    for (const socket of this.service.getSockets()) this.silentSockets.add(socket);
+    return this.service.getSockets().size;
+  }
+
+  async dispose(): Promise<void> {
+    await this.service.dispose();
+    await this.control.dispose();
+  }
+
+  private acceptConnection(openConnections: number): boolean {
+    const isAccepted = openConnections < this.config.maxConnections;
+    if (isAccepted) this.counters.connectionsOpened += 1;
+    else this.counters.connectionsRefused += 1;
+    return isAccepted;
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.silentSockets.has(request.socket)) {
+      this.counters.swallowed += 1;
+      return;
+    }
+    const exchange = new Exchange(request, response);
+    try {
+      exchange.setBody(await readBody(request));
+      if (exchange.path === '/health') this.sendHealth(exchange);
+      else if (exchange.path === '/load') this.sendLoad(exchange);
+      else if (exchange.path.startsWith(LOOK_UP_PREFIX)) this.sendLookUp(exchange);
+      else await this.serve(exchange);
+    } finally {
+      exchange.dispose();
+    }
+  }
+
+  private sendHealth(exchange: Exchange): void {
+    this.counters.probes += 1;
+    const { health, draining } = this.faults;
+    const isRed = health === 'red' || (health === 'auto' && draining);
+    this.sendStatus(exchange, isRed ? UNAVAILABLE : OK, { healthy: !isRed });
+  }
+
+  private sendLoad(exchange: Exchange): void {
+    this.counters.probes += 1;
+    const { claimedLoad } = this.faults;
+    const running = claimedLoad < 0 ? this.queue.getRunning() : claimedLoad;
+    this.sendStatus(exchange, OK, { running, slots: this.config.slots });
+  }
+
+  private sendLookUp(exchange: Exchange): void {
+    const key = decodeURIComponent(exchange.path.slice(LOOK_UP_PREFIX.length));
+    const found = this.executions.find(key);
+    if (found.answer !== undefined) {
+      this.sendAnswer(exchange, OK, found.answer.body);
+      return;
+    }
+    const isOpen = found.count > 0 || found.waiting > 0;
+    this.sendStatus(exchange, isOpen ? CONFLICT : NOT_FOUND, { executions: found.count });
+  }
+
+  /** Real work: wait for a slot, execute, answer. */
+  private async serve(exchange: Exchange): Promise<void> {
+    if (this.faults.draining) {
+      this.refuse(exchange, UNAVAILABLE);
+      return;
+    }
+    this.executions.addWaiting(exchange.key, 1);
+    const slot = await this.queue.take(exchange.signal);
+    this.executions.addWaiting(exchange.key, -1);
+    if (slot === SlotOutcome.Full) this.refuse(exchange, UNAVAILABLE);
+    if (slot === SlotOutcome.GaveUp) this.refuse(exchange, TIMED_OUT);
+    if (slot !== SlotOutcome.Acquired) return;
+    try {
+      await this.execute(exchange);
+    } finally {
+      this.queue.release();
+    }
+  }
+
+  private async execute(exchange: Exchange): Promise<void> {
+    this.counters.executed += 1;
+    this.counters.maxRunning = Math.max(this.counters.maxRunning, this.queue.getRunning());
+    const { key, requestId } = exchange;
+    const target = this.getAddress();
+    const execution = this.executions.start({ target, key, requestId, startedAtMs: Date.now() });
+    try {
+      await this.clock.sleep(this.getWorkMs(), exchange.signal);
+    } catch {
+      execution.stop();
+      this.sendStopped(exchange);
+      return;
+    }
+    const status = this.random.getFloat() < this.faults.failShare ? FAILED : OK;
+    const body = this.makeAnswer(exchange);
+    execution.finish({ status, body });
+    this.counters.finished += 1;
+    if (status === FAILED) this.counters.failed += 1;
+    this.sendAnswer(exchange, status, body);
+  }
+
+  private getWorkMs(): number {
+    const { meanServiceMs, serviceSigma, coldFactor } = this.config;
+    const isCold = this.clock.getMonotonicTime() < this.warmAtMs;
+    const factor = this.faults.slowFactor * (isCold ? coldFactor : 1);
+    return factor * sampleServiceTime(this.random, meanServiceMs, serviceSigma);
+  }
+
+  private makeAnswer(exchange: Exchange): Buffer {
+    return encodeAnswer({
+      member: this.config.member,
+      service: this.config.service,
+      target: this.getAddress(),
+      requestId: exchange.requestId,
+      method: exchange.method,
+      path: exchange.path,
+      requestChecksum: computeChecksum(exchange.body),
+      filler: 'x'.repeat(this.config.answerBytes),
+    });
+  }
+
+  /** A refusal of work that has not begun. */
+  private refuse(exchange: Exchange, status: number): void {
+    this.counters.shed += 1;
+    this.sendStatus(exchange, status, { error: 'not run' }, NOT_RUN);
+  }
+
+  private sendStopped(exchange: Exchange): void {
+    if (exchange.isCallerGone()) {
+      this.counters.cancelled += 1;
+      return;
+    }
+    this.counters.timedOut += 1;
+    this.sendStatus(exchange, TIMED_OUT, { error: 'out of time while running' });
+  }
+
+  private sendAnswer(exchange: Exchange, status: number, body: Uint8Array): void {
+    const isTruncated = this.random.getFloat() < this.faults.truncateShare;
+    if (!isTruncated) {
+      if (this.isAnswerable(exchange)) {
+        sendBytes(exchange.response, status, body, this.makeHeaders());
+      }
+      return;
+    }
+    this.counters.truncated += 1;
+    if (this.isAnswerable(exchange)) exchange.sendTruncated(status, body, this.makeHeaders());
+  }
+
+  private sendStatus(
+    exchange: Exchange,
+    status: number,
+    value: unknown,
+    headers: Readonly<Record<string, string>> = {},
+  ): void {
+    if (!this.isAnswerable(exchange)) return;
+    sendJson(exchange.response, status, value, { ...this.makeHeaders(), ...headers });
+  }
+
+  private isAnswerable(exchange: Exchange): boolean {
+    const isSilent = this.faults.oneWay || this.silentSockets.has(exchange.socket);
+    return !isSilent && !exchange.isCallerGone();
+  }
+
+  private makeHeaders(): Readonly<Record<string, string>> {
+    const type = { 'content-type': 'application/json' };
+    return this.faults.draining ? { ...type, 'parsleymux-draining': 'true' } : type;
+  }
+}
