Administration API: intents, plans, status, keys, claims and audit, one key for each operator

Cause: members need to change their own things through any node and must learn nothing of each other's. The member is taken from the key, never from the request; a request that names another member is refused and audited in the asker's log and the fleet's. Ruled out: scrypt for stored keys (256 random bits need no slow hash, and a slow one lets anyone with a made-up key spend the node's processor); the fleet revision in members' answers (its steps count the rivals' changes); the refusal in the other member's log (it would name the rival). MuxError gains the message without those of its causes, which may name internals. The ejection row of a removed service stays, so that its version never starts anew.

--- a/packages/base/src/error/common/muxError.ts
+++ b/packages/base/src/error/common/muxError.ts
@@ -23,6 +23,8 @@
   readonly code: ResultCode;
   readonly runState: RunState;
   readonly retryAfterMs: number | undefined;
+  /** The message alone; `message` goes on with those of the causes, which callers must not see. */
+  readonly summary: string;
 
   constructor(options: IMuxErrorOptions) {
     const cause = options.cause instanceof Error ? options.cause : undefined;
@@ -31,5 +33,6 @@
     this.code = options.code;
     this.runState = options.runState;
     this.retryAfterMs = options.retryAfterMs;
+    this.summary = options.message;
   }
 }
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -12,4 +12,5 @@
 export * from './plans/common/planErrors.js';
 export * from './plans/common/planRepository.js';
 export * from './plans/common/planStore.js';
+export * from './plans/common/storeRetry.js';
 export * from './routes/common/routeTable.js';
--- a/packages/config/src/plans/common/confirmTransaction.ts
+++ b/packages/config/src/plans/common/confirmTransaction.ts
@@ -189,18 +189,15 @@
  */
 function makeEjectionWrites(input: IConfirmInput): readonly ITableWrite[] {
   const memberRevision = input.planRow.baseMemberRevision + 1;
-  const targetsByService = new Map(
-    input.after.services.map((service) => {
-      return [service.name, new Set(service.targets.map((target) => target.address))];
-    }),
-  );
   return listServiceNames(input.before, input.after).map((service) => {
     const key = formatEjectionKey(input.member, service);
-    const targets = targetsByService.get(service);
-    if (targets === undefined) return { key, value: null };
+    const kept = input.after.services.find((candidate) => candidate.name === service);
+    const targets = new Set(kept?.targets.map((target) => target.address));
     const ejected = decodeEjections(input.rows.get(key)).ejected.filter((entry) => {
       return targets.has(entry.target);
     });
+    // The row of a removed service stays: were it deleted and made again, its version would
+    // start anew, and the late write of a home that was paused meanwhile could fit by chance.
     return { key, value: encodeEjections({ ejected, memberRevision }) };
   });
 }
--- /dev/null
+++ b/packages/operators/src/api/common/adminRoute.ts
@@ -0,0 +1,83 @@
+/** One operation of the administration API. */
+import type { DescMessage, MessageShape } from '@bufbuild/protobuf';
+import { toJsonString } from '@bufbuild/protobuf';
+import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { checkMessageText, SettingsError } from '@parsleymux/schema';
+import type { IOperator } from '../../access/common/accessControl.js';
+
+/** A request whose operator is known. */
+export interface IAdminRequest {
+  readonly operator: IOperator;
+  /** What the groups of the route's pattern matched, decoded. */
+  readonly parameters: readonly string[];
+  readonly query: URLSearchParams;
+  /** The whole body, within the limit. */
+  readonly body: string;
+  readonly signal: AbortSignal;
+}
+
+/** A successful answer: a status of HTTP and a body of JSON. */
+export interface IAdminAnswer {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** A method and path, and what answers them. */
+export interface IAdminRoute {
+  readonly method: 'GET' | 'POST' | 'DELETE';
+  /** Must match the whole path. */
+  readonly pattern: RegExp;
+  /** Name for the audit log and counters, such as "plan.confirm". */
+  readonly action: string;
+  readonly handle: (request: IAdminRequest) => Promise<IAdminAnswer>;
+}
+
+/** Offers routes. */
+export abstract class AdminHandler {
+  abstract listRoutes(): readonly IAdminRoute[];
+}
+
+const OK_STATUS = 200;
+
+/**
+ * An answer with a message as its body.
+ *
+ * @example
+ * return createAnswer(PlanSchema, plan, 201);
+ */
+export function createAnswer<Desc extends DescMessage>(
+  schema: Desc,
+  message: MessageShape<Desc>,
+  status = OK_STATUS,
+): IAdminAnswer {
+  return { status, body: toJsonString(schema, message, { alwaysEmitImplicit: true }) };
+}
+
+/**
+ * The message in a body, checked against the schema's rules. Throws MalformedRequest, or `code`.
+ *
+ * @example
+ * const wish = parseBody(TargetRequestSchema, request.body);
+ */
+export function parseBody<Desc extends DescMessage>(
+  schema: Desc,
+  body: string,
+  code: ResultCode = ResultCode.MalformedRequest,
+): MessageShape<Desc> {
+  try {
+    return checkMessageText(schema, body === '' ? '{}' : body, 'body');
+  } catch (error) {
+    if (!(error instanceof SettingsError)) throw error;
+    throw new MuxError({ code, message: error.message, runState: RunState.NotRun });
+  }
+}
+
+/**
+ * The first parameter of the path.
+ *
+ * @example
+ * const planId = getParameter(request);
+ */
+export function getParameter(request: IAdminRequest): string {
+  return request.parameters[0] ?? '';
+}
--- /dev/null
+++ b/packages/operators/src/api/common/claimHandler.ts
@@ -0,0 +1,83 @@
+/** Claims of non-idempotent requests whose outcome an operator looks up or settles. */
+import { create } from '@bufbuild/protobuf';
+import type { Clock } from '@parsleymux/base';
+import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { ClaimInfoSchema, ClaimOutcome, SettleClaimRequestSchema } from '@parsleymux/schema';
+import type { AuditLog } from '../../audit/common/auditLog.js';
+import type { ClaimSettler } from '../../claims/common/claimSettler.js';
+import type { IAdminAnswer, IAdminRequest, IAdminRoute } from './adminRoute.js';
+import { AdminHandler, createAnswer, getParameter, parseBody } from './adminRoute.js';
+
+/** Options of a {@link ClaimHandler}. */
+export interface IClaimHandlerOptions {
+  readonly claims: ClaimSettler;
+  readonly audit: AuditLog;
+  readonly clock: Clock;
+}
+
+/** Answers `/v1/claims`. Only the operator's own member's claims can be named at all. */
+export class ClaimHandler extends AdminHandler {
+  constructor(private readonly options: IClaimHandlerOptions) {
+    super();
+  }
+
+  override listRoutes(): readonly IAdminRoute[] {
+    return [
+      {
+        method: 'GET',
+        pattern: /^\/v1\/claims\/([^/]+)$/,
+        action: 'claim.show',
+        handle: (request) => this.getClaim(request),
+      },
+      {
+        method: 'POST',
+        pattern: /^\/v1\/claims\/([^/]+)\/settle$/,
+        action: 'claim.settle',
+        handle: (request) => this.settle(request),
+      },
+    ];
+  }
+
+  private async getClaim(request: IAdminRequest): Promise<IAdminAnswer> {
+    const claimKey = getParameter(request);
+    const { member } = request.operator;
+    const info = await this.options.claims.getClaim(member, claimKey, request.signal);
+    if (info === undefined) {
+      throw refuse(ResultCode.NotFound, 'there is no claim under this idempotency key');
+    }
+    return createAnswer(ClaimInfoSchema, info);
+  }
+
+  private async settle(request: IAdminRequest): Promise<IAdminAnswer> {
+    const wish = parseBody(SettleClaimRequestSchema, request.body);
+    if (wish.outcome === ClaimOutcome.UNSPECIFIED) {
+      throw refuse(ResultCode.MalformedRequest, 'the outcome is "ran" or "not-run"');
+    }
+    const { member, keyId } = request.operator;
+    const claimKey = getParameter(request);
+    const { outcome, note } = wish;
+    const settlement = { member, claimKey, outcome, operator: keyId, note };
+    // Before the settlement, so that none can take effect without its line in the audit log.
+    await this.recordAudit(request, `${ClaimOutcome[outcome]}: ${note}`);
+    const info = await this.options.claims.settle(settlement, request.signal);
+    return createAnswer(ClaimInfoSchema, create(ClaimInfoSchema, info));
+  }
+
+  private async recordAudit(request: IAdminRequest, note: string): Promise<void> {
+    const { member, keyId } = request.operator;
+    const entry = {
+      atMs: Math.trunc(this.options.clock.getWallTime()),
+      operator: keyId,
+      member,
+      action: 'claim.settle',
+      subject: getParameter(request),
+      code: ResultCode.Ok,
+      note,
+    };
+    await this.options.audit.recordRequired(entry, request.signal);
+  }
+}
+
+function refuse(code: ResultCode, message: string): MuxError {
+  return new MuxError({ code, message, runState: RunState.NotRun });
+}
--- /dev/null
+++ b/packages/operators/src/api/common/keyHandler.ts
@@ -0,0 +1,135 @@
+/** Operators' keys and the audit log. */
+import { create } from '@bufbuild/protobuf';
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import {
+  CreateKeyRequestSchema,
+  CreateKeyResponseSchema,
+  KeyInfoSchema,
+  ListAuditResponseSchema,
+  ListKeysResponseSchema,
+  RotateKeyRequestSchema,
+} from '@parsleymux/schema';
+import type { AccessControl } from '../../access/common/accessControl.js';
+import type { AuditLog } from '../../audit/common/auditLog.js';
+import type { IKeyRow } from '../../keys/common/keyRow.js';
+import type { ICreatedKey, KeyStore } from '../../keys/common/keyStore.js';
+import type { IAdminAnswer, IAdminRequest, IAdminRoute } from './adminRoute.js';
+import { AdminHandler, createAnswer, getParameter, parseBody } from './adminRoute.js';
+
+const CREATED_STATUS = 201;
+const MS_PER_SECOND = 1000;
+const DEFAULT_AUDIT_ENTRIES = 100;
+const MAX_AUDIT_ENTRIES = 1000;
+
+/** Options of a {@link KeyHandler}. */
+export interface IKeyHandlerOptions {
+  readonly keys: KeyStore;
+  readonly audit: AuditLog;
+  readonly access: AccessControl;
+}
+
+/**
+ * Answers `/v1/keys` and `/v1/audit`. Operators manage the keys of their own member; those of the
+ * fleet also those of any member, for a member's first key must come from somebody.
+ */
+export class KeyHandler extends AdminHandler {
+  constructor(private readonly options: IKeyHandlerOptions) {
+    super();
+  }
+
+  override listRoutes(): readonly IAdminRoute[] {
+    return [
+      this.makeRoute('GET', /^\/v1\/keys$/, 'key.list', (request) => this.list(request)),
+      this.makeRoute('POST', /^\/v1\/keys$/, 'key.create', (request) => this.create(request)),
+      this.makeRoute('POST', /^\/v1\/keys\/([^/]+)\/rotate$/, 'key.rotate', (request) =>
+        this.rotate(request),
+      ),
+      this.makeRoute('DELETE', /^\/v1\/keys\/([^/]+)$/, 'key.revoke', (request) =>
+        this.revoke(request),
+      ),
+      this.makeRoute('GET', /^\/v1\/audit$/, 'audit.show', (request) => this.listAudit(request)),
+    ];
+  }
+
+  private makeRoute(
+    method: IAdminRoute['method'],
+    pattern: RegExp,
+    action: string,
+    handle: IAdminRoute['handle'],
+  ): IAdminRoute {
+    return { method, pattern, action, handle };
+  }
+
+  private async list(request: IAdminRequest): Promise<IAdminAnswer> {
+    const member = await this.resolveMember(request, 'key.list');
+    const rows = await this.options.keys.list(member, request.signal);
+    const response = create(ListKeysResponseSchema, { keys: rows.map(toKeyInfo) });
+    return createAnswer(ListKeysResponseSchema, response);
+  }
+
+  private async create(request: IAdminRequest): Promise<IAdminAnswer> {
+    const wish = parseBody(CreateKeyRequestSchema, request.body);
+    const member = await this.resolveMember(request, 'key.create', wish.member);
+    const { keys } = this.options;
+    const operator = request.operator.keyId;
+    return createKeyAnswer(
+      await keys.create({ member, note: wish.note, operator }, request.signal),
+    );
+  }
+
+  private async rotate(request: IAdminRequest): Promise<IAdminAnswer> {
+    const wish = parseBody(RotateKeyRequestSchema, request.body);
+    const member = await this.resolveMember(request, 'key.rotate');
+    const target = { member, id: getParameter(request), operator: request.operator.keyId };
+    const overlapMs = wish.overlapS * MS_PER_SECOND;
+    return createKeyAnswer(await this.options.keys.rotate(target, overlapMs, request.signal));
+  }
+
+  private async revoke(request: IAdminRequest): Promise<IAdminAnswer> {
+    const member = await this.resolveMember(request, 'key.revoke');
+    const target = { member, id: getParameter(request), operator: request.operator.keyId };
+    const row = await this.options.keys.revoke(target, request.signal);
+    return createAnswer(KeyInfoSchema, create(KeyInfoSchema, toKeyInfo(row)));
+  }
+
+  private async listAudit(request: IAdminRequest): Promise<IAdminAnswer> {
+    const { operator, query, signal } = request;
+    const member = query.get('member') ?? operator.member;
+    await this.options.access.checkMember(operator, member, 'audit.show', signal);
+    const wanted = Number(query.get('limit') ?? DEFAULT_AUDIT_ENTRIES);
+    const limit = Math.min(Math.max(1, Math.trunc(wanted) || 1), MAX_AUDIT_ENTRIES);
+    const entries = await this.options.audit.list(member, limit, signal);
+    const response = create(ListAuditResponseSchema, {
+      entries: entries.map((entry) => ({ ...entry, atMs: BigInt(entry.atMs) })),
+    });
+    return createAnswer(ListAuditResponseSchema, response);
+  }
+
+  private async resolveMember(
+    request: IAdminRequest,
+    action: string,
+    wanted = '',
+  ): Promise<string> {
+    const { operator } = request;
+    const named = wanted === '' ? request.query.get('member') : wanted;
+    const member = named ?? operator.member;
+    if (!operator.isFleet) {
+      await this.options.access.checkMember(operator, member, action, request.signal);
+    }
+    return member;
+  }
+}
+
+function createKeyAnswer(created: ICreatedKey): IAdminAnswer {
+  const response = create(CreateKeyResponseSchema, {
+    info: toKeyInfo(created.row),
+    key: created.key,
+  });
+  return createAnswer(CreateKeyResponseSchema, response, CREATED_STATUS);
+}
+
+function toKeyInfo(row: IKeyRow): MessageInitShape<typeof KeyInfoSchema> {
+  const { id, member, note, createdBy } = row;
+  const createdAtMs = BigInt(row.createdAtMs);
+  return { id, member, note, createdBy, createdAtMs, endsAtMs: BigInt(row.endsAtMs) };
+}
--- /dev/null
+++ b/packages/operators/src/api/common/planHandler.ts
@@ -0,0 +1,141 @@
+/** Intents and plans. */
+import { create } from '@bufbuild/protobuf';
+import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import type { PlanStore } from '@parsleymux/config';
+import type { Intent, Plan } from '@parsleymux/schema';
+import {
+  IntentResponseSchema,
+  IntentSchema,
+  PlanSchema,
+  TargetRequestSchema,
+} from '@parsleymux/schema';
+import type { AccessControl, IOperator } from '../../access/common/accessControl.js';
+import type { MemberLimiter } from '../../access/common/memberLimiter.js';
+import { createLimitError } from '../../access/common/memberLimiter.js';
+import { applyTargetAction } from '../../targets/common/targetAction.js';
+import type { IAdminAnswer, IAdminRequest, IAdminRoute } from './adminRoute.js';
+import { AdminHandler, createAnswer, getParameter, parseBody } from './adminRoute.js';
+
+const CREATED_STATUS = 201;
+
+/** Options of a {@link PlanHandler}. */
+export interface IPlanHandlerOptions {
+  readonly plans: PlanStore;
+  readonly access: AccessControl;
+  readonly limiter: MemberLimiter;
+}
+
+/** Answers `/v1/intent`, `/v1/intents`, `/v1/plans` and `/v1/targets`. */
+export class PlanHandler extends AdminHandler {
+  constructor(private readonly options: IPlanHandlerOptions) {
+    super();
+  }
+
+  override listRoutes(): readonly IAdminRoute[] {
+    const plan = /^\/v1\/plans\/([^/]+)$/;
+    return [
+      this.makeRoute('GET', /^\/v1\/intent$/, 'intent.show', (request) => this.getIntent(request)),
+      this.makeRoute('POST', /^\/v1\/intents$/, 'intent.submit', (request) => this.submit(request)),
+      this.makeRoute('GET', plan, 'plan.show', (request) => this.getPlan(request)),
+      this.makeRoute('DELETE', plan, 'plan.discard', (request) => this.discard(request)),
+      this.makeRoute('POST', /^\/v1\/plans\/([^/]+)\/confirm$/, 'plan.confirm', (request) =>
+        this.confirm(request),
+      ),
+      this.makeRoute('POST', /^\/v1\/targets$/, 'target.change', (request) =>
+        this.planTarget(request),
+      ),
+    ];
+  }
+
+  /** Intents and plans are the members' own: operators of the fleet have none and see none. */
+  private makeRoute(
+    method: IAdminRoute['method'],
+    pattern: RegExp,
+    action: string,
+    handle: IAdminRoute['handle'],
+  ): IAdminRoute {
+    return {
+      method,
+      pattern,
+      action,
+      handle: async (request) => {
+        const member = request.query.get('member') ?? request.operator.member;
+        await this.options.access.checkMember(request.operator, member, action, request.signal);
+        if (request.operator.isFleet) throw createFleetError();
+        return handle(request);
+      },
+    };
+  }
+
+  private async getIntent(request: IAdminRequest): Promise<IAdminAnswer> {
+    const inForce = await this.options.plans.getIntent(request.operator.member, request.signal);
+    const response = create(IntentResponseSchema, {
+      memberRevision: BigInt(inForce.memberRevision),
+      ...(inForce.intent === undefined ? {} : { intent: inForce.intent }),
+    });
+    return createAnswer(IntentResponseSchema, response);
+  }
+
+  private async submit(request: IAdminRequest): Promise<IAdminAnswer> {
+    this.options.limiter.spendProposal(request.operator.member);
+    const intent = parseBody(IntentSchema, request.body, ResultCode.MalformedIntent);
+    const { access } = this.options;
+    await access.checkMember(request.operator, intent.member, 'intent.submit', request.signal);
+    return this.propose(request.operator, intent, request.signal);
+  }
+
+  private async planTarget(request: IAdminRequest): Promise<IAdminAnswer> {
+    this.options.limiter.spendProposal(request.operator.member);
+    const wish = parseBody(TargetRequestSchema, request.body);
+    const inForce = await this.options.plans.getIntent(request.operator.member, request.signal);
+    const intent = applyTargetAction(inForce.intent, wish);
+    return this.propose(request.operator, intent, request.signal);
+  }
+
+  private async propose(
+    operator: IOperator,
+    intent: Intent,
+    signal: AbortSignal,
+  ): Promise<IAdminAnswer> {
+    const { plans, limiter } = this.options;
+    const targets = intent.services.reduce((sum, service) => sum + service.targets.length, 0);
+    if (targets > limiter.limits.targets) {
+      throw createLimitError(`${targets} targets are more than ${limiter.limits.targets}`);
+    }
+    return createPlanAnswer(await plans.propose(intent, operator.keyId, signal), CREATED_STATUS);
+  }
+
+  private async getPlan(request: IAdminRequest): Promise<IAdminAnswer> {
+    const { member } = request.operator;
+    const plan = await this.options.plans.getPlan(member, getParameter(request), request.signal);
+    return createPlanAnswer(plan);
+  }
+
+  private async confirm(request: IAdminRequest): Promise<IAdminAnswer> {
+    return createPlanAnswer(
+      await this.options.plans.confirm(makePlanRequest(request), request.signal),
+    );
+  }
+
+  private async discard(request: IAdminRequest): Promise<IAdminAnswer> {
+    return createPlanAnswer(
+      await this.options.plans.discard(makePlanRequest(request), request.signal),
+    );
+  }
+}
+
+/** The fleet's revision is left out: its steps would tell how often other members change theirs. */
+function createPlanAnswer(plan: Plan, status?: number): IAdminAnswer {
+  const visible = create(PlanSchema, { ...plan, confirmedFleetRevision: 0n });
+  return createAnswer(PlanSchema, visible, status);
+}
+
+function makePlanRequest(request: IAdminRequest) {
+  const { member, keyId } = request.operator;
+  return { member, planId: getParameter(request), operator: keyId };
+}
+
+function createFleetError(): MuxError {
+  const message = 'intents and plans belong to members; use the key of one';
+  return new MuxError({ code: ResultCode.Forbidden, message, runState: RunState.NotRun });
+}
--- /dev/null
+++ b/packages/operators/src/api/common/statusHandler.ts
@@ -0,0 +1,85 @@
+/** What the nodes of the fleet know, as far as the operator may see it. */
+import { create } from '@bufbuild/protobuf';
+import type { InvariantRegistry } from '@parsleymux/base';
+import { InvariantName } from '@parsleymux/base';
+import type { ConfigService } from '@parsleymux/config';
+import type { GetNodeStatusResponse, NodeStatus } from '@parsleymux/schema';
+import { NodeStatusSchema, StatusResponseSchema } from '@parsleymux/schema';
+import type { AccessControl, IOperator } from '../../access/common/accessControl.js';
+import type { StatusProvider } from '../../status/common/statusProvider.js';
+import type { IAdminAnswer, IAdminRequest, IAdminRoute } from './adminRoute.js';
+import { AdminHandler, createAnswer } from './adminRoute.js';
+
+/** Options of a {@link StatusHandler}. */
+export interface IStatusHandlerOptions {
+  readonly status: StatusProvider;
+  readonly config: ConfigService;
+  readonly access: AccessControl;
+  readonly invariants: InvariantRegistry;
+}
+
+/** Answers `/v1/status`. */
+export class StatusHandler extends AdminHandler {
+  constructor(private readonly options: IStatusHandlerOptions) {
+    super();
+  }
+
+  override listRoutes(): readonly IAdminRoute[] {
+    return [
+      {
+        method: 'GET',
+        pattern: /^\/v1\/status$/,
+        action: 'status.show',
+        handle: (request) => this.getStatus(request),
+      },
+    ];
+  }
+
+  private async getStatus(request: IAdminRequest): Promise<IAdminAnswer> {
+    const { operator, signal } = request;
+    const member = request.query.get('member') ?? operator.member;
+    await this.options.access.checkMember(operator, member, 'status.show', signal);
+    const found = await this.options.status.getStatus(operator.member, signal);
+    const newest = this.getNewestRevision(operator, found.nodes);
+    const nodes = found.nodes.map((node) => this.buildNode(node, operator, newest));
+    const inForce = nodes.filter((node) => node.inForce).length;
+    const memberConfig = this.options.config.getCurrent().members.get(operator.member);
+    const response = create(StatusResponseSchema, {
+      memberRevision: memberConfig?.memberRevision ?? 0n,
+      fleetRevision: operator.isFleet ? newest : 0n,
+      nodesInForce: inForce,
+      nodesBehind: nodes.length - inForce,
+      silentNodes: [...found.silentNodes],
+      nodes,
+    });
+    return createAnswer(StatusResponseSchema, response);
+  }
+
+  /** For a member the fleet revision of its own newest change; for the fleet the newest of all. */
+  private getNewestRevision(operator: IOperator, nodes: readonly GetNodeStatusResponse[]): bigint {
+    const current = this.options.config.getCurrent();
+    if (!operator.isFleet) return current.members.get(operator.member)?.fleetRevision ?? 0n;
+    return nodes.reduce((newest, node) => {
+      return node.fleetRevision > newest ? node.fleetRevision : newest;
+    }, BigInt(current.fleetRevision));
+  }
+
+  /** Checked here again, whatever the provider returns: a shard of another member stays hidden. */
+  private buildNode(node: GetNodeStatusResponse, operator: IOperator, newest: bigint): NodeStatus {
+    const shards = node.shards.filter((shard) => shard.member === operator.member);
+    this.options.invariants.check(
+      InvariantName.MemberIsolation,
+      shards.length === node.shards.length,
+      () => `status of ${node.node} held shards of other members`,
+    );
+    return create(NodeStatusSchema, {
+      node: node.node,
+      failureDomain: node.failureDomain,
+      ready: node.ready,
+      leaving: node.leaving,
+      inForce: node.fleetRevision >= newest,
+      fleetRevision: operator.isFleet ? node.fleetRevision : 0n,
+      shards,
+    });
+  }
+}
--- /dev/null
+++ b/packages/operators/src/api/node/adminApi.ts
@@ -0,0 +1,195 @@
+/** The administration API over HTTP: versioned paths, JSON bodies, one key for each operator. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Clock, InvariantRegistry, Logger } from '@parsleymux/base';
+import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import type { ConfigService, PlanStore } from '@parsleymux/config';
+import { CreateKeyResponseSchema } from '@parsleymux/schema';
+import { create } from '@bufbuild/protobuf';
+import { AccessControl } from '../../access/common/accessControl.js';
+import type { IMemberLimits } from '../../access/common/memberLimiter.js';
+import { MemberLimiter } from '../../access/common/memberLimiter.js';
+import type { AuditLog } from '../../audit/common/auditLog.js';
+import type { ClaimSettler } from '../../claims/common/claimSettler.js';
+import type { KeyStore } from '../../keys/common/keyStore.js';
+import { compareSecrets } from '../../keys/common/operatorKey.js';
+import type { StatusProvider } from '../../status/common/statusProvider.js';
+import type { IAdminAnswer, IAdminRoute } from '../common/adminRoute.js';
+import { createAnswer } from '../common/adminRoute.js';
+import { ClaimHandler } from '../common/claimHandler.js';
+import { formatErrorBody, getHttpStatus, toShownError } from '../common/httpStatus.js';
+import { KeyHandler } from '../common/keyHandler.js';
+import { PlanHandler } from '../common/planHandler.js';
+import { StatusHandler } from '../common/statusHandler.js';
+import { readRequestBody } from './requestBody.js';
+
+const BOOTSTRAP_PATH = '/v1/bootstrap';
+const BOOTSTRAP_ACTION = 'key.bootstrap';
+const CREATED_STATUS = 201;
+const MS_PER_SECOND = 1000;
+const LOOPBACK = /^(::ffff:)?127\.|^::1$/;
+
+/** Options of an {@link AdminApi}. */
+export interface IAdminApiOptions {
+  readonly plans: PlanStore;
+  readonly keys: KeyStore;
+  readonly audit: AuditLog;
+  readonly config: ConfigService;
+  readonly status: StatusProvider;
+  readonly claims: ClaimSettler;
+  readonly clock: Clock;
+  readonly invariants: InvariantRegistry;
+  readonly logger: Logger;
+  /** Limits of each member on this node. */
+  readonly limits?: IMemberLimits;
+  /**
+   * Secret that the nodes share. Whoever proves it may make the fleet's first operator key.
+   * Without one, only a client on this VM may.
+   */
+  readonly bootstrapSecret?: string;
+}
+
+/**
+ * Answers operators.
+ *
+ * @example
+ * const api = new AdminApi(options);
+ * const server = createServer((request, response) => void api.handle(request, response));
+ */
+export class AdminApi {
+  private readonly access: AccessControl;
+  private readonly limiter: MemberLimiter;
+  private readonly routes: readonly IAdminRoute[];
+  private readonly counts = new Map<ResultCode, number>();
+
+  constructor(private readonly options: IAdminApiOptions) {
+    this.access = new AccessControl(options);
+    this.limiter = new MemberLimiter(options.clock, options.limits);
+    const shared = { ...options, access: this.access, limiter: this.limiter };
+    this.routes = [
+      ...new PlanHandler(shared).listRoutes(),
+      ...new StatusHandler(shared).listRoutes(),
+      ...new KeyHandler(shared).listRoutes(),
+      ...new ClaimHandler(shared).listRoutes(),
+    ];
+  }
+
+  /** Answers by result code, for metrics. */
+  getCounts(): ReadonlyMap<ResultCode, number> {
+    return this.counts;
+  }
+
+  /** Answers one request. Never rejects. */
+  async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const gone = new AbortController();
+    response.once('close', () => {
+      gone.abort(new Error('the operator has hung up'));
+    });
+    try {
+      const answer = await this.execute(request, gone.signal);
+      this.recordCode(ResultCode.Ok);
+      writeAnswer(response, answer);
+    } catch (error) {
+      this.writeRefusal(response, error);
+    }
+  }
+
+  private async execute(request: IncomingMessage, signal: AbortSignal): Promise<IAdminAnswer> {
+    const url = new URL(request.url ?? '/', 'http://admin.invalid');
+    if (url.pathname === BOOTSTRAP_PATH) return this.createFirst(request, signal);
+    const { route, parameters } = this.findRoute(request.method ?? '', url.pathname);
+    const operator = await this.access.verify(
+      {
+        authorization: request.headers.authorization,
+        remoteAddress: getRemoteAddress(request),
+        action: route.action,
+      },
+      signal,
+    );
+    return this.limiter.run(operator.member, async () => {
+      const body = await readRequestBody(request, this.limiter.limits.intentBytes);
+      return route.handle({ operator, parameters, query: url.searchParams, body, signal });
+    });
+  }
+
+  private findRoute(method: string, path: string): IRouteMatch {
+    const matches = this.routes.flatMap((route) => {
+      const match = route.pattern.exec(path);
+      return match === null ? [] : [{ route, parameters: match.slice(1).map(decodeParameter) }];
+    });
+    if (matches.length === 0) throw refuse(ResultCode.UnknownRoute, 'there is no such path');
+    const found = matches.find(({ route }) => route.method === method);
+    if (found === undefined) {
+      throw refuse(ResultCode.MethodNotAllowed, 'the path does not take this method');
+    }
+    return found;
+  }
+
+  /** The fleet's first key, for whoever holds the fleet's secret. */
+  private async createFirst(request: IncomingMessage, signal: AbortSignal): Promise<IAdminAnswer> {
+    if (request.method !== 'POST') {
+      throw refuse(ResultCode.MethodNotAllowed, 'the path takes POST only');
+    }
+    const secret = this.options.bootstrapSecret;
+    const offered = request.headers.authorization?.replace(/^Bearer /i, '') ?? '';
+    const isTrusted =
+      secret === undefined
+        ? LOOPBACK.test(getRemoteAddress(request))
+        : compareSecrets(offered, secret);
+    if (!isTrusted) {
+      throw refuse(ResultCode.Forbidden, "the first key needs proof of the fleet's secret");
+    }
+    const created = await this.options.keys.createFirst(BOOTSTRAP_ACTION, signal);
+    const { id, member, note, createdBy } = created.row;
+    const info = { id, member, note, createdBy, createdAtMs: BigInt(created.row.createdAtMs) };
+    const message = create(CreateKeyResponseSchema, { info, key: created.key });
+    return createAnswer(CreateKeyResponseSchema, message, CREATED_STATUS);
+  }
+
+  private writeRefusal(response: ServerResponse, error: unknown): void {
+    const shown = toShownError(error);
+    this.recordCode(shown.code);
+    if (shown.code === ResultCode.Internal) {
+      this.options.logger.error('administration request failed', { error: String(error) });
+    }
+    if (response.headersSent || response.destroyed) return;
+    if (shown.retryAfterMs !== undefined) {
+      response.setHeader('retry-after', Math.ceil(shown.retryAfterMs / MS_PER_SECOND));
+    }
+    // The rest of a body that was not read would be taken for the next request.
+    response.setHeader('connection', 'close');
+    writeAnswer(response, { status: getHttpStatus(shown.code), body: formatErrorBody(shown) });
+  }
+
+  private recordCode(code: ResultCode): void {
+    this.counts.set(code, (this.counts.get(code) ?? 0) + 1);
+  }
+}
+
+interface IRouteMatch {
+  readonly route: IAdminRoute;
+  readonly parameters: readonly string[];
+}
+
+function writeAnswer(response: ServerResponse, answer: IAdminAnswer): void {
+  response.writeHead(answer.status, {
+    'content-type': 'application/json',
+    'cache-control': 'no-store',
+  });
+  response.end(answer.body);
+}
+
+function decodeParameter(text: string): string {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    throw refuse(ResultCode.MalformedRequest, 'the path is not encoded as URLs are');
+  }
+}
+
+function getRemoteAddress(request: IncomingMessage): string {
+  return request.socket.remoteAddress ?? 'unknown';
+}
+
+function refuse(code: ResultCode, message: string): MuxError {
+  return new MuxError({ code, message, runState: RunState.NotRun });
+}
--- /dev/null
+++ b/packages/operators/src/targets/common/targetAction.ts
@@ -0,0 +1,35 @@
+/** Draining a target, and returning it to service, as changes of the intent in force. */
+import { clone, create } from '@bufbuild/protobuf';
+import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import type { Intent, TargetRequest } from '@parsleymux/schema';
+import { IntentSchema, TargetAction, TargetState } from '@parsleymux/schema';
+
+/**
+ * The intent with one target drained or returned. Throws NotFound, MalformedRequest.
+ *
+ * @example
+ * const intent = applyTargetAction(inForce.intent, wish);
+ */
+export function applyTargetAction(inForce: Intent | undefined, wish: TargetRequest): Intent {
+  const intent = inForce === undefined ? create(IntentSchema) : clone(IntentSchema, inForce);
+  const target = intent.services
+    .flatMap((service) => service.targets)
+    .find((candidate) => candidate.address === wish.target);
+  if (target === undefined) {
+    throw refuse(ResultCode.NotFound, `no service in force has the target "${wish.target}"`);
+  }
+  target.state = chooseState(wish.action);
+  target.leaveAtMs = 0n;
+  intent.note = wish.note;
+  return intent;
+}
+
+function chooseState(action: TargetAction): TargetState {
+  if (action === TargetAction.DRAIN) return TargetState.DRAINING;
+  if (action === TargetAction.RETURN) return TargetState.SERVING;
+  throw refuse(ResultCode.MalformedRequest, 'the action is "drain" or "return"');
+}
+
+function refuse(code: ResultCode, message: string): MuxError {
+  return new MuxError({ code, message, runState: RunState.NotRun });
+}
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -1,4 +1,5 @@
 /** Messages and settings, generated from packages/schema/proto by `npm run generate`. */
+export * from './gen/parsleymux/admin/v1/admin_pb.js';
 export * from './gen/parsleymux/config/v1/config_pb.js';
 export * from './gen/parsleymux/control/v1/control_pb.js';
 export * from './gen/parsleymux/options/v1/options_pb.js';
