--- a/packages/claims/src/guard/common/claimGuard.test.ts
+++ b/packages/claims/src/guard/common/claimGuard.test.ts
@@ -1,66 +1,207 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { InvariantName, MuxError, ResultCode, RunState } from '@parsleymux/base';
-import { readWholeBody } from './wholeBody.js';
-import type { IAnswer } from '@parsleymux/routing';
-import { REPLAY_HEADER } from '../../claim/common/answerCodec.js';
-import { ClaimWorld } from '../../test/claimWorld.js';
-
-async function readText(result: PromiseSettledResult<IAnswer>): Promise<string> {
-  if (result.status === 'rejected') throw result.reason;
-  const body = await readWholeBody(result.value.body, 1 << 20);
-  return Buffer.from(body ?? '').toString();
-}
-
-function isReplayed(result: PromiseSettledResult<IAnswer>): boolean {
-  return (
-    result.status === 'fulfilled' && result.value.headers.some(([name]) => name === REPLAY_HEADER)
-  );
-}
+import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { assertRefused, ClaimWorld, isReplayed, readText } from '../../test/claimWorld.js';
+import { TableFault } from '../../test/fakeTable.js';
+import { TargetMood } from '../../test/fakeTarget.js';
 
-function assertRefused(
-  result: PromiseSettledResult<IAnswer>,
-  code: ResultCode,
-  runState: RunState,
-): void {
-  assert.equal(result.status, 'rejected');
-  assert(result.reason instanceof MuxError, String(result.reason));
-  assert.deepEqual([result.reason.code, result.reason.runState], [code, runState]);
-}
+const BOOKED = 'booked north/key-1 as 1 for caller-0';
 
 test('retries through several guards get the one recorded answer', async () => {
+  // Symptom: one booking ran three times. Sequence: the caller, hearing nothing, asked again
+  // through other nodes while the first was running, and once more after it. Cause: each node
+  // knew only of its own requests.
   const world = new ClaimWorld();
-  const guards = ['a', 'b', 'c'].map((address) => world.addGuard(address));
-  const together = guards.map((guard) => world.execute(guard));
-  const results = [];
-  for (const promise of together) results.push(await world.settle(promise));
-  results.push(await world.settle(world.execute(guards[2]!)));
-  for (const result of results) assert.equal(await readText(result), 'booked north/key-1 as 1');
-  assert.deepEqual(results.map(isReplayed).sort(), [false, true, true, true]);
-  assert.equal(world.executions.get('north/key-1'), 1);
-  assert.equal(world.invariants.getViolations(InvariantName.AtMostOnce), 0);
-  assert.ok(world.invariants.getChecks(InvariantName.AtMostOnce) > 0);
+  for (const address of ['a', 'b', 'c']) world.addNode(address);
+  const calls = ['a', 'b', 'c'].map((address) => world.send(address));
+  for (const call of calls) await world.finish(call);
+  calls.push(await world.execute('c'));
+  assert.equal(new Set(calls.map(readText)).size, 1);
+  assert.deepEqual(calls.map(isReplayed).sort(), [false, true, true, true]);
+  world.assertPromises();
 });
 
 test('the same key with another body is a conflict and does not run', async () => {
   const world = new ClaimWorld();
-  const guard = world.addGuard('a');
-  await world.settle(world.execute(guard));
-  const other = await world.settle(world.execute(guard, { body: 'another job' }));
+  world.addNode('a');
+  await world.execute('a');
+  const other = await world.execute('a', { body: 'another job' });
   assertRefused(other, ResultCode.IdempotencyKeyConflict, RunState.NotRun);
-  assert.equal(world.executions.get('north/key-1'), 1);
+  world.assertPromises();
 });
 
 test("another member's key is another key", async () => {
   const world = new ClaimWorld();
-  const guard = world.addGuard('a');
-  await world.settle(world.execute(guard));
-  const other = await world.settle(world.execute(guard, { member: 'south' }));
-  assert.equal(await readText(other), 'booked south/key-1 as 1');
+  world.addNode('a');
+  await world.execute('a');
+  const other = await world.execute('a', { member: 'south' });
+  assert.equal(readText(other), 'booked south/key-1 as 1 for caller-1');
 });
 
 test('a request without a key is refused as not run', async () => {
   const world = new ClaimWorld();
-  const result = await world.settle(world.execute(world.addGuard('a'), { key: undefined }));
-  assertRefused(result, ResultCode.IdempotencyKeyMissing, RunState.NotRun);
+  world.addNode('a');
+  const call = await world.execute('a', { key: undefined });
+  assertRefused(call, ResultCode.IdempotencyKeyMissing, RunState.NotRun);
+});
+
+test('a claim whose answer was lost after the write is found to be our own', async () => {
+  // Symptom: a booking was refused for ever although nothing had run. Sequence: the claim was
+  // written, its answer lost, and the retry found "somebody's" claim. Cause: the node did not
+  // know its own token in the row.
+  const world = new ClaimWorld();
+  world.addNode('a');
+  loseAnswers(world, [TableFault.LoseAnswer]);
+  assert.equal(readText(await world.execute('a')), BOOKED);
+  world.assertPromises();
+});
+
+test('a claim that stays unresolved is refused as not run and frees the key', async () => {
+  // Symptom: a key was told "may have run" for ever although nothing had run. Sequence: the
+  // claim's answer was lost, the store went out, the node refused as not run; its claim landed
+  // late. Cause: nobody released the claim that stood with the token of a finished request.
+  const world = new ClaimWorld();
+  for (const address of ['a', 'b']) world.addNode(address);
+  let calls = 0;
+  world.table.chooseFault = () => (calls++ === 0 ? TableFault.LandLate : TableFault.LoseRequest);
+  const refused = await world.execute('a');
+  assertRefused(refused, ResultCode.ClaimStoreUnavailable, RunState.NotRun);
+  world.table.chooseFault = () => TableFault.None;
+  assert.equal(readText(await world.execute('b')), 'booked north/key-1 as 1 for caller-1');
+  world.assertPromises();
+});
+
+test('a release whose answer is lost frees the key all the same', async () => {
+  const world = new ClaimWorld();
+  for (const address of ['a', 'b']) world.addNode(address);
+  loseAnswers(world, [TableFault.None, TableFault.LoseAnswer]);
+  const shed = await world.execute('a', { mood: TargetMood.Shed });
+  assertRefused(shed, ResultCode.TargetShed, RunState.NotRun);
+  assert.equal(readText(await world.execute('b')), 'booked north/key-1 as 1 for caller-1');
+  world.assertPromises();
+});
+
+test('an outcome that cannot be written is given to its caller and to who asks later', async () => {
+  // Symptom: a booked job was answered with an error, or its retry told "unknown". Sequence:
+  // the target executed, then the store went out before the outcome was recorded. Cause: the
+  // answer was held back for its record, or kept nowhere else.
+  const world = new ClaimWorld();
+  for (const address of ['a', 'b']) world.addNode(address);
+  let calls = 0;
+  world.table.chooseFault = () => (calls++ === 0 ? TableFault.None : TableFault.LoseRequest);
+  assert.equal(readText(await world.execute('a')), BOOKED);
+  assert.equal(world.getGuard('a').getPendingRecordCount(), 1);
+  const local = await world.execute('a');
+  assert.deepEqual([readText(local), isReplayed(local)], [BOOKED, true]);
+  world.table.chooseFault = () => TableFault.None;
+  assert.equal(readText(await world.execute('b')), BOOKED);
+  await world.clock.advanceBy(10_000);
+  assert.equal(world.getGuard('a').getPendingRecordCount(), 0);
+  assert.equal(readText(await world.execute('b')), BOOKED);
+  world.assertPromises();
+});
+
+test('a target that ran it and fell silent leaves one stable "may have run"', async () => {
+  const world = new ClaimWorld();
+  for (const address of ['a', 'b']) world.addNode(address);
+  const first = await world.execute('a', { mood: TargetMood.FallSilent });
+  assertRefused(first, ResultCode.TargetTimeout, RunState.MayHaveRun);
+  for (const address of ['b', 'a', 'b']) {
+    const retry = await world.execute(address);
+    assertRefused(retry, ResultCode.OutcomeUnknown, RunState.MayHaveRun);
+    await world.clock.advanceBy(100_000);
+  }
+  world.assertPromises();
+});
+
+test("the member's look-up request settles an unknown outcome", async () => {
+  const world = new ClaimWorld();
+  for (const address of ['a', 'b']) world.addNode(address);
+  const lookUpPath = '/jobs/by-key/{key}';
+  const first = await world.execute('a', { mood: TargetMood.FallSilent, lookUpPath });
+  assert.equal(readText(first), BOOKED);
+  const retry = await world.execute('b', { lookUpPath });
+  assert.deepEqual([readText(retry), isReplayed(retry)], [BOOKED, true]);
+  world.assertPromises();
+});
+
+test('"never ran" from the targets counts only after a quiet time', async () => {
+  // Symptom: a booking ran twice. Sequence: the request was on its way to a slow target, the
+  // look-up truthfully found nothing, the key was run again, then the first one arrived. Cause:
+  // "not run so far" was taken for "will not run".
+  const world = new ClaimWorld();
+  world.addNode('a');
+  const lookUpPath = '/jobs/by-key/{key}';
+  await world.execute('a', { mood: TargetMood.ExecuteLate, lookUpPath });
+  const early = await world.execute('a', { lookUpPath });
+  assertRefused(early, ResultCode.OutcomeUnknown, RunState.MayHaveRun);
+  await world.clock.advanceBy(61_000);
+  assert.equal(readText(await world.execute('a', { lookUpPath })), BOOKED);
+  world.assertPromises();
 });
+
+test('while it runs, a retry waits within its deadline and is then told so', async () => {
+  const world = new ClaimWorld();
+  for (const address of ['a', 'b']) world.addNode(address);
+  const first = world.send('a', { mood: TargetMood.FallSilent });
+  await world.clock.advanceBy(50);
+  const retry = await world.execute('b', { deadlineMs: 150 });
+  assertRefused(retry, ResultCode.StillRunning, RunState.MayHaveRun);
+  assert.ok(retry.endMs <= retry.request.deadlineMs);
+  await world.finish(first);
+});
+
+test('with the store out a new key is refused at once as not run', async () => {
+  const world = new ClaimWorld();
+  world.addNode('a');
+  world.table.chooseFault = () => TableFault.Refuse;
+  for (let round = 0; round < 3; round++) {
+    const call = await world.execute('a');
+    assertRefused(call, ResultCode.ClaimStoreUnavailable, RunState.NotRun);
+    assert.ok(call.endMs - call.startMs < 50);
+    await world.clock.advanceBy(3_600_000);
+  }
+  world.table.chooseFault = () => TableFault.None;
+  assert.equal(readText(await world.execute('a')), 'booked north/key-1 as 1 for caller-3');
+});
+
+test('under overload a key that ran is replayed and another refused without a write', async () => {
+  const world = new ClaimWorld();
+  world.addNode('a');
+  await world.execute('a');
+  const refusal = new MuxError({
+    code: ResultCode.QueueFull,
+    message: 'queue is full',
+    runState: RunState.NotRun,
+  });
+  assert.equal(readText(await world.execute('a', { refusal })), BOOKED);
+  const { transactions } = world.table;
+  const fresh = await world.execute('a', { key: 'key-2', refusal });
+  assertRefused(fresh, ResultCode.QueueFull, RunState.NotRun);
+  assert.equal(world.table.transactions, transactions);
+  world.assertPromises();
+});
+
+test('an answer above the limit is not kept, and the key is known to have run', async () => {
+  const world = new ClaimWorld();
+  for (const address of ['a', 'b']) world.addNode(address);
+  for (const address of ['a', 'b']) {
+    const call = await world.execute(address, { mood: TargetMood.AnswerHuge });
+    assertRefused(call, ResultCode.AnswerNotKept, RunState.Ran);
+  }
+  world.assertPromises();
+});
+
+test('a large answer is kept in an object and replayed whole', async () => {
+  const world = new ClaimWorld();
+  for (const address of ['a', 'b']) world.addNode(address, undefined, { maxRowBytes: 8 });
+  await world.execute('a');
+  assert.equal(world.objects.bytes.size, 1);
+  assert.equal(readText(await world.execute('b')), BOOKED);
+});
+
+/** The first calls fail as told; the rest work. */
+function loseAnswers(world: ClaimWorld, faults: readonly TableFault[]): void {
+  let calls = 0;
+  world.table.chooseFault = () => faults[calls++] ?? TableFault.None;
+}
--- a/packages/claims/src/guard/common/claimGuard.ts
+++ b/packages/claims/src/guard/common/claimGuard.ts
@@ -37,6 +37,7 @@
 } from './claimErrors.js';
 import { ClaimFollower } from './claimFollower.js';
 import { ClaimRunner } from './claimRunner.js';
+import { OutcomeSettler } from './outcomeSettler.js';
 
 const DEFAULT_MAX_ANSWER_BYTES = 1 << 20;
 const DEFAULT_MAX_ROW_BYTES = 8 << 10;
@@ -127,15 +128,21 @@
       claimWaitMs: options.claimWaitMs ?? DEFAULT_CLAIM_WAIT_MS,
       recordWaitMs: options.recordWaitMs ?? DEFAULT_RECORD_WAIT_MS,
     });
+    const recordWaitMs = options.recordWaitMs ?? DEFAULT_RECORD_WAIT_MS;
+    const settler = new OutcomeSettler({
+      ...shared,
+      lookUp: options.lookUp ?? new NoOutcomeLookUp(),
+      quietMs: options.quietMs ?? DEFAULT_QUIET_MS,
+      recordWaitMs,
+    });
     this.follower = new ClaimFollower({
       ...shared,
       handler,
       peer,
-      lookUp: options.lookUp ?? new NoOutcomeLookUp(),
+      settler,
       isLive: options.isLive ?? (() => true),
       answerMarginMs: options.answerMarginMs ?? DEFAULT_ANSWER_MARGIN_MS,
       goneWaitMs: options.goneWaitMs ?? DEFAULT_GONE_WAIT_MS,
-      quietMs: options.quietMs ?? DEFAULT_QUIET_MS,
     });
   }
 
@@ -153,7 +160,7 @@
       const refusal = guarded.estimateRefusal();
       if (refusal !== undefined) throw refusal;
       const result = await this.runner.run(guarded, identity, version, signal);
-      if (result.outcome !== undefined) return getAnswer(result.outcome);
+      if (result.outcome !== undefined) return this.finish(guarded, identity, result.outcome);
       known = result.current;
     }
   }
@@ -172,6 +179,28 @@
     this.retrier.dispose();
   }
 
+  /** What the caller of the attempt itself is given: the answer as it came, or the true error. */
+  private async finish(
+    guarded: IGuardedAttempt,
+    identity: IClaimIdentity,
+    outcome: IAttemptOutcome,
+  ): Promise<IAnswer> {
+    if (outcome.answer !== undefined) return outcome.answer;
+    const error = outcome.error ?? makeOutcomeUnknown(true);
+    const isUnknown = outcome.end === AttemptEnd.Unknown;
+    if (!isUnknown || guarded.request.route.lookUpPath === '') throw error;
+    // The targets may know what this caller could not be told; without their word the error
+    // of the run itself says more than "unknown".
+    try {
+      const rowKey = formatClaimRowKey(identity.member, identity.claimKey);
+      const found = await this.resolveLocal(guarded, identity, rowKey, outcome);
+      if (found !== undefined) return found;
+    } catch {
+      throw error;
+    }
+    throw error;
+  }
+
   private checkStillWanted(guarded: IGuardedAttempt, signal: AbortSignal): void {
     if (signal.aborted) throw makeCallerGone();
     if (this.clock.getMonotonicTime() >= guarded.request.deadlineMs) throw makeDeadlinePassed();
@@ -207,9 +236,6 @@
     known: IVersionedClaim,
   ): Promise<IAnswer | number> {
     const { request } = guarded;
-    // A key whose request never ran is free, also for another request.
-    if (known.claim.state === ClaimState.NotRun) return known.version;
-    if (known.claim.digest !== identity.digest) throw makeKeyConflict();
     const followed = await this.follower.resolve(request, identity, known);
     return followed.answer ?? followed.claimableVersion;
   }
@@ -248,9 +274,3 @@
 function isNotRun(outcome: IAttemptOutcome | undefined): boolean {
   return outcome?.end === AttemptEnd.NotRun;
 }
-
-/** What the caller of the attempt itself is given: the answer as it came, or the true error. */
-function getAnswer(outcome: IAttemptOutcome): IAnswer {
-  if (outcome.answer !== undefined) return outcome.answer;
-  throw outcome.error ?? makeOutcomeUnknown(true);
-}
--- /dev/null
+++ b/packages/claims/src/guard/common/outcomeSettler.ts
@@ -0,0 +1,139 @@
+/** Reads recorded outcomes, and asks the targets where the fleet itself does not know. */
+import type { Clock } from '@parsleymux/base';
+import type { ObjectStore } from '@parsleymux/platform';
+import type { IRoutedRequest } from '@parsleymux/routing';
+import type { IStoredAnswer, IWholeAnswer } from '../../claim/common/answerCodec.js';
+import { decodeAnswer, encodeAnswer, markReplayed } from '../../claim/common/answerCodec.js';
+import type { IClaim, IVersionedClaim } from '../../claim/common/claim.js';
+import { ClaimState } from '../../claim/common/claim.js';
+import type { IClaimIdentity } from '../../claim/common/claimIdentity.js';
+import { formatClaimRowKey } from '../../claim/common/claimIdentity.js';
+import type { OutcomeLookUp } from '../../outcome/common/outcomeLookUp.js';
+import { TargetWord } from '../../outcome/common/outcomeLookUp.js';
+import type { ClaimStore } from '../../store/common/claimStore.js';
+import type { BackgroundRetrier } from './backgroundRetrier.js';
+import {
+  makeAnswerNotKept,
+  makeAnswerUnavailable,
+  makeOutcomeSettled,
+  makeOutcomeUnknown,
+} from './claimErrors.js';
+
+/** Options of an {@link OutcomeSettler}. All times are in ms. */
+export interface IOutcomeSettlerOptions {
+  readonly store: ClaimStore;
+  readonly objects: ObjectStore;
+  readonly lookUp: OutcomeLookUp;
+  readonly retrier: BackgroundRetrier;
+  readonly clock: Clock;
+  /** Time after which a target's "never ran" is believed of an unknown outcome. */
+  readonly quietMs: number;
+  /** Longest time that an answer is held back for its record. */
+  readonly recordWaitMs: number;
+}
+
+/** What is to be done about a claim: give the answer, or claim the row at its version. */
+export interface IFollowResult {
+  readonly answer: IWholeAnswer | undefined;
+  /** Version at which the row may be claimed again. */
+  readonly claimableVersion: number;
+}
+
+/**
+ * Settles claims that no living claimer speaks for.
+ *
+ * @example
+ * const result = await settler.readOutcome(request, identity, known, timeLeftMs);
+ */
+export class OutcomeSettler {
+  constructor(private readonly options: IOutcomeSettlerOptions) {}
+
+  /** What a row that is no longer running says. Throws a MuxError when there is no answer. */
+  async readOutcome(
+    request: IRoutedRequest,
+    identity: IClaimIdentity,
+    known: IVersionedClaim,
+    timeLeftMs: number,
+  ): Promise<IFollowResult> {
+    const { state, answer, settlement } = known.claim;
+    if (state === ClaimState.NotRun) return makeClaimable(known.version);
+    if (state === ClaimState.Unknown) {
+      return this.settleByTargets(request, identity, known, timeLeftMs);
+    }
+    if (answer !== undefined) return makeAnswered(await this.loadAnswer(answer));
+    throw settlement === undefined ? makeAnswerNotKept() : makeOutcomeSettled();
+  }
+
+  /**
+   * Nobody in the fleet knows the outcome. The targets' "it ran" settles it. Their "it never ran"
+   * is believed only of a dispatch that its own claimer gave up long ago: a claimer that is
+   * merely paused may dispatch yet, and a request that was sent may still be on its way.
+   */
+  async settleByTargets(
+    request: IRoutedRequest,
+    identity: IClaimIdentity,
+    known: IVersionedClaim,
+    timeLeftMs: number,
+  ): Promise<IFollowResult> {
+    if (request.route.lookUpPath === '') throw makeOutcomeUnknown(false);
+    if (timeLeftMs <= 0) throw makeOutcomeUnknown(true);
+    const stop = new AbortController();
+    const timer = this.options.clock.startTimer(timeLeftMs, () => {
+      stop.abort(new Error('deadline passed'));
+    });
+    const said = await this.options.lookUp.lookUp(request, stop.signal);
+    void timer.dispose();
+    if (said.word === TargetWord.Ran && said.answer !== undefined) {
+      await this.recordAnswer(identity, known, said.answer);
+      return makeAnswered(markReplayed(said.answer));
+    }
+    if (said.word === TargetWord.NotRun && this.isQuiet(known.claim)) {
+      return makeClaimable(known.version);
+    }
+    throw makeOutcomeUnknown(true);
+  }
+
+  private async loadAnswer(stored: IStoredAnswer): Promise<IWholeAnswer> {
+    if (stored.objectKey === undefined) return decodeAnswer(stored);
+    let body: Uint8Array | undefined;
+    try {
+      body = await this.options.objects.get(stored.objectKey);
+    } catch (error) {
+      throw makeAnswerUnavailable(error);
+    }
+    if (body === undefined) throw makeAnswerNotKept();
+    return decodeAnswer(stored, body);
+  }
+
+  private isQuiet(claim: IClaim): boolean {
+    const ageMs = this.options.clock.getWallTime() - claim.changedAtMs;
+    return claim.state === ClaimState.Unknown && ageMs >= this.options.quietMs;
+  }
+
+  private async recordAnswer(
+    identity: IClaimIdentity,
+    known: IVersionedClaim,
+    answer: IWholeAnswer,
+  ): Promise<void> {
+    const claim: IClaim = {
+      ...known.claim,
+      state: ClaimState.Finished,
+      changedAtMs: this.options.clock.getWallTime(),
+      answer: encodeAnswer(answer),
+    };
+    const rowKey = formatClaimRowKey(identity.member, identity.claimKey);
+    await this.options.retrier.start(async () => {
+      await this.options.store.writeOutcome(rowKey, known.version, claim);
+    }, this.options.recordWaitMs);
+  }
+}
+
+/** The claim is settled by `answer`. */
+export function makeAnswered(answer: IWholeAnswer): IFollowResult {
+  return { answer, claimableVersion: 0 };
+}
+
+/** The row provably stands for no execution and may be claimed at `version`. */
+export function makeClaimable(version: number): IFollowResult {
+  return { answer: undefined, claimableVersion: version };
+}
--- a/packages/claims/src/test/claimWorld.ts
+++ b/packages/claims/src/test/claimWorld.ts
@@ -1,35 +1,60 @@
 /** Several guards over one table, with targets that count executions. For tests. */
-import type { MuxError } from '@parsleymux/base';
+import assert from 'node:assert/strict';
+import { create } from '@bufbuild/protobuf';
 import {
+  InvariantName,
   InvariantRegistry,
   ManualClock,
+  MuxError,
   ResultCode,
   RunState,
   SeededRandom,
 } from '@parsleymux/base';
-import { create } from '@bufbuild/protobuf';
-import type { IAnswer, IGuardedAttempt, IRoutedRequest } from '@parsleymux/routing';
+import type { IAnswer, IRoutedRequest } from '@parsleymux/routing';
 import { RouteSchema } from '@parsleymux/schema';
+import { REPLAY_HEADER } from '../claim/common/answerCodec.js';
 import type { IClaimGuardOptions } from '../guard/common/claimGuard.js';
 import { ClaimGuard } from '../guard/common/claimGuard.js';
 import type { IClaimLookUpAnswer, IClaimLookUpQuestion } from '../peer/common/claimPeer.js';
 import { ClaimPeer } from '../peer/common/claimPeer.js';
 import { FakeObjects, FakeTable } from './fakeTable.js';
+import { FakeTarget, TargetMood } from './fakeTarget.js';
+import type { IProcessFault } from './processGate.js';
+import { GatedClock, GatedTable, ProcessGate } from './processGate.js';
+
+const STEP_MS = 5;
+/** Refusals that speak of the one request alone; what became of its key was not found out. */
+const CODES_OF_ONE_REQUEST: ReadonlySet<ResultCode> = new Set([
+  ResultCode.ClaimStoreUnavailable,
+  ResultCode.IdempotencyKeyConflict,
+  ResultCode.DeadlinePassed,
+  ResultCode.CallerGone,
+]);
 
-/** What a request is made of; every field has a default. */
-export interface IRequestOptions {
+/** One request and how its target takes it; every field has a default. */
+export interface ITestRequest {
   readonly key?: string | undefined;
   readonly member?: string;
   readonly body?: string;
   readonly deadlineMs?: number;
   readonly lookUpPath?: string;
+  readonly mood?: TargetMood;
+  readonly refusal?: MuxError;
+  readonly signal?: AbortSignal;
 }
 
-/** How the home behaves toward one attempt. */
-export interface IRunOptions {
-  readonly run?: () => Promise<IAnswer>;
-  readonly estimateRefusal?: () => MuxError | undefined;
-  readonly signal?: AbortSignal;
+/** A request that was sent, and what came of it. */
+export interface ITestCall {
+  readonly request: IRoutedRequest;
+  readonly startMs: number;
+  readonly done: Promise<void>;
+  result: PromiseSettledResult<IAnswer> | undefined;
+  endMs: number;
+}
+
+interface ITestNode {
+  readonly guard: ClaimGuard;
+  readonly gate: ProcessGate;
 }
 
 /** A fleet in memory. */
@@ -38,26 +63,35 @@
   readonly table = new FakeTable({ clock: this.clock });
   readonly objects = new FakeObjects();
   readonly invariants = new InvariantRegistry();
-  /** Executions by member and key. */
-  readonly executions = new Map<string, number>();
-  /** Nodes that answer no questions. */
-  readonly silent = new Set<string>();
-  private readonly guards = new Map<string, ClaimGuard>();
-
-  /** A guard at `address`; one that had the address before is forgotten, as a killed process. */
-  addGuard(address: string, options: Partial<IClaimGuardOptions> = {}): ClaimGuard {
+  readonly target = new FakeTarget(this.clock);
+  readonly calls: ITestCall[] = [];
+  private readonly nodes = new Map<string, ITestNode>();
+
+  /** Starts a process at `address`, in place of the one that was there. */
+  addNode(
+    address: string,
+    fault?: IProcessFault,
+    options: Partial<IClaimGuardOptions> = {},
+  ): ProcessGate {
+    const gate = new ProcessGate(this.clock, fault);
     const guard = new ClaimGuard({
-      table: this.table,
+      table: new GatedTable(this.table, gate),
       objects: this.objects,
-      clock: this.clock,
+      clock: new GatedClock(this.clock, gate),
       random: new SeededRandom(address.length),
       invariants: this.invariants,
       nodeAddress: address,
       peer: this,
+      lookUp: this.target,
+      isLive: (peer) => this.nodes.get(peer)?.gate.isDead === false,
       ...options,
     });
-    this.guards.set(address, guard);
-    return guard;
+    this.nodes.set(address, { guard, gate });
+    return gate;
+  }
+
+  getGuard(address: string): ClaimGuard {
+    return this.getNode(address).guard;
   }
 
   override async lookUp(
@@ -65,51 +99,113 @@
     question: IClaimLookUpQuestion,
   ): Promise<IClaimLookUpAnswer> {
     await this.clock.sleep(1);
-    const guard = this.guards.get(address);
-    if (guard === undefined || this.silent.has(address)) throw new Error('no answer');
+    const { guard, gate } = this.getNode(address);
+    if (gate.isDead) throw new Error('connection refused');
+    await gate.advance();
     return guard.lookUpHandler.handle(question);
   }
 
-  /** Runs to the end of a promise on the manual clock, or fails after `limitMs`. */
-  async settle<T>(promise: Promise<T>, limitMs = 60_000): Promise<PromiseSettledResult<T>> {
-    let settled: PromiseSettledResult<T> | undefined;
-    void Promise.allSettled([promise]).then(([result]) => {
-      settled = result;
-    });
+  /** Sends a request through the node at `address` without waiting for it. */
+  send(address: string, options: ITestRequest = {}): ITestCall {
+    const { guard, gate } = this.getNode(address);
+    const request = makeRequest(this.clock, `caller-${this.calls.length}`, options);
+    const guarded = {
+      request,
+      estimateRefusal: () => options.refusal,
+      run: () => this.target.serve(request, options.mood ?? TargetMood.Answer, gate),
+    };
+    const answer = guard.execute(guarded, options.signal ?? new AbortController().signal);
+    const call: ITestCall = {
+      request,
+      startMs: this.clock.getMonotonicTime(),
+      done: Promise.allSettled([answer]).then(([result]) => {
+        call.result = result;
+        call.endMs = this.clock.getMonotonicTime();
+      }),
+      result: undefined,
+      endMs: Infinity,
+    };
+    this.calls.push(call);
+    return call;
+  }
+
+  /** Sends a request and runs the clock until it has its result. */
+  async execute(address: string, options: ITestRequest = {}): Promise<ITestCall> {
+    const call = this.send(address, options);
+    await this.finish(call);
+    return call;
+  }
+
+  /** Runs the clock until the call has its result. */
+  async finish(call: ITestCall, limitMs = 60_000): Promise<void> {
     const untilMs = this.clock.getMonotonicTime() + limitMs;
-    while (settled === undefined && this.clock.getMonotonicTime() < untilMs) {
-      await this.clock.advanceBy(1);
+    while (call.result === undefined && this.clock.getMonotonicTime() < untilMs) {
+      await this.clock.advanceBy(STEP_MS);
     }
-    if (settled === undefined) throw new Error('did not settle');
-    return settled;
+    assert.ok(call.result, 'the request got no result');
   }
 
-  execute(
-    guard: ClaimGuard,
-    requestOptions: IRequestOptions = {},
-    runOptions: IRunOptions = {},
-  ): Promise<IAnswer> {
-    const request = makeRequest(this.clock, requestOptions);
-    const attempt: IGuardedAttempt = {
-      request,
-      estimateRefusal: runOptions.estimateRefusal ?? (() => undefined),
-      run: runOptions.run ?? (() => this.executeAtTarget(request)),
-    };
-    return guard.execute(attempt, runOptions.signal ?? new AbortController().signal);
+  /** No key ran twice, and whatever callers were told is true. */
+  assertPromises(): void {
+    for (const call of this.calls) {
+      const executions = this.target.getExecutions(call.request);
+      assert.ok(executions.length <= 1, `ran ${executions.length} times`);
+      if (call.result !== undefined) this.assertTruth(call);
+    }
+    assert.equal(this.invariants.getViolations(InvariantName.AtMostOnce), 0);
+    assert.equal(this.invariants.getViolations(InvariantName.TruthfulRefusal), 0);
+  }
+
+  private assertTruth(call: ITestCall): void {
+    const executions = this.target.getExecutions(call.request);
+    if (call.result?.status === 'fulfilled') {
+      assert.equal(readText(call), executions[0]?.answer, 'an answer is that of the execution');
+      return;
+    }
+    const { code, runState } = getError(call);
+    if (runState === RunState.Ran) assert.equal(executions.length, 1, `${code} said ran`);
+    if (runState !== RunState.NotRun) return;
+    const own = executions.filter(({ request }) => request === call.request.caller);
+    assert.equal(own.length, 0, `${code} said not run, and this request ran`);
+    if (CODES_OF_ONE_REQUEST.has(code)) return;
+    const earlier = executions.filter(({ startMs }) => startMs < call.startMs);
+    assert.equal(earlier.length, 0, `${code} said not run of a key that had run`);
   }
 
-  /** One execution at the target, taking `durationMs`. */
-  async executeAtTarget(request: IRoutedRequest, durationMs = 20): Promise<IAnswer> {
-    const name = `${request.member}/${request.idempotencyKey ?? ''}`;
-    const count = (this.executions.get(name) ?? 0) + 1;
-    this.executions.set(name, count);
-    await this.clock.sleep(durationMs);
-    return makeAnswer(`booked ${name} as ${count}`);
+  private getNode(address: string): ITestNode {
+    const node = this.nodes.get(address);
+    assert.ok(node, `no node at ${address}`);
+    return node;
   }
 }
 
-/** A request of a route that is not idempotent. */
-export function makeRequest(clock: ManualClock, options: IRequestOptions = {}): IRoutedRequest {
+/** The answer's body as text. */
+export function readText(call: ITestCall): string {
+  if (call.result?.status !== 'fulfilled') return `refused: ${String(call.result?.reason)}`;
+  const { body } = call.result.value;
+  assert.ok(body instanceof Uint8Array);
+  return Buffer.from(body).toString();
+}
+
+export function isReplayed(call: ITestCall): boolean {
+  if (call.result?.status !== 'fulfilled') return false;
+  return call.result.value.headers.some(([name]) => name === REPLAY_HEADER);
+}
+
+/** The error that a call was refused with. */
+export function getError(call: ITestCall): MuxError {
+  assert.equal(call.result?.status, 'rejected', 'was refused');
+  const reason: unknown = call.result.reason;
+  assert.ok(reason instanceof MuxError, String(reason));
+  return reason;
+}
+
+export function assertRefused(call: ITestCall, code: ResultCode, runState: RunState): void {
+  const error = getError(call);
+  assert.deepEqual([error.code, error.runState], [code, runState], error.message);
+}
+
+function makeRequest(clock: ManualClock, caller: string, options: ITestRequest): IRoutedRequest {
   const route = create(RouteSchema, {
     name: 'booking',
     host: 'booking.example',
@@ -126,18 +222,7 @@
     headers: [['content-type', 'text/plain']],
     body: Buffer.from(options.body ?? 'job'),
     deadlineMs: clock.getMonotonicTime() + (options.deadlineMs ?? 5000),
-    caller: 'caller',
+    caller,
     idempotencyKey: 'key' in options ? options.key : 'key-1',
   };
 }
-
-/** An answer of a target that executed. */
-export function makeAnswer(text: string): IAnswer {
-  return {
-    status: 201,
-    headers: [['content-type', 'text/plain']],
-    body: Buffer.from(text),
-    code: ResultCode.Ok,
-    runState: RunState.Ran,
-  };
-}
--- /dev/null
+++ b/packages/claims/src/test/processGate.ts
@@ -0,0 +1,109 @@
+/** Kills or pauses a simulated process between any two of its steps. For tests. */
+import type { IDisposable } from '@parsleymux/base';
+import { Clock, toDisposable } from '@parsleymux/base';
+import type {
+  IScanOptions,
+  ITableRow,
+  ITableTransaction,
+  ITransactionResult,
+} from '@parsleymux/platform';
+import { TableService } from '@parsleymux/platform';
+
+/** What befalls a process. */
+export interface IProcessFault {
+  /** Number of the step before which it happens, from 1. */
+  readonly step: number;
+  /** Length of a pause in ms; undefined for a kill. */
+  readonly pauseMs: number | undefined;
+}
+
+/** Everything that a process waits for passes through its gate; each passage is a step. */
+export class ProcessGate {
+  isDead = false;
+  private steps = 0;
+  private resumed: Promise<void> | undefined;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly fault: IProcessFault | undefined,
+  ) {}
+
+  getSteps(): number {
+    return this.steps;
+  }
+
+  /** Resolves when the process may go on; never, when it is dead. */
+  async advance(): Promise<void> {
+    this.steps += 1;
+    if (this.steps === this.fault?.step) this.applyFault(this.fault);
+    await this.resumed;
+    if (this.isDead) await new Promise(() => undefined);
+  }
+
+  private applyFault(fault: IProcessFault): void {
+    if (fault.pauseMs === undefined) this.isDead = true;
+    else this.resumed = this.clock.sleep(fault.pauseMs);
+  }
+}
+
+/** A clock whose timers fire only while the process runs. */
+export class GatedClock extends Clock {
+  constructor(
+    private readonly inner: Clock,
+    private readonly gate: ProcessGate,
+  ) {
+    super();
+  }
+
+  override getWallTime(): number {
+    return this.inner.getWallTime();
+  }
+
+  override getMonotonicTime(): number {
+    return this.inner.getMonotonicTime();
+  }
+
+  override startTimer(delayMs: number, callback: () => void): IDisposable {
+    let isCancelled = false;
+    const timer = this.inner.startTimer(delayMs, () => {
+      void this.gate.advance().then(() => {
+        if (!isCancelled) callback();
+      });
+    });
+    return toDisposable(() => {
+      isCancelled = true;
+      void timer.dispose();
+    });
+  }
+}
+
+/** A table that the process reaches, and hears from, only while it runs. */
+export class GatedTable extends TableService {
+  constructor(
+    private readonly inner: TableService,
+    private readonly gate: ProcessGate,
+  ) {
+    super();
+  }
+
+  override read(keys: readonly string[]): Promise<readonly ITableRow[]> {
+    return this.runGated(() => this.inner.read(keys));
+  }
+
+  override scan(options: IScanOptions): Promise<readonly ITableRow[]> {
+    return this.runGated(() => this.inner.scan(options));
+  }
+
+  override transact(transaction: ITableTransaction): Promise<ITransactionResult> {
+    return this.runGated(() => this.inner.transact(transaction));
+  }
+
+  private async runGated<T>(action: () => Promise<T>): Promise<T> {
+    await this.gate.advance();
+    try {
+      return await action();
+    } finally {
+      await this.gate.advance();
+    }
+  }
+}
