--- /dev/null
+++ b/packages/lab/src/bench/placement/common/boundedPlacement.ts
@@ -0,0 +1,77 @@
+/**
+ * Rendezvous hashing with bounded loads: shards are placed one after another, each at the best
+ * candidate that has not reached a bound above the mean. Kept in the benchmark only.
+ */
+import { hashToInteger } from '@parsleymux/base';
+import type { INode, IShard } from '@parsleymux/fleet';
+import { Placement, RendezvousPlacement } from '@parsleymux/fleet';
+import type { ISizedShard } from './placementCase.js';
+
+const CANDIDATES = 12;
+
+/**
+ * Needs to know every shard beforehand, and gives each only one candidate of its own.
+ *
+ * @example
+ * const placement = new BoundedPlacement(shards, 1.25);
+ */
+export class BoundedPlacement extends Placement {
+  private readonly inner = new RendezvousPlacement();
+  private readonly shards: readonly ISizedShard[];
+  private homes = new Map<string, INode>();
+  private nodes: readonly INode[] = [];
+
+  constructor(
+    shards: readonly ISizedShard[],
+    private readonly factor: number,
+  ) {
+    super();
+    this.shards = [...shards].sort((left, right) => {
+      return hashToInteger(left.id, 1) - hashToInteger(right.id, 1);
+    });
+  }
+
+  override setNodes(nodes: readonly INode[]): void {
+    this.inner.setNodes(nodes);
+    this.nodes = nodes;
+    this.homes = new Map();
+  }
+
+  override rank(shard: IShard, count: number): readonly INode[] {
+    if (this.homes.size === 0) this.setHomes();
+    const home = this.homes.get(shard.id);
+    const others = this.inner.rank(shard, count + 1).filter((node) => node !== home);
+    return home === undefined ? others.slice(0, count) : [home, ...others].slice(0, count);
+  }
+
+  private setHomes(): void {
+    const bounds = this.computeBounds();
+    const loads = new Map<INode, number>();
+    for (const shard of this.shards) {
+      const bound = bounds.get(shard.failureDomains[0] ?? '') ?? Infinity;
+      const candidates = this.inner.rank(shard, CANDIDATES);
+      const home = candidates.find((node) => {
+        const load = loads.get(node) ?? 0;
+        return load === 0 || load + shard.slots <= bound;
+      });
+      const chosen = home ?? candidates[0];
+      if (chosen === undefined) return;
+      loads.set(chosen, (loads.get(chosen) ?? 0) + shard.slots);
+      this.homes.set(shard.id, chosen);
+    }
+  }
+
+  private computeBounds(): Map<string, number> {
+    const slots = new Map<string, number>();
+    for (const shard of this.shards) {
+      const domain = shard.failureDomains[0] ?? '';
+      slots.set(domain, (slots.get(domain) ?? 0) + shard.slots);
+    }
+    const bounds = new Map<string, number>();
+    for (const [domain, total] of slots) {
+      const size = this.nodes.filter((node) => node.failureDomain === domain).length;
+      bounds.set(domain, (this.factor * total) / Math.max(1, size));
+    }
+    return bounds;
+  }
+}
--- /dev/null
+++ b/packages/lab/src/bench/placement/common/placementCase.ts
@@ -0,0 +1,98 @@
+/** Fleets and shards of a stated size, drawn from a seed. */
+import type { RandomSource } from '@parsleymux/base';
+import type { INode, IShard } from '@parsleymux/fleet';
+
+const DOMAINS_PER_SERVICE = 3;
+const SMALLEST_SERVICE = 6;
+/** Spread of service sizes: the standard deviation of their logarithm. */
+const SIZE_SPREAD = 0.8;
+
+/** A shard with the slots of its targets. */
+export interface ISizedShard extends IShard {
+  readonly slots: number;
+}
+
+/** Size of one case. */
+export interface IPlacementSize {
+  readonly nodes: number;
+  readonly domains: number;
+  readonly services: number;
+  readonly targets: number;
+  /** Targets that one shard has at most; 0: a service is one shard. */
+  readonly shardTargets: number;
+  /** Number of the first node; other numbers are other addresses. */
+  readonly firstNode: number;
+}
+
+/** Nodes are spread evenly over the domains. */
+export function makeNodes(size: IPlacementSize): readonly INode[] {
+  return Array.from({ length: size.nodes }, (_, index) => makeNode(size, index));
+}
+
+/** Node number `index`, counted from the first. */
+export function makeNode(size: IPlacementSize, index: number): INode {
+  const number = size.firstNode + index;
+  return {
+    address: `10.${number >> 16}.${(number >> 8) & 255}.${number & 255}:7002`,
+    failureDomain: formatDomain(index % size.domains),
+  };
+}
+
+/** Shards of all services. Sizes are log-normal; each service lies in three domains. */
+export function makeShards(size: IPlacementSize, random: RandomSource): readonly ISizedShard[] {
+  const weights = Array.from({ length: size.services }, () => sampleLogNormal(random));
+  const total = weights.reduce((sum, weight) => sum + weight, 0);
+  const spare = size.targets - size.services * SMALLEST_SERVICE;
+  return weights.flatMap((weight, index) => {
+    const targets = SMALLEST_SERVICE + Math.round((spare * weight) / total);
+    return makeServiceShards(size, random, `member/service-${index}`, targets);
+  });
+}
+
+function makeServiceShards(
+  size: IPlacementSize,
+  random: RandomSource,
+  id: string,
+  targets: number,
+): readonly ISizedShard[] {
+  const slotsPerTarget = 3 + random.getInteger(2);
+  const domains = sampleDomains(size, random);
+  if (size.shardTargets === 0) {
+    return [{ id, failureDomains: domains, slots: targets * slotsPerTarget }];
+  }
+  return domains.flatMap((domain, index) => {
+    const inDomain = Math.floor((targets + index) / DOMAINS_PER_SERVICE);
+    return makeDomainShards(`${id}/${domain}`, domain, inDomain, size.shardTargets, slotsPerTarget);
+  });
+}
+
+/** Three neighbouring domains, beginning anywhere, so that all domains hold targets alike. */
+function sampleDomains(size: IPlacementSize, random: RandomSource): readonly string[] {
+  const first = random.getInteger(size.domains);
+  return Array.from({ length: DOMAINS_PER_SERVICE }, (_, index) => {
+    return formatDomain((first + index) % size.domains);
+  });
+}
+
+function makeDomainShards(
+  id: string,
+  domain: string,
+  targets: number,
+  shardTargets: number,
+  slotsPerTarget: number,
+): readonly ISizedShard[] {
+  const parts = Math.ceil(targets / shardTargets);
+  return Array.from({ length: parts }, (_, part) => {
+    const inPart = Math.floor((targets + part) / parts);
+    return { id: `${id}/${part}`, failureDomains: [domain], slots: inPart * slotsPerTarget };
+  });
+}
+
+function formatDomain(index: number): string {
+  return `domain-${index}`;
+}
+
+function sampleLogNormal(random: RandomSource): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random.getFloat()));
+  return Math.exp(SIZE_SPREAD * radius * Math.cos(2 * Math.PI * random.getFloat()));
+}
