Run stand-ins and nodes as child processes, under open-loop load whose answers are verified

Cause: the promises are attacked from outside, over real processes. ProcessFleet ends every child by process id (SIGCONT, SIGTERM, then SIGKILL); the load arrives open-loop, retries with the same key and request id, and the verdict compares what callers were told with what targets executed. The demo puts both together: two members, 24 targets in six processes, five nodes, a platform. Choice: a refusal as not run is judged only before the first attempt of another outcome; after that an execution can belong to the attempt that may have run. Ruled out: a closed loop, which slows down with the fleet and hides the delays. Not run: the demo, since the node's binary is not there yet; it only builds and lints.

--- /dev/null
+++ b/packages/lab/src/demo/node/checkList.ts
@@ -0,0 +1,16 @@
+/** Named checks, printed as they are decided. */
+
+/** Collects what passed and what did not. */
+export class CheckList {
+  private failures = 0;
+
+  /** Prints one line and remembers a failure. */
+  check(name: string, holds: boolean, detail: string): void {
+    if (!holds) this.failures += 1;
+    console.log(`${holds ? 'PASS' : 'FAIL'}  ${name}: ${detail}`);
+  }
+
+  getFailures(): number {
+    return this.failures;
+  }
+}
--- /dev/null
+++ b/packages/lab/src/demo/node/main.ts
@@ -0,0 +1,48 @@
+/**
+ * `npm run demo`: a platform, two members' targets and five nodes on loopback, all processes of
+ * their own; intents submitted and confirmed by `parsleyctl`; then traffic until Ctrl-C.
+ * `npm run demo -- --once`: ten seconds of it as a script that checks what it did; exits 0 or 1.
+ */
+import { parseArgs } from 'node:util';
+import { DisposableStore } from '@parsleymux/base';
+import { LoadGenerator } from '../../load/node/loadGenerator.js';
+import { makeWorkloads } from '../../processes/common/worldLayout.js';
+import { LabWorld } from '../../processes/node/labWorld.js';
+import { ReadyBalancer } from '../../processes/node/readyBalancer.js';
+import { LiveSummary } from './liveSummary.js';
+import { runOnce } from './onceScript.js';
+
+const SEED = 1;
+/** Time for the confirmed configuration to come into force everywhere, in ms. */
+const SETTLE_MS = 1500;
+
+const { values } = parseArgs({ options: { once: { type: 'boolean', default: false } } });
+
+async function runDemo(store: DisposableStore): Promise<number> {
+  const world = store.add(new LabWorld({ seed: SEED }));
+  await world.start();
+  const count = `${world.getNodes().length} nodes, ${world.getPlaces().length} targets`;
+  console.log(`started: platform, ${count}, ${world.fleet.getRunning().length} processes`);
+  const plans = await world.applyIntents();
+  console.log(`confirmed plans: ${plans.join(', ')}`);
+  await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+  const balancer = store.add(new ReadyBalancer(() => world.getNodes()));
+  await balancer.poll();
+  const load = store.add(new LoadGenerator({ workloads: makeWorkloads(), balancer, seed: SEED }));
+  store.add(new LiveSummary({ load, world, balancer }));
+  load.start();
+  if (values.once) return await runOnce(world, load);
+  console.log(`callers are served at ${balancer.pick() ?? 'no node'}; Ctrl-C ends the demo`);
+  return await new Promise<number>(() => undefined);
+}
+
+const store = new DisposableStore();
+let exitCode = 1;
+try {
+  exitCode = (await runDemo(store)) === 0 ? 0 : 1;
+} catch (error) {
+  console.error(error);
+} finally {
+  await store.dispose();
+}
+process.exit(exitCode);
--- /dev/null
+++ b/packages/lab/src/demo/node/onceScript.ts
@@ -0,0 +1,69 @@
+/** The demo as a script: ten seconds of traffic, a node killed, a target gray, then checks. */
+import type { LoadGenerator } from '../../load/node/loadGenerator.js';
+import type { IVerdict } from '../../load/common/verdict.js';
+import { compareOutcomes } from '../../load/common/verdict.js';
+import type { LabWorld } from '../../processes/node/labWorld.js';
+import { readViolations } from '../../processes/node/nodeMetrics.js';
+import { CheckList } from './checkList.js';
+
+const GRAY_AFTER_MS = 2000;
+const KILL_AFTER_MS = 2500;
+const REST_MS = 6000;
+/** Requests that were in the killed node may end unknown; more than this is another fault. */
+const LEAST_SHARE_DONE = 0.95;
+
+/** Runs the script; returns the number of checks that failed. */
+export async function runOnce(world: LabWorld, load: LoadGenerator): Promise<number> {
+  await sleep(GRAY_AFTER_MS);
+  await makeSurveyTargetGray(world);
+  await sleep(KILL_AFTER_MS);
+  await endOneNode(world);
+  await sleep(REST_MS);
+  await load.stop();
+  const verdict = compareOutcomes(load.getRecords(), await world.fetchExecutions());
+  return await checkAll(world, load, verdict);
+}
+
+async function makeSurveyTargetGray(world: LabWorld): Promise<void> {
+  const place = world.getPlaces().find(({ service }) => service === 'survey');
+  if (place === undefined) throw new Error('there is no survey target');
+  await world.getGroup(place).setFaults(place, { failShare: 0.6, slowFactor: 2 });
+  console.log(`gray: ${place.address} of relinieri/survey fails 60% and is slow; health is green`);
+}
+
+async function endOneNode(world: LabWorld): Promise<void> {
+  const node = world.getNodes()[1];
+  if (node === undefined) throw new Error('there is no second node');
+  await world.endNode(node);
+  console.log(`killed: ${node.options.name} (${node.addresses.peer}) by SIGKILL`);
+}
+
+async function checkAll(world: LabWorld, load: LoadGenerator, verdict: IVerdict): Promise<number> {
+  const checks = new CheckList();
+  const answered = load.summarize().find(({ outcome }) => outcome.startsWith('answered'));
+  const answeredCount = answered?.count ?? 0;
+  checks.check(
+    'requests answered',
+    answeredCount >= LEAST_SHARE_DONE * verdict.requests && verdict.requests > 0,
+    `${answeredCount} of ${verdict.requests}`,
+  );
+  checks.check(
+    'bookings and orders done',
+    verdict.bookingsDone >= LEAST_SHARE_DONE * verdict.bookings && verdict.bookings > 0,
+    `${verdict.bookingsDone} of ${verdict.bookings}`,
+  );
+  for (const promise of ['whole answers', 'at most once', 'truthful refusals']) {
+    const broken = verdict.findings.filter((finding) => finding.promise === promise);
+    const first =
+      broken[0] === undefined ? '' : `, first ${broken[0].requestId}: ${broken[0].detail}`;
+    checks.check(promise, broken.length === 0, `${broken.length} broken${first}`);
+  }
+  const violations = await readViolations(world.getNodes());
+  const total = violations.reduce((sum, { count }) => sum + count, 0);
+  checks.check('invariants inside the nodes', total === 0, `${total} violations`);
+  return checks.getFailures();
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- /dev/null
+++ b/packages/lab/src/load/common/verdict.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RunState } from '@parsleymux/base';
+import type { IExecution } from '@parsleymux/standins';
+import { makeWorkloads } from '../../processes/common/worldLayout.js';
+import type { IAttemptRecord, IRequestRecord } from './requestRecord.js';
+import { AttemptOutcome } from './requestRecord.js';
+import { compareOutcomes } from './verdict.js';
+
+const [reading, booking] = makeWorkloads();
+
+function makeRecord(
+  isBooking: boolean,
+  attempts: readonly Partial<IAttemptRecord>[],
+): IRequestRecord {
+  const workload = isBooking ? booking : reading;
+  assert.ok(workload !== undefined);
+  const key = isBooking ? 'k' : '';
+  return {
+    request: { workload, requestId: 'r', key, path: '/', body: new Uint8Array() },
+    attempts: attempts.map((attempt, index) => ({
+      outcome: AttemptOutcome.Refused,
+      node: 'n',
+      status: 503,
+      code: 2001,
+      runState: RunState.NotRun,
+      sentAtMs: 100 * index,
+      endedAtMs: 100 * index + 50,
+      ...attempt,
+    })),
+  };
+}
+
+function makeExecution(startedAtMs: number, key = ''): IExecution {
+  return { target: 't', key, requestId: 'r', state: 'finished', startedAtMs };
+}
+
+function findPromises(record: IRequestRecord, executions: readonly IExecution[]): string[] {
+  return compareOutcomes([record], executions).findings.map(({ promise }) => promise);
+}
+
+const ANSWERED = { outcome: AttemptOutcome.Answered, status: 200, code: 0 } as const;
+const UNKNOWN = { runState: RunState.MayHaveRun, code: 4004 } as const;
+
+test('a booking that two targets executed is found, a read executed twice is not', () => {
+  const executions = [makeExecution(10, 'k'), makeExecution(20, 'k')];
+  assert.deepEqual(findPromises(makeRecord(true, [ANSWERED]), executions), ['at most once']);
+  const reads = [makeExecution(10), makeExecution(20)];
+  assert.deepEqual(findPromises(makeRecord(false, [ANSWERED]), reads), []);
+});
+
+test('a refusal as not run is false when an execution began before the next attempt', () => {
+  const refusedThenAnswered = makeRecord(true, [{}, ANSWERED]);
+  assert.deepEqual(findPromises(refusedThenAnswered, [makeExecution(120, 'k')]), []);
+  assert.deepEqual(findPromises(refusedThenAnswered, [makeExecution(20, 'k')]), [
+    'truthful refusals',
+  ]);
+  assert.deepEqual(findPromises(makeRecord(true, [{}, {}]), [makeExecution(500, 'k')]), [
+    'truthful refusals',
+  ]);
+  assert.deepEqual(findPromises(makeRecord(true, [UNKNOWN, {}]), [makeExecution(20, 'k')]), []);
+});
+
+test('foreign and partial answers, answers that nobody executed, and bare errors are found', () => {
+  const partial = makeRecord(false, [{ outcome: AttemptOutcome.Partial }, ANSWERED]);
+  assert.deepEqual(findPromises(partial, [makeExecution(10)]), ['whole answers']);
+  assert.deepEqual(findPromises(makeRecord(false, [ANSWERED]), []), ['whole answers']);
+  const bare = makeRecord(false, [{ outcome: AttemptOutcome.Unexplained }]);
+  assert.deepEqual(findPromises(bare, []), ['truthful refusals']);
+});
--- /dev/null
+++ b/packages/lab/src/load/node/caller.ts
@@ -0,0 +1,120 @@
+/** A caller: sends one request to a node, and judges the answer as a careful client would. */
+import type { RunState } from '@parsleymux/base';
+import { AnswerFault, computeChecksum, verifyAnswer } from '@parsleymux/standins';
+import type { IDisposable } from '@parsleymux/base';
+import type { Dispatcher } from 'undici';
+import { Pool } from 'undici';
+import { CallerHeader } from '../common/callerHeaders.js';
+import type { IAttemptRecord } from '../common/requestRecord.js';
+import { AttemptOutcome } from '../common/requestRecord.js';
+import type { ICallerRequest } from '../common/workload.js';
+
+const OK = 200;
+const CONNECTIONS_PER_NODE = 64;
+/** A node answers by the deadline; what comes later than this counts as never. */
+const PATIENCE_MS = 3000;
+
+type Judgement = Pick<IAttemptRecord, 'outcome' | 'status' | 'code' | 'runState'>;
+
+/**
+ * Sends attempts over connections that it keeps to each node.
+ *
+ * @example
+ * const caller = new Caller();
+ * const attempt = await caller.send('127.0.0.1:7001', request);
+ * await caller.dispose();
+ */
+export class Caller implements IDisposable {
+  private readonly pools = new Map<string, Pool>();
+
+  async send(node: string, request: ICallerRequest): Promise<IAttemptRecord> {
+    const sentAtMs = Date.now();
+    const judgement = await this.request(node, request);
+    return { ...judgement, node, sentAtMs, endedAtMs: Date.now() };
+  }
+
+  /** Drops the connections to a node that is gone. */
+  async closeNode(node: string): Promise<void> {
+    const pool = this.pools.get(node);
+    this.pools.delete(node);
+    await pool?.destroy();
+  }
+
+  async dispose(): Promise<void> {
+    await Promise.all([...this.pools.keys()].map((node) => this.closeNode(node)));
+  }
+
+  private async request(node: string, request: ICallerRequest): Promise<Judgement> {
+    const timeout = AbortSignal.timeout(request.workload.timeoutMs + PATIENCE_MS);
+    try {
+      const answer = await this.ensurePool(node).request({
+        method: request.workload.method,
+        path: request.path,
+        headers: makeHeaders(request),
+        body: request.workload.method === 'GET' ? null : request.body,
+        signal: timeout,
+      });
+      return decideOutcome(answer, await answer.body.bytes(), request);
+    } catch {
+      const outcome = timeout.aborted ? AttemptOutcome.TimedOut : AttemptOutcome.Broken;
+      return { outcome, status: 0, code: -1, runState: undefined };
+    }
+  }
+
+  private ensurePool(node: string): Pool {
+    const known = this.pools.get(node);
+    if (known !== undefined) return known;
+    const pool = new Pool(`http://${node}`, { connections: CONNECTIONS_PER_NODE });
+    this.pools.set(node, pool);
+    return pool;
+  }
+}
+
+function makeHeaders(request: ICallerRequest): Record<string, string> {
+  const headers: Record<string, string> = {
+    host: request.workload.host,
+    [CallerHeader.RequestId]: request.requestId,
+    [CallerHeader.TimeoutMs]: String(request.workload.timeoutMs),
+  };
+  if (request.key !== '') headers[CallerHeader.IdempotencyKey] = request.key;
+  return headers;
+}
+
+function decideOutcome(
+  answer: Dispatcher.ResponseData,
+  body: Uint8Array,
+  request: ICallerRequest,
+): Judgement {
+  const code = Number(getHeader(answer, CallerHeader.ResultCode) ?? '-1');
+  const runState = getHeader(answer, CallerHeader.RunState) as RunState | undefined;
+  const status = answer.statusCode;
+  const { workload, requestId, path } = request;
+  const fault = verifyAnswer(body, {
+    member: workload.member,
+    service: workload.service,
+    requestId,
+    method: workload.method,
+    path,
+    requestChecksum: computeChecksum(workload.method === 'GET' ? '' : request.body),
+  });
+  if (status === OK) return { outcome: toOutcome(fault), status, code, runState };
+  if (fault === AnswerFault.Foreign) {
+    return { outcome: AttemptOutcome.Foreign, status, code, runState };
+  }
+  if (fault === AnswerFault.None) {
+    return { outcome: AttemptOutcome.TargetFailed, status, code, runState };
+  }
+  const isExplained = code > 0 && runState !== undefined;
+  const outcome = isExplained ? AttemptOutcome.Refused : AttemptOutcome.Unexplained;
+  return { outcome, status, code, runState };
+}
+
+function toOutcome(fault: AnswerFault): AttemptOutcome {
+  if (fault === AnswerFault.None) return AttemptOutcome.Answered;
+  return fault === AnswerFault.Foreign ? AttemptOutcome.Foreign : AttemptOutcome.Partial;
+}
+
+function getHeader(answer: Dispatcher.ResponseData, name: string): string | undefined {
+  const value = answer.headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
--- /dev/null
+++ b/packages/lab/src/load/node/loadGenerator.ts
@@ -0,0 +1,185 @@
+/**
+ * Open-loop load: requests arrive when they arrive, however slow the fleet is. A closed loop
+ * would slow down with the fleet and hide the very delays that are to be measured.
+ */
+import type { IDisposable } from '@parsleymux/base';
+import { SeededRandom } from '@parsleymux/base';
+import type { Histogram } from 'hdr-histogram-js';
+import { build } from 'hdr-histogram-js';
+import type { IAttemptRecord, IRequestRecord } from '../common/requestRecord.js';
+import { AttemptOutcome } from '../common/requestRecord.js';
+import type { ICallerRequest, IWorkload } from '../common/workload.js';
+import { Caller } from './caller.js';
+
+const MAX_RETRY_WAIT_MS = 1500;
+const RETRY_WAIT_MS = 100;
+const HIGHEST_LATENCY_MS = 120_000;
+
+/** Chooses the node for an attempt, as the platform's balancer does. */
+export abstract class Balancer {
+  /** Caller address of a node that is taken for ready, or undefined when there is none. */
+  abstract pick(): string | undefined;
+}
+
+/** Options of a {@link LoadGenerator}. */
+export interface ILoadGeneratorOptions {
+  readonly workloads: readonly IWorkload[];
+  readonly balancer: Balancer;
+  readonly seed: number;
+}
+
+/** Latencies of the requests that ended one way. */
+export interface IOutcomeSummary {
+  /** Outcome of the last attempt, with the result code when one came. */
+  readonly outcome: string;
+  readonly count: number;
+  /** From the first attempt to the end, retries and waits included, in ms. */
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+}
+
+/**
+ * Callers of several workloads.
+ *
+ * @example
+ * const load = new LoadGenerator({ workloads, balancer, seed: 1 });
+ * load.start();
+ * await load.stop();
+ * const records = load.getRecords();
+ */
+export class LoadGenerator implements IDisposable {
+  private readonly options: ILoadGeneratorOptions;
+  private readonly caller = new Caller();
+  private readonly records: IRequestRecord[] = [];
+  private readonly histograms = new Map<string, Histogram>();
+  private readonly pending = new Set<Promise<void>>();
+  private readonly timers = new Set<NodeJS.Timeout>();
+  private readonly runId: string;
+  private isRunning = false;
+  private sequence = 0;
+
+  constructor(options: ILoadGeneratorOptions) {
+    this.options = options;
+    this.runId = `${options.seed.toString(36)}-${Date.now().toString(36)}`;
+  }
+
+  /** Lets requests arrive until {@link stop}. */
+  start(): void {
+    this.isRunning = true;
+    this.options.workloads.forEach((workload, index) => {
+      const random = new SeededRandom(this.options.seed * 1000 + index);
+      this.startStream(workload, random, performance.now());
+    });
+  }
+
+  /** Ends the arrivals and waits until every request has ended. */
+  async stop(): Promise<void> {
+    this.isRunning = false;
+    for (const timer of this.timers) clearTimeout(timer);
+    this.timers.clear();
+    await Promise.all(this.pending);
+  }
+
+  async dispose(): Promise<void> {
+    this.isRunning = false;
+    for (const timer of this.timers) clearTimeout(timer);
+    await this.caller.dispose();
+    await Promise.all(this.pending);
+  }
+
+  /** Requests that have ended. */
+  getRecords(): readonly IRequestRecord[] {
+    return this.records;
+  }
+
+  getPendingCount(): number {
+    return this.pending.size;
+  }
+
+  summarize(): readonly IOutcomeSummary[] {
+    return [...this.histograms]
+      .map(([outcome, histogram]) => ({
+        outcome,
+        count: histogram.totalCount,
+        p50Ms: histogram.getValueAtPercentile(50),
+        p99Ms: histogram.getValueAtPercentile(99),
+      }))
+      .sort((left, right) => right.count - left.count);
+  }
+
+  /** Each arrival is due after the former one's due time, so that a late timer loses none. */
+  private startStream(workload: IWorkload, random: SeededRandom, lastDueMs: number): void {
+    const dueMs = lastDueMs + random.getExponential(1000 / workload.perSecond);
+    const timer = setTimeout(
+      () => {
+        this.timers.delete(timer);
+        if (!this.isRunning) return;
+        this.startRequest(this.makeRequest(workload, random));
+        this.startStream(workload, random, dueMs);
+      },
+      Math.max(0, dueMs - performance.now()),
+    );
+    this.timers.add(timer);
+  }
+
+  private makeRequest(workload: IWorkload, random: SeededRandom): ICallerRequest {
+    this.sequence += 1;
+    const requestId = `${this.runId}-${this.sequence}`;
+    const text = `${requestId}:${random.getInteger(1_000_000)}:`;
+    return {
+      workload,
+      requestId,
+      key: workload.idempotent ? '' : `key-${requestId}`,
+      path: `${workload.path}?n=${this.sequence}`,
+      body: Buffer.from(text.padEnd(workload.bodyBytes, '.')),
+    };
+  }
+
+  private startRequest(request: ICallerRequest): void {
+    const done = this.runRequest(request).finally(() => this.pending.delete(done));
+    this.pending.add(done);
+  }
+
+  private async runRequest(request: ICallerRequest): Promise<void> {
+    const startMs = performance.now();
+    const attempts: IAttemptRecord[] = [];
+    while (attempts.length < request.workload.maxAttempts) {
+      const node = this.options.balancer.pick();
+      if (node !== undefined) attempts.push(await this.caller.send(node, request));
+      if (!isWorthRetry(attempts.at(-1))) break;
+      if (attempts.length < request.workload.maxAttempts) await sleep(getWaitMs(attempts.length));
+      if (node === undefined && !this.isRunning) break;
+    }
+    this.records.push({ request, attempts });
+    this.recordOutcome(attempts.at(-1), performance.now() - startMs);
+  }
+
+  private recordOutcome(last: IAttemptRecord | undefined, latencyMs: number): void {
+    const name = formatOutcome(last);
+    const histogram = this.histograms.get(name) ?? makeHistogram();
+    this.histograms.set(name, histogram);
+    histogram.recordValue(Math.min(Math.round(latencyMs), HIGHEST_LATENCY_MS));
+  }
+}
+
+function isWorthRetry(last: IAttemptRecord | undefined): boolean {
+  return last?.outcome !== AttemptOutcome.Answered;
+}
+
+function getWaitMs(attempts: number): number {
+  return Math.min(MAX_RETRY_WAIT_MS, RETRY_WAIT_MS * 2 ** attempts);
+}
+
+function formatOutcome(last: IAttemptRecord | undefined): string {
+  if (last === undefined) return 'no node';
+  if (last.code <= 0) return last.outcome;
+  return `${last.outcome} ${last.code} ${last.runState ?? ''}`.trimEnd();
+}
+
+function makeHistogram(): Histogram {
+  return build({ highestTrackableValue: HIGHEST_LATENCY_MS, numberOfSignificantValueDigits: 3 });
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- /dev/null
+++ b/packages/lab/src/processes/common/worldLayout.ts
@@ -0,0 +1,155 @@
+/** The small world that demo and prove run: two members, six services, three failure domains. */
+import type { Intent } from '@parsleymux/schema';
+import { DetectionPreference, IntentSchema } from '@parsleymux/schema';
+import type { JsonValue } from '@bufbuild/protobuf';
+import { create, toJson } from '@bufbuild/protobuf';
+import type { IWorkload } from '../../load/common/workload.js';
+
+export const FAILURE_DOMAINS = ['north', 'middle', 'south'] as const;
+
+/** One service and the load on it. */
+export interface IServiceLayout {
+  readonly member: string;
+  readonly name: string;
+  readonly targetsPerDomain: number;
+  readonly slots: number;
+  readonly maxConnections: number;
+  readonly meanServiceMs: number;
+  readonly floorSlots: number;
+  readonly idempotent: boolean;
+  readonly perSecond: number;
+}
+
+/** Where a target stand-in listens. */
+export interface ITargetPlace {
+  readonly member: string;
+  readonly service: string;
+  readonly failureDomain: string;
+  /** Address that nodes use; a faulty link may stand there before the target itself. */
+  readonly address: string;
+  readonly control: string;
+}
+
+const RELINIERI = { member: 'relinieri', slots: 4, maxConnections: 400 };
+const DONAUTAL = { member: 'donautal', slots: 3, maxConnections: 350 };
+
+/** 24 targets in all. */
+export const SERVICES: readonly IServiceLayout[] = [
+  {
+    ...RELINIERI,
+    name: 'survey',
+    targetsPerDomain: 1,
+    meanServiceMs: 30,
+    floorSlots: 8,
+    idempotent: true,
+    perSecond: 15,
+  },
+  {
+    ...RELINIERI,
+    name: 'booking',
+    targetsPerDomain: 2,
+    meanServiceMs: 40,
+    floorSlots: 16,
+    idempotent: false,
+    perSecond: 12,
+  },
+  {
+    ...RELINIERI,
+    name: 'inventory',
+    targetsPerDomain: 1,
+    meanServiceMs: 20,
+    floorSlots: 8,
+    idempotent: true,
+    perSecond: 10,
+  },
+  {
+    ...DONAUTAL,
+    name: 'cutlists',
+    targetsPerDomain: 1,
+    meanServiceMs: 20,
+    floorSlots: 6,
+    idempotent: true,
+    perSecond: 20,
+  },
+  {
+    ...DONAUTAL,
+    name: 'orders',
+    targetsPerDomain: 2,
+    meanServiceMs: 30,
+    floorSlots: 12,
+    idempotent: false,
+    perSecond: 12,
+  },
+  {
+    ...DONAUTAL,
+    name: 'yield',
+    targetsPerDomain: 1,
+    meanServiceMs: 40,
+    floorSlots: 6,
+    idempotent: true,
+    perSecond: 6,
+  },
+];
+
+export const MEMBERS: readonly string[] = [RELINIERI.member, DONAUTAL.member];
+
+/** Host name of a service's route. */
+export function formatHost(service: IServiceLayout): string {
+  return `${service.name}.${service.member}.example`;
+}
+
+/** What callers ask of every service, at `factor` times the layout's rate. */
+export function makeWorkloads(factor = 1): readonly IWorkload[] {
+  return SERVICES.map((service) => ({
+    member: service.member,
+    service: service.name,
+    host: formatHost(service),
+    path: `/${service.name}`,
+    method: service.idempotent ? 'GET' : 'POST',
+    idempotent: service.idempotent,
+    perSecond: service.perSecond * factor,
+    timeoutMs: 4000,
+    maxAttempts: 6,
+    bodyBytes: 200,
+  }));
+}
+
+/** A member's intent over the targets that are there. */
+export function makeIntent(member: string, places: readonly ITargetPlace[]): Intent {
+  const services = SERVICES.filter((service) => service.member === member);
+  return create(IntentSchema, {
+    member,
+    services: services.map((service) => ({
+      name: service.name,
+      targets: places
+        .filter((place) => isPlaceOf(place, service))
+        .map((place) => ({
+          address: place.address,
+          failureDomain: place.failureDomain,
+          slots: service.slots,
+          maxConnections: service.maxConnections,
+        })),
+      floorSlots: service.floorSlots,
+      detection:
+        member === RELINIERI.member ? DetectionPreference.CAREFUL : DetectionPreference.FAST,
+    })),
+    routes: services.map((service) => ({
+      name: service.name,
+      host: formatHost(service),
+      pathPrefix: '/',
+      service: service.name,
+      idempotent: service.idempotent,
+      deadlineMs: 4000,
+      lookUpPath: service.idempotent ? '' : '/lookup/{key}',
+    })),
+  });
+}
+
+/** An intent as the JSON that operators write. */
+export function toIntentJson(intent: Intent): JsonValue {
+  return toJson(IntentSchema, intent);
+}
+
+function isPlaceOf(place: ITargetPlace, service: IServiceLayout): boolean {
+  return place.member === service.member && place.service === service.name;
+}
--- /dev/null
+++ b/packages/lab/src/processes/node/jsonRequest.ts
@@ -0,0 +1,37 @@
+/** Requests to control interfaces of the lab's own processes. */
+import { request } from 'undici';
+import VError from 'verror';
+
+const FIRST_ERROR_STATUS = 400;
+const TIMEOUT_MS = 5000;
+
+/** Sends a request to `address` and returns the JSON answer; rejects on an error status. */
+export async function requestJson(
+  address: string,
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE',
+  path: string,
+  body?: unknown,
+): Promise<unknown> {
+  const answer = await request(`http://${address}${path}`, {
+    method,
+    body: body === undefined ? null : JSON.stringify(body),
+    signal: AbortSignal.timeout(TIMEOUT_MS),
+  });
+  const text = await answer.body.text();
+  if (answer.statusCode >= FIRST_ERROR_STATUS) {
+    throw new VError('%s %s answered %d: %s', method, path, answer.statusCode, text);
+  }
+  return JSON.parse(text) as unknown;
+}
+
+/** The text of a GET, or undefined when it fails in any way. */
+export async function tryFetchText(address: string, path: string): Promise<string | undefined> {
+  try {
+    const signal = AbortSignal.timeout(TIMEOUT_MS);
+    const answer = await request(`http://${address}${path}`, { signal });
+    const text = await answer.body.text();
+    return answer.statusCode < FIRST_ERROR_STATUS ? text : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/lab/src/processes/node/labWorld.ts
@@ -0,0 +1,213 @@
+/** Platform, targets and nodes together, each in processes of its own. */
+import { rmSync } from 'node:fs';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { IDisposable } from '@parsleymux/base';
+import { SeededRandom, SystemClock } from '@parsleymux/base';
+import { KeyStore } from '@parsleymux/operators';
+import { VmState, openHttpPlatform } from '@parsleymux/platform';
+import type { IExecution } from '@parsleymux/standins';
+import type { ITargetPlace } from '../common/worldLayout.js';
+import {
+  FAILURE_DOMAINS,
+  MEMBERS,
+  SERVICES,
+  makeIntent,
+  toIntentJson,
+} from '../common/worldLayout.js';
+import type { NodeProcess } from './nodeProcess.js';
+import { startNode } from './nodeProcess.js';
+import { OperatorCommand } from './operatorCommand.js';
+import type { PlatformProcess } from './platformProcess.js';
+import { startPlatform } from './platformProcess.js';
+import { ProcessFleet } from './processFleet.js';
+import type { TargetGroup } from './targetGroup.js';
+import { startTargetGroup } from './targetGroup.js';
+
+/** Options of a {@link LabWorld}. */
+export interface ILabWorldOptions {
+  readonly seed: number;
+  /** Default 5. */
+  readonly nodeCount?: number;
+  /** Added to the environment of every node. */
+  readonly nodeEnv?: Readonly<Record<string, string>>;
+  /** The platform's address as node number `index` is to use it. Default: the platform's own. */
+  readonly choosePlatformAddress?: (own: string, index: number) => Promise<string>;
+  /** The address that the intent names for a target. Default: the target's own. */
+  readonly chooseTargetAddress?: (place: ITargetPlace) => Promise<string>;
+}
+
+const DEFAULT_NODE_COUNT = 5;
+const FIRST_NODE_HOST = 11;
+
+/**
+ * A running world.
+ *
+ * @example
+ * const world = new LabWorld({ seed: 1 });
+ * await world.start();
+ * await world.applyIntents();
+ * await world.dispose();
+ */
+export class LabWorld implements IDisposable {
+  readonly fleet = new ProcessFleet({ graceMs: 12_000 });
+  private readonly options: ILabWorldOptions;
+  private readonly groups: TargetGroup[] = [];
+  private readonly nodes: NodeProcess[] = [];
+  private readonly keys = new Map<string, string>();
+  private places: ITargetPlace[] = [];
+  private platformProcess: PlatformProcess | undefined;
+  private directory: string | undefined;
+  private nodesStarted = 0;
+
+  constructor(options: ILabWorldOptions) {
+    this.options = options;
+  }
+
+  get platform(): PlatformProcess {
+    if (this.platformProcess === undefined) throw new Error('the world has not started');
+    return this.platformProcess;
+  }
+
+  /** Starts everything and waits until every node is ready. */
+  async start(): Promise<void> {
+    const directory = await mkdtemp(join(tmpdir(), 'parsleymux-lab-'));
+    this.directory = directory;
+    process.once('exit', () => {
+      rmSync(directory, { recursive: true, force: true });
+    });
+    this.platformProcess = await startPlatform(this.fleet, { vmLagMs: 500 });
+    await this.createOperatorKeys(this.platformProcess.address);
+    const groups = SERVICES.map((service, index) => {
+      return startTargetGroup(this.fleet, service, this.options.seed * 10 + index);
+    });
+    this.groups.push(...(await Promise.all(groups)));
+    await this.chooseTargetAddresses();
+    const count = this.options.nodeCount ?? DEFAULT_NODE_COUNT;
+    const nodes = await Promise.all(Array.from({ length: count }, () => this.startNextNode()));
+    await Promise.all(nodes.map((node) => node.waitUntilReady()));
+  }
+
+  /** Starts one more node, in the next failure domain, and waits until it is ready. */
+  async addNode(): Promise<NodeProcess> {
+    const node = await this.startNextNode();
+    await node.waitUntilReady();
+    return node;
+  }
+
+  /** Nodes whose processes run. */
+  getNodes(): readonly NodeProcess[] {
+    return this.nodes.filter(({ child }) => child.isRunning());
+  }
+
+  /** Every node that ever ran. */
+  getAllNodes(): readonly NodeProcess[] {
+    return this.nodes;
+  }
+
+  /** Targets, with the addresses that the intents name. */
+  getPlaces(): readonly ITargetPlace[] {
+    return this.places;
+  }
+
+  getGroup(place: ITargetPlace): TargetGroup {
+    const found = this.groups.find(({ places }) => {
+      return places.some(({ control }) => control === place.control);
+    });
+    if (found === undefined) throw new Error(`no target at ${place.address}`);
+    return found;
+  }
+
+  /** The operator of a member, at the administration address of some running node. */
+  getOperator(member: string, nodeIndex = 0): OperatorCommand {
+    const nodes = this.getNodes();
+    const node = nodes[nodeIndex % nodes.length];
+    if (node === undefined) throw new Error('no node runs');
+    return new OperatorCommand({
+      fleet: this.fleet,
+      admin: node.addresses.admin,
+      key: this.keys.get(member) ?? '',
+    });
+  }
+
+  /** Writes an intent file for `parsleyctl`; returns its path. */
+  async writeIntent(member: string, places: readonly ITargetPlace[]): Promise<string> {
+    const path = join(this.directory ?? tmpdir(), `${member}-${Date.now()}.json`);
+    const json = toIntentJson(makeIntent(member, places));
+    await writeFile(path, JSON.stringify(json, undefined, 2));
+    return path;
+  }
+
+  /** Submits and confirms every member's intent; returns the ids of the plans. */
+  async applyIntents(): Promise<readonly string[]> {
+    const ids: string[] = [];
+    for (const member of MEMBERS) {
+      const file = await this.writeIntent(member, this.places);
+      ids.push(await this.getOperator(member).applyIntent(file));
+    }
+    return ids;
+  }
+
+  /** Ends a node at once, as a VM that fails does, and takes it off the platform's list. */
+  async endNode(node: NodeProcess): Promise<void> {
+    node.child.sendSignal('SIGKILL');
+    await node.child.waitForEnd();
+    await this.platform.removeVm(node.addresses.peer);
+  }
+
+  async fetchExecutions(): Promise<readonly IExecution[]> {
+    const lists = await Promise.all(this.groups.map((group) => group.fetchExecutions()));
+    return lists.flat();
+  }
+
+  async dispose(): Promise<void> {
+    await this.fleet.dispose();
+    if (this.directory !== undefined) await rm(this.directory, { recursive: true, force: true });
+  }
+
+  /** Each member gets one key, as the fleet's operators would give it out. */
+  private async createOperatorKeys(platformAddress: string): Promise<void> {
+    const platform = openHttpPlatform({ url: `http://${platformAddress}` });
+    const random = new SeededRandom(this.options.seed);
+    const store = new KeyStore({ table: platform.table, clock: new SystemClock(), random });
+    for (const member of MEMBERS) {
+      const { key } = await store.create({ member, note: 'lab', operator: 'lab' });
+      this.keys.set(member, key);
+    }
+    await platform.dispose();
+  }
+
+  private async chooseTargetAddresses(): Promise<void> {
+    const choose = this.options.chooseTargetAddress;
+    const own = this.groups.flatMap(({ places }) => places);
+    this.places = await Promise.all(
+      own.map(async (place) => {
+        return choose === undefined ? place : { ...place, address: await choose(place) };
+      }),
+    );
+  }
+
+  private async startNextNode(): Promise<NodeProcess> {
+    const index = this.nodesStarted;
+    this.nodesStarted += 1;
+    const own = this.platform.address;
+    const platformAddress = (await this.options.choosePlatformAddress?.(own, index)) ?? own;
+    const node = await startNode(this.fleet, {
+      name: `node-${index}`,
+      host: `127.0.0.${FIRST_NODE_HOST + index}`,
+      failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length] ?? FAILURE_DOMAINS[0],
+      platformUrl: `http://${platformAddress}`,
+      directory: this.directory ?? tmpdir(),
+      ...(this.options.nodeEnv === undefined ? {} : { env: this.options.nodeEnv }),
+    });
+    this.nodes.push(node);
+    const { failureDomain } = node.options;
+    await this.platform.registerVm({
+      address: node.addresses.peer,
+      failureDomain,
+      state: VmState.Live,
+    });
+    return node;
+  }
+}
--- /dev/null
+++ b/packages/lab/src/processes/node/managedProcess.ts
@@ -0,0 +1,155 @@
+/** One child process of the lab, from its start to the proof that it is gone. */
+import type { ChildProcess } from 'node:child_process';
+import { spawn } from 'node:child_process';
+import { createInterface } from 'node:readline';
+import VError from 'verror';
+
+const READY_TIMEOUT_MS = 20_000;
+/** Lines of standard error that are kept to explain a failure. */
+const KEPT_LINES = 200;
+
+/** Options of a {@link ManagedProcess}. */
+export interface IManagedProcessOptions {
+  /** For messages. */
+  readonly name: string;
+  /** Path of the JavaScript file that Node runs. */
+  readonly script: string;
+  readonly args?: readonly string[];
+  /** Variables added to the environment. */
+  readonly env?: Readonly<Record<string, string>>;
+  /** Options of Node itself, such as a limit on its heap. */
+  readonly nodeOptions?: readonly string[];
+}
+
+/** How a process ended. */
+export interface IProcessEnd {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
+
+/**
+ * A running child. Its standard input is a pipe, whose end tells a stand-in that we are gone.
+ *
+ * @example
+ * const child = new ManagedProcess({ name: 'platform', script: 'main.js' });
+ * const ready = await child.waitForReady();
+ * child.sendSignal('SIGTERM');
+ * await child.waitForEnd();
+ */
+export class ManagedProcess {
+  readonly name: string;
+  private readonly child: ChildProcess;
+  private readonly errorLines: string[] = [];
+  private readonly outputLines: string[] = [];
+  private readonly ended: Promise<IProcessEnd>;
+  private readonly ready: Promise<unknown>;
+  private end: IProcessEnd | undefined;
+  private stopped = false;
+
+  constructor(options: IManagedProcessOptions) {
+    this.name = options.name;
+    const args = [...(options.nodeOptions ?? []), options.script, ...(options.args ?? [])];
+    this.child = spawn(process.execPath, args, {
+      stdio: ['pipe', 'pipe', 'pipe'],
+      env: { ...process.env, ...options.env },
+    });
+    // A child that is killed breaks our end of the pipe; that is no error of ours.
+    this.child.stdin?.on('error', () => undefined);
+    this.ended = new Promise((resolve) => {
+      this.child.once('close', (code, signal) => {
+        this.end = { code, signal };
+        resolve(this.end);
+      });
+    });
+    this.recordErrorLines();
+    this.ready = this.readFirstLine();
+    this.ready.catch(() => undefined);
+  }
+
+  get pid(): number {
+    return this.child.pid ?? -1;
+  }
+
+  /** The JSON value of the first line on standard output. Rejects when the process ends first. */
+  waitForReady(): Promise<unknown> {
+    return this.ready;
+  }
+
+  waitForEnd(): Promise<IProcessEnd> {
+    return this.ended;
+  }
+
+  isRunning(): boolean {
+    return this.end === undefined;
+  }
+
+  /** Stopped by SIGSTOP and not yet resumed. */
+  isStopped(): boolean {
+    return this.stopped;
+  }
+
+  /** Sends a signal to this very process, if it still runs. */
+  sendSignal(signal: NodeJS.Signals): void {
+    if (!this.isRunning()) return;
+    if (signal === 'SIGSTOP') this.stopped = true;
+    if (signal === 'SIGCONT') this.stopped = false;
+    this.child.kill(signal);
+  }
+
+  /** Ends the process: asks first, and kills it when it has not ended after `graceMs`. */
+  async stop(graceMs: number): Promise<IProcessEnd> {
+    this.sendSignal('SIGCONT');
+    this.sendSignal('SIGTERM');
+    const timer = setTimeout(() => {
+      this.sendSignal('SIGKILL');
+    }, graceMs);
+    const end = await this.ended;
+    clearTimeout(timer);
+    return end;
+  }
+
+  /** The last lines that it wrote to standard error. */
+  getErrorLines(): readonly string[] {
+    return this.errorLines;
+  }
+
+  /** All standard output so far. */
+  getOutputLines(): readonly string[] {
+    return this.outputLines;
+  }
+
+  private recordErrorLines(): void {
+    if (this.child.stderr === null) return;
+    createInterface({ input: this.child.stderr }).on('line', (line) => {
+      this.errorLines.push(line);
+      if (this.errorLines.length > KEPT_LINES) this.errorLines.shift();
+    });
+  }
+
+  private readFirstLine(): Promise<unknown> {
+    return new Promise((resolve, reject) => {
+      const fail = (reason: string) => {
+        const lines = this.errorLines.slice(-20).join('\n');
+        reject(new VError('%s %s:\n%s', this.name, reason, lines));
+      };
+      const timer = setTimeout(() => {
+        fail('was not ready in time');
+      }, READY_TIMEOUT_MS);
+      void this.ended.then(({ code, signal }) => {
+        clearTimeout(timer);
+        fail(`ended before it was ready (${code ?? signal ?? 'unknown'})`);
+      });
+      if (this.child.stdout === null) return;
+      const lines = createInterface({ input: this.child.stdout });
+      lines.on('line', (line) => this.outputLines.push(line));
+      lines.once('line', (line) => {
+        clearTimeout(timer);
+        try {
+          resolve(JSON.parse(line));
+        } catch {
+          fail(`printed "${line}" where its addresses were expected`);
+        }
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/lab/src/processes/node/nodeMetrics.ts
@@ -0,0 +1,40 @@
+/** Reads the invariants' counters from the nodes' metrics. */
+import type { NodeProcess } from './nodeProcess.js';
+
+const VIOLATION_LINE = /^parsleymux_invariant_violations_total\{([^}]*)\}\s+([0-9.e+]+)/;
+const CHECK_LINE = /^parsleymux_invariant_checks_total\{([^}]*)\}\s+([0-9.e+]+)/;
+const NAME_LABEL = /name="([^"]*)"/;
+
+/** One invariant's count, summed over nodes. */
+export interface IInvariantCount {
+  readonly name: string;
+  readonly count: number;
+}
+
+/** Counters of one metrics page. */
+export function parseInvariantCounts(
+  page: string,
+  kind: 'checks' | 'violations',
+): IInvariantCount[] {
+  const pattern = kind === 'checks' ? CHECK_LINE : VIOLATION_LINE;
+  return page.split('\n').flatMap((line) => {
+    const [, labels = '', count] = pattern.exec(line) ?? [];
+    const name = NAME_LABEL.exec(labels)?.[1];
+    return name === undefined ? [] : [{ name, count: Number(count) }];
+  });
+}
+
+/** Counts by name, added up. */
+export function mergeCounts(lists: readonly (readonly IInvariantCount[])[]): IInvariantCount[] {
+  const totals = new Map<string, number>();
+  for (const { name, count } of lists.flat()) totals.set(name, (totals.get(name) ?? 0) + count);
+  return [...totals].map(([name, count]) => ({ name, count }));
+}
+
+/** Violations over the nodes that answer. */
+export async function readViolations(
+  nodes: readonly NodeProcess[],
+): Promise<readonly IInvariantCount[]> {
+  const pages = await Promise.all(nodes.map((node) => node.fetchMetrics()));
+  return mergeCounts(pages.map((page) => parseInvariantCounts(page ?? '', 'violations')));
+}
--- /dev/null
+++ b/packages/lab/src/processes/node/operatorCommand.ts
@@ -0,0 +1,65 @@
+/** Runs `parsleyctl` as an operator would. */
+import VError from 'verror';
+import type { ProcessFleet } from './processFleet.js';
+import { Program } from './programs.js';
+
+/** Options of an {@link OperatorCommand}. */
+export interface IOperatorCommandOptions {
+  readonly fleet: ProcessFleet;
+  /** Administration address of any node. */
+  readonly admin: string;
+  readonly key: string;
+}
+
+/** What a run of the command gave. */
+export interface ICommandResult {
+  readonly exitCode: number | null;
+  /** The JSON on standard output, or undefined when there was none. */
+  readonly output: unknown;
+  readonly errors: string;
+}
+
+/**
+ * An operator of one member.
+ *
+ * @example
+ * const operator = new OperatorCommand({ fleet, admin, key });
+ * const result = await operator.run(['plan', 'confirm', id]);
+ */
+export class OperatorCommand {
+  constructor(private readonly options: IOperatorCommandOptions) {}
+
+  /** Runs one command to its end, whatever its exit code. */
+  async run(args: readonly string[]): Promise<ICommandResult> {
+    const { fleet, admin, key } = this.options;
+    const child = fleet.start({
+      name: `parsleyctl ${args.join(' ')}`,
+      script: Program.Ctl,
+      args: [...args, '--admin', `http://${admin}`, '--key', key, '--json'],
+    });
+    const { code } = await child.waitForEnd();
+    const output = parseOutput(child.getOutputLines().join('\n'));
+    return { exitCode: code, output, errors: child.getErrorLines().join('\n') };
+  }
+
+  /** Submits an intent file and confirms the plan that it gets; returns the plan's id. */
+  async applyIntent(file: string): Promise<string> {
+    const plan = (await this.runWell(['intent', 'submit', file])) as { readonly id: string };
+    await this.runWell(['plan', 'confirm', plan.id]);
+    return plan.id;
+  }
+
+  private async runWell(args: readonly string[]): Promise<unknown> {
+    const { exitCode, output, errors } = await this.run(args);
+    if (exitCode === 0) return output;
+    throw new VError('parsleyctl %s exited %s:\n%s', args.join(' '), exitCode, errors);
+  }
+}
+
+function parseOutput(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/lab/src/processes/node/platformProcess.ts
@@ -0,0 +1,60 @@
+/** The platform stand-in as a process. */
+import type { IPlatformCounters, IPlatformFaults } from '@parsleymux/standins';
+import type { IVm } from '@parsleymux/platform';
+import { requestJson } from './jsonRequest.js';
+import type { ProcessFleet } from './processFleet.js';
+import { Program } from './programs.js';
+
+interface IPlatformReady {
+  readonly address: string;
+  readonly control: string;
+}
+
+/**
+ * Controls a platform stand-in.
+ *
+ * @example
+ * const platform = await startPlatform(fleet, { vmLagMs: 1000 });
+ * await platform.setFaults({ outage: 'refused' });
+ */
+export class PlatformProcess {
+  constructor(
+    readonly address: string,
+    private readonly control: string,
+  ) {}
+
+  async setFaults(faults: Partial<IPlatformFaults>): Promise<void> {
+    await requestJson(this.control, 'POST', '/control/faults', faults);
+  }
+
+  async clearFaults(): Promise<void> {
+    await requestJson(this.control, 'DELETE', '/control/faults');
+  }
+
+  async fetchCounters(): Promise<IPlatformCounters> {
+    return (await requestJson(this.control, 'GET', '/control/counters')) as IPlatformCounters;
+  }
+
+  async registerVm(vm: IVm): Promise<void> {
+    await requestJson(this.control, 'PUT', '/control/vms', vm);
+  }
+
+  async removeVm(address: string): Promise<void> {
+    const path = `/control/vms?address=${encodeURIComponent(address)}`;
+    await requestJson(this.control, 'DELETE', path);
+  }
+}
+
+/** Starts the platform stand-in with faults in force from the start. */
+export async function startPlatform(
+  fleet: ProcessFleet,
+  faults: Partial<IPlatformFaults>,
+): Promise<PlatformProcess> {
+  const child = fleet.start({
+    name: 'platform',
+    script: Program.Platform,
+    args: ['--config', JSON.stringify({ faults })],
+  });
+  const { address, control } = (await child.waitForReady()) as IPlatformReady;
+  return new PlatformProcess(address, control);
+}
--- /dev/null
+++ b/packages/lab/src/processes/node/programs.ts
@@ -0,0 +1,15 @@
+/** Where the programs are that the lab starts. */
+import { fileURLToPath } from 'node:url';
+
+const PACKAGES = new URL('../../../../', import.meta.url);
+
+function toPath(relative: string): string {
+  return fileURLToPath(new URL(relative, PACKAGES));
+}
+
+export const Program = {
+  Platform: toPath('standins/dist/platform/node/main.js'),
+  Target: toPath('standins/dist/target/node/main.js'),
+  Node: toPath('node/bin/parsleymux.js'),
+  Ctl: toPath('ctl/bin/parsleyctl.js'),
+} as const;
