parsleyctl: intents, plans, status, targets, claims, keys and audit from the command line

Cause: operators need a tool that says plainly what a plan will do, and scripts need exit statuses that tell a stale plan from a refused key from a store that is out. A misspelled command is answered with the nearest one.

--- /dev/null
+++ b/packages/ctl/bin/parsleyctl.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runParsleyctl } from '../dist/main.js';
+
+process.exitCode = await runParsleyctl(process.argv.slice(2));
--- /dev/null
+++ b/packages/ctl/src/cli/node/cli.ts
@@ -0,0 +1,113 @@
+/** The command line: its commands, its help, and what happens on a wrong word. */
+import type { BaseContext, CommandClass } from 'clipanion';
+import { Cli } from 'clipanion';
+import { ClaimSettleCommand, ClaimShowCommand } from '../../commands/node/claimCommands.js';
+import { IntentShowCommand, IntentSubmitCommand } from '../../commands/node/intentCommands.js';
+import {
+  AuditCommand,
+  KeyBootstrapCommand,
+  KeyCreateCommand,
+  KeyListCommand,
+  KeyRevokeCommand,
+  KeyRotateCommand,
+} from '../../commands/node/keyCommands.js';
+import {
+  PlanConfirmCommand,
+  PlanDiscardCommand,
+  PlanShowCommand,
+} from '../../commands/node/planCommands.js';
+import { StatusCommand } from '../../commands/node/statusCommand.js';
+import { TargetDrainCommand, TargetReturnCommand } from '../../commands/node/targetCommands.js';
+import { ExitStatus } from '../common/exitStatus.js';
+import { findNearestCommand } from '../common/suggestion.js';
+
+const BINARY_NAME = 'parsleyctl';
+
+const COMMANDS: readonly CommandClass[] = [
+  IntentSubmitCommand,
+  IntentShowCommand,
+  PlanShowCommand,
+  PlanConfirmCommand,
+  PlanDiscardCommand,
+  StatusCommand,
+  TargetDrainCommand,
+  TargetReturnCommand,
+  ClaimShowCommand,
+  ClaimSettleCommand,
+  AuditCommand,
+  KeyBootstrapCommand,
+  KeyCreateCommand,
+  KeyRotateCommand,
+  KeyRevokeCommand,
+  KeyListCommand,
+];
+
+/**
+ * Runs one command and returns the exit status.
+ *
+ * @example
+ * const status = await execute(['plan', 'show', 'p1'], context);
+ */
+export async function execute(words: readonly string[], context: BaseContext): Promise<number> {
+  const cli = createCli(isTerminal(context.stdout));
+  if (isHelpWanted(words)) {
+    const known = COMMANDS.find((command) => hasPath(command, words));
+    context.stdout.write(formatHelp(cli.usage(known ?? null, { detailed: known !== undefined })));
+    return ExitStatus.Ok;
+  }
+  try {
+    return await cli.run(cli.process([...words], context), context);
+  } catch (error) {
+    context.stderr.write(formatUsageFailure(error, words, cli));
+    return ExitStatus.Usage;
+  }
+}
+
+function createCli(enableColors: boolean): Cli {
+  const cli = new Cli({
+    binaryName: BINARY_NAME,
+    binaryLabel: 'parsleymux operators',
+    enableColors,
+  });
+  for (const command of COMMANDS) cli.register(command);
+  return cli;
+}
+
+function isHelpWanted(words: readonly string[]): boolean {
+  return words.length === 0 || words.includes('--help') || words.includes('-h');
+}
+
+/** The library writes "#0" where an option takes a value. */
+function formatHelp(text: string): string {
+  return text.replaceAll(' #0', ' VALUE');
+}
+
+function isTerminal(stream: BaseContext['stdout']): boolean {
+  return 'isTTY' in stream && stream.isTTY === true;
+}
+
+/** For a known command its usage; for an unknown one the nearest that is known. */
+function formatUsageFailure(error: unknown, words: readonly string[], cli: Cli): string {
+  const known = COMMANDS.find((command) => hasPath(command, words));
+  const lines = known === undefined ? describeUnknown(words) : [describeFailure(error, known, cli)];
+  return `${[...lines, `"${BINARY_NAME} --help" lists the commands`].join('\n')}\n`;
+}
+
+function hasPath(command: CommandClass, words: readonly string[]): boolean {
+  const paths = command.paths ?? [];
+  return paths.some((path) => path.every((word, index) => words[index] === word));
+}
+
+function describeUnknown(words: readonly string[]): readonly string[] {
+  const paths = COMMANDS.flatMap((command) => command.paths ?? []);
+  const nearest = findNearestCommand(words, paths);
+  const lines = [`there is no command "${words.join(' ')}"`];
+  if (nearest !== undefined) lines.push(`did you mean "${BINARY_NAME} ${nearest}"?`);
+  return lines;
+}
+
+function describeFailure(error: unknown, command: CommandClass, cli: Cli): string {
+  const name = `${BINARY_NAME} ${command.paths?.[0]?.join(' ') ?? ''}`;
+  const reason = error instanceof Error && error.name === 'UsageError' ? `: ${error.message}` : '';
+  return `"${name}" is called wrongly${reason}; it takes\n  ${formatHelp(cli.usage(command).trim())}`;
+}
--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** The operators' command line. */
+export * from './cli/common/exitStatus.js';
+export * from './main.js';
--- /dev/null
+++ b/packages/ctl/src/main.ts
@@ -0,0 +1,18 @@
+/** Entry point of parsleyctl. */
+import { execute } from './cli/node/cli.js';
+
+/**
+ * Runs one command with the process's streams and environment. Returns the exit status.
+ *
+ * @example
+ * process.exitCode = await runParsleyctl(['status', '--json']);
+ */
+export function runParsleyctl(words: readonly string[]): Promise<number> {
+  return execute(words, {
+    stdin: process.stdin,
+    stdout: process.stdout,
+    stderr: process.stderr,
+    env: process.env,
+    colorDepth: 1,
+  });
+}
