--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -10,3 +10,4 @@
 export * from './log/node/logger.js';
 export * from './random/common/randomSource.js';
 export * from './result/common/resultCode.js';
+export * from './result/common/resultTable.js';
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -7,6 +7,8 @@
 const MAX_KNOWN_RED = 3;
 /** Real-process tests share the cores; more at once only makes them slow. */
 const TEST_CONCURRENCY = 4;
+/** A test file that hangs fails after this long instead of holding up the run. */
+const TEST_TIMEOUT_MS = 240_000;
 
 function readKnownRed() {
   if (!existsSync('KNOWN-RED.txt')) return [];
@@ -45,7 +47,7 @@
 let passed = 0;
 const red = [];
 const failed = [];
-const stream = run({ files, concurrency: TEST_CONCURRENCY });
+const stream = run({ files, concurrency: TEST_CONCURRENCY, timeout: TEST_TIMEOUT_MS });
 stream.on('test:pass', (event) => {
   if (event.details.type !== 'suite' && event.nesting >= 0) passed += 1;
 });
