Spread configuration news before anything else, and measure the spreading

Cause: a change waited for the round's calm exchange, for silent peers of that exchange (3 s) and for a pause of 200 ms when it was announced mid-round. Now a node that learnt a revision tells its peers first; announcements end after 1 s; an announcement that came during a round starts the next at once.

--- a/packages/config/src/distribution/common/configDistributor.ts
+++ b/packages/config/src/distribution/common/configDistributor.ts
@@ -12,10 +12,17 @@
 const DEFAULT_POLL_MS = 2000;
 const DEFAULT_ISOLATION_LIMIT_MS = 30_000;
 const DEFAULT_CALL_LIMIT_MS = 3000;
+/**
+ * Longest wait for the answer to an announcement. It is a few bytes each way; a silent peer that
+ * is waited for as long as for a download holds up the rumour, seen as changes that take seconds.
+ */
+const ANNOUNCE_LIMIT_MS = 1000;
 /** Peers asked each round while the store answers: enough to notice a store that lags. */
 const PEERS_IN_CALM = 1;
-/** Peers asked at start, during an outage, and told of a change. */
+/** Peers asked at start and during an outage. */
 const PEERS_IN_NEED = 3;
+/** Peers told of a change; docs/decisions/21-distribution.md measures other numbers. */
+const DEFAULT_FAN_OUT = 3;
 /** Pause of a node that heard of a newer revision and could not fetch it yet. */
 const BEHIND_DELAY_MS = 200;
 
@@ -26,8 +33,13 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly invariants: InvariantRegistry;
-  /** Mean time between two reads of the head row, in ms. Default 2000. */
-  readonly pollMs?: number;
+  /**
+   * Mean time between two reads of the head row, in ms. A function is asked before each wait, so
+   * that the interval can follow the size of the fleet. Default 2000.
+   */
+  readonly pollMs?: number | (() => number);
+  /** Peers that a node tells of each revision that it learnt. Default 3. */
+  readonly fanOut?: number;
   /** Without word from store or peers for this long the node is isolated, in ms. Default 30000. */
   readonly isolationLimitMs?: number;
   /** Longest wait for one answer of store or peer, in ms. Default 3000. */
@@ -152,12 +164,26 @@
     const before = this.getCurrent().fleetRevision;
     const isAnnounced = await this.fetchFromAnnouncer(signal);
     const hasStore = isAnnounced || (await this.fetchFromStore(signal));
-    const peerCount = hasStore && this.isReadyNow ? PEERS_IN_CALM : PEERS_IN_NEED;
+    const peerCount = this.isNews(before) ? this.getFanOut() : this.getPeersAsked(hasStore);
+    const learnt = this.getCurrent().fleetRevision;
     const hasPeer = await this.announceToPeers(this.options.peers.pick(peerCount), signal);
     const isInformed = hasStore || (hasPeer && this.getCurrent().fleetRevision > 0);
     if (isInformed && this.getCurrent().fleetRevision >= this.highestHeard) this.setReady();
-    if (this.getCurrent().fleetRevision === before || before === 0) return;
-    await this.announceToPeers(this.options.peers.pick(PEERS_IN_NEED), signal);
+    if (this.getCurrent().fleetRevision === learnt || before === 0) return;
+    await this.announceToPeers(this.options.peers.pick(this.getFanOut()), signal);
+  }
+
+  /** A revision that was learnt while serving, and that peers may not have yet. */
+  private isNews(before: number): boolean {
+    return before > 0 && this.getCurrent().fleetRevision > before;
+  }
+
+  private getFanOut(): number {
+    return this.options.fanOut ?? DEFAULT_FAN_OUT;
+  }
+
+  private getPeersAsked(hasStore: boolean): number {
+    return hasStore && this.isReadyNow ? PEERS_IN_CALM : PEERS_IN_NEED;
   }
 
   /** True when an announced revision was fetched from its announcer, which spares the store. */
@@ -210,7 +236,10 @@
   private async announceTo(peer: ConfigPeer, signal: AbortSignal): Promise<number | undefined> {
     const own = this.getCurrent().fleetRevision;
     try {
-      const revision = await this.executeCall(signal, (bounded) => peer.announce(own, bounded));
+      const limitMs = Math.min(ANNOUNCE_LIMIT_MS, this.getCallLimit());
+      const revision = await executeBounded(this.options.clock, limitMs, signal, (bounded) =>
+        peer.announce(own, bounded),
+      );
       this.recordContact();
       this.recordRevision(revision);
       return revision;
@@ -241,9 +270,11 @@
 
   /** Waits for the poll interval, less when behind, or until a newer revision is announced. */
   private async waitForNextRound(signal: AbortSignal): Promise<void> {
-    const { clock, random } = this.options;
-    const pollMs = this.options.pollMs ?? DEFAULT_POLL_MS;
+    const { clock, random, pollMs: given = DEFAULT_POLL_MS } = this.options;
+    const pollMs = typeof given === 'number' ? given : given();
     this.wakeUp = new AbortController();
+    // Announced during the round: each hop of the rumour would wait a while otherwise.
+    if (this.announcer !== undefined) return;
     const delayMs = this.isBehind() ? Math.min(BEHIND_DELAY_MS, pollMs) : pollMs;
     const wakeUp = AbortSignal.any([signal, this.wakeUp.signal]);
     await clock.sleep(random.getJittered(delayMs), wakeUp).catch(() => undefined);
@@ -279,7 +310,10 @@
     signal: AbortSignal,
     call: (signal: AbortSignal) => Promise<T>,
   ): Promise<T> {
-    const limitMs = this.options.callLimitMs ?? DEFAULT_CALL_LIMIT_MS;
-    return executeBounded(this.options.clock, limitMs, signal, call);
+    return executeBounded(this.options.clock, this.getCallLimit(), signal, call);
+  }
+
+  private getCallLimit(): number {
+    return this.options.callLimitMs ?? DEFAULT_CALL_LIMIT_MS;
   }
 }
--- /dev/null
+++ b/packages/lab/src/bench/distribution/common/distributionFleet.ts
@@ -0,0 +1,176 @@
+/**
+ * Many nodes' configuration distributors in one process, on a manual clock, with the store in
+ * memory and direct calls for the network. Everything between them is the product's own code.
+ */
+import type { RandomSource } from '@parsleymux/base';
+import { InvariantRegistry, ManualClock, SeededRandom } from '@parsleymux/base';
+import type { IConfigSnapshot } from '@parsleymux/config';
+import { ConfigDistributor, ConfigPeer, ConfigPeerSource } from '@parsleymux/config';
+import { IntentValidator, PlanBuilder, PlanStore } from '@parsleymux/config';
+import type { IMemoryPlatform } from '@parsleymux/config/testing';
+import { createMemoryPlatform, createTestIntent } from '@parsleymux/config/testing';
+
+/** Mean one-way delay between two nodes, in ms. */
+const DELAY_MS = 2;
+
+/** What one fleet is made of. */
+export interface IDistributionOptions {
+  readonly nodes: number;
+  readonly fanOut: number;
+  /** Mean time between two head reads of a node, in ms. */
+  readonly pollMs: number;
+  readonly seed: number;
+  /** Share of calls between nodes that are lost. */
+  readonly lostCalls: number;
+  /** Nodes that can't reach the store; the first ones can. */
+  readonly withoutStore: number;
+}
+
+/** Calls between nodes since the last reset. */
+export interface IMessageCounts {
+  announcements: number;
+  fetches: number;
+}
+
+/** One fleet. */
+export class DistributionFleet {
+  readonly clock = new ManualClock();
+  readonly platform: IMemoryPlatform;
+  readonly messages: IMessageCounts = { announcements: 0, fetches: 0 };
+  readonly distributors: readonly ConfigDistributor[];
+  /** Instants at which each node had the awaited revision, in ms. */
+  readonly arrivals: number[] = [];
+  private readonly random: RandomSource;
+  private readonly plans: PlanStore;
+  private readonly abort = new AbortController();
+  private readonly running: Promise<void>[] = [];
+  private awaited = Infinity;
+
+  constructor(readonly options: IDistributionOptions) {
+    this.random = new SeededRandom(options.seed);
+    this.platform = createMemoryPlatform(this.random);
+    const { clock, random, platform } = this;
+    const validator = new IntentValidator();
+    const builder = new PlanBuilder();
+    this.plans = new PlanStore({ platform, clock, random, validator, builder });
+    this.distributors = Array.from({ length: options.nodes }, (_, index) => this.makeNode(index));
+  }
+
+  /** Puts a first configuration in force and lets every node learn it. */
+  async start(): Promise<void> {
+    await this.putInForce('first');
+    for (const distributor of this.distributors) {
+      this.running.push(distributor.run(this.abort.signal));
+    }
+    await this.clock.advanceBy(3 * this.options.pollMs);
+  }
+
+  /** Confirms one change; arrivals are counted from now on. */
+  async confirmChange(): Promise<void> {
+    this.arrivals.length = 0;
+    this.messages.announcements = 0;
+    this.messages.fetches = 0;
+    this.platform.table.readCount = 0;
+    this.awaited = this.getHighestRevision() + 1;
+    await this.putInForce(`revision ${this.awaited}`);
+  }
+
+  async stop(): Promise<void> {
+    this.abort.abort();
+    await this.clock.advanceBy(1);
+    await Promise.all(this.running);
+  }
+
+  /** One call between two nodes: a delay each way, or silence. */
+  async request<T>(answer: () => T): Promise<T> {
+    await this.clock.sleep(this.random.getJittered(DELAY_MS, 0.5));
+    if (this.random.getFloat() < this.options.lostCalls) await new Promise(() => undefined);
+    const result = answer();
+    await this.clock.sleep(this.random.getJittered(DELAY_MS, 0.5));
+    return result;
+  }
+
+  private getHighestRevision(): number {
+    return Math.max(...this.distributors.map((each) => each.getCurrent().fleetRevision));
+  }
+
+  private makeNode(index: number): ConfigDistributor {
+    const { options, clock } = this;
+    const hasStore = index < options.nodes - options.withoutStore;
+    const distributor = new ConfigDistributor({
+      platform: hasStore ? this.platform : makeUnreachablePlatform(),
+      peers: new RandomPeers(this, index),
+      clock,
+      random: new SeededRandom(options.seed * 10_000 + index),
+      invariants: new InvariantRegistry(),
+      pollMs: options.pollMs,
+      fanOut: options.fanOut,
+    });
+    distributor.onDidChange(({ config }) => {
+      if (config.fleetRevision >= this.awaited) this.arrivals.push(clock.getMonotonicTime());
+    });
+    return distributor;
+  }
+
+  private async putInForce(note: string): Promise<void> {
+    const member = 'dobrescu';
+    const plan = await this.plans.propose(createTestIntent(member, { note }), 'operator');
+    await this.plans.confirm({ member, planId: plan.id, operator: 'operator' });
+  }
+}
+
+/** One node as another one calls it. */
+class DirectPeer extends ConfigPeer {
+  constructor(
+    private readonly fleet: DistributionFleet,
+    private readonly from: number,
+    private readonly to: number,
+  ) {
+    super();
+  }
+
+  override announce(fleetRevision: number): Promise<number> {
+    this.fleet.messages.announcements += 1;
+    const back = new DirectPeer(this.fleet, this.to, this.from);
+    return this.fleet.request(() => this.getTarget().receiveAnnouncement(fleetRevision, back));
+  }
+
+  override fetchAfter(fleetRevision: number): Promise<IConfigSnapshot> {
+    this.fleet.messages.fetches += 1;
+    return this.fleet.request(() => this.getTarget().getAfter(fleetRevision));
+  }
+
+  private getTarget(): ConfigDistributor {
+    const target = this.fleet.distributors[this.to];
+    if (target === undefined) throw new Error(`no node ${this.to}`);
+    return target;
+  }
+}
+
+class RandomPeers extends ConfigPeerSource {
+  private readonly random: RandomSource;
+
+  constructor(
+    private readonly fleet: DistributionFleet,
+    private readonly self: number,
+  ) {
+    super();
+    this.random = new SeededRandom(fleet.options.seed * 20_000 + self);
+  }
+
+  override pick(count: number): readonly ConfigPeer[] {
+    const picked = new Set<number>();
+    const wanted = Math.min(count, this.fleet.options.nodes - 1);
+    while (picked.size < wanted) {
+      const index = this.random.getInteger(this.fleet.options.nodes);
+      if (index !== this.self) picked.add(index);
+    }
+    return [...picked].map((index) => new DirectPeer(this.fleet, this.self, index));
+  }
+}
+
+function makeUnreachablePlatform(): IMemoryPlatform {
+  const platform = createMemoryPlatform(new SeededRandom(0));
+  platform.table.faults.isOut = true;
+  return platform;
+}
--- /dev/null
+++ b/packages/lab/src/bench/distribution/node/bench.ts
@@ -0,0 +1,145 @@
+/** How fast, and with how many messages, a configuration change reaches every node. */
+import type { Cell, IBenchOptions, IBenchReport, IBenchTable } from '../../common/bench.js';
+import { Bench, formatNumber, parseNumbers } from '../../common/bench.js';
+import type { IDistributionOptions } from '../common/distributionFleet.js';
+import { DistributionFleet } from '../common/distributionFleet.js';
+
+const WATCHED_MS = 60_000;
+const CHANGES = 3;
+/** Today's interval, the one that the two-year size allows, and one that leaves it to peers. */
+const POLLS_MS: readonly number[] = [2000, 7000, 10_500, 60_000];
+const FAN_OUTS: readonly number[] = [1, 2, 3, 4, 6, 8];
+
+interface IDistributionFigures {
+  readonly reachedShare: number;
+  readonly halfMs: number;
+  readonly p99Ms: number;
+  readonly lastMs: number;
+  readonly announcements: number;
+  readonly fetches: number;
+  readonly readsPerSecond: number;
+}
+
+class DistributionBench extends Bench {
+  override readonly summary =
+    'time and messages until a configuration change is in force everywhere';
+
+  override async run(options: IBenchOptions): Promise<IBenchReport> {
+    const tables: IBenchTable[] = [];
+    for (const nodes of parseNumbers(options, 'nodes', [48, 2100])) {
+      const { seed, log } = options;
+      log(`distribution: ${nodes} nodes`);
+      const base = { nodes, seed, lostCalls: 0, withoutStore: 0 };
+      const plain = await measureAll(base, parseNumbers(options, 'fanOut', FAN_OUTS));
+      tables.push(formatTable(`${nodes} nodes, every call answered`, plain));
+      log(`distribution: ${nodes} nodes with faults`);
+      const withoutStore = Math.floor(nodes * 0.9);
+      const faulty = await measureAll({ ...base, lostCalls: 0.1, withoutStore }, [2, 3, 4, 6]);
+      const title = `${nodes} nodes, one call in ten lost, nine nodes in ten without the store`;
+      tables.push(formatTable(title, faulty));
+    }
+    return {
+      tables,
+      notes: [
+        'In one process on a manual clock: the distributors are the product, network and store fakes.',
+        'One-way delay 1 to 3 ms; a lost announcement ends after 1 s, a lost fetch after 3 s.',
+        `Means of ${CHANGES} changes, each watched for ${WATCHED_MS / 1000} s. Messages are for each node and change.`,
+        'Announcements count those of the watched time, the ones without news included.',
+      ],
+    };
+  }
+}
+
+type Row = readonly [IDistributionOptions, IDistributionFigures];
+
+async function measureAll(
+  base: Omit<IDistributionOptions, 'fanOut' | 'pollMs'>,
+  fanOuts: readonly number[],
+): Promise<readonly Row[]> {
+  const rows: Row[] = [];
+  for (const pollMs of POLLS_MS) {
+    for (const fanOut of fanOuts) {
+      const options = { ...base, fanOut, pollMs };
+      rows.push([options, await measureFleet(options)]);
+    }
+  }
+  return rows;
+}
+
+async function measureFleet(options: IDistributionOptions): Promise<IDistributionFigures> {
+  const fleet = new DistributionFleet(options);
+  await fleet.start();
+  const figures: IDistributionFigures[] = [];
+  for (let change = 0; change < CHANGES; change += 1) figures.push(await measureChange(fleet));
+  await fleet.stop();
+  return computeMeans(figures);
+}
+
+async function measureChange(fleet: DistributionFleet): Promise<IDistributionFigures> {
+  const { nodes } = fleet.options;
+  const startMs = fleet.clock.getMonotonicTime();
+  await fleet.confirmChange();
+  await fleet.clock.advanceBy(WATCHED_MS);
+  const times = fleet.arrivals.map((arrivalMs) => arrivalMs - startMs);
+  times.sort((left, right) => left - right);
+  const findTime = (share: number) => times[Math.ceil(share * nodes) - 1] ?? Infinity;
+  return {
+    reachedShare: times.length / nodes,
+    halfMs: findTime(0.5),
+    p99Ms: findTime(0.99),
+    lastMs: findTime(1),
+    announcements: fleet.messages.announcements / nodes,
+    fetches: fleet.messages.fetches / nodes,
+    readsPerSecond: (fleet.platform.table.readCount * 1000) / WATCHED_MS,
+  };
+}
+
+function computeMeans(figures: readonly IDistributionFigures[]): IDistributionFigures {
+  const computeMean = (pick: (each: IDistributionFigures) => number) => {
+    return figures.reduce((sum, each) => sum + pick(each), 0) / figures.length;
+  };
+  return {
+    reachedShare: computeMean((each) => each.reachedShare),
+    halfMs: computeMean((each) => each.halfMs),
+    p99Ms: computeMean((each) => each.p99Ms),
+    lastMs: Math.max(...figures.map((each) => each.lastMs)),
+    announcements: computeMean((each) => each.announcements),
+    fetches: computeMean((each) => each.fetches),
+    readsPerSecond: computeMean((each) => each.readsPerSecond),
+  };
+}
+
+function formatTable(title: string, rows: readonly Row[]): IBenchTable {
+  return {
+    title,
+    columns: [
+      'head poll ms',
+      'fan-out',
+      'nodes reached',
+      'half ms',
+      'p99 ms',
+      'worst last ms',
+      'announcements',
+      'fetches',
+      'store reads/s',
+    ],
+    rows: rows.map(([options, figures]) => formatRow(options, figures)),
+  };
+}
+
+function formatRow(options: IDistributionOptions, figures: IDistributionFigures): readonly Cell[] {
+  return [
+    options.pollMs,
+    options.fanOut,
+    formatNumber(figures.reachedShare, 4),
+    formatNumber(figures.halfMs),
+    formatNumber(figures.p99Ms),
+    formatNumber(figures.lastMs),
+    formatNumber(figures.announcements),
+    formatNumber(figures.fetches),
+    formatNumber(figures.readsPerSecond),
+  ];
+}
+
+/** Run by `npm run bench -- distribution`. */
+export const bench: Bench = new DistributionBench();
