Add randomised runs over real processes: npm run prove

Cause: the promises need faults that come at any moment, together or twice, from a seed that makes the same schedule again. fast-check generates the steps; injectors bring about 19 kinds over nodes, platform, targets, links and operators; what callers were told is compared with what the targets executed, and the nodes' invariant counters are polled so that a killed node's count is not lost. The world around the nodes can be broken on purpose (--break), so that each outside check can be seen to fail; any other name goes to the nodes in PARSLEYMUX_LAB_BREAK. Not run: prove itself, for want of the node.

--- a/packages/lab/src/load/common/requestRecord.ts
+++ b/packages/lab/src/load/common/requestRecord.ts
@@ -10,6 +10,8 @@
   Refused: 'refused',
   /** The target's own failure, passed on whole. */
   TargetFailed: 'target-failed',
+  /** No connection to the node could be made; nothing was sent. */
+  NotSent: 'not-sent',
   /** An answer that was visibly cut, or a connection that broke: the caller knows nothing. */
   Broken: 'broken',
   /** Nothing came in the caller's time and a margin. */
--- a/packages/lab/src/load/common/verdict.ts
+++ b/packages/lab/src/load/common/verdict.ts
@@ -4,7 +4,7 @@
  */
 import { RunState } from '@parsleymux/base';
 import type { IExecution } from '@parsleymux/standins';
-import type { IRequestRecord } from './requestRecord.js';
+import type { IAttemptRecord, IRequestRecord } from './requestRecord.js';
 import { AttemptOutcome, getFinalAttempt } from './requestRecord.js';
 
 /** One broken promise, with enough to find the request in the logs. */
@@ -85,12 +85,18 @@
   return findings;
 }
 
-/** Attempts from the first on that were all refused as not run. */
+/** Attempts that reached a node. */
+function getSentAttempts(record: IRequestRecord): readonly IAttemptRecord[] {
+  return record.attempts.filter(({ outcome }) => outcome !== AttemptOutcome.NotSent);
+}
+
+/** Sent attempts from the first on that were all refused as not run. */
 function countNotRunPrefix(record: IRequestRecord): number {
-  const first = record.attempts.findIndex(({ outcome, runState }) => {
+  const sent = getSentAttempts(record);
+  const first = sent.findIndex(({ outcome, runState }) => {
     return outcome !== AttemptOutcome.Refused || runState !== RunState.NotRun;
   });
-  return first < 0 ? record.attempts.length : first;
+  return first < 0 ? sent.length : first;
 }
 
 /**
@@ -104,9 +110,10 @@
   executions: readonly IExecution[],
 ): string | undefined {
   const prefix = countNotRunPrefix(record);
-  const last = record.attempts[prefix - 1];
+  const sent = getSentAttempts(record);
+  const last = sent[prefix - 1];
   if (last === undefined) return undefined;
-  const limitMs = record.attempts[prefix]?.sentAtMs ?? Infinity;
+  const limitMs = sent[prefix]?.sentAtMs ?? Infinity;
   const early = executions.find(({ startedAtMs }) => startedAtMs < limitMs);
   if (early === undefined) return undefined;
   return `refused as not run with code ${last.code} by ${last.node}, executed by ${early.target}`;
--- a/packages/lab/src/load/node/caller.ts
+++ b/packages/lab/src/load/node/caller.ts
@@ -55,8 +55,8 @@
         signal: timeout,
       });
       return decideOutcome(answer, await answer.body.bytes(), request);
-    } catch {
-      const outcome = timeout.aborted ? AttemptOutcome.TimedOut : AttemptOutcome.Broken;
+    } catch (error) {
+      const outcome = timeout.aborted ? AttemptOutcome.TimedOut : toFailure(error);
       return { outcome, status: 0, code: -1, runState: undefined };
     }
   }
@@ -109,6 +109,11 @@
   return { outcome, status, code, runState };
 }
 
+function toFailure(error: unknown): AttemptOutcome {
+  const isRefused = (error as { readonly code?: unknown }).code === 'ECONNREFUSED';
+  return isRefused ? AttemptOutcome.NotSent : AttemptOutcome.Broken;
+}
+
 function toOutcome(fault: AnswerFault): AttemptOutcome {
   if (fault === AnswerFault.None) return AttemptOutcome.Answered;
   return fault === AnswerFault.Foreign ? AttemptOutcome.Foreign : AttemptOutcome.Partial;
--- a/packages/lab/src/processes/common/worldLayout.ts
+++ b/packages/lab/src/processes/common/worldLayout.ts
@@ -1,6 +1,6 @@
 /** The small world that demo and prove run: two members, six services, three failure domains. */
 import type { Intent } from '@parsleymux/schema';
-import { DetectionPreference, IntentSchema } from '@parsleymux/schema';
+import { DetectionPreference, IntentSchema, TargetState } from '@parsleymux/schema';
 import type { JsonValue } from '@bufbuild/protobuf';
 import { create, toJson } from '@bufbuild/protobuf';
 import type { IWorkload } from '../../load/common/workload.js';
@@ -114,11 +114,28 @@
   }));
 }
 
+/** How an intent differs from the member's usual one. */
+export interface IIntentChange {
+  readonly note?: string;
+  /** Added to every service's floor, which stays at 0 or above. */
+  readonly floorChange?: number;
+  /** Take the host names of this member. */
+  readonly hostsOf?: string;
+  /** States of targets other than serving, by address. */
+  readonly states?: ReadonlyMap<string, TargetState>;
+}
+
 /** A member's intent over the targets that are there. */
-export function makeIntent(member: string, places: readonly ITargetPlace[]): Intent {
+export function makeIntent(
+  member: string,
+  places: readonly ITargetPlace[],
+  change: IIntentChange = {},
+): Intent {
   const services = SERVICES.filter((service) => service.member === member);
+  const hosts = SERVICES.filter((service) => service.member === (change.hostsOf ?? member));
   return create(IntentSchema, {
     member,
+    note: change.note ?? '',
     services: services.map((service) => ({
       name: service.name,
       targets: places
@@ -128,14 +145,15 @@
           failureDomain: place.failureDomain,
           slots: service.slots,
           maxConnections: service.maxConnections,
+          state: change.states?.get(place.address) ?? TargetState.SERVING,
         })),
-      floorSlots: service.floorSlots,
+      floorSlots: Math.max(0, service.floorSlots + (change.floorChange ?? 0)),
       detection:
         member === RELINIERI.member ? DetectionPreference.CAREFUL : DetectionPreference.FAST,
     })),
-    routes: services.map((service) => ({
+    routes: services.map((service, index) => ({
       name: service.name,
-      host: formatHost(service),
+      host: formatHost(hosts[index] ?? service),
       pathPrefix: '/',
       service: service.name,
       idempotent: service.idempotent,
--- a/packages/lab/src/processes/node/labWorld.ts
+++ b/packages/lab/src/processes/node/labWorld.ts
@@ -8,7 +8,7 @@
 import { KeyStore } from '@parsleymux/operators';
 import { VmState, openHttpPlatform } from '@parsleymux/platform';
 import type { IExecution } from '@parsleymux/standins';
-import type { ITargetPlace } from '../common/worldLayout.js';
+import type { IIntentChange, ITargetPlace } from '../common/worldLayout.js';
 import {
   FAILURE_DOMAINS,
   MEMBERS,
@@ -60,6 +60,7 @@
   private platformProcess: PlatformProcess | undefined;
   private directory: string | undefined;
   private nodesStarted = 0;
+  private intentsWritten = 0;
 
   constructor(options: ILabWorldOptions) {
     this.options = options;
@@ -96,6 +97,30 @@
     return node;
   }
 
+  /** Starts one more node, in the next failure domain, without waiting until it is ready. */
+  async startNextNode(): Promise<NodeProcess> {
+    const index = this.nodesStarted;
+    this.nodesStarted += 1;
+    const own = this.platform.address;
+    const platformAddress = (await this.options.choosePlatformAddress?.(own, index)) ?? own;
+    const node = await startNode(this.fleet, {
+      name: `node-${index}`,
+      host: `127.0.0.${FIRST_NODE_HOST + index}`,
+      failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length] ?? FAILURE_DOMAINS[0],
+      platformUrl: `http://${platformAddress}`,
+      directory: this.directory ?? tmpdir(),
+      ...(this.options.nodeEnv === undefined ? {} : { env: this.options.nodeEnv }),
+    });
+    this.nodes.push(node);
+    const { failureDomain } = node.options;
+    await this.platform.registerVm({
+      address: node.addresses.peer,
+      failureDomain,
+      state: VmState.Live,
+    });
+    return node;
+  }
+
   /** Nodes whose processes run. */
   getNodes(): readonly NodeProcess[] {
     return this.nodes.filter(({ child }) => child.isRunning());
@@ -132,9 +157,14 @@
   }
 
   /** Writes an intent file for `parsleyctl`; returns its path. */
-  async writeIntent(member: string, places: readonly ITargetPlace[]): Promise<string> {
-    const path = join(this.directory ?? tmpdir(), `${member}-${Date.now()}.json`);
-    const json = toIntentJson(makeIntent(member, places));
+  async writeIntent(
+    member: string,
+    places: readonly ITargetPlace[],
+    change: IIntentChange = {},
+  ): Promise<string> {
+    this.intentsWritten += 1;
+    const path = join(this.directory ?? tmpdir(), `${member}-${this.intentsWritten}.json`);
+    const json = toIntentJson(makeIntent(member, places, change));
     await writeFile(path, JSON.stringify(json, undefined, 2));
     return path;
   }
@@ -156,6 +186,24 @@
     await this.platform.removeVm(node.addresses.peer);
   }
 
+  /** Marks a node as leaving on the platform's list. */
+  async markLeaving(node: NodeProcess): Promise<void> {
+    const { failureDomain } = node.options;
+    const { peer } = node.addresses;
+    await this.platform.registerVm({ address: peer, failureDomain, state: VmState.Leaving });
+  }
+
+  /** Ends every fault of every target. */
+  async clearTargetFaults(): Promise<void> {
+    await Promise.all(this.groups.map((group) => group.clearFaults()));
+  }
+
+  /** A target's own address, be there a link before it or not. */
+  getOwnAddress(control: string): string {
+    const places = this.groups.flatMap((group) => group.places);
+    return places.find((place) => place.control === control)?.address ?? '';
+  }
+
   async fetchExecutions(): Promise<readonly IExecution[]> {
     const lists = await Promise.all(this.groups.map((group) => group.fetchExecutions()));
     return lists.flat();
@@ -187,27 +235,4 @@
       }),
     );
   }
-
-  private async startNextNode(): Promise<NodeProcess> {
-    const index = this.nodesStarted;
-    this.nodesStarted += 1;
-    const own = this.platform.address;
-    const platformAddress = (await this.options.choosePlatformAddress?.(own, index)) ?? own;
-    const node = await startNode(this.fleet, {
-      name: `node-${index}`,
-      host: `127.0.0.${FIRST_NODE_HOST + index}`,
-      failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length] ?? FAILURE_DOMAINS[0],
-      platformUrl: `http://${platformAddress}`,
-      directory: this.directory ?? tmpdir(),
-      ...(this.options.nodeEnv === undefined ? {} : { env: this.options.nodeEnv }),
-    });
-    this.nodes.push(node);
-    const { failureDomain } = node.options;
-    await this.platform.registerVm({
-      address: node.addresses.peer,
-      failureDomain,
-      state: VmState.Live,
-    });
-    return node;
-  }
 }
--- /dev/null
+++ b/packages/lab/src/prove/common/faultSchedule.ts
@@ -0,0 +1,77 @@
+/** A schedule of faults, generated from a seed, so that a run that failed can be made again. */
+import fc from 'fast-check';
+
+/** Kinds of fault, as reports and `--only` name them. */
+export const FaultKind = {
+  NodeKill: 'node-kill',
+  NodePause: 'node-pause',
+  NodeTerminate: 'node-terminate',
+  PlatformOutage: 'platform-outage',
+  PlatformSlow: 'platform-slow',
+  PlatformOneWay: 'platform-one-way',
+  PlatformLostAnswers: 'platform-lost-answers',
+  PlatformStale: 'platform-stale',
+  PlatformCut: 'platform-cut',
+  TargetCut: 'target-cut',
+  TargetSilent: 'target-silent',
+  TargetSlow: 'target-slow',
+  TargetFailing: 'target-failing',
+  TargetTruncating: 'target-truncating',
+  TargetDrain: 'target-drain',
+  TargetDown: 'target-down',
+  OperatorRace: 'operator-race',
+  OperatorRivalHost: 'operator-rival-host',
+  OperatorDrain: 'operator-drain',
+} as const;
+
+export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
+
+export const FAULT_KINDS: readonly FaultKind[] = Object.values(FaultKind);
+
+/** One fault. What `pick` and `size` choose depends on the kind and on what runs at the time. */
+export interface IFaultStep {
+  readonly kind: FaultKind;
+  /** From the start of the traffic. */
+  readonly atMs: number;
+  readonly durationMs: number;
+  /** Which node, target or direction; taken modulo what there is. */
+  readonly pick: number;
+  /** How bad, in (0, 1]. */
+  readonly size: number;
+}
+
+/** Options of {@link makeSchedule}. */
+export interface IScheduleOptions {
+  readonly seed: number;
+  readonly seconds: number;
+  /** Mean time between two faults, in ms. Default 1500. */
+  readonly spacingMs?: number;
+  /** Default: every kind. */
+  readonly kinds?: readonly FaultKind[];
+}
+
+const DEFAULT_SPACING_MS = 1500;
+const LEAST_DURATION_MS = 500;
+/** Longer than any timeout and the isolation limit of the lab's nodes. */
+const LONGEST_DURATION_MS = 9000;
+
+/**
+ * The faults of one run in the order of time. The same options give the same schedule.
+ *
+ * @example
+ * const steps = makeSchedule({ seed: 7, seconds: 60 });
+ */
+export function makeSchedule(options: IScheduleOptions): readonly IFaultStep[] {
+  const lengthMs = options.seconds * 1000;
+  const count = Math.ceil(lengthMs / (options.spacingMs ?? DEFAULT_SPACING_MS));
+  const step = fc.record({
+    kind: fc.constantFrom(...(options.kinds ?? FAULT_KINDS)),
+    atMs: fc.integer({ min: 0, max: lengthMs - 1 }),
+    durationMs: fc.integer({ min: LEAST_DURATION_MS, max: LONGEST_DURATION_MS }),
+    pick: fc.nat({ max: 1_000_000 }),
+    size: fc.double({ min: 0.1, max: 1, noNaN: true }),
+  });
+  const steps = fc.array(step, { minLength: count, maxLength: count });
+  const [schedule = []] = fc.sample(steps, { seed: options.seed, numRuns: 1 });
+  return [...schedule].sort((left, right) => left.atMs - right.atMs);
+}
--- /dev/null
+++ b/packages/lab/src/prove/node/faultRunner.ts
@@ -0,0 +1,115 @@
+/** Injects the faults of a schedule at their times, and ends them. */
+import type { IDisposable } from '@parsleymux/base';
+import type { IFaultStep } from '../common/faultSchedule.js';
+import type { FaultInjector } from './faultInjector.js';
+import { NODE_FAULTS } from './nodeFaults.js';
+import { OPERATOR_FAULTS } from './operatorFaults.js';
+import { PLATFORM_FAULTS } from './platformFaults.js';
+import type { ProveWorld } from './proveWorld.js';
+import { TARGET_FAULTS } from './targetFaults.js';
+
+const INJECTORS: readonly FaultInjector[] = [
+  ...NODE_FAULTS,
+  ...PLATFORM_FAULTS,
+  ...TARGET_FAULTS,
+  ...OPERATOR_FAULTS,
+];
+
+/** What became of the steps of one kind. */
+export interface IFaultCount {
+  readonly kind: string;
+  readonly injected: number;
+  readonly skipped: number;
+  /** The lab itself could not inject or end it. */
+  readonly failed: number;
+}
+
+/**
+ * Runs a schedule.
+ *
+ * @example
+ * const runner = new FaultRunner(world);
+ * runner.start(schedule);
+ * await runner.finish();
+ */
+export class FaultRunner implements IDisposable {
+  private readonly timers = new Set<NodeJS.Timeout>();
+  private readonly pending = new Set<Promise<void>>();
+  private readonly open = new Set<() => Promise<void>>();
+  private readonly counts = new Map<
+    string,
+    { injected: number; skipped: number; failed: number }
+  >();
+  private readonly errors: string[] = [];
+
+  constructor(private readonly world: ProveWorld) {}
+
+  start(schedule: readonly IFaultStep[]): void {
+    for (const step of schedule) this.startTimer(step.atMs, () => this.startStep(step));
+  }
+
+  /** Starts no more faults and ends those that are open. */
+  async finish(): Promise<void> {
+    this.dispose();
+    await Promise.all(this.pending);
+    await Promise.all([...this.open].map((end) => end()));
+  }
+
+  getCounts(): readonly IFaultCount[] {
+    return [...this.counts].map(([kind, count]) => ({ kind, ...count }));
+  }
+
+  /** Why the lab failed to inject or end faults. */
+  getErrors(): readonly string[] {
+    return this.errors;
+  }
+
+  dispose(): void {
+    for (const timer of this.timers) clearTimeout(timer);
+    this.timers.clear();
+  }
+
+  private startTimer(delayMs: number, act: () => Promise<void>): void {
+    const timer = setTimeout(() => {
+      this.timers.delete(timer);
+      const done = act().finally(() => this.pending.delete(done));
+      this.pending.add(done);
+    }, delayMs);
+    this.timers.add(timer);
+  }
+
+  private async startStep(step: IFaultStep): Promise<void> {
+    const count = this.ensureCount(step.kind);
+    const injector = INJECTORS.find(({ kind }) => kind === step.kind);
+    const injection = await this.tryRun(step, () => {
+      return injector?.start(step, this.world) ?? Promise.resolve('skipped' as const);
+    });
+    if (injection === undefined) return;
+    if (injection === 'skipped') {
+      count.skipped += 1;
+      return;
+    }
+    count.injected += 1;
+    const end = async () => {
+      if (this.open.delete(end)) await this.tryRun(step, injection);
+    };
+    this.open.add(end);
+    this.startTimer(step.durationMs, end);
+  }
+
+  private async tryRun<T>(step: IFaultStep, act: () => Promise<T>): Promise<T | undefined> {
+    try {
+      return await act();
+    } catch (error) {
+      this.ensureCount(step.kind).failed += 1;
+      this.errors.push(`${step.kind}: ${String(error)}`);
+      return undefined;
+    }
+  }
+
+  private ensureCount(kind: string): { injected: number; skipped: number; failed: number } {
+    const count = this.counts.get(kind) ?? { injected: 0, skipped: 0, failed: 0 };
+    this.counts.set(kind, count);
+    return count;
+  }
+}
--- /dev/null
+++ b/packages/lab/src/prove/node/main.ts
@@ -0,0 +1,68 @@
+/**
+ * `npm run prove -- --seed N --seconds S`: a long randomised run over real processes. Exits 1 on
+ * any violation, with the command that makes the same schedule again.
+ */
+import { parseArgs } from 'node:util';
+import type { FaultKind } from '../common/faultSchedule.js';
+import { FAULT_KINDS, makeSchedule } from '../common/faultSchedule.js';
+import { parseOutsideBreak } from './brokenWorld.js';
+import { runProve } from './proveRun.js';
+
+const USAGE = `npm run prove -- [--seed N] [--seconds S] [--spacing MS] [--load FACTOR]
+  [--only KIND,KIND] [--break NAME]
+kinds: ${FAULT_KINDS.join(', ')}
+--break platform-conditions | target-false-not-run | target-foreign-answers breaks the world
+around the nodes; any other name is given to the nodes, which leave out that mechanism.`;
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: 'string', default: '1' },
+    seconds: { type: 'string', default: '30' },
+    spacing: { type: 'string', default: '1500' },
+    load: { type: 'string', default: '1' },
+    only: { type: 'string', default: '' },
+    break: { type: 'string', default: '' },
+    help: { type: 'boolean', default: false },
+  },
+});
+
+function parseKinds(text: string): readonly FaultKind[] {
+  const names = text.split(',').filter((name) => name !== '');
+  const unknown = names.find((name) => !FAULT_KINDS.some((kind) => kind === name));
+  if (unknown !== undefined) throw new Error(`there is no kind of fault "${unknown}"\n${USAGE}`);
+  return FAULT_KINDS.filter((kind) => names.length === 0 || names.includes(kind));
+}
+
+function makeBreakOptions(name: string): object {
+  const outsideBreak = parseOutsideBreak(name);
+  if (name === '') return {};
+  return outsideBreak === undefined ? { brokenMechanism: name } : { outsideBreak };
+}
+
+async function runCommand(): Promise<number> {
+  const seed = Number(values.seed);
+  const seconds = Number(values.seconds);
+  const kinds = parseKinds(values.only);
+  const schedule = makeSchedule({ seed, seconds, spacingMs: Number(values.spacing), kinds });
+  console.log(`seed ${seed}, ${seconds} s, ${schedule.length} faults`);
+  for (const { atMs, kind, durationMs, pick, size } of schedule) {
+    console.log(`  ${atMs} ms ${kind} for ${durationMs} ms, pick ${pick}, size ${size.toFixed(2)}`);
+  }
+  const loadFactor = Number(values.load);
+  const options = { seed, seconds, schedule, loadFactor, ...makeBreakOptions(values.break) };
+  const isClean = await runProve(options);
+  const again = process.argv.slice(2).join(' ');
+  console.log(isClean ? '\nno violations' : `\nVIOLATIONS; again: npm run prove -- ${again}`);
+  return isClean ? 0 : 1;
+}
+
+if (values.help) {
+  console.log(USAGE);
+} else {
+  process.exit(
+    await runCommand().catch((error: unknown) => {
+      console.error(error);
+      return 1;
+    }),
+  );
+}
--- /dev/null
+++ b/packages/lab/src/prove/node/metricsWatcher.ts
@@ -0,0 +1,45 @@
+/**
+ * Keeps the last invariant counters that each node showed. Counters live in the node's memory
+ * and are gone when it is killed, so reading them only at the end would miss what a killed node
+ * had counted.
+ */
+import type { IDisposable } from '@parsleymux/base';
+import type { NodeProcess } from '../../processes/node/nodeProcess.js';
+import type { IInvariantCount } from '../../processes/node/nodeMetrics.js';
+import { mergeCounts, parseInvariantCounts } from '../../processes/node/nodeMetrics.js';
+
+const INTERVAL_MS = 500;
+
+/** Polls every node until it is disposed of. */
+export class MetricsWatcher implements IDisposable {
+  private readonly pages = new Map<string, string>();
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(private readonly getNodes: () => readonly NodeProcess[]) {
+    this.timer = setInterval(() => void this.poll(), INTERVAL_MS);
+  }
+
+  async poll(): Promise<void> {
+    await Promise.all(
+      this.getNodes().map(async (node) => {
+        const page = await node.fetchMetrics();
+        if (page !== undefined) this.pages.set(node.options.name, page);
+      }),
+    );
+  }
+
+  /** Totals over every node that ever answered. */
+  getCounts(kind: 'checks' | 'violations'): readonly IInvariantCount[] {
+    const pages = [...this.pages.values()];
+    return mergeCounts(pages.map((page) => parseInvariantCounts(page, kind)));
+  }
+
+  /** Nodes whose counters were seen. */
+  getNodeCount(): number {
+    return this.pages.size;
+  }
+
+  dispose(): void {
+    clearInterval(this.timer);
+  }
+}
--- /dev/null
+++ b/packages/lab/src/prove/node/nodeFaults.ts
@@ -0,0 +1,62 @@
+/** Nodes that die, freeze, or are asked to leave. A replacement follows, as the platform's would. */
+import type { NodeProcess } from '../../processes/node/nodeProcess.js';
+import type { IFaultStep } from '../common/faultSchedule.js';
+import { FaultKind } from '../common/faultSchedule.js';
+import type { Injection } from './faultInjector.js';
+import { FaultInjector, pickElement } from './faultInjector.js';
+import type { ProveWorld } from './proveWorld.js';
+
+/** Fewer than this many running nodes are left alone, or nothing would be under test. */
+const LEAST_NODES = 3;
+
+function pickNode(step: IFaultStep, world: ProveWorld): NodeProcess | undefined {
+  const nodes = world.lab.getNodes().filter(({ child }) => !child.isStopped());
+  return nodes.length < LEAST_NODES ? undefined : pickElement(nodes, step.pick);
+}
+
+class NodeKill extends FaultInjector {
+  override readonly kind = FaultKind.NodeKill;
+
+  override async start(step: IFaultStep, world: ProveWorld): Promise<Injection> {
+    const node = pickNode(step, world);
+    if (node === undefined) return 'skipped';
+    world.shutdowns.markDisturbed(node.addresses.caller);
+    await world.lab.endNode(node);
+    return () => world.addNode();
+  }
+}
+
+class NodePause extends FaultInjector {
+  override readonly kind = FaultKind.NodePause;
+
+  override start(step: IFaultStep, world: ProveWorld): Promise<Injection> {
+    const node = pickNode(step, world);
+    if (node === undefined) return Promise.resolve('skipped');
+    world.shutdowns.markDisturbed(node.addresses.caller);
+    node.child.sendSignal('SIGSTOP');
+    return Promise.resolve(() => {
+      node.child.sendSignal('SIGCONT');
+      return Promise.resolve();
+    });
+  }
+}
+
+class NodeTerminate extends FaultInjector {
+  override readonly kind = FaultKind.NodeTerminate;
+
+  override async start(step: IFaultStep, world: ProveWorld): Promise<Injection> {
+    const node = pickNode(step, world);
+    if (node === undefined) return 'skipped';
+    await world.lab.markLeaving(node);
+    world.shutdowns.record(node.addresses.caller, Date.now());
+    node.child.sendSignal('SIGTERM');
+    void node.child.waitForEnd().then(() => world.lab.platform.removeVm(node.addresses.peer));
+    return () => world.addNode();
+  }
+}
+
+export const NODE_FAULTS: readonly FaultInjector[] = [
+  new NodeKill(),
+  new NodePause(),
+  new NodeTerminate(),
+];
--- /dev/null
+++ b/packages/lab/src/prove/node/operatorFaults.ts
@@ -0,0 +1,98 @@
+/**
+ * Operators who change things at the same moment. What they are told is checked on the spot:
+ * of two plans from the same base only one may be confirmed, and a member can't take a rival's
+ * host name.
+ */
+import { TargetState } from '@parsleymux/schema';
+import type { ICommandResult } from '../../processes/node/operatorCommand.js';
+import { MEMBERS } from '../../processes/common/worldLayout.js';
+import type { IFaultStep } from '../common/faultSchedule.js';
+import { FaultKind } from '../common/faultSchedule.js';
+import type { Injection } from './faultInjector.js';
+import { FaultInjector, endNothing, pickElement } from './faultInjector.js';
+import type { ProveWorld } from './proveWorld.js';
+
+function getPlanId(result: ICommandResult): string | undefined {
+  const id = (result.output as { readonly id?: unknown } | undefined)?.id;
+  return result.exitCode === 0 && typeof id === 'string' ? id : undefined;
+}
+
+function pickMember(pick: number): string {
+  return pickElement(MEMBERS, pick) ?? '';
+}
+
+class OperatorRace extends FaultInjector {
+  override readonly kind = FaultKind.OperatorRace;
+
+  override async start(step: IFaultStep, world: ProveWorld): Promise<Injection> {
+    const member = pickMember(step.pick);
+    const file = await world.lab.writeIntent(member, world.lab.getPlaces(), {
+      note: `race at ${step.atMs}`,
+      floorChange: -(step.pick % 3),
+    });
+    const operators = [0, 1].map((index) => world.lab.getOperator(member, step.pick + index));
+    const submitted = await Promise.all(
+      operators.map((one) => one.run(['intent', 'submit', file])),
+    );
+    const ids = submitted.map(getPlanId);
+    world.leavingTargets.close(member, Date.now());
+    const confirmed = await Promise.all(
+      operators.map(async (operator, index) => {
+        const id = ids[index];
+        return id === undefined ? undefined : await operator.run(['plan', 'confirm', id]);
+      }),
+    );
+    const won = confirmed.filter((result) => result?.exitCode === 0).length;
+    // Each submission saw the same base only when no other change came between the two.
+    world.findings.check('one of two racing plans', won <= 1, () => {
+      return `${member}: both ${ids.join(' and ')} were confirmed`;
+    });
+    return endNothing;
+  }
+}
+
+class OperatorRivalHost extends FaultInjector {
+  override readonly kind = FaultKind.OperatorRivalHost;
+
+  override async start(step: IFaultStep, world: ProveWorld): Promise<Injection> {
+    const member = pickMember(step.pick);
+    const rival = pickMember(step.pick + 1);
+    const file = await world.lab.writeIntent(member, world.lab.getPlaces(), { hostsOf: rival });
+    const operator = world.lab.getOperator(member, step.pick);
+    const id = getPlanId(await operator.run(['intent', 'submit', file]));
+    world.leavingTargets.close(member, Date.now());
+    const result = id === undefined ? undefined : await operator.run(['plan', 'confirm', id]);
+    world.findings.check("no member takes a rival's host", result?.exitCode !== 0, () => {
+      return `${member} took the hosts of ${rival} by plan ${id ?? ''}`;
+    });
+    return endNothing;
+  }
+}
+
+/** A confirmed plan drains a target; after it, the target must see no new work for long. */
+class OperatorDrain extends FaultInjector {
+  override readonly kind = FaultKind.OperatorDrain;
+
+  override async start(step: IFaultStep, world: ProveWorld): Promise<Injection> {
+    const place = pickElement(world.lab.getPlaces(), step.pick);
+    if (place === undefined) return 'skipped';
+    const operator = world.lab.getOperator(place.member, step.pick);
+    const file = await world.lab.writeIntent(place.member, world.lab.getPlaces(), {
+      states: new Map([[place.address, TargetState.DRAINING]]),
+      floorChange: -100,
+    });
+    const id = getPlanId(await operator.run(['intent', 'submit', file]));
+    if (id === undefined) return 'skipped';
+    world.leavingTargets.close(place.member, Date.now());
+    const result = await operator.run(['plan', 'confirm', id]);
+    if (result.exitCode !== 0) return 'skipped';
+    world.leavingTargets.open(place, Date.now());
+    return () => world.restoreIntent(place.member);
+  }
+}
+
+export const OPERATOR_FAULTS: readonly FaultInjector[] = [
+  new OperatorRace(),
+  new OperatorRivalHost(),
+  new OperatorDrain(),
+];
--- /dev/null
+++ b/packages/lab/src/prove/node/platformFaults.ts
@@ -0,0 +1,67 @@
+/** A platform that is out, slow, stale, loses answers, or is cut off one way from one node. */
+import type { IPlatformFaults } from '@parsleymux/standins';
+import { NO_PLATFORM_FAULTS } from '@parsleymux/standins';
+import type { IFaultStep } from '../common/faultSchedule.js';
+import { FaultKind } from '../common/faultSchedule.js';
+import type { Injection } from './faultInjector.js';
+import { FaultInjector, endNothing, pickElement } from './faultInjector.js';
+import type { ProveWorld } from './proveWorld.js';
+
+const LONGEST_DELAY_MS = 4000;
+const LONGEST_STALENESS_MS = 8000;
+const MOST_LOST_ANSWERS = 10;
+
+/** A fault that is a setting of the platform stand-in. */
+class PlatformSetting extends FaultInjector {
+  constructor(
+    override readonly kind: FaultKind,
+    private readonly makeFaults: (step: IFaultStep) => Partial<IPlatformFaults>,
+  ) {
+    super();
+  }
+
+  override async start(step: IFaultStep, world: ProveWorld): Promise<Injection> {
+    const faults = this.makeFaults(step);
+    await world.lab.platform.setFaults(faults);
+    const names = Object.keys(faults) as (keyof IPlatformFaults)[];
+    const cleared = Object.fromEntries(names.map((name) => [name, NO_PLATFORM_FAULTS[name]]));
+    return () => world.lab.platform.setFaults(cleared);
+  }
+}
+
+class PlatformLostAnswers extends FaultInjector {
+  override readonly kind = FaultKind.PlatformLostAnswers;
+
+  override async start(step: IFaultStep, world: ProveWorld): Promise<Injection> {
+    const loseNextAnswers = Math.ceil(step.size * MOST_LOST_ANSWERS);
+    await world.lab.platform.setFaults({ loseNextAnswers });
+    return endNothing;
+  }
+}
+
+class PlatformCut extends FaultInjector {
+  override readonly kind = FaultKind.PlatformCut;
+
+  override async start(step: IFaultStep, world: ProveWorld): Promise<Injection> {
+    const link = pickElement(world.getPlatformLinks(), step.pick);
+    if (link === undefined) return 'skipped';
+    const name = step.size < 0.5 ? 'cutForward' : 'cutBackward';
+    await link.setFaults({ [name]: true });
+    return () => link.setFaults({ [name]: false });
+  }
+}
+
+export const PLATFORM_FAULTS: readonly FaultInjector[] = [
+  new PlatformSetting(FaultKind.PlatformOutage, ({ pick }) => ({
+    outage: pick % 2 === 0 ? 'refused' : 'unavailable',
+  })),
+  new PlatformSetting(FaultKind.PlatformSlow, ({ size }) => ({
+    delayMs: Math.round(size * LONGEST_DELAY_MS),
+  })),
+  new PlatformSetting(FaultKind.PlatformOneWay, () => ({ oneWay: true })),
+  new PlatformSetting(FaultKind.PlatformStale, ({ size }) => ({
+    staleMs: Math.round(size * LONGEST_STALENESS_MS),
+  })),
+  new PlatformLostAnswers(),
+  new PlatformCut(),
+];
--- /dev/null
+++ b/packages/lab/src/prove/node/proveReport.ts
@@ -0,0 +1,56 @@
+/** Prints what a run did and found. */
+import { InvariantName } from '@parsleymux/base';
+import type { IOutcomeSummary } from '../../load/node/loadGenerator.js';
+import type { IFaultCount } from './faultRunner.js';
+import type { ICheckCount } from './findings.js';
+import type { MetricsWatcher } from './metricsWatcher.js';
+
+const NAME_WIDTH = 44;
+
+function printTable(title: string, lines: readonly string[]): void {
+  console.log(`\n${title}`);
+  for (const line of lines) console.log(`  ${line}`);
+}
+
+/** Faults that were injected, by kind. */
+export function printFaults(counts: readonly IFaultCount[], errors: readonly string[]): void {
+  const lines = counts.map(({ kind, injected, skipped, failed }) => {
+    const counted = `${injected} injected, ${skipped} skipped, ${failed} failed in the lab`;
+    return `${kind.padEnd(NAME_WIDTH)} ${counted}`;
+  });
+  printTable('faults', [...lines, ...errors.map((error) => `lab error: ${error}`)]);
+}
+
+/** Requests by the outcome of their last attempt. */
+export function printOutcomes(summary: readonly IOutcomeSummary[]): void {
+  const lines = summary.map(({ outcome, count, p50Ms, p99Ms }) => {
+    return `${outcome.padEnd(NAME_WIDTH)} ${count} (p50 ${p50Ms} ms, p99 ${p99Ms} ms)`;
+  });
+  printTable('requests by final outcome, latency with retries', lines);
+}
+
+/** Invariants inside the nodes; returns the number of violations. */
+export function printInvariants(watcher: MetricsWatcher): number {
+  const checks = new Map(watcher.getCounts('checks').map(({ name, count }) => [name, count]));
+  const violations = new Map(
+    watcher.getCounts('violations').map(({ name, count }) => [name, count]),
+  );
+  const names = Object.values(InvariantName);
+  const lines = names.map((name) => {
+    const checked = checks.get(name);
+    const broken = violations.get(name);
+    const text = `${checked ?? 'no'} checks seen, ${broken ?? 'no count of'} violations`;
+    return `${name.padEnd(NAME_WIDTH)} ${text}`;
+  });
+  printTable(`invariants inside ${watcher.getNodeCount()} nodes`, lines);
+  return [...violations.values()].reduce((sum, count) => sum + count, 0);
+}
+
+/** Checks from outside. */
+export function printChecks(counts: readonly ICheckCount[]): void {
+  const lines = counts.flatMap(({ name, checks, violations, details }) => [
+    `${violations === 0 ? 'PASS' : 'FAIL'} ${name.padEnd(NAME_WIDTH)} ${checks} checks, ${violations} violations`,
+    ...details.map((detail) => `       ${detail}`),
+  ]);
+  printTable('checks from outside', lines);
+}
--- /dev/null
+++ b/packages/lab/src/prove/node/proveWorld.ts
@@ -0,0 +1,101 @@
+/** The lab's world with faulty links before the platform and before every target. */
+import type { IDisposable } from '@parsleymux/base';
+import { DisposableStore } from '@parsleymux/base';
+import { FaultyLink } from '@parsleymux/standins';
+import { LabWorld } from '../../processes/node/labWorld.js';
+import { Findings } from './findings.js';
+import { GracefulShutdowns } from './gracefulShutdowns.js';
+import { LeavingTargets } from './leavingTargets.js';
+
+/** Environment variable by which the nodes of a run are told to leave out one mechanism. */
+export const BREAK_VARIABLE = 'PARSLEYMUX_LAB_BREAK';
+
+/** Options of a {@link ProveWorld}. */
+export interface IProveWorldOptions {
+  readonly seed: number;
+  /** Name of the mechanism that nodes are to leave out. */
+  readonly brokenMechanism?: string;
+}
+
+/**
+ * What fault injectors act on.
+ *
+ * @example
+ * const world = new ProveWorld({ seed: 1 });
+ * await world.start();
+ * await world.dispose();
+ */
+export class ProveWorld implements IDisposable {
+  readonly lab: LabWorld;
+  readonly findings = new Findings();
+  readonly leavingTargets = new LeavingTargets();
+  readonly shutdowns = new GracefulShutdowns();
+  private readonly store = new DisposableStore();
+  private readonly platformLinks: FaultyLink[] = [];
+  private readonly targetLinks: FaultyLink[] = [];
+  private isEnding = false;
+
+  constructor(options: IProveWorldOptions) {
+    const { brokenMechanism } = options;
+    const nodeEnv = brokenMechanism === undefined ? {} : { [BREAK_VARIABLE]: brokenMechanism };
+    this.lab = new LabWorld({
+      seed: options.seed,
+      nodeEnv,
+      choosePlatformAddress: (own) => this.openLink(own, this.platformLinks),
+      chooseTargetAddress: (place) => this.openLink(place.address, this.targetLinks),
+    });
+  }
+
+  async start(): Promise<void> {
+    await this.lab.start();
+    await this.lab.applyIntents();
+  }
+
+  /** One link for each node that was started, in that order. */
+  getPlatformLinks(): readonly FaultyLink[] {
+    return this.platformLinks;
+  }
+
+  getTargetLinks(): readonly FaultyLink[] {
+    return this.targetLinks;
+  }
+
+  /** Starts a replacement, unless the run is ending. It may come up during an outage. */
+  async addNode(): Promise<void> {
+    if (!this.isEnding) await this.lab.startNextNode();
+  }
+
+  /** Submits the member's first intent again. */
+  async restoreIntent(member: string): Promise<void> {
+    this.leavingTargets.close(member, Date.now());
+    const file = await this.lab.writeIntent(member, this.lab.getPlaces());
+    await this.lab
+      .getOperator(member)
+      .applyIntent(file)
+      .catch(() => undefined);
+  }
+
+  /** Ends whatever fault is left. */
+  async clearFaults(): Promise<void> {
+    this.isEnding = true;
+    for (const { child } of this.lab.getNodes()) child.sendSignal('SIGCONT');
+    await this.lab.platform.clearFaults();
+    await this.lab.clearTargetFaults();
+    for (const link of [...this.platformLinks, ...this.targetLinks]) {
+      await link.setFaults({ cutForward: false, cutBackward: false, refuse: false, delayMs: 0 });
+    }
+  }
+
+  async dispose(): Promise<void> {
+    this.isEnding = true;
+    await this.lab.dispose();
+    await this.store.dispose();
+  }
+
+  private async openLink(to: string, links: FaultyLink[]): Promise<string> {
+    const link = this.store.add(new FaultyLink({ to }));
+    await link.start();
+    links.push(link);
+    return link.getAddress();
+  }
+}
--- a/packages/standins/src/platform/common/platformFaults.ts
+++ b/packages/standins/src/platform/common/platformFaults.ts
@@ -29,6 +29,11 @@
   readonly readsPerSecond: number;
   /** Transactions and object writes allowed a second; 0: no limit. Above it: 503. */
   readonly writesPerSecond: number;
+  /**
+   * Transactions take effect whatever their conditions. No platform may do this; it is here so
+   * that a run that must fail can be shown to fail.
+   */
+  readonly ignoreConditions: boolean;
   /** How far the VM list lags, in ms. */
   readonly vmLagMs: number;
 }
@@ -41,6 +46,7 @@
   staleMs: 0,
   readsPerSecond: 0,
   writesPerSecond: 0,
+  ignoreConditions: false,
   vmLagMs: 1000,
 };
 
--- a/packages/standins/src/platform/node/platformStandIn.ts
+++ b/packages/standins/src/platform/node/platformStandIn.ts
@@ -229,7 +229,8 @@
   private executeTransact(body: Buffer): IOutcome {
     const transaction = parseJson(body) as ITableTransaction;
     const now = this.clock.getMonotonicTime();
-    const result: ITransactionResult = this.table.transact(transaction, now);
+    const conditions = this.faults.ignoreConditions ? [] : transaction.conditions;
+    const result: ITransactionResult = this.table.transact({ ...transaction, conditions }, now);
     this.counters.writes += 1;
     if (result.committed) this.counters.rowsWritten += transaction.writes.length;
     else this.counters.conflicts += 1;
--- a/packages/standins/src/target/common/targetConfig.ts
+++ b/packages/standins/src/target/common/targetConfig.ts
@@ -50,6 +50,13 @@
   readonly truncateShare: number;
   /** Work is executed and never answered, on every connection. */
   readonly oneWay: boolean;
+  /**
+   * Share of executed work that is refused as not run. No target may do this, nor the next; they
+   * are here so that a run that must fail can be shown to fail.
+   */
+  readonly falseNotRunShare: number;
+  /** Share of answers that are those of the request before. */
+  readonly foreignShare: number;
   /** `GET /health` answers 200 ("green"), 503 ("red"), or as "auto": red only while draining. */
   readonly health: string;
   /** What `GET /load` claims as running requests; -1 for the truth. */
@@ -63,6 +70,8 @@
   failShare: 0,
   truncateShare: 0,
   oneWay: false,
+  falseNotRunShare: 0,
+  foreignShare: 0,
   health: 'auto',
   claimedLoad: -1,
 };
--- a/packages/standins/src/target/node/targetStandIn.ts
+++ b/packages/standins/src/target/node/targetStandIn.ts
@@ -82,6 +82,7 @@
   };
   private faults: ITargetFaults;
   private warmAtMs = 0;
+  private lastBody: Uint8Array = new Uint8Array();
 
   constructor(options: ITargetStandInOptions = {}) {
     const { host = '127.0.0.1', port = 0, faults, executions, clock, ...config } = options;
@@ -253,7 +254,13 @@
     execution.finish({ status, body });
     this.counters.finished += 1;
     if (status === FAILED) this.counters.failed += 1;
-    this.sendAnswer(exchange, status, body);
+    if (this.random.getFloat() < this.faults.falseNotRunShare) {
+      this.refuse(exchange, UNAVAILABLE);
+      return;
+    }
+    const isForeign = this.random.getFloat() < this.faults.foreignShare;
+    this.sendAnswer(exchange, status, isForeign ? this.lastBody : body);
+    this.lastBody = body;
   }
 
   private getWorkMs(): number {
