Expire claims, settle unknown ones, and refuse dated keys that outlived their record

Cause: a removed record looks like a key that never ran, and an unknown outcome stayed unknown although targets or operators could tell.

Each node removes its share of the hash space.
- A key that is a UUID of version 7 tells its age; older than the retention and without a row it is refused as 'may have run' (4009) instead of run again.
- Operators settle unknown outcomes; of a claimer that vanished 'not run' is taken only 15 minutes on, above every deadline, and never while it answers or is listed.
- Rows are checked by transactions without writes: reads may be stale, and a stale read would deny a key that has run.

Ruled out: removing unsettled rows with the others; reading the age from any key that looks like a number.

--- a/packages/base/src/result/common/resultCode.ts
+++ b/packages/base/src/result/common/resultCode.ts
@@ -54,6 +54,7 @@
   IdempotencyKeyMalformed: 4006,
   OutcomeSettled: 4007,
   AnswerNotKept: 4008,
+  IdempotencyKeyExpired: 4009,
   Unauthenticated: 5001,
   Forbidden: 5002,
   MalformedIntent: 5003,
--- /dev/null
+++ b/packages/claims/src/admin/common/claimAdmin.ts
@@ -0,0 +1,198 @@
+/** Shows claims to operators, and takes their word on outcomes that nobody else can find out. */
+import { create } from '@bufbuild/protobuf';
+import type { Clock } from '@parsleymux/base';
+import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { PlatformError } from '@parsleymux/platform';
+import type { ClaimInfo } from '@parsleymux/schema';
+import { ClaimInfoSchema, ClaimLookUp, ClaimOutcome } from '@parsleymux/schema';
+import type { IClaim, IVersionedClaim } from '../../claim/common/claim.js';
+import { ClaimState, decodeClaim, encodeClaim } from '../../claim/common/claim.js';
+import { computeClaimKey, formatClaimRowKey } from '../../claim/common/claimIdentity.js';
+import type { ClaimPeer } from '../../peer/common/claimPeer.js';
+import type { GroupCommitter, IRowChange, IRowResult } from '../../store/common/groupCommitter.js';
+
+const HASHED_KEY = /^[0-9a-f]{64}$/;
+const QUESTION_MS = 1000;
+const DEFAULT_MIN_AGE_MS = 900_000;
+const STORE_RETRY_MS = 2000;
+
+/** Options of a {@link ClaimAdmin}. */
+export interface IClaimAdminOptions {
+  readonly committer: GroupCommitter;
+  readonly clock: Clock;
+  readonly peer: ClaimPeer;
+  /** Whether the platform still lists the node, or it was heard of. */
+  readonly isLive: (address: string) => boolean;
+  /**
+   * Age of a claim from which "not run" is taken of one whose claimer vanished, in ms. It is
+   * above every deadline: a claimer that was only paused finds its deadline passed by then and
+   * does not dispatch. Default 15 minutes.
+   */
+  readonly minAgeMs?: number;
+}
+
+/** An operator's word on an outcome. */
+export interface ISettleWish {
+  readonly member: string;
+  /** The caller's idempotency key, or its SHA-256 in hexadecimal. */
+  readonly claimKey: string;
+  readonly outcome: ClaimOutcome;
+  readonly operator: string;
+  readonly note: string;
+}
+
+/**
+ * The operators' side of claims. Whoever calls it writes the audit log.
+ *
+ * @example
+ * const info = await admin.settle({ member, claimKey, outcome, operator, note }, signal);
+ */
+export class ClaimAdmin {
+  private readonly minAgeMs: number;
+
+  constructor(private readonly options: IClaimAdminOptions) {
+    this.minAgeMs = options.minAgeMs ?? DEFAULT_MIN_AGE_MS;
+  }
+
+  /** The claim, or undefined when there is none. Throws StoreUnavailable. */
+  async getClaim(
+    member: string,
+    claimKey: string,
+    signal: AbortSignal,
+  ): Promise<ClaimInfo | undefined> {
+    signal.throwIfAborted();
+    const hashed = hashKey(claimKey);
+    const known = await this.find(formatClaimRowKey(member, hashed));
+    return known === undefined ? undefined : describeClaim(member, hashed, known.claim);
+  }
+
+  /**
+   * Settles a claim without outcome, if its claimer is gone and the row has not changed since.
+   * Throws ClaimNotSettleable, NotFound, StoreUnavailable.
+   */
+  async settle(wish: ISettleWish, signal: AbortSignal): Promise<ClaimInfo> {
+    const hashed = hashKey(wish.claimKey);
+    const rowKey = formatClaimRowKey(wish.member, hashed);
+    const known = await this.find(rowKey);
+    if (known === undefined) {
+      throw refuse(ResultCode.NotFound, 'there is no claim under this idempotency key');
+    }
+    await this.checkSettleable(wish, hashed, known.claim, signal);
+    const settled = this.makeSettled(wish, known.claim);
+    await this.write(rowKey, known.version, settled);
+    return describeClaim(wish.member, hashed, settled);
+  }
+
+  private async checkSettleable(
+    wish: ISettleWish,
+    hashed: string,
+    claim: IClaim,
+    signal: AbortSignal,
+  ): Promise<void> {
+    if (claim.state === ClaimState.Unknown) return;
+    if (claim.state !== ClaimState.Running) {
+      throw refuseSettling(`its outcome is known: ${claim.state}`);
+    }
+    const isGone = await this.isClaimerGone(wish.member, hashed, claim, signal);
+    if (!isGone) throw refuseSettling(`node ${claim.claimer} still answers for it, or may`);
+    const ageMs = this.options.clock.getWallTime() - claim.claimedAtMs;
+    if (wish.outcome === ClaimOutcome.NOT_RUN && ageMs < this.minAgeMs) {
+      throw refuseSettling('its claimer may be paused; "not-run" is taken after 15 minutes');
+    }
+  }
+
+  /** The process at the claimer's address never had the attempt, or the VM is listed no more. */
+  private async isClaimerGone(
+    member: string,
+    claimKey: string,
+    claim: IClaim,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const { peer, isLive } = this.options;
+    const question = { member, claimKey, attemptToken: claim.token, waitMs: 0 };
+    const limit = AbortSignal.any([signal, AbortSignal.timeout(QUESTION_MS)]);
+    try {
+      const said = await peer.lookUp(claim.claimer, question, limit);
+      return said.state === ClaimLookUp.UNKNOWN;
+    } catch {
+      return !isLive(claim.claimer);
+    }
+  }
+
+  private makeSettled(wish: ISettleWish, claim: IClaim): IClaim {
+    const nowMs = this.options.clock.getWallTime();
+    const hasRun = wish.outcome === ClaimOutcome.RAN;
+    return {
+      ...claim,
+      state: hasRun ? ClaimState.RanNotKept : ClaimState.NotRun,
+      changedAtMs: nowMs,
+      settlement: { operator: wish.operator, note: wish.note, settledAtMs: nowMs },
+    };
+  }
+
+  private async find(rowKey: string): Promise<IVersionedClaim | undefined> {
+    const { row } = await this.commit({ key: rowKey, expectedVersion: 0, value: undefined });
+    return row === undefined ? undefined : decodeClaim(row);
+  }
+
+  private async write(rowKey: string, expectedVersion: number, claim: IClaim): Promise<void> {
+    const result = await this.commit({ key: rowKey, expectedVersion, value: encodeClaim(claim) });
+    if (result.committed) return;
+    // A lost answer may have been sent again below; our own word in the row is success.
+    const current = result.row === undefined ? undefined : decodeClaim(result.row).claim;
+    const mine = claim.settlement;
+    const isMine =
+      current?.settlement?.settledAtMs === mine?.settledAtMs &&
+      current?.settlement?.operator === mine?.operator;
+    if (!isMine) throw refuseSettling('it changed meanwhile; look at it again');
+  }
+
+  private async commit(change: IRowChange): Promise<IRowResult> {
+    try {
+      return await this.commitTwice(change);
+    } catch (error) {
+      if (!(error instanceof PlatformError)) throw error;
+      throw new MuxError({
+        code: ResultCode.StoreUnavailable,
+        message: 'the store gave no answer; look at the claim again before settling it anew',
+        runState: RunState.MayHaveRun,
+        retryAfterMs: STORE_RETRY_MS,
+        cause: error,
+      });
+    }
+  }
+
+  private async commitTwice(change: IRowChange): Promise<IRowResult> {
+    try {
+      return await this.options.committer.commit(change);
+    } catch (error) {
+      if (!(error instanceof PlatformError)) throw error;
+      return this.options.committer.commit(change);
+    }
+  }
+}
+
+function hashKey(claimKey: string): string {
+  return HASHED_KEY.test(claimKey) ? claimKey : computeClaimKey(claimKey);
+}
+
+function describeClaim(member: string, claimKey: string, claim: IClaim): ClaimInfo {
+  return create(ClaimInfoSchema, {
+    member,
+    claimKey,
+    state: claim.state,
+    claimer: claim.claimer,
+    claimedAtMs: BigInt(Math.trunc(claim.claimedAtMs)),
+    changedAtMs: BigInt(Math.trunc(claim.changedAtMs)),
+    settledBy: claim.settlement?.operator ?? '',
+    note: claim.settlement?.note ?? '',
+  });
+}
+
+function refuse(code: ResultCode, message: string): MuxError {
+  return new MuxError({ code, message, runState: RunState.NotRun });
+}
+
+function refuseSettling(reason: string): MuxError {
+  return refuse(ResultCode.ClaimNotSettleable, `the claim can't be settled: ${reason}`);
+}
--- a/packages/claims/src/claim/common/claim.ts
+++ b/packages/claims/src/claim/common/claim.ts
@@ -1,8 +1,8 @@
 /**
  * The row that stands for one idempotency key. It is inserted by whoever is about to dispatch
- * and only ever updated after that, so its version grows with each change. Deleting it on
- * release would let the version start again at 1, and a release that arrives late could then
- * wipe out the claim of somebody else. Only the sweeper deletes, long after the last change.
+ * and only ever updated after that; a release marks it, and only the sweeper deletes, long after
+ * the last change. Were it deleted on release, a claim that is late on its way to the table would
+ * land on the empty place and hold the key for a request that is long over.
  */
 import type { ITableRow } from '@parsleymux/platform';
 import type { IStoredAnswer } from './answerCodec.js';
--- /dev/null
+++ b/packages/claims/src/expiry/common/claimSweeper.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ManualClock, ResultCode, RunState, SeededRandom } from '@parsleymux/base';
+import type { IClaim } from '../../claim/common/claim.js';
+import { ClaimState, encodeClaim } from '../../claim/common/claim.js';
+import { computeClaimKey, formatClaimRowKey } from '../../claim/common/claimIdentity.js';
+import { getKeyTime } from '../../claim/common/keyTime.js';
+import { GroupCommitter } from '../../store/common/groupCommitter.js';
+import { assertRefused, ClaimWorld, isReplayed, readText } from '../../test/claimWorld.js';
+import { FakeTable } from '../../test/fakeTable.js';
+import { ClaimSweeper } from './claimSweeper.js';
+import { Retention } from './retention.js';
+
+const DAY_MS = 86_400_000;
+const RETENTION_S = 604_800;
+
+function makeClaim(state: ClaimState, changedAtMs: number): IClaim {
+  return { state, token: 't', claimer: 'a', digest: 'd', claimedAtMs: changedAtMs, changedAtMs };
+}
+
+async function visitAll(
+  clock: ManualClock,
+  table: FakeTable,
+  nodes: readonly string[],
+): Promise<number> {
+  let removed = 0;
+  for (const nodeAddress of nodes) {
+    const sweeper = new ClaimSweeper({
+      table,
+      committer: new GroupCommitter({ table, clock }),
+      clock,
+      random: new SeededRandom(1),
+      retention: new Retention(RETENTION_S),
+      nodeAddress,
+      getLiveNodes: () => nodes,
+    });
+    const done = sweeper.visitSlices(1);
+    await clock.advanceBy(10_000);
+    await done;
+    removed += sweeper.getRemovedCount();
+  }
+  return removed;
+}
+
+test('expired claims of every member are removed once, each by one of the nodes', async () => {
+  const clock = new ManualClock();
+  const table = new FakeTable({ clock });
+  const rows: { readonly key: string; readonly value: string }[] = [];
+  for (const member of ['north', 'north-2', 'south']) {
+    for (let index = 0; index < 40; index++) {
+      const state = index < 30 ? ClaimState.Finished : ClaimState.Unknown;
+      const key = formatClaimRowKey(member, computeClaimKey(`key ${index}`));
+      rows.push({ key, value: encodeClaim(makeClaim(state, 0)) });
+    }
+  }
+  const inserted = table.transact({ conditions: [], writes: rows });
+  await clock.advanceBy(6 * DAY_MS);
+  await inserted;
+  assert.equal(await visitAll(clock, table, ['a', 'b', 'c']), 0);
+  await clock.advanceBy(2 * DAY_MS);
+  assert.equal(await visitAll(clock, table, ['a', 'b', 'c']), 90, 'settled after 7 days');
+  await clock.advanceBy(21 * DAY_MS);
+  assert.equal(await visitAll(clock, table, ['a', 'b', 'c']), 30, 'unsettled after 28 days');
+});
+
+test('whatever the settings, a claim is kept an hour, and a day while it may run', () => {
+  const retention = new Retention(60);
+  assert.equal(retention.hasExpired(makeClaim(ClaimState.Finished, 0), 3_599_000), false);
+  assert.equal(retention.hasExpired(makeClaim(ClaimState.Running, 0), DAY_MS - 1), false);
+});
+
+test('a dated key that is older than its record is refused instead of run again', async () => {
+  // Symptom: a booking ran twice, eight days apart. Sequence: a caller kept an unanswered
+  // booking in its queue for longer than records are kept, and sent it again. Cause: a removed
+  // record looks like a key that never ran.
+  const world = new ClaimWorld();
+  world.addNode('a');
+  const key = '018bcfe5-6800-7000-8000-000000000000';
+  assert.equal(getKeyTime(key), 1_700_000_000_000);
+  await world.execute('a', { key });
+  await world.clock.advanceBy(8 * DAY_MS);
+  const kept = await world.execute('a', { key });
+  assert.ok(isReplayed(kept), readText(kept));
+  await visitAll(world.clock, world.table, ['a']);
+  const expired = await world.execute('a', { key });
+  assertRefused(expired, ResultCode.IdempotencyKeyExpired, RunState.MayHaveRun);
+  world.assertPromises();
+});
--- /dev/null
+++ b/packages/claims/src/expiry/common/claimSweeper.ts
@@ -0,0 +1,134 @@
+/**
+ * Removes expired claims. Every node walks the hash space of every member's keys and takes the
+ * slices that rendezvous hashing gives it among the live nodes. Two nodes that both take a slice
+ * do no harm: each removal is conditional on the version that was judged.
+ */
+import type { Clock, IDisposable, RandomSource } from '@parsleymux/base';
+import { hashToInteger } from '@parsleymux/base';
+import type { ITableRow, TableService } from '@parsleymux/platform';
+import { decodeClaim } from '../../claim/common/claim.js';
+import { CLAIM_PREFIX, formatClaimRowKey } from '../../claim/common/claimIdentity.js';
+import type { GroupCommitter } from '../../store/common/groupCommitter.js';
+import type { Retention } from './retention.js';
+
+const SLICES = 256;
+const SLICE_DIGITS = 2;
+const HEXADECIMAL = 16;
+const PAGE_ROWS = 500;
+const DEFAULT_PASS_MS = 86_400_000;
+/** Follows every key of a member in the order of keys, as '0' follows '/'. */
+const AFTER_MEMBER = '0';
+
+/** Options of a {@link ClaimSweeper}. */
+export interface IClaimSweeperOptions {
+  readonly table: TableService;
+  readonly committer: GroupCommitter;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly retention: Retention;
+  readonly nodeAddress: string;
+  /** Addresses of the live nodes, this one included. */
+  readonly getLiveNodes: () => readonly string[];
+  /** Time over which one walk is spread, in ms. Default one day. */
+  readonly passMs?: number;
+}
+
+/**
+ * Walks the claims for ever, until disposed of.
+ *
+ * @example
+ * const sweeper = new ClaimSweeper({ table, committer, clock, random, retention, nodeAddress, getLiveNodes });
+ * sweeper.start();
+ */
+export class ClaimSweeper implements IDisposable {
+  private readonly stop = new AbortController();
+  private removed = 0;
+
+  constructor(private readonly options: IClaimSweeperOptions) {}
+
+  /** Starts walking; the first walk begins at a random time, lest restarted nodes walk in step. */
+  start(): void {
+    void this.runForever().catch(() => undefined);
+  }
+
+  dispose(): void {
+    this.stop.abort(new Error('disposed'));
+  }
+
+  /** Rows removed so far. */
+  getRemovedCount(): number {
+    return this.removed;
+  }
+
+  /** Walks this node's slices once, pausing `gapMs` on average between two of them. */
+  async visitSlices(gapMs: number): Promise<void> {
+    let member = await this.findMemberAfter('');
+    while (member !== undefined) {
+      for (let slice = 0; slice < SLICES; slice++) {
+        const prefix = formatSlice(slice);
+        if (!this.hasSlice(`${member}/${prefix}`)) continue;
+        await this.removeExpired(formatClaimRowKey(member, prefix));
+        await this.sleepAbout(gapMs);
+      }
+      member = await this.findMemberAfter(member);
+    }
+  }
+
+  private async runForever(): Promise<void> {
+    const passMs = this.options.passMs ?? DEFAULT_PASS_MS;
+    await this.sleepAbout(passMs * this.options.random.getFloat());
+    while (!this.stop.signal.aborted) {
+      try {
+        await this.visitSlices(passMs / SLICES);
+      } catch {
+        // The store is out, or the node stops: what is expired stays until the next walk.
+      }
+      await this.sleepAbout(passMs);
+    }
+  }
+
+  private sleepAbout(meanMs: number): Promise<void> {
+    const { clock, random } = this.options;
+    return clock.sleep(random.getJittered(meanMs, 0.5), this.stop.signal);
+  }
+
+  private async findMemberAfter(member: string): Promise<string | undefined> {
+    const after = member === '' ? {} : { after: `${CLAIM_PREFIX}${member}${AFTER_MEMBER}` };
+    const rows = await this.options.table.scan({ prefix: CLAIM_PREFIX, limit: 1, ...after });
+    return rows[0]?.key.split('/')[1];
+  }
+
+  private hasSlice(name: string): boolean {
+    const nodes = this.options.getLiveNodes();
+    const rank = (address: string) => hashToInteger(`${name}@${address}`);
+    const own = rank(this.options.nodeAddress);
+    return nodes.every((address) => rank(address) <= own);
+  }
+
+  private async removeExpired(prefix: string): Promise<void> {
+    let after: string | undefined;
+    for (;;) {
+      const range = after === undefined ? {} : { after };
+      const rows = await this.options.table.scan({ prefix, limit: PAGE_ROWS, ...range });
+      const nowMs = this.options.clock.getWallTime();
+      const expired = rows.filter((row) => this.hasExpired(row, nowMs));
+      await Promise.all(expired.map((row) => this.remove(row)));
+      after = rows.at(-1)?.key;
+      if (rows.length < PAGE_ROWS) return;
+    }
+  }
+
+  private hasExpired(row: ITableRow, nowMs: number): boolean {
+    return this.options.retention.hasExpired(decodeClaim(row).claim, nowMs);
+  }
+
+  private async remove(row: ITableRow): Promise<void> {
+    const change = { key: row.key, expectedVersion: row.version, value: null };
+    const { committed } = await this.options.committer.commit(change);
+    if (committed) this.removed += 1;
+  }
+}
+
+function formatSlice(slice: number): string {
+  return slice.toString(HEXADECIMAL).padStart(SLICE_DIGITS, '0');
+}
--- a/packages/claims/src/guard/common/claimErrors.ts
+++ b/packages/claims/src/guard/common/claimErrors.ts
@@ -36,6 +36,15 @@
   });
 }
 
+/** Of a key that tells its own age. */
+export function makeKeyExpired(): MuxError {
+  return new MuxError({
+    code: ResultCode.IdempotencyKeyExpired,
+    message: 'the idempotency key is older than records are kept; whether it ran is not known',
+    runState: RunState.MayHaveRun,
+  });
+}
+
 export function makeStillRunning(): MuxError {
   return new MuxError({
     code: ResultCode.StillRunning,
--- a/packages/claims/src/guard/common/claimFollower.ts
+++ b/packages/claims/src/guard/common/claimFollower.ts
@@ -13,7 +13,7 @@
   IClaimLookUpAnswer,
   IClaimLookUpQuestion,
 } from '../../peer/common/claimPeer.js';
-import type { ClaimStore } from '../../store/common/claimStore.js';
+import type { ClaimStore, ICheckedRow } from '../../store/common/claimStore.js';
 import { makeKeyConflict, makeStillRunning } from './claimErrors.js';
 import type { IFollowResult, OutcomeSettler } from './outcomeSettler.js';
 import { makeAnswered, makeClaimable } from './outcomeSettler.js';
@@ -66,13 +66,13 @@
       if (said?.state === ClaimLookUp.NOT_RUN) return makeClaimable(known.version);
       if (said?.state !== ClaimLookUp.RUNNING) {
         // The claimer may have written the outcome and forgotten it since the row was read.
-        const reread = await this.tryRead(identity);
-        const isSame = reread !== undefined && isSameRow(known, reread);
-        if (isSame && this.isGone(known.claim, said, startMs)) {
+        const checked = await this.tryCheck(identity, known.version);
+        const isUnchanged = checked?.isUnchanged === true;
+        if (isUnchanged && this.isGone(known.claim, said, startMs)) {
           return this.settle(request, identity, known);
         }
-        known = reread ?? known;
-        if (isSame || reread === undefined) await clock.sleep(random.getJittered(RETRY_MS));
+        if (checked?.current === undefined) await clock.sleep(random.getJittered(RETRY_MS));
+        known = checked?.current ?? known;
       }
       if (this.getTimeLeft(request) <= 0) throw makeStillRunning();
     }
@@ -146,10 +146,14 @@
     }
   }
 
-  /** Undefined when the store gave no answer, or the row has gone. */
-  private async tryRead(identity: IClaimIdentity): Promise<IVersionedClaim | undefined> {
+  /** Undefined when the store gave no answer. */
+  private async tryCheck(
+    identity: IClaimIdentity,
+    expectedVersion: number,
+  ): Promise<ICheckedRow | undefined> {
+    const rowKey = formatClaimRowKey(identity.member, identity.claimKey);
     try {
-      return await this.options.store.read(formatClaimRowKey(identity.member, identity.claimKey));
+      return await this.options.store.check(rowKey, expectedVersion);
     } catch {
       return undefined;
     }
@@ -161,7 +165,3 @@
   const isFree = claim.state === ClaimState.NotRun;
   if (!isFree && claim.digest !== identity.digest) throw makeKeyConflict();
 }
-
-function isSameRow(before: IVersionedClaim, after: IVersionedClaim): boolean {
-  return before.version === after.version && before.claim.token === after.claim.token;
-}
--- a/packages/claims/src/guard/common/claimGuard.test.ts
+++ b/packages/claims/src/guard/common/claimGuard.test.ts
@@ -71,6 +71,50 @@
   world.assertPromises();
 });
 
+test('a claim that lands after its own release does not take the key', async () => {
+  // Symptom: as before. Sequence: the node gave up on its claim and released what it found,
+  // which was nothing; then the claim landed. Cause: the release left no mark for it to meet.
+  const world = new ClaimWorld();
+  for (const address of ['a', 'b']) world.addNode(address, undefined, { claimWaitMs: 10 });
+  world.table.lateMs = 500;
+  loseAnswers(world, [TableFault.LandLate]);
+  const refused = await world.execute('a');
+  assertRefused(refused, ResultCode.ClaimStoreUnavailable, RunState.NotRun);
+  await world.clock.advanceBy(1000);
+  assert.equal(readText(await world.execute('b')), 'booked north/key-1 as 1 for caller-1');
+  world.assertPromises();
+});
+
+test('a node that was paused past the deadline after its claim does not dispatch', async () => {
+  // Symptom: a booking nobody waited for any more was made. Sequence: the claim was won, the
+  // process stood still past the deadline, then dispatched. Cause: the deadline was checked
+  // before the claim only.
+  const world = new ClaimWorld();
+  world.addNode('a', { step: 3, pauseMs: 700 });
+  world.addNode('b');
+  const late = await world.execute('a', { deadlineMs: 500 });
+  assertRefused(late, ResultCode.DeadlinePassed, RunState.NotRun);
+  assert.equal(readText(await world.execute('b')), 'booked north/key-1 as 1 for caller-1');
+  world.assertPromises();
+});
+
+test('a caller that hangs up cancels nothing that was dispatched, and finds the answer', async () => {
+  const world = new ClaimWorld();
+  world.addNode('a');
+  const early = new AbortController();
+  early.abort();
+  const gone = await world.execute('a', { signal: early.signal });
+  assertRefused(gone, ResultCode.CallerGone, RunState.NotRun);
+  const late = new AbortController();
+  const call = world.send('a', { signal: late.signal });
+  await world.clock.advanceBy(10);
+  late.abort();
+  await world.finish(call);
+  const answer = 'booked north/key-1 as 1 for caller-1';
+  assert.deepEqual([readText(call), readText(await world.execute('a'))], [answer, answer]);
+  world.assertPromises();
+});
+
 test('a release whose answer is lost frees the key all the same', async () => {
   const world = new ClaimWorld();
   for (const address of ['a', 'b']) world.addNode(address);
@@ -175,10 +219,10 @@
     runState: RunState.NotRun,
   });
   assert.equal(readText(await world.execute('a', { refusal })), BOOKED);
-  const { transactions } = world.table;
+  const { rowsWritten } = world.table;
   const fresh = await world.execute('a', { key: 'key-2', refusal });
   assertRefused(fresh, ResultCode.QueueFull, RunState.NotRun);
-  assert.equal(world.table.transactions, transactions);
+  assert.equal(world.table.rowsWritten, rowsWritten);
   world.assertPromises();
 });
 
--- a/packages/claims/src/guard/common/claimGuard.ts
+++ b/packages/claims/src/guard/common/claimGuard.ts
@@ -19,6 +19,8 @@
 import { ClaimState } from '../../claim/common/claim.js';
 import type { IClaimIdentity } from '../../claim/common/claimIdentity.js';
 import { formatClaimRowKey, getClaimIdentity } from '../../claim/common/claimIdentity.js';
+import { getKeyTime } from '../../claim/common/keyTime.js';
+import { Retention } from '../../expiry/common/retention.js';
 import type { OutcomeLookUp } from '../../outcome/common/outcomeLookUp.js';
 import { NoOutcomeLookUp } from '../../outcome/common/outcomeLookUp.js';
 import { ClaimLookUpHandler } from '../../peer/common/claimLookUpHandler.js';
@@ -31,6 +33,7 @@
   makeCallerGone,
   makeDeadlinePassed,
   makeKeyConflict,
+  makeKeyExpired,
   makeOutcomeUnknown,
   makeStillRunning,
   makeStoreUnavailable,
@@ -65,6 +68,8 @@
   readonly committer?: GroupCommitter;
   /** Time that a claim waits for others to be committed with. Default 2. */
   readonly groupMs?: number;
+  /** Time that records are kept, in s; see {@link Retention}. Default 604800. */
+  readonly retentionS?: number | undefined;
   /** Name of a new attempt; must be unique in the fleet for ever. Default: a random UUID. */
   readonly makeToken?: () => string;
   /** Largest answer that is kept, in bytes. Default 1 MiB. */
@@ -95,6 +100,7 @@
   readonly lookUpHandler: ClaimLookUpHandler;
   private readonly clock: Clock;
   private readonly random: RandomSource;
+  private readonly retention: Retention;
   private readonly store: ClaimStore;
   private readonly registry = new AttemptRegistry();
   private readonly retrier: BackgroundRetrier;
@@ -107,12 +113,13 @@
     const { registry } = this;
     const groupMs = options.groupMs === undefined ? {} : { groupMs: options.groupMs };
     const committer = options.committer ?? new GroupCommitter({ table, clock, ...groupMs });
-    const store = new ClaimStore({ table, committer, clock, random });
+    const store = new ClaimStore({ committer, clock, random });
     const retrier = new BackgroundRetrier({ clock, random });
     const handler = new ClaimLookUpHandler({ registry, clock });
     const shared = { store, objects, retrier, clock, random, nodeAddress };
     this.clock = clock;
     this.random = random;
+    this.retention = new Retention(options.retentionS);
     this.store = store;
     this.retrier = retrier;
     this.lookUpHandler = handler;
@@ -154,7 +161,7 @@
       this.checkStillWanted(guarded, signal);
       const joined = await this.joinLocal(guarded, identity, rowKey);
       if (joined !== undefined) return joined;
-      known ??= await this.readBeforeRefusing(guarded, rowKey);
+      known ??= await this.findBeforeRefusing(guarded, rowKey);
       const version = known === undefined ? 0 : await this.resolveKnown(guarded, identity, known);
       if (typeof version !== 'number') return version;
       const refusal = guarded.estimateRefusal();
@@ -208,22 +215,33 @@
 
   /**
    * Under overload a key that ran must still be told so; only a key that did not run may be
-   * refused as not run. Reading instead of claiming spares the store a write and a release.
+   * refused as not run. Checking instead of claiming spares the store a write and a release.
+   * A key that tells its age and is older than records are kept has no row whether it ran or
+   * not; run again, it could run twice.
    */
-  private async readBeforeRefusing(
+  private async findBeforeRefusing(
     guarded: IGuardedAttempt,
     rowKey: string,
   ): Promise<IVersionedClaim | undefined> {
     const refusal = guarded.estimateRefusal();
-    if (refusal === undefined) return undefined;
-    const known = await this.read(rowKey);
-    if (known === undefined || known.claim.state === ClaimState.NotRun) throw refusal;
+    const isTooOld = this.isKeyTooOld(guarded);
+    if (refusal === undefined && !isTooOld) return undefined;
+    const known = await this.find(rowKey);
+    if (known === undefined && isTooOld) throw makeKeyExpired();
+    const isFree = known === undefined || known.claim.state === ClaimState.NotRun;
+    if (isFree && refusal !== undefined) throw refusal;
     return known;
   }
 
-  private async read(rowKey: string): Promise<IVersionedClaim | undefined> {
+  private isKeyTooOld(guarded: IGuardedAttempt): boolean {
+    const keyTimeMs = getKeyTime(guarded.request.idempotencyKey ?? '');
+    if (keyTimeMs === undefined) return false;
+    return this.retention.isKeyTooOld(keyTimeMs, this.clock.getWallTime());
+  }
+
+  private async find(rowKey: string): Promise<IVersionedClaim | undefined> {
     try {
-      return await this.store.read(rowKey);
+      return (await this.store.check(rowKey, 0)).current;
     } catch {
       throw makeStoreUnavailable(this.random.getFloat());
     }
@@ -264,7 +282,8 @@
     outcome: IAttemptOutcome,
   ): Promise<IAnswer | undefined> {
     if (outcome.end === AttemptEnd.RanNotKept) throw makeAnswerNotKept();
-    const known = await this.store.read(rowKey).catch(() => undefined);
+    const checked = await this.store.check(rowKey, 0).catch(() => undefined);
+    const known = checked?.current;
     if (known === undefined) throw makeOutcomeUnknown(true);
     const followed = await this.resolveKnown(guarded, identity, known);
     return typeof followed === 'number' ? undefined : followed;
--- a/packages/claims/src/guard/common/claimRunner.ts
+++ b/packages/claims/src/guard/common/claimRunner.ts
@@ -18,6 +18,10 @@
 import { makeCallerGone, makeDeadlinePassed, makeStoreUnavailable } from './claimErrors.js';
 import { makeAnswerNotKept, makeUnexpectedError } from './claimErrors.js';
 
+/** By day, so that a rule of the object store can remove what is older than claims are kept. */
+const OBJECT_PREFIX = 'claim-answers/';
+const DAY_LENGTH = 'YYYY-MM-DD'.length;
+
 /** Options of a {@link ClaimRunner}. */
 export interface IClaimRunnerOptions {
   readonly store: ClaimStore;
@@ -181,7 +185,8 @@
   private async storeAnswer(attempt: Attempt, answer: IWholeAnswer): Promise<IStoredAnswer> {
     if (answer.body.length <= this.options.maxRowBytes) return encodeAnswer(answer);
     // The row names the object only after the object is whole, so no reader finds half of one.
-    const objectKey = `${attempt.rowKey}/${attempt.token}`;
+    const day = new Date(this.options.clock.getWallTime()).toISOString().slice(0, DAY_LENGTH);
+    const objectKey = `${OBJECT_PREFIX}${day}/${attempt.rowKey}/${attempt.token}`;
     await this.options.objects.put(objectKey, answer.body);
     return encodeAnswerHead(answer, objectKey);
   }
--- a/packages/claims/src/store/common/claimStore.ts
+++ b/packages/claims/src/store/common/claimStore.ts
@@ -1,6 +1,5 @@
 /** Claims in the platform's table, with every lost answer settled by asking again. */
 import type { Clock, RandomSource } from '@parsleymux/base';
-import type { TableService } from '@parsleymux/platform';
 import { PlatformError, PlatformFailure } from '@parsleymux/platform';
 import type { IClaim, IVersionedClaim } from '../../claim/common/claim.js';
 import { ClaimState, decodeClaim, encodeClaim } from '../../claim/common/claim.js';
@@ -30,6 +29,13 @@
   readonly current: IVersionedClaim | undefined;
 }
 
+/** The state of a row against what it was expected to be. */
+export interface ICheckedRow {
+  readonly isUnchanged: boolean;
+  /** The row when changed; undefined when it has gone. */
+  readonly current: IVersionedClaim | undefined;
+}
+
 /** What became of writing an outcome. */
 export const OutcomeWrite = {
   Written: 'written',
@@ -43,7 +49,6 @@
 
 /** Options of a {@link ClaimStore}. */
 export interface IClaimStoreOptions {
-  readonly table: TableService;
   readonly committer: GroupCommitter;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -56,23 +61,26 @@
  * const result = await store.claim(rowKey, 0, claim, clock.getMonotonicTime() + 500);
  */
 export class ClaimStore {
-  private readonly table: TableService;
   private readonly committer: GroupCommitter;
   private readonly clock: Clock;
   private readonly random: RandomSource;
 
   constructor(options: IClaimStoreOptions) {
-    this.table = options.table;
     this.committer = options.committer;
     this.clock = options.clock;
     this.random = options.random;
   }
 
-  /** The claim of a row; undefined when there is none. Rejects with a PlatformError. */
-  async read(rowKey: string): Promise<IVersionedClaim | undefined> {
-    const rows = await this.table.read([rowKey]);
-    const row = rows[0];
-    return row === undefined ? undefined : decodeClaim(row);
+  /**
+   * Checks whether a row still has `expectedVersion`; 0 means no row. It is a transaction
+   * without writes: a read may be served stale, and would then deny a key that has run.
+   * Rejects with a PlatformError.
+   */
+  async check(rowKey: string, expectedVersion: number): Promise<ICheckedRow> {
+    const change = { key: rowKey, expectedVersion, value: undefined };
+    const { committed, row } = await this.committer.commit(change);
+    const current = row === undefined ? undefined : decodeClaim(row);
+    return { isUnchanged: committed, current };
   }
 
   /**
--- a/packages/claims/src/store/common/groupCommitter.ts
+++ b/packages/claims/src/store/common/groupCommitter.ts
@@ -9,13 +9,13 @@
 const DEFAULT_MAX_ROWS = 64;
 const DEFAULT_MAX_IN_FLIGHT = 4;
 
-/** A conditional write of one row. */
+/** A conditional write of one row, or only its condition. */
 export interface IRowChange {
   readonly key: string;
   /** Version that the row must have; 0 when it must not exist. */
   readonly expectedVersion: number;
-  /** Null deletes the row. */
-  readonly value: string | null;
+  /** Null deletes the row; undefined writes nothing and only checks the version. */
+  readonly value: string | null | undefined;
 }
 
 /** What became of a change. */
@@ -141,7 +141,9 @@
     this.rows += group.length;
     const result = await this.table.transact({
       conditions: group.map(({ change }) => ({ key: change.key, version: change.expectedVersion })),
-      writes: group.map(({ change }) => ({ key: change.key, value: change.value })),
+      writes: group.flatMap(({ change: { key, value } }) => {
+        return value === undefined ? [] : [{ key, value }];
+      }),
     });
     if (result.committed) {
       for (const pending of group) pending.resolve(COMMITTED);
--- a/packages/claims/src/test/fakeTable.ts
+++ b/packages/claims/src/test/fakeTable.ts
@@ -30,26 +30,26 @@
   readonly clock: Clock;
   /** Time that each call takes, in ms. Default 1. */
   readonly latencyMs?: number;
-  /** Delay of late writes, in ms. Default 50. */
-  readonly lateMs?: number;
 }
 
 /** Rows with versions, as the platform keeps them. */
 export class FakeTable extends TableService {
   /** Chooses the fault of each call. */
   chooseFault: () => TableFault = () => TableFault.None;
-  /** Transactions that reached the table. */
+  /** Transactions that reached the table, and rows that they wrote. */
   transactions = 0;
+  rowsWritten = 0;
+  /** Delay of writes that land late, in ms. */
+  lateMs = 50;
+  private readonly lastVersions = new Map<string, number>();
   private readonly rows = new Map<string, ITableRow>();
   private readonly clock: Clock;
   private readonly latencyMs: number;
-  private readonly lateMs: number;
 
   constructor(options: IFakeTableOptions) {
     super();
     this.clock = options.clock;
     this.latencyMs = options.latencyMs ?? 1;
-    this.lateMs = options.lateMs ?? 50;
   }
 
   override async read(keys: readonly string[]): Promise<readonly ITableRow[]> {
@@ -101,7 +101,9 @@
       return { committed: false, conflicts: failed.flatMap(({ key }) => this.rows.get(key) ?? []) };
     }
     for (const { key, value } of transaction.writes) {
-      const version = (this.rows.get(key)?.version ?? 0) + 1;
+      const version = (this.lastVersions.get(key) ?? 0) + 1;
+      this.rowsWritten += 1;
+      this.lastVersions.set(key, version);
       if (value === null) this.rows.delete(key);
       else this.rows.set(key, { key, value, version });
     }
