--- a/packages/base/src/result/common/resultTable.ts
+++ b/packages/base/src/result/common/resultTable.ts
@@ -151,6 +151,12 @@
     'The request ran; its answer could not be kept.',
     'Do not send it again with another key.',
   ],
+  IdempotencyKeyExpired: [
+    409,
+    MayHaveRun,
+    'The key tells that it is older than records are kept, and no record is left.',
+    'Do not use a new key; ask the member.',
+  ],
   Unauthenticated: [401, NotRun, 'No valid operator key.', 'Send a key.'],
   Forbidden: [403, NotRun, 'The key does not allow this.', 'Use a key of the member.'],
   MalformedIntent: [
