--- a/packages/standins/src/platform/node/platformStandIn.ts
+++ b/packages/standins/src/platform/node/platformStandIn.ts
@@ -1,38 +1,24 @@
 /**
  * Stands in for the platform: its table, object store and VM list over HTTP, with faults on
- * command. `/control/*` is served on the service's own address and, so that it can be reached
- * while the service refuses connections, on a second one:
- *
- * - `GET|POST|DELETE /control/faults`: read, change in part, clear {@link IPlatformFaults}
- * - `GET /control/counters` → IPlatformCounters
- * - `GET /control/rows?prefix=P` → rows as they truly are, whatever the faults
- * - `GET|PUT /control/vms` (one IVm), `DELETE /control/vms?address=A`
+ * command. `/control/*` (platformControl.ts) is served on the service's own address and, so that
+ * it can be reached while the service refuses connections, on a second one.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock, IDisposable } from '@parsleymux/base';
 import { SystemClock } from '@parsleymux/base';
-import type {
-  IReadBody,
-  IScanOptions,
-  ITableTransaction,
-  ITransactionResult,
-  IVm,
-} from '@parsleymux/platform';
+import type { ITableRow, IVm } from '@parsleymux/platform';
 import { PlatformPath } from '@parsleymux/platform';
 import { mergeFaults } from '../../control/common/faultSettings.js';
-import { readBody, readJson, sendBytes, sendJson } from '../../server/node/httpBody.js';
+import { readBody, sendBytes, sendJson } from '../../server/node/httpBody.js';
 import { LoopbackServer } from '../../server/node/loopbackServer.js';
 import type { IPlatformCounters, IPlatformFaults } from '../common/platformFaults.js';
 import { NO_PLATFORM_FAULTS, PlatformOutage } from '../common/platformFaults.js';
-import { LaggedValue } from '../common/laggedValue.js';
+import type { IPlatformOutcome } from '../common/platformState.js';
+import { PlatformState } from '../common/platformState.js';
 import { TokenBucket } from '../common/tokenBucket.js';
-import { VersionedTable } from '../common/versionedTable.js';
+import { handlePlatformControl } from './platformControl.js';
 
-const OK = 200;
-const BAD_REQUEST = 400;
-const NOT_FOUND = 404;
 const UNAVAILABLE = 503;
-const MAX_OBJECT_KEYS = 1000;
 const CONTROL_PREFIX = '/control/';
 
 /** Options of a {@link PlatformStandIn}. */
@@ -46,15 +32,6 @@
   readonly clock?: Clock;
 }
 
-interface IOutcome {
-  readonly status: number;
-  readonly bytes: Uint8Array;
-}
-
-type MutableCounters = { -readonly [K in keyof IPlatformCounters]: IPlatformCounters[K] } & {
-  byPath: Record<string, number>;
-};
-
 /**
  * The platform in memory.
  *
@@ -68,30 +45,16 @@
   private readonly clock: Clock;
   private readonly service: LoopbackServer;
   private readonly control: LoopbackServer;
-  private readonly table = new VersionedTable();
-  private readonly objects = new Map<string, Buffer>();
-  private readonly vms: LaggedValue<readonly IVm[]>;
+  private readonly state: PlatformState;
   private readonly readBucket = new TokenBucket();
   private readonly writeBucket = new TokenBucket();
   private readonly stopping = new AbortController();
-  private readonly counters: MutableCounters = {
-    reads: 0,
-    writes: 0,
-    rowsRead: 0,
-    rowsWritten: 0,
-    conflicts: 0,
-    refused: 0,
-    answersLost: 0,
-    bytesReceived: 0,
-    bytesSent: 0,
-    byPath: {},
-  };
   private faults: IPlatformFaults;
 
   constructor(options: IPlatformStandInOptions = {}) {
     this.clock = options.clock ?? new SystemClock();
     this.faults = mergeFaults(NO_PLATFORM_FAULTS, options.faults ?? {});
-    this.vms = new LaggedValue(options.vms ?? [], this.clock.getMonotonicTime());
+    this.state = new PlatformState(options.vms ?? [], this.clock.getMonotonicTime());
     const host = options.host ?? '127.0.0.1';
     this.service = new LoopbackServer({
       host,
@@ -100,11 +63,11 @@
     });
     this.control = new LoopbackServer({
       host,
-      handle: (request, response) => this.handleControl(request, response),
+      handle: (request, response) => handlePlatformControl(this, request, response),
     });
   }
 
-  /** Listens; a platform that is to be down from the start opens only its control address. */
+  /** Listens. A platform that is to refuse connections from the start opens its port shortly. */
   async start(): Promise<void> {
     await this.control.open();
     await this.service.open();
@@ -131,7 +94,12 @@
   }
 
   getCounters(): IPlatformCounters {
-    return structuredClone(this.counters);
+    return structuredClone(this.state.counters);
+  }
+
+  /** Rows as they truly are, whatever the faults; at most 1000. */
+  getRows(prefix: string): readonly ITableRow[] {
+    return this.state.getRows(prefix);
   }
 
   /** Changes the faults in part. */
@@ -146,15 +114,20 @@
     return this.setFaults(NO_PLATFORM_FAULTS);
   }
 
+  /** The list as it truly is. */
+  getVms(): readonly IVm[] {
+    return this.state.getVms();
+  }
+
   /** Adds a VM to the list, or replaces the entry of its address. */
   registerVm(vm: IVm): void {
-    this.removeVm(vm.address);
-    this.vms.set([...this.vms.getLatest(), vm], this.clock.getMonotonicTime());
+    const others = this.getVms().filter(({ address }) => address !== vm.address);
+    this.state.setVms([...others, vm], this.clock.getMonotonicTime());
   }
 
   removeVm(address: string): void {
-    const left = this.vms.getLatest().filter((vm) => vm.address !== address);
-    this.vms.set(left, this.clock.getMonotonicTime());
+    const left = this.getVms().filter((vm) => vm.address !== address);
+    this.state.setVms(left, this.clock.getMonotonicTime());
   }
 
   async dispose(): Promise<void> {
@@ -164,22 +137,29 @@
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const method = request.method ?? 'GET';
     const url = request.url ?? '/';
-    if (url.startsWith(CONTROL_PREFIX)) return this.handleControl(request, response);
+    if (url.startsWith(CONTROL_PREFIX)) {
+      await handlePlatformControl(this, request, response);
+      return;
+    }
     const body = await readBody(request);
-    this.counters.bytesReceived += body.length;
-    this.countPath(url);
-    const isWrite = request.method === 'PUT' || url === PlatformPath.Transact;
+    this.state.counters.bytesReceived += body.length;
+    const isWrite = method === 'PUT' || url === PlatformPath.Transact;
     if (!this.tryAdmit(isWrite)) {
-      this.counters.refused += 1;
+      this.state.counters.refused += 1;
       sendJson(response, UNAVAILABLE, { error: 'unavailable' });
       return;
     }
     if (this.faults.delayMs > 0) {
       await this.clock.sleep(this.faults.delayMs, this.stopping.signal);
     }
-    const outcome = this.execute(request.method ?? 'GET', url, body);
-    this.sendOutcome(response, outcome, isWrite);
+    const now = this.clock.getMonotonicTime();
+    this.sendOutcome(
+      response,
+      this.state.execute({ method, url, body }, this.faults, now),
+      isWrite,
+    );
   }
 
   private tryAdmit(isWrite: boolean): boolean {
@@ -190,140 +170,19 @@
       : this.readBucket.take(this.faults.readsPerSecond, now);
   }
 
-  private sendOutcome(response: ServerResponse, outcome: IOutcome, isWrite: boolean): void {
+  private sendOutcome(response: ServerResponse, outcome: IPlatformOutcome, isWrite: boolean): void {
+    const { counters } = this.state;
     if (this.faults.oneWay) {
-      this.counters.answersLost += 1;
+      counters.answersLost += 1;
       return;
     }
     if (isWrite && this.faults.loseNextAnswers > 0) {
       this.faults = { ...this.faults, loseNextAnswers: this.faults.loseNextAnswers - 1 };
-      this.counters.answersLost += 1;
+      counters.answersLost += 1;
       response.destroy();
       return;
     }
-    this.counters.bytesSent += outcome.bytes.length;
+    counters.bytesSent += outcome.bytes.length;
     sendBytes(response, outcome.status, outcome.bytes, { 'content-type': 'application/json' });
   }
-
-  private execute(method: string, url: string, body: Buffer): IOutcome {
-    if (method === 'POST' && url === PlatformPath.Read) return this.executeRead(body);
-    if (method === 'POST' && url === PlatformPath.Scan) return this.executeScan(body);
-    if (method === 'POST' && url === PlatformPath.Transact) return this.executeTransact(body);
-    if (method === 'GET' && url === PlatformPath.Vms) return this.executeVmList();
-    if (url.startsWith(`${PlatformPath.Objects}/`)) return this.executeObject(method, url, body);
-    if (url.startsWith(`${PlatformPath.Objects}?`)) return this.executeObjectList(url);
-    return toJsonOutcome({ error: 'no such path' }, NOT_FOUND);
-  }
-
-  private executeRead(body: Buffer): IOutcome {
-    const { keys } = parseJson(body) as IReadBody;
-    const rows = this.table.read(keys, this.getReadInstant());
-    return this.countRead({ rows }, rows.length);
-  }
-
-  private executeScan(body: Buffer): IOutcome {
-    const rows = this.table.scan(parseJson(body) as IScanOptions, this.getReadInstant());
-    return this.countRead({ rows }, rows.length);
-  }
-
-  private executeTransact(body: Buffer): IOutcome {
-    const transaction = parseJson(body) as ITableTransaction;
-    const now = this.clock.getMonotonicTime();
-    const conditions = this.faults.ignoreConditions ? [] : transaction.conditions;
-    const result: ITransactionResult = this.table.transact({ ...transaction, conditions }, now);
-    this.counters.writes += 1;
-    if (result.committed) this.counters.rowsWritten += transaction.writes.length;
-    else this.counters.conflicts += 1;
-    return toJsonOutcome(result);
-  }
-
-  private executeVmList(): IOutcome {
-    const instant = this.clock.getMonotonicTime() - this.faults.vmLagMs;
-    return this.countRead({ vms: this.vms.get(instant) }, 0);
-  }
-
-  private executeObject(method: string, url: string, body: Buffer): IOutcome {
-    const key = decodeURIComponent(url.slice(PlatformPath.Objects.length + 1));
-    if (method === 'PUT') {
-      this.objects.set(key, body);
-      this.counters.writes += 1;
-      return toJsonOutcome({});
-    }
-    const bytes = this.objects.get(key);
-    this.counters.reads += 1;
-    return bytes === undefined
-      ? toJsonOutcome({ error: 'no such object' }, NOT_FOUND)
-      : { status: OK, bytes };
-  }
-
-  private executeObjectList(url: string): IOutcome {
-    const prefix = new URL(url, this.getUrl()).searchParams.get('prefix') ?? '';
-    const found = [...this.objects.keys()].filter((key) => key.startsWith(prefix));
-    const keys = found.sort().slice(0, MAX_OBJECT_KEYS);
-    return this.countRead({ keys }, 0);
-  }
-
-  private getReadInstant(): number {
-    return this.clock.getMonotonicTime() - this.faults.staleMs;
-  }
-
-  private countRead(value: unknown, rows: number): IOutcome {
-    this.counters.reads += 1;
-    this.counters.rowsRead += rows;
-    return toJsonOutcome(value);
-  }
-
-  private countPath(url: string): void {
-    const path = url.startsWith(PlatformPath.Objects) ? PlatformPath.Objects : url;
-    this.counters.byPath[path] = (this.counters.byPath[path] ?? 0) + 1;
-  }
-
-  private async handleControl(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    try {
-      const url = new URL(request.url ?? '/', this.getUrl());
-      const answer = await this.executeControl(request, url);
-      if (answer === undefined) sendJson(response, NOT_FOUND, { error: 'no such control' });
-      else sendJson(response, OK, answer);
-    } catch (error) {
-      sendJson(response, BAD_REQUEST, { error: String(error) });
-    }
-  }
-
-  /** The answer to a control request, or undefined when there is no such control. */
-  private async executeControl(request: IncomingMessage, url: URL): Promise<unknown> {
-    switch (`${request.method ?? 'GET'} ${url.pathname}`) {
-      case 'GET /control/faults':
-        return this.faults;
-      case 'POST /control/faults':
-        await this.setFaults((await readJson(request)) as Partial<IPlatformFaults>);
-        return this.faults;
-      case 'DELETE /control/faults':
-        await this.clearFaults();
-        return this.faults;
-      case 'GET /control/counters':
-        return this.counters;
-      case 'GET /control/rows':
-        return {
-          rows: this.table.scan({ prefix: url.searchParams.get('prefix') ?? '' }, Infinity),
-        };
-      case 'GET /control/vms':
-        return { vms: this.vms.getLatest() };
-      case 'PUT /control/vms':
-        this.registerVm((await readJson(request)) as IVm);
-        return { vms: this.vms.getLatest() };
-      case 'DELETE /control/vms':
-        this.removeVm(url.searchParams.get('address') ?? '');
-        return { vms: this.vms.getLatest() };
-      default:
-        return undefined;
-    }
-  }
-}
-
-function parseJson(body: Buffer): unknown {
-  return JSON.parse(body.toString('utf8')) as unknown;
-}
-
-function toJsonOutcome(value: unknown, status = OK): IOutcome {
-  return { status, bytes: Buffer.from(JSON.stringify(value)) };
 }
--- a/packages/standins/src/target/node/targetStandIn.ts
+++ b/packages/standins/src/target/node/targetStandIn.ts
@@ -14,7 +14,7 @@
 import type { Clock, IDisposable, RandomSource } from '@parsleymux/base';
 import { RunState, SeededRandom, SystemClock } from '@parsleymux/base';
 import { mergeFaults } from '../../control/common/faultSettings.js';
-import { readBody, sendBytes, sendJson } from '../../server/node/httpBody.js';
+import { readBody } from '../../server/node/httpBody.js';
 import { LoopbackServer } from '../../server/node/loopbackServer.js';
 import { ExecutionLog } from '../common/executionLog.js';
 import { sampleServiceTime } from '../common/serviceTime.js';
@@ -24,6 +24,8 @@
 import { DEFAULT_TARGET_CONFIG, NO_TARGET_FAULTS } from '../common/targetConfig.js';
 import { Exchange } from './exchange.js';
 import { handleTargetControl } from './targetControl.js';
+import type { MutableTargetCounters } from './targetReplies.js';
+import { TargetReplies } from './targetReplies.js';
 
 const OK = 200;
 const NOT_FOUND = 404;
@@ -46,8 +48,6 @@
   readonly clock?: Clock;
 }
 
-type MutableCounters = { -readonly [K in keyof ITargetCounters]: ITargetCounters[K] };
-
 /**
  * A target with slots, service times and faults.
  *
@@ -66,7 +66,8 @@
   private readonly control: LoopbackServer;
   private readonly queue: SlotQueue;
   private readonly silentSockets = new WeakSet<Socket>();
-  private readonly counters: MutableCounters = {
+  private readonly replies: TargetReplies;
+  private readonly counters: MutableTargetCounters = {
     executed: 0,
     finished: 0,
     cancelled: 0,
@@ -92,6 +93,12 @@
     this.clock = clock ?? new SystemClock();
     this.random = new SeededRandom(this.config.seed);
     this.queue = new SlotQueue(this.config.slots, this.config.queueLimit);
+    this.replies = new TargetReplies({
+      random: this.random,
+      counters: this.counters,
+      silentSockets: this.silentSockets,
+      getFaults: () => this.faults,
+    });
     this.service = new LoopbackServer({
       host,
       port,
@@ -196,25 +203,25 @@
     this.counters.probes += 1;
     const { health, draining } = this.faults;
     const isRed = health === 'red' || (health === 'auto' && draining);
-    this.sendStatus(exchange, isRed ? UNAVAILABLE : OK, { healthy: !isRed });
+    this.replies.sendStatus(exchange, isRed ? UNAVAILABLE : OK, { healthy: !isRed });
   }
 
   private sendLoad(exchange: Exchange): void {
     this.counters.probes += 1;
     const { claimedLoad } = this.faults;
     const running = claimedLoad < 0 ? this.queue.getRunning() : claimedLoad;
-    this.sendStatus(exchange, OK, { running, slots: this.config.slots });
+    this.replies.sendStatus(exchange, OK, { running, slots: this.config.slots });
   }
 
   private sendLookUp(exchange: Exchange): void {
     const key = decodeURIComponent(exchange.path.slice(LOOK_UP_PREFIX.length));
     const found = this.executions.find(key);
     if (found.answer !== undefined) {
-      this.sendAnswer(exchange, OK, found.answer.body);
+      this.replies.sendAnswer(exchange, OK, found.answer.body);
       return;
     }
     const isOpen = found.count > 0 || found.waiting > 0;
-    this.sendStatus(exchange, isOpen ? CONFLICT : NOT_FOUND, { executions: found.count });
+    this.replies.sendStatus(exchange, isOpen ? CONFLICT : NOT_FOUND, { executions: found.count });
   }
 
   /** Real work: wait for a slot, execute, answer. */
@@ -259,7 +266,7 @@
       return;
     }
     const isForeign = this.random.getFloat() < this.faults.foreignShare;
-    this.sendAnswer(exchange, status, isForeign ? this.lastBody : body);
+    this.replies.sendAnswer(exchange, status, isForeign ? this.lastBody : body);
     this.lastBody = body;
   }
 
@@ -286,7 +293,7 @@
   /** A refusal of work that has not begun. */
   private refuse(exchange: Exchange, status: number): void {
     this.counters.shed += 1;
-    this.sendStatus(exchange, status, { error: 'not run' }, NOT_RUN);
+    this.replies.sendStatus(exchange, status, { error: 'not run' }, NOT_RUN);
   }
 
   private sendStopped(exchange: Exchange): void {
@@ -295,38 +302,6 @@
       return;
     }
     this.counters.timedOut += 1;
-    this.sendStatus(exchange, TIMED_OUT, { error: 'out of time while running' });
-  }
-
-  private sendAnswer(exchange: Exchange, status: number, body: Uint8Array): void {
-    const isTruncated = this.random.getFloat() < this.faults.truncateShare;
-    if (!isTruncated) {
-      if (this.isAnswerable(exchange)) {
-        sendBytes(exchange.response, status, body, this.makeHeaders());
-      }
-      return;
-    }
-    this.counters.truncated += 1;
-    if (this.isAnswerable(exchange)) exchange.sendTruncated(status, body, this.makeHeaders());
-  }
-
-  private sendStatus(
-    exchange: Exchange,
-    status: number,
-    value: unknown,
-    headers: Readonly<Record<string, string>> = {},
-  ): void {
-    if (!this.isAnswerable(exchange)) return;
-    sendJson(exchange.response, status, value, { ...this.makeHeaders(), ...headers });
-  }
-
-  private isAnswerable(exchange: Exchange): boolean {
-    const isSilent = this.faults.oneWay || this.silentSockets.has(exchange.socket);
-    return !isSilent && !exchange.isCallerGone();
-  }
-
-  private makeHeaders(): Readonly<Record<string, string>> {
-    const type = { 'content-type': 'application/json' };
-    return this.faults.draining ? { ...type, 'parsleymux-draining': 'true' } : type;
+    this.replies.sendStatus(exchange, TIMED_OUT, { error: 'out of time while running' });
   }
 }
