Let the fleet's size set how often each node reads the VM list

Cause: a fixed interval of 2 s at 2,100 nodes makes 1,050 reads a second of a list of 2,100 entries, half of what the platform carries. Now 60 reads a second of the whole fleet: 2 s up to 120 nodes, 35 s at 2,100.

--- a/packages/fleet/src/membership/common/listedMembershipService.ts
+++ b/packages/fleet/src/membership/common/listedMembershipService.ts
@@ -5,11 +5,13 @@
 import { VmState } from '@parsleymux/platform';
 import type { INode } from './membershipService.js';
 import { MembershipService } from './membershipService.js';
+import { computeSharedInterval } from '../../pacing/common/sharedPace.js';
 import type { ISuspicionOptions } from './peerExperience.js';
 import { PeerExperience } from './peerExperience.js';
 
 const DEFAULT_POLL_MS = 2000;
-const DEFAULT_MAX_POLL_MS = 30_000;
+const DEFAULT_MAX_POLL_MS = 60_000;
+const DEFAULT_FLEET_POLLS_PER_SECOND = 60;
 
 /** Options of a {@link ListedMembershipService}. */
 export interface IListedMembershipOptions {
@@ -18,9 +20,11 @@
   readonly vms: VmList;
   readonly clock: Clock;
   readonly random: RandomSource;
-  /** Mean time between two reads of the list, in ms. Default 2000. */
+  /** Mean time between two reads of the list in a small fleet, in ms. Default 2000. */
   readonly pollMs?: number;
-  /** Longest mean time between two reads while the list can't be read, in ms. Default 30,000. */
+  /** Reads a second that the whole fleet may make; a large one reads more rarely. Default 60. */
+  readonly fleetPollsPerSecond?: number;
+  /** Longest mean time between two reads while the list can't be read, in ms. Default 60,000. */
   readonly maxPollMs?: number;
   readonly suspicion?: ISuspicionOptions;
 }
@@ -93,15 +97,11 @@
   /** Polls the list until `signal` aborts. While it can't be read, the last one stays in force. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, random } = this.options;
-    const pollMs = this.options.pollMs ?? DEFAULT_POLL_MS;
-    const maxPollMs = Math.max(pollMs, this.options.maxPollMs ?? DEFAULT_MAX_POLL_MS);
     let failedInRow = 0;
     while (!signal.aborted) {
       const isRead = await this.tryPoll(signal);
       failedInRow = isRead ? 0 : failedInRow + 1;
-      // A list that comes back after hours would meet the polls of the whole fleet at once, just
-      // when it is weakest; slower, jittered polls while it is out spread them.
-      const delayMs = Math.min(maxPollMs, pollMs * 2 ** Math.min(failedInRow, 10));
+      const delayMs = this.getPollDelay(failedInRow);
       await clock.sleep(random.getJittered(delayMs, 0.5), signal).catch(() => undefined);
     }
   }
@@ -111,6 +111,21 @@
     this.didChange.dispose();
   }
 
+  /**
+   * A list that comes back after hours would meet the polls of the whole fleet at once, just when
+   * it is weakest; slower, jittered polls while it is out spread them.
+   */
+  private getPollDelay(failedInRow: number): number {
+    const { pollMs = DEFAULT_POLL_MS, maxPollMs = DEFAULT_MAX_POLL_MS } = this.options;
+    const intervalMs = computeSharedInterval({
+      baseMs: pollMs,
+      nodes: this.listed.length,
+      fleetPerSecond: this.options.fleetPollsPerSecond ?? DEFAULT_FLEET_POLLS_PER_SECOND,
+    });
+    const grownMs = intervalMs * 2 ** Math.min(failedInRow, 10);
+    return Math.min(grownMs, Math.max(intervalMs, maxPollMs));
+  }
+
   private async tryPoll(signal: AbortSignal): Promise<boolean> {
     this.counters.polls += 1;
     try {
