--- /dev/null
+++ b/packages/lab/src/bench/hop/node/bench.ts
@@ -0,0 +1,178 @@
+/** What the proxy adds to a request, against the same requests sent straight to the targets. */
+import type { IDisposable } from '@parsleymux/base';
+import { DisposableStore } from '@parsleymux/base';
+import type { NodeProcess } from '../../../processes/node/nodeProcess.js';
+import type { Cell, IBenchOptions, IBenchReport, IBenchTable } from '../../common/bench.js';
+import { Bench, formatNumber, parseNumbers } from '../../common/bench.js';
+import type { HopWorld } from './hopWorld.js';
+import { BOOK_HOST, READ_HOST, startHopWorld } from './hopWorld.js';
+import type { IStreamFigures, IStreamOptions } from './requestStream.js';
+import { runStream } from './requestStream.js';
+
+const RATES: readonly number[] = [100, 286, 1000, 2000];
+const DEFAULT_SECONDS = 6;
+const WARM_UP_MS = 3000;
+const DEFAULT_SERVICE_MS = 2;
+const CPU_PATTERN = /^process_cpu_seconds_total\s+([0-9.e+-]+)/m;
+const MEMORY_PATTERN = /^process_resident_memory_bytes\s+([0-9.e+-]+)/m;
+const BYTES_PER_MB = 1_000_000;
+
+interface IPath {
+  readonly name: string;
+  readonly addresses: readonly string[];
+  readonly isBooking: boolean;
+}
+
+class HopBench extends Bench {
+  override readonly summary = 'latency and processor time that the proxy adds to a request';
+
+  override async run(options: IBenchOptions): Promise<IBenchReport> {
+    const store = new DisposableStore();
+    try {
+      const meanServiceMs =
+        parseNumbers(options, 'serviceMs', [DEFAULT_SERVICE_MS])[0] ?? DEFAULT_SERVICE_MS;
+      const nodeOptions = options.values.get('nodeOptions')?.split(' ') ?? [];
+      const world = await startHopWorld({ seed: options.seed, meanServiceMs, nodeOptions });
+      store.add(toOwned(world));
+      const tables = await measureRates(world, options);
+      return { tables, notes: listNotes(meanServiceMs) };
+    } finally {
+      await store.dispose();
+    }
+  }
+}
+
+function toOwned(world: HopWorld): IDisposable {
+  return { dispose: () => world.dispose() };
+}
+
+function listNotes(meanServiceMs: number): readonly string[] {
+  return [
+    `One service of 24 targets with 16 slots; service time of ${meanServiceMs} ms in the mean, log-normal, sigma 0.5.`,
+    'Each rate runs its paths one after another in the same run; added is against the straight one.',
+    'Latency is from sending to the last byte, as the caller on the same machine sees it.',
+    'Processor time is of the whole process, control and garbage collection included.',
+    'A booking is claimed in the table before it is dispatched, and its outcome recorded after.',
+  ];
+}
+
+async function measureRates(
+  world: HopWorld,
+  options: IBenchOptions,
+): Promise<readonly IBenchTable[]> {
+  const seconds = parseNumbers(options, 'seconds', [DEFAULT_SECONDS])[0] ?? DEFAULT_SECONDS;
+  const tables: IBenchTable[] = [];
+  for (const path of listPaths(world)) {
+    await runStream(makeStream(path, 200, WARM_UP_MS, options.seed));
+  }
+  for (const perSecond of parseNumbers(options, 'rates', RATES)) {
+    options.log(`hop: ${perSecond} requests/s`);
+    tables.push(await measureRate(world, perSecond, seconds * 1000, options.seed));
+  }
+  return tables;
+}
+
+function listPaths(world: HopWorld): readonly IPath[] {
+  const home = world.home.addresses.caller;
+  const other = world.other.addresses.caller;
+  const targets = world.targets.map(({ address }) => address);
+  return [
+    { name: 'straight', addresses: targets, isBooking: false },
+    { name: 'entry is home', addresses: [home], isBooking: false },
+    { name: 'entry to home', addresses: [other], isBooking: false },
+    { name: 'booking, entry to home', addresses: [other], isBooking: true },
+  ];
+}
+
+function makeStream(
+  path: IPath,
+  perSecond: number,
+  durationMs: number,
+  seed: number,
+): IStreamOptions {
+  const host = path.isBooking ? BOOK_HOST : READ_HOST;
+  const { addresses, isBooking } = path;
+  return { addresses, host, isBooking, perSecond, durationMs, seed };
+}
+
+async function measureRate(
+  world: HopWorld,
+  perSecond: number,
+  durationMs: number,
+  seed: number,
+): Promise<IBenchTable> {
+  const rows: (readonly Cell[])[] = [];
+  let straight: IStreamFigures | undefined;
+  for (const path of listPaths(world)) {
+    const before = await readUsage(world);
+    const figures = await runStream(makeStream(path, perSecond, durationMs, seed));
+    const after = await readUsage(world);
+    straight ??= figures;
+    rows.push(formatRow(path.name, figures, straight, before, after));
+  }
+  return {
+    title: `${perSecond} requests/s`,
+    columns: [
+      'path',
+      'answered',
+      'failed',
+      'p50 ms',
+      'p99 ms',
+      'added p50 ms',
+      'added p99 ms',
+      'other node CPU ms/request',
+      'home CPU ms/request',
+      'home RSS MB',
+    ],
+    rows,
+  };
+}
+
+interface IUsage {
+  readonly homeCpuMs: number;
+  readonly otherCpuMs: number;
+  readonly homeMemoryBytes: number;
+}
+
+async function readUsage(world: HopWorld): Promise<IUsage> {
+  const home = await readMetrics(world.home);
+  const other = await readMetrics(world.other);
+  return {
+    homeCpuMs: parseMetric(home, CPU_PATTERN) * 1000,
+    otherCpuMs: parseMetric(other, CPU_PATTERN) * 1000,
+    homeMemoryBytes: parseMetric(home, MEMORY_PATTERN),
+  };
+}
+
+async function readMetrics(node: NodeProcess): Promise<string> {
+  return (await node.fetchMetrics()) ?? '';
+}
+
+function parseMetric(page: string, pattern: RegExp): number {
+  return Number(pattern.exec(page)?.[1] ?? NaN);
+}
+
+function formatRow(
+  name: string,
+  figures: IStreamFigures,
+  straight: IStreamFigures,
+  before: IUsage,
+  after: IUsage,
+): readonly Cell[] {
+  const requests = Math.max(1, figures.completed + figures.failed);
+  return [
+    name,
+    figures.completed,
+    figures.failed,
+    formatNumber(figures.p50Ms),
+    formatNumber(figures.p99Ms),
+    formatNumber(figures.p50Ms - straight.p50Ms),
+    formatNumber(figures.p99Ms - straight.p99Ms),
+    formatNumber((after.otherCpuMs - before.otherCpuMs) / requests),
+    formatNumber((after.homeCpuMs - before.homeCpuMs) / requests),
+    formatNumber(after.homeMemoryBytes / BYTES_PER_MB),
+  ];
+}
+
+/** Run by `npm run bench -- hop`. */
+export const bench: Bench = new HopBench();
--- a/packages/lab/src/processes/node/nodeProcess.ts
+++ b/packages/lab/src/processes/node/nodeProcess.ts
@@ -20,6 +20,10 @@
   /** Where the settings file goes. */
   readonly directory: string;
   readonly env?: Readonly<Record<string, string>>;
+  /** Replaces single values of the settings' timing section. */
+  readonly timing?: Readonly<Record<string, number>>;
+  /** Options of Node itself, such as a limit on its heap. */
+  readonly nodeOptions?: readonly string[];
 }
 
 /** Where a node listens: IP numbers and ports. */
@@ -71,6 +75,7 @@
     script: Program.Node,
     args: ['serve', path],
     env: options.env ?? {},
+    nodeOptions: options.nodeOptions ?? [],
   });
   const addresses = (await child.waitForReady()) as INodeAddresses;
   return new NodeProcess(options, addresses, child);
@@ -91,6 +96,7 @@
       isolationLimitMs: 5000,
       shutdownLimitMs: 8000,
       shutdownNoticeMs: 600,
+      ...options.timing,
     },
     logging: { json: true },
   };
