Sort the platform stand-in's keys only when a scan asks

Cause: one sorted array of all keys moved every later key on each insert. Ruled out: a tree from a library, for one array that sorts almost-sorted runs quickly.

--- a/packages/standins/src/platform/common/versionedTable.test.ts
+++ b/packages/standins/src/platform/common/versionedTable.test.ts
@@ -55,4 +55,8 @@
   const keys = (rows: readonly { readonly key: string }[]) => rows.map((row) => row.key);
   assert.deepEqual(keys(table.scan({ prefix: 'p/' }, 0)), ['p/1', 'p/2', 'p/3']);
   assert.deepEqual(keys(table.scan({ prefix: 'p/', after: 'p/1', limit: 1 }, 0)), ['p/2']);
+  table.transact(put('p/0', 'late'), 0);
+  table.transact(put('p', 'without slash'), 0);
+  assert.deepEqual(keys(table.scan({ prefix: 'p/', limit: 2 }, 0)), ['p/0', 'p/1']);
+  assert.deepEqual(keys(table.scan({ prefix: 'p', after: 'o/9', limit: 2 }, 0)), ['p', 'p/0']);
 });
--- a/packages/standins/src/platform/common/versionedTable.ts
+++ b/packages/standins/src/platform/common/versionedTable.ts
@@ -12,6 +12,7 @@
   ITableTransaction,
   ITransactionResult,
 } from '@parsleymux/platform';
+import { KeyIndex } from './keyIndex.js';
 
 const MAX_SCAN_ROWS = 1000;
 const DEFAULT_HISTORY_MS = 60_000;
@@ -40,8 +41,8 @@
 export class VersionedTable {
   private readonly historyMs: number;
   private readonly states = new Map<string, IRowState[]>();
-  /** Every key that ever had a row, sorted, so that a scan touches only its prefix. */
-  private readonly sortedKeys: string[] = [];
+  /** Every key that ever had a row. */
+  private readonly index = new KeyIndex();
 
   constructor(options: IVersionedTableOptions = {}) {
     this.historyMs = options.historyMs ?? DEFAULT_HISTORY_MS;
@@ -55,13 +56,11 @@
   /** Rows with a prefix as of `instantMs`. */
   scan(options: IScanOptions, instantMs: number): readonly ITableRow[] {
     const limit = Math.min(options.limit ?? MAX_SCAN_ROWS, MAX_SCAN_ROWS);
-    const after = options.after ?? '';
     const rows: ITableRow[] = [];
-    for (let index = this.findIndex(options.prefix); rows.length < limit; index += 1) {
-      const key = this.sortedKeys[index];
-      if (key?.startsWith(options.prefix) !== true) break;
-      const row = key > after ? this.getRow(key, instantMs) : undefined;
+    for (const key of this.index.list(options.prefix, options.after ?? '')) {
+      const row = this.getRow(key, instantMs);
       if (row !== undefined) rows.push(row);
+      if (rows.length >= limit) break;
     }
     return rows;
   }
@@ -99,19 +98,7 @@
   private addKey(key: string): IRowState[] {
     const states: IRowState[] = [];
     this.states.set(key, states);
-    this.sortedKeys.splice(this.findIndex(key), 0, key);
+    this.index.add(key);
     return states;
   }
-
-  /** Index of the first key that is not before `key`. */
-  private findIndex(key: string): number {
-    let low = 0;
-    let high = this.sortedKeys.length;
-    while (low < high) {
-      const middle = (low + high) >> 1;
-      if ((this.sortedKeys[middle] ?? '') < key) low = middle + 1;
-      else high = middle;
-    }
-    return low;
-  }
 }
--- a/packages/standins/src/target/node/exchange.ts
+++ b/packages/standins/src/target/node/exchange.ts
@@ -20,6 +20,7 @@
   readonly key: string;
   readonly requestId: string;
   readonly signal: AbortSignal;
+  readonly socket: Socket;
   private readonly abort = new AbortController();
   private readonly timer: NodeJS.Timeout | undefined;
   private receivedBody: Buffer = NO_BYTES;
@@ -42,8 +43,6 @@
     });
   }
 
-  readonly socket: Socket;
-
   get body(): Buffer {
     return this.receivedBody;
   }
