Send requests to targets over undici, whole answers only

Connections are kept by member and target, carry one request at a time, and are dropped after a timeout, a cancel or anything but a whole answer. A client is bound to one socket and may not reconnect, so the library cannot send a request a second time. mayHaveRun is decided from the bytes handed to the socket, after the socket is closed.

An answer without content-length or chunked framing is refused: it looks whole wherever it is cut. Each attempt carries an identifier; a target that echoes it is protected against answers that were mixed up between connections.

undici refuses a 304 that has a content-length; such an answer is taken as whole with its head.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -10,3 +10,5 @@
 export * from './ledger/common/tableEjectionLedger.js';
 export * from './request/common/request.js';
 export * from './transport/common/targetTransport.js';
+export * from './transport/common/hopHeaders.js';
+export * from './transport/node/httpTargetTransport.js';
--- /dev/null
+++ b/packages/routing/src/transport/node/attemptSignal.ts
@@ -0,0 +1,70 @@
+/** Ends an attempt when its time is up or its caller gave up, whichever comes first. */
+import type { Clock, IDisposable } from '@parsleymux/base';
+import { TransportFailure } from '../common/targetTransport.js';
+
+/** Options of an {@link AttemptSignal}. */
+export interface IAttemptSignalOptions {
+  readonly clock: Clock;
+  readonly callerSignal: AbortSignal;
+  readonly timeoutMs: number;
+}
+
+/**
+ * One signal for both reasons.
+ *
+ * @example
+ * const attempt = new AttemptSignal({ clock, callerSignal, timeoutMs: 500 });
+ * attempt.signal.addEventListener('abort', () => console.log(attempt.failure));
+ */
+export class AttemptSignal implements IDisposable {
+  private readonly controller = new AbortController();
+  private readonly callerSignal: AbortSignal;
+  private readonly clock: Clock;
+  private readonly dueMs: number;
+  private timer: IDisposable | undefined;
+  private reason: TransportFailure = TransportFailure.Timeout;
+
+  constructor(options: IAttemptSignalOptions) {
+    this.clock = options.clock;
+    this.callerSignal = options.callerSignal;
+    this.dueMs = options.clock.getMonotonicTime() + options.timeoutMs;
+    this.setTimeLimit(options.timeoutMs);
+    if (this.callerSignal.aborted) this.cancel();
+    else this.callerSignal.addEventListener('abort', this.cancel, { once: true });
+  }
+
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  /** Why the signal aborted. */
+  get failure(): TransportFailure {
+    return this.reason;
+  }
+
+  /** Time that is left, in ms; never less than 1, for a target can't be told less. */
+  get remainingMs(): number {
+    return Math.max(1, Math.ceil(this.dueMs - this.clock.getMonotonicTime()));
+  }
+
+  /** Replaces the time limit by one that starts now; undefined: none for the present. */
+  setTimeLimit(limitMs: number | undefined): void {
+    void this.timer?.dispose();
+    this.timer =
+      limitMs === undefined
+        ? undefined
+        : this.clock.startTimer(limitMs, () => {
+            this.controller.abort();
+          });
+  }
+
+  dispose(): void {
+    void this.timer?.dispose();
+    this.callerSignal.removeEventListener('abort', this.cancel);
+  }
+
+  private readonly cancel = (): void => {
+    this.reason = TransportFailure.Cancelled;
+    this.controller.abort();
+  };
+}
--- /dev/null
+++ b/packages/routing/src/transport/node/connectionPool.ts
@@ -0,0 +1,123 @@
+/** The connections from this node to one target of one member. */
+import type { IDisposable } from '@parsleymux/base';
+import VError from 'verror';
+import { TransportError, TransportFailure } from '../common/targetTransport.js';
+import type { TargetConnection } from './targetConnection.js';
+import { openConnection } from './targetConnection.js';
+
+/** Options of a {@link ConnectionPool}. */
+export interface IConnectionPoolOptions {
+  readonly target: string;
+  /** Connections that this node may hold now; asked for each time one is to be opened. */
+  readonly getLimit: () => number;
+  /** Called when a connection was opened. */
+  readonly onDidOpen?: () => void;
+}
+
+/** How a connection is wanted. */
+export interface ITakeOptions {
+  /** One that no request used before. */
+  readonly fresh: boolean;
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Hands out connections, each to one exchange at a time.
+ *
+ * @example
+ * const connection = await pool.take({ fresh: false, signal });
+ */
+export class ConnectionPool implements IDisposable {
+  private readonly options: IConnectionPoolOptions;
+  /** Most recently used last, so that what is idle longest ages out. */
+  private idle: TargetConnection[] = [];
+  private readonly open = new Set<TargetConnection>();
+  private opening = 0;
+  private generation = 0;
+
+  constructor(options: IConnectionPoolOptions) {
+    this.options = options;
+  }
+
+  /** Connections that are open or being opened. */
+  get size(): number {
+    return this.open.size + this.opening;
+  }
+
+  /** Connections that wait for a request. */
+  get idleCount(): number {
+    return this.idle.length;
+  }
+
+  /** Takes an idle connection or opens one. Rejects with a TransportError; nothing was sent. */
+  async take(options: ITakeOptions): Promise<TargetConnection> {
+    const reused = options.fresh ? undefined : this.takeIdle();
+    if (reused !== undefined) return reused;
+    if (this.size >= this.options.getLimit() && !this.closeOldestIdle()) {
+      throw makeError(TransportFailure.NoConnection);
+    }
+    this.opening += 1;
+    try {
+      const { target } = this.options;
+      const { generation } = this;
+      const connection = await openConnection({ target, generation, signal: options.signal });
+      this.track(connection);
+      return connection;
+    } catch (cause) {
+      throw makeError(TransportFailure.Connect, cause);
+    } finally {
+      this.opening -= 1;
+    }
+  }
+
+  /** Takes back a connection whose answer was whole; one that was retired meanwhile is closed. */
+  release(connection: TargetConnection): void {
+    if (!connection.isOpen) return;
+    if (connection.generation < this.generation) connection.dispose();
+    else this.idle.push(connection);
+  }
+
+  /** Lets no further request use what was opened until now. */
+  retire(): void {
+    this.generation += 1;
+    const retired = this.idle;
+    this.idle = [];
+    for (const connection of retired) connection.dispose();
+  }
+
+  dispose(): void {
+    this.generation += 1;
+    this.idle = [];
+    for (const connection of this.open) connection.dispose();
+  }
+
+  private track(connection: TargetConnection): void {
+    this.open.add(connection);
+    this.options.onDidOpen?.();
+    connection.onDidClose(() => {
+      this.open.delete(connection);
+      this.idle = this.idle.filter((candidate) => candidate !== connection);
+    });
+  }
+
+  private takeIdle(): TargetConnection | undefined {
+    for (;;) {
+      const connection = this.idle.pop();
+      if (connection === undefined || connection.isOpen) return connection;
+    }
+  }
+
+  private closeOldestIdle(): boolean {
+    const oldest = this.idle.shift();
+    if (oldest === undefined) return false;
+    this.open.delete(oldest);
+    oldest.dispose();
+    return true;
+  }
+}
+
+function makeError(failure: TransportFailure, cause?: unknown): TransportError {
+  const mayHaveRun = false;
+  const reason = cause ?? new VError('the limit of connections is reached');
+  return new TransportError({ failure, mayHaveRun, reusedConnection: false, cause: reason });
+}
--- /dev/null
+++ b/packages/routing/src/transport/node/exchange.ts
@@ -0,0 +1,262 @@
+/** One request on one connection, and the reading of its answer. */
+import type { Clock, InvariantRegistry } from '@parsleymux/base';
+import { InvariantName } from '@parsleymux/base';
+import type { Dispatcher } from 'undici';
+import { errors } from 'undici';
+import VError from 'verror';
+import type { AnswerBody, Header } from '../../request/common/request.js';
+import { MuxHeader, findHeader, removeHopByHopHeaders } from '../common/hopHeaders.js';
+import type { ITargetAnswer } from '../common/targetTransport.js';
+import { TransportError, TransportFailure } from '../common/targetTransport.js';
+import { AnswerStream } from './answerStream.js';
+import type { AttemptSignal } from './attemptSignal.js';
+import type { TargetConnection } from './targetConnection.js';
+
+const FIRST_FINAL_STATUS = 200;
+const NOT_RUN = 'not-run';
+/** Statuses whose answers have no body, whatever their headers say. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** Options of an {@link Exchange}. */
+export interface IExchangeOptions {
+  readonly connection: TargetConnection;
+  readonly request: Dispatcher.DispatchOptions;
+  readonly attemptId: string;
+  readonly attempt: AttemptSignal;
+  readonly clock: Clock;
+  readonly invariants: InvariantRegistry;
+  readonly maxAnswerBytes: number;
+  readonly streamLarge: boolean;
+  /** How long a streamed answer may bring nothing while its reader waits, in ms. */
+  readonly streamIdleMs: number;
+  /** Called when the answer is whole, so that the connection may be used again. */
+  readonly onWhole: () => void;
+  /** Called once when the exchange has ended, well or not. */
+  readonly onEnd: () => void;
+}
+
+interface IAnswerHead {
+  readonly status: number;
+  readonly headers: readonly Header[];
+  readonly contentLength: number | undefined;
+  readonly latencyMs: number;
+}
+
+interface IAnswerWaiter {
+  readonly resolve: (answer: ITargetAnswer) => void;
+  readonly reject: (error: TransportError) => void;
+}
+
+/**
+ * Reads an answer until it is whole. Whatever else happens, the connection is dropped: what is
+ * still on its way would otherwise be taken for the answer to the next request.
+ */
+export class Exchange implements Dispatcher.DispatchHandler {
+  private readonly options: IExchangeOptions;
+  private readonly startMs: number;
+  private readonly startBytes: number;
+  private waiter: IAnswerWaiter | undefined;
+  private head: IAnswerHead | undefined;
+  private held: Uint8Array[] = [];
+  private receivedBytes = 0;
+  private stream: AnswerStream | undefined;
+  private isEnded = false;
+
+  constructor(options: IExchangeOptions) {
+    this.options = options;
+    this.startMs = options.clock.getMonotonicTime();
+    this.startBytes = options.connection.bytesWritten;
+  }
+
+  /** Sends the request. Rejects with a TransportError unless an answer of any status came whole. */
+  run(): Promise<ITargetAnswer> {
+    const { attempt, connection, request } = this.options;
+    return new Promise((resolve, reject) => {
+      this.waiter = { resolve, reject };
+      attempt.signal.addEventListener('abort', this.onAbort, { once: true });
+      try {
+        connection.dispatch(request, this);
+      } catch (error) {
+        this.end(TransportFailure.Broken, error);
+      }
+    });
+  }
+
+  onRequestStart(): void {
+    // Its presence tells undici that this handler has the current form.
+  }
+
+  onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+    if (this.isEnded || status < FIRST_FINAL_STATUS) return;
+    const headers = toHeaders(controller.rawHeaders);
+    const latencyMs = this.options.clock.getMonotonicTime() - this.startMs;
+    this.head = {
+      status,
+      headers,
+      contentLength: this.parseContentLength(status, headers),
+      latencyMs,
+    };
+    const fault = this.findHeadFault(this.head);
+    if (fault !== undefined) {
+      this.end(fault.failure, new VError(fault.reason));
+      return;
+    }
+    const isLarge = (this.head.contentLength ?? 0) > this.options.maxAnswerBytes;
+    if (isLarge) this.startStream(controller);
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.isEnded) return;
+    this.receivedBytes += chunk.byteLength;
+    if (this.stream === undefined) this.held.push(chunk);
+    else if (!this.stream.push(chunk)) controller.pause();
+    const isLarge = this.stream === undefined && this.receivedBytes > this.options.maxAnswerBytes;
+    if (isLarge) this.startStream(controller);
+  }
+
+  onResponseEnd(): void {
+    if (this.isEnded || this.head === undefined) return;
+    const { contentLength } = this.head;
+    const isWhole = this.options.invariants.check(
+      InvariantName.WholeAnswer,
+      contentLength === undefined || contentLength === this.receivedBytes,
+      () => `answer of ${this.receivedBytes} bytes, content-length ${contentLength ?? -1}`,
+    );
+    if (!isWhole) {
+      this.end(TransportFailure.Truncated);
+      return;
+    }
+    this.finish();
+    this.options.onWhole();
+    if (this.stream === undefined)
+      this.waiter?.resolve(this.makeAnswer(this.head, Buffer.concat(this.held)));
+    else this.stream.end();
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    // The library expects the body that a 304's content-length speaks of; there is never one.
+    const isWhole = this.head !== undefined && BODILESS_STATUSES.has(this.head.status);
+    if (isWhole) {
+      this.onResponseEnd();
+      return;
+    }
+    const isCutShort = this.head !== undefined || isFramingError(error);
+    this.end(isCutShort ? TransportFailure.Truncated : TransportFailure.Broken, error);
+  }
+
+  private readonly onAbort = (): void => {
+    this.end(this.options.attempt.failure);
+  };
+
+  /** The exchange failed: drops the connection and tells whoever waits. */
+  private end(failure: TransportFailure, cause?: unknown): void {
+    if (this.isEnded) return;
+    this.finish();
+    const { connection } = this.options;
+    // Closed first, so that nothing can be written any more when mayHaveRun is decided.
+    connection.dispose();
+    const error = new TransportError({
+      failure,
+      mayHaveRun: connection.bytesWritten > this.startBytes,
+      reusedConnection: connection.isReused,
+      cause,
+    });
+    this.held = [];
+    if (this.stream === undefined) this.waiter?.reject(error);
+    else this.stream.close(error);
+  }
+
+  private finish(): void {
+    this.isEnded = true;
+    this.options.attempt.signal.removeEventListener('abort', this.onAbort);
+    this.options.onEnd();
+  }
+
+  private startStream(controller: Dispatcher.DispatchController): void {
+    const { attempt, streamIdleMs, streamLarge } = this.options;
+    if (this.head === undefined) return;
+    if (!streamLarge) {
+      this.end(TransportFailure.TooLarge);
+      return;
+    }
+    this.stream = new AnswerStream({
+      resumeSource: () => {
+        controller.resume();
+      },
+      onWaiting: (isWaiting) => {
+        if (!this.isEnded) attempt.setTimeLimit(isWaiting ? streamIdleMs : undefined);
+      },
+      onAbandoned: () => {
+        this.end(TransportFailure.Cancelled);
+      },
+    });
+    attempt.setTimeLimit(undefined);
+    const isFull = this.held.map((chunk) => this.stream?.push(chunk)).includes(false);
+    this.held = [];
+    if (isFull) controller.pause();
+    this.waiter?.resolve(this.makeAnswer(this.head, this.stream));
+  }
+
+  private makeAnswer(head: IAnswerHead, body: AnswerBody): ITargetAnswer {
+    const { status, headers, latencyMs } = head;
+    return {
+      status,
+      headers: removeHopByHopHeaders(headers),
+      body,
+      notRun: findHeader(headers, MuxHeader.RunState) === NOT_RUN,
+      draining: findHeader(headers, MuxHeader.Draining) === 'true',
+      latencyMs,
+    };
+  }
+
+  /** Bytes that the body must have; undefined when the framing alone tells. */
+  private parseContentLength(status: number, headers: readonly Header[]): number | undefined {
+    if (this.isBodiless(status)) return undefined;
+    const text = findHeader(headers, 'content-length');
+    return text === undefined ? undefined : Number(text);
+  }
+
+  private isBodiless(status: number): boolean {
+    return this.options.request.method === 'HEAD' || BODILESS_STATUSES.has(status);
+  }
+
+  private findHeadFault(
+    head: IAnswerHead,
+  ): { readonly failure: TransportFailure; readonly reason: string } | undefined {
+    const echoed = findHeader(head.headers, MuxHeader.AttemptId);
+    if (echoed !== undefined && echoed !== this.options.attemptId) {
+      return { failure: TransportFailure.Broken, reason: 'answer belongs to another attempt' };
+    }
+    const isFramed =
+      this.isBodiless(head.status) ||
+      head.contentLength !== undefined ||
+      findHeader(head.headers, 'transfer-encoding') !== undefined;
+    // A body that ends where the connection ends looks whole wherever it is cut.
+    if (isFramed) return undefined;
+    return { failure: TransportFailure.Truncated, reason: 'answer has no framing of its own' };
+  }
+}
+
+function isFramingError(error: Error): boolean {
+  return (
+    error instanceof errors.HTTPParserError ||
+    error instanceof errors.ResponseContentLengthMismatchError ||
+    error instanceof errors.HeadersOverflowError
+  );
+}
+
+function toHeaders(raw: Dispatcher.DispatchController['rawHeaders']): readonly Header[] {
+  if (!Array.isArray(raw)) return [];
+  const headers: Header[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = toText(raw[index]).toLowerCase();
+    headers.push([name, toText(raw[index + 1])]);
+  }
+  return headers;
+}
+
+/** Header bytes are passed on as they came; latin1 keeps each byte. */
+function toText(value: Buffer | string | undefined): string {
+  if (value === undefined) return '';
+  return typeof value === 'string' ? value : value.toString('latin1');
+}
--- /dev/null
+++ b/packages/routing/src/transport/node/httpTargetTransport.ts
@@ -0,0 +1,201 @@
+/** Sends requests to targets over HTTP/1.1, by undici. */
+import { randomBytes } from 'node:crypto';
+import type { Clock, IDisposable } from '@parsleymux/base';
+import { InvariantRegistry, SystemClock } from '@parsleymux/base';
+import type { Dispatcher } from 'undici';
+import type { Registry } from 'prom-client';
+import { MuxHeader, removeHopByHopHeaders } from '../common/hopHeaders.js';
+import type {
+  ISendOptions,
+  ITargetAnswer,
+  ITargetRequest,
+  TransportFailure,
+} from '../common/targetTransport.js';
+import { TargetTransport, TransportError } from '../common/targetTransport.js';
+import { AttemptSignal } from './attemptSignal.js';
+import { ConnectionPool } from './connectionPool.js';
+import { Exchange } from './exchange.js';
+import type { TargetConnection } from './targetConnection.js';
+import { TransportMetrics } from './transportMetrics.js';
+
+const DEFAULT_CONNECTION_LIMIT = 64;
+const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
+const DEFAULT_STREAM_IDLE_MS = 30_000;
+const ATTEMPT_PREFIX_BYTES = 8;
+
+/** Options of an {@link HttpTargetTransport}. */
+export interface IHttpTargetTransportOptions {
+  /** Default: the machine's. */
+  readonly clock?: Clock;
+  readonly invariants?: InvariantRegistry;
+  /** Where the transport's metrics are registered. Default: nowhere. */
+  readonly registry?: Registry;
+  /** Connections that this node may hold to a target: its share of the target's limit. Default 64. */
+  readonly getConnectionLimit?: (member: string, target: string) => number;
+  /** Longest wait for a connection, in ms. Default 1000. */
+  readonly connectTimeoutMs?: number;
+  /** How long a streamed answer may bring nothing while its reader waits, in ms. Default 30000. */
+  readonly streamIdleMs?: number;
+}
+
+/**
+ * Keeps connections by member and target, and never sends a request twice by itself.
+ *
+ * @example
+ * const transport = new HttpTargetTransport({ getConnectionLimit: () => 100 });
+ * const answer = await transport.send(request, { signal, maxAnswerBytes: 1_048_576 });
+ */
+export class HttpTargetTransport extends TargetTransport implements IDisposable {
+  private readonly clock: Clock;
+  private readonly invariants: InvariantRegistry;
+  private readonly options: IHttpTargetTransportOptions;
+  private readonly metrics: TransportMetrics;
+  /** By member, then target, so that no name can be confused with another. */
+  private readonly pools = new Map<string, Map<string, ConnectionPool>>();
+  private readonly attemptPrefix = randomBytes(ATTEMPT_PREFIX_BYTES).toString('hex');
+  private attempts = 0;
+
+  constructor(options: IHttpTargetTransportOptions = {}) {
+    super();
+    this.options = options;
+    this.clock = options.clock ?? new SystemClock();
+    this.invariants = options.invariants ?? new InvariantRegistry();
+    this.metrics = new TransportMetrics(options.registry, () => this.listPools());
+  }
+
+  override async send(request: ITargetRequest, options: ISendOptions): Promise<ITargetAnswer> {
+    const { clock } = this;
+    const { timeoutMs } = request;
+    const attempt = new AttemptSignal({ clock, callerSignal: options.signal, timeoutMs });
+    try {
+      const answer = await this.runAttempt(request, options, attempt);
+      this.metrics.recordExchange('answered');
+      return answer;
+    } catch (error) {
+      attempt.dispose();
+      if (error instanceof TransportError) this.metrics.recordExchange(error.failure);
+      throw error;
+    }
+  }
+
+  override retireConnections(member: string, target: string): void {
+    this.metrics.recordRetirement();
+    this.pools.get(member)?.get(target)?.retire();
+  }
+
+  override getConnectionCount(member: string, target: string): number {
+    return this.pools.get(member)?.get(target)?.size ?? 0;
+  }
+
+  dispose(): void {
+    for (const { pool } of this.listPools()) pool.dispose();
+    this.pools.clear();
+  }
+
+  private async runAttempt(
+    request: ITargetRequest,
+    options: ISendOptions,
+    attempt: AttemptSignal,
+  ): Promise<ITargetAnswer> {
+    const pool = this.getPool(request.member, request.target);
+    const connection = await this.takeConnection(pool, options, attempt);
+    const attemptId = `${this.attemptPrefix}-${this.attempts++}`;
+    const exchange = new Exchange({
+      connection,
+      request: makeDispatchOptions(request, attemptId, attempt.remainingMs),
+      attemptId,
+      attempt,
+      clock: this.clock,
+      invariants: this.invariants,
+      maxAnswerBytes: options.maxAnswerBytes,
+      streamLarge: options.streamLarge ?? false,
+      streamIdleMs: this.options.streamIdleMs ?? DEFAULT_STREAM_IDLE_MS,
+      onWhole: () => {
+        pool.release(connection);
+      },
+      onEnd: () => {
+        attempt.dispose();
+      },
+    });
+    options.onDispatch?.();
+    return exchange.run();
+  }
+
+  private async takeConnection(
+    pool: ConnectionPool,
+    options: ISendOptions,
+    attempt: AttemptSignal,
+  ): Promise<TargetConnection> {
+    const connectAbort = new AbortController();
+    const limitMs = this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
+    const timer = this.clock.startTimer(limitMs, () => {
+      connectAbort.abort();
+    });
+    const signal = AbortSignal.any([attempt.signal, connectAbort.signal]);
+    try {
+      const connection = await pool.take({ fresh: options.freshConnection ?? false, signal });
+      if (!attempt.signal.aborted) return connection;
+      pool.release(connection);
+      throw makeUnsentError(attempt.failure);
+    } catch (error) {
+      if (attempt.signal.aborted) throw makeUnsentError(attempt.failure, error);
+      throw error;
+    } finally {
+      void timer.dispose();
+    }
+  }
+
+  private getPool(member: string, target: string): ConnectionPool {
+    let pools = this.pools.get(member);
+    if (pools === undefined) {
+      pools = new Map();
+      this.pools.set(member, pools);
+    }
+    let pool = pools.get(target);
+    if (pool === undefined) {
+      pool = new ConnectionPool({
+        target,
+        getLimit: () => this.getLimit(member, target),
+        onDidOpen: () => {
+          this.metrics.recordOpened();
+        },
+      });
+      pools.set(target, pool);
+    }
+    return pool;
+  }
+
+  private getLimit(member: string, target: string): number {
+    return this.options.getConnectionLimit?.(member, target) ?? DEFAULT_CONNECTION_LIMIT;
+  }
+
+  private listPools() {
+    return [...this.pools].flatMap(([member, pools]) => {
+      return [...pools].map(([target, pool]) => ({ member, target, pool }));
+    });
+  }
+}
+
+function makeUnsentError(failure: TransportFailure, cause?: unknown): TransportError {
+  return new TransportError({ failure, mayHaveRun: false, reusedConnection: false, cause });
+}
+
+function makeDispatchOptions(
+  request: ITargetRequest,
+  attemptId: string,
+  remainingMs: number,
+): Dispatcher.DispatchOptions {
+  const own: ReadonlySet<string> = new Set([MuxHeader.TimeoutMs, MuxHeader.AttemptId]);
+  const headers = removeHopByHopHeaders(request.headers)
+    .filter(([name]) => name !== 'content-length' && !own.has(name))
+    .flat();
+  headers.push(MuxHeader.TimeoutMs, String(remainingMs), MuxHeader.AttemptId, attemptId);
+  return {
+    method: request.method,
+    path: request.path,
+    headers,
+    body: request.body.byteLength === 0 ? null : request.body,
+    // Whatever the method says, the library must take nothing for safe to repeat.
+    idempotent: false,
+  };
+}
--- /dev/null
+++ b/packages/routing/src/transport/node/wholeAnswers.test.ts
@@ -0,0 +1,276 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import type { TestContext } from 'node:test';
+import { test } from 'node:test';
+import type { ISendOptions, ITargetAnswer, ITargetRequest } from '../common/targetTransport.js';
+import { TransportError, TransportFailure } from '../common/targetTransport.js';
+import type { IRawRequest } from '../test/rawTarget.js';
+import { RawTarget } from '../test/rawTarget.js';
+import { HttpTargetTransport } from './httpTargetTransport.js';
+
+const MAX_ANSWER_BYTES = 1000;
+const BODY = 'a whole answer';
+
+interface IBench {
+  readonly target: RawTarget;
+  send(request?: Partial<ITargetRequest>, options?: Partial<ISendOptions>): Promise<ITargetAnswer>;
+}
+
+async function openBench(
+  t: TestContext,
+  onRequest: (request: IRawRequest) => void,
+): Promise<IBench> {
+  const target = await RawTarget.listen(onRequest);
+  const transport = new HttpTargetTransport();
+  t.after(async () => {
+    transport.dispose();
+    await target.dispose();
+  });
+  return {
+    target,
+    send: (request, options) =>
+      transport.send(
+        {
+          target: target.address,
+          member: 'm',
+          method: 'GET',
+          path: '/',
+          headers: [],
+          body: Buffer.alloc(0),
+          timeoutMs: 10_000,
+          ...request,
+        },
+        { signal: new AbortController().signal, maxAnswerBytes: MAX_ANSWER_BYTES, ...options },
+      ),
+  };
+}
+
+async function readText(body: ITargetAnswer['body']): Promise<string> {
+  if (body instanceof Uint8Array) return Buffer.from(body).toString();
+  let text = '';
+  for await (const chunk of body) text += Buffer.from(chunk).toString();
+  return text;
+}
+
+function writeLength(text: string, connection: string): string {
+  return `HTTP/1.1 200 OK\r\nconnection: ${connection}\r\ncontent-length: ${text.length}\r\n\r\n${text}`;
+}
+
+function writeChunked(text: string, connection: string): string {
+  const parts = [text.slice(0, 5), text.slice(5)].map(
+    (part) => `${part.length.toString(16)}\r\n${part}\r\n`,
+  );
+  return `HTTP/1.1 200 OK\r\nconnection: ${connection}\r\ntransfer-encoding: chunked\r\n\r\n${parts.join('')}0\r\n\r\n`;
+}
+
+for (const [framing, write] of [
+  ['content-length', writeLength],
+  ['chunked', writeChunked],
+] as const) {
+  for (const connection of ['keep-alive', 'close']) {
+    for (const end of ['end', 'reset'] as const) {
+      test(`${framing}, connection: ${connection}: cut at any byte by ${end}, no answer looks whole`, async (t) => {
+        // Symptom: a caller gets the first part of a cut list, with status 200 and no error.
+        // Sequence: the target's process ends, or its path breaks, while it writes an answer.
+        // Cause: where the connection's end also ends the answer, half an answer has the same
+        // form as a whole one; some clients finish any answer marked "connection: close" so.
+        const whole = write(BODY, connection);
+        const bench = await openBench(t, ({ socket, index }) => {
+          socket.write(whole.slice(0, index));
+          // The written bytes must arrive ahead of the reset.
+          if (end === 'end') socket.end();
+          else setImmediate(() => socket.resetAndDestroy());
+        });
+        for (let cut = 0; cut < whole.length; cut += 1) {
+          const outcome = await bench.send().catch((error: unknown) => error);
+          assert.ok(outcome instanceof TransportError, `cut at byte ${cut} looked whole`);
+          assert.ok(outcome.mayHaveRun);
+          assert.ok(
+            outcome.failure === TransportFailure.Truncated ||
+              outcome.failure === TransportFailure.Broken,
+          );
+        }
+        assert.equal(bench.target.connections, whole.length);
+      });
+    }
+  }
+  test(`${framing}: streamed answers that are cut throw after what came`, async (t) => {
+    const text = 'x'.repeat(MAX_ANSWER_BYTES * 3);
+    const bench = await openBench(t, ({ socket }) => {
+      socket.write(write(text, 'close').slice(0, -50));
+      socket.end();
+    });
+    const answer = await bench.send({}, { streamLarge: true });
+    await assert.rejects(readText(answer.body), (error: unknown) => {
+      return error instanceof TransportError && error.failure === TransportFailure.Truncated;
+    });
+  });
+
+  test(`${framing}: large answers are streamed whole, or refused`, async (t) => {
+    const text = 'x'.repeat(MAX_ANSWER_BYTES * 300);
+    const bench = await openBench(t, ({ socket }) => socket.write(write(text, 'keep-alive')));
+    const answer = await bench.send({}, { streamLarge: true });
+    assert.equal(await readText(answer.body), text);
+    await assert.rejects(bench.send(), (error: unknown) => {
+      return error instanceof TransportError && error.failure === TransportFailure.TooLarge;
+    });
+    assert.equal((await bench.send({}, { streamLarge: true })).status, 200);
+    assert.equal(bench.target.connections, 2);
+  });
+}
+
+test('an answer without framing of its own is refused', async (t) => {
+  const bench = await openBench(t, ({ socket }) => {
+    socket.end(`HTTP/1.1 200 OK\r\n\r\n${BODY}`);
+  });
+  await assert.rejects(bench.send(), (error: unknown) => {
+    return error instanceof TransportError && error.failure === TransportFailure.Truncated;
+  });
+});
+
+test('answers that have no body need no framing', async (t) => {
+  const bench = await openBench(t, ({ socket, index }) => {
+    const status = ['204 No Content', '304 Not Modified', '200 OK'][index]!;
+    socket.write(
+      `HTTP/1.1 ${status}\r\nconnection: keep-alive\r\n${index === 0 ? '' : 'content-length: 99\r\n'}\r\n`,
+    );
+  });
+  for (const method of ['GET', 'GET', 'HEAD']) {
+    const answer = await bench.send({ method });
+    assert.equal(await readText(answer.body), '');
+  }
+});
+
+for (const [name, extra] of [
+  ['a whole answer', writeLength('stale', 'keep-alive')],
+  ['bytes that are no answer', 'surplus'],
+] as const) {
+  test(`${name} after the body, at once: the next request gets its own answer`, async (t) => {
+    // Symptom: a caller gets the answer to a request that it never sent.
+    // Sequence: the target writes more than its framing says, or answers twice.
+    // Cause: what is left on the connection would be read as the next answer.
+    const bench = await openBench(t, ({ socket, index }) => {
+      socket.write(writeLength(`answer ${index}`, 'keep-alive') + extra);
+    });
+    for (const index of [0, 1, 2]) {
+      assert.equal(await readText((await bench.send()).body), `answer ${index}`);
+    }
+    assert.equal(bench.target.connections, 3);
+  });
+
+  test(`${name} after the body, while idle: the connection is dropped`, async (t) => {
+    const bench = await openBench(t, ({ socket, index }) => {
+      socket.write(writeLength(`answer ${index}`, 'keep-alive'));
+    });
+    await bench.send();
+    const [socket] = bench.target.openSockets;
+    const closed = once(socket!, 'close');
+    socket!.write(extra);
+    await closed;
+    assert.equal(await readText((await bench.send()).body), 'answer 1');
+    assert.equal(bench.target.connections, 2);
+  });
+}
+
+test('an answer that names another attempt is refused', async (t) => {
+  // Symptom: two callers get each other's answers. Sequence: a target that works on several
+  // requests answers them in the wrong order, each on the other's connection.
+  // Cause: only an identifier that the target echoes can show it; framing is intact.
+  const held: IRawRequest[] = [];
+  const bench = await openBench(t, (request) => held.push(request));
+  const sent = [bench.send({ path: '/0' }), bench.send({ path: '/1' })].map((run) => {
+    return run.catch((error: unknown) => error);
+  });
+  await bench.target.waitForRequests(2);
+  const ids = held.map(({ head }) => /parsleymux-attempt-id: (\S+)/.exec(head)![1]!);
+  for (const [index, request] of held.entries()) {
+    const id = ids[1 - index]!;
+    request.socket.write(
+      `HTTP/1.1 200 OK\r\nparsleymux-attempt-id: ${id}\r\ncontent-length: 2\r\n\r\nok`,
+    );
+  }
+  for (const run of sent) {
+    const outcome = await run;
+    assert.ok(outcome instanceof TransportError && outcome.failure === TransportFailure.Broken);
+  }
+});
+
+test('a slow reader slows the target instead of filling the memory', async (t) => {
+  // Symptom: the node's memory grows by the size of every answer that a slow caller reads.
+  // Sequence: the target writes 64 MB; the reader takes the first chunk and then nothing.
+  // Cause: without back-pressure all that arrives is kept for the reader.
+  const totalBytes = 64 * 1024 * 1024;
+  const chunk = Buffer.alloc(256 * 1024, 'x');
+  let accepted = 0;
+  let onStalled: () => void = () => undefined;
+  const stalled = new Promise<void>((resolve) => (onStalled = resolve));
+  const bench = await openBench(t, ({ socket }) => {
+    socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${totalBytes}\r\n\r\n`);
+    const push = () => {
+      while (accepted < totalBytes) {
+        accepted += chunk.length;
+        if (!socket.write(chunk)) {
+          const timer = setTimeout(onStalled, 300);
+          socket.once('drain', () => {
+            clearTimeout(timer);
+            push();
+          });
+          return;
+        }
+      }
+      onStalled();
+    };
+    push();
+  });
+  const answer = await bench.send({}, { streamLarge: true });
+  assert.ok(!(answer.body instanceof Uint8Array));
+  const iterator = answer.body[Symbol.asyncIterator]();
+  await iterator.next();
+  await stalled;
+  // What the two kernels buffer on loopback is a few MB; 64 MB must not have been taken.
+  assert.ok(accepted < totalBytes / 2, `the target could write ${accepted} bytes`);
+  let received = 0;
+  for (;;) {
+    const result = await iterator.next();
+    if (result.done === true) break;
+    received += result.value.byteLength;
+  }
+  assert.ok(received > totalBytes - chunk.length);
+});
+
+test('a reader that gives up early drops the connection', async (t) => {
+  const bench = await openBench(t, ({ socket }) => {
+    socket.write(writeLength('x'.repeat(MAX_ANSWER_BYTES * 5), 'keep-alive').slice(0, -1));
+  });
+  const answer = await bench.send({}, { streamLarge: true });
+  const [socket] = bench.target.openSockets;
+  const closed = once(socket!, 'close');
+  assert.ok(!(answer.body instanceof Uint8Array));
+  for await (const chunk of answer.body) {
+    assert.ok(chunk.byteLength > 0);
+    break;
+  }
+  await closed;
+});
+
+for (const end of ['end', 'reset'] as const) {
+  test(`a source that breaks (${end}) while its reader is slow ends the stream with an error`, async (t) => {
+    // Symptom: the whole process ends with an assertion inside the HTTP client.
+    // Sequence: an answer marked "connection: close" is paused for a slow reader; the target
+    // resets the connection. Cause: the client tries to finish a parser that is paused.
+    const bench = await openBench(t, ({ socket }) => {
+      socket.write(writeChunked('x'.repeat(MAX_ANSWER_BYTES * 500), 'close').slice(0, -20), () => {
+        if (end === 'end') socket.end();
+        else socket.resetAndDestroy();
+      });
+    });
+    const answer = await bench.send({}, { streamLarge: true });
+    const [socket] = bench.target.openSockets;
+    if (socket !== undefined) await Promise.race([once(socket, 'close'), sleepBriefly()]);
+    await assert.rejects(readText(answer.body), TransportError);
+  });
+}
+
+function sleepBriefly(): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, 200));
+}
