Detect failing targets by sequential tests, with the usual rules beside them as baselines

FailureDetector has four forms: health checks only, five errors in a row, success-rate deviation, and cumulative sums of 'fails more than its peers now do' and 'slower than its peers'.

--- /dev/null
+++ b/packages/routing/src/attempt/common/hedgedAttempt.ts
@@ -0,0 +1,48 @@
+/** An attempt that, when overdue, gets a second one beside it; the first good answer wins. */
+import type { Clock } from '@parsleymux/base';
+import type { AttemptOutcome } from './attemptOutcome.js';
+import { isGood } from './attemptOutcome.js';
+
+/** An attempt under way. */
+export interface IRunningAttempt {
+  readonly outcome: Promise<AttemptOutcome>;
+  cancel(): void;
+}
+
+/** Options of {@link runHedged}. */
+export interface IHedgeOptions {
+  readonly clock: Clock;
+  readonly first: IRunningAttempt;
+  /** Time after which the first attempt is overdue, in ms; undefined for never. */
+  readonly stallMs: number | undefined;
+  /** Called when the first attempt is overdue; starts the second, or not. */
+  onStall(): IRunningAttempt | undefined;
+}
+
+/** The first good outcome, or the last one if none is good. */
+export function runHedged(options: IHedgeOptions): Promise<AttemptOutcome> {
+  const { clock, first, stallMs } = options;
+  if (stallMs === undefined) return first.outcome;
+  return new Promise((resolve) => {
+    let running = 1;
+    let second: IRunningAttempt | undefined;
+    const settle = (outcome: AttemptOutcome, other: IRunningAttempt | undefined) => {
+      running -= 1;
+      if (running > 0 && !isGood(outcome)) return;
+      void timer.dispose();
+      if (running > 0) other?.cancel();
+      resolve(outcome);
+    };
+    const timer = clock.startTimer(stallMs, () => {
+      second = options.onStall();
+      if (second === undefined) return;
+      running += 1;
+      void second.outcome.then((outcome) => {
+        settle(outcome, first);
+      });
+    });
+    void first.outcome.then((outcome) => {
+      settle(outcome, second);
+    });
+  });
+}
--- /dev/null
+++ b/packages/routing/src/detection/common/plainDetector.ts
@@ -0,0 +1,27 @@
+/** What the usual rules, kept as baselines, have in common. */
+import type { IDetectorTraits } from './failureDetector.js';
+import { FailureDetector } from './failureDetector.js';
+
+const EJECTION_MS = 30_000;
+
+/** No second opinion, no trials, no watch on what is overdue, no notion of slowness. */
+export const PLAIN_TRAITS: IDetectorTraits = {
+  probeIntervalMs: undefined,
+  asksObserver: false,
+  returnsByTrial: false,
+  watchesStalls: false,
+  ejectionMs: EJECTION_MS,
+};
+
+/** A detector without the finer points. */
+export abstract class PlainDetector extends FailureDetector {
+  override readonly traits: IDetectorTraits = PLAIN_TRAITS;
+
+  override setCold(): void {
+    return;
+  }
+
+  override getSlowLimit(): number | undefined {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/detection/common/sequentialDetector.ts
@@ -0,0 +1,238 @@
+/**
+ * Detection by sequential tests on real outcomes. For each target, cumulative sums weigh "it fails
+ * more than its peers now do, by 5, 30 or 90 points" and "its answers are slower than its peers'"
+ * against "it is like its peers". The peers' rate is a median, so a few bad peers don't hide a bad
+ * target; when most peers fail alike the cause is common and the sums hardly move.
+ */
+import { DetectionPreference } from '@parsleymux/schema';
+import type { IDetectorTraits, IEvidence, ISuspicion } from './failureDetector.js';
+import { Evidence, FailureDetector } from './failureDetector.js';
+import { TargetRecord } from './targetRecord.js';
+
+/** Failure probabilities, above the peers', that are tested side by side. */
+const EXCESS_RATES: readonly number[] = [0.05, 0.3, 0.9];
+const SLOW_BASELINE = 0.1;
+const SLOW_ALTERNATIVE = 0.6;
+const MIN_LATENCY_SAMPLES = 15;
+const MIN_PEERS = 2;
+const MAX_PROBABILITY = 0.98;
+/** A target must fail at least this many times as often as its peers do at this moment. */
+const COMMON_CAUSE_FACTOR = 2;
+/** Peers' rates change slowly against one outcome; reckoning them this often is enough, in ms. */
+const REFERENCE_AGE_MS = 100;
+const OBSERVED_ANSWERS_SHARE = 0.5;
+
+/** What an operator's preference comes to. */
+export interface ISequentialOptions {
+  /** Evidence in nats that is enough to suspect a target. */
+  readonly threshold?: number;
+  /** Failure rate below which peers are not thought to be, however few failures were seen. */
+  readonly baselineRate?: number;
+  /** First ejection time in ms. */
+  readonly ejectionMs?: number;
+}
+
+/** Settings for a member that fears false ejections most. */
+export const CAREFUL_OPTIONS: Required<ISequentialOptions> = {
+  threshold: 16,
+  baselineRate: 0.01,
+  ejectionMs: 10_000,
+};
+
+/** Settings for a member that fears slow detection most. */
+export const FAST_OPTIONS: Required<ISequentialOptions> = {
+  threshold: 11,
+  baselineRate: 0.005,
+  ejectionMs: 10_000,
+};
+
+/** The options that a preference stands for. */
+export function getSequentialOptions(
+  preference: DetectionPreference,
+): Required<ISequentialOptions> {
+  return preference === DetectionPreference.FAST ? FAST_OPTIONS : CAREFUL_OPTIONS;
+}
+
+interface IReference {
+  readonly atMs: number;
+  readonly failureRate: number;
+}
+
+/**
+ * Tests targets against their peers.
+ *
+ * @example
+ * const detector = new SequentialDetector(getSequentialOptions(service.detection));
+ * const suspicion = detector.recordEvidence({ target, route, kind: Evidence.Silence, atMs });
+ */
+export class SequentialDetector extends FailureDetector {
+  override readonly traits: IDetectorTraits;
+  private readonly threshold: number;
+  private readonly baselineRate: number;
+  private readonly records = new Map<string, TargetRecord>();
+  private readonly references = new Map<string, IReference>();
+  private readonly slowLimits = new Map<string, { atMs: number; limitMs: number | undefined }>();
+  private nowMs = 0;
+
+  constructor(options: ISequentialOptions = {}) {
+    super();
+    this.threshold = options.threshold ?? CAREFUL_OPTIONS.threshold;
+    this.baselineRate = options.baselineRate ?? CAREFUL_OPTIONS.baselineRate;
+    this.traits = {
+      probeIntervalMs: undefined,
+      asksObserver: true,
+      returnsByTrial: true,
+      watchesStalls: true,
+      ejectionMs: options.ejectionMs ?? CAREFUL_OPTIONS.ejectionMs,
+    };
+  }
+
+  override setTargets(targets: readonly string[]): void {
+    const configured = new Set(targets);
+    for (const target of this.records.keys()) {
+      if (!configured.has(target)) this.records.delete(target);
+    }
+    for (const target of targets) {
+      if (!this.records.has(target))
+        this.records.set(target, new TargetRecord(EXCESS_RATES.length));
+    }
+  }
+
+  override recordEvidence(evidence: IEvidence): ISuspicion | undefined {
+    const record = this.records.get(evidence.target);
+    if (record === undefined) return undefined;
+    this.nowMs = evidence.atMs;
+    record.isOut = false;
+    this.recordFailureSide(evidence, record);
+    if (evidence.latencyMs !== undefined) this.recordSlowSide(evidence, evidence.latencyMs, record);
+    return this.decide(evidence.target, record);
+  }
+
+  /** Health endpoints answer for targets that fail at their work, so they are no evidence. */
+  override recordProbe(): undefined {
+    return undefined;
+  }
+
+  override reset(target: string): void {
+    const record = this.records.get(target);
+    if (record === undefined) return;
+    record.resetEvidence();
+    record.isOut = true;
+  }
+
+  override setCold(target: string, isCold: boolean): void {
+    const record = this.records.get(target);
+    if (record !== undefined) record.isCold = isCold;
+  }
+
+  override getSlowLimit(route: string, target: string): number | undefined {
+    const key = `${route} ${target}`;
+    const cached = this.slowLimits.get(key);
+    if (cached !== undefined && this.nowMs - cached.atMs < REFERENCE_AGE_MS) return cached.limitMs;
+    const limitMs = this.computeSlowLimit(route, target);
+    this.slowLimits.set(key, { atMs: this.nowMs, limitMs });
+    return limitMs;
+  }
+
+  private recordFailureSide(evidence: IEvidence, record: TargetRecord): void {
+    const isFailure = evidence.kind !== Evidence.Success;
+    if (evidence.kind === Evidence.Failure) record.answeredFailures += 1;
+    if (evidence.kind === Evidence.Silence) record.silences += 1;
+    record.recordOutcome(isFailure);
+    const baseline = this.getReference(evidence.target).failureRate;
+    record.failureSums.forEach((sum, index) => {
+      const excess = EXCESS_RATES[index] ?? 1;
+      const worse = Math.max(baseline + (1 - baseline) * excess, COMMON_CAUSE_FACTOR * baseline);
+      const alternative = Math.min(MAX_PROBABILITY, worse);
+      sum.record(isFailure, Math.min(baseline, alternative), alternative);
+    });
+  }
+
+  private recordSlowSide(evidence: IEvidence, latencyMs: number, record: TargetRecord): void {
+    const limitMs = this.getSlowLimit(evidence.route, evidence.target);
+    record.recordLatency(evidence.route, latencyMs);
+    if (limitMs === undefined || record.isCold) return;
+    const isSlow = latencyMs > limitMs;
+    record.recordSlow(isSlow);
+    record.slowSum.record(isSlow, SLOW_BASELINE, SLOW_ALTERNATIVE);
+  }
+
+  private decide(target: string, record: TargetRecord): ISuspicion | undefined {
+    const failureSum = Math.max(...record.failureSums.map((sum) => sum.value));
+    if (failureSum >= this.threshold) return this.decideFailing(target, record, failureSum);
+    if (record.slowSum.value >= this.threshold) return this.decideSlow(target, record);
+    return undefined;
+  }
+
+  /** Compares once more with what peers do at this very moment, before a suspicion leaves. */
+  private decideFailing(target: string, record: TargetRecord, sum: number): ISuspicion | undefined {
+    const peers = this.listPeers(target);
+    const peerRate = computeMedian(peers.map((peer) => peer.shortRate)) ?? 0;
+    const ownRate = Math.max(record.shortRate, record.longRate);
+    if (peers.length === 0 || ownRate < COMMON_CAUSE_FACTOR * peerRate) {
+      record.resetEvidence();
+      return undefined;
+    }
+    const bad = record.answeredFailures + record.silences;
+    const percent = Math.round(100 * ownRate);
+    return {
+      target,
+      reason: `fails ${percent}% against ${Math.round(100 * peerRate)}% of peers, ${sum.toFixed(1)} nats`,
+      failureShare: ownRate,
+      isPathPossible: record.answeredFailures < OBSERVED_ANSWERS_SHARE * bad,
+    };
+  }
+
+  private decideSlow(target: string, record: TargetRecord): ISuspicion | undefined {
+    const peers = this.listPeers(target).filter((peer) => !peer.isCold);
+    const peerRate = computeMedian(peers.map((peer) => peer.slowRate)) ?? 0;
+    if (record.slowRate < COMMON_CAUSE_FACTOR * peerRate) {
+      record.slowSum.reset();
+      return undefined;
+    }
+    return {
+      target,
+      reason: `${Math.round(100 * record.slowRate)}% of answers slow against ${Math.round(100 * peerRate)}% of peers`,
+      failureShare: record.slowRate,
+      isPathPossible: true,
+    };
+  }
+
+  private getReference(target: string): IReference {
+    const cached = this.references.get(target);
+    if (cached !== undefined && this.nowMs - cached.atMs < REFERENCE_AGE_MS) return cached;
+    const peers = this.listPeers(target);
+    const shortRate = computeMedian(peers.map((peer) => peer.shortRate)) ?? 0;
+    const longRate = computeMedian(peers.map((peer) => peer.longRate)) ?? 0;
+    const failureRate = Math.min(MAX_PROBABILITY, Math.max(this.baselineRate, shortRate, longRate));
+    const reference = { atMs: this.nowMs, failureRate };
+    this.references.set(target, reference);
+    return reference;
+  }
+
+  private computeSlowLimit(route: string, target: string): number | undefined {
+    const latencies: number[] = [];
+    for (const peer of this.listPeers(target)) {
+      const latency = peer.isCold ? undefined : peer.getLatency(route, MIN_LATENCY_SAMPLES);
+      if (latency !== undefined) latencies.push(latency);
+    }
+    return latencies.length < MIN_PEERS ? undefined : computeMedian(latencies);
+  }
+
+  private listPeers(target: string): readonly TargetRecord[] {
+    const peers: TargetRecord[] = [];
+    for (const [address, record] of this.records) {
+      if (address !== target && !record.isOut && record.outcomes > 0) peers.push(record);
+    }
+    return peers;
+  }
+}
+
+function computeMedian(values: readonly number[]): number | undefined {
+  const sorted = [...values].sort((left, right) => left - right);
+  const middle = sorted.length >> 1;
+  const upper = sorted[middle];
+  const lower = sorted[middle - 1];
+  if (upper === undefined) return undefined;
+  return sorted.length % 2 === 1 || lower === undefined ? upper : (lower + upper) / 2;
+}
--- /dev/null
+++ b/packages/routing/src/detection/common/successRateDetector.ts
@@ -0,0 +1,72 @@
+/** Baseline: at each interval, targets whose success rate is far below the mean are ejected. */
+import type { IEvidence, ISuspicion } from './failureDetector.js';
+import { Evidence } from './failureDetector.js';
+import { PlainDetector } from './plainDetector.js';
+
+const INTERVAL_MS = 10_000;
+const MIN_REQUESTS = 100;
+const MIN_TARGETS = 5;
+/** Standard deviations below the mean. */
+const DEVIATIONS = 1.9;
+
+interface ICount {
+  successes: number;
+  total: number;
+}
+
+/** Compares success rates over fixed intervals. */
+export class SuccessRateDetector extends PlainDetector {
+  private counts = new Map<string, ICount>();
+  private intervalEndMs: number | undefined;
+  private limit: number | undefined;
+  private rates = new Map<string, number>();
+
+  override setTargets(targets: readonly string[]): void {
+    for (const target of this.counts.keys()) {
+      if (!targets.includes(target)) this.counts.delete(target);
+    }
+  }
+
+  override recordEvidence(evidence: IEvidence): ISuspicion | undefined {
+    this.intervalEndMs ??= evidence.atMs + INTERVAL_MS;
+    if (evidence.atMs >= this.intervalEndMs) this.closeInterval(evidence.atMs);
+    const count = this.counts.get(evidence.target) ?? { successes: 0, total: 0 };
+    count.total += 1;
+    if (evidence.kind === Evidence.Success) count.successes += 1;
+    this.counts.set(evidence.target, count);
+    return this.findOutlier(evidence.target);
+  }
+
+  /** Health endpoints answer for targets that fail at their work, so they are no evidence. */
+  override recordProbe(): undefined {
+    return undefined;
+  }
+
+  override reset(target: string): void {
+    this.counts.delete(target);
+    this.rates.delete(target);
+  }
+
+  private closeInterval(nowMs: number): void {
+    this.intervalEndMs = nowMs + INTERVAL_MS;
+    const enough = [...this.counts].filter(([, count]) => count.total >= MIN_REQUESTS);
+    this.rates = new Map(
+      enough.map(([target, { successes, total }]) => [target, successes / total]),
+    );
+    this.counts = new Map();
+    this.limit = enough.length < MIN_TARGETS ? undefined : computeLimit([...this.rates.values()]);
+  }
+
+  private findOutlier(target: string): ISuspicion | undefined {
+    const rate = this.rates.get(target);
+    if (rate === undefined || this.limit === undefined || rate >= this.limit) return undefined;
+    const reason = `success rate ${rate.toFixed(3)} below ${this.limit.toFixed(3)}`;
+    return { target, reason, failureShare: 1 - rate, isPathPossible: true };
+  }
+}
+
+function computeLimit(rates: readonly number[]): number {
+  const mean = rates.reduce((sum, rate) => sum + rate, 0) / rates.length;
+  const variance = rates.reduce((sum, rate) => sum + (rate - mean) ** 2, 0) / rates.length;
+  return mean - DEVIATIONS * Math.sqrt(variance);
+}
--- /dev/null
+++ b/packages/routing/src/ejection/common/ejectionSurroundings.ts
@@ -0,0 +1,34 @@
+/** What the ejection controller needs of the home around it. */
+import type { Clock } from '@parsleymux/base';
+import type { FailureDetector } from '../../detection/common/failureDetector.js';
+import type { IObservation } from '../../detection/common/targetObserver.js';
+import type { EjectionDecision } from '../../ledger/common/ejectionLedger.js';
+import type { SlotPool } from '../../home/common/slotPool.js';
+import type { TargetHandle } from '../../target/common/targetHandle.js';
+import type { CopySender } from './copySender.js';
+import type { IRequestSample, SampleKeeper } from './requestSample.js';
+
+/** One service's ledger, observer and targets. */
+export interface IEjectionSurroundings {
+  readonly clock: Clock;
+  readonly pool: SlotPool;
+  readonly detector: FailureDetector;
+  readonly sender: CopySender;
+  readonly samples: SampleKeeper;
+  requestEjection(
+    handle: TargetHandle,
+    otherwiseUnhealthy: readonly string[],
+    signal: AbortSignal,
+  ): Promise<EjectionDecision>;
+  returnTarget(handle: TargetHandle, signal: AbortSignal): Promise<void>;
+  listEjected(): ReadonlySet<string>;
+  observe(
+    handle: TargetHandle,
+    sample: IRequestSample,
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<IObservation | undefined>;
+  notifyStanding(handle: TargetHandle): void;
+  countTrial(isWell: boolean): void;
+  countPathFault(): void;
+}
--- /dev/null
+++ b/packages/routing/src/ejection/common/secondOpinion.ts
@@ -0,0 +1,41 @@
+/**
+ * A target that is silent or slow here may be well, and the path to it broken. An observer over
+ * another path tells the two apart: if the target answers there well and in time, the path is to
+ * blame, and ejecting the target for everyone would waste its slots.
+ */
+import type { IObservation } from '../../detection/common/targetObserver.js';
+import type { TargetHandle } from '../../target/common/targetHandle.js';
+import type { IEjectionSurroundings } from './ejectionSurroundings.js';
+
+/** One answer may be luck when only some requests fail. */
+const OBSERVATIONS = 3;
+const DEFAULT_TIMEOUT_MS = 1000;
+const TIMEOUT_FACTOR = 3;
+/** An observer's own path may add this much to a latency. */
+const PATH_ALLOWANCE_MS = 10;
+
+/** True when every observation went well; false too when no observer could be asked. */
+export async function isPathFault(
+  surroundings: IEjectionSurroundings,
+  handle: TargetHandle,
+  signal: AbortSignal,
+): Promise<boolean> {
+  const sample = surroundings.samples.get();
+  // The health endpoint answers for targets that fail at their work: it can't clear one.
+  if (!sample.isRealWork) return false;
+  const limitMs = surroundings.detector.getSlowLimit(sample.route, handle.address);
+  const timeoutMs = limitMs === undefined ? DEFAULT_TIMEOUT_MS : limitMs * TIMEOUT_FACTOR;
+  const observations = await Promise.all(
+    Array.from({ length: OBSERVATIONS }, () => {
+      return surroundings.observe(handle, sample, timeoutMs, signal);
+    }),
+  );
+  const isFault = observations.every((observation) => isWell(observation, limitMs));
+  if (isFault) surroundings.countPathFault();
+  return isFault;
+}
+
+function isWell(observation: IObservation | undefined, limitMs: number | undefined): boolean {
+  if (observation?.succeeded !== true) return false;
+  return limitMs === undefined || observation.latencyMs <= limitMs + PATH_ALLOWANCE_MS;
+}
--- /dev/null
+++ b/packages/routing/src/ejection/common/trial.ts
@@ -0,0 +1,64 @@
+/** Tries an ejected target with copies of idempotent requests until its fault would have shown. */
+import type { Clock } from '@parsleymux/base';
+import type { FailureDetector } from '../../detection/common/failureDetector.js';
+import type { TargetHandle } from '../../target/common/targetHandle.js';
+import type { CopySender } from './copySender.js';
+import type { SampleKeeper } from './requestSample.js';
+
+const MIN_COPIES = 5;
+const MAX_COPIES = 60;
+/** Chance that a fault of the former strength slips through the trial. */
+const MISS_PROBABILITY = 0.05;
+const COPY_INTERVAL_MS = 50;
+/** A healthy target has one answer in ten above its peers' limit. */
+const MAX_SLOW_SHARE = 0.4;
+const DEFAULT_TIMEOUT_MS = 1000;
+const SLOW_TIMEOUT_FACTOR = 4;
+
+/** Options of {@link runTrial}. */
+export interface ITrialOptions {
+  readonly clock: Clock;
+  readonly sender: CopySender;
+  readonly samples: SampleKeeper;
+  readonly detector: FailureDetector;
+  readonly handle: TargetHandle;
+  /** Share of requests that were bad when the target was suspected. */
+  readonly failureShare: number;
+  readonly signal: AbortSignal;
+}
+
+/** Copies after which a fault that hits `failureShare` of requests would have shown but for 5%. */
+export function countTrialCopies(failureShare: number): number {
+  const share = Math.min(0.99, Math.max(0.01, failureShare));
+  const copies = Math.ceil(Math.log(MISS_PROBABILITY) / Math.log(1 - share));
+  return Math.min(MAX_COPIES, Math.max(MIN_COPIES, copies));
+}
+
+/** True when every copy was answered well, and not too many of them slowly. */
+export async function runTrial(options: ITrialOptions): Promise<boolean> {
+  const copies = countTrialCopies(options.failureShare);
+  let slow = 0;
+  let sent = 0;
+  while (sent < copies) {
+    await options.clock.sleep(COPY_INTERVAL_MS, options.signal);
+    const verdict = await runCopy(options);
+    if (verdict === 'bad') return false;
+    if (verdict !== 'no-slot') sent += 1;
+    if (verdict === 'slow') slow += 1;
+    if (slow > Math.max(2, MAX_SLOW_SHARE * copies)) return false;
+  }
+  return true;
+}
+
+type CopyVerdict = 'good' | 'slow' | 'bad' | 'no-slot';
+
+async function runCopy(options: ITrialOptions): Promise<CopyVerdict> {
+  const { handle, detector, signal } = options;
+  const sample = options.samples.get();
+  const limitMs = detector.getSlowLimit(sample.route, handle.address);
+  const timeoutMs = limitMs === undefined ? DEFAULT_TIMEOUT_MS : limitMs * SLOW_TIMEOUT_FACTOR;
+  const result = await options.sender.send({ handle, sample, timeoutMs, signal });
+  if (result === undefined) return 'no-slot';
+  if (!result.succeeded || result.draining) return 'bad';
+  return limitMs !== undefined && result.latencyMs > limitMs ? 'slow' : 'good';
+}
--- /dev/null
+++ b/packages/routing/src/home/common/evidenceIntake.ts
@@ -0,0 +1,214 @@
+/** Turns what happens to attempts into evidence, and keeps ledger and probes current. */
+import type { IDisposable } from '@parsleymux/base';
+import type { Service } from '@parsleymux/schema';
+import type { AttemptOutcome } from '../../attempt/common/attemptOutcome.js';
+import { isGood } from '../../attempt/common/attemptOutcome.js';
+import type { FailureDetector, IEvidence } from '../../detection/common/failureDetector.js';
+import { Evidence } from '../../detection/common/failureDetector.js';
+import { ConnectionCheck } from '../../ejection/common/connectionCheck.js';
+import { CopySender } from '../../ejection/common/copySender.js';
+import { EjectionController } from '../../ejection/common/ejectionController.js';
+import { SampleKeeper } from '../../ejection/common/requestSample.js';
+import type { IRoutedRequest } from '../../request/common/request.js';
+import { Standing } from '../../target/common/targetHandle.js';
+import type { TargetHandle } from '../../target/common/targetHandle.js';
+import { TransportFailure } from '../../transport/common/targetTransport.js';
+import { buildSurroundings } from './ejectionWiring.js';
+import type { IHomeContext } from './homeOptions.js';
+import type { SlotPool } from './slotPool.js';
+
+/** An attempt this many times over what nine in ten of its peers' answers need is overdue. */
+const STALL_FACTOR = 4;
+const MIN_STALL_MS = 20;
+const DEFAULT_CHECK_TIMEOUT_MS = 1000;
+const LEDGER_INTERVAL_MS = 5000;
+const PROBE_TIMEOUT_MS = 1000;
+
+/** Options of an {@link EvidenceIntake}. */
+export interface IEvidenceIntakeOptions {
+  readonly context: IHomeContext;
+  readonly member: string;
+  readonly service: Service;
+  readonly pool: SlotPool;
+  getService(): Service;
+}
+
+/** The evidence side of one service's home. */
+export class EvidenceIntake implements IDisposable {
+  readonly detector: FailureDetector;
+  readonly controller: EjectionController;
+  private readonly context: IHomeContext;
+  private readonly samples: SampleKeeper;
+  private readonly sender: CopySender;
+  private readonly checks = new Map<string, ConnectionCheck>();
+  private readonly abort = new AbortController();
+
+  constructor(private readonly options: IEvidenceIntakeOptions) {
+    const { context, member, pool } = options;
+    this.context = context;
+    this.detector = context.createDetector(options.service);
+    this.detector.setTargets(options.service.targets.map((target) => target.address));
+    this.samples = new SampleKeeper(context.healthPath);
+    this.sender = new CopySender(context, member, pool);
+    this.controller = new EjectionController(
+      buildSurroundings(options, this.detector, this.sender, this.samples),
+    );
+    void this.watchLedger().catch(() => undefined);
+    const { probeIntervalMs } = this.detector.traits;
+    if (probeIntervalMs !== undefined) void this.probeAll(probeIntervalMs).catch(() => undefined);
+  }
+
+  /** Takes over a new configuration; `added` targets are taken for cold. */
+  update(service: Service, added: readonly TargetHandle[]): void {
+    this.detector.setTargets(service.targets.map((target) => target.address));
+    for (const handle of added) this.controller.handleNew(handle);
+  }
+
+  /** Time after which an attempt is overdue, in ms; undefined while nothing is known. */
+  getStallLimit(request: IRoutedRequest, handle: TargetHandle): number | undefined {
+    const limitMs = this.detector.getSlowLimit(request.route.name, handle.address);
+    return limitMs === undefined ? undefined : Math.max(MIN_STALL_MS, STALL_FACTOR * limitMs);
+  }
+
+  /** An attempt is overdue, and has not ended. True when that was taken as evidence. */
+  recordStall(request: IRoutedRequest, handle: TargetHandle, isFresh: boolean): boolean {
+    if (!this.detector.traits.watchesStalls) return false;
+    void this.getCheck(handle, request).handleSilence(isFresh);
+    return true;
+  }
+
+  /** An attempt has ended. What was already charged as a stall is not charged again. */
+  recordOutcome(
+    request: IRoutedRequest,
+    handle: TargetHandle,
+    outcome: AttemptOutcome,
+    wasStalled: boolean,
+  ): void {
+    if (outcome.kind === 'answered') {
+      if (outcome.answer.draining) this.controller.handleDraining(handle);
+      if (isGood(outcome)) this.samples.record(request);
+    }
+    if (wasStalled) return;
+    if (this.isConnectionSuspect(outcome)) {
+      void this.getCheck(handle, request).handleSilence(false);
+      return;
+    }
+    const evidence = this.toEvidence(request, handle, outcome);
+    if (evidence !== undefined) this.recordEvidence(handle, evidence);
+  }
+
+  dispose(): void {
+    this.abort.abort(new Error('home was closed'));
+    this.controller.dispose();
+  }
+
+  private isConnectionSuspect(outcome: AttemptOutcome): boolean {
+    if (!this.detector.traits.watchesStalls || outcome.kind !== 'failed') return false;
+    const { failure, reusedConnection } = outcome.error;
+    const isSilent = failure === TransportFailure.Timeout || failure === TransportFailure.Broken;
+    return reusedConnection && isSilent;
+  }
+
+  private toEvidence(
+    request: IRoutedRequest,
+    handle: TargetHandle,
+    outcome: AttemptOutcome,
+  ): IEvidence | undefined {
+    const common = {
+      target: handle.address,
+      route: request.route.name,
+      atMs: this.context.clock.getMonotonicTime(),
+    };
+    if (outcome.kind === 'answered') {
+      // Shedding is honest: it lowers the concurrency limit, and says nothing of failing.
+      if (outcome.answer.notRun) return undefined;
+      if (!isGood(outcome)) return { ...common, kind: Evidence.Failure };
+      return { ...common, kind: Evidence.Success, latencyMs: outcome.answer.latencyMs };
+    }
+    const { failure } = outcome.error;
+    const isOurs =
+      failure === TransportFailure.Cancelled ||
+      failure === TransportFailure.TooLarge ||
+      failure === TransportFailure.NoConnection;
+    return isOurs ? undefined : { ...common, kind: Evidence.Silence };
+  }
+
+  private recordEvidence(handle: TargetHandle, evidence: IEvidence): void {
+    // What was under way when the target was ejected says nothing about its return.
+    if (handle.standing === Standing.Ejected || handle.standing === Standing.Trial) return;
+    const suspicion = this.detector.recordEvidence(evidence);
+    if (suspicion !== undefined) this.controller.handleSuspicion(handle, suspicion);
+  }
+
+  private getCheck(handle: TargetHandle, request: IRoutedRequest): ConnectionCheck {
+    const existing = this.checks.get(handle.address);
+    if (existing !== undefined) return existing;
+    const check = this.createCheck(handle, request.route.name);
+    this.checks.set(handle.address, check);
+    return check;
+  }
+
+  private createCheck(handle: TargetHandle, route: string): ConnectionCheck {
+    const { context, member } = this.options;
+    return new ConnectionCheck({
+      clock: context.clock,
+      tryFresh: () => this.tryFresh(handle),
+      retireConnections: () => {
+        context.metrics.connectionsAccused.inc(this.getLabels());
+        context.transport.retireConnections(member, handle.address);
+      },
+      chargeTarget: (silences) => {
+        const atMs = context.clock.getMonotonicTime();
+        for (let index = 0; index < silences; index += 1) {
+          const target = handle.address;
+          this.recordEvidence(handle, { target, route, kind: Evidence.Silence, atMs });
+        }
+      },
+    });
+  }
+
+  private async tryFresh(handle: TargetHandle): Promise<boolean> {
+    const sample = this.samples.get();
+    const limitMs = this.detector.getSlowLimit(sample.route, handle.address);
+    const timeoutMs = limitMs === undefined ? DEFAULT_CHECK_TIMEOUT_MS : limitMs * STALL_FACTOR;
+    const signal = this.abort.signal;
+    const result = await this.sender.send({ handle, sample, timeoutMs, signal });
+    return result?.answered ?? false;
+  }
+
+  private async watchLedger(): Promise<void> {
+    const { context, member } = this.options;
+    for (;;) {
+      const service = this.options.getService().name;
+      try {
+        await context.ledger.readEjected(member, service, this.abort.signal);
+        this.controller.takeOverEjected();
+      } catch {
+        // The ledger is out: what was last seen stays in force, and the next round tries again.
+      }
+      const delayMs = context.random.getJittered(LEDGER_INTERVAL_MS);
+      await context.clock.sleep(delayMs, this.abort.signal);
+    }
+  }
+
+  private async probeAll(intervalMs: number): Promise<void> {
+    for (;;) {
+      await this.context.clock.sleep(intervalMs, this.abort.signal);
+      for (const handle of this.options.pool.handles.values()) void this.probe(handle);
+    }
+  }
+
+  private async probe(handle: TargetHandle): Promise<void> {
+    const signal = this.abort.signal;
+    const sample = this.samples.getHealth();
+    const copy = { handle, sample, timeoutMs: PROBE_TIMEOUT_MS, signal };
+    const result = await this.sender.send(copy);
+    if (result === undefined || handle.standing !== Standing.Serving) return;
+    const suspicion = this.detector.recordProbe(handle.address, result.succeeded);
+    if (suspicion !== undefined) this.controller.handleSuspicion(handle, suspicion);
+  }
+
+  private getLabels(): Readonly<Record<'member' | 'service', string>> {
+    return { member: this.options.member, service: this.options.getService().name };
+  }
+}
--- a/packages/routing/src/home/common/homeOptions.ts
+++ b/packages/routing/src/home/common/homeOptions.ts
@@ -1,12 +1,23 @@
 /** What a home is made of. */
 import type { Clock, InvariantRegistry, RandomSource } from '@parsleymux/base';
 import type { ConfigService } from '@parsleymux/config';
+import type { Service } from '@parsleymux/schema';
+import type { FailureDetector } from '../../detection/common/failureDetector.js';
+import {
+  getSequentialOptions,
+  SequentialDetector,
+} from '../../detection/common/sequentialDetector.js';
+import type { TargetObserver } from '../../detection/common/targetObserver.js';
+import { AbsentObserver } from '../../detection/common/targetObserver.js';
+import { HomeMetrics } from '../../metrics/common/homeMetrics.js';
+import type { Standing } from '../../target/common/targetHandle.js';
 import type { DispatchGuard } from '../../guard/common/dispatchGuard.js';
 import type { EjectionLedger } from '../../ledger/common/ejectionLedger.js';
 import type { TargetTransport } from '../../transport/common/targetTransport.js';
 
 const DEFAULT_MAX_ANSWER_BYTES = 1_048_576;
 const DEFAULT_MAX_IN_FLIGHT = 4000;
+const DEFAULT_HEALTH_PATH = '/healthz';
 
 /** Bounds of one home. */
 export interface IHomeLimits {
@@ -16,6 +27,17 @@
   readonly maxInFlight?: number;
 }
 
+/** A change of how a target stands. */
+export interface IStandingChange {
+  readonly member: string;
+  readonly service: string;
+  readonly target: string;
+  readonly standing: Standing;
+  readonly reason: string;
+  /** Instant on the monotonic clock. */
+  readonly atMs: number;
+}
+
 /** Services and settings of a {@link LocalHomeService}. */
 export interface IHomeOptions extends IHomeLimits {
   readonly configService: ConfigService;
@@ -25,6 +47,17 @@
   readonly guard: DispatchGuard;
   readonly ledger: EjectionLedger;
   readonly invariants: InvariantRegistry;
+  /** Second opinions. Default: none to be had. */
+  readonly observer?: TargetObserver;
+  /** Default: sequential tests with the member's preference. */
+  readonly createDetector?: (service: Service) => FailureDetector;
+  readonly metrics?: HomeMetrics;
+  /** Told of every change of standing, for logs and replays. */
+  readonly onStandingChange?: (change: IStandingChange) => void;
+  /** Health endpoint of targets: probes, and trials until a request was seen. Default '/healthz'. */
+  readonly healthPath?: string;
+  /** Send a second attempt beside an overdue idempotent one. Default true. */
+  readonly hedges?: boolean;
 }
 
 /** Options with every default filled in. */
@@ -35,6 +68,16 @@
   return {
     ...options,
     maxAnswerBytes: options.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES,
+    observer: options.observer ?? new AbsentObserver(),
+    createDetector: options.createDetector ?? createDefaultDetector,
+    metrics: options.metrics ?? new HomeMetrics(),
+    onStandingChange: options.onStandingChange ?? (() => undefined),
+    healthPath: options.healthPath ?? DEFAULT_HEALTH_PATH,
+    hedges: options.hedges ?? true,
     maxInFlight: options.maxInFlight ?? DEFAULT_MAX_IN_FLIGHT,
   };
 }
+
+function createDefaultDetector(service: Service): FailureDetector {
+  return new SequentialDetector(getSequentialOptions(service.detection));
+}
--- a/packages/routing/src/home/common/localHomeService.ts
+++ b/packages/routing/src/home/common/localHomeService.ts
@@ -50,8 +50,9 @@
     return [...this.homes.values()].map((home) => describeShard(home, this.context));
   }
 
-  dispose(): void | Promise<void> {
-    return this.subscription.dispose();
+  async dispose(): Promise<void> {
+    await this.subscription.dispose();
+    for (const home of this.homes.values()) home.dispose();
   }
 
   /**
@@ -96,8 +97,12 @@
     for (const [key, home] of this.homes) {
       if (!changed.has(home.member)) continue;
       const service = this.findService(home.member, home.getService().name);
-      if (service === undefined) this.homes.delete(key);
-      else home.update(service);
+      if (service !== undefined) {
+        home.update(service);
+        continue;
+      }
+      this.homes.delete(key);
+      home.dispose();
     }
   }
 }
--- a/packages/routing/src/home/common/serviceHome.ts
+++ b/packages/routing/src/home/common/serviceHome.ts
@@ -1,4 +1,5 @@
 /** The home of one service: from the queue through attempts and retries to the answer. */
+import type { IDisposable } from '@parsleymux/base';
 import { InvariantName, MuxError, RunState } from '@parsleymux/base';
 import type { Service } from '@parsleymux/schema';
 import type { AttemptOutcome } from '../../attempt/common/attemptOutcome.js';
@@ -9,9 +10,12 @@
   markMayHaveRun,
   toAnswer,
 } from '../../attempt/common/attemptOutcome.js';
+import type { IRunningAttempt } from '../../attempt/common/hedgedAttempt.js';
+import { runHedged } from '../../attempt/common/hedgedAttempt.js';
 import { AttemptRunner, DispatchCount } from '../../attempt/common/attemptRunner.js';
 import { RetryBudget } from '../../budget/common/retryBudget.js';
 import type { IAnswer, IRoutedRequest } from '../../request/common/request.js';
+import { EvidenceIntake } from './evidenceIntake.js';
 import type { IHomeContext } from './homeOptions.js';
 import type { ISlot } from './slotPool.js';
 import { SlotPool } from './slotPool.js';
@@ -34,14 +38,21 @@
   readonly tried: Set<string>;
 }
 
+/** Set when an attempt was charged as overdue before it ended. */
+interface IStallMark {
+  isStalled: boolean;
+}
+
 /** Serves the requests of one service. */
-export class ServiceHome {
+export class ServiceHome implements IDisposable {
   readonly member: string;
   readonly pool: SlotPool;
   inFlight = 0;
   private service: Service;
   private readonly context: IHomeContext;
   private readonly runner: AttemptRunner;
+  private readonly intake: EvidenceIntake;
+  private readonly labels: Readonly<Record<'member' | 'service', string>>;
   private readonly budget: RetryBudget;
 
   constructor(options: IServiceHomeOptions) {
@@ -50,13 +61,23 @@
     this.context = options.context;
     this.pool = new SlotPool({ ...options.context, service: options.service });
     this.runner = new AttemptRunner(options.context, options.member);
+    this.labels = { member: options.member, service: options.service.name };
+    this.intake = new EvidenceIntake({
+      ...options,
+      pool: this.pool,
+      getService: () => this.service,
+    });
     this.budget = new RetryBudget({ share: options.service.retryBudget || DEFAULT_RETRY_SHARE });
   }
 
   /** Takes over a new configuration of the service. */
   update(service: Service): void {
     this.service = service;
-    this.pool.update(service);
+    this.intake.update(service, this.pool.update(service));
+  }
+
+  dispose(): void {
+    this.intake.dispose();
   }
 
   /** The configuration in force. */
@@ -118,20 +139,63 @@
     }
   }
 
+  /** One attempt, with another beside it when it is overdue and may be run twice. */
   private async runAttempt(passage: IPassage, slot: ISlot): Promise<AttemptOutcome> {
+    const { request } = passage;
+    const isFresh = !request.route.idempotent;
+    const mark: IStallMark = { isStalled: false };
+    const outcome = await runHedged({
+      clock: this.context.clock,
+      first: this.startAttempt(passage, slot, mark),
+      stallMs: this.intake.getStallLimit(request, slot.handle),
+      onStall: () => {
+        mark.isStalled = this.intake.recordStall(request, slot.handle, isFresh);
+        return this.startHedge(passage);
+      },
+    });
+    return outcome;
+  }
+
+  private startHedge(passage: IPassage): IRunningAttempt | undefined {
+    const { request, tried } = passage;
+    if (!request.route.idempotent || !this.context.hedges) return undefined;
+    const slot = this.pool.take({ request, excluded: tried });
+    if (slot === undefined) return undefined;
+    if (!this.budget.spend()) {
+      slot.release();
+      return undefined;
+    }
+    this.context.metrics.hedges.inc(this.labels);
+    return this.startAttempt(passage, slot, { isStalled: false });
+  }
+
+  private startAttempt(passage: IPassage, slot: ISlot, mark: IStallMark): IRunningAttempt {
     const { request, count } = passage;
-    const startMs = this.context.clock.getMonotonicTime();
-    const outcome = await this.runner.run({
+    const abort = new AbortController();
+    passage.tried.add(slot.handle.address);
+    this.context.metrics.attempts.inc(this.labels);
+    // A caller that hangs up cancels reads; a request that must not run twice is let finish.
+    const signals = request.route.idempotent ? [passage.signal, abort.signal] : [abort.signal];
+    const attempt = {
       slot,
       request,
       count,
-      // A caller that hangs up cancels reads; a request that must not run twice is let finish.
-      signal: request.route.idempotent ? passage.signal : new AbortController().signal,
+      signal: AbortSignal.any(signals),
       isFresh: !request.route.idempotent,
+    };
+    const startMs = this.context.clock.getMonotonicTime();
+    const outcome = this.runner.run(attempt).then((ended) => {
+      const durationMs = this.context.clock.getMonotonicTime() - startMs;
+      this.recordOutcome(slot, ended, durationMs);
+      this.intake.recordOutcome(request, slot.handle, ended, mark.isStalled);
+      return ended;
     });
-    passage.tried.add(outcome.target);
-    this.recordOutcome(slot, outcome, this.context.clock.getMonotonicTime() - startMs);
-    return outcome;
+    return {
+      outcome,
+      cancel: () => {
+        abort.abort(new Error('another attempt was faster'));
+      },
+    };
   }
 
   private recordOutcome(slot: ISlot, outcome: AttemptOutcome, durationMs: number): void {
@@ -140,6 +204,7 @@
       this.pool.serviceTime.record(durationMs);
       slot.handle.recordAccepted();
     } else if (outcome.kind === 'answered' && outcome.answer.notRun) {
+      this.context.metrics.sheds.inc(this.labels);
       slot.handle.recordShed();
     }
   }
@@ -147,7 +212,9 @@
   private isRetryAllowed(passage: IPassage, outcome: AttemptOutcome): boolean {
     if (passage.signal.aborted || !isWorthRetrying(outcome)) return false;
     if (!passage.request.route.idempotent && !isProvablyNotRun(outcome)) return false;
-    return this.budget.spend();
+    if (!this.budget.spend()) return false;
+    this.context.metrics.retries.inc(this.labels);
+    return true;
   }
 
   /** A refusal is truthful only if it reckons with every attempt of the request. */
--- a/packages/routing/src/home/common/slotPool.ts
+++ b/packages/routing/src/home/common/slotPool.ts
@@ -1,6 +1,6 @@
 /** The slots of one service's targets, and the bounded queue of requests that wait for one. */
 import type { Clock, MuxError, RandomSource } from '@parsleymux/base';
-import type { Service } from '@parsleymux/schema';
+import type { Service, Target } from '@parsleymux/schema';
 import { ServiceTimeEstimate } from '../../queue/common/serviceTimeEstimate.js';
 import { WaitQueue } from '../../queue/common/waitQueue.js';
 import {
@@ -70,19 +70,24 @@
     this.update(options.service);
   }
 
-  /** Takes over the configured targets. What a removed target still runs is left to finish. */
-  update(service: Service): void {
+  /**
+   * Takes over the configured targets and returns those that are new. What a removed target still
+   * runs is left to finish.
+   */
+  update(service: Service): readonly TargetHandle[] {
     this.service = service;
     const configured = new Set(service.targets.map((target) => target.address));
     for (const address of this.handles.keys()) {
       if (!configured.has(address)) this.handles.delete(address);
     }
+    const added: TargetHandle[] = [];
     for (const target of service.targets) {
       const handle = this.handles.get(target.address);
       if (handle !== undefined) handle.update(target);
-      else this.handles.set(target.address, this.createHandle(target));
+      else added.push(this.addHandle(target));
     }
     this.serveWaiting();
+    return added;
   }
 
   /** A free slot at once, or undefined. */
@@ -257,7 +262,9 @@
     return sum;
   }
 
-  private createHandle(target: Service['targets'][number]): TargetHandle {
-    return new TargetHandle(target, this.clock.getMonotonicTime());
+  private addHandle(target: Target): TargetHandle {
+    const handle = new TargetHandle(target, this.clock.getMonotonicTime());
+    this.handles.set(target.address, handle);
+    return handle;
   }
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,10 @@
 /** The decisions: homes, queues, detection, retries, and the way to the targets. */
+export * from './detection/common/consecutiveErrorsDetector.js';
+export * from './detection/common/failureDetector.js';
+export * from './detection/common/healthCheckDetector.js';
+export * from './detection/common/sequentialDetector.js';
+export * from './detection/common/successRateDetector.js';
+export * from './detection/common/targetObserver.js';
 export * from './guard/common/dispatchGuard.js';
 export * from './guard/common/passThroughGuard.js';
 export * from './home/common/homeOptions.js';
@@ -8,7 +14,9 @@
 export * from './ledger/common/ejectionRow.js';
 export * from './ledger/common/floorArithmetic.js';
 export * from './ledger/common/tableEjectionLedger.js';
+export * from './metrics/common/homeMetrics.js';
 export * from './request/common/request.js';
+export * from './target/common/targetHandle.js';
 export * from './transport/common/targetTransport.js';
 export * from './transport/common/hopHeaders.js';
 export * from './transport/node/httpTargetTransport.js';
--- a/packages/routing/src/target/common/targetHandle.ts
+++ b/packages/routing/src/target/common/targetHandle.ts
@@ -35,6 +35,8 @@
   limit: number;
   /** Factor below 1 while the target is warming up. */
   ramp = 1;
+  /** This node can't reach it, though others can: given work only when there is no other target. */
+  isCutOff = false;
 
   constructor(target: Target, sinceMs: number) {
     this.target = target;
--- a/packages/routing/src/target/common/targetPicker.ts
+++ b/packages/routing/src/target/common/targetPicker.ts
@@ -27,9 +27,13 @@
   const trusted = usable.filter((handle) => handle.standing !== Standing.Suspect);
   const best = pickLeastLoaded(trusted, options.random);
   if (best !== undefined) return best;
-  if (trusted.length > 0 && !options.isIdempotent) return undefined;
   const suspects = usable.filter((handle) => handle.standing === Standing.Suspect);
-  return pickLeastLoaded(suspects, options.random);
+  if (trusted.length === 0) return pickLeastLoaded(suspects, options.random);
+  if (!options.isIdempotent) return undefined;
+  return pickLeastLoaded(
+    suspects.filter((handle) => !handle.isCutOff),
+    options.random,
+  );
 }
 
 function pickLeastLoaded(
