--- /dev/null
+++ b/packages/lab/src/replay/common/replayRecorder.ts
@@ -0,0 +1,150 @@
+/** Collects figures while a trace is replayed. */
+import { MuxError } from '@parsleymux/base';
+import type { IAnswer, IStandingChange } from '@parsleymux/routing';
+import { Standing } from '@parsleymux/routing';
+import * as hdr from 'hdr-histogram-js';
+import type { ITrace, ITraceFault, ITraceRequest } from '../../trace/common/trace.js';
+import type { IDetectionResult } from './replayResult.js';
+
+const FIRST_SERVER_ERROR = 500;
+/** What was under way when a fault ended can still lead to an ejection, for so long. */
+const FAULT_TAIL_MS = 2000;
+const PROLONGING: ReadonlySet<string> = new Set(['failed its trial']);
+/**
+ * Without a dispatch for this long a target counts as given no work, in ms: longer than any
+ * deadline, since a target whose slots are all held by stuck requests gets nothing new either.
+ */
+const NO_TRAFFIC_MS = 9000;
+const MS_PER_HOUR = 3_600_000;
+/** Histograms hold integers. */
+const MICROSECONDS = 1000;
+
+/** Figures in the making. */
+export class ReplayRecorder {
+  requests = 0;
+  errors = 0;
+  faultRequests = 0;
+  faultErrors = 0;
+  goodWorkMs = 0;
+  readonly refusals: Record<string, number> = {};
+  private readonly latencies = hdr.build({ highestTrackableValue: 120_000_000 });
+  private readonly dispatches = new Map<string, number[]>();
+  private readonly changes: IStandingChange[] = [];
+
+  constructor(private readonly trace: ITrace) {}
+
+  recordAnswer(request: ITraceRequest, answer: IAnswer, latencyMs: number): void {
+    const isError = answer.status >= FIRST_SERVER_ERROR;
+    this.count(request, isError);
+    if (isError) this.countRefusal(String(answer.code));
+    else this.latencies.recordValue(Math.round(latencyMs * MICROSECONDS));
+    if (!isError && this.isDuringFault(request.atMs)) this.goodWorkMs += request.workMs;
+  }
+
+  recordError(request: ITraceRequest, error: unknown): void {
+    // A caller that hangs up gets no answer, and is no error of ours.
+    if (request.hangUpMs !== undefined) return;
+    this.count(request, true);
+    this.countRefusal(error instanceof MuxError ? String(error.code) : String(error));
+  }
+
+  recordDispatch(target: string, atMs: number): void {
+    const times = this.dispatches.get(target);
+    if (times === undefined) this.dispatches.set(target, [atMs]);
+    else times.push(atMs);
+  }
+
+  recordChange(change: IStandingChange): void {
+    this.changes.push(change);
+  }
+
+  /** The `percentile` of the latencies of successes, in ms. */
+  getLatency(percentile: number): number {
+    return this.latencies.getValueAtPercentile(percentile) / MICROSECONDS;
+  }
+
+  summarizeDetection(): IDetectionResult {
+    const { header } = this.trace;
+    return {
+      detectionMs: this.listDetections(),
+      falseEjections: this.countFalseEjections(),
+      targetHours: (header.service.targets.length * header.durationMs) / MS_PER_HOUR,
+      slotsOverFloor: this.computeLowestSlots() - header.service.floorSlots,
+    };
+  }
+
+  private listDetections(): readonly (number | undefined)[] {
+    const firsts = new Map<string, ITraceFault>();
+    for (const fault of this.trace.faults) {
+      if (fault.verdict === 'eject' && !firsts.has(fault.target)) firsts.set(fault.target, fault);
+    }
+    return [...firsts.values()].map((fault) => this.measureDetection(fault));
+  }
+
+  /** Time from the fault's beginning to the last dispatch for a caller before a long silence. */
+  private measureDetection(fault: ITraceFault): number | undefined {
+    const endMs = this.findLastEnd(fault.target);
+    const times = this.dispatches.get(fault.target) ?? [];
+    let lastMs = fault.atMs;
+    for (const atMs of times.filter((time) => time >= fault.atMs && time < endMs)) {
+      if (atMs - lastMs >= NO_TRAFFIC_MS) return lastMs - fault.atMs;
+      lastMs = atMs;
+    }
+    return endMs - lastMs >= NO_TRAFFIC_MS ? lastMs - fault.atMs : undefined;
+  }
+
+  private findLastEnd(target: string): number {
+    const faults = this.trace.faults.filter((fault) => fault.target === target);
+    return Math.max(...faults.map((fault) => fault.untilMs));
+  }
+
+  private countFalseEjections(): number {
+    return this.changes.filter((change) => isRemoval(change) && this.isFalse(change)).length;
+  }
+
+  private isFalse(change: IStandingChange): boolean {
+    const excuse = this.trace.faults.find((fault) => {
+      const isNear = change.atMs >= fault.atMs && change.atMs < fault.untilMs + FAULT_TAIL_MS;
+      return fault.target === change.target && fault.verdict !== 'keep' && isNear;
+    });
+    // A failed trial prolongs an ejection that was counted when it began.
+    return excuse === undefined && !PROLONGING.has(change.reason);
+  }
+
+  /** Slots that the home itself leaves in use; what the trace takes away is not its doing. */
+  private computeLowestSlots(): number {
+    const { slotsPerTarget, targets } = this.trace.header.service;
+    const out = new Set<string>();
+    let lowest = targets.length;
+    for (const change of this.changes) {
+      const isOut = change.standing === Standing.Ejected || change.standing === Standing.Trial;
+      if (isOut) out.add(change.target);
+      else out.delete(change.target);
+      lowest = Math.min(lowest, targets.length - out.size);
+    }
+    return lowest * slotsPerTarget;
+  }
+
+  private count(request: ITraceRequest, isError: boolean): void {
+    this.requests += 1;
+    if (isError) this.errors += 1;
+    if (!this.isDuringFault(request.atMs)) return;
+    this.faultRequests += 1;
+    if (isError) this.faultErrors += 1;
+  }
+
+  private countRefusal(code: string): void {
+    this.refusals[code] = (this.refusals[code] ?? 0) + 1;
+  }
+
+  private isDuringFault(atMs: number): boolean {
+    const { window } = this.trace.header;
+    return window !== undefined && atMs >= window.fromMs && atMs < window.untilMs;
+  }
+}
+
+/** Out of use: ejected, or known to be beyond this home's reach. */
+function isRemoval(change: IStandingChange): boolean {
+  if (change.standing === Standing.Ejected) return true;
+  return change.standing === Standing.Suspect && change.reason.startsWith('cut off');
+}
--- /dev/null
+++ b/packages/lab/src/replay/common/replayResult.ts
@@ -0,0 +1,32 @@
+/** What a replay measured. */
+
+/** How the faults of the trace met the detector. */
+export interface IDetectionResult {
+  /** For each target with an "eject" fault: time until callers' requests stop going there, in ms. */
+  readonly detectionMs: readonly (number | undefined)[];
+  /** Removals of targets that should have stayed. */
+  readonly falseEjections: number;
+  readonly targetHours: number;
+  /** Lowest count of slots not taken out by the home, less the floor. */
+  readonly slotsOverFloor: number;
+}
+
+/** Figures of one replay. */
+export interface IReplayResult extends IDetectionResult {
+  readonly trace: string;
+  readonly policy: string;
+  readonly seed: number;
+  readonly requests: number;
+  readonly errorShare: number;
+  /** Errors among requests that arrived while a fault or surge of the trace lasted. */
+  readonly faultErrorShare: number;
+  /** Latency of the successful, in ms. */
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  /** Attempts at targets, copies and observations among them, a request. */
+  readonly amplification: number;
+  /** Work of successes that arrived during a surge, as a share of what all slots could do then. */
+  readonly goodputShare: number | undefined;
+  readonly refusals: Readonly<Record<string, number>>;
+  readonly violations: number;
+}
--- /dev/null
+++ b/packages/lab/src/replay/common/replayTrace.ts
@@ -0,0 +1,216 @@
+/** Replays a trace against the real home on a clock of its own. */
+import { create } from '@bufbuild/protobuf';
+import { InvariantName, InvariantRegistry, ManualClock, SeededRandom } from '@parsleymux/base';
+import type { IFleetConfig } from '@parsleymux/config';
+import { ConfigService } from '@parsleymux/config';
+import type { FailureDetector, IRoutedRequest } from '@parsleymux/routing';
+import { LocalHomeService, PassThroughGuard, TableEjectionLedger } from '@parsleymux/routing';
+import type { Route } from '@parsleymux/schema';
+import {
+  DetectionPreference,
+  IntentSchema,
+  MemberConfigSchema,
+  RouteSchema,
+  ServiceSchema,
+} from '@parsleymux/schema';
+import type { ITrace, ITraceHeader, ITraceRequest, RouteName } from '../../trace/common/trace.js';
+import { ReplayRecorder } from './replayRecorder.js';
+import type { IReplayResult } from './replayResult.js';
+import { SimulatedObserver } from './simulatedObserver.js';
+import { SimulatedTable } from './simulatedTable.js';
+import { SimulatedTarget } from './simulatedTarget.js';
+import { SimulatedTransport, WORK_HEADER } from './simulatedTransport.js';
+
+const HOME_DOMAIN = 'domain-0';
+/** Time after the last request in which what runs may end. */
+const TAIL_MS = 10_000;
+
+/** Options of {@link replayTrace}. */
+export interface IReplayOptions {
+  readonly policy: string;
+  readonly seed: number;
+  readonly createDetector: () => FailureDetector;
+}
+
+/** Gives one unchanging configuration. */
+class FixedConfigService extends ConfigService {
+  readonly onDidChange = () => ({ dispose: () => undefined });
+
+  constructor(private readonly config: IFleetConfig) {
+    super();
+  }
+
+  override getCurrent(): IFleetConfig {
+    return this.config;
+  }
+}
+
+/** Replays and measures. */
+export async function replayTrace(trace: ITrace, options: IReplayOptions): Promise<IReplayResult> {
+  const replay = new Replay(trace, options);
+  return replay.run();
+}
+
+class Replay {
+  private readonly clock = new ManualClock();
+  private readonly invariants = new InvariantRegistry();
+  private readonly recorder: ReplayRecorder;
+  private readonly home: LocalHomeService;
+  private readonly transport: SimulatedTransport;
+  private readonly observerTransport: SimulatedTransport;
+  private readonly routes: Readonly<Record<RouteName, Route>>;
+
+  constructor(
+    private readonly trace: ITrace,
+    private readonly options: IReplayOptions,
+  ) {
+    const { header } = trace;
+    this.recorder = new ReplayRecorder(trace);
+    this.routes = { read: this.buildRoute('read'), book: this.buildRoute('book') };
+    const targets = this.buildTargets();
+    this.transport = this.createTransport(targets, HOME_DOMAIN);
+    this.observerTransport = this.createTransport(targets, undefined);
+    const { clock, invariants } = this;
+    this.home = new LocalHomeService({
+      configService: new FixedConfigService(buildConfig(header, Object.values(this.routes))),
+      clock,
+      random: new SeededRandom(options.seed),
+      transport: this.transport,
+      guard: new PassThroughGuard(),
+      ledger: new TableEjectionLedger({
+        table: new SimulatedTable(clock),
+        clock,
+        invariants,
+        node: '10.0.9.1:7002',
+      }),
+      invariants,
+      observer: new SimulatedObserver(clock, this.observerTransport),
+      createDetector: options.createDetector,
+      onStandingChange: (change) => {
+        this.recorder.recordChange(change);
+      },
+    });
+  }
+
+  async run(): Promise<IReplayResult> {
+    for (const request of this.trace.requests) {
+      await this.clock.advanceTo(request.atMs);
+      void this.send(request);
+    }
+    await this.clock.advanceBy(TAIL_MS);
+    await this.home.dispose();
+    return this.summarize();
+  }
+
+  private async send(request: ITraceRequest): Promise<void> {
+    const abort = new AbortController();
+    if (request.hangUpMs !== undefined) {
+      this.clock.startTimer(request.hangUpMs, () => {
+        abort.abort(new Error('caller hung up'));
+      });
+    }
+    try {
+      const answer = await this.home.handle(this.buildRequest(request), abort.signal);
+      const latencyMs = this.clock.getMonotonicTime() - request.atMs;
+      this.recorder.recordAnswer(request, answer, latencyMs);
+    } catch (error) {
+      this.recorder.recordError(request, error);
+    }
+  }
+
+  private buildRequest(request: ITraceRequest): IRoutedRequest {
+    return {
+      member: this.trace.header.member,
+      route: this.routes[request.route],
+      method: request.route === 'read' ? 'GET' : 'POST',
+      path: `/${request.route}`,
+      headers: [[WORK_HEADER, String(request.workMs)]],
+      body: new Uint8Array(),
+      deadlineMs: request.atMs + request.deadlineMs,
+      caller: request.caller,
+      idempotencyKey: request.route === 'read' ? undefined : `${request.caller}-${request.atMs}`,
+    };
+  }
+
+  private summarize(): IReplayResult {
+    const { recorder, transport, observerTransport } = this;
+    const { service, window } = this.trace.header;
+    const slots = service.targets.length * service.slotsPerTarget;
+    const windowMs = window === undefined ? 0 : window.untilMs - window.fromMs;
+    const attempts = transport.attempts + observerTransport.attempts;
+    return {
+      ...recorder.summarizeDetection(),
+      trace: this.trace.header.name,
+      policy: this.options.policy,
+      seed: this.options.seed,
+      requests: recorder.requests,
+      errorShare: recorder.errors / Math.max(1, recorder.requests),
+      faultErrorShare: recorder.faultErrors / Math.max(1, recorder.faultRequests),
+      p50Ms: recorder.getLatency(50),
+      p99Ms: recorder.getLatency(99),
+      amplification: attempts / Math.max(1, this.trace.requests.length),
+      goodputShare: windowMs === 0 ? undefined : recorder.goodWorkMs / (slots * windowMs),
+      refusals: recorder.refusals,
+      violations: this.countViolations(),
+    };
+  }
+
+  private countViolations(): number {
+    const names = Object.values(InvariantName);
+    return names.reduce((sum, name) => sum + this.invariants.getViolations(name), 0);
+  }
+
+  private buildTargets(): ReadonlyMap<string, SimulatedTarget> {
+    const { service } = this.trace.header;
+    return new Map(
+      service.targets.map(({ address }, index) => {
+        const target = new SimulatedTarget({
+          clock: this.clock,
+          random: new SeededRandom(this.options.seed * 1000 + index),
+          slots: service.slotsPerTarget,
+          faults: this.trace.faults.filter((fault) => fault.target === address),
+        });
+        return [address, target];
+      }),
+    );
+  }
+
+  private createTransport(
+    targets: ReadonlyMap<string, SimulatedTarget>,
+    homeDomain: string | undefined,
+  ): SimulatedTransport {
+    const { service, nearMs, farMs } = this.trace.header;
+    const delays = service.targets.map(({ address, failureDomain }) => {
+      return [address, failureDomain === homeDomain ? nearMs : farMs] as const;
+    });
+    return new SimulatedTransport({
+      clock: this.clock,
+      random: new SeededRandom(this.options.seed),
+      targets,
+      delays: new Map(delays),
+      isHome: homeDomain !== undefined,
+      onCallerDispatch: (target, atMs) => {
+        this.recorder.recordDispatch(target, atMs);
+      },
+    });
+  }
+
+  private buildRoute(name: RouteName): Route {
+    const service = this.trace.header.service.name;
+    return create(RouteSchema, { name, service, idempotent: name === 'read' });
+  }
+}
+
+function buildConfig(header: ITraceHeader, routes: readonly Route[]): IFleetConfig {
+  const { service, member } = header;
+  const isFast = service.detection === 'fast';
+  const declared = create(ServiceSchema, {
+    name: service.name,
+    floorSlots: service.floorSlots,
+    detection: isFast ? DetectionPreference.FAST : DetectionPreference.CAREFUL,
+    targets: service.targets.map((target) => ({ ...target, slots: service.slotsPerTarget })),
+  });
+  const intent = create(IntentSchema, { member, services: [declared], routes: [...routes] });
+  const config = create(MemberConfigSchema, { member, memberRevision: 1n, intent });
+  return { fleetRevision: 1, members: new Map([[member, config]]) };
+}
--- /dev/null
+++ b/packages/lab/src/replay/common/simulatedObserver.ts
@@ -0,0 +1,43 @@
+/** Another node's view of the targets on the replay's clock. */
+import type { Clock } from '@parsleymux/base';
+import type { IObservation, IObservationRequest } from '@parsleymux/routing';
+import { TargetObserver } from '@parsleymux/routing';
+import type { SimulatedTransport } from './simulatedTransport.js';
+import { WORK_HEADER } from './simulatedTransport.js';
+
+/** One way between the home and the observer, in ms. */
+const HOP_MS = 1;
+const FIRST_SERVER_ERROR = 500;
+/** The observer has no headers of the caller, so the work is the route's usual one. */
+const USUAL_WORK_MS = 50;
+const MAX_ANSWER_BYTES = 1_048_576;
+
+/** Observes over a transport of its own. */
+export class SimulatedObserver extends TargetObserver {
+  constructor(
+    private readonly clock: Clock,
+    private readonly transport: SimulatedTransport,
+  ) {
+    super();
+  }
+
+  override async observe(request: IObservationRequest): Promise<IObservation> {
+    await this.clock.sleep(HOP_MS);
+    const observation = await this.sendProbe(request);
+    await this.clock.sleep(HOP_MS);
+    return observation;
+  }
+
+  private async sendProbe(request: IObservationRequest): Promise<IObservation> {
+    const headers = [[WORK_HEADER, String(USUAL_WORK_MS)]] as const;
+    const signal = new AbortController().signal;
+    const options = { signal, freshConnection: true, maxAnswerBytes: MAX_ANSWER_BYTES };
+    try {
+      const sent = { ...request, headers, body: new Uint8Array() };
+      const { status, latencyMs } = await this.transport.send(sent, options);
+      return { succeeded: status < FIRST_SERVER_ERROR, status, latencyMs };
+    } catch {
+      return { succeeded: false, status: 0, latencyMs: Infinity };
+    }
+  }
+}
--- /dev/null
+++ b/packages/lab/src/replay/common/simulatedTarget.ts
@@ -0,0 +1,119 @@
+/** A target on the replay's clock: slots, a short queue, and the faults of the trace. */
+import type { Clock, RandomSource } from '@parsleymux/base';
+import type { IFaultEffect, ITraceFault } from '../../trace/common/trace.js';
+
+/** Time in which a failing target answers 500, in ms: it does no work. */
+const FAIL_MS = 3;
+/** Requests that wait at the target, as a multiple of its slots, before it sheds. */
+const QUEUE_FACTOR = 2;
+
+/** What the target makes of one request. */
+export interface IWorkResult {
+  readonly status: number;
+  readonly isShed: boolean;
+}
+
+interface IJob {
+  readonly workMs: number;
+  readonly signal: AbortSignal;
+  finish(result: IWorkResult): void;
+}
+
+/** Options of a {@link SimulatedTarget}. */
+export interface ISimulatedTargetOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly slots: number;
+  readonly faults: readonly ITraceFault[];
+}
+
+/** One target. */
+export class SimulatedTarget {
+  executed = 0;
+  private running = 0;
+  private readonly queue: IJob[] = [];
+
+  constructor(private readonly options: ISimulatedTargetOptions) {}
+
+  /** Effects in force now, merged; the later fault of the trace wins. */
+  getEffect(): IFaultEffect {
+    const nowMs = this.options.clock.getMonotonicTime();
+    let effect: IFaultEffect = {};
+    for (const fault of this.options.faults) {
+      if (nowMs >= fault.atMs && nowMs < fault.untilMs) effect = { ...effect, ...fault.effect };
+    }
+    return effect;
+  }
+
+  /** Beginning of the fault that silences connections opened before it; undefined without one. */
+  getSilenceStart(): number | undefined {
+    const nowMs = this.options.clock.getMonotonicTime();
+    const fault = this.options.faults.find((candidate) => {
+      return candidate.effect.hasSilentConnections === true && nowMs >= candidate.atMs;
+    });
+    return fault?.atMs;
+  }
+
+  /** Works on a request. Never resolves when the signal aborts first: the work is dropped. */
+  accept(workMs: number, signal: AbortSignal): Promise<IWorkResult> {
+    return new Promise((resolve) => {
+      const effect = this.getEffect();
+      const { random } = this.options;
+      if (effect.failShare !== undefined && random.getFloat() < effect.failShare) {
+        this.executed += 1;
+        this.options.clock.startTimer(FAIL_MS, () => {
+          resolve({ status: 500, isShed: false });
+        });
+        return;
+      }
+      this.addJob({ workMs, signal, finish: resolve }, effect);
+    });
+  }
+
+  private addJob(job: IJob, effect: IFaultEffect): void {
+    if (this.running < this.getSlots(effect)) {
+      this.startJob(job, effect);
+      return;
+    }
+    const queueLimit = effect.shedAboveSlots === undefined ? QUEUE_FACTOR * this.options.slots : 0;
+    if (this.queue.length >= queueLimit) {
+      job.finish({ status: 503, isShed: true });
+      return;
+    }
+    this.queue.push(job);
+  }
+
+  private startJob(job: IJob, effect: IFaultEffect): void {
+    this.running += 1;
+    this.executed += 1;
+    let isEnded = false;
+    const end = () => {
+      if (isEnded) return;
+      isEnded = true;
+      void timer.dispose();
+      job.signal.removeEventListener('abort', end);
+      this.running -= 1;
+      this.startNext();
+    };
+    const timer = this.options.clock.startTimer(job.workMs * (effect.slowFactor ?? 1), () => {
+      end();
+      job.finish({ status: 200, isShed: false });
+    });
+    job.signal.addEventListener('abort', end, { once: true });
+  }
+
+  private startNext(): void {
+    const effect = this.getEffect();
+    while (this.running < this.getSlots(effect)) {
+      const job = this.queue.shift();
+      if (job === undefined) return;
+      if (!job.signal.aborted) this.startJob(job, effect);
+    }
+  }
+
+  private getSlots(effect: IFaultEffect): number {
+    const { slots } = this.options;
+    if (effect.shedAboveSlots !== undefined) return effect.shedAboveSlots;
+    return Math.max(1, slots - (effect.hiddenSlots ?? 0));
+  }
+}
--- /dev/null
+++ b/packages/lab/src/replay/common/simulatedTransport.ts
@@ -0,0 +1,215 @@
+/** The network between homes and targets on the replay's clock. */
+import type { Clock, RandomSource } from '@parsleymux/base';
+import type { ISendOptions, ITargetAnswer, ITargetRequest } from '@parsleymux/routing';
+import { TargetTransport, TransportError, TransportFailure } from '@parsleymux/routing';
+import type { IFaultEffect } from '../../trace/common/trace.js';
+import type { IWorkResult, SimulatedTarget } from './simulatedTarget.js';
+
+/** Header in which a replayed request carries the work that it was recorded with, in ms. */
+export const WORK_HEADER = 'x-work-ms';
+
+const CONNECT_MS = 1;
+const CONNECT_TIMEOUT_MS = 1000;
+const HEALTH_WORK_MS = 1;
+const OK = 200;
+const BODY = new Uint8Array([1]);
+
+/** Options of a {@link SimulatedTransport}. */
+export interface ISimulatedTransportOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly targets: ReadonlyMap<string, SimulatedTarget>;
+  /** One way to each target, in ms. */
+  readonly delays: ReadonlyMap<string, number>;
+  /** False for another node, whose path to the targets is not the one that is cut. */
+  readonly isHome: boolean;
+  /** Told of every dispatch for a caller; copies and probes are not for callers. */
+  readonly onCallerDispatch?: (target: string, atMs: number) => void;
+}
+
+interface IConnection {
+  readonly openedAtMs: number;
+  readonly isReused: boolean;
+}
+
+type Reject = (failure: TransportFailure, mayHaveRun: boolean) => void;
+
+/** Sends to simulated targets. */
+export class SimulatedTransport extends TargetTransport {
+  attempts = 0;
+  /** Most connections that were open to one target at once. */
+  maxConnections = 0;
+  private readonly idle = new Map<string, IConnection[]>();
+  private readonly open = new Map<string, number>();
+  private readonly retiredAtMs = new Map<string, number>();
+
+  constructor(private readonly options: ISimulatedTransportOptions) {
+    super();
+  }
+
+  override send(request: ITargetRequest, options: ISendOptions): Promise<ITargetAnswer> {
+    const target = this.options.targets.get(request.target);
+    if (target === undefined) throw new Error(`unknown target ${request.target}`);
+    return this.sendOver(request, options, target);
+  }
+
+  override retireConnections(_member: string, target: string): void {
+    this.retiredAtMs.set(target, this.getNow());
+    const idle = this.idle.get(target)?.length ?? 0;
+    this.idle.delete(target);
+    this.countOpen(target, -idle);
+  }
+
+  override getConnectionCount(_member: string, target: string): number {
+    return this.open.get(target) ?? 0;
+  }
+
+  private sendOver(
+    request: ITargetRequest,
+    options: ISendOptions,
+    target: SimulatedTarget,
+  ): Promise<ITargetAnswer> {
+    const connection = this.takeConnection(request.target, options.freshConnection === true);
+    return new Promise((resolve, reject) => {
+      const dropped = new AbortController();
+      let isSettled = false;
+      const settle = (isKept: boolean) => {
+        if (isSettled) return false;
+        isSettled = true;
+        void timer.dispose();
+        options.signal.removeEventListener('abort', onAbort);
+        this.putConnection(request.target, connection, isKept);
+        if (!isKept) dropped.abort();
+        return true;
+      };
+      let didDispatch = false;
+      const fail: Reject = (failure, mayHaveRun) => {
+        if (!settle(false)) return;
+        const { isReused } = connection;
+        reject(new TransportError({ failure, mayHaveRun, reusedConnection: isReused }));
+      };
+      const onAbort = () => {
+        fail(TransportFailure.Cancelled, didDispatch);
+      };
+      const timer = this.options.clock.startTimer(request.timeoutMs, () => {
+        fail(TransportFailure.Timeout, didDispatch);
+      });
+      options.signal.addEventListener('abort', onAbort, { once: true });
+      if (options.signal.aborted) {
+        onAbort();
+        return;
+      }
+      void this.openConnection(target, connection, fail).then(async (isConnected) => {
+        if (!isConnected || isSettled) return;
+        didDispatch = true;
+        options.onDispatch?.();
+        const isForCaller = options.onDispatch !== undefined;
+        if (isForCaller) this.options.onCallerDispatch?.(request.target, this.getNow());
+        const startMs = this.getNow();
+        const answer = await this.run(request, target, connection, fail, dropped.signal);
+        if (answer === undefined || !settle(true)) return;
+        resolve({ ...answer, latencyMs: this.getNow() - startMs });
+      });
+    });
+  }
+
+  /** False when no connection came to be; then `fail` was or will be called. */
+  private async openConnection(
+    target: SimulatedTarget,
+    connection: IConnection,
+    fail: Reject,
+  ): Promise<boolean> {
+    if (connection.isReused) return true;
+    const effect = target.getEffect();
+    if (this.isCut(effect)) {
+      await this.options.clock.sleep(CONNECT_TIMEOUT_MS);
+      fail(TransportFailure.Connect, false);
+      return false;
+    }
+    await this.options.clock.sleep(CONNECT_MS);
+    if (effect.isDown !== true) return true;
+    fail(TransportFailure.Connect, false);
+    return false;
+  }
+
+  /** The answer's way there and back; undefined when none comes. */
+  private async run(
+    request: ITargetRequest,
+    target: SimulatedTarget,
+    connection: IConnection,
+    fail: Reject,
+    signal: AbortSignal,
+  ): Promise<Omit<ITargetAnswer, 'latencyMs'> | undefined> {
+    const { clock, random } = this.options;
+    const delayMs = this.options.delays.get(request.target) ?? 0;
+    const silenceMs = target.getSilenceStart();
+    await clock.sleep(delayMs);
+    if (silenceMs !== undefined && connection.openedAtMs < silenceMs) return undefined;
+    const effect = target.getEffect();
+    if (this.isCut(effect)) return undefined;
+    const lossShare = this.options.isHome ? (effect.lossShare ?? 0) : 0;
+    if (effect.isDown === true || random.getFloat() < lossShare) {
+      fail(TransportFailure.Broken, true);
+      return undefined;
+    }
+    const work = request.headers.find(([name]) => name === WORK_HEADER)?.[1];
+    const result = await this.runWork(target, work, signal);
+    await clock.sleep(delayMs);
+    const lateEffect = target.getEffect();
+    if (lateEffect.isUnreachable === true) return undefined;
+    if (lateEffect.isDown === true) {
+      fail(TransportFailure.Broken, true);
+      return undefined;
+    }
+    return {
+      status: result.status,
+      headers: [],
+      body: BODY,
+      notRun: result.isShed,
+      draining: false,
+    };
+  }
+
+  private async runWork(
+    target: SimulatedTarget,
+    work: string | undefined,
+    signal: AbortSignal,
+  ): Promise<IWorkResult> {
+    if (work !== undefined) return target.accept(Number(work), signal);
+    await this.options.clock.sleep(HEALTH_WORK_MS);
+    return { status: OK, isShed: false };
+  }
+
+  private isCut(effect: IFaultEffect): boolean {
+    return effect.isUnreachable === true || (this.options.isHome && effect.isCutFromHome === true);
+  }
+
+  private takeConnection(target: string, isFresh: boolean): IConnection {
+    this.attempts += 1;
+    const idle = isFresh ? undefined : this.idle.get(target)?.pop();
+    if (idle !== undefined) return { openedAtMs: idle.openedAtMs, isReused: true };
+    this.countOpen(target, 1);
+    return { openedAtMs: this.getNow(), isReused: false };
+  }
+
+  private putConnection(target: string, connection: IConnection, isKept: boolean): void {
+    const isRetired = connection.openedAtMs <= (this.retiredAtMs.get(target) ?? -Infinity);
+    if (!isKept || isRetired) {
+      this.countOpen(target, -1);
+      return;
+    }
+    const idle = this.idle.get(target) ?? [];
+    idle.push(connection);
+    this.idle.set(target, idle);
+  }
+
+  private countOpen(target: string, change: number): void {
+    const open = (this.open.get(target) ?? 0) + change;
+    this.open.set(target, open);
+    this.maxConnections = Math.max(this.maxConnections, open);
+  }
+
+  private getNow(): number {
+    return this.options.clock.getMonotonicTime();
+  }
+}
--- /dev/null
+++ b/packages/lab/src/trace/common/scenarios.ts
@@ -0,0 +1,156 @@
+/** The library of traces: what goes wrong, when, and with how many targets. */
+import type { FaultVerdict, IFaultEffect } from './trace.js';
+
+/** Parameters from which a trace is generated for either member. */
+export interface IScenario {
+  readonly name: string;
+  readonly durationMs: number;
+  /** Load as a multiple of the service's slots, by time; absent: the member's ordinary load. */
+  readonly surge?: ISurge;
+  readonly faults: readonly IScenarioFault[];
+  /** Share of callers that hang up early, over poor links. */
+  readonly hangUpShare?: number;
+  /** Share of exchanges between home and targets that break, always and everywhere. */
+  readonly lossShare?: number;
+  /** Bursts of loss on single links: mean time between them on one link, in ms. */
+  readonly burstEveryMs?: number;
+}
+
+/** More load than usual. */
+export interface ISurge {
+  readonly fromMs: number;
+  readonly untilMs: number;
+  /** Requests offered, as a multiple of what all slots can do. */
+  readonly load: number;
+}
+
+/** One fault on several targets. */
+export interface IScenarioFault {
+  readonly fromMs: number;
+  readonly untilMs: number;
+  readonly pick: TargetChoice;
+  readonly effect: IFaultEffect;
+  readonly verdict: FaultVerdict;
+}
+
+/** Which targets: the first so many, a share of them, or those of the first failure domain. */
+export type TargetChoice =
+  | { readonly by: 'count'; readonly count: number }
+  | { readonly by: 'share'; readonly share: number }
+  | { readonly by: 'domain' };
+
+const FROM_MS = 15_000;
+const UNTIL_MS = 50_000;
+const DURATION_MS = 70_000;
+/** Trouble begins up to so much later, by the seed, so that no rule's interval is favoured. */
+export const MAX_SHIFT_MS = 10_000;
+const SURGE_UNTIL_MS = 35_000;
+const CONTROL_MS = 300_000;
+const FLAP_MS = 3000;
+const FLAPS = 6;
+const COLD_STEPS_MS = 2500;
+const ONE: TargetChoice = { by: 'count', count: 1 };
+
+function makeGray(name: string, effect: IFaultEffect, verdict: FaultVerdict = 'eject'): IScenario {
+  const fault = { fromMs: FROM_MS, untilMs: UNTIL_MS, pick: ONE, effect, verdict };
+  return { name, durationMs: DURATION_MS, faults: [fault] };
+}
+
+function makeFlapping(): IScenario {
+  const faults = Array.from({ length: FLAPS }, (_, index) => {
+    const fromMs = FROM_MS + 2 * index * FLAP_MS;
+    const verdict: FaultVerdict = 'eject';
+    return { fromMs, untilMs: fromMs + FLAP_MS, pick: ONE, effect: { failShare: 0.6 }, verdict };
+  });
+  return { name: 'flapping', durationMs: DURATION_MS, faults };
+}
+
+/** Down for a moment, then slow by less and less. */
+function makeColdStart(): IScenario {
+  const pick: TargetChoice = { by: 'count', count: 3 };
+  const downUntilMs = FROM_MS + 2000;
+  const steps = [5, 3, 2].map((slowFactor, index) => ({
+    fromMs: downUntilMs + index * COLD_STEPS_MS,
+    untilMs: downUntilMs + (index + 1) * COLD_STEPS_MS,
+    pick,
+    effect: { slowFactor },
+    verdict: 'either' as const,
+  }));
+  const down = {
+    fromMs: FROM_MS,
+    untilMs: downUntilMs,
+    pick,
+    effect: { isDown: true },
+    verdict: 'either' as const,
+  };
+  return { name: 'cold-start', durationMs: DURATION_MS, faults: [down, ...steps] };
+}
+
+function makeSurge(name: string, load: number): IScenario {
+  const surge = { fromMs: FROM_MS, untilMs: SURGE_UNTIL_MS, load };
+  return { name, durationMs: DURATION_MS, surge, faults: [] };
+}
+
+/** Every scenario, by name. */
+export const SCENARIOS: readonly IScenario[] = [
+  {
+    name: 'control',
+    durationMs: CONTROL_MS,
+    faults: [],
+    hangUpShare: 0.03,
+    lossShare: 0.003,
+    burstEveryMs: 60_000,
+  },
+  makeGray('fail-5', { failShare: 0.05 }),
+  makeGray('fail-20', { failShare: 0.2 }),
+  makeGray('fail-50', { failShare: 0.5 }),
+  makeGray('fail-100', { failShare: 1 }),
+  makeGray('slow-3x', { slowFactor: 3 }),
+  makeGray('slow-10x', { slowFactor: 10 }),
+  makeFlapping(),
+  makeGray('one-way-cut', { isCutFromHome: true }),
+  makeGray('silent-connections', { hasSilentConnections: true }, 'keep'),
+  makeColdStart(),
+  {
+    name: 'half-shedding',
+    durationMs: DURATION_MS,
+    faults: [
+      {
+        fromMs: FROM_MS,
+        untilMs: UNTIL_MS,
+        pick: { by: 'share', share: 0.5 },
+        effect: { shedAboveSlots: 1 },
+        verdict: 'keep',
+      },
+    ],
+  },
+  makeSurge('overload-1.5x', 1.5),
+  makeSurge('overload-3x', 3),
+  {
+    name: 'domain-gone',
+    durationMs: DURATION_MS,
+    faults: [
+      {
+        fromMs: FROM_MS,
+        untilMs: UNTIL_MS,
+        pick: { by: 'domain' },
+        effect: { isUnreachable: true },
+        verdict: 'eject',
+      },
+    ],
+  },
+  makeGray('lying-load', { hiddenSlots: 2 }, 'either'),
+  {
+    name: 'all-failing',
+    durationMs: DURATION_MS,
+    faults: [
+      {
+        fromMs: FROM_MS,
+        untilMs: FROM_MS + 10_000,
+        pick: { by: 'share', share: 1 },
+        effect: { failShare: 0.5 },
+        verdict: 'keep',
+      },
+    ],
+  },
+];
--- /dev/null
+++ b/packages/lab/src/trace/common/traceGenerator.ts
@@ -0,0 +1,211 @@
+/** Makes traces from scenarios, members' profiles and a seed. */
+import type { RandomSource } from '@parsleymux/base';
+import { hashToInteger, SeededRandom } from '@parsleymux/base';
+import { sampleServiceTime } from '@parsleymux/standins';
+import type { IMemberProfile } from './members.js';
+import { computeFloor, computeMeanWork, countSlots, PROFILES } from './members.js';
+import type { IScenario, TargetChoice } from './scenarios.js';
+import { MAX_SHIFT_MS, SCENARIOS } from './scenarios.js';
+import type {
+  ITrace,
+  ITraceFault,
+  ITraceHeader,
+  ITraceRequest,
+  ITraceTarget,
+  ITraceWindow,
+} from './trace.js';
+
+const DOMAINS = 3;
+const WORK_SIGMA = 0.5;
+const BURST_MS = 200;
+const BURST_LOSS_SHARE = 0.6;
+const HANG_UP_MS = 30;
+
+/** Names of all traces: member and scenario. */
+export function listTraceNames(): readonly string[] {
+  return PROFILES.flatMap((profile) => {
+    return SCENARIOS.map((scenario) => `${profile.member}-${scenario.name}`);
+  });
+}
+
+/**
+ * Generates a trace of the library by name. Throws when there is none of that name.
+ *
+ * @example
+ * const trace = buildTrace('dobrescu-fail-20', 1);
+ */
+export function buildTrace(name: string, seed: number): ITrace {
+  for (const profile of PROFILES) {
+    for (const scenario of SCENARIOS) {
+      if (`${profile.member}-${scenario.name}` === name) return buildFrom(profile, scenario, seed);
+    }
+  }
+  throw new Error(`there is no trace "${name}"`);
+}
+
+/** Generates a trace from parameters. */
+export function buildFrom(profile: IMemberProfile, template: IScenario, seed: number): ITrace {
+  const name = `${profile.member}-${template.name}`;
+  const random = new SeededRandom(hashToInteger(name, seed));
+  const scenario = resolveShift(template, MAX_SHIFT_MS * random.getFloat());
+  const targets = buildTargets(profile);
+  return {
+    header: buildHeader(profile, scenario, seed, targets),
+    requests: buildRequests(profile, scenario, random),
+    faults: [...buildFaults(scenario, targets), ...buildLinkFaults(scenario, targets, random)],
+  };
+}
+
+/** The scenario with everything that goes wrong beginning later by `shiftMs`. */
+function resolveShift(scenario: IScenario, shiftMs: number): IScenario {
+  const shift = <T extends ITraceWindow>(part: T): T => ({
+    ...part,
+    fromMs: toMicroseconds(part.fromMs + shiftMs),
+    untilMs: toMicroseconds(part.untilMs + shiftMs),
+  });
+  return {
+    ...scenario,
+    faults: scenario.faults.map(shift),
+    ...(scenario.surge === undefined ? {} : { surge: shift(scenario.surge) }),
+  };
+}
+
+function buildTargets(profile: IMemberProfile): readonly ITraceTarget[] {
+  return Array.from({ length: profile.targets }, (_, index) => ({
+    address: `10.0.${index % DOMAINS}.${index}:8000`,
+    failureDomain: `domain-${index % DOMAINS}`,
+  }));
+}
+
+function buildHeader(
+  profile: IMemberProfile,
+  scenario: IScenario,
+  seed: number,
+  targets: readonly ITraceTarget[],
+): ITraceHeader {
+  const window = findWindow(scenario);
+  return {
+    kind: 'header',
+    name: `${profile.member}-${scenario.name}`,
+    member: profile.member,
+    seed,
+    durationMs: scenario.durationMs,
+    service: {
+      name: profile.service,
+      targets,
+      slotsPerTarget: profile.slotsPerTarget,
+      floorSlots: computeFloor(profile),
+      detection: profile.detection,
+    },
+    nearMs: profile.nearMs,
+    farMs: profile.farMs,
+    ...(window === undefined ? {} : { window }),
+  };
+}
+
+/** From the first beginning to the last end of what the scenario is about. */
+function findWindow(scenario: IScenario): ITraceWindow | undefined {
+  const parts = scenario.surge === undefined ? scenario.faults : [scenario.surge];
+  if (parts.length === 0) return undefined;
+  return {
+    fromMs: Math.min(...parts.map((part) => part.fromMs)),
+    untilMs: Math.max(...parts.map((part) => part.untilMs)),
+  };
+}
+
+/** Poisson arrivals at the rate that keeps the wished share of the slots busy. */
+function buildRequests(
+  profile: IMemberProfile,
+  scenario: IScenario,
+  random: RandomSource,
+): readonly ITraceRequest[] {
+  const requests: ITraceRequest[] = [];
+  const fullRate = countSlots(profile) / computeMeanWork(profile);
+  let atMs = 0;
+  for (;;) {
+    const { surge } = scenario;
+    const isSurge = surge !== undefined && atMs >= surge.fromMs && atMs < surge.untilMs;
+    atMs += random.getExponential(1 / (fullRate * (isSurge ? surge.load : profile.load)));
+    if (atMs >= scenario.durationMs) return requests;
+    requests.push(buildRequest(profile, scenario, random, atMs));
+  }
+}
+
+function buildRequest(
+  profile: IMemberProfile,
+  scenario: IScenario,
+  random: RandomSource,
+  atMs: number,
+): ITraceRequest {
+  const isBook = random.getFloat() < profile.bookShare;
+  const meanMs = isBook ? profile.bookWorkMs : profile.readWorkMs;
+  const isHangUp = random.getFloat() < (scenario.hangUpShare ?? 0);
+  return {
+    kind: 'request',
+    atMs: toMicroseconds(atMs),
+    caller: `caller-${random.getInteger(profile.callers)}`,
+    route: isBook ? 'book' : 'read',
+    workMs: toMicroseconds(sampleServiceTime(random, meanMs, WORK_SIGMA)),
+    deadlineMs: isBook ? profile.bookDeadlineMs : profile.readDeadlineMs,
+    ...(isHangUp ? { hangUpMs: HANG_UP_MS } : {}),
+  };
+}
+
+function buildFaults(
+  scenario: IScenario,
+  targets: readonly ITraceTarget[],
+): readonly ITraceFault[] {
+  return scenario.faults.flatMap((fault) => {
+    return pickTargets(fault.pick, targets).map((target) => ({
+      kind: 'fault' as const,
+      atMs: fault.fromMs,
+      untilMs: fault.untilMs,
+      target: target.address,
+      effect: fault.effect,
+      verdict: fault.verdict,
+    }));
+  });
+}
+
+function pickTargets(
+  choice: TargetChoice,
+  targets: readonly ITraceTarget[],
+): readonly ITraceTarget[] {
+  if (choice.by === 'count') return targets.slice(0, choice.count);
+  if (choice.by === 'share') return targets.slice(0, Math.round(choice.share * targets.length));
+  return targets.filter((target) => target.failureDomain === targets[0]?.failureDomain);
+}
+
+/** Steady loss on every link, and now and then a burst of it on one. */
+function buildLinkFaults(
+  scenario: IScenario,
+  targets: readonly ITraceTarget[],
+  random: RandomSource,
+): readonly ITraceFault[] {
+  const faults: ITraceFault[] = [];
+  for (const { address: target } of targets) {
+    const common = { kind: 'fault' as const, target, verdict: 'keep' as const };
+    if (scenario.lossShare !== undefined) {
+      const effect = { lossShare: scenario.lossShare };
+      faults.push({ ...common, atMs: 0, untilMs: scenario.durationMs, effect });
+    }
+    if (scenario.burstEveryMs === undefined) continue;
+    let atMs = random.getExponential(scenario.burstEveryMs);
+    while (atMs < scenario.durationMs) {
+      const effect = { lossShare: BURST_LOSS_SHARE };
+      faults.push({
+        ...common,
+        atMs: toMicroseconds(atMs),
+        untilMs: toMicroseconds(atMs + BURST_MS),
+        effect,
+      });
+      atMs += random.getExponential(scenario.burstEveryMs);
+    }
+  }
+  return faults;
+}
+
+/** Rounded to the microsecond, so that traces stay short. */
+function toMicroseconds(valueMs: number): number {
+  return Math.round(1000 * valueMs) / 1000;
+}
--- a/packages/routing/src/detection/common/consecutiveErrorsDetector.ts
+++ b/packages/routing/src/detection/common/consecutiveErrorsDetector.ts
@@ -28,6 +28,7 @@
       target: evidence.target,
       reason: `${run} failures in a row`,
       failureShare: 1,
+      isSlow: false,
       isPathPossible: true,
     };
   }
--- a/packages/routing/src/detection/common/failureDetector.ts
+++ b/packages/routing/src/detection/common/failureDetector.ts
@@ -30,6 +30,8 @@
   readonly reason: string;
   /** Share of requests that fail or are slow by the detector's estimate. */
   readonly failureShare: number;
+  /** The evidence is slowness rather than failure. */
+  readonly isSlow: boolean;
   /** True unless the target itself answered with failures: the path may be to blame. */
   readonly isPathPossible: boolean;
 }
@@ -46,6 +48,10 @@
   readonly watchesStalls: boolean;
   /** First ejection time in ms; it doubles while the target flaps. */
   readonly ejectionMs: number;
+  /** Time between a suspicion and the look whether it still holds, in ms. */
+  readonly confirmMs: number;
+  /** Copies of idempotent requests sent meanwhile, whose outcomes are further evidence. */
+  readonly confirmCopies: number;
 }
 
 /** Watches the targets of one service. */
@@ -61,6 +67,9 @@
   /** Takes the result of a health probe. */
   abstract recordProbe(target: string, isHealthy: boolean): ISuspicion | undefined;
 
+  /** True when, after `confirmMs`, the suspicion still sets the target apart from its peers. */
+  abstract isConfirmed(suspicion: ISuspicion): boolean;
+
   /** Forgets what the target did, as after an ejection; until then it counts for no reference. */
   abstract reset(target: string): void;
 
--- a/packages/routing/src/detection/common/healthCheckDetector.ts
+++ b/packages/routing/src/detection/common/healthCheckDetector.ts
@@ -24,7 +24,13 @@
     const run = isHealthy ? 0 : (this.runs.get(target) ?? 0) + 1;
     this.runs.set(target, run);
     if (run < FAILURES) return undefined;
-    return { target, reason: `${run} failed probes`, failureShare: 1, isPathPossible: true };
+    return {
+      target,
+      reason: `${run} failed probes`,
+      failureShare: 1,
+      isSlow: false,
+      isPathPossible: true,
+    };
   }
 
   override reset(target: string): void {
--- a/packages/routing/src/detection/common/plainDetector.ts
+++ b/packages/routing/src/detection/common/plainDetector.ts
@@ -11,12 +11,18 @@
   returnsByTrial: false,
   watchesStalls: false,
   ejectionMs: EJECTION_MS,
+  confirmMs: 0,
+  confirmCopies: 0,
 };
 
 /** A detector without the finer points. */
 export abstract class PlainDetector extends FailureDetector {
   override readonly traits: IDetectorTraits = PLAIN_TRAITS;
 
+  override isConfirmed(): boolean {
+    return true;
+  }
+
   override setCold(): void {
     return;
   }
--- a/packages/routing/src/detection/common/quantileTracker.ts
+++ b/packages/routing/src/detection/common/quantileTracker.ts
@@ -1,11 +1,11 @@
 /**
  * A running quantile of latencies, by stochastic approximation on the logarithm: each sample moves
- * the estimate up by tau or down by 1 - tau, in steps that shrink to a floor, so that the estimate
- * follows a drift. A histogram would need one window a target and route; this needs one number.
+ * the estimate up by tau or down by 1 - tau, in small steps, so that it follows a drift. A histogram would need one window a target and route; this needs one number.
  */
 
-const FIRST_STEP = 0.6;
-const LAST_STEP = 0.04;
+const STEP = 0.04;
+/** The first samples are kept and sorted: an estimate that starts from one of them errs for long. */
+const FIRST_SAMPLES = 30;
 
 /**
  * Tracks the `tau` quantile.
@@ -18,27 +18,30 @@
 export class QuantileTracker {
   private logValue = 0;
   private samples = 0;
+  private readonly first: number[] = [];
 
   constructor(private readonly tau: number) {}
 
-  /** Samples seen. */
-  get count(): number {
-    return this.samples;
-  }
-
   record(latencyMs: number): void {
     const logSample = Math.log(Math.max(latencyMs, 0.01));
     this.samples += 1;
-    if (this.samples === 1) {
-      this.logValue = logSample;
+    if (this.samples <= FIRST_SAMPLES) {
+      this.first.push(logSample);
+      if (this.samples === FIRST_SAMPLES) this.logValue = this.computeFirst();
       return;
     }
-    const step = Math.max(LAST_STEP, FIRST_STEP / Math.sqrt(this.samples));
-    this.logValue += logSample > this.logValue ? step * this.tau : -step * (1 - this.tau);
+    this.logValue += logSample > this.logValue ? STEP * this.tau : -STEP * (1 - this.tau);
+  }
+
+  /** The estimate in ms; undefined before there are enough samples. */
+  getValue(): number | undefined {
+    return this.samples < FIRST_SAMPLES ? undefined : Math.exp(this.logValue);
   }
 
-  /** The estimate in ms. */
-  getValue(): number {
-    return Math.exp(this.logValue);
+  private computeFirst(): number {
+    this.first.sort((left, right) => left - right);
+    const value = this.first[Math.floor(this.tau * FIRST_SAMPLES)] ?? 0;
+    this.first.length = 0;
+    return value;
   }
 }
--- a/packages/routing/src/detection/common/sequentialDetector.ts
+++ b/packages/routing/src/detection/common/sequentialDetector.ts
@@ -13,11 +13,12 @@
 const EXCESS_RATES: readonly number[] = [0.05, 0.3, 0.9];
 const SLOW_BASELINE = 0.1;
 const SLOW_ALTERNATIVE = 0.6;
-const MIN_LATENCY_SAMPLES = 15;
 const MIN_PEERS = 2;
 const MAX_PROBABILITY = 0.98;
 /** A target must fail at least this many times as often as its peers do at this moment. */
-const COMMON_CAUSE_FACTOR = 2;
+const COMMON_CAUSE_FACTOR = 3;
+/** Latencies bring ten times the evidence that failures do, so chance needs a higher bar. */
+const SLOW_EXTRA_NATS = 3;
 /** Peers' rates change slowly against one outcome; reckoning them this often is enough, in ms. */
 const REFERENCE_AGE_MS = 100;
 const OBSERVED_ANSWERS_SHARE = 0.5;
@@ -30,20 +31,28 @@
   readonly baselineRate?: number;
   /** First ejection time in ms. */
   readonly ejectionMs?: number;
+  /** Time for which a suspect is left out before its peers are looked at once more, in ms. */
+  readonly confirmMs?: number;
+  /** Copies by which a suspect is tried in that time. */
+  readonly confirmCopies?: number;
 }
 
 /** Settings for a member that fears false ejections most. */
 export const CAREFUL_OPTIONS: Required<ISequentialOptions> = {
-  threshold: 16,
-  baselineRate: 0.01,
+  threshold: 15,
+  baselineRate: 0.005,
   ejectionMs: 10_000,
+  confirmMs: 250,
+  confirmCopies: 4,
 };
 
 /** Settings for a member that fears slow detection most. */
 export const FAST_OPTIONS: Required<ISequentialOptions> = {
-  threshold: 11,
+  threshold: 12,
   baselineRate: 0.005,
   ejectionMs: 10_000,
+  confirmMs: 100,
+  confirmCopies: 3,
 };
 
 /** The options that a preference stands for. */
@@ -84,6 +93,8 @@
       returnsByTrial: true,
       watchesStalls: true,
       ejectionMs: options.ejectionMs ?? CAREFUL_OPTIONS.ejectionMs,
+      confirmMs: options.confirmMs ?? CAREFUL_OPTIONS.confirmMs,
+      confirmCopies: options.confirmCopies ?? CAREFUL_OPTIONS.confirmCopies,
     };
   }
 
@@ -113,6 +124,21 @@
     return undefined;
   }
 
+  /**
+   * A target that fails fast is asked more often than its peers, and shows a common cause before
+   * they do; ejected on that, a healthy one is lost at the worst moment. While it is left out its
+   * peers get its requests, and soon show whether they fail alike. The evidence itself must still
+   * be enough after what the copies showed.
+   */
+  override isConfirmed(suspicion: ISuspicion): boolean {
+    const peers = this.listPeers(suspicion.target);
+    const rates = peers.map((peer) => (suspicion.isSlow ? peer.slowRate : peer.shortRate));
+    const peerRate = computeMedian(rates) ?? 0;
+    if (suspicion.failureShare < COMMON_CAUSE_FACTOR * peerRate) return false;
+    const record = this.records.get(suspicion.target);
+    return record !== undefined && this.isEnough(record);
+  }
+
   override reset(target: string): void {
     const record = this.records.get(target);
     if (record === undefined) return;
@@ -158,10 +184,15 @@
   }
 
   private decide(target: string, record: TargetRecord): ISuspicion | undefined {
-    const failureSum = Math.max(...record.failureSums.map((sum) => sum.value));
+    if (!this.isEnough(record)) return undefined;
+    const failureSum = record.getFailureSum();
     if (failureSum >= this.threshold) return this.decideFailing(target, record, failureSum);
-    if (record.slowSum.value >= this.threshold) return this.decideSlow(target, record);
-    return undefined;
+    return this.decideSlow(target, record);
+  }
+
+  private isEnough(record: TargetRecord): boolean {
+    if (record.getFailureSum() >= this.threshold) return true;
+    return record.slowSum.value >= this.threshold + SLOW_EXTRA_NATS;
   }
 
   /** Compares once more with what peers do at this very moment, before a suspicion leaves. */
@@ -179,6 +210,7 @@
       target,
       reason: `fails ${percent}% against ${Math.round(100 * peerRate)}% of peers, ${sum.toFixed(1)} nats`,
       failureShare: ownRate,
+      isSlow: false,
       isPathPossible: record.answeredFailures < OBSERVED_ANSWERS_SHARE * bad,
     };
   }
@@ -194,6 +226,7 @@
       target,
       reason: `${Math.round(100 * record.slowRate)}% of answers slow against ${Math.round(100 * peerRate)}% of peers`,
       failureShare: record.slowRate,
+      isSlow: true,
       isPathPossible: true,
     };
   }
@@ -213,7 +246,7 @@
   private computeSlowLimit(route: string, target: string): number | undefined {
     const latencies: number[] = [];
     for (const peer of this.listPeers(target)) {
-      const latency = peer.isCold ? undefined : peer.getLatency(route, MIN_LATENCY_SAMPLES);
+      const latency = peer.isCold ? undefined : peer.getLatency(route);
       if (latency !== undefined) latencies.push(latency);
     }
     return latencies.length < MIN_PEERS ? undefined : computeMedian(latencies);
--- a/packages/routing/src/detection/common/successRateDetector.ts
+++ b/packages/routing/src/detection/common/successRateDetector.ts
@@ -61,7 +61,7 @@
     const rate = this.rates.get(target);
     if (rate === undefined || this.limit === undefined || rate >= this.limit) return undefined;
     const reason = `success rate ${rate.toFixed(3)} below ${this.limit.toFixed(3)}`;
-    return { target, reason, failureShare: 1 - rate, isPathPossible: true };
+    return { target, reason, failureShare: 1 - rate, isSlow: false, isPathPossible: true };
   }
 }
 
--- a/packages/routing/src/detection/common/targetRecord.ts
+++ b/packages/routing/src/detection/common/targetRecord.ts
@@ -50,9 +50,13 @@
   }
 
   /** The latency that nine in ten answers on the route stay under; undefined without enough. */
-  getLatency(route: string, minSamples: number): number | undefined {
-    const tracker = this.latencies.get(route);
-    return tracker === undefined || tracker.count < minSamples ? undefined : tracker.getValue();
+  getLatency(route: string): number | undefined {
+    return this.latencies.get(route)?.getValue();
+  }
+
+  /** Evidence of failing, by the test that has most of it, in nats. */
+  getFailureSum(): number {
+    return Math.max(...this.failureSums.map((sum) => sum.value));
   }
 
   /** Forgets evidence against the target, and keeps what its latencies were. */
--- /dev/null
+++ b/packages/routing/src/ejection/common/ejectionController.test.ts
@@ -0,0 +1,154 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { InvariantName } from '@parsleymux/base';
+import { TargetObserver } from '../../detection/common/targetObserver.js';
+import type { IObservation } from '../../detection/common/targetObserver.js';
+import type { Respond } from '../../test/common/builders.js';
+import { buildAnswer, buildRequest, buildRoute } from '../../test/common/builders.js';
+import type { IHomeFixtureOptions } from '../../test/common/homeFixture.js';
+import { createHomeFixture } from '../../test/common/homeFixture.js';
+import { TransportError, TransportFailure } from '../../transport/common/targetTransport.js';
+import { countTrialCopies } from './trial.js';
+
+const signal = new AbortController().signal;
+
+class FixedObserver extends TargetObserver {
+  constructor(private readonly succeeded: boolean) {
+    super();
+  }
+
+  override observe(): Promise<IObservation> {
+    return Promise.resolve({ succeeded: this.succeeded, status: 200, latencyMs: 10 });
+  }
+}
+
+/** Targets answer in 10 ms, and the first does `broken` while `isBroken`. */
+function setUp(broken: Respond, floorSlots: number, options: IHomeFixtureOptions = {}) {
+  const state = { isBroken: false, bookings: 0 };
+  const fixture = createHomeFixture(
+    4,
+    () => Promise.resolve(buildAnswer()),
+    { floorSlots },
+    options,
+  );
+  const { clock, transport, home } = fixture;
+  transport.respond = async (request, sendOptions) => {
+    if (request.target === 't0' && request.method === 'POST') state.bookings += 1;
+    if (request.target === 't0' && state.isBroken) return broken(request, sendOptions);
+    return fixture.answerAfter(10)(request, sendOptions);
+  };
+  let number = 0;
+  /** One request every 5 ms; every third must not run twice. */
+  const run = async (durationMs: number) => {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += 5) {
+      number += 1;
+      const isBooking = number % 3 === 0;
+      const deadlineMs = clock.getMonotonicTime() + 1000;
+      const method = isBooking ? 'POST' : 'GET';
+      const request = buildRequest({ route: buildRoute(!isBooking), method, deadlineMs });
+      void home.handle(request, signal).catch(() => undefined);
+      await clock.advanceBy(5);
+    }
+  };
+  const breakNow = async () => {
+    await run(2000);
+    state.isBroken = true;
+    await run(2000);
+  };
+  return { ...fixture, state, run, breakNow };
+}
+
+const fail: Respond = (_request, options) => {
+  options.onDispatch?.();
+  return Promise.resolve(buildAnswer({ status: 500 }));
+};
+
+function makeSilence(fixture: () => ReturnType<typeof setUp>): Respond {
+  return async (request, options) => {
+    await fixture()
+      .clock.sleep(request.timeoutMs, options.signal)
+      .catch(() => undefined);
+    throw new TransportError({
+      failure: TransportFailure.Timeout,
+      mayHaveRun: true,
+      reusedConnection: false,
+    });
+  };
+}
+
+test('a failing target is ejected, tried by copies only, and returns when it is well', async () => {
+  // Symptom: bookings are lost on a target whose recovery is being tried.
+  // Sequence: a target is ejected; after a while live requests are sent to see if it is back.
+  // Cause: requests that must not run twice were the experiment.
+  const { state, run, breakNow, standings, table, home } = setUp(fail, 8);
+  await breakNow();
+  assert.ok(standings.includes('t0 ejected'));
+  const bookings = state.bookings;
+  await run(20_000);
+  assert.equal(state.bookings, bookings);
+  assert.ok(standings.includes('t0 trial'));
+  state.isBroken = false;
+  await run(60_000);
+  assert.equal(standings.at(-1), 't0 serving');
+  assert.ok(state.bookings > bookings);
+  assert.equal([...table.rows.values()][0]?.value.includes('t0'), false);
+  await home.dispose();
+});
+
+test('below the floor a failing target stays, as the last choice', async () => {
+  const { breakNow, standings, invariants, state, run, home } = setUp(fail, 16);
+  await breakNow();
+  assert.ok(standings.includes('t0 suspect'));
+  assert.equal(standings.includes('t0 ejected'), false);
+  assert.equal(invariants.getViolations(InvariantName.CapacityFloor), 0);
+  const bookings = state.bookings;
+  await run(2000);
+  assert.equal(state.bookings, bookings);
+  await home.dispose();
+});
+
+test('with the store out a failing target is demoted and never ejected', async () => {
+  // Symptom: during an outage of the store two homes eject down to nothing.
+  // Sequence: the ledger can't be asked; each home ejects what it suspects.
+  // Cause: no answer was taken for consent.
+  const { breakNow, standings, table, home } = setUp(fail, 8);
+  table.isDown = true;
+  await breakNow();
+  assert.ok(standings.includes('t0 suspect'));
+  assert.equal(standings.includes('t0 ejected'), false);
+  await home.dispose();
+});
+
+test('a target that only this node cannot reach is not ejected for everyone', async () => {
+  // Symptom: a healthy target is ejected because of one broken path.
+  // Sequence: what the home sends is lost; all other nodes reach the target.
+  // Cause: one point of view was taken for the truth.
+  const observer = new FixedObserver(true);
+  const fixture = setUp(
+    makeSilence(() => fixture),
+    8,
+    { observer },
+  );
+  await fixture.breakNow();
+  assert.ok(fixture.standings.includes('t0 suspect'));
+  assert.equal(fixture.standings.includes('t0 ejected'), false);
+  await fixture.home.dispose();
+});
+
+test('a target that the observer cannot reach either is ejected', async () => {
+  const observer = new FixedObserver(false);
+  const fixture = setUp(
+    makeSilence(() => fixture),
+    8,
+    { observer },
+  );
+  await fixture.breakNow();
+  assert.ok(fixture.standings.includes('t0 ejected'));
+  await fixture.home.dispose();
+});
+
+test('a weak fault needs a longer trial than a strong one', () => {
+  assert.equal(countTrialCopies(1), 5);
+  assert.equal(countTrialCopies(0.2), 14);
+  assert.equal(countTrialCopies(0.05), 59);
+});
--- a/packages/routing/src/ejection/common/ejectionController.ts
+++ b/packages/routing/src/ejection/common/ejectionController.ts
@@ -2,6 +2,7 @@
  * Turns suspicions into ejections and returns. One task a troubled target, written straight down:
  * demote, ask for a second opinion, ask the ledger, wait, try, ramp up.
  */
+import { setMaxListeners } from 'node:events';
 import type { IDisposable } from '@parsleymux/base';
 import type { FailureDetector, ISuspicion } from '../../detection/common/failureDetector.js';
 import { EjectionDecision } from '../../ledger/common/ejectionLedger.js';
@@ -9,6 +10,7 @@
 import type { TargetHandle } from '../../target/common/targetHandle.js';
 import { EjectionBackoff } from './ejectionBackoff.js';
 import type { IEjectionSurroundings } from './ejectionSurroundings.js';
+import { sendEvidenceCopy } from './evidenceCopy.js';
 import { isPathFault } from './secondOpinion.js';
 import { runTrial } from './trial.js';
 
@@ -19,9 +21,10 @@
 /** Time after a start in which slowness is not held against a target. */
 const COLD_MS = 10_000;
 const WAIT_SLICE_MS = 1000;
+const RELAPSE_SLICE_MS = 100;
 const DRAINING_PROBE_MS = 5000;
 const PROBE_TIMEOUT_MS = 1000;
-const PATH_CUT_SHARE = 0.5;
+const PATH_CUT_SHARE = 0.4;
 
 /** Watches over the standing of one service's targets. */
 export class EjectionController implements IDisposable {
@@ -32,6 +35,8 @@
   private readonly abort = new AbortController();
 
   constructor(private readonly surroundings: IEjectionSurroundings) {
+    // Every troubled target waits on this signal; the warning about many listeners is not for us.
+    setMaxListeners(0, this.abort.signal);
     this.detector = surroundings.detector;
   }
 
@@ -90,14 +95,29 @@
   private async runSuspicion(handle: TargetHandle, suspicion: ISuspicion): Promise<void> {
     const { traits } = this.detector;
     this.setStanding(handle, Standing.Suspect, suspicion.reason);
+    if (traits.confirmMs > 0) await this.confirm(handle);
+    if (!this.detector.isConfirmed(suspicion)) {
+      // The evidence is kept: should it grow again, less of it is needed.
+      this.setStanding(handle, Standing.Serving, '');
+      return;
+    }
     if (traits.asksObserver && suspicion.isPathPossible && (await this.checkPath(handle))) {
-      handle.isCutOff = suspicion.failureShare > PATH_CUT_SHARE;
       this.setStanding(handle, Standing.Suspect, `path fault: ${suspicion.reason}`);
       return this.waitForPath(handle, suspicion);
     }
     return this.eject(handle, suspicion);
   }
 
+  /** Lets peers show what they do, and the suspect what it does with copies. */
+  private async confirm(handle: TargetHandle): Promise<void> {
+    const { confirmMs, confirmCopies } = this.detector.traits;
+    const signal = this.abort.signal;
+    const copies = Array.from({ length: confirmCopies }, () => {
+      return sendEvidenceCopy({ ...this.surroundings, handle, signal });
+    });
+    await Promise.all([this.sleep(confirmMs), ...copies]);
+  }
+
   private async eject(handle: TargetHandle, suspicion: ISuspicion): Promise<void> {
     for (;;) {
       const decision = await this.requestEjection(handle);
@@ -178,27 +198,32 @@
     for (const ramp of RAMP_STEPS) {
       handle.ramp = ramp;
       this.surroundings.pool.serveWaiting();
-      await this.sleep(RAMP_STEP_MS);
-      if (this.relapsed.has(handle.address)) break;
+      const stepEndMs = this.getNow() + RAMP_STEP_MS;
+      await this.sleepUnlessRelapsed(handle, stepEndMs);
     }
+    await this.sleepUnlessRelapsed(handle, endMs);
     handle.ramp = 1;
-    if (!this.relapsed.has(handle.address)) await this.sleep(endMs - this.getNow());
     this.detector.setCold(handle.address, false);
     if (!this.relapsed.has(handle.address)) this.serve(handle);
   }
 
   private serve(handle: TargetHandle): void {
     handle.isCutOff = false;
+    // What came in while the target was left out must not count against it from here on.
+    this.detector.reset(handle.address);
     this.getBackoff(handle).recordReturn(this.getNow());
     this.setStanding(handle, Standing.Serving, '');
   }
 
   private async waitForPath(handle: TargetHandle, suspicion: ISuspicion): Promise<void> {
-    this.detector.reset(handle.address);
-    do {
+    while (!(await this.isWellAgain(handle, suspicion.failureShare))) {
+      if (suspicion.failureShare > PATH_CUT_SHARE && !handle.isCutOff) {
+        handle.isCutOff = true;
+        this.setStanding(handle, Standing.Suspect, `cut off: ${suspicion.reason}`);
+      }
       await this.sleep(RETRY_PATH_MS);
       if (!this.isConfigured(handle)) return;
-    } while (!(await this.isWellAgain(handle, suspicion.failureShare)));
+    }
     this.serve(handle);
   }
 
@@ -268,6 +293,12 @@
     return this.surroundings.clock.getMonotonicTime();
   }
 
+  private async sleepUnlessRelapsed(handle: TargetHandle, endMs: number): Promise<void> {
+    while (this.getNow() < endMs && !this.relapsed.has(handle.address)) {
+      await this.sleep(Math.min(RELAPSE_SLICE_MS, endMs - this.getNow()));
+    }
+  }
+
   private sleep(durationMs: number): Promise<void> {
     return this.surroundings.clock.sleep(durationMs, this.abort.signal);
   }
--- /dev/null
+++ b/packages/routing/src/ejection/common/evidenceCopy.ts
@@ -0,0 +1,40 @@
+/** Copies of an idempotent request whose outcome is evidence for or against a suspect. */
+import type { Clock } from '@parsleymux/base';
+import type { FailureDetector, IEvidence } from '../../detection/common/failureDetector.js';
+import { Evidence } from '../../detection/common/failureDetector.js';
+import type { TargetHandle } from '../../target/common/targetHandle.js';
+import type { CopySender, ICopyResult } from './copySender.js';
+import type { SampleKeeper } from './requestSample.js';
+
+const DEFAULT_TIMEOUT_MS = 1000;
+/** A copy that takes this many times as long as nine in ten of the peers' answers is silence. */
+const TIMEOUT_FACTOR = 3;
+
+/** Options of {@link sendEvidenceCopy}. */
+export interface IEvidenceCopyOptions {
+  readonly clock: Clock;
+  readonly detector: FailureDetector;
+  readonly sender: CopySender;
+  readonly samples: SampleKeeper;
+  readonly handle: TargetHandle;
+  readonly signal: AbortSignal;
+}
+
+/** Sends one copy and gives its outcome to the detector. Without real work to copy, does nothing. */
+export async function sendEvidenceCopy(options: IEvidenceCopyOptions): Promise<void> {
+  const { detector, handle, signal } = options;
+  const sample = options.samples.get();
+  if (!sample.isRealWork) return;
+  const limitMs = detector.getSlowLimit(sample.route, handle.address);
+  const timeoutMs = limitMs === undefined ? DEFAULT_TIMEOUT_MS : limitMs * TIMEOUT_FACTOR;
+  const result = await options.sender.send({ handle, sample, timeoutMs, signal });
+  if (result === undefined) return;
+  const target = handle.address;
+  const atMs = options.clock.getMonotonicTime();
+  detector.recordEvidence({ target, route: sample.route, atMs, ...toKind(result) });
+}
+
+function toKind(result: ICopyResult): Pick<IEvidence, 'kind' | 'latencyMs'> {
+  if (result.succeeded) return { kind: Evidence.Success, latencyMs: result.latencyMs };
+  return { kind: result.answered ? Evidence.Failure : Evidence.Silence };
+}
--- a/packages/routing/src/home/common/evidenceIntake.ts
+++ b/packages/routing/src/home/common/evidenceIntake.ts
@@ -1,4 +1,5 @@
 /** Turns what happens to attempts into evidence, and keeps ledger and probes current. */
+import { setMaxListeners } from 'node:events';
 import type { IDisposable } from '@parsleymux/base';
 import type { Service } from '@parsleymux/schema';
 import type { AttemptOutcome } from '../../attempt/common/attemptOutcome.js';
@@ -18,7 +19,9 @@
 import type { SlotPool } from './slotPool.js';
 
 /** An attempt this many times over what nine in ten of its peers' answers need is overdue. */
-const STALL_FACTOR = 4;
+const STALL_FACTOR = 3;
+/** A copy on a fresh connection that takes this many times as long clears nobody. */
+const CHECK_FACTOR = 2;
 const MIN_STALL_MS = 20;
 const DEFAULT_CHECK_TIMEOUT_MS = 1000;
 const LEDGER_INTERVAL_MS = 5000;
@@ -46,6 +49,7 @@
   constructor(private readonly options: IEvidenceIntakeOptions) {
     const { context, member, pool } = options;
     this.context = context;
+    setMaxListeners(0, this.abort.signal);
     this.detector = context.createDetector(options.service);
     this.detector.setTargets(options.service.targets.map((target) => target.address));
     this.samples = new SampleKeeper(context.healthPath);
@@ -152,7 +156,14 @@
     const { context, member } = this.options;
     return new ConnectionCheck({
       clock: context.clock,
-      tryFresh: () => this.tryFresh(handle),
+      tryFresh: async () => {
+        // Until it is known who is silent, further requests would only join those that wait.
+        handle.isUnderCheck = true;
+        const isAnswered = await this.tryFresh(handle);
+        handle.isUnderCheck = false;
+        this.options.pool.serveWaiting();
+        return isAnswered;
+      },
       retireConnections: () => {
         context.metrics.connectionsAccused.inc(this.getLabels());
         context.transport.retireConnections(member, handle.address);
@@ -170,7 +181,7 @@
   private async tryFresh(handle: TargetHandle): Promise<boolean> {
     const sample = this.samples.get();
     const limitMs = this.detector.getSlowLimit(sample.route, handle.address);
-    const timeoutMs = limitMs === undefined ? DEFAULT_CHECK_TIMEOUT_MS : limitMs * STALL_FACTOR;
+    const timeoutMs = limitMs === undefined ? DEFAULT_CHECK_TIMEOUT_MS : limitMs * CHECK_FACTOR;
     const signal = this.abort.signal;
     const result = await this.sender.send({ handle, sample, timeoutMs, signal });
     return result?.answered ?? false;
--- a/packages/routing/src/home/common/homeOptions.ts
+++ b/packages/routing/src/home/common/homeOptions.ts
@@ -17,7 +17,7 @@
 
 const DEFAULT_MAX_ANSWER_BYTES = 1_048_576;
 const DEFAULT_MAX_IN_FLIGHT = 4000;
-const DEFAULT_HEALTH_PATH = '/healthz';
+const DEFAULT_HEALTH_PATH = '/health';
 
 /** Bounds of one home. */
 export interface IHomeLimits {
@@ -54,7 +54,7 @@
   readonly metrics?: HomeMetrics;
   /** Told of every change of standing, for logs and replays. */
   readonly onStandingChange?: (change: IStandingChange) => void;
-  /** Health endpoint of targets: probes, and trials until a request was seen. Default '/healthz'. */
+  /** Health endpoint of targets: probes, and trials until a request was seen. Default '/health'. */
   readonly healthPath?: string;
   /** Send a second attempt beside an overdue idempotent one. Default true. */
   readonly hedges?: boolean;
--- a/packages/routing/src/home/common/localHomeService.test.ts
+++ b/packages/routing/src/home/common/localHomeService.test.ts
@@ -1,57 +1,22 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { MuxError } from '@parsleymux/base';
-import {
-  InvariantRegistry,
-  ManualClock,
-  ResultCode,
-  RunState,
-  SeededRandom,
-} from '@parsleymux/base';
+import { ResultCode, RunState } from '@parsleymux/base';
 import { TargetState } from '@parsleymux/schema';
-import { PassThroughGuard } from '../../guard/common/passThroughGuard.js';
-import { TableEjectionLedger } from '../../ledger/common/tableEjectionLedger.js';
 import type { Respond } from '../../test/common/builders.js';
 import {
   buildAnswer,
   buildRequest,
   buildRoute,
   buildService,
-  FakeConfigService,
-  FakeTransport,
   MEMBER,
   SERVICE,
 } from '../../test/common/builders.js';
-import { FakeTable } from '../../test/common/fakeTable.js';
+import { createHomeFixture } from '../../test/common/homeFixture.js';
 import { TransportError, TransportFailure } from '../../transport/common/targetTransport.js';
-import { LocalHomeService } from './localHomeService.js';
 
 const signal = new AbortController().signal;
 
-function setUp(count: number, respond: Respond, rest: Parameters<typeof buildService>[1] = {}) {
-  const clock = new ManualClock({ startMs: 1_000_000 });
-  const invariants = new InvariantRegistry();
-  const configService = new FakeConfigService([buildService(count, rest)]);
-  const transport = new FakeTransport(respond);
-  const home = new LocalHomeService({
-    configService,
-    clock,
-    random: new SeededRandom(1),
-    transport,
-    guard: new PassThroughGuard(),
-    ledger: new TableEjectionLedger({ table: new FakeTable(), clock, invariants, node: 'a' }),
-    invariants,
-  });
-  const answerAfter = (ms: number): Respond => {
-    return async (_request, options) => {
-      options.onDispatch?.();
-      await clock.sleep(ms, options.signal);
-      return buildAnswer();
-    };
-  };
-  return { clock, invariants, configService, transport, home, answerAfter };
-}
-
 function breakConnection(mayHaveRun: boolean): Respond {
   return (_request, options) => {
     if (mayHaveRun) options.onDispatch?.();
@@ -61,7 +26,7 @@
 }
 
 test('an idempotent request that failed is tried on another target', async () => {
-  const { home, transport } = setUp(2, () => Promise.resolve(buildAnswer()));
+  const { home, transport } = createHomeFixture(2, () => Promise.resolve(buildAnswer()));
   transport.respond = (request, options) => {
     if (transport.sent.length === 1) return breakConnection(true)(request, options);
     return Promise.resolve(buildAnswer());
@@ -75,7 +40,7 @@
   // Symptom: a booking is executed by two targets.
   // Sequence: the target gets the booking, the connection breaks, the home tries another target.
   // Cause: a broken connection was taken for "not run".
-  const { home, transport } = setUp(2, breakConnection(true));
+  const { home, transport } = createHomeFixture(2, breakConnection(true));
   const request = buildRequest({ route: buildRoute(false), idempotencyKey: 'k' });
   await assert.rejects(home.handle(request, signal), (error: MuxError) => {
     return error.runState === RunState.MayHaveRun && error.code === ResultCode.TargetFailed;
@@ -84,7 +49,7 @@
 });
 
 test('a request that must not run twice goes on when no byte left', async () => {
-  const { home, transport } = setUp(2, breakConnection(false));
+  const { home, transport } = createHomeFixture(2, breakConnection(false));
   transport.respond = (request, options) => {
     if (transport.sent.length === 1) return breakConnection(false)(request, options);
     options.onDispatch?.();
@@ -96,7 +61,9 @@
 });
 
 test('a target past its leaving instant or draining gets nothing new', async () => {
-  const { home, transport, configService } = setUp(3, () => Promise.resolve(buildAnswer()));
+  const { home, transport, configService } = createHomeFixture(3, () =>
+    Promise.resolve(buildAnswer()),
+  );
   await home.handle(buildRequest(), signal);
   const service = buildService(3);
   service.targets[0]!.state = TargetState.DRAINING;
@@ -108,9 +75,13 @@
 });
 
 test('no request exceeds the slots, and the full queue refuses truthfully with when to come back', async () => {
-  const { home, transport, clock, answerAfter } = setUp(1, () => Promise.resolve(buildAnswer()), {
-    queueFactor: 1,
-  });
+  const { home, transport, clock, answerAfter } = createHomeFixture(
+    1,
+    () => Promise.resolve(buildAnswer()),
+    {
+      queueFactor: 1,
+    },
+  );
   transport.respond = answerAfter(100);
   const requests = Array.from({ length: 9 }, () => home.handle(buildRequest(), signal));
   const settled = Promise.allSettled(requests);
@@ -127,7 +98,9 @@
 });
 
 test('a caller that hangs up cancels a read but not a booking', async () => {
-  const { home, transport, clock, answerAfter } = setUp(1, () => Promise.resolve(buildAnswer()));
+  const { home, transport, clock, answerAfter } = createHomeFixture(1, () =>
+    Promise.resolve(buildAnswer()),
+  );
   transport.respond = answerAfter(100);
   const abort = new AbortController();
   const booking = home.handle(
--- a/packages/routing/src/target/common/targetHandle.ts
+++ b/packages/routing/src/target/common/targetHandle.ts
@@ -37,6 +37,8 @@
   ramp = 1;
   /** This node can't reach it, though others can: given work only when there is no other target. */
   isCutOff = false;
+  /** Silent a moment ago, and now tried on a fresh connection: the last choice until that ends. */
+  isUnderCheck = false;
 
   constructor(target: Target, sinceMs: number) {
     this.target = target;
--- a/packages/routing/src/target/common/targetPicker.ts
+++ b/packages/routing/src/target/common/targetPicker.ts
@@ -24,10 +24,10 @@
   const usable = [...options.handles].filter((handle) => {
     return handle.isUsable(options.wallTimeMs) && !options.excluded.has(handle.address);
   });
-  const trusted = usable.filter((handle) => handle.standing !== Standing.Suspect);
+  const trusted = usable.filter((handle) => !isDoubtful(handle));
   const best = pickLeastLoaded(trusted, options.random);
   if (best !== undefined) return best;
-  const suspects = usable.filter((handle) => handle.standing === Standing.Suspect);
+  const suspects = usable.filter(isDoubtful);
   if (trusted.length === 0) return pickLeastLoaded(suspects, options.random);
   if (!options.isIdempotent) return undefined;
   return pickLeastLoaded(
@@ -36,6 +36,10 @@
   );
 }
 
+function isDoubtful(handle: TargetHandle): boolean {
+  return handle.standing === Standing.Suspect || handle.isUnderCheck;
+}
+
 function pickLeastLoaded(
   handles: readonly TargetHandle[],
   random: RandomSource,
