--- /dev/null
+++ b/packages/node/src/app/common/nodeState.ts
@@ -0,0 +1,74 @@
+/** Whether this node takes work, and how much it has in hand. */
+import { Emitter } from '@parsleymux/base';
+
+/** Stages in the life of a node, in their order. */
+export const NodeStage = {
+  Starting: 'starting',
+  Serving: 'serving',
+  /** Tells balancer and peers that it leaves, and finishes what runs. */
+  Leaving: 'leaving',
+  Stopped: 'stopped',
+} as const;
+
+export type NodeStage = (typeof NodeStage)[keyof typeof NodeStage];
+
+/**
+ * The stage of the node and its count of requests in flight.
+ *
+ * @example
+ * const state = new NodeState();
+ * const finish = state.startRequest();
+ * finish();
+ */
+export class NodeState {
+  private readonly didChangeStage = new Emitter<NodeStage>();
+  private readonly didFinishAll = new Emitter<undefined>();
+  private stage: NodeStage = NodeStage.Starting;
+  private inFlight = 0;
+
+  readonly onDidChangeStage = this.didChangeStage.onDidFire;
+
+  getStage(): NodeStage {
+    return this.stage;
+  }
+
+  setStage(stage: NodeStage): void {
+    if (this.stage === stage) return;
+    this.stage = stage;
+    this.didChangeStage.fire(stage);
+  }
+
+  isLeaving(): boolean {
+    return this.stage === NodeStage.Leaving || this.stage === NodeStage.Stopped;
+  }
+
+  getInFlight(): number {
+    return this.inFlight;
+  }
+
+  /** Counts a request in; the returned function counts it out, once. */
+  startRequest(): () => void {
+    this.inFlight += 1;
+    let isFinished = false;
+    return () => {
+      if (isFinished) return;
+      isFinished = true;
+      this.inFlight -= 1;
+      if (this.inFlight === 0) this.didFinishAll.fire(undefined);
+    };
+  }
+
+  /** Resolves when nothing is in flight, or when `signal` aborts. */
+  waitUntilIdle(signal: AbortSignal): Promise<void> {
+    if (this.inFlight === 0 || signal.aborted) return Promise.resolve();
+    return new Promise((resolve) => {
+      const subscription = this.didFinishAll.onDidFire(finish);
+      signal.addEventListener('abort', finish, { once: true });
+      function finish(): void {
+        void subscription.dispose();
+        signal.removeEventListener('abort', finish);
+        resolve();
+      }
+    });
+  }
+}
--- /dev/null
+++ b/packages/node/src/app/node/muxNode.ts
@@ -0,0 +1,245 @@
+/** One node: opens its ports, joins its parts, and leaves without cutting a request. */
+import { readFile } from 'node:fs/promises';
+import type { Clock, IDisposable, Logger } from '@parsleymux/base';
+import {
+  DisposableStore,
+  InvariantName,
+  InvariantRegistry,
+  MuxError,
+  ResultCode,
+  RunState,
+} from '@parsleymux/base';
+import { makeControlHandler, PeerAuthenticator } from '@parsleymux/fleet';
+import type { Limits, NodeSettings, Timing } from '@parsleymux/schema';
+import { AdminServer } from '../../admin/node/adminServer.js';
+import { ClaimAdminSettler } from '../../admin/node/claimAdminSettler.js';
+import { createAdminApi } from '../../admin/node/createAdminApi.js';
+import { CallerServer } from '../../entry/node/callerServer.js';
+import { NodeMetrics } from '../../metrics/node/nodeMetrics.js';
+import { createControlImplementation } from '../../peer/node/controlImplementation.js';
+import { PeerServer } from '../../peer/node/peerServer.js';
+import { StatusServer } from '../../status/node/statusServer.js';
+import { NodeStage, NodeState } from '../common/nodeState.js';
+import type { INodeCore } from './nodeCore.js';
+import { createNodeCore } from './nodeCore.js';
+
+/** Headers of the hop come on top of the caller's own. */
+const HOP_HEADER_BYTES = 16_384;
+
+/** Options of a {@link MuxNode}. */
+export interface IMuxNodeOptions {
+  /** Settings with every default filled in. */
+  readonly settings: NodeSettings;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+/** Addresses in use, ports chosen by the system filled in. */
+export interface INodeAddresses {
+  readonly caller: string;
+  readonly peer: string;
+  readonly admin: string;
+  readonly status: string;
+}
+
+/**
+ * A node from start to exit.
+ *
+ * @example
+ * const node = new MuxNode({ settings, clock: new SystemClock(), log });
+ * const addresses = await node.start();
+ * const cutRequests = await node.stopGracefully();
+ */
+export class MuxNode implements IDisposable {
+  private readonly options: IMuxNodeOptions;
+  private readonly store = new DisposableStore();
+  private readonly background = new AbortController();
+  private readonly invariants = new InvariantRegistry();
+  private readonly state = new NodeState();
+  private readonly limits: Limits;
+  private readonly timing: Timing;
+  private loops: Promise<unknown> = Promise.resolve();
+  private callerServer: CallerServer | undefined;
+
+  constructor(options: IMuxNodeOptions) {
+    this.options = options;
+    const { limits, timing } = options.settings;
+    if (limits === undefined || timing === undefined) throw createSettingsError();
+    this.limits = limits;
+    this.timing = timing;
+  }
+
+  /** Opens the ports and starts the loops. Readiness follows once the configuration is known. */
+  async start(): Promise<INodeAddresses> {
+    const { settings, clock, log } = this.options;
+    this.logChanges();
+    const metrics = new NodeMetrics({ invariants: this.invariants, state: this.state, log });
+    const maxHeaderBytes = this.limits.headerBytes + HOP_HEADER_BYTES;
+    const peerServer = this.store.add(new PeerServer({ maxHeaderBytes }));
+    const peer = await peerServer.listen(settings.peerAddress);
+    const keys = await loadFleetKeys(settings);
+    const authenticator = new PeerAuthenticator({
+      keys,
+      clock,
+      selfAddress: peer,
+    });
+    const core = createNodeCore({
+      ...this.options,
+      limits: this.limits,
+      timing: this.timing,
+      self: { address: peer, failureDomain: settings.failureDomain },
+      authenticator,
+      invariants: this.invariants,
+      state: this.state,
+      metrics,
+    });
+    this.store.add(core.store);
+    this.openControl(peerServer, authenticator, core, peer);
+    const status = await this.openStatus(core, metrics);
+    const caller = await this.openCallers(core, metrics);
+    const admin = await this.openAdmin(core, peer, keys);
+    this.startLoops(core);
+    return { caller, peer, admin, status };
+  }
+
+  /**
+   * Leaves the fleet: tells balancer and peers, finishes what is in flight, closes. Resolves with
+   * the number of requests that were cut because the limit passed.
+   */
+  async stopGracefully(): Promise<number> {
+    const { clock } = this.options;
+    this.state.setStage(NodeStage.Leaving);
+    // The balancer's view lags: until it has seen "not ready", new requests still come here, and
+    // closing the port at once would refuse them at TCP, which callers can't tell from a fault.
+    await clock.sleep(this.timing.shutdownNoticeMs);
+    const limit = new AbortController();
+    const timer = clock.startTimer(this.timing.shutdownLimitMs, () => {
+      limit.abort();
+    });
+    const closed = this.callerServer?.dispose();
+    await this.state.waitUntilIdle(limit.signal);
+    const cut = this.state.getInFlight();
+    this.invariants.check(InvariantName.GracefulShutdown, cut === 0, () => `${cut} requests cut`);
+    if (cut === 0) await Promise.race([closed, waitForAbort(limit.signal)]);
+    void timer.dispose();
+    await this.dispose();
+    this.state.setStage(NodeStage.Stopped);
+    return cut;
+  }
+
+  async dispose(): Promise<void> {
+    this.background.abort(new Error('the node stops'));
+    await this.loops;
+    await this.store.dispose();
+  }
+
+  private openControl(
+    server: PeerServer,
+    authenticator: PeerAuthenticator,
+    core: INodeCore,
+    self: string,
+  ): void {
+    const implementation = createControlImplementation({
+      config: core.config,
+      peers: core.peers,
+      claims: core.guard.lookUpHandler,
+      home: core.home,
+      state: this.state,
+      self,
+      failureDomain: this.options.settings.failureDomain,
+    });
+    const control = makeControlHandler({ implementation, authenticator });
+    server.setHandlers({ authenticator, hop: core.hopServer, control });
+  }
+
+  private async openStatus(core: INodeCore, metrics: NodeMetrics): Promise<string> {
+    const server = this.store.add(
+      new StatusServer({
+        registry: metrics.registry,
+        getNotReadyReason: () => this.getNotReadyReason(core),
+      }),
+    );
+    return server.listen(this.options.settings.statusAddress);
+  }
+
+  private async openCallers(core: INodeCore, metrics: NodeMetrics): Promise<string> {
+    this.callerServer = new CallerServer({
+      clock: this.options.clock,
+      config: core.config,
+      router: core.router,
+      state: this.state,
+      metrics,
+      limits: this.limits,
+      timing: this.timing,
+      isIsolated: () => core.config.isIsolated(),
+    });
+    return this.callerServer.listen(this.options.settings.callerAddress);
+  }
+
+  private openAdmin(core: INodeCore, self: string, keys: readonly Uint8Array[]): Promise<string> {
+    const bootstrapSecret = keys[0] === undefined ? undefined : Buffer.from(keys[0]).toString();
+    const api = createAdminApi({
+      ...this.options,
+      core,
+      claims: new ClaimAdminSettler(),
+      invariants: this.invariants,
+      self,
+      bootstrapSecret,
+    });
+    const server = this.store.add(new AdminServer(api));
+    return server.listen(this.options.settings.adminAddress);
+  }
+
+  private startLoops(core: INodeCore): void {
+    const { signal } = this.background;
+    this.loops = Promise.allSettled([core.membership.run(signal), core.config.run(signal)]);
+    core.config.waitForReady(signal).then(
+      () => {
+        if (!this.state.isLeaving()) this.state.setStage(NodeStage.Serving);
+      },
+      () => undefined,
+    );
+  }
+
+  private getNotReadyReason(core: INodeCore): string | undefined {
+    if (this.state.getStage() !== NodeStage.Serving) return this.state.getStage();
+    return core.config.isIsolated() ? 'isolated' : undefined;
+  }
+
+  private logChanges(): void {
+    const { log } = this.options;
+    this.store.add(
+      this.state.onDidChangeStage((stage) => {
+        log.info('stage', { stage });
+      }),
+    );
+    this.store.add(
+      this.invariants.onDidViolate(({ name, detail }) => {
+        log.error('invariant violated', { name, detail });
+      }),
+    );
+  }
+}
+
+async function loadFleetKeys(settings: NodeSettings): Promise<readonly Uint8Array[]> {
+  const file = settings.security?.fleetKeyFile ?? '';
+  if (file === '') return [];
+  const lines = (await readFile(file, 'utf8')).split('\n');
+  return lines.filter((line) => line.trim() !== '').map((line) => Buffer.from(line.trim()));
+}
+
+function waitForAbort(signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    signal.addEventListener('abort', () => {
+      resolve();
+    });
+  });
+}
+
+function createSettingsError(): MuxError {
+  return new MuxError({
+    code: ResultCode.SettingsInvalid,
+    message: 'settings lack their defaults',
+    runState: RunState.NotRun,
+  });
+}
--- /dev/null
+++ b/packages/node/src/entry/common/callerRequest.ts
@@ -0,0 +1,79 @@
+/** What a caller's request says of itself, checked before anything is done for it. */
+import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import type { IRouteMatch, RouteTable } from '@parsleymux/config';
+import { RouteMiss } from '@parsleymux/config';
+import type { Route } from '@parsleymux/schema';
+
+const MAX_DEADLINE_MS = 600_000;
+const MAX_KEY_LENGTH = 256;
+/** Visible ASCII, so that a key means the same in a header, a row and a log. */
+const KEY_PATTERN = /^[\x21-\x7e]+$/;
+
+/**
+ * The host name of a Host header: lower case, without port or trailing dot.
+ *
+ * @example
+ * parseHost('Booking.Example.:8080'); // 'booking.example'
+ */
+export function parseHost(header: string | undefined): string {
+  const withoutPort = (header ?? '').replace(/:\d*$/, '');
+  return withoutPort.replace(/\.$/, '').toLowerCase();
+}
+
+/** The route of a request; throws the numbered refusal when there is none. */
+export function findRoute(
+  table: RouteTable,
+  host: string,
+  path: string,
+  method: string,
+): IRouteMatch {
+  const match = table.match(host, path.replace(/\?.*$/s, ''), method);
+  if (typeof match !== 'string') return match;
+  throw refuse(MISS_CODES[match], MISS_MESSAGES[match]);
+}
+
+const MISS_CODES: Readonly<Record<RouteMiss, ResultCode>> = {
+  [RouteMiss.UnknownHost]: ResultCode.UnknownHost,
+  [RouteMiss.UnknownPath]: ResultCode.UnknownRoute,
+  [RouteMiss.MethodNotAllowed]: ResultCode.MethodNotAllowed,
+};
+
+const MISS_MESSAGES: Readonly<Record<RouteMiss, string>> = {
+  [RouteMiss.UnknownHost]: 'no member serves this host',
+  [RouteMiss.UnknownPath]: 'no route has this path',
+  [RouteMiss.MethodNotAllowed]: 'no route on this path takes this method',
+};
+
+/**
+ * Time that the request may take, in ms: the caller's word, else the route's, else the default.
+ *
+ * @example
+ * const timeoutMs = parseTimeout(headers['parsleymux-timeout-ms'], route, 10_000);
+ */
+export function parseTimeout(header: string | undefined, route: Route, defaultMs: number): number {
+  if (header === undefined) return route.deadlineMs === 0 ? defaultMs : route.deadlineMs;
+  const timeoutMs = Number(header);
+  if (/^\d{1,9}$/.test(header) && timeoutMs > 0) return Math.min(timeoutMs, MAX_DEADLINE_MS);
+  throw refuse(ResultCode.MalformedDeadline, 'the timeout is not a whole number of ms above 0');
+}
+
+/** The idempotency key; throws when the route needs one and there is no well-formed one. */
+export function parseKey(
+  header: string | readonly string[] | undefined,
+  route: Route,
+): string | undefined {
+  if (route.idempotent) return undefined;
+  if (header === undefined || header === '') {
+    const message = `this route is not idempotent: send a key in the header ${route.keyHeader}`;
+    throw refuse(ResultCode.IdempotencyKeyMissing, message);
+  }
+  if (typeof header !== 'string' || header.length > MAX_KEY_LENGTH || !KEY_PATTERN.test(header)) {
+    const message = `the key must be 1 to ${MAX_KEY_LENGTH} visible ASCII characters`;
+    throw refuse(ResultCode.IdempotencyKeyMalformed, message);
+  }
+  return header;
+}
+
+function refuse(code: ResultCode, message: string): MuxError {
+  return new MuxError({ code, message, runState: RunState.NotRun });
+}
--- /dev/null
+++ b/packages/node/src/http/node/bodyReader.ts
@@ -0,0 +1,42 @@
+/** Reading of whole bodies within a limit. */
+import type { IncomingMessage } from 'node:http';
+import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+
+/**
+ * Reads a request's body, at most `maxBytes`.
+ *
+ * @example
+ * const body = await readBody(request, 1024);
+ */
+export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Uint8Array> {
+  const declared = Number(request.headers['content-length'] ?? 0);
+  if (declared > maxBytes) throw createTooLarge(maxBytes);
+  const chunks: Uint8Array[] = [];
+  let length = 0;
+  try {
+    for await (const chunk of request as AsyncIterable<Uint8Array>) {
+      length += chunk.length;
+      // A chunked body declares no length: without a count of our own one caller could fill
+      // the memory that all members share.
+      if (length > maxBytes) throw createTooLarge(maxBytes);
+      chunks.push(chunk);
+    }
+  } catch (error) {
+    if (error instanceof MuxError) throw error;
+    throw new MuxError({
+      code: ResultCode.CallerGone,
+      message: 'the request ended before its body was whole',
+      runState: RunState.NotRun,
+      cause: error,
+    });
+  }
+  return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
+}
+
+function createTooLarge(maxBytes: number): MuxError {
+  return new MuxError({
+    code: ResultCode.BodyTooLarge,
+    message: `the body is larger than ${maxBytes} bytes`,
+    runState: RunState.NotRun,
+  });
+}
--- /dev/null
+++ b/packages/node/src/http/node/listener.ts
@@ -0,0 +1,55 @@
+/** Opening and closing of HTTP servers on addresses from the settings. */
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+
+/** An IP number and a port. */
+export interface IEndpoint {
+  readonly host: string;
+  readonly port: number;
+}
+
+/**
+ * Splits an address such as "127.0.0.1:80" or "[::1]:80".
+ *
+ * @example
+ * parseEndpoint('127.0.0.1:0').port; // 0
+ */
+export function parseEndpoint(address: string): IEndpoint {
+  const split = address.lastIndexOf(':');
+  const host = address.slice(0, split).replace(/^\[|\]$/g, '');
+  return { host, port: Number(address.slice(split + 1)) };
+}
+
+/** Listens and resolves with the address in use, its port chosen by the system when it was 0. */
+export function listenOn(server: Server, address: string): Promise<string> {
+  const { host, port } = parseEndpoint(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', (cause) => {
+      const message = `cannot listen on ${address}`;
+      reject(
+        new MuxError({
+          code: ResultCode.ConnectionFailed,
+          message,
+          runState: RunState.NotRun,
+          cause,
+        }),
+      );
+    });
+    server.listen(port, host, () => {
+      const bound = server.address() as AddressInfo;
+      const name = bound.family === 'IPv6' ? `[${bound.address}]` : bound.address;
+      resolve(`${name}:${bound.port}`);
+    });
+  });
+}
+
+/** Stops listening and resolves when every connection has ended. */
+export function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => {
+      resolve();
+    });
+    server.closeIdleConnections();
+  });
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** The node: entry, home, observer and administration API in one process. */
+export * from './app/node/main.js';
+export * from './app/node/muxNode.js';
--- /dev/null
+++ b/packages/node/src/metrics/node/nodeMetrics.ts
@@ -0,0 +1,124 @@
+/** Counters of one node in the text format that `prom-client` writes. */
+import type { InvariantRegistry, Logger, MuxError, ResultCode } from '@parsleymux/base';
+import { getResultInfo, InvariantName } from '@parsleymux/base';
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { NodeState } from '../../app/common/nodeState.js';
+
+const MS_PER_SECOND = 1000;
+const LATENCY_BUCKETS_S = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
+
+/** One finished request of a caller. */
+export interface IRequestRecord {
+  readonly member: string;
+  readonly service: string;
+  readonly code: ResultCode;
+  readonly durationMs: number;
+}
+
+/** Options of {@link NodeMetrics}. */
+export interface INodeMetricsOptions {
+  readonly invariants: InvariantRegistry;
+  readonly state: NodeState;
+  readonly log: Logger;
+}
+
+/**
+ * The node's registry and the counters that its parts feed. The status port serves it to the
+ * fleet's operators; members see only their own share, through the administration API.
+ *
+ * @example
+ * metrics.recordRequest({ member, service, code: ResultCode.Ok, durationMs: 12 });
+ */
+export class NodeMetrics {
+  readonly registry = new Registry();
+  private readonly log: Logger;
+  private readonly requests: Counter;
+  private readonly latency: Histogram;
+  private readonly hopTries: Counter;
+  private readonly internalErrors: Counter;
+
+  constructor(options: INodeMetricsOptions) {
+    this.log = options.log;
+    const registers = [this.registry];
+    collectDefaultMetrics({ register: this.registry });
+    this.requests = new Counter({
+      name: 'parsleymux_requests_total',
+      help: 'Finished requests of callers by member, service and result code.',
+      labelNames: ['member', 'service', 'code', 'name'],
+      registers,
+    });
+    this.latency = new Histogram({
+      name: 'parsleymux_request_duration_seconds',
+      help: 'Time from a request to the end of its answer.',
+      labelNames: ['member', 'service'],
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    });
+    this.hopTries = new Counter({
+      name: 'parsleymux_hop_tries_total',
+      help: 'Exchanges between this entry and homes by outcome.',
+      labelNames: ['outcome'],
+      registers,
+    });
+    this.internalErrors = new Counter({
+      name: 'parsleymux_internal_errors_total',
+      help: 'Errors of the program itself. Must stay at 0.',
+      registers,
+    });
+    this.registerState(options.state);
+    this.registerInvariants(options.invariants);
+  }
+
+  recordRequest(record: IRequestRecord): void {
+    const { member, service, code } = record;
+    this.requests.inc({ member, service, code: String(code), name: getResultInfo(code).name });
+    this.latency.observe({ member, service }, record.durationMs / MS_PER_SECOND);
+  }
+
+  recordHopTry(outcome: string): void {
+    this.hopTries.inc({ outcome });
+  }
+
+  /** An unnumbered error reached a caller as "internal": the one kind of line not for a state. */
+  recordInternalError(error: MuxError): void {
+    this.internalErrors.inc();
+    const cause = error.cause()?.stack ?? error.message;
+    this.log.error('internal error', { cause });
+  }
+
+  private registerState(state: NodeState): void {
+    const gauge = new Gauge({
+      name: 'parsleymux_requests_in_flight',
+      help: 'Requests that this node works on, as entry or home.',
+      registers: [this.registry],
+      collect: () => {
+        gauge.set(state.getInFlight());
+      },
+    });
+  }
+
+  private registerInvariants(invariants: InvariantRegistry): void {
+    const violations = new Gauge({
+      name: 'parsleymux_invariant_violations_total',
+      help: 'Times that an invariant did not hold. Must stay at 0.',
+      labelNames: ['name'],
+      registers: [this.registry],
+      collect: () => {
+        for (const name of Object.values(InvariantName)) {
+          violations.set({ name }, invariants.getViolations(name));
+        }
+      },
+    });
+    const checks = new Gauge({
+      name: 'parsleymux_invariant_checks_total',
+      help: 'Times that an invariant was checked.',
+      labelNames: ['name'],
+      registers: [this.registry],
+      collect: () => {
+        for (const name of Object.values(InvariantName)) {
+          checks.set({ name }, invariants.getChecks(name));
+        }
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/node/src/peer/node/connectClaimPeer.ts
@@ -0,0 +1,27 @@
+/** Questions to other nodes about their claims, over connect-es. */
+import type { IClaimLookUpAnswer, IClaimLookUpQuestion } from '@parsleymux/claims';
+import { ClaimPeer } from '@parsleymux/claims';
+import type { PeerClients } from '@parsleymux/fleet';
+
+/** Time for the exchange itself, beside the time that the claimer waits, in ms. */
+const EXCHANGE_MS = 500;
+
+/** Asks claimers by their peer address. */
+export class ConnectClaimPeer extends ClaimPeer {
+  constructor(private readonly clients: PeerClients) {
+    super();
+  }
+
+  override async lookUp(
+    address: string,
+    question: IClaimLookUpQuestion,
+    signal: AbortSignal,
+  ): Promise<IClaimLookUpAnswer> {
+    const answer = await this.clients.execute(
+      address,
+      (client, options) => client.lookUpClaim(question, options),
+      { signal, timeoutMs: question.waitMs + EXCHANGE_MS },
+    );
+    return { state: answer.state, answer: answer.answer };
+  }
+}
--- /dev/null
+++ b/packages/node/src/peer/node/connectConfigPeer.ts
@@ -0,0 +1,71 @@
+/** Other nodes as sources of configuration, over connect-es. */
+import type { RandomSource } from '@parsleymux/base';
+import type { IConfigSnapshot } from '@parsleymux/config';
+import { ConfigPeer, ConfigPeerSource } from '@parsleymux/config';
+import type { MembershipService, PeerClients } from '@parsleymux/fleet';
+
+/** One peer by its address. */
+export class ConnectConfigPeer extends ConfigPeer {
+  constructor(
+    private readonly clients: PeerClients,
+    private readonly self: string,
+    private readonly address: string,
+  ) {
+    super();
+  }
+
+  override async announce(fleetRevision: number, signal: AbortSignal): Promise<number> {
+    const request = { node: this.self, fleetRevision: BigInt(fleetRevision) };
+    const answer = await this.clients.execute(
+      this.address,
+      (client, options) => client.announceRevision(request, options),
+      { signal },
+    );
+    return Number(answer.fleetRevision);
+  }
+
+  override async fetchAfter(fleetRevision: number, signal: AbortSignal): Promise<IConfigSnapshot> {
+    const request = { afterFleetRevision: BigInt(fleetRevision) };
+    const answer = await this.clients.execute(
+      this.address,
+      (client, options) => client.fetchConfig(request, options),
+      { signal },
+    );
+    return { fleetRevision: Number(answer.fleetRevision), members: answer.members };
+  }
+}
+
+/** Options of a {@link LivePeerSource}. */
+export interface ILivePeerSourceOptions {
+  readonly clients: PeerClients;
+  readonly membership: MembershipService;
+  readonly random: RandomSource;
+  /** Peer address of this node. */
+  readonly self: string;
+}
+
+/** Picks peers at random among the live nodes. */
+export class LivePeerSource extends ConfigPeerSource {
+  private readonly options: ILivePeerSourceOptions;
+
+  constructor(options: ILivePeerSourceOptions) {
+    super();
+    this.options = options;
+  }
+
+  override pick(count: number): readonly ConfigPeer[] {
+    const { membership, random, self } = this.options;
+    const others = membership.getLiveNodes().filter(({ address }) => address !== self);
+    const picked: ConfigPeer[] = [];
+    while (picked.length < count && others.length > 0) {
+      const [node] = others.splice(random.getInteger(others.length), 1);
+      if (node !== undefined) picked.push(this.makePeer(node.address));
+    }
+    return picked;
+  }
+
+  /** The peer at an address, such as one that announced a revision. */
+  makePeer(address: string): ConfigPeer {
+    return new ConnectConfigPeer(this.options.clients, this.options.self, address);
+  }
+}
--- /dev/null
+++ b/packages/node/src/peer/node/controlImplementation.ts
@@ -0,0 +1,57 @@
+/** What this node answers to control calls of its peers. */
+import type { ClaimLookUpHandler } from '@parsleymux/claims';
+import type { ConfigDistributor } from '@parsleymux/config';
+import type { ControlImplementation } from '@parsleymux/fleet';
+import type { HomeService } from '@parsleymux/routing';
+import type { NodeState } from '../../app/common/nodeState.js';
+import { NodeStage } from '../../app/common/nodeState.js';
+import type { LivePeerSource } from './connectConfigPeer.js';
+
+/** Options of {@link createControlImplementation}. */
+export interface IControlImplementationOptions {
+  readonly config: ConfigDistributor;
+  readonly peers: LivePeerSource;
+  readonly claims: ClaimLookUpHandler;
+  readonly home: HomeService;
+  readonly state: NodeState;
+  /** Peer address of this node. */
+  readonly self: string;
+  readonly failureDomain: string;
+}
+
+/**
+ * Joins the control service to the parts that answer it.
+ *
+ * @example
+ * const control = makeControlHandler({ implementation: createControlImplementation(parts), authenticator });
+ */
+export function createControlImplementation(
+  options: IControlImplementationOptions,
+): ControlImplementation {
+  const { config, peers, claims, home, state } = options;
+  return {
+    announceRevision(request) {
+      const announcer = request.node === '' ? undefined : peers.makePeer(request.node);
+      const revision = config.receiveAnnouncement(Number(request.fleetRevision), announcer);
+      return { fleetRevision: BigInt(revision) };
+    },
+    fetchConfig(request) {
+      const snapshot = config.getAfter(Number(request.afterFleetRevision));
+      return { fleetRevision: BigInt(snapshot.fleetRevision), members: [...snapshot.members] };
+    },
+    lookUpClaim: (request) => claims.handle(request),
+    getNodeStatus(request) {
+      const shards = home.getStatus().filter(({ member }) => {
+        return request.member === '' || member === request.member;
+      });
+      return {
+        node: options.self,
+        failureDomain: options.failureDomain,
+        fleetRevision: BigInt(config.getCurrent().fleetRevision),
+        ready: config.isReady() && state.getStage() === NodeStage.Serving,
+        leaving: state.isLeaving(),
+        shards: [...shards],
+      };
+    },
+  };
+}
