Carry a silent home's possible hold of a request on to every later home's refusal

Cause: the flag was kept within the tries of one home; the test of a refusal by the next home failed with run state not-run. Now passed on; the test passes.

--- a/packages/node/src/entry/common/homeRouter.ts
+++ b/packages/node/src/entry/common/homeRouter.ts
@@ -48,7 +48,7 @@
     let mayHaveReached = false;
     for (const candidate of this.listCandidates(request)) {
       if (candidate === this.options.self) break;
-      const outcome = await this.tryPeer(candidate, request, signal);
+      const outcome = await this.tryPeer(candidate, request, signal, mayHaveReached);
       if (!(outcome instanceof HopError)) return outcome;
       mayHaveReached ||= outcome.hasPossiblyReached();
     }
@@ -68,8 +68,9 @@
     peer: string,
     request: IRoutedRequest,
     signal: AbortSignal,
+    hasReachedOther: boolean,
   ): Promise<IAnswer | HopError> {
-    let mayHaveReached = false;
+    let mayHaveReached = hasReachedOther;
     let last = new HopError(HopFailure.NotDelivered, 'peer not tried');
     for (let attempt = 0; attempt < TRIES_PER_PEER; attempt += 1) {
       const outcome = await this.tryOnce(peer, request, signal, mayHaveReached);
