--- /dev/null
+++ b/packages/lab/src/bench/claims/common/measureClaims.ts
@@ -0,0 +1,181 @@
+/** Load on one guard: bookings that arrive at random, and what each cost. */
+import { create } from '@bufbuild/protobuf';
+import type { Clock, InvariantRegistry, RandomSource } from '@parsleymux/base';
+import { ResultCode, RunState } from '@parsleymux/base';
+import type { IClaimLookUpAnswer } from '@parsleymux/claims';
+import { ClaimGuard, ClaimPeer, GroupCommitter } from '@parsleymux/claims';
+import type { IPlatform } from '@parsleymux/platform';
+import type { IAnswer, IGuardedAttempt } from '@parsleymux/routing';
+import type { Route } from '@parsleymux/schema';
+import { RouteSchema } from '@parsleymux/schema';
+import type { Histogram } from 'hdr-histogram-js';
+import { build } from 'hdr-histogram-js';
+
+const DEADLINE_MS = 10_000;
+const SERVICE_MS = 5;
+const US = 1000;
+const HIGHEST_US = 60_000_000;
+
+/** One setting that is measured. */
+export interface IClaimCase {
+  /** Whose bookings they are; a case of its own has rows of its own. */
+  readonly member: string;
+  readonly groupMs: number;
+  readonly maxInFlight: number;
+  /** Mean arrivals a second. */
+  readonly perSecond: number;
+  readonly durationMs: number;
+  readonly answerBytes: number;
+}
+
+/** What the bookings of one case cost. */
+export interface IClaimFigures {
+  readonly bookings: number;
+  readonly refused: number;
+  /** From the arrival to the dispatch, in µs. */
+  readonly claimUs: Histogram;
+  /** From the target's answer to the caller's, in µs. */
+  readonly recordUs: Histogram;
+  readonly transactions: number;
+  readonly rows: number;
+  /** Processor time of this process, callers included, in µs. */
+  readonly cpuUs: number;
+}
+
+/** Services that a measurement runs on. */
+export interface IClaimBenchServices {
+  readonly platform: IPlatform;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly invariants: InvariantRegistry;
+}
+
+class NoPeer extends ClaimPeer {
+  override lookUp(): Promise<IClaimLookUpAnswer> {
+    return Promise.reject(new Error('one node alone has no peers'));
+  }
+}
+
+/**
+ * Runs bookings with fresh keys through one guard.
+ *
+ * @example
+ * const figures = await measureClaims(setting, services);
+ */
+export async function measureClaims(
+  setting: IClaimCase,
+  services: IClaimBenchServices,
+): Promise<IClaimFigures> {
+  const { platform, clock, random, invariants } = services;
+  const { table, objects } = platform;
+  const { groupMs, maxInFlight } = setting;
+  const committer = new GroupCommitter({ table, clock, groupMs, maxInFlight });
+  const nodeAddress = '127.0.0.1:1';
+  const peer = new NoPeer();
+  const shared = { table, objects, clock, random, invariants, nodeAddress, peer, committer };
+  const guard = new ClaimGuard(shared);
+  const run = new ClaimRun(setting, services, guard);
+  const cpuStart = process.cpuUsage();
+  await run.runToEnd();
+  await guard.flush();
+  const cpu = process.cpuUsage(cpuStart);
+  guard.dispose();
+  return {
+    ...run.getCounts(),
+    transactions: committer.getTransactionCount(),
+    rows: committer.getRowCount(),
+    cpuUs: cpu.user + cpu.system,
+  };
+}
+
+class ClaimRun {
+  private readonly claimUs = makeHistogram();
+  private readonly recordUs = makeHistogram();
+  private readonly route: Route = create(RouteSchema, { host: 'booking.example' });
+  private bookings = 0;
+  private refused = 0;
+
+  constructor(
+    private readonly setting: IClaimCase,
+    private readonly services: IClaimBenchServices,
+    private readonly guard: ClaimGuard,
+  ) {}
+
+  getCounts(): Pick<IClaimFigures, 'bookings' | 'refused' | 'claimUs' | 'recordUs'> {
+    const { bookings, refused, claimUs, recordUs } = this;
+    return { bookings, refused, claimUs, recordUs };
+  }
+
+  /** Open loop: arrivals don't wait for earlier ones. */
+  async runToEnd(): Promise<void> {
+    const { clock, random } = this.services;
+    const endMs = clock.getMonotonicTime() + this.setting.durationMs;
+    const pending: Promise<void>[] = [];
+    let dueMs = clock.getMonotonicTime();
+    while (dueMs < endMs) {
+      dueMs += random.getExponential(1000 / this.setting.perSecond);
+      const waitMs = dueMs - clock.getMonotonicTime();
+      if (waitMs > 0) await clock.sleep(waitMs);
+      pending.push(this.runBooking());
+    }
+    await Promise.all(pending);
+  }
+
+  private async runBooking(): Promise<void> {
+    const { clock } = this.services;
+    this.bookings += 1;
+    const startMs = clock.getMonotonicTime();
+    let answeredMs = startMs;
+    const run = async () => {
+      this.claimUs.recordValue(toMicroseconds(clock.getMonotonicTime() - startMs));
+      await clock.sleep(SERVICE_MS);
+      answeredMs = clock.getMonotonicTime();
+      return this.makeAnswer();
+    };
+    try {
+      await this.guard.execute(this.makeAttempt(run), new AbortController().signal);
+      this.recordUs.recordValue(toMicroseconds(clock.getMonotonicTime() - answeredMs));
+    } catch {
+      this.refused += 1;
+    }
+  }
+
+  private makeAttempt(run: () => Promise<IAnswer>): IGuardedAttempt {
+    return {
+      request: {
+        member: this.setting.member,
+        route: this.route,
+        method: 'POST',
+        path: '/jobs',
+        headers: [],
+        body: Buffer.from('job'),
+        deadlineMs: this.services.clock.getMonotonicTime() + DEADLINE_MS,
+        caller: 'caller',
+        idempotencyKey: `key-${this.bookings}`,
+      },
+      estimateRefusal: () => undefined,
+      run,
+    };
+  }
+
+  private makeAnswer(): IAnswer {
+    return {
+      status: 201,
+      headers: [
+        ['content-type', 'application/json'],
+        ['location', '/jobs/17'],
+      ],
+      body: new Uint8Array(this.setting.answerBytes),
+      code: ResultCode.Ok,
+      runState: RunState.Ran,
+    };
+  }
+}
+
+function toMicroseconds(durationMs: number): number {
+  return Math.min(HIGHEST_US, Math.max(1, Math.round(durationMs * US)));
+}
+
+function makeHistogram(): Histogram {
+  return build({ highestTrackableValue: HIGHEST_US, numberOfSignificantValueDigits: 3 });
+}
