--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -11,3 +11,4 @@
 export * from './random/common/randomSource.js';
 export * from './result/common/resultCode.js';
 export * from './result/common/resultTable.js';
+export * from './result/common/retryAfter.js';
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -7,4 +7,5 @@
 export * from './rules/common/checkMessageText.js';
 export * from './rules/common/fieldRules.js';
 export * from './rules/common/settingsError.js';
+export * from './rules/common/valueCheck.js';
 export * from './settings/common/parseSettings.js';
--- a/packages/schema/src/rules/common/valueCheck.ts
+++ b/packages/schema/src/rules/common/valueCheck.ts
@@ -3,6 +3,7 @@
 import { ScalarType } from '@bufbuild/protobuf';
 import type { FieldRule } from '../../gen/parsleymux/options/v1/options_pb.js';
 import { findNearest } from './nearestName.js';
+import { hasFormat } from './stringFormat.js';
 
 /** A fault without its place. */
 export interface IValueFault {
@@ -106,6 +107,9 @@
     const shown = JSON.stringify(formatShortened(value));
     return makeFault(`has a wrong form: ${shown}`, rule.hint || `must match ${rule.pattern}`);
   }
+  if (value !== '' && !hasFormat(value, rule.format)) {
+    return makeFault(`has a wrong form: ${JSON.stringify(formatShortened(value))}`, rule.hint);
+  }
   return { value };
 }
 
