Join claims' look-up, settling and removal, and second opinions on targets, to the node

Cause: the parts existed and nothing called them. Whether a claimer is gone is now judged by the platform's list alone, leaving VMs included: by its own experience a node would take a paused claimer for a gone one.

--- a/packages/fleet/src/membership/common/listedMembershipService.ts
+++ b/packages/fleet/src/membership/common/listedMembershipService.ts
@@ -50,6 +50,7 @@
   private readonly didChange = new Emitter<readonly INode[]>();
   private readonly experiences = new Map<string, PeerExperience>();
   private listed: readonly INode[] = [];
+  private listedAddresses: ReadonlySet<string> | undefined;
   private live: readonly INode[];
   private returnTimer: IDisposable | undefined;
   private readonly counters = { polls: 0, failedPolls: 0, suspicions: 0, changes: 0 };
@@ -94,6 +95,14 @@
     return this.listed;
   }
 
+  /**
+   * Whether the platform lists a VM at the address, live or leaving. True until the list was read
+   * once: nobody may be taken for gone on no evidence.
+   */
+  isListed(address: string): boolean {
+    return this.listedAddresses?.has(address) ?? true;
+  }
+
   /** Polls the list until `signal` aborts. While it can't be read, the last one stays in force. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, random } = this.options;
@@ -143,6 +152,7 @@
     if (vms.length === 0) return;
     this.listed = vms.filter((vm) => vm.state === VmState.Live).map(toNode);
     const addresses = new Set(vms.map((vm) => vm.address));
+    this.listedAddresses = addresses;
     for (const address of this.experiences.keys()) {
       if (!addresses.has(address)) this.experiences.delete(address);
     }
--- a/packages/node/src/admin/node/claimAdminSettler.ts
+++ b/packages/node/src/admin/node/claimAdminSettler.ts
@@ -1,21 +1,24 @@
 /** Claims as the administration API sees them. */
-import type { ClaimInfo } from '@parsleymux/schema';
-import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import type { ClaimAdmin } from '@parsleymux/claims';
+import type { ISettleRequest } from '@parsleymux/operators';
 import { ClaimSettler } from '@parsleymux/operators';
+import type { ClaimInfo } from '@parsleymux/schema';
 
-/** Refuses until claims can be looked at by operators. */
+/** Joins the layers: claims know nothing of operators. */
 export class ClaimAdminSettler extends ClaimSettler {
-  override getClaim(): Promise<ClaimInfo | undefined> {
-    return Promise.resolve(undefined);
+  constructor(private readonly admin: ClaimAdmin) {
+    super();
+  }
+
+  override getClaim(
+    member: string,
+    claimKey: string,
+    signal: AbortSignal,
+  ): Promise<ClaimInfo | undefined> {
+    return this.admin.getClaim(member, claimKey, signal);
   }
 
-  override settle(): Promise<ClaimInfo> {
-    return Promise.reject(
-      new MuxError({
-        code: ResultCode.ClaimNotSettleable,
-        message: 'claims cannot be settled on this version',
-        runState: RunState.NotRun,
-      }),
-    );
+  override settle(request: ISettleRequest, signal: AbortSignal): Promise<ClaimInfo> {
+    return this.admin.settle(request, signal);
   }
 }
--- /dev/null
+++ b/packages/node/src/app/node/claimParts.ts
@@ -0,0 +1,83 @@
+/** The parts of a node that keep requests from running twice. */
+import type { Clock, DisposableStore, InvariantRegistry, RandomSource } from '@parsleymux/base';
+import {
+  ClaimAdmin,
+  ClaimGuard,
+  ClaimSweeper,
+  GroupCommitter,
+  Retention,
+  TargetOutcomeLookUp,
+} from '@parsleymux/claims';
+import type { ConfigService } from '@parsleymux/config';
+import type { ListedMembershipService, PeerClients } from '@parsleymux/fleet';
+import type { IPlatform } from '@parsleymux/platform';
+import type { TargetTransport } from '@parsleymux/routing';
+import type { Limits, Timing } from '@parsleymux/schema';
+import { ConnectClaimPeer } from '../../peer/node/connectClaimPeer.js';
+
+/** Options of {@link createClaimParts}. */
+export interface IClaimPartsOptions {
+  readonly store: DisposableStore;
+  readonly platform: IPlatform;
+  readonly clients: PeerClients;
+  readonly membership: ListedMembershipService;
+  readonly config: ConfigService;
+  readonly transport: TargetTransport;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly invariants: InvariantRegistry;
+  readonly limits: Limits;
+  readonly timing: Timing;
+  /** Peer address of this node. */
+  readonly nodeAddress: string;
+}
+
+/** The guard of dispatches, the operators' side of claims, and the remover of old ones. */
+export interface IClaimParts {
+  readonly guard: ClaimGuard;
+  readonly admin: ClaimAdmin;
+  readonly sweeper: ClaimSweeper;
+}
+
+/** Joins them; all share one committer, so that concurrent claims make one transaction. */
+export function createClaimParts(options: IClaimPartsOptions): IClaimParts {
+  const { platform, membership, clock, random, timing, nodeAddress, store } = options;
+  const { table } = platform;
+  const committer = new GroupCommitter({ table, clock, groupMs: timing.claimGroupMs });
+  const peer = new ConnectClaimPeer(options.clients);
+  const isLive = (address: string) => membership.isListed(address);
+  const guard = new ClaimGuard({
+    table,
+    objects: platform.objects,
+    clock,
+    random,
+    invariants: options.invariants,
+    nodeAddress,
+    peer,
+    isLive,
+    committer,
+    retentionS: timing.claimRetentionS,
+    maxAnswerBytes: options.limits.answerBodyBytes,
+    lookUp: new TargetOutcomeLookUp({
+      transport: options.transport,
+      getTargets: (member, service) => listTargets(options.config, member, service),
+    }),
+  });
+  const sweeper = new ClaimSweeper({
+    table,
+    committer,
+    clock,
+    random,
+    retention: new Retention(timing.claimRetentionS),
+    nodeAddress,
+    getLiveNodes: () => membership.getLiveNodes().map(({ address }) => address),
+  });
+  const admin = new ClaimAdmin({ committer, clock, peer, isLive });
+  return { guard: store.add(guard), admin, sweeper: store.add(sweeper) };
+}
+
+function listTargets(config: ConfigService, member: string, service: string): readonly string[] {
+  const intent = config.getCurrent().members.get(member)?.intent;
+  const found = intent?.services.find(({ name }) => name === service);
+  return found?.targets.map(({ address }) => address) ?? [];
+}
--- a/packages/node/src/app/node/muxNode.ts
+++ b/packages/node/src/app/node/muxNode.ts
@@ -142,7 +142,9 @@
     const implementation = createControlImplementation({
       config: core.config,
       peers: core.peers,
-      claims: core.guard.lookUpHandler,
+      claims: core.claims.guard.lookUpHandler,
+      transport: core.transport,
+      maxAnswerBytes: this.limits.answerBodyBytes,
       home: core.home,
       state: this.state,
       self,
@@ -181,7 +183,7 @@
     const api = createAdminApi({
       ...this.options,
       core,
-      claims: new ClaimAdminSettler(),
+      claims: new ClaimAdminSettler(core.claims.admin),
       invariants: this.invariants,
       self,
       bootstrapSecret,
@@ -192,6 +194,7 @@
 
   private startLoops(core: INodeCore): void {
     const { signal } = this.background;
+    core.claims.sweeper.start();
     this.loops = Promise.allSettled([core.membership.run(signal), core.config.run(signal)]);
     core.config.waitForReady(signal).then(
       () => {
--- a/packages/node/src/app/node/nodeCore.ts
+++ b/packages/node/src/app/node/nodeCore.ts
@@ -2,20 +2,27 @@
 import { randomInt } from 'node:crypto';
 import type { Clock, InvariantRegistry, Logger, RandomSource } from '@parsleymux/base';
 import { DisposableStore, SeededRandom } from '@parsleymux/base';
-import { ClaimGuard } from '@parsleymux/claims';
+import type { ClaimGuard } from '@parsleymux/claims';
 import { ConfigDistributor } from '@parsleymux/config';
 import type { INode, PeerAuthenticator } from '@parsleymux/fleet';
 import { ListedMembershipService, PeerClients, RendezvousPlacement } from '@parsleymux/fleet';
 import { openHttpPlatform } from '@parsleymux/platform';
-import { HttpTargetTransport, LocalHomeService, TableEjectionLedger } from '@parsleymux/routing';
+import {
+  HomeMetrics,
+  HttpTargetTransport,
+  LocalHomeService,
+  TableEjectionLedger,
+} from '@parsleymux/routing';
 import type { Limits, NodeSettings, Timing } from '@parsleymux/schema';
 import { HomeRouter } from '../../entry/common/homeRouter.js';
 import { HopClient } from '../../hop/node/hopClient.js';
 import { HopServer } from '../../hop/node/hopServer.js';
 import type { NodeMetrics } from '../../metrics/node/nodeMetrics.js';
-import { ConnectClaimPeer } from '../../peer/node/connectClaimPeer.js';
 import { LivePeerSource } from '../../peer/node/connectConfigPeer.js';
+import { ConnectTargetObserver } from '../../peer/node/connectTargetObserver.js';
 import type { NodeState } from '../common/nodeState.js';
+import type { IClaimParts } from './claimParts.js';
+import { createClaimParts } from './claimParts.js';
 
 const MAX_SEED = 0x7fff_ffff;
 
@@ -41,7 +48,8 @@
   readonly clients: PeerClients;
   readonly peers: LivePeerSource;
   readonly config: ConfigDistributor;
-  readonly guard: ClaimGuard;
+  readonly transport: HttpTargetTransport;
+  readonly claims: IClaimParts;
   readonly home: LocalHomeService;
   readonly router: HomeRouter;
   readonly hopServer: HopServer;
@@ -82,8 +90,12 @@
     isolationLimitMs: timing.isolationLimitMs,
   });
   const shared = { ...options, store, random, platform, membership, clients, peers, config };
-  const guard = createGuard(shared);
-  const home = createHome(shared, guard);
+  const { metrics } = options;
+  const transport = store.add(
+    new HttpTargetTransport({ clock, invariants, registry: metrics.registry }),
+  );
+  const claims = createClaimParts({ ...shared, transport, nodeAddress: self.address });
+  const home = createHome(shared, transport, claims.guard);
   const router = createRouter(shared, home);
   const hopServer = new HopServer({
     clock,
@@ -99,7 +111,8 @@
     clients,
     peers,
     config,
-    guard,
+    transport,
+    claims,
     home,
     router,
     hopServer,
@@ -110,39 +123,29 @@
 type ICoreParts = INodeCoreOptions &
   Pick<INodeCore, 'store' | 'random' | 'platform' | 'membership' | 'clients' | 'config'>;
 
-function createGuard(parts: ICoreParts): ClaimGuard {
-  const { platform, membership, clock, random, invariants, self, timing, limits } = parts;
-  return parts.store.add(
-    new ClaimGuard({
-      table: platform.table,
-      objects: platform.objects,
-      clock,
-      random,
-      invariants,
-      nodeAddress: self.address,
-      peer: new ConnectClaimPeer(parts.clients),
-      isLive: (address) => membership.getLiveNodes().some((node) => node.address === address),
-      groupMs: timing.claimGroupMs,
-      maxAnswerBytes: limits.answerBodyBytes,
-    }),
-  );
-}
-
-function createHome(parts: ICoreParts, guard: ClaimGuard): LocalHomeService {
-  const { platform, clock, random, invariants, self, config } = parts;
-  const node = self.address;
+function createHome(
+  parts: ICoreParts,
+  transport: HttpTargetTransport,
+  guard: ClaimGuard,
+): LocalHomeService {
+  const { platform, clock, random, invariants, self, config, clients, membership, log } = parts;
+  const { registry } = parts.metrics;
+  const { table } = platform;
   return parts.store.add(
     new LocalHomeService({
       configService: config,
       clock,
       random,
-      transport: parts.store.add(
-        new HttpTargetTransport({ clock, invariants, registry: parts.metrics.registry }),
-      ),
+      transport,
       guard,
-      ledger: new TableEjectionLedger({ table: platform.table, clock, invariants, node }),
+      ledger: new TableEjectionLedger({ table, clock, invariants, node: self.address }),
       invariants,
+      observer: new ConnectTargetObserver({ clients, membership, random, self }),
+      metrics: new HomeMetrics(registry),
       maxAnswerBytes: parts.limits.answerBodyBytes,
+      onStandingChange: ({ member, service, target, standing, reason }) => {
+        log.info('target standing', { member, service, target, standing, reason });
+      },
     }),
   );
 }
--- a/packages/node/src/peer/node/controlImplementation.ts
+++ b/packages/node/src/peer/node/controlImplementation.ts
@@ -2,10 +2,11 @@
 import type { ClaimLookUpHandler } from '@parsleymux/claims';
 import type { ConfigDistributor } from '@parsleymux/config';
 import type { ControlImplementation } from '@parsleymux/fleet';
-import type { HomeService } from '@parsleymux/routing';
+import type { HomeService, TargetTransport } from '@parsleymux/routing';
 import type { NodeState } from '../../app/common/nodeState.js';
 import { NodeStage } from '../../app/common/nodeState.js';
 import type { LivePeerSource } from './connectConfigPeer.js';
+import { observeTarget } from './targetObservation.js';
 
 /** Options of {@link createControlImplementation}. */
 export interface IControlImplementationOptions {
@@ -13,6 +14,9 @@
   readonly peers: LivePeerSource;
   readonly claims: ClaimLookUpHandler;
   readonly home: HomeService;
+  readonly transport: TargetTransport;
+  /** Largest answer that an observation takes, in bytes. */
+  readonly maxAnswerBytes: number;
   readonly state: NodeState;
   /** Peer address of this node. */
   readonly self: string;
@@ -40,6 +44,7 @@
       return { fleetRevision: BigInt(snapshot.fleetRevision), members: [...snapshot.members] };
     },
     lookUpClaim: (request) => claims.handle(request),
+    observeTarget: (request, context) => observeTarget(options, request, context.signal),
     getNodeStatus(request) {
       const shards = home.getStatus().filter(({ member }) => {
         return request.member === '' || member === request.member;
