Count claims by verdict, end and replay; keep the guard's options apart

Counters come first, by member; pending records and transactions are read when metrics are collected.

--- a/packages/claims/src/guard/common/claimGuard.ts
+++ b/packages/claims/src/guard/common/claimGuard.ts
@@ -6,9 +6,7 @@
  * outcome is recorded under the key and replayed to later requests. A claim that provably did
  * not run is released; one whose outcome nobody knows is never run again.
  */
-import { randomUUID } from 'node:crypto';
-import type { Clock, IDisposable, InvariantRegistry, RandomSource } from '@parsleymux/base';
-import type { ObjectStore, TableService } from '@parsleymux/platform';
+import type { Clock, IDisposable, RandomSource } from '@parsleymux/base';
 import type { IAnswer, IGuardedAttempt } from '@parsleymux/routing';
 import { DispatchGuard } from '@parsleymux/routing';
 import type { IAttemptOutcome } from '../../attempt/common/attemptRegistry.js';
@@ -21,12 +19,9 @@
 import { formatClaimRowKey, getClaimIdentity } from '../../claim/common/claimIdentity.js';
 import { getKeyTime } from '../../claim/common/keyTime.js';
 import { Retention } from '../../expiry/common/retention.js';
-import type { OutcomeLookUp } from '../../outcome/common/outcomeLookUp.js';
-import { NoOutcomeLookUp } from '../../outcome/common/outcomeLookUp.js';
+import type { ClaimMetrics } from '../../metrics/common/claimMetrics.js';
 import { ClaimLookUpHandler } from '../../peer/common/claimLookUpHandler.js';
-import type { ClaimPeer } from '../../peer/common/claimPeer.js';
 import { ClaimStore } from '../../store/common/claimStore.js';
-import { GroupCommitter } from '../../store/common/groupCommitter.js';
 import { BackgroundRetrier } from './backgroundRetrier.js';
 import {
   makeAnswerNotKept,
@@ -39,55 +34,11 @@
   makeStoreUnavailable,
 } from './claimErrors.js';
 import { ClaimFollower } from './claimFollower.js';
+import type { IClaimGuardOptions } from './claimGuardOptions.js';
+import { withGuardDefaults } from './claimGuardOptions.js';
 import { ClaimRunner } from './claimRunner.js';
 import { OutcomeSettler } from './outcomeSettler.js';
 
-const DEFAULT_MAX_ANSWER_BYTES = 1 << 20;
-const DEFAULT_MAX_ROW_BYTES = 8 << 10;
-const DEFAULT_CLAIM_WAIT_MS = 1000;
-const DEFAULT_RECORD_WAIT_MS = 500;
-const DEFAULT_ANSWER_MARGIN_MS = 50;
-const DEFAULT_GONE_WAIT_MS = 1000;
-const DEFAULT_QUIET_MS = 60_000;
-
-/** Options of a {@link ClaimGuard}. All times are in ms. */
-export interface IClaimGuardOptions {
-  readonly table: TableService;
-  readonly objects: ObjectStore;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly invariants: InvariantRegistry;
-  /** Peer address of this node, under which other nodes ask it about its claims. */
-  readonly nodeAddress: string;
-  readonly peer: ClaimPeer;
-  /** Whether the platform still lists the node, or it was heard of. Default: always. */
-  readonly isLive?: (address: string) => boolean;
-  /** Default: no route can be asked. */
-  readonly lookUp?: OutcomeLookUp;
-  /** Shared with other users of the table, or undefined for one of its own. */
-  readonly committer?: GroupCommitter;
-  /** Time that a claim waits for others to be committed with. Default 2. */
-  readonly groupMs?: number;
-  /** Time that records are kept, in s; see {@link Retention}. Default 604800. */
-  readonly retentionS?: number | undefined;
-  /** Name of a new attempt; must be unique in the fleet for ever. Default: a random UUID. */
-  readonly makeToken?: () => string;
-  /** Largest answer that is kept, in bytes. Default 1 MiB. */
-  readonly maxAnswerBytes?: number;
-  /** Largest body recorded in the row rather than in an object, in bytes. Default 8 KiB. */
-  readonly maxRowBytes?: number;
-  /** Longest wait for the fate of a claim whose answer was lost. Default 1000. */
-  readonly claimWaitMs?: number;
-  /** Longest time that an answer is held back for its record. Default 500. */
-  readonly recordWaitMs?: number;
-  /** Time before the deadline at which waiting for another's run ends. Default 50. */
-  readonly answerMarginMs?: number;
-  /** Longest time that a claimer listed as gone is asked again. Default 1000. */
-  readonly goneWaitMs?: number;
-  /** Time after an unknown outcome from which a target's "never ran" counts. Default 60000. */
-  readonly quietMs?: number;
-}
-
 /**
  * The guard over the platform's table.
  *
@@ -100,6 +51,7 @@
   readonly lookUpHandler: ClaimLookUpHandler;
   private readonly clock: Clock;
   private readonly random: RandomSource;
+  private readonly metrics: ClaimMetrics;
   private readonly retention: Retention;
   private readonly store: ClaimStore;
   private readonly registry = new AttemptRegistry();
@@ -107,49 +59,28 @@
   private readonly runner: ClaimRunner;
   private readonly follower: ClaimFollower;
 
-  constructor(options: IClaimGuardOptions) {
+  constructor(given: IClaimGuardOptions) {
     super();
-    const { table, objects, clock, random, invariants, nodeAddress, peer } = options;
+    const options = withGuardDefaults(given);
+    const { clock, random, committer, peer, metrics } = options;
     const { registry } = this;
-    const groupMs = options.groupMs === undefined ? {} : { groupMs: options.groupMs };
-    const committer = options.committer ?? new GroupCommitter({ table, clock, ...groupMs });
     const store = new ClaimStore({ committer, clock, random });
     const retrier = new BackgroundRetrier({ clock, random });
     const handler = new ClaimLookUpHandler({ registry, clock });
-    const shared = { store, objects, retrier, clock, random, nodeAddress };
+    const shared = { ...options, store, retrier, handler, registry };
     this.clock = clock;
     this.random = random;
+    this.metrics = metrics;
     this.retention = new Retention(options.retentionS);
     this.store = store;
     this.retrier = retrier;
     this.lookUpHandler = handler;
-    this.runner = new ClaimRunner({
-      ...shared,
-      registry,
-      invariants,
-      // Not from the injected source: two nodes seeded alike would make the same tokens, and
-      // each would take the other's claim for its own.
-      makeToken: options.makeToken ?? randomUUID,
-      maxAnswerBytes: options.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES,
-      maxRowBytes: options.maxRowBytes ?? DEFAULT_MAX_ROW_BYTES,
-      claimWaitMs: options.claimWaitMs ?? DEFAULT_CLAIM_WAIT_MS,
-      recordWaitMs: options.recordWaitMs ?? DEFAULT_RECORD_WAIT_MS,
-    });
-    const recordWaitMs = options.recordWaitMs ?? DEFAULT_RECORD_WAIT_MS;
-    const settler = new OutcomeSettler({
-      ...shared,
-      lookUp: options.lookUp ?? new NoOutcomeLookUp(),
-      quietMs: options.quietMs ?? DEFAULT_QUIET_MS,
-      recordWaitMs,
-    });
-    this.follower = new ClaimFollower({
-      ...shared,
-      handler,
-      peer,
-      settler,
-      isLive: options.isLive ?? (() => true),
-      answerMarginMs: options.answerMarginMs ?? DEFAULT_ANSWER_MARGIN_MS,
-      goneWaitMs: options.goneWaitMs ?? DEFAULT_GONE_WAIT_MS,
+    this.runner = new ClaimRunner(shared);
+    this.follower = new ClaimFollower({ ...shared, peer, settler: new OutcomeSettler(shared) });
+    metrics.addGauges({
+      getPendingRecords: () => retrier.getPendingCount(),
+      getTransactions: () => committer.getTransactionCount(),
+      getRows: () => committer.getRowCount(),
     });
   }
 
@@ -160,10 +91,10 @@
     for (;;) {
       this.checkStillWanted(guarded, signal);
       const joined = await this.joinLocal(guarded, identity, rowKey);
-      if (joined !== undefined) return joined;
+      if (joined !== undefined) return this.replay(guarded, joined);
       known ??= await this.findBeforeRefusing(guarded, rowKey);
       const version = known === undefined ? 0 : await this.resolveKnown(guarded, identity, known);
-      if (typeof version !== 'number') return version;
+      if (typeof version !== 'number') return this.replay(guarded, version);
       const refusal = guarded.estimateRefusal();
       if (refusal !== undefined) throw refusal;
       const result = await this.runner.run(guarded, identity, version, signal);
@@ -208,6 +139,11 @@
     throw error;
   }
 
+  private replay(guarded: IGuardedAttempt, answer: IAnswer): IAnswer {
+    this.metrics.replays.inc({ member: guarded.request.member });
+    return answer;
+  }
+
   private checkStillWanted(guarded: IGuardedAttempt, signal: AbortSignal): void {
     if (signal.aborted) throw makeCallerGone();
     if (this.clock.getMonotonicTime() >= guarded.request.deadlineMs) throw makeDeadlinePassed();
--- a/packages/claims/src/guard/common/claimRunner.ts
+++ b/packages/claims/src/guard/common/claimRunner.ts
@@ -11,6 +11,7 @@
 import { ClaimState } from '../../claim/common/claim.js';
 import type { IClaimIdentity } from '../../claim/common/claimIdentity.js';
 import { formatClaimRowKey } from '../../claim/common/claimIdentity.js';
+import type { ClaimMetrics } from '../../metrics/common/claimMetrics.js';
 import type { ClaimStore } from '../../store/common/claimStore.js';
 import { ClaimVerdict } from '../../store/common/claimStore.js';
 import { readWholeBody } from './wholeBody.js';
@@ -32,6 +33,7 @@
   readonly random: RandomSource;
   readonly invariants: InvariantRegistry;
   readonly nodeAddress: string;
+  readonly metrics: ClaimMetrics;
   readonly makeToken: () => string;
   /** Largest answer that is kept, in bytes. */
   readonly maxAnswerBytes: number;
@@ -75,6 +77,7 @@
       claim,
       this.getClaimLimit(guarded),
     );
+    this.options.metrics.verdicts.inc({ member: identity.member, verdict: result.verdict });
     switch (result.verdict) {
       case ClaimVerdict.Won:
         return this.runClaimed(guarded, attempt, claim, result.version, signal);
@@ -108,6 +111,7 @@
       throw refusal;
     }
     const outcome = await this.dispatch(guarded, attempt);
+    this.options.metrics.ends.inc({ member: guarded.request.member, end: outcome.end });
     if (outcome.end === AttemptEnd.NotRun) {
       await this.release(attempt, claim, version, outcome.error, true);
       if (outcome.error !== undefined) throw outcome.error;
--- a/packages/claims/src/test/claimWorld.ts
+++ b/packages/claims/src/test/claimWorld.ts
@@ -13,7 +13,7 @@
 import type { IAnswer, IRoutedRequest } from '@parsleymux/routing';
 import { RouteSchema } from '@parsleymux/schema';
 import { REPLAY_HEADER } from '../claim/common/answerCodec.js';
-import type { IClaimGuardOptions } from '../guard/common/claimGuard.js';
+import type { IClaimGuardOptions } from '../guard/common/claimGuardOptions.js';
 import { ClaimGuard } from '../guard/common/claimGuard.js';
 import type { IClaimLookUpAnswer, IClaimLookUpQuestion } from '../peer/common/claimPeer.js';
 import { ClaimPeer } from '../peer/common/claimPeer.js';
