Read the node's result header, poll readiness node by node, and report alarms of a run

The load looked for another header than the node sends, so refusals had no code. Seen: MaxListenersExceededWarning from two nodes (AbortSignal, 11 listeners), cause not yet known.

--- a/packages/lab/src/load/common/callerHeaders.ts
+++ b/packages/lab/src/load/common/callerHeaders.ts
@@ -5,7 +5,7 @@
   RequestId: 'x-request-id',
   IdempotencyKey: 'idempotency-key',
   TimeoutMs: 'parsleymux-timeout-ms',
-  ResultCode: 'parsleymux-result-code',
+  ResultCode: 'parsleymux-result',
   RunState: 'parsleymux-run-state',
   RetryAfter: 'retry-after',
 } as const;
--- a/packages/lab/src/processes/node/jsonRequest.ts
+++ b/packages/lab/src/processes/node/jsonRequest.ts
@@ -24,10 +24,14 @@
   return JSON.parse(text) as unknown;
 }
 
-/** The text of a GET, or undefined when it fails in any way. */
-export async function tryFetchText(address: string, path: string): Promise<string | undefined> {
+/** The text of a GET, or undefined when it fails in any way or takes longer than `timeoutMs`. */
+export async function tryFetchText(
+  address: string,
+  path: string,
+  timeoutMs = TIMEOUT_MS,
+): Promise<string | undefined> {
   try {
-    const signal = AbortSignal.timeout(TIMEOUT_MS);
+    const signal = AbortSignal.timeout(timeoutMs);
     const answer = await request(`http://${address}${path}`, { signal });
     const text = await answer.body.text();
     return answer.statusCode < FIRST_ERROR_STATUS ? text : undefined;
--- a/packages/lab/src/processes/node/nodeMetrics.ts
+++ b/packages/lab/src/processes/node/nodeMetrics.ts
@@ -24,6 +24,14 @@
   });
 }
 
+/** Sum of a counter over all its labels; 0 when the page has none of that name. */
+export function parseCounter(page: string, name: string): number {
+  const lines = page.split('\n').filter((line) => {
+    return line.startsWith(`${name} `) || line.startsWith(`${name}{`);
+  });
+  return lines.reduce((sum, line) => sum + Number(line.slice(line.lastIndexOf(' ') + 1)), 0);
+}
+
 /** Counts by name, added up. */
 export function mergeCounts(lists: readonly (readonly IInvariantCount[])[]): IInvariantCount[] {
   const totals = new Map<string, number>();
--- a/packages/lab/src/processes/node/nodeProcess.ts
+++ b/packages/lab/src/processes/node/nodeProcess.ts
@@ -8,6 +8,7 @@
 import { Program } from './programs.js';
 
 const READY_POLL_MS = 50;
+const READY_TIMEOUT_MS = 1000;
 const READY_LIMIT_MS = 30_000;
 
 /** Options of {@link startNode}. */
@@ -43,7 +44,8 @@
   ) {}
 
   async isReady(): Promise<boolean> {
-    return (await tryFetchText(this.addresses.status, '/ready')) !== undefined;
+    const text = await tryFetchText(this.addresses.status, '/ready', READY_TIMEOUT_MS);
+    return text !== undefined;
   }
 
   async waitUntilReady(): Promise<void> {
--- a/packages/lab/src/processes/node/readyBalancer.ts
+++ b/packages/lab/src/processes/node/readyBalancer.ts
@@ -12,9 +12,10 @@
  * const balancer = new ReadyBalancer(() => world.getNodes());
  */
 export class ReadyBalancer extends Balancer implements IDisposable {
-  private ready: readonly string[] = [];
-  private turn = 0;
+  private readonly ready = new Map<string, boolean>();
+  private readonly polling = new Set<string>();
   private readonly timer: NodeJS.Timeout;
+  private turn = 0;
 
   constructor(private readonly getNodes: () => readonly NodeProcess[]) {
     super();
@@ -22,25 +23,36 @@
   }
 
   override pick(): string | undefined {
-    if (this.ready.length === 0) return undefined;
-    this.turn = (this.turn + 1) % this.ready.length;
-    return this.ready[this.turn];
+    const nodes = this.listReady();
+    this.turn += 1;
+    return nodes[this.turn % nodes.length];
   }
 
-  /** Asks every node now. */
+  /** Asks every node now, except those that still owe their last answer. */
   async poll(): Promise<void> {
-    const nodes = this.getNodes();
-    const answers = await Promise.all(nodes.map((node) => node.isReady()));
-    this.ready = nodes
-      .filter((_, index) => answers[index])
-      .map(({ addresses }) => addresses.caller);
+    await Promise.all(this.getNodes().map((node) => this.pollNode(node)));
   }
 
   getReadyCount(): number {
-    return this.ready.length;
+    return this.listReady().length;
   }
 
   dispose(): void {
     clearInterval(this.timer);
   }
+
+  private listReady(): readonly string[] {
+    return [...this.ready].filter(([, isReady]) => isReady).map(([caller]) => caller);
+  }
+
+  /** Each node by itself: waiting for a paused one must not keep the others' state stale. */
+  private async pollNode(node: NodeProcess): Promise<void> {
+    const { caller } = node.addresses;
+    if (this.polling.has(caller)) return;
+    this.polling.add(caller);
+    this.ready.set(caller, await node.isReady());
+    this.polling.delete(caller);
+    const running = new Set(this.getNodes().map(({ addresses }) => addresses.caller));
+    for (const known of this.ready.keys()) if (!running.has(known)) this.ready.delete(known);
+  }
 }
--- a/packages/lab/src/prove/common/faultSchedule.ts
+++ b/packages/lab/src/prove/common/faultSchedule.ts
@@ -71,7 +71,9 @@
     pick: fc.nat({ max: 1_000_000 }),
     size: fc.double({ min: 0.1, max: 1, noNaN: true }),
   });
-  const steps = fc.array(step, { minLength: count, maxLength: count });
+  // Without noBias, the first sample favours the ends of each range: most faults would come at
+  // the start, with the least size, and whole kinds would never be seen together.
+  const steps = fc.noBias(fc.array(step, { minLength: count, maxLength: count }));
   const [schedule = []] = fc.sample(steps, { seed: options.seed, numRuns: 1 });
   return [...schedule].sort((left, right) => left.atMs - right.atMs);
 }
--- a/packages/lab/src/prove/node/metricsWatcher.ts
+++ b/packages/lab/src/prove/node/metricsWatcher.ts
@@ -6,7 +6,11 @@
 import type { IDisposable } from '@parsleymux/base';
 import type { NodeProcess } from '../../processes/node/nodeProcess.js';
 import type { IInvariantCount } from '../../processes/node/nodeMetrics.js';
-import { mergeCounts, parseInvariantCounts } from '../../processes/node/nodeMetrics.js';
+import {
+  mergeCounts,
+  parseCounter,
+  parseInvariantCounts,
+} from '../../processes/node/nodeMetrics.js';
 
 const INTERVAL_MS = 500;
 
@@ -34,6 +38,11 @@
     return mergeCounts(pages.map((page) => parseInvariantCounts(page, kind)));
   }
 
+  /** A counter's total over every node that ever answered. */
+  getTotal(counter: string): number {
+    return [...this.pages.values()].reduce((sum, page) => sum + parseCounter(page, counter), 0);
+  }
+
   /** Nodes whose counters were seen. */
   getNodeCount(): number {
     return this.pages.size;
--- a/packages/lab/src/prove/node/proveReport.ts
+++ b/packages/lab/src/prove/node/proveReport.ts
@@ -1,6 +1,7 @@
 /** Prints what a run did and found. */
 import { InvariantName } from '@parsleymux/base';
 import type { IOutcomeSummary } from '../../load/node/loadGenerator.js';
+import type { NodeProcess } from '../../processes/node/nodeProcess.js';
 import type { IFaultCount } from './faultRunner.js';
 import type { ICheckCount } from './findings.js';
 import type { MetricsWatcher } from './metricsWatcher.js';
@@ -54,3 +55,25 @@
   ]);
   printTable('checks from outside', lines);
 }
+
+/** Errors and warnings that nodes logged, by message; what is kept of each log is its end. */
+export function printNodeLogs(nodes: readonly NodeProcess[]): void {
+  const counts = new Map<string, number>();
+  for (const line of nodes.flatMap(({ child }) => child.getErrorLines())) {
+    const message = parseAlarm(line);
+    if (message !== undefined) counts.set(message, (counts.get(message) ?? 0) + 1);
+  }
+  const lines = [...counts].map(([message, count]) => `${String(count).padStart(5)} ${message}`);
+  printTable('errors and warnings in the logs of nodes', lines);
+}
+
+/** What a log line says when it is an alarm; a line that is not JSON is one. */
+function parseAlarm(line: string): string | undefined {
+  try {
+    const entry = JSON.parse(line) as { readonly level?: string; readonly message?: unknown };
+    const isAlarm = entry.level === 'error' || entry.level === 'warn';
+    return isAlarm ? `${entry.level}: ${String(entry.message)}` : undefined;
+  } catch {
+    return `not JSON: ${line.slice(0, 160)}`;
+  }
+}
--- a/packages/lab/src/prove/node/proveRun.ts
+++ b/packages/lab/src/prove/node/proveRun.ts
@@ -12,7 +12,13 @@
 import { applyOutsideBreak } from './brokenWorld.js';
 import { FaultRunner } from './faultRunner.js';
 import { MetricsWatcher } from './metricsWatcher.js';
-import { printChecks, printFaults, printInvariants, printOutcomes } from './proveReport.js';
+import {
+  printChecks,
+  printFaults,
+  printInvariants,
+  printNodeLogs,
+  printOutcomes,
+} from './proveReport.js';
 import { ProveWorld } from './proveWorld.js';
 
 /** Time after the last fault in which the fleet may still suffer from it. */
@@ -73,10 +79,13 @@
   const records = load.getRecords();
   checkRecovery(records, recoveredAtMs, world);
   await checkOutcomes(records, world);
+  const internalErrors = watcher.getTotal('parsleymux_internal_errors_total');
+  world.findings.check('no internal errors', internalErrors === 0, () => `${internalErrors}`);
   printFaults(runner.getCounts(), runner.getErrors());
   printOutcomes(load.summarize());
   const violations = printInvariants(watcher);
   printChecks(world.findings.list());
+  printNodeLogs(world.lab.getAllNodes());
   return violations === 0 && !world.findings.hasViolations();
 }
 
