--- a/packages/fleet/src/membership/common/listedMembershipService.test.ts
+++ b/packages/fleet/src/membership/common/listedMembershipService.test.ts
@@ -146,6 +146,31 @@
   assert.deepEqual(getLive(), ['a:1', 'c:1']);
 });
 
+test('a node that starts while the list is out knows its seeds, until the list is read', async () => {
+  // Symptom: a VM replaced during an outage of the platform never becomes ready.
+  // Sequence: the platform is out; a node starts; it asks peers for the configuration.
+  // Cause: peers known from the list only.
+  const clock = new ManualClock();
+  const vms = new FakeVmList();
+  vms.isOut = true;
+  vms.vms = [makeVm('d:1')];
+  const self = { address: SELF, failureDomain: 'north' };
+  const random = new SeededRandom(1);
+  const seeds = ['c:1', 'b:1', SELF];
+  const membership = new ListedMembershipService({ self, vms, clock, random, seeds });
+  const getLive = () => membership.getLiveNodes().map((node) => node.address);
+  const abort = new AbortController();
+  const done = membership.run(abort.signal);
+  await clock.advanceBy(10_000);
+  assert.deepEqual(getLive(), ['a:1', 'b:1', 'c:1']);
+  vms.isOut = false;
+  await clock.advanceBy(90_000);
+  assert.deepEqual(getLive(), ['a:1', 'd:1']);
+  abort.abort();
+  await done;
+  membership.dispose();
+});
+
 test('onDidChange fires only when the live set differs', async (context) => {
   const { clock, membership } = await startMembership(context, ['b:1']);
   let fired = 0;
--- a/packages/fleet/src/membership/common/listedMembershipService.ts
+++ b/packages/fleet/src/membership/common/listedMembershipService.ts
@@ -27,6 +27,8 @@
   /** Longest mean time between two reads while the list can't be read, in ms. Default 60,000. */
   readonly maxPollMs?: number;
   readonly suspicion?: ISuspicionOptions;
+  /** Addresses of nodes to begin with, until the list was read for the first time. */
+  readonly seeds?: readonly string[];
 }
 
 /** Counts since the start. */
@@ -59,6 +61,10 @@
     super();
     this.options = options;
     this.live = [options.self];
+    // A node that starts while the platform is out would otherwise know no peer to get the
+    // configuration from, and would never become ready.
+    this.listed = (options.seeds ?? []).map((address) => ({ address, failureDomain: '' }));
+    this.updateLiveNodes();
   }
 
   override readonly onDidChange: Event<readonly INode[]> = (listener) =>
--- /dev/null
+++ b/packages/lab/src/bench/recovery/common/meteredPlatform.ts
@@ -0,0 +1,144 @@
+/** A platform in memory that counts its load by the second, and refuses what goes over its rates. */
+import type { Clock } from '@parsleymux/base';
+import type { IMemoryPlatform } from '@parsleymux/config/testing';
+import type {
+  IPlatform,
+  IScanOptions,
+  ITableRow,
+  ITableTransaction,
+  ITransactionResult,
+  IVm,
+} from '@parsleymux/platform';
+import {
+  ObjectStore,
+  PlatformError,
+  PlatformFailure,
+  TableService,
+  VmList,
+} from '@parsleymux/platform';
+
+const MS_PER_SECOND = 1000;
+
+/** Load of one kind. */
+export interface IMeteredLoad {
+  readonly reads: number;
+  readonly refused: number;
+  /** Most reads asked for within one second of the clock. */
+  readonly peakReadsPerSecond: number;
+}
+
+/** Options of a {@link MeteredPlatform}. */
+export interface IMeteredPlatformOptions {
+  readonly inner: IMemoryPlatform;
+  readonly clock: Clock;
+  /** Time that one operation takes, in ms. */
+  readonly delayMs: number;
+  /** Reads served a second; the rest is refused. 0: no limit. */
+  readonly readsPerSecond: number;
+}
+
+/**
+ * Meters every read, whichever of the three services it is of.
+ *
+ * @example
+ * const platform = new MeteredPlatform({ inner, clock, delayMs: 5, readsPerSecond: 2000 });
+ */
+export class MeteredPlatform implements IPlatform {
+  readonly table: TableService;
+  readonly objects: ObjectStore;
+  readonly vms: VmList;
+  listed: readonly IVm[] = [];
+  isOut = false;
+  private readonly bySecond = new Map<number, number>();
+  private refused = 0;
+
+  constructor(private readonly options: IMeteredPlatformOptions) {
+    this.table = new MeteredTable(this, options.inner.table);
+    this.objects = new MeteredObjects(this, options.inner.objects);
+    this.vms = new MeteredVmList(this);
+  }
+
+  /** Forgets what was counted. */
+  reset(): void {
+    this.bySecond.clear();
+    this.refused = 0;
+  }
+
+  getLoad(): IMeteredLoad {
+    const counts = [...this.bySecond.values()];
+    return {
+      reads: counts.reduce((sum, count) => sum + count, 0),
+      refused: this.refused,
+      peakReadsPerSecond: Math.max(0, ...counts),
+    };
+  }
+
+  /** Counts one read, and refuses it when its second is full or the platform is out. */
+  async acceptRead(): Promise<void> {
+    const { clock, delayMs, readsPerSecond } = this.options;
+    const second = Math.floor(clock.getMonotonicTime() / MS_PER_SECOND);
+    const count = (this.bySecond.get(second) ?? 0) + 1;
+    this.bySecond.set(second, count);
+    await clock.sleep(delayMs);
+    const isOver = readsPerSecond > 0 && count > readsPerSecond;
+    if (!isOver && !this.isOut) return;
+    this.refused += 1;
+    throw new PlatformError(PlatformFailure.Refused, 'refused');
+  }
+}
+
+class MeteredTable extends TableService {
+  constructor(
+    private readonly meter: MeteredPlatform,
+    private readonly inner: TableService,
+  ) {
+    super();
+  }
+
+  override async read(keys: readonly string[]): Promise<readonly ITableRow[]> {
+    await this.meter.acceptRead();
+    return this.inner.read(keys);
+  }
+
+  override async scan(options: IScanOptions): Promise<readonly ITableRow[]> {
+    await this.meter.acceptRead();
+    return this.inner.scan(options);
+  }
+
+  override transact(transaction: ITableTransaction): Promise<ITransactionResult> {
+    return this.inner.transact(transaction);
+  }
+}
+
+class MeteredObjects extends ObjectStore {
+  constructor(
+    private readonly meter: MeteredPlatform,
+    private readonly inner: ObjectStore,
+  ) {
+    super();
+  }
+
+  override async get(key: string): Promise<Uint8Array | undefined> {
+    await this.meter.acceptRead();
+    return this.inner.get(key);
+  }
+
+  override put(key: string, bytes: Uint8Array): Promise<void> {
+    return this.inner.put(key, bytes);
+  }
+
+  override list(prefix: string): Promise<readonly string[]> {
+    return this.inner.list(prefix);
+  }
+}
+
+class MeteredVmList extends VmList {
+  constructor(private readonly meter: MeteredPlatform) {
+    super();
+  }
+
+  override async list(): Promise<readonly IVm[]> {
+    await this.meter.acceptRead();
+    return this.meter.listed;
+  }
+}
