--- a/packages/config/src/distribution/common/configDistributor.ts
+++ b/packages/config/src/distribution/common/configDistributor.ts
@@ -40,6 +40,11 @@
   readonly pollMs?: number | (() => number);
   /** Peers that a node tells of each revision that it learnt. Default 3. */
   readonly fanOut?: number;
+  /**
+   * A fresh node reads configurations from the store at a random instant within this time, in ms,
+   * unless a peer gave them before. Default 0.
+   */
+  readonly startSpreadMs?: number | (() => number);
   /** Without word from store or peers for this long the node is isolated, in ms. Default 30000. */
   readonly isolationLimitMs?: number;
   /** Longest wait for one answer of store or peer, in ms. Default 3000. */
@@ -77,6 +82,7 @@
   /** The highest revision heard of; what is applied may be behind it. */
   private highestHeard = 0;
   private lastContactMs: number;
+  private storeTurnMs: number | undefined;
   private isReadyNow = false;
   private storeFailures = 0;
   private peerFailures = 0;
@@ -196,13 +202,14 @@
 
   /** True when the store answered. */
   private async fetchFromStore(signal: AbortSignal): Promise<boolean> {
+    if (this.isBehind() && !this.hasStoreTurn()) return true;
     try {
       const head = await this.executeCall(signal, (bounded) => this.reader.fetchHead(bounded));
       this.recordContact();
       this.recordRevision(head);
       const current = this.getCurrent();
       if (head < current.fleetRevision) this.applied.recordDropped();
-      if (head <= current.fleetRevision) return true;
+      if (head <= current.fleetRevision || !this.hasStoreTurn()) return true;
       const snapshot = await this.executeCall(signal, (bounded) =>
         this.reader.fetchAfter(current.fleetRevision, head, this.listKnown(), bounded),
       );
@@ -214,6 +221,20 @@
     }
   }
 
+  /**
+   * When a whole fleet restarts, each node would read every member's configuration at once, seen
+   * as many times the reads that the platform serves, and as refused reads of everyone. The few
+   * whose turn comes first read, and the others get it from them.
+   */
+  private hasStoreTurn(): boolean {
+    if (this.isReadyNow) return true;
+    const { clock, random, startSpreadMs: given = 0 } = this.options;
+    const nowMs = clock.getMonotonicTime();
+    const spreadMs = typeof given === 'number' ? given : given();
+    this.storeTurnMs ??= nowMs + random.getFloat() * spreadMs;
+    return nowMs >= this.storeTurnMs;
+  }
+
   /** Exchanges revisions with peers, and fetches from whoever is ahead. True when one answered. */
   private async announceToPeers(
     peers: readonly ConfigPeer[],
--- a/packages/lab/src/bench/recovery/common/recoveryFleet.ts
+++ b/packages/lab/src/bench/recovery/common/recoveryFleet.ts
@@ -19,6 +19,7 @@
 const CALL_MS = 4;
 const BASE_POLL_MS = 2000;
 const HEAD_READS_PER_SECOND = 200;
+const MAX_SPREAD_MS = 20_000;
 const LAST_CALLS_MS = 10_000;
 const SEEDS = 3;
 const FIRST_PORT = 10_000;
@@ -29,6 +30,8 @@
   readonly members: number;
   /** Reads that the platform serves a second. */
   readonly readsPerSecond: number;
+  /** Fresh nodes of the fleet that read from the store in one second; 0: all at once. */
+  readonly startsPerSecond: number;
   readonly seed: number;
 }
 
@@ -58,6 +61,7 @@
       random,
       invariants: new InvariantRegistry(),
       pollMs: () => this.getHeadInterval(),
+      startSpreadMs: () => this.getStartSpread(),
     });
   }
 
@@ -79,6 +83,13 @@
     this.membership.dispose();
   }
 
+  private getStartSpread(): number {
+    const nodes = this.membership.getLiveNodes().length;
+    const fleetPerSecond = this.fleet.size.startsPerSecond;
+    if (fleetPerSecond === 0) return 0;
+    return Math.min(MAX_SPREAD_MS, computeSharedInterval({ baseMs: 0, nodes, fleetPerSecond }));
+  }
+
   private getHeadInterval(): number {
     return computeSharedInterval({
       baseMs: BASE_POLL_MS,
--- a/packages/lab/src/bench/recovery/node/bench.ts
+++ b/packages/lab/src/bench/recovery/node/bench.ts
@@ -17,8 +17,12 @@
     for (const nodes of parseNumbers(options, 'nodes', [48, 400, 2100])) {
       for (const members of parseNumbers(options, 'members', [20, 100])) {
         options.log(`recovery: ${nodes} nodes, ${members} members`);
-        const size = { nodes, members, readsPerSecond: READS_PER_SECOND, seed: options.seed };
-        rows.push(...(await measureSize(size)));
+        for (const startsPerSecond of parseNumbers(options, 'starts', [0, 20])) {
+          const { seed } = options;
+          const readsPerSecond = READS_PER_SECOND;
+          const size = { nodes, members, readsPerSecond, startsPerSecond, seed };
+          rows.push(...(await measureSize(size)));
+        }
       }
     }
     return { tables: [makeTable(rows)], notes: listNotes() };
@@ -32,6 +36,7 @@
       'event',
       'nodes',
       'members',
+      'starts/s',
       'peak reads/s',
       'reads',
       'refused',
@@ -45,6 +50,7 @@
 function listNotes(): readonly string[] {
   return [
     'In one process on a manual clock: membership and distributor are the product, the rest fakes.',
+    'Starts/s: fresh nodes of the whole fleet that read from the store in one second; 0: all at once.',
     'Reads are of the table, of objects and of the VM list, refused ones included.',
     `After an outage of ${OUTAGE_MS / 60_000} minutes the nodes were ready all the time: no times.`,
     'A fresh node starts during the outage and gets its configuration from the three seeds of its settings.',
@@ -99,7 +105,7 @@
 }
 
 function formatRow(event: string, fleet: RecoveryFleet, times: readonly number[]): readonly Cell[] {
-  const { nodes, members } = fleet.size;
+  const { nodes, members, startsPerSecond } = fleet.size;
   const { peakReadsPerSecond, reads, refused } = fleet.platform.getLoad();
   const formatTime = (timeMs: number | undefined) => {
     return timeMs === undefined ? '' : formatNumber(timeMs / 1000);
@@ -109,6 +115,7 @@
     event,
     nodes,
     members,
+    startsPerSecond,
     peakReadsPerSecond,
     reads,
     refused,
