Pace the node's configuration reads by the size of the fleet

200 head reads a second of the whole fleet (2 s a node up to 400 nodes, 10.5 s at 2,100), and ten fresh nodes a second that read all configurations from the store.

--- a/packages/node/src/app/node/nodeCore.ts
+++ b/packages/node/src/app/node/nodeCore.ts
@@ -20,6 +20,7 @@
 import type { NodeMetrics } from '../../metrics/node/nodeMetrics.js';
 import { LivePeerSource } from '../../peer/node/connectConfigPeer.js';
 import { ConnectTargetObserver } from '../../peer/node/connectTargetObserver.js';
+import { makeConfigPacing } from '../common/configPacing.js';
 import type { NodeState } from '../common/nodeState.js';
 import type { IClaimParts } from './claimParts.js';
 import { createClaimParts } from './claimParts.js';
@@ -86,7 +87,7 @@
     clock,
     random,
     invariants,
-    pollMs: timing.configPollMs,
+    ...makeConfigPacing(membership, timing.configPollMs),
     isolationLimitMs: timing.isolationLimitMs,
   });
   const shared = { ...options, store, random, platform, membership, clients, peers, config };
