Bench detection by every policy on every trace, with stated outcomes beside the traces

npm run replay checks the outcome that is stated beside a trace and exits 1 when it does not hold; npm run bench -- detection runs every policy and trace on several seeds and draws the curve over the threshold.

--- /dev/null
+++ b/packages/lab/src/bench/detection/node/bench.ts
@@ -0,0 +1,157 @@
+/**
+ * Detection by every policy on every trace: `npm run bench -- detection --json`. Values: seeds,
+ * threads, traces (a part of the name), curve (0 to leave it out), out (a directory for pages).
+ */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import type { PolicyName } from '../../../replay/common/policies.js';
+import { POLICY_NAMES } from '../../../replay/common/policies.js';
+import type { IReplayResult } from '../../../replay/common/replayResult.js';
+import type { IReplayJob } from '../../../replay/node/replayPool.js';
+import { runReplays } from '../../../replay/node/replayPool.js';
+import { listTraceNames } from '../../../trace/common/traceGenerator.js';
+import type { IBenchOptions, IBenchReport, IBenchTable } from '../../common/bench.js';
+import { Bench, formatNumber, parseNumbers } from '../../common/bench.js';
+import { formatReport } from '../../common/formatReport.js';
+import { renderCurves } from '../common/curvePlot.js';
+import { summarizeReplays } from '../common/detectionSummary.js';
+import type { IMeasuredCurves } from './curves.js';
+import { measureCurves, NEVER_MS, formatCurves } from './curves.js';
+
+const DEFAULT_SEEDS = [1, 2, 3, 4, 5];
+const DEFAULT_THREADS = [4];
+const MEMBERS = ['dobrescu', 'donautal'] as const;
+
+class DetectionBench extends Bench {
+  override readonly summary = 'detection time and false ejections by policy and trace';
+
+  override async run(options: IBenchOptions): Promise<IBenchReport> {
+    const seeds = parseNumbers(options, 'seeds', DEFAULT_SEEDS);
+    const [threads = 1] = parseNumbers(options, 'threads', DEFAULT_THREADS);
+    const part = options.values.get('traces') ?? '';
+    const traces = listTraceNames().filter((name) => name.includes(part));
+    const jobs = traces.flatMap((trace) => {
+      return POLICY_NAMES.flatMap((policy) => seeds.map((seed) => ({ trace, policy, seed })));
+    });
+    options.log(`${jobs.length} replays on ${threads} threads`);
+    const results = await runReplays(jobs, threads);
+    const hasCurve = options.values.get('curve') !== '0';
+    const curves = hasCurve ? await measureCurves(seeds, threads, options.log) : [];
+    const report = buildReport(traces, jobs, results, curves);
+    const out = options.values.get('out');
+    if (out !== undefined) writePages(out, report, curves);
+    return report;
+  }
+}
+
+function buildReport(
+  traces: readonly string[],
+  jobs: readonly IReplayJob[],
+  results: readonly IReplayResult[],
+  curves: readonly IMeasuredCurves[],
+): IBenchReport {
+  const tables = MEMBERS.flatMap((member) => {
+    const own = traces.filter((trace) => trace.startsWith(member));
+    return own.length === 0 ? [] : [buildTable(member, own, results), buildTotals(member, results)];
+  });
+  const violations = results.reduce((sum, result) => sum + result.violations, 0);
+  return {
+    tables: [...tables, ...curves.map(formatCurves)],
+    notes: [
+      `${jobs.length} replays; simulated time, so the machine's load does not matter`,
+      `invariant violations in all of them: ${violations}`,
+      'detection: from the start of the fault to the last dispatch for a caller before 9 s without any',
+      'a false ejection takes a healthy target out; a demotion makes it the last choice for a while',
+    ],
+  };
+}
+
+function buildTable(
+  member: string,
+  traces: readonly string[],
+  results: readonly IReplayResult[],
+): IBenchTable {
+  const rows = traces.flatMap((trace) => {
+    return POLICY_NAMES.map((policy) => {
+      const own = results.filter((result) => result.trace === trace && result.policy === policy);
+      const summary = summarizeReplays(own);
+      return [
+        trace.slice(member.length + 1),
+        policy,
+        formatTime(summary.medianMs),
+        formatTime(summary.p99Ms),
+        summary.faulty === 0 ? '-' : `${summary.missed}/${summary.faulty}`,
+        formatNumber(summary.falsePerTargetHour, 2),
+        formatNumber(summary.demotionsPerTargetHour, 2),
+        formatNumber(100 * summary.errorShare, 2),
+        formatNumber(summary.latencyP99Ms),
+        summary.slotsOverFloor,
+        formatNumber(summary.amplification, 4),
+      ];
+    });
+  });
+  return {
+    title: `${member}: each trace`,
+    columns: [
+      'trace',
+      'policy',
+      'median ms',
+      'p99 ms',
+      'missed',
+      'false per target-hour',
+      'demotions per target-hour',
+      'errors %',
+      'latency p99 ms',
+      'slots over floor',
+      'attempts a request',
+    ],
+    rows,
+  };
+}
+
+function buildTotals(member: string, results: readonly IReplayResult[]): IBenchTable {
+  const rows = POLICY_NAMES.map((policy: PolicyName) => {
+    const own = results.filter((result) => {
+      return result.trace.startsWith(member) && result.policy === policy;
+    });
+    const control = own.filter((result) => result.trace.endsWith('-control'));
+    const all = summarizeReplays(own);
+    const quiet = summarizeReplays(control.length === 0 ? own : control);
+    return [
+      policy,
+      formatNumber(quiet.falsePerTargetHour, 2),
+      formatNumber(all.falsePerTargetHour, 2),
+      `${all.missed}/${all.faulty}`,
+      all.slotsOverFloor,
+    ];
+  });
+  return {
+    title: `${member}: all traces`,
+    columns: [
+      'policy',
+      'false per target-hour, control',
+      'false per target-hour, all',
+      'missed',
+      'lowest slots over floor',
+    ],
+    rows,
+  };
+}
+
+function formatTime(timeMs: number): string {
+  if (Number.isNaN(timeMs)) return '-';
+  return timeMs === Infinity ? 'never' : timeMs.toFixed(0);
+}
+
+function writePages(out: string, report: IBenchReport, curves: readonly IMeasuredCurves[]): void {
+  mkdirSync(out, { recursive: true });
+  const head =
+    '# Detection\n\nWritten by `npm run bench -- detection --set out=docs/benchmarks`.\n\n';
+  writeFileSync(join(out, 'detection.md'), head + formatReport(report));
+  for (const { member, trace, curves: drawn } of curves) {
+    const svg = renderCurves(`${member}, ${trace}`, drawn, NEVER_MS);
+    writeFileSync(join(out, `detection-${member}-${trace}.svg`), svg);
+  }
+}
+
+export const bench: Bench = new DetectionBench();
--- a/packages/lab/src/replay/common/policies.ts
+++ b/packages/lab/src/replay/common/policies.ts
@@ -20,20 +20,26 @@
   return POLICY_NAMES.some((known) => known === name);
 }
 
-/** Makes a detector; `overrides` change the sequential one's settings. */
+/** Settings by which the curves of a policy are drawn. */
+export interface IPolicySettings extends ISequentialOptions {
+  /** Failures in a row. */
+  readonly errors?: number;
+}
+
+/** Makes a detector. */
 export function createPolicy(
   name: PolicyName,
   detection: DetectionName,
-  overrides: ISequentialOptions = {},
+  settings: IPolicySettings = {},
 ): FailureDetector {
   switch (name) {
     case 'sequential':
       return new SequentialDetector({
         ...(detection === 'fast' ? FAST_OPTIONS : CAREFUL_OPTIONS),
-        ...overrides,
+        ...settings,
       });
     case 'consecutive':
-      return new ConsecutiveErrorsDetector();
+      return new ConsecutiveErrorsDetector(settings.errors);
     case 'success-rate':
       return new SuccessRateDetector();
     case 'health':
--- a/packages/lab/src/replay/common/replayRecorder.ts
+++ b/packages/lab/src/replay/common/replayRecorder.ts
@@ -68,6 +68,7 @@
     return {
       detectionMs: this.listDetections(),
       falseEjections: this.countFalseEjections(),
+      demotions: this.countDemotions(),
       targetHours: (header.service.targets.length * header.durationMs) / MS_PER_HOUR,
       slotsOverFloor: this.computeLowestSlots() - header.service.floorSlots,
     };
@@ -102,6 +103,18 @@
     return this.changes.filter((change) => isRemoval(change) && this.isFalse(change)).length;
   }
 
+  private countDemotions(): number {
+    let count = 0;
+    const demoted = new Set<string>();
+    for (const change of this.changes) {
+      const isDemotion = change.standing === Standing.Suspect;
+      if (isDemotion && !demoted.has(change.target) && this.isFalse(change)) count += 1;
+      if (isDemotion) demoted.add(change.target);
+      else demoted.delete(change.target);
+    }
+    return count;
+  }
+
   private isFalse(change: IStandingChange): boolean {
     const excuse = this.trace.faults.find((fault) => {
       const isNear = change.atMs >= fault.atMs && change.atMs < fault.untilMs + FAULT_TAIL_MS;
--- a/packages/lab/src/replay/common/replayResult.ts
+++ b/packages/lab/src/replay/common/replayResult.ts
@@ -6,6 +6,8 @@
   readonly detectionMs: readonly (number | undefined)[];
   /** Removals of targets that should have stayed. */
   readonly falseEjections: number;
+  /** Times that such targets were made the last choice, most of them for part of a second. */
+  readonly demotions: number;
   readonly targetHours: number;
   /** Lowest count of slots not taken out by the home, less the floor. */
   readonly slotsOverFloor: number;
--- /dev/null
+++ b/packages/lab/src/replay/node/main.ts
@@ -0,0 +1,92 @@
+/** `npm run replay -- TRACE [--policy NAME] [--seed N] [--json]`; see docs/TRACES.md. */
+import { existsSync, readFileSync } from 'node:fs';
+import { Builtins, Cli, Command, Option, UsageError } from 'clipanion';
+import type { IStatedOutcome, ITrace } from '../../trace/common/trace.js';
+import { parseTrace } from '../../trace/common/traceFormat.js';
+import { buildTrace, listTraceNames } from '../../trace/common/traceGenerator.js';
+import { checkOutcome } from '../common/outcomeCheck.js';
+import type { PolicyName } from '../common/policies.js';
+import { createPolicy, isPolicyName, POLICY_NAMES } from '../common/policies.js';
+import type { IReplayResult } from '../common/replayResult.js';
+import { replayTrace } from '../common/replayTrace.js';
+
+const OUTCOME_DIRECTORY = new URL('../../../traces/', import.meta.url);
+const DEFAULT_POLICY = 'sequential';
+const DEFAULT_SEED = '1';
+const ALL = 'all';
+const BROKEN_EXIT_CODE = 1;
+
+interface IReplayReport extends IReplayResult {
+  readonly broken: readonly string[];
+}
+
+class ReplayCommand extends Command {
+  static override readonly paths = [Command.Default];
+  static override readonly usage = Command.Usage({
+    description: 'Replays a trace against the decision code and checks its stated outcome.',
+    details: `A trace is a file of JSON lines, the name of one of the library, or "all".\n\n${listTraceNames().join(', ')}`,
+    examples: [['One target fails a fifth of its work', '$0 dobrescu-fail-20 --seed 2']],
+  });
+
+  readonly trace = Option.String();
+  readonly policy = Option.String('--policy', DEFAULT_POLICY, {
+    description: `One of ${POLICY_NAMES.join(', ')}.`,
+  });
+  readonly seed = Option.String('--seed', DEFAULT_SEED, { description: 'Seed of randomness.' });
+  readonly json = Option.Boolean('--json', false, {
+    description: 'Print one JSON object a trace.',
+  });
+
+  override async execute(): Promise<number> {
+    if (!isPolicyName(this.policy)) throw new UsageError(`there is no policy "${this.policy}"`);
+    const names = this.trace === ALL ? listTraceNames() : [this.trace];
+    let isBroken = false;
+    for (const name of names) {
+      const report = await runReplay(name, this.policy, Number(this.seed));
+      this.context.stdout.write(this.json ? `${JSON.stringify(report)}\n` : formatReport(report));
+      isBroken ||= report.broken.length > 0;
+    }
+    return isBroken ? BROKEN_EXIT_CODE : 0;
+  }
+}
+
+async function runReplay(name: string, policy: PolicyName, seed: number): Promise<IReplayReport> {
+  const trace = loadTrace(name, seed);
+  const { detection } = trace.header.service;
+  const createDetector = () => createPolicy(policy, detection);
+  const result = await replayTrace(trace, { policy, seed, createDetector });
+  return { ...result, broken: checkOutcome(result, loadOutcome(name, trace)) };
+}
+
+function loadTrace(name: string, seed: number): ITrace {
+  if (existsSync(name)) return parseTrace(readFileSync(name, 'utf8'));
+  if (!listTraceNames().includes(name)) throw new UsageError(`there is no trace "${name}"`);
+  return buildTrace(name, seed);
+}
+
+/** The statement beside the file, or else the library's for a trace of that name. */
+function loadOutcome(name: string, trace: ITrace): IStatedOutcome {
+  const beside = name.replace(/\.jsonl$/, '.outcome.json');
+  const stored = new URL(`${trace.header.name}.outcome.json`, OUTCOME_DIRECTORY);
+  const path = [beside, stored].find((candidate) => candidate !== name && existsSync(candidate));
+  return path === undefined ? {} : (JSON.parse(readFileSync(path, 'utf8')) as IStatedOutcome);
+}
+
+function formatReport(report: IReplayReport): string {
+  const detections = report.detectionMs.map((timeMs) => timeMs?.toFixed(0) ?? 'never').join(', ');
+  const lines = [
+    `${report.trace} (${report.policy}, seed ${report.seed}): ${report.broken.length === 0 ? 'as stated' : 'NOT AS STATED'}`,
+    `  requests ${report.requests}, errors ${(100 * report.errorShare).toFixed(3)}%`,
+    `  latency p50 ${report.p50Ms.toFixed(0)} ms, p99 ${report.p99Ms.toFixed(0)} ms`,
+    `  detection ${detections === '' ? 'not called for' : `${detections} ms`}`,
+    `  false ejections ${report.falseEjections}, slots over the floor ${report.slotsOverFloor}`,
+    `  attempts a request ${report.amplification.toFixed(3)}`,
+    ...report.broken.map((line) => `  BROKEN: ${line}`),
+  ];
+  return `${lines.join('\n')}\n`;
+}
+
+const cli = new Cli({ binaryLabel: 'parsleymux replays', binaryName: 'npm run replay --' });
+cli.register(ReplayCommand);
+cli.register(Builtins.HelpCommand);
+await cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/packages/lab/src/replay/node/replayWorker.ts
@@ -0,0 +1,18 @@
+/** A thread that runs replays one after another. */
+import { parentPort } from 'node:worker_threads';
+import { buildTrace } from '../../trace/common/traceGenerator.js';
+import { createPolicy } from '../common/policies.js';
+import { replayTrace } from '../common/replayTrace.js';
+import type { IReplayJob } from './replayPool.js';
+
+parentPort?.on('message', (job: IReplayJob) => {
+  void run(job);
+});
+
+async function run(job: IReplayJob): Promise<void> {
+  const { policy, seed } = job;
+  const trace = buildTrace(job.trace, seed);
+  const { detection } = trace.header.service;
+  const createDetector = () => createPolicy(policy, detection, job.settings);
+  parentPort?.postMessage(await replayTrace(trace, { policy, seed, createDetector }));
+}
--- a/packages/routing/src/detection/common/sequentialDetector.ts
+++ b/packages/routing/src/detection/common/sequentialDetector.ts
@@ -39,8 +39,8 @@
 
 /** Settings for a member that fears false ejections most. */
 export const CAREFUL_OPTIONS: Required<ISequentialOptions> = {
-  threshold: 15,
-  baselineRate: 0.005,
+  threshold: 16,
+  baselineRate: 0.002,
   ejectionMs: 10_000,
   confirmMs: 250,
   confirmCopies: 4,
@@ -48,8 +48,8 @@
 
 /** Settings for a member that fears slow detection most. */
 export const FAST_OPTIONS: Required<ISequentialOptions> = {
-  threshold: 12,
-  baselineRate: 0.005,
+  threshold: 13,
+  baselineRate: 0.002,
   ejectionMs: 10_000,
   confirmMs: 100,
   confirmCopies: 3,
--- a/packages/routing/src/ejection/common/ejectionController.ts
+++ b/packages/routing/src/ejection/common/ejectionController.ts
@@ -101,7 +101,11 @@
       this.setStanding(handle, Standing.Serving, '');
       return;
     }
-    if (traits.asksObserver && suspicion.isPathPossible && (await this.checkPath(handle))) {
+    if (
+      traits.asksObserver &&
+      suspicion.isPathPossible &&
+      (await this.checkPath(handle, suspicion))
+    ) {
       this.setStanding(handle, Standing.Suspect, `path fault: ${suspicion.reason}`);
       return this.waitForPath(handle, suspicion);
     }
@@ -216,8 +220,14 @@
   }
 
   private async waitForPath(handle: TargetHandle, suspicion: ISuspicion): Promise<void> {
-    while (!(await this.isWellAgain(handle, suspicion.failureShare))) {
-      if (suspicion.failureShare > PATH_CUT_SHARE && !handle.isCutOff) {
+    for (
+      let failures = 1;
+      !(await this.isWellAgain(handle, suspicion.failureShare));
+      failures += 1
+    ) {
+      // One failed trial may be the tail of a burst of losses; until the second it is last choice.
+      const isCut = failures > 1 && suspicion.failureShare > PATH_CUT_SHARE;
+      if (isCut && !handle.isCutOff) {
         handle.isCutOff = true;
         this.setStanding(handle, Standing.Suspect, `cut off: ${suspicion.reason}`);
       }
@@ -263,8 +273,8 @@
     return this.surroundings.requestEjection(handle, addresses, this.abort.signal);
   }
 
-  private checkPath(handle: TargetHandle): Promise<boolean> {
-    return isPathFault(this.surroundings, handle, this.abort.signal);
+  private checkPath(handle: TargetHandle, suspicion: ISuspicion): Promise<boolean> {
+    return isPathFault(this.surroundings, handle, suspicion, this.abort.signal);
   }
 
   private listInLedger(): ReadonlySet<string> {
--- a/packages/routing/src/ejection/common/secondOpinion.ts
+++ b/packages/routing/src/ejection/common/secondOpinion.ts
@@ -4,20 +4,27 @@
  * blame, and ejecting the target for everyone would waste its slots.
  */
 import type { IObservation } from '../../detection/common/targetObserver.js';
+import type { ISuspicion } from '../../detection/common/failureDetector.js';
 import type { TargetHandle } from '../../target/common/targetHandle.js';
 import type { IEjectionSurroundings } from './ejectionSurroundings.js';
 
 /** One answer may be luck when only some requests fail. */
 const OBSERVATIONS = 3;
+const MIN_IN_TIME = 2;
 const DEFAULT_TIMEOUT_MS = 1000;
 const TIMEOUT_FACTOR = 3;
 /** An observer's own path may add this much to a latency. */
 const PATH_ALLOWANCE_MS = 10;
 
-/** True when every observation went well; false too when no observer could be asked. */
+/**
+ * True when the observations clear the target; false too when no observer could be asked. Against
+ * failures every observation must have succeeded; against slowness most must have been in time,
+ * since one answer in ten of a healthy target is over the limit.
+ */
 export async function isPathFault(
   surroundings: IEjectionSurroundings,
   handle: TargetHandle,
+  suspicion: ISuspicion,
   signal: AbortSignal,
 ): Promise<boolean> {
   const sample = surroundings.samples.get();
@@ -30,12 +37,15 @@
       return surroundings.observe(handle, sample, timeoutMs, signal);
     }),
   );
-  const isFault = observations.every((observation) => isWell(observation, limitMs));
+  const succeeded = observations.filter((observation) => observation?.succeeded === true);
+  const inTime = succeeded.filter((observation) => isInTime(observation, limitMs));
+  const isFault =
+    succeeded.length === OBSERVATIONS && (!suspicion.isSlow || inTime.length >= MIN_IN_TIME);
   if (isFault) surroundings.countPathFault();
   return isFault;
 }
 
-function isWell(observation: IObservation | undefined, limitMs: number | undefined): boolean {
-  if (observation?.succeeded !== true) return false;
+function isInTime(observation: IObservation | undefined, limitMs: number | undefined): boolean {
+  if (observation === undefined) return false;
   return limitMs === undefined || observation.latencyMs <= limitMs + PATH_ALLOWANCE_MS;
 }
