--- a/packages/node/src/app/node/muxNode.ts
+++ b/packages/node/src/app/node/muxNode.ts
@@ -60,6 +60,7 @@
   private readonly timing: Timing;
   private loops: Promise<unknown> = Promise.resolve();
   private callerServer: CallerServer | undefined;
+  private core: INodeCore | undefined;
 
   constructor(options: IMuxNodeOptions) {
     this.options = options;
@@ -94,6 +95,7 @@
       metrics,
     });
     this.store.add(core.store);
+    this.core = core;
     this.openControl(peerServer, authenticator, core, peer);
     const status = await this.openStatus(core, metrics);
     const caller = await this.openCallers(core, metrics);
@@ -120,7 +122,9 @@
     await this.state.waitUntilIdle(limit.signal);
     const cut = this.state.getInFlight();
     this.invariants.check(InvariantName.GracefulShutdown, cut === 0, () => `${cut} requests cut`);
-    if (cut === 0) await Promise.race([closed, waitForAbort(limit.signal)]);
+    // Outcomes that the platform has not taken yet are known to this process alone.
+    const flushed = this.core?.claims.guard.flush();
+    await Promise.race([Promise.all([closed, flushed]), waitForAbort(limit.signal)]);
     void timer.dispose();
     await this.dispose();
     this.state.setStage(NodeStage.Stopped);
@@ -232,6 +236,7 @@
 }
 
 function waitForAbort(signal: AbortSignal): Promise<void> {
+  if (signal.aborted) return Promise.resolve();
   return new Promise((resolve) => {
     signal.addEventListener('abort', () => {
       resolve();
--- a/packages/node/src/app/node/nodeCore.ts
+++ b/packages/node/src/app/node/nodeCore.ts
@@ -169,6 +169,7 @@
     hop,
     home,
     self: parts.self.address,
+    isLeaving: () => parts.state.isLeaving(),
     onDidTry: (outcome) => {
       metrics.recordHopTry(outcome);
     },
--- a/packages/node/src/entry/common/homeRouter.test.ts
+++ b/packages/node/src/entry/common/homeRouter.test.ts
@@ -143,6 +143,7 @@
   order: readonly string[],
   reactions: Readonly<Record<string, readonly Reaction[]>>,
   local: Reaction = ANSWER,
+  isLeaving = false,
 ) {
   const hop = new ScriptedHop(reactions);
   const home = new ScriptedHome(local);
@@ -155,6 +156,7 @@
     hop,
     home,
     self: SELF,
+    isLeaving: () => isLeaving,
   });
   const serve = () => router.serve(REQUEST, new AbortController().signal);
   return { hop, home, membership, serve };
@@ -214,3 +216,10 @@
   assert.deepEqual(hop.sent, []);
   assert.equal(home.served, 1);
 });
+
+test('a node that leaves sends what it is home of to the next candidate', async () => {
+  const { hop, home, serve } = createFixture([SELF, 'b:1'], { 'b:1': [ANSWER] }, ANSWER, true);
+  assert.equal(await serve(), ANSWER);
+  assert.deepEqual(hop.sent, ['b:1']);
+  assert.equal(home.served, 0);
+});
--- a/packages/node/src/entry/common/homeRouter.ts
+++ b/packages/node/src/entry/common/homeRouter.ts
@@ -23,6 +23,8 @@
   readonly home: HomeService;
   /** Peer address of this node. */
   readonly self: string;
+  /** Whether this node is on its way out of the fleet. */
+  readonly isLeaving: () => boolean;
   /** Called for each exchange with a home, for metrics. */
   readonly onDidTry?: (outcome: HopFailure | 'answered' | 'local') => void;
 }
@@ -47,7 +49,12 @@
   async serve(request: IRoutedRequest, signal: AbortSignal): Promise<IAnswer> {
     let mayHaveReached = false;
     for (const candidate of this.listCandidates(request)) {
-      if (candidate === this.options.self) break;
+      if (candidate === this.options.self) {
+        if (!this.options.isLeaving()) break;
+        // The other entries have gone on to the next candidate; serving here as well would make
+        // two homes that each count only their own share of the targets' slots.
+        continue;
+      }
       const outcome = await this.tryPeer(candidate, request, signal, mayHaveReached);
       if (!(outcome instanceof HopError)) return outcome;
       mayHaveReached ||= outcome.hasPossiblyReached();
--- a/packages/node/src/entry/node/callerServer.ts
+++ b/packages/node/src/entry/node/callerServer.ts
@@ -13,7 +13,7 @@
 import type { IRefusalBody } from '../../http/common/refusal.js';
 import { toMuxError } from '../../http/common/refusal.js';
 import { readBody } from '../../http/node/bodyReader.js';
-import { writeAnswer } from '../../http/node/bodyWriter.js';
+import { waitForEnd, writeAnswer } from '../../http/node/bodyWriter.js';
 import { closeServer, listenOn } from '../../http/node/listener.js';
 import type { NodeMetrics } from '../../metrics/node/nodeMetrics.js';
 import { findRoute, parseHost, parseKey, parseTimeout } from '../common/callerRequest.js';
@@ -104,6 +104,7 @@
       if (code === ResultCode.Internal) this.options.metrics.recordInternalError(refusal);
       await this.writeRefusal(request, response, refusal);
     } finally {
+      await waitForEnd(response);
       finish();
       const durationMs = this.options.clock.getMonotonicTime() - startedMs;
       this.options.metrics.recordRequest({
--- a/packages/node/src/hop/node/hopServer.ts
+++ b/packages/node/src/hop/node/hopServer.ts
@@ -8,7 +8,7 @@
 import type { NodeState } from '../../app/common/nodeState.js';
 import { listEndToEndHeaders } from '../../http/common/headers.js';
 import { readBody } from '../../http/node/bodyReader.js';
-import { writeAnswer } from '../../http/node/bodyWriter.js';
+import { waitForEnd, writeAnswer } from '../../http/node/bodyWriter.js';
 import { toMuxError } from '../../http/common/refusal.js';
 import { HEARTBEAT_MS, HopHeader, HopKind } from '../common/hopProtocol.js';
 
@@ -54,6 +54,7 @@
       await writeRefusal(response, toMuxError(error));
     } finally {
       heartbeat.stop();
+      await waitForEnd(response);
       finish();
     }
   }
--- a/packages/node/src/http/node/bodyWriter.ts
+++ b/packages/node/src/http/node/bodyWriter.ts
@@ -17,6 +17,21 @@
   readonly isHead?: boolean;
 }
 
+/**
+ * Resolves when the response was handed to the operating system whole, or its connection is gone.
+ * A request counts as in flight until then: to exit sooner would cut the end off its answer.
+ *
+ * @example
+ * await waitForEnd(response);
+ */
+export function waitForEnd(response: ServerResponse): Promise<void> {
+  if (response.writableFinished || response.destroyed) return Promise.resolve();
+  return new Promise((resolve) => {
+    response.once('finish', resolve);
+    response.once('close', resolve);
+  });
+}
+
 /**
  * Writes one answer. A body that breaks off destroys the connection, so that the receiver sees
  * a cut instead of an end: half an answer must never look whole.
