--- a/packages/node/src/entry/node/callerServer.ts
+++ b/packages/node/src/entry/node/callerServer.ts
@@ -23,6 +23,9 @@
 const REQUEST_TIMEOUT_MS = 60_000;
 const KEEP_ALIVE_MS = 65_000;
 const MS_PER_SECOND = 1000;
+/** Faults and overload pass; what the request itself got wrong does not. */
+const FIRST_PASSING_STATUS = 500;
+const DEFAULT_RETRY_AFTER_MS = 1000;
 
 /** Options of a {@link CallerServer}. */
 export interface ICallerServerOptions {
@@ -219,22 +222,29 @@
     [HeaderName.Result, String(refusal.code)],
     [HeaderName.RunState, refusal.runState],
   ];
-  if (refusal.retryAfterMs === undefined) return headers;
-  const seconds = Math.max(1, Math.ceil(refusal.retryAfterMs / MS_PER_SECOND));
+  const retryAfterMs = getRetryAfter(refusal);
+  if (retryAfterMs === undefined) return headers;
+  const seconds = Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND));
   headers.push([HeaderName.RetryAfter, String(seconds)]);
-  headers.push([HeaderName.RetryAfterMs, String(Math.ceil(refusal.retryAfterMs))]);
+  headers.push([HeaderName.RetryAfterMs, String(retryAfterMs)]);
   return headers;
 }
 
+/** A caller that was given up on and not told when to come back would ask again at once. */
+function getRetryAfter(refusal: MuxError): number | undefined {
+  if (refusal.retryAfterMs !== undefined) return Math.ceil(refusal.retryAfterMs);
+  const isPassing = getResultInfo(refusal.code).httpStatus >= FIRST_PASSING_STATUS;
+  return isPassing ? DEFAULT_RETRY_AFTER_MS : undefined;
+}
+
 function createRefusalBody(refusal: MuxError): IRefusalBody {
+  const retryAfterMs = getRetryAfter(refusal);
   return {
     code: refusal.code,
     name: getResultInfo(refusal.code).name,
     message: refusal.message,
     runState: refusal.runState,
-    ...(refusal.retryAfterMs === undefined
-      ? {}
-      : { retryAfterMs: Math.ceil(refusal.retryAfterMs) }),
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
   };
 }
 
