Watch TLS files and serve renewed certificates without a restart

Files are read on a timer and applied only when certificate, key and authority fit together, so a pair that is half replaced leaves the former in force. Ruled out: file notifications, which miss mounted secrets that are replaced by swapping a link, and a signal, which 48 nodes would need from outside. Five tests with certificates made in the test.

--- /dev/null
+++ b/packages/node/src/tls/node/tlsFilesWatcher.test.ts
@@ -0,0 +1,160 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:https';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { TestContext } from 'node:test';
+import { test } from 'node:test';
+import { connect } from 'node:tls';
+import { ManualClock, MuxError, ResultCode, createSilentLogger } from '@parsleymux/base';
+import { generate } from 'selfsigned';
+import type { ITlsMaterial } from './tlsFilesWatcher.js';
+import { TlsFilesWatcher } from './tlsFilesWatcher.js';
+
+interface IPair {
+  readonly cert: string;
+  readonly private: string;
+}
+
+function makePair(name: string): Promise<IPair> {
+  return generate([{ name: 'commonName', value: name }], { keySize: 2048 });
+}
+
+interface IBench {
+  readonly clock: ManualClock;
+  readonly files: {
+    readonly certificateFile: string;
+    readonly keyFile: string;
+    readonly clientAuthorityFile: string;
+  };
+  readonly watcher: TlsFilesWatcher;
+  readonly changes: ITlsMaterial[];
+}
+
+async function makeFolder(t: TestContext): Promise<string> {
+  const folder = await mkdtemp(join(tmpdir(), 'tls-files-'));
+  t.after(() => rm(folder, { recursive: true }));
+  return folder;
+}
+
+async function openBench(t: TestContext, pair: IPair, clientAuthority?: string): Promise<IBench> {
+  const folder = await makeFolder(t);
+  const files = {
+    certificateFile: join(folder, 'cert.pem'),
+    keyFile: join(folder, 'key.pem'),
+    clientAuthorityFile: clientAuthority === undefined ? '' : join(folder, 'ca.pem'),
+  };
+  await writeFile(files.certificateFile, pair.cert);
+  await writeFile(files.keyFile, pair.private);
+  if (clientAuthority !== undefined) await writeFile(files.clientAuthorityFile, clientAuthority);
+  const clock = new ManualClock();
+  const log = createSilentLogger();
+  const watcher = await TlsFilesWatcher.open({ files, port: 'caller', log, clock, pollMs: 100 });
+  const changes: ITlsMaterial[] = [];
+  watcher.onDidChange((material) => changes.push(material));
+  t.after(() => {
+    watcher.dispose();
+  });
+  return { clock, files, watcher, changes };
+}
+
+async function listen(t: TestContext, watcher: TlsFilesWatcher): Promise<number> {
+  const server = createServer(watcher.getMaterial(), (_request, response) => response.end('ok'));
+  watcher.onDidChange((material) => {
+    server.setSecureContext(material);
+  });
+  server.on('tlsClientError', () => undefined);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  t.after(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return (server.address() as AddressInfo).port;
+}
+
+/** The name in the certificate of a server that answers; 'refused' when it does not. */
+async function readPeerName(port: number, client?: IPair): Promise<string> {
+  const identity = client === undefined ? {} : { cert: client.cert, key: client.private };
+  const socket = connect({ port, host: '127.0.0.1', rejectUnauthorized: false, ...identity });
+  let name = '';
+  let answer = '';
+  socket.on('error', () => undefined);
+  socket.on('data', (chunk: Buffer) => (answer += chunk.toString()));
+  socket.on('secureConnect', () => {
+    name = String(socket.getPeerCertificate().subject.CN);
+    // A server refuses a client's certificate only after the client's side of the handshake.
+    socket.write('GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n');
+  });
+  await new Promise((resolve) => socket.once('close', resolve));
+  return answer.startsWith('HTTP/1.1 200') ? name : 'refused';
+}
+
+test('a renewed certificate is served to new connections without a restart', async (t) => {
+  const bench = await openBench(t, await makePair('first'));
+  const port = await listen(t, bench.watcher);
+  assert.equal(await readPeerName(port), 'first');
+  const renewed = await makePair('second');
+  await writeFile(bench.files.certificateFile, renewed.cert);
+  await writeFile(bench.files.keyFile, renewed.private);
+  await bench.watcher.update();
+  assert.equal(await readPeerName(port), 'second');
+  await bench.watcher.update();
+  assert.equal(bench.changes.length, 1);
+});
+
+test('a certificate whose key has not come yet leaves the former pair in force', async (t) => {
+  // Symptom: handshakes fail for as long as a renewal takes, or for good.
+  // Sequence: the certificate file is replaced; the node reads both files; then the key is.
+  // Cause: two files can't be replaced at one instant.
+  const bench = await openBench(t, await makePair('first'));
+  const port = await listen(t, bench.watcher);
+  const renewed = await makePair('second');
+  await writeFile(bench.files.certificateFile, renewed.cert);
+  await bench.watcher.update();
+  assert.equal(await readPeerName(port), 'first');
+  await writeFile(bench.files.keyFile, renewed.private.slice(0, 300));
+  await bench.watcher.update();
+  assert.equal(await readPeerName(port), 'first');
+  await writeFile(bench.files.keyFile, renewed.private);
+  await bench.watcher.update();
+  assert.equal(await readPeerName(port), 'second');
+});
+
+test('the files are looked at again on a timer', async (t) => {
+  const bench = await openBench(t, await makePair('first'));
+  const renewed = await makePair('second');
+  await writeFile(bench.files.certificateFile, renewed.cert);
+  await writeFile(bench.files.keyFile, renewed.private);
+  const changed = new Promise<ITlsMaterial>((resolve) => bench.watcher.onDidChange(resolve));
+  await bench.clock.advanceBy(100);
+  assert.equal((await changed).cert.toString(), renewed.cert);
+});
+
+test('with a client authority, clients without its certificate are refused', async (t) => {
+  const client = await makePair('client');
+  const bench = await openBench(t, await makePair('server'), client.cert);
+  const port = await listen(t, bench.watcher);
+  assert.equal(await readPeerName(port), 'refused');
+  assert.equal(await readPeerName(port, await makePair('stranger')), 'refused');
+  assert.equal(await readPeerName(port, client), 'server');
+});
+
+test('files that are not in order at start are a numbered error that names the port', async (t) => {
+  const folder = await makeFolder(t);
+  const files = {
+    certificateFile: join(folder, 'no'),
+    keyFile: join(folder, 'no'),
+    clientAuthorityFile: '',
+  };
+  await assert.rejects(
+    TlsFilesWatcher.open({ files, port: 'caller', log: createSilentLogger() }),
+    (error: unknown) => {
+      assert.ok(error instanceof MuxError);
+      assert.equal(error.code, ResultCode.SettingsInvalid);
+      return error.message.includes('caller port');
+    },
+  );
+});
--- /dev/null
+++ b/packages/node/src/tls/node/tlsFilesWatcher.ts
@@ -0,0 +1,153 @@
+/**
+ * Certificates and keys from files, read again when they change, so that a certificate is renewed
+ * without a restart: a restart drains a node, and 48 of them at once are an outage.
+ */
+import { readFile } from 'node:fs/promises';
+import type { SecureContextOptions } from 'node:tls';
+import { createSecureContext } from 'node:tls';
+import type { Clock, Event, IDisposable, Logger } from '@parsleymux/base';
+import { Emitter, MuxError, ResultCode, RunState, SystemClock } from '@parsleymux/base';
+import type { TlsFiles } from '@parsleymux/schema';
+
+const DEFAULT_POLL_MS = 10_000;
+
+/** What a TLS server needs; `requestCert` is true when clients must show a certificate. */
+export interface ITlsMaterial extends SecureContextOptions {
+  readonly cert: Buffer;
+  readonly key: Buffer;
+  readonly ca?: Buffer;
+  readonly requestCert: boolean;
+  readonly rejectUnauthorized: boolean;
+  readonly minVersion: 'TLSv1.2';
+}
+
+/** Options of {@link TlsFilesWatcher.open}. */
+export interface ITlsFilesWatcherOptions {
+  readonly files: Pick<TlsFiles, 'certificateFile' | 'keyFile' | 'clientAuthorityFile'>;
+  /** Name of the port, for log lines. */
+  readonly port: string;
+  readonly log: Logger;
+  /** Default: the machine's. */
+  readonly clock?: Clock;
+  /** Time between two looks at the files, in ms. Default 10000. */
+  readonly pollMs?: number;
+}
+
+/**
+ * Offers the newest material that is in order.
+ *
+ * Files are read on a timer instead of by notification: mounted secrets are replaced by swapping
+ * links, which notifications on the file itself miss.
+ *
+ * @example
+ * const watcher = await TlsFilesWatcher.open({ files, port: 'caller', log });
+ * const server = createServer(watcher.getMaterial(), listener);
+ * watcher.onDidChange((material) => server.setSecureContext(material));
+ */
+export class TlsFilesWatcher implements IDisposable {
+  private readonly options: ITlsFilesWatcherOptions;
+  private readonly clock: Clock;
+  private readonly didChange = new Emitter<ITlsMaterial>();
+  private material: ITlsMaterial;
+  private lastFault = '';
+  private timer: IDisposable | undefined;
+  private isDisposed = false;
+
+  /** Fires when new material is in order; servers apply it to connections that follow. */
+  readonly onDidChange: Event<ITlsMaterial> = this.didChange.onDidFire;
+
+  private constructor(options: ITlsFilesWatcherOptions, material: ITlsMaterial) {
+    this.options = options;
+    this.clock = options.clock ?? new SystemClock();
+    this.material = material;
+    this.startTimer();
+  }
+
+  /** Reads the files for the first time. Throws SettingsInvalid when they are not in order. */
+  static async open(options: ITlsFilesWatcherOptions): Promise<TlsFilesWatcher> {
+    try {
+      return new TlsFilesWatcher(options, await readMaterial(options.files));
+    } catch (cause) {
+      throw new MuxError({
+        code: ResultCode.SettingsInvalid,
+        message: `TLS files of the ${options.port} port: ${formatFault(cause)}`,
+        runState: RunState.NotRun,
+        cause,
+      });
+    }
+  }
+
+  getMaterial(): ITlsMaterial {
+    return this.material;
+  }
+
+  /**
+   * Reads the files now. A certificate whose key has not been replaced yet, or a file that is
+   * half written, leaves the former material in force until the next look.
+   */
+  async update(): Promise<void> {
+    try {
+      const material = await readMaterial(this.options.files);
+      this.lastFault = '';
+      if (this.isDisposed || isSameMaterial(material, this.material)) return;
+      this.material = material;
+      this.options.log.info('TLS files replaced', { port: this.options.port });
+      this.didChange.fire(material);
+    } catch (error) {
+      this.logFault(formatFault(error));
+    }
+  }
+
+  dispose(): void {
+    this.isDisposed = true;
+    void this.timer?.dispose();
+    this.didChange.dispose();
+  }
+
+  private startTimer(): void {
+    if (this.isDisposed) return;
+    this.timer = this.clock.startTimer(this.options.pollMs ?? DEFAULT_POLL_MS, () => {
+      void this.update().finally(() => {
+        this.startTimer();
+      });
+    });
+  }
+
+  /** One line for each new fault, not for each look. */
+  private logFault(fault: string): void {
+    if (fault === this.lastFault) return;
+    this.lastFault = fault;
+    const { port } = this.options;
+    this.options.log.error('TLS files not in order, the former stay in force', { port, fault });
+  }
+}
+
+async function readMaterial(files: ITlsFilesWatcherOptions['files']): Promise<ITlsMaterial> {
+  const needsClients = files.clientAuthorityFile !== '';
+  const [cert, key, ca] = await Promise.all([
+    readFile(files.certificateFile),
+    readFile(files.keyFile),
+    needsClients ? readFile(files.clientAuthorityFile) : undefined,
+  ]);
+  const material: ITlsMaterial = {
+    cert,
+    key,
+    ...(ca === undefined ? {} : { ca }),
+    requestCert: needsClients,
+    rejectUnauthorized: needsClients,
+    minVersion: 'TLSv1.2',
+  };
+  // Throws when a file is no PEM, or when the key belongs to another certificate.
+  createSecureContext(material);
+  return material;
+}
+
+function isSameMaterial(left: ITlsMaterial, right: ITlsMaterial): boolean {
+  const leftCa = left.ca ?? Buffer.alloc(0);
+  const rightCa = right.ca ?? Buffer.alloc(0);
+  return left.cert.equals(right.cert) && left.key.equals(right.key) && leftCa.equals(rightCa);
+}
+
+function formatFault(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
