--- a/packages/lab/src/load/common/requestRecord.ts
+++ b/packages/lab/src/load/common/requestRecord.ts
@@ -43,10 +43,11 @@
 /** One request with all its attempts. */
 export interface IRequestRecord {
   readonly request: ICallerRequest;
+  /** In the order in which they were sent. */
   readonly attempts: readonly IAttemptRecord[];
 }
 
-/** How the request ended in the end. */
-export function getFinalAttempt(record: IRequestRecord): IAttemptRecord | undefined {
-  return record.attempts.at(-1);
+/** How the request ended in the end: answered, if any attempt was. */
+export function getFinalAttempt(attempts: readonly IAttemptRecord[]): IAttemptRecord | undefined {
+  return attempts.find(({ outcome }) => outcome === AttemptOutcome.Answered) ?? attempts.at(-1);
 }
--- a/packages/lab/src/load/common/verdict.test.ts
+++ b/packages/lab/src/load/common/verdict.test.ts
@@ -17,7 +17,14 @@
   assert.ok(workload !== undefined);
   const key = isBooking ? 'k' : '';
   return {
-    request: { workload, requestId: 'r', key, path: '/', body: new Uint8Array() },
+    request: {
+      workload,
+      requestId: 'r',
+      key,
+      path: '/',
+      body: new Uint8Array(),
+      twinAfterMs: undefined,
+    },
     attempts: attempts.map((attempt, index) => ({
       outcome: AttemptOutcome.Refused,
       node: 'n',
--- a/packages/lab/src/load/common/verdict.ts
+++ b/packages/lab/src/load/common/verdict.ts
@@ -59,7 +59,7 @@
 }
 
 function isAnswered(record: IRequestRecord): boolean {
-  return getFinalAttempt(record)?.outcome === AttemptOutcome.Answered;
+  return getFinalAttempt(record.attempts)?.outcome === AttemptOutcome.Answered;
 }
 
 function findBroken(record: IRequestRecord, executions: readonly IExecution[]): IFinding[] {
--- a/packages/lab/src/load/common/workload.ts
+++ b/packages/lab/src/load/common/workload.ts
@@ -16,6 +16,11 @@
   /** Times that the caller asks in all, with the same key and request id. */
   readonly maxAttempts: number;
   readonly bodyBytes: number;
+  /**
+   * Share of requests that are asked a second time, through another node, while the first attempt
+   * still runs: by impatient callers, and by clients that think a connection lost.
+   */
+  readonly twinShare: number;
 }
 
 /** One request, however often it is asked. */
@@ -26,4 +31,6 @@
   readonly key: string;
   readonly path: string;
   readonly body: Uint8Array;
+  /** After this time a twin of the first attempt is sent, in ms; undefined: none. */
+  readonly twinAfterMs: number | undefined;
 }
--- a/packages/lab/src/load/node/loadGenerator.test.ts
+++ b/packages/lab/src/load/node/loadGenerator.test.ts
@@ -19,11 +19,13 @@
   timeoutMs: 2000,
   maxAttempts: 2,
   bodyBytes: 50,
+  twinShare: 0,
 };
 
 function makeRequest(requestId: string): ICallerRequest {
   const body = Buffer.from('work');
-  return { workload: WORKLOAD, requestId, key: `key-${requestId}`, path: '/s', body };
+  const key = `key-${requestId}`;
+  return { workload: WORKLOAD, requestId, key, path: '/s', body, twinAfterMs: undefined };
 }
 
 /** A target serves callers directly here; a node in between changes nothing for them. */
--- a/packages/lab/src/load/node/loadGenerator.ts
+++ b/packages/lab/src/load/node/loadGenerator.ts
@@ -7,12 +7,14 @@
 import type { Histogram } from 'hdr-histogram-js';
 import { build } from 'hdr-histogram-js';
 import type { IAttemptRecord, IRequestRecord } from '../common/requestRecord.js';
-import { AttemptOutcome } from '../common/requestRecord.js';
+import { AttemptOutcome, getFinalAttempt } from '../common/requestRecord.js';
 import type { ICallerRequest, IWorkload } from '../common/workload.js';
 import { Caller } from './caller.js';
 
 const MAX_RETRY_WAIT_MS = 1500;
 const RETRY_WAIT_MS = 100;
+/** Twins come while the first attempt is queued, claimed, dispatched or answered. */
+const LONGEST_TWIN_WAIT_MS = 60;
 const HIGHEST_LATENCY_MS = 120_000;
 
 /** Chooses the node for an attempt, as the platform's balancer does. */
@@ -132,6 +134,10 @@
       key: workload.idempotent ? '' : `key-${requestId}`,
       path: `${workload.path}?n=${this.sequence}`,
       body: Buffer.from(text.padEnd(workload.bodyBytes, '.')),
+      twinAfterMs:
+        random.getFloat() < workload.twinShare
+          ? random.getInteger(LONGEST_TWIN_WAIT_MS)
+          : undefined,
     };
   }
 
@@ -143,15 +149,28 @@
   private async runRequest(request: ICallerRequest): Promise<void> {
     const startMs = performance.now();
     const attempts: IAttemptRecord[] = [];
-    while (attempts.length < request.workload.maxAttempts) {
+    await Promise.all([this.runAttempts(request, attempts), this.runTwin(request, attempts)]);
+    attempts.sort((left, right) => left.sentAtMs - right.sentAtMs);
+    this.records.push({ request, attempts });
+    this.recordOutcome(getFinalAttempt(attempts), performance.now() - startMs);
+  }
+
+  private async runAttempts(request: ICallerRequest, attempts: IAttemptRecord[]): Promise<void> {
+    const { maxAttempts } = request.workload;
+    for (let count = 1; count <= maxAttempts; count += 1) {
       const node = this.options.balancer.pick();
-      if (node !== undefined) attempts.push(await this.caller.send(node, request));
-      if (!isWorthRetry(attempts.at(-1))) break;
-      if (attempts.length < request.workload.maxAttempts) await sleep(getWaitMs(attempts.length));
-      if (node === undefined && !this.isRunning) break;
+      const last = node === undefined ? undefined : await this.caller.send(node, request);
+      if (last !== undefined) attempts.push(last);
+      if (!isWorthRetry(last) || count === maxAttempts) return;
+      await sleep(getWaitMs(count));
     }
-    this.records.push({ request, attempts });
-    this.recordOutcome(attempts.at(-1), performance.now() - startMs);
+  }
+
+  private async runTwin(request: ICallerRequest, attempts: IAttemptRecord[]): Promise<void> {
+    if (request.twinAfterMs === undefined) return;
+    await sleep(request.twinAfterMs);
+    const node = this.options.balancer.pick();
+    if (node !== undefined) attempts.push(await this.caller.send(node, request));
   }
 
   private recordOutcome(last: IAttemptRecord | undefined, latencyMs: number): void {
--- a/packages/lab/src/processes/common/worldLayout.ts
+++ b/packages/lab/src/processes/common/worldLayout.ts
@@ -111,6 +111,7 @@
     timeoutMs: 4000,
     maxAttempts: 6,
     bodyBytes: 200,
+    twinShare: service.idempotent ? 0 : 0.25,
   }));
 }
 
--- a/packages/lab/src/prove/node/proveRun.ts
+++ b/packages/lab/src/prove/node/proveRun.ts
@@ -97,7 +97,7 @@
 ): void {
   const late = records.filter(({ attempts }) => (attempts[0]?.sentAtMs ?? 0) >= sinceMs);
   const answered = late.filter((record) => {
-    return getFinalAttempt(record)?.outcome === AttemptOutcome.Answered;
+    return getFinalAttempt(record.attempts)?.outcome === AttemptOutcome.Answered;
   });
   const isRecovered = answered.length >= LEAST_SHARE_RECOVERED * late.length && late.length > 0;
   world.findings.check('serves again after the faults', isRecovered, () => {
--- a/packages/standins/src/target/node/targetStandIn.ts
+++ b/packages/standins/src/target/node/targetStandIn.ts
@@ -83,7 +83,7 @@
   };
   private faults: ITargetFaults;
   private warmAtMs = 0;
-  private lastBody: Uint8Array = new Uint8Array();
+  private lastBody: Uint8Array | undefined;
 
   constructor(options: ITargetStandInOptions = {}) {
     const { host = '127.0.0.1', port = 0, faults, executions, clock, ...config } = options;
@@ -266,7 +266,7 @@
       return;
     }
     const isForeign = this.random.getFloat() < this.faults.foreignShare;
-    this.replies.sendAnswer(exchange, status, isForeign ? this.lastBody : body);
+    this.replies.sendAnswer(exchange, status, isForeign ? (this.lastBody ?? body) : body);
     this.lastBody = body;
   }
 
