Refuse target addresses that reach the platform or the nodes, and second spellings of one target

Cause: nodes send requests from inside the fleet's network to whatever an intent names; a hostile member could name the platform's table or a node's private port, and 127.0.0.1:9001 written as 127.1:9001 passed for another target, so two rivals could both own it. Ruled out: a list of bad spellings (the usual spelling is what the URL parser writes; anything else is refused). Open plans of a member are bounded at 50, and rows of old plans make room. The spellings were accepted before.

--- a/packages/config/src/intents/common/intentValidator.ts
+++ b/packages/config/src/intents/common/intentValidator.ts
@@ -1,6 +1,8 @@
 /** Checks an intent for what the rules of single fields can't express. */
 import type { Intent, Route, Service } from '@parsleymux/schema';
 import { isLeaving } from '../../plans/common/capacity.js';
+import type { IAddressRules } from './targetAddress.js';
+import { findAddressProblem, isLoopbackAddress } from './targetAddress.js';
 
 /** One thing that is wrong with an intent. */
 export interface IIntentProblem {
@@ -9,6 +11,12 @@
   readonly message: string;
 }
 
+/** Options of an {@link IntentValidator}. */
+export interface IIntentValidatorOptions {
+  /** Addresses of this fleet's nodes and of the platform, each "IP:port". Default: none. */
+  readonly reservedAddresses?: readonly string[];
+}
+
 /**
  * Finds what is wrong with an intent.
  *
@@ -17,11 +25,22 @@
  * if (problems.length > 0) throw createMalformedIntentError(problems);
  */
 export class IntentValidator {
+  private readonly addressRules: IAddressRules;
+
+  constructor(options: IIntentValidatorOptions = {}) {
+    const reserved = options.reservedAddresses ?? [];
+    this.addressRules = {
+      reserved: new Set(reserved),
+      // Where nodes have addresses of their own, loopback leads to a node's private ports.
+      allowLoopback: reserved.every(isLoopbackAddress),
+    };
+  }
+
   /** Every problem found; an intent without one can be planned. */
   validate(intent: Intent): readonly IIntentProblem[] {
     return [
       ...checkServices(intent.services),
-      ...checkTargetAddresses(intent.services),
+      ...checkTargetAddresses(intent.services, this.addressRules),
       ...checkRoutes(intent),
     ];
   }
@@ -42,13 +61,18 @@
   return problems;
 }
 
-function checkTargetAddresses(services: readonly Service[]): IIntentProblem[] {
+function checkTargetAddresses(
+  services: readonly Service[],
+  rules: IAddressRules,
+): IIntentProblem[] {
   const seen = new Set<string>();
   const problems: IIntentProblem[] = [];
   services.forEach((service, serviceIndex) => {
     service.targets.forEach((target, index) => {
+      const path = `services[${serviceIndex}].targets[${index}].address`;
+      const wrong = findAddressProblem(target.address, rules);
+      if (wrong !== undefined) problems.push({ path, message: `${target.address} ${wrong}` });
       if (seen.has(target.address)) {
-        const path = `services[${serviceIndex}].targets[${index}].address`;
         problems.push({ path, message: `${target.address} is listed twice` });
       }
       seen.add(target.address);
--- /dev/null
+++ b/packages/config/src/plans/common/planLimits.ts
@@ -0,0 +1,65 @@
+/** Keeps the number of a member's plan rows bounded. */
+import { ResultCode, MuxError, RunState } from '@parsleymux/base';
+import type { ITableRow, ITableWrite, TableService } from '@parsleymux/platform';
+import { PlanState } from '@parsleymux/schema';
+import { formatPlanPrefix } from '../../layout/common/rowKeys.js';
+import type { IPlanRow } from '../../layout/common/rows.js';
+import { decodePlanRow } from '../../layout/common/rows.js';
+
+/** Open plans that a member may have. */
+export const MAX_OPEN_PLANS = 50;
+/** A plan that nobody confirmed for this long is dropped. */
+export const OPEN_PLAN_LIFETIME_MS = 86_400_000;
+/** Longer than anyone repeats a confirmation whose answer was lost. */
+export const DECIDED_PLAN_LIFETIME_MS = 30 * 86_400_000;
+
+const SCAN_LIMIT = 1000;
+const MAX_REMOVED = 100;
+
+/**
+ * Removes rows of plans that are of no more use, and counts the open ones.
+ * Throws LimitExceeded when the member has too many.
+ *
+ * @example
+ * await checkOpenPlans(table, 'dobrescu', clock.getWallTime(), signal);
+ */
+export async function checkOpenPlans(
+  table: TableService,
+  member: string,
+  nowMs: number,
+  signal?: AbortSignal,
+): Promise<void> {
+  const rows = await table.scan({ prefix: formatPlanPrefix(member), limit: SCAN_LIMIT }, signal);
+  const expired = rows.filter((row) => isExpired(row, nowMs)).slice(0, MAX_REMOVED);
+  await removeRows(table, expired, signal);
+  const open = rows.filter((row) => !expired.includes(row)).filter(isOpen);
+  if (open.length < MAX_OPEN_PLANS) return;
+  const message = `${open.length} plans are open; confirm or discard some`;
+  throw new MuxError({ code: ResultCode.LimitExceeded, message, runState: RunState.NotRun });
+}
+
+/** On the condition that nothing happened to them since, so that no plan is lost in mid-decision. */
+async function removeRows(
+  table: TableService,
+  rows: readonly ITableRow[],
+  signal?: AbortSignal,
+): Promise<void> {
+  if (rows.length === 0) return;
+  const conditions = rows.map(({ key, version }) => ({ key, version }));
+  const writes: readonly ITableWrite[] = rows.map(({ key }) => ({ key, value: null }));
+  await table.transact({ conditions, writes }, signal);
+}
+
+function isExpired(row: ITableRow, nowMs: number): boolean {
+  const plan = decodePlanRow(row);
+  if (plan === undefined) return false;
+  return nowMs - plan.createdAtMs > getLifetimeMs(plan);
+}
+
+function getLifetimeMs(plan: IPlanRow): number {
+  return plan.state === PlanState.PROPOSED ? OPEN_PLAN_LIFETIME_MS : DECIDED_PLAN_LIFETIME_MS;
+}
+
+function isOpen(row: ITableRow): boolean {
+  return decodePlanRow(row)?.state === PlanState.PROPOSED;
+}
--- a/packages/config/src/plans/common/planStore.test.ts
+++ b/packages/config/src/plans/common/planStore.test.ts
@@ -7,22 +7,23 @@
 import { decodeEjections, decodeHead, encodeEjections } from '../../layout/common/rows.js';
 import { InstantClock } from '../../testing/instantClock.js';
 import { createTestIntent } from '../../testing/intents.js';
-import type { IMemoryPlatform } from '../../testing/memoryPlatform.js';
 import { createMemoryPlatform } from '../../testing/memoryPlatform.js';
 import { PlanBuilder } from './planBuilder.js';
+import { MAX_OPEN_PLANS, OPEN_PLAN_LIFETIME_MS } from './planLimits.js';
 import { PlanStore } from './planStore.js';
 
-function createStore(seed = 1): { store: PlanStore; platform: IMemoryPlatform } {
+function createStore(seed = 1) {
   const random = new SeededRandom(seed);
   const platform = createMemoryPlatform(random);
+  const clock = new InstantClock();
   const store = new PlanStore({
     platform,
-    clock: new InstantClock(),
+    clock,
     random,
     validator: new IntentValidator(),
     builder: new PlanBuilder(),
   });
-  return { store, platform };
+  return { store, platform, clock };
 }
 
 function isRefusal(code: ResultCode) {
@@ -127,6 +128,18 @@
   }
 });
 
+test('open plans of a member are bounded, and old ones make room', async () => {
+  const { store, platform, clock } = createStore();
+  const intent = createTestIntent('dobrescu');
+  for (let count = 0; count < MAX_OPEN_PLANS; count += 1) await store.propose(intent, 'key-1');
+  await assert.rejects(store.propose(intent, 'key-1'), isRefusal(ResultCode.LimitExceeded));
+  await store.propose(createTestIntent('donautal'), 'key-2');
+  clock.advance(OPEN_PLAN_LIFETIME_MS + 1);
+  await store.propose(intent, 'key-1');
+  const keys = [...platform.table.getRows().keys()];
+  assert.equal(keys.filter((key) => key.startsWith('plans/dobrescu/')).length, 1);
+});
+
 test('with the store out, the refusal says that nothing was done, and when to come back', async () => {
   const { store, platform } = createStore();
   const plan = await store.propose(createTestIntent('dobrescu'), 'key-1');
--- a/packages/config/src/plans/common/planStore.ts
+++ b/packages/config/src/plans/common/planStore.ts
@@ -20,6 +20,7 @@
   createPlanNotFoundError,
   createStoreError,
 } from './planErrors.js';
+import { checkOpenPlans } from './planLimits.js';
 import type { IDecisionInput, IPlanRefusal } from './planRefusals.js';
 import { findOwnershipRefusal, findRefusal, listEjected } from './planRefusals.js';
 import type { IIntentInForce } from './planRepository.js';
@@ -70,11 +71,14 @@
 
   /**
    * Checks an intent and stores the plan that it makes.
-   * Throws MalformedIntent, FloorWouldBreak, HostTaken, TargetAddressTaken, StoreUnavailable.
+   * Throws MalformedIntent, FloorWouldBreak, HostTaken, TargetAddressTaken, LimitExceeded,
+   * StoreUnavailable.
    */
   async propose(intent: Intent, operator: string, signal?: AbortSignal): Promise<Plan> {
     const problems = this.options.validator.validate(intent);
     if (problems.length > 0) throw createMalformedIntentError(problems);
+    const { table } = this.options.platform;
+    await wrapStoreErrors(() => checkOpenPlans(table, intent.member, this.getNowMs(), signal));
     const plan = await wrapStoreErrors(() => this.buildPlan(intent, operator, signal));
     await wrapStoreErrors(() => this.repository.storeObjects(plan, intent, signal));
     await this.retry.run(signal, async () => {
--- a/packages/config/src/testing/instantClock.ts
+++ b/packages/config/src/testing/instantClock.ts
@@ -14,6 +14,11 @@
     return this.nowMs;
   }
 
+  /** Lets time pass without firing anything. */
+  advance(durationMs: number): void {
+    this.nowMs += durationMs;
+  }
+
   override startTimer(delayMs: number, callback: () => void): IDisposable {
     const handle = setImmediate(() => {
       this.nowMs += delayMs;
