--- a/packages/config/src/plans/common/planRepository.ts
+++ b/packages/config/src/plans/common/planRepository.ts
@@ -1,6 +1,11 @@
 /** Reads and writes the objects and rows of plans. */
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
-import type { IPlatform, ITableRow, ITableTransaction } from '@parsleymux/platform';
+import type {
+  IPlatform,
+  ITableRow,
+  ITableTransaction,
+  ITransactionResult,
+} from '@parsleymux/platform';
 import { PlatformError, PlatformFailure } from '@parsleymux/platform';
 import type { Intent, Plan } from '@parsleymux/schema';
 import { IntentSchema, PlanSchema, PlanState } from '@parsleymux/schema';
@@ -15,6 +20,32 @@
   readonly intent: Intent | undefined;
 }
 
+/**
+ * The rows that the last refused transaction of an operation returned. They are current, while a
+ * read may come from a copy that lags; without them an operation could lose every attempt for as
+ * long as the copy lags.
+ */
+export class CurrentRows {
+  private rows: RowMap = new Map();
+
+  /** Takes the rows of a result; those of the result before are of no more use. */
+  update(result: ITransactionResult): void {
+    this.rows = toRowMap(result.conflicts);
+  }
+
+  /** The rows as read, each replaced by the known one where that is newer. */
+  merge(read: readonly ITableRow[], keys: readonly string[]): RowMap {
+    const merged = new Map(toRowMap(read));
+    for (const key of keys) {
+      const known = this.rows.get(key);
+      if (known !== undefined && known.version > (merged.get(key)?.version ?? 0)) {
+        merged.set(key, known);
+      }
+    }
+    return merged;
+  }
+}
+
 /**
  * Access to plans as stored. Every method rejects with a PlatformError when the store fails.
  *
@@ -25,8 +56,12 @@
   constructor(private readonly platform: Pick<IPlatform, 'table' | 'objects'>) {}
 
   /** Rows by key; absent rows are left out. */
-  async readRows(keys: readonly string[], signal?: AbortSignal): Promise<RowMap> {
-    return toRowMap(await this.platform.table.read(keys, signal));
+  async readRows(
+    keys: readonly string[],
+    signal?: AbortSignal,
+    current = new CurrentRows(),
+  ): Promise<RowMap> {
+    return current.merge(await this.platform.table.read(keys, signal), keys);
   }
 
   /**
@@ -41,14 +76,24 @@
   }
 
   /** Whether the transaction was committed. */
-  async transact(transaction: ITableTransaction, signal?: AbortSignal): Promise<boolean> {
-    return (await this.platform.table.transact(transaction, signal)).committed;
+  async transact(
+    transaction: ITableTransaction,
+    signal?: AbortSignal,
+    current = new CurrentRows(),
+  ): Promise<boolean> {
+    const result = await this.platform.table.transact(transaction, signal);
+    current.update(result);
+    return result.committed;
   }
 
   /** The member's intent in force. */
-  async fetchInForce(member: string, signal?: AbortSignal): Promise<IIntentInForce> {
+  async fetchInForce(
+    member: string,
+    signal?: AbortSignal,
+    current?: CurrentRows,
+  ): Promise<IIntentInForce> {
     const key = formatMemberKey(member);
-    return this.fetchPointed((await this.readRows([key], signal)).get(key), signal);
+    return this.fetchPointed((await this.readRows([key], signal, current)).get(key), signal);
   }
 
   /** The plan with its intent, in the state in which it was stored: proposed. */
--- a/packages/config/src/plans/common/planStore.ts
+++ b/packages/config/src/plans/common/planStore.ts
@@ -24,7 +24,7 @@
 import type { IDecisionInput, IPlanRefusal } from './planRefusals.js';
 import { findOwnershipRefusal, findRefusal, listEjected } from './planRefusals.js';
 import type { IIntentInForce } from './planRepository.js';
-import { PlanRepository } from './planRepository.js';
+import { CurrentRows, PlanRepository } from './planRepository.js';
 import type { IStoreAttempt } from './storeRetry.js';
 import { StoreRetry } from './storeRetry.js';
 
@@ -46,6 +46,14 @@
   readonly operator: string;
 }
 
+/** One attempt at a confirmation, and what the attempts before learnt. */
+interface IConfirmAttempt {
+  readonly request: IPlanRequest;
+  readonly plan: Plan;
+  readonly attempt: IStoreAttempt;
+  readonly current: CurrentRows;
+}
+
 /**
  * Proposes, confirms and discards plans.
  *
@@ -106,7 +114,10 @@
    */
   async confirm(request: IPlanRequest, signal?: AbortSignal): Promise<Plan> {
     const plan = await this.getPlan(request.member, request.planId, signal);
-    return this.retry.run(signal, (attempt) => this.tryConfirm(request, plan, attempt, signal));
+    const current = new CurrentRows();
+    return this.retry.run(signal, (attempt) =>
+      this.tryConfirm({ request, plan, attempt, current }, signal),
+    );
   }
 
   /** Gives the plan up. Throws PlanNotFound, PlanAlreadyDecided, StoreUnavailable. */
@@ -131,20 +142,18 @@
   }
 
   private async tryConfirm(
-    request: IPlanRequest,
-    plan: Plan,
-    attempt: IStoreAttempt,
+    { request, plan, attempt, current }: IConfirmAttempt,
     signal?: AbortSignal,
   ): Promise<Plan | undefined> {
     const { member, planId } = request;
     const after = plan.intent ?? create(IntentSchema, { member });
-    const input = await this.readDecisionInput(member, planId, after, signal);
+    const input = await this.readDecisionInput(member, planId, after, signal, current);
     const planRow = decodePlanRow(input.rows.get(formatPlanKey(member, planId)));
     // An earlier try, or the same plan confirmed through another node, has done it.
     if (planRow?.state === PlanState.CONFIRMED) return copyInState(plan, planRow);
     if (!isConsistent(input)) return undefined;
     const refusal = findRefusal(input, this.options.builder);
-    if (refusal !== undefined) return this.throwIfFresh(refusal, input.rows, signal);
+    if (refusal !== undefined) return this.throwIfFresh(refusal, input.rows, current, signal);
     if (planRow === undefined) return undefined;
     const { transaction, confirmed } = makeConfirmTransaction({
       ...input,
@@ -154,7 +163,7 @@
       audit: this.makeAuditEntry(request, 'plan.confirm'),
     });
     attempt.markSent();
-    const isCommitted = await this.repository.transact(transaction, signal);
+    const isCommitted = await this.repository.transact(transaction, signal, current);
     return isCommitted ? copyInState(plan, confirmed) : undefined;
   }
 
@@ -185,10 +194,12 @@
   private async throwIfFresh(
     refusal: IPlanRefusal,
     rows: RowMap,
+    current: CurrentRows,
     signal?: AbortSignal,
   ): Promise<undefined> {
     const conditions = refusal.keys.map((key) => makeCondition(key, rows.get(key)));
-    if (await this.repository.transact({ conditions, writes: [] }, signal)) throw refusal.error;
+    const isFresh = await this.repository.transact({ conditions, writes: [] }, signal, current);
+    if (isFresh) throw refusal.error;
     return undefined;
   }
 
@@ -197,10 +208,11 @@
     planId: string,
     after: Intent,
     signal?: AbortSignal,
+    current = new CurrentRows(),
   ): Promise<IDecisionInput> {
-    const inForce = await this.repository.fetchInForce(member, signal);
+    const inForce = await this.repository.fetchInForce(member, signal, current);
     const keys = listConfirmKeys(member, planId, inForce.intent, after);
-    const rows = await this.repository.readRows(keys, signal);
+    const rows = await this.repository.readRows(keys, signal, current);
     return { member, planId, inForce, after, rows };
   }
 
