--- /dev/null
+++ b/packages/lab/src/atMostOnce/node/disturber.ts
@@ -0,0 +1,109 @@
+/** Kills and pauses nodes, and loses answers of the platform, at random instants. */
+import type { RandomSource } from '@parsleymux/base';
+import type { LabWorld } from '../../processes/node/labWorld.js';
+import type { NodeProcess } from '../../processes/node/nodeProcess.js';
+
+/** Mean time between two disturbances, in ms. */
+const SPACING_MS = 500;
+/** Pauses end before and after requests' deadlines of 4 s. */
+const PAUSES_MS: readonly number[] = [50, 400, 1500, 5000];
+const KILL_SHARE = 0.3;
+const PAUSE_SHARE = 0.8;
+const MOST_LOST_ANSWERS = 4;
+/** With fewer running nodes nothing would be under test. */
+const LEAST_NODES = 3;
+
+/** What was done. */
+export interface IDisturbances {
+  readonly kills: number;
+  readonly pauses: number;
+  readonly lostAnswers: number;
+}
+
+/**
+ * Disturbs a world until it is stopped.
+ *
+ * @example
+ * const disturber = new Disturber(world, random);
+ * disturber.start();
+ * await disturber.stop();
+ */
+export class Disturber {
+  private readonly stopping = new AbortController();
+  private readonly pending = new Set<Promise<void>>();
+  private loop: Promise<void> = Promise.resolve();
+  private kills = 0;
+  private pauses = 0;
+  private lostAnswers = 0;
+
+  constructor(
+    private readonly world: LabWorld,
+    private readonly random: RandomSource,
+  ) {}
+
+  start(): void {
+    this.loop = this.runUntilStopped();
+  }
+
+  /** Ends the disturbances and waits until every node runs again. */
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    await this.loop;
+    await Promise.all(this.pending);
+    await this.world.platform.clearFaults();
+  }
+
+  getCounts(): IDisturbances {
+    const { kills, pauses, lostAnswers } = this;
+    return { kills, pauses, lostAnswers };
+  }
+
+  private async runUntilStopped(): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      await sleep(this.random.getExponential(SPACING_MS));
+      const choice = this.random.getFloat();
+      if (choice < KILL_SHARE) this.track(this.endOneNode());
+      else if (choice < PAUSE_SHARE) this.track(this.stopOneNode());
+      else await this.takeAnswers();
+    }
+  }
+
+  private track(action: Promise<void>): void {
+    const done = action.finally(() => this.pending.delete(done));
+    this.pending.add(done);
+  }
+
+  private pickNode(): NodeProcess | undefined {
+    const nodes = this.world.getNodes().filter(({ child }) => !child.isStopped());
+    return nodes.length < LEAST_NODES ? undefined : nodes[this.random.getInteger(nodes.length)];
+  }
+
+  private async endOneNode(): Promise<void> {
+    const node = this.pickNode();
+    if (node === undefined) return;
+    this.kills += 1;
+    await this.world.endNode(node);
+    // Not waited for: it may be killed in turn before it is ready.
+    await this.world.startNextNode();
+  }
+
+  private async stopOneNode(): Promise<void> {
+    const node = this.pickNode();
+    const pauseMs = PAUSES_MS[this.random.getInteger(PAUSES_MS.length)] ?? 0;
+    if (node === undefined) return;
+    this.pauses += 1;
+    node.child.sendSignal('SIGSTOP');
+    await sleep(pauseMs);
+    node.child.sendSignal('SIGCONT');
+  }
+
+  private async takeAnswers(): Promise<void> {
+    const loseNextAnswers = 1 + this.random.getInteger(MOST_LOST_ANSWERS);
+    this.lostAnswers += loseNextAnswers;
+    await this.world.platform.setFaults({ loseNextAnswers });
+  }
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- /dev/null
+++ b/packages/lab/src/atMostOnce/node/main.ts
@@ -0,0 +1,50 @@
+/**
+ * `node packages/lab/dist/atMostOnce/node/main.js --seed N --seconds S [--runs R]`: bookings while
+ * nodes are killed (SIGKILL) and paused (SIGSTOP) at random instants and answers of the store are
+ * lost. Seeds N, N+1 and so on. Exits 1 when a key ran twice or a refusal was false. With
+ * `--ignore-conditions` the store breaks its word, and the run must fail.
+ */
+import { parseArgs } from 'node:util';
+import type { IBookingReport } from './bookingRun.js';
+import { runBookings } from './bookingRun.js';
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: 'string', default: '1' },
+    seconds: { type: 'string', default: '20' },
+    runs: { type: 'string', default: '1' },
+    'ignore-conditions': { type: 'boolean', default: false },
+  },
+});
+
+function printCounts(title: string, counts: ReadonlyMap<string, number>): void {
+  console.log(`  ${title}`);
+  for (const [name, count] of [...counts].sort((left, right) => right[1] - left[1])) {
+    console.log(`    ${String(count).padStart(6)} ${name}`);
+  }
+}
+
+function printReport(seed: number, report: IBookingReport): void {
+  const { kills, pauses, lostAnswers } = report.disturbances;
+  console.log(`seed ${seed}: ${kills} kills, ${pauses} pauses, ${lostAnswers} store answers lost`);
+  console.log(`  ${report.bookings} bookings, ${report.executions} executions`);
+  console.log(`  ${report.notRunChecked} refused as not run and compared`);
+  printCounts('last attempts', report.outcomes);
+  printCounts('answered ones asked once more', report.replays);
+  printCounts('unanswered ones asked once more', report.lateAsks);
+  console.log(`  ${report.findings.length} broken promises`);
+  for (const finding of report.findings) console.log(`    ${JSON.stringify(finding)}`);
+}
+
+let broken = 0;
+for (let run = 0; run < Number(values.runs); run += 1) {
+  const seed = Number(values.seed) + run;
+  const report = await runBookings({
+    seed,
+    seconds: Number(values.seconds),
+    ignoreConditions: values['ignore-conditions'],
+  });
+  printReport(seed, report);
+  broken += report.findings.length;
+}
+process.exit(broken === 0 ? 0 : 1);
