Number every refusal on the caller port, and never refuse in the place of an answer

Found by raw requests against real nodes: a request without Host, an unknown expectation and CONNECT were ended by Node without a number; two Host headers were passed on, and undici's refusal of them made the entry count its peers as failed; and bytes behind a request in flight drew a 'not run' that stood where its answer belonged, though the request ran.

A connection on which a whole request waits is now cut instead of answered. Requests that arrive too slowly get their own number (1010, 408), looked for every second; Node looks every 30 s. Callers that take nothing of an answer for callerStallMs are cut. The three times are settings.

--- a/packages/base/src/result/common/resultCode.ts
+++ b/packages/base/src/result/common/resultCode.ts
@@ -30,6 +30,7 @@
   DeadlinePassed: 1007,
   MalformedDeadline: 1008,
   CallerGone: 1009,
+  RequestTimeout: 1010,
   QueueFull: 2001,
   QueueTimeout: 2002,
   NoTarget: 2003,
--- a/packages/base/src/result/common/resultTable.ts
+++ b/packages/base/src/result/common/resultTable.ts
@@ -32,6 +32,12 @@
   DeadlinePassed: [504, NotRun, 'The deadline passed before dispatch.', 'Ask again.'],
   MalformedDeadline: [400, NotRun, 'The timeout header is not a number of ms.', 'Mend the client.'],
   CallerGone: [499, MayHaveRun, 'The caller hung up; counted, never received.', 'Nothing.'],
+  RequestTimeout: [
+    408,
+    NotRun,
+    'The request did not arrive whole in time.',
+    'Send it again, faster.',
+  ],
   QueueFull: [503, NotRun, 'The queue of the service is full.', 'Come back after Retry-After.'],
   QueueTimeout: [
     503,
--- /dev/null
+++ b/packages/lab/src/badInput/node/malformedRequests.test.ts
@@ -0,0 +1,273 @@
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+import { ResultCode } from '@parsleymux/base';
+import fc from 'fast-check';
+import { LabWorld } from '../../processes/node/labWorld.js';
+import type { IRawExchange } from './rawCaller.js';
+import { requestRaw } from './rawCaller.js';
+
+const READ_HOST = 'survey.relinieri.example';
+const WRITE_HOST = 'booking.relinieri.example';
+const FUZZ_SEED = 20260;
+const FUZZ_RUNS = 150;
+
+const world = new LabWorld({ seed: 7, nodeCount: 2 });
+let address = '';
+
+before(async () => {
+  await world.start();
+  await world.applyIntents();
+  address = world.getNodes()[0]!.addresses.caller;
+  await waitUntilServing();
+});
+
+after(() => world.dispose());
+
+async function sendWell(): Promise<IRawExchange> {
+  return requestRaw(address, [
+    `GET /survey HTTP/1.1\r\nHost: ${READ_HOST}\r\nConnection: close\r\n\r\n`,
+  ]);
+}
+
+async function waitUntilServing(): Promise<void> {
+  for (;;) {
+    const { statuses } = await sendWell();
+    if (statuses[0] === 200) return;
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+}
+
+/** The node lives, serves, and has seen none of its invariants broken. */
+async function assertUndisturbed(): Promise<void> {
+  assert.deepEqual((await sendWell()).statuses, [200]);
+  for (const node of world.getNodes()) {
+    const metrics = (await node.fetchMetrics()) ?? '';
+    assert.doesNotMatch(metrics, /^parsleymux_invariant_violations_total\{[^}]*\} [1-9]/m);
+  }
+  assert.equal(world.getNodes().length, 2);
+}
+
+function makePost(lines: readonly string[], body = ''): string {
+  return `POST /booking HTTP/1.1\r\nHost: ${WRITE_HOST}\r\n${lines.join('\r\n')}\r\n\r\n${body}`;
+}
+
+const SMUGGLED = `GET /smuggled HTTP/1.1\r\nHost: ${READ_HOST}\r\n\r\n`;
+const KEY = 'Idempotency-Key: k-1';
+
+const REFUSED: readonly (readonly [name: string, code: number, request: string])[] = [
+  ['no HTTP at all', ResultCode.MalformedRequest, 'GARBAGE\r\n\r\n'],
+  [
+    'a version that does not exist',
+    ResultCode.MalformedRequest,
+    `GET / HTTP/9.9\r\nHost: ${READ_HOST}\r\n\r\n`,
+  ],
+  [
+    'TLS on a plain port',
+    ResultCode.MalformedRequest,
+    '\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03',
+  ],
+  [
+    'a control character in a header',
+    ResultCode.MalformedRequest,
+    `GET / HTTP/1.1\r\nHost: ${READ_HOST}\r\nX: a\x00b\r\n\r\n`,
+  ],
+  ['no Host', ResultCode.MalformedRequest, 'GET / HTTP/1.1\r\nConnection: close\r\n\r\n'],
+  [
+    'two Hosts',
+    ResultCode.MalformedRequest,
+    `GET /survey HTTP/1.1\r\nHost: ${READ_HOST}\r\nHost: other.example\r\nConnection: close\r\n\r\n`,
+  ],
+  [
+    'an expectation that is not known',
+    ResultCode.MalformedRequest,
+    `GET /survey HTTP/1.1\r\nHost: ${READ_HOST}\r\nExpect: wonders\r\nConnection: close\r\n\r\n`,
+  ],
+  [
+    'headers above the limit',
+    ResultCode.HeadersTooLarge,
+    `GET / HTTP/1.1\r\nHost: ${READ_HOST}\r\nX: ${'x'.repeat(20_000)}\r\n\r\n`,
+  ],
+  [
+    'an unknown host',
+    ResultCode.UnknownHost,
+    'GET / HTTP/1.1\r\nHost: nobody.example\r\nConnection: close\r\n\r\n',
+  ],
+  [
+    'a path outside every route',
+    ResultCode.UnknownRoute,
+    `OPTIONS * HTTP/1.1\r\nHost: ${READ_HOST}\r\nConnection: close\r\n\r\n`,
+  ],
+  [
+    'a tunnel',
+    ResultCode.MethodNotAllowed,
+    `CONNECT ${READ_HOST}:443 HTTP/1.1\r\nHost: ${READ_HOST}\r\n\r\n`,
+  ],
+  [
+    'no idempotency key',
+    ResultCode.IdempotencyKeyMissing,
+    makePost(['Content-Length: 0', 'Connection: close']),
+  ],
+  [
+    'a key of other than visible ASCII',
+    ResultCode.IdempotencyKeyMalformed,
+    makePost(['Idempotency-Key: a b', 'Content-Length: 0', 'Connection: close']),
+  ],
+  [
+    'a key that is too long',
+    ResultCode.IdempotencyKeyMalformed,
+    makePost([`Idempotency-Key: ${'k'.repeat(300)}`, 'Content-Length: 0', 'Connection: close']),
+  ],
+  [
+    'a body declared above the limit',
+    ResultCode.BodyTooLarge,
+    makePost([KEY, 'Content-Length: 99999999'], 'x'),
+  ],
+  ...['abc', '-1', '0', '1.5', '99999999999', '1e3'].map((value) => {
+    return [
+      `a deadline of ${value}`,
+      ResultCode.MalformedDeadline,
+      makePost([KEY, `Parsleymux-Timeout-Ms: ${value}`, 'Content-Length: 0', 'Connection: close']),
+    ] as const;
+  }),
+];
+
+/** Requests whose end two parsers could see at different bytes; the rest would be a request of its own. */
+const SMUGGLING: readonly (readonly [name: string, request: string])[] = [
+  [
+    'content-length and transfer-encoding',
+    makePost([KEY, 'Content-Length: 6', 'Transfer-Encoding: chunked'], `0\r\n\r\n${SMUGGLED}`),
+  ],
+  [
+    'transfer-encoding and content-length',
+    makePost([KEY, 'Transfer-Encoding: chunked', 'Content-Length: 6'], `0\r\n\r\n${SMUGGLED}`),
+  ],
+  [
+    'two lengths that differ',
+    makePost([KEY, 'Content-Length: 0', `Content-Length: ${SMUGGLED.length}`], SMUGGLED),
+  ],
+  ['two lengths in one header', makePost([KEY, `Content-Length: 0, ${SMUGGLED.length}`], SMUGGLED)],
+  ['a signed length', makePost([KEY, 'Content-Length: +0'], SMUGGLED)],
+  ['a length in hexadecimal', makePost([KEY, 'Content-Length: 0x0'], SMUGGLED)],
+  [
+    'a folded transfer-encoding',
+    makePost([KEY, 'Transfer-Encoding:', ' chunked', 'Content-Length: 6'], `0\r\n\r\n${SMUGGLED}`),
+  ],
+  [
+    'a folded header before the length',
+    makePost([KEY, 'X: a', ' Content-Length: 0', `Content-Length : ${SMUGGLED.length}`], SMUGGLED),
+  ],
+  [
+    'a space before the colon',
+    makePost([KEY, 'Transfer-Encoding : chunked', 'Content-Length: 6'], `0\r\n\r\n${SMUGGLED}`),
+  ],
+  [
+    'an encoding that is not the last',
+    makePost([KEY, 'Transfer-Encoding: chunked, identity'], `0\r\n\r\n${SMUGGLED}`),
+  ],
+  [
+    'an encoding that looks like chunked',
+    makePost([KEY, 'Transfer-Encoding: xchunked', 'Content-Length: 6'], `0\r\n\r\n${SMUGGLED}`),
+  ],
+  [
+    'a chunk size with an odd sign',
+    makePost([KEY, 'Transfer-Encoding: chunked'], `-1\r\n\r\n${SMUGGLED}`),
+  ],
+  [
+    'a chunk longer than it says',
+    makePost([KEY, 'Transfer-Encoding: chunked'], `1\r\nxx\r\n0\r\n\r\n${SMUGGLED}`),
+  ],
+  [
+    'a bare carriage return in a header',
+    makePost(
+      [KEY, 'X: a\rTransfer-Encoding: chunked', 'Content-Length: 6'],
+      `0\r\n\r\n${SMUGGLED}`,
+    ),
+  ],
+];
+
+for (const [name, code, request] of REFUSED) {
+  test(`${name}: refused with ${code}, not run, and nothing is disturbed`, async () => {
+    const exchange = await requestRaw(address, [request]);
+    assert.deepEqual(exchange.results, [code], exchange.text);
+    assert.deepEqual(exchange.runStates, ['not-run']);
+    assert.ok(exchange.wasClosed);
+    await assertUndisturbed();
+  });
+}
+
+for (const [name, request] of SMUGGLING) {
+  test(`smuggling by ${name} is refused and reaches no target`, async () => {
+    // Symptom: a target executes a request that no caller sent, or a caller gets another's answer.
+    // Sequence: a request whose end is ambiguous passes a proxy before or behind this one that
+    // reads it the other way. Cause: forwarding what can be read in two ways.
+    const exchange = await requestRaw(address, [request], { end: true });
+    assert.deepEqual(exchange.results, [ResultCode.MalformedRequest], exchange.text);
+    assert.deepEqual(exchange.runStates, ['not-run']);
+    const executions = await world.fetchExecutions();
+    assert.ok(!JSON.stringify(executions).includes('smuggled'));
+    await assertUndisturbed();
+  });
+}
+
+test('a chunked body above the limit is refused while it arrives', async () => {
+  const chunk = `10000\r\n${'x'.repeat(0x10000)}\r\n`;
+  const head = makePost([KEY, 'Transfer-Encoding: chunked']);
+  const exchange = await requestRaw(address, [head, ...new Array<string>(20).fill(chunk)]);
+  assert.deepEqual(exchange.results, [ResultCode.BodyTooLarge]);
+  await assertUndisturbed();
+});
+
+test('garbage behind a request never looks like the answer to that request', async () => {
+  // Symptom: a caller is told "not run" of a booking that runs.
+  // Sequence: a valid request is in flight; bytes that are no request follow on its connection;
+  // the node writes its refusal of those bytes. Cause: answers are matched by their order alone,
+  // so the refusal takes the place of the first answer.
+  const valid = makePost(['Idempotency-Key: k-garbage', 'Content-Length: 0']);
+  const exchange = await requestRaw(address, [valid, 'GARBAGE\r\n\r\n']);
+  if (exchange.results[0] !== undefined) {
+    assert.notEqual(exchange.results[0], ResultCode.MalformedRequest, exchange.text);
+  }
+  await assertUndisturbed();
+});
+
+test('two requests at once on one connection are answered in their order', async () => {
+  const bad = `GET / HTTP/1.1\r\nHost: nobody.example\r\nConnection: close\r\n\r\n`;
+  const good = `GET /survey HTTP/1.1\r\nHost: ${READ_HOST}\r\n\r\n`;
+  const exchange = await requestRaw(address, [good + bad]);
+  assert.deepEqual(exchange.results, [ResultCode.Ok, ResultCode.UnknownHost]);
+});
+
+test('a caller cannot speak for the fleet: headers of the project are not passed on', async () => {
+  const lines = [
+    'Parsleymux-Hop-Member: donautal',
+    'Parsleymux-Result: 0',
+    'Connection: close, idempotency-key',
+    KEY,
+    'Content-Length: 0',
+  ];
+  const exchange = await requestRaw(address, [makePost(lines)]);
+  assert.deepEqual(exchange.results.length, 1);
+  await assertUndisturbed();
+});
+
+test('randomly damaged requests never end the node or disturb others', async () => {
+  const base = makePost([KEY, 'Content-Length: 5', 'Accept: */*', 'Connection: close'], 'hello');
+  const damage = fc.record({
+    at: fc.nat(base.length),
+    removed: fc.nat(6),
+    inserted: fc.string({ unit: 'binary-ascii', maxLength: 6 }),
+  });
+  await fc.assert(
+    fc.asyncProperty(fc.array(damage, { minLength: 1, maxLength: 4 }), async (damages) => {
+      let text = base;
+      for (const { at, removed, inserted } of damages) {
+        text = text.slice(0, at) + inserted + text.slice(at + removed);
+      }
+      const { results, statuses } = await requestRaw(address, [text], { end: true });
+      // Every answer is numbered; a connection may also end without one.
+      return results.length === statuses.length;
+    }),
+    { seed: FUZZ_SEED, numRuns: FUZZ_RUNS },
+  );
+  await assertUndisturbed();
+});
--- a/packages/node/src/entry/common/callerRequest.ts
+++ b/packages/node/src/entry/common/callerRequest.ts
@@ -10,14 +10,18 @@
 const KEY_PATTERN = /^[\x21-\x7e]+$/;
 
 /**
- * The host name of a Host header: lower case, without port or trailing dot.
+ * The host name of the one Host header: lower case, without port or trailing dot. Two of them
+ * are refused: whichever we took, the next proxy or the target could take the other.
  *
  * @example
- * parseHost('Booking.Example.:8080'); // 'booking.example'
+ * parseHost(['Booking.Example.:8080']); // 'booking.example'
  */
-export function parseHost(header: string | undefined): string {
-  const withoutPort = (header ?? '').replace(/:\d*$/, '');
-  return withoutPort.replace(/\.$/, '').toLowerCase();
+export function parseHost(headers: readonly string[] | undefined): string {
+  const [header, ...others] = headers ?? [];
+  if (header === undefined || others.length > 0) {
+    throw refuse(ResultCode.MalformedRequest, 'there must be exactly one Host header');
+  }
+  return header.replace(/:\d*$/, '').replace(/\.$/, '').toLowerCase();
 }
 
 /** The route of a request; throws the numbered refusal when there is none. */
--- a/packages/node/src/entry/node/callerServer.ts
+++ b/packages/node/src/entry/node/callerServer.ts
@@ -1,16 +1,14 @@
 /** The port on which callers are served. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { Duplex } from 'node:stream';
 import type { Clock, IDisposable } from '@parsleymux/base';
-import { getResultInfo, MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { MuxError, ResultCode, RunState } from '@parsleymux/base';
 import type { ConfigService, IRouteMatch } from '@parsleymux/config';
 import { RouteTable } from '@parsleymux/config';
 import type { Header, IAnswer, IRoutedRequest } from '@parsleymux/routing';
 import type { Limits, Timing } from '@parsleymux/schema';
 import type { NodeState } from '../../app/common/nodeState.js';
 import { HeaderName, listEndToEndHeaders } from '../../http/common/headers.js';
-import type { IRefusalBody } from '../../http/common/refusal.js';
 import { toMuxError } from '../../http/common/refusal.js';
 import { readBody } from '../../http/node/bodyReader.js';
 import { waitForEnd, writeAnswer } from '../../http/node/bodyWriter.js';
@@ -18,14 +16,13 @@
 import type { NodeMetrics } from '../../metrics/node/nodeMetrics.js';
 import { findRoute, parseHost, parseKey, parseTimeout } from '../common/callerRequest.js';
 import type { HomeRouter } from '../common/homeRouter.js';
+import { CallerConnections } from './callerConnections.js';
+import { writeRefusal } from './refusalWriter.js';
 
-const HEADERS_TIMEOUT_MS = 10_000;
-const REQUEST_TIMEOUT_MS = 60_000;
+/** How often connections are looked at for requests that take too long to arrive. */
+const CHECKING_INTERVAL_MS = 1000;
 const KEEP_ALIVE_MS = 65_000;
 const MS_PER_SECOND = 1000;
-/** Faults and overload pass; what the request itself got wrong does not. */
-const FIRST_PASSING_STATUS = 500;
-const DEFAULT_RETRY_AFTER_MS = 1000;
 
 /** Options of a {@link CallerServer}. */
 export interface ICallerServerOptions {
@@ -50,6 +47,7 @@
 export class CallerServer implements IDisposable {
   private readonly options: ICallerServerOptions;
   private readonly server: Server;
+  private readonly connections: CallerConnections;
   private readonly configSubscription: IDisposable;
   private table: RouteTable;
 
@@ -62,17 +60,31 @@
     this.server = createServer(
       {
         maxHeaderSize: options.limits.headerBytes,
-        headersTimeout: HEADERS_TIMEOUT_MS,
-        requestTimeout: REQUEST_TIMEOUT_MS,
+        headersTimeout: Math.min(options.timing.callerHeaderMs, options.timing.callerRequestMs),
+        requestTimeout: options.timing.callerRequestMs,
+        connectionsCheckingInterval: CHECKING_INTERVAL_MS,
         keepAliveTimeout: KEEP_ALIVE_MS,
+        // Checked here, for a numbered answer.
+        requireHostHeader: false,
       },
       (request, response) => {
         void this.serve(request, response);
       },
     );
-    this.server.maxConnections = options.limits.callerConnections;
-    this.server.on('clientError', (error, socket) => {
-      this.refuseMalformed(error, socket);
+    // The size of the header bounds their number; dropping some silently would change requests.
+    this.server.maxHeadersCount = 0;
+    this.connections = new CallerConnections({
+      server: this.server,
+      limit: options.limits.callerConnections,
+      onDidRefuse: (code) => {
+        options.metrics.recordRequest({ member: '', service: '', code, durationMs: 0 });
+      },
+    });
+    this.server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+      void this.serve(request, response);
+    });
+    this.server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
+      void this.serve(request, response);
     });
   }
 
@@ -89,6 +101,7 @@
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const startedMs = this.options.clock.getMonotonicTime();
     const finish = this.options.state.startRequest();
+    const leaveConnection = this.connections.startRequest(request);
     const abort = new AbortController();
     response.once('close', () => {
       if (!response.writableFinished) abort.abort(new Error('the caller hung up'));
@@ -97,17 +110,22 @@
     let code: ResultCode = ResultCode.Ok;
     try {
       match = this.acceptRequest(request);
+      // Only now: a request that is refused needs no body.
+      if (request.headers.expect !== undefined) response.writeContinue();
       const routed = await this.readRequest(request, match, startedMs);
       const answer = await this.options.router.serve(routed, abort.signal);
       code = answer.code;
+      this.watchStalls(response);
       await this.writeAnswer(request, response, answer);
     } catch (error) {
       const refusal = abort.signal.aborted ? createCallerGone(error) : toMuxError(error);
       code = refusal.code;
       if (code === ResultCode.Internal) this.options.metrics.recordInternalError(refusal);
-      await this.writeRefusal(request, response, refusal);
+      this.watchStalls(response);
+      await writeRefusal(request, response, refusal, this.listClosingHeaders());
     } finally {
       await waitForEnd(response);
+      leaveConnection();
       finish();
       const durationMs = this.options.clock.getMonotonicTime() - startedMs;
       this.options.metrics.recordRequest({
@@ -120,6 +138,8 @@
   }
 
   private acceptRequest(request: IncomingMessage): IRouteMatch {
+    this.connections.checkLimit(request);
+    checkExpectation(request);
     if (this.options.isIsolated()) {
       throw new MuxError({
         code: ResultCode.NodeIsolated,
@@ -128,7 +148,7 @@
         retryAfterMs: MS_PER_SECOND,
       });
     }
-    const host = parseHost(request.headers.host);
+    const host = parseHost(request.headersDistinct.host);
     return findRoute(this.table, host, request.url ?? '/', request.method ?? 'GET');
   }
 
@@ -173,84 +193,29 @@
     await writeAnswer(response, { status: answer.status, headers, body: answer.body, isHead });
   }
 
-  private async writeRefusal(
-    request: IncomingMessage,
-    response: ServerResponse,
-    refusal: MuxError,
-  ): Promise<void> {
-    if (response.headersSent) {
-      response.destroy();
-      return;
-    }
-    const headers: Header[] = [...listRefusalHeaders(refusal), ...this.listClosingHeaders()];
-    // The rest of a body that was refused would be read as the next request.
-    if (hasUnreadBody(request)) headers.push(['connection', 'close']);
-    const status = getResultInfo(refusal.code).httpStatus;
-    const body = Buffer.from(JSON.stringify(createRefusalBody(refusal)));
-    await writeAnswer(response, { status, headers, body, isHead: request.method === 'HEAD' });
+  /**
+   * Bounds the time in which a caller takes nothing. An answer is in this node's memory until it
+   * is read: callers that never read would fill it, and keep a leaving node from its end.
+   */
+  private watchStalls(response: ServerResponse): void {
+    response.setTimeout(this.options.timing.callerStallMs, () => response.destroy());
   }
 
   /** A node that leaves asks callers to come back on another connection, hence another node. */
   private listClosingHeaders(): readonly Header[] {
     return this.options.state.isLeaving() ? [['connection', 'close']] : [];
   }
-
-  private refuseMalformed(error: Error, socket: Duplex): void {
-    const isTooLarge = (error as { readonly code?: unknown }).code === 'HPE_HEADER_OVERFLOW';
-    const code = isTooLarge ? ResultCode.HeadersTooLarge : ResultCode.MalformedRequest;
-    this.options.metrics.recordRequest({ member: '', service: '', code, durationMs: 0 });
-    if (!socket.writable) {
-      socket.destroy();
-      return;
-    }
-    const message = isTooLarge ? 'the headers are too large' : 'the request is not valid HTTP/1.1';
-    const refusal = new MuxError({ code, message, runState: RunState.NotRun });
-    const body = JSON.stringify(createRefusalBody(refusal));
-    const headers: Header[] = [
-      ...listRefusalHeaders(refusal),
-      ['content-length', String(Buffer.byteLength(body))],
-      ['connection', 'close'],
-    ];
-    const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`).join('');
-    socket.end(`HTTP/1.1 ${getResultInfo(code).httpStatus} Refused\r\n${lines}\r\n${body}`);
-  }
 }
 
-function listRefusalHeaders(refusal: MuxError): readonly Header[] {
-  const headers: Header[] = [
-    ['content-type', 'application/json'],
-    [HeaderName.Result, String(refusal.code)],
-    [HeaderName.RunState, refusal.runState],
-  ];
-  const retryAfterMs = getRetryAfter(refusal);
-  if (retryAfterMs === undefined) return headers;
-  const seconds = Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND));
-  headers.push([HeaderName.RetryAfter, String(seconds)]);
-  headers.push([HeaderName.RetryAfterMs, String(retryAfterMs)]);
-  return headers;
-}
-
-/** A caller that was given up on and not told when to come back would ask again at once. */
-function getRetryAfter(refusal: MuxError): number | undefined {
-  if (refusal.retryAfterMs !== undefined) return Math.ceil(refusal.retryAfterMs);
-  const isPassing = getResultInfo(refusal.code).httpStatus >= FIRST_PASSING_STATUS;
-  return isPassing ? DEFAULT_RETRY_AFTER_MS : undefined;
-}
-
-function createRefusalBody(refusal: MuxError): IRefusalBody {
-  const retryAfterMs = getRetryAfter(refusal);
-  return {
-    code: refusal.code,
-    name: getResultInfo(refusal.code).name,
-    message: refusal.message,
-    runState: refusal.runState,
-    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
-  };
-}
-
-function hasUnreadBody(request: IncomingMessage): boolean {
-  const { 'content-length': length, 'transfer-encoding': encoding } = request.headers;
-  return !request.complete && ((length !== undefined && length !== '0') || encoding !== undefined);
+/** Only the expectation that has a meaning is taken (RFC 9110, section 10.1.1). */
+function checkExpectation(request: IncomingMessage): void {
+  const { expect } = request.headers;
+  if (expect === undefined || expect.toLowerCase() === '100-continue') return;
+  throw new MuxError({
+    code: ResultCode.MalformedRequest,
+    message: 'the expectation is not known',
+    runState: RunState.NotRun,
+  });
 }
 
 function createCallerGone(cause: unknown): MuxError {
--- /dev/null
+++ b/packages/node/src/entry/node/refusalWriter.ts
@@ -0,0 +1,88 @@
+/** Writing of numbered refusals to callers, with and without a request to answer. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Duplex } from 'node:stream';
+import type { MuxError } from '@parsleymux/base';
+import { getDefaultRetryAfterMs, getResultInfo } from '@parsleymux/base';
+import type { Header } from '@parsleymux/routing';
+import { HeaderName } from '../../http/common/headers.js';
+import type { IRefusalBody } from '../../http/common/refusal.js';
+import { writeAnswer } from '../../http/node/bodyWriter.js';
+
+/** Faults and overload pass; what the request itself got wrong does not. */
+const FIRST_PASSING_STATUS = 500;
+const DEFAULT_RETRY_AFTER_MS = 1000;
+const MS_PER_SECOND = 1000;
+
+/** Answers a request with a refusal; an answer that has begun is cut instead. */
+export async function writeRefusal(
+  request: IncomingMessage,
+  response: ServerResponse,
+  refusal: MuxError,
+  extra: readonly Header[],
+): Promise<void> {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  const headers: Header[] = [...listRefusalHeaders(refusal), ...extra];
+  // The rest of a body that was refused would be read as the next request.
+  if (hasUnreadBody(request)) headers.push(['connection', 'close']);
+  const status = getResultInfo(refusal.code).httpStatus;
+  const body = Buffer.from(JSON.stringify(createRefusalBody(refusal)));
+  await writeAnswer(response, { status, headers, body, isHead: request.method === 'HEAD' });
+}
+
+/** Writes a refusal to a connection on which no request could be read, and ends it. */
+export function writeRawRefusal(socket: Duplex, refusal: MuxError): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const body = JSON.stringify(createRefusalBody(refusal));
+  const headers: Header[] = [
+    ...listRefusalHeaders(refusal),
+    ['content-length', String(Buffer.byteLength(body))],
+    ['connection', 'close'],
+  ];
+  const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`).join('');
+  const { httpStatus } = getResultInfo(refusal.code);
+  socket.end(`HTTP/1.1 ${httpStatus} Refused\r\n${lines}\r\n${body}`);
+}
+
+function listRefusalHeaders(refusal: MuxError): readonly Header[] {
+  const headers: Header[] = [
+    ['content-type', 'application/json'],
+    [HeaderName.Result, String(refusal.code)],
+    [HeaderName.RunState, refusal.runState],
+  ];
+  const retryAfterMs = getRetryAfter(refusal);
+  if (retryAfterMs === undefined) return headers;
+  const seconds = Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND));
+  headers.push([HeaderName.RetryAfter, String(seconds)]);
+  headers.push([HeaderName.RetryAfterMs, String(retryAfterMs)]);
+  return headers;
+}
+
+/** A caller that was given up on and not told when to come back would ask again at once. */
+function getRetryAfter(refusal: MuxError): number | undefined {
+  const retryAfterMs = refusal.retryAfterMs ?? getDefaultRetryAfterMs(refusal.code);
+  if (retryAfterMs !== undefined) return Math.ceil(retryAfterMs);
+  const isPassing = getResultInfo(refusal.code).httpStatus >= FIRST_PASSING_STATUS;
+  return isPassing ? DEFAULT_RETRY_AFTER_MS : undefined;
+}
+
+function createRefusalBody(refusal: MuxError): IRefusalBody {
+  const retryAfterMs = getRetryAfter(refusal);
+  return {
+    code: refusal.code,
+    name: getResultInfo(refusal.code).name,
+    message: refusal.message,
+    runState: refusal.runState,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+  };
+}
+
+function hasUnreadBody(request: IncomingMessage): boolean {
+  const { 'content-length': length, 'transfer-encoding': encoding } = request.headers;
+  return !request.complete && ((length !== undefined && length !== '0') || encoding !== undefined);
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -20,3 +20,4 @@
 export * from './transport/common/targetTransport.js';
 export * from './transport/common/hopHeaders.js';
 export * from './transport/node/httpTargetTransport.js';
+export * from './transport/node/targetAddress.js';
