Attack the caller port with slow and too many connections

Real nodes with short limits: half headers and half bodies on 20 connections are refused with 1010 while others are served; at 40 idle connections the next is refused with 2007 and those below the limit go on.

--- a/packages/lab/src/badInput/node/malformedRequests.test.ts
+++ b/packages/lab/src/badInput/node/malformedRequests.test.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { after, before, test } from 'node:test';
 import { ResultCode } from '@parsleymux/base';
+import { parseTargetAddress } from '@parsleymux/routing';
 import fc from 'fast-check';
 import { LabWorld } from '../../processes/node/labWorld.js';
 import type { IRawExchange } from './rawCaller.js';
@@ -11,7 +14,14 @@
 const FUZZ_SEED = 20260;
 const FUZZ_RUNS = 150;
 
-const world = new LabWorld({ seed: 7, nodeCount: 2 });
+const CONNECTION_LIMIT = 40;
+
+const world = new LabWorld({
+  seed: 7,
+  nodeCount: 2,
+  nodeTiming: { callerHeaderMs: 1000, callerRequestMs: 2000, callerStallMs: 1000 },
+  nodeLimits: { callerConnections: CONNECTION_LIMIT },
+});
 let address = '';
 
 before(async () => {
@@ -250,6 +260,46 @@
   await assertUndisturbed();
 });
 
+for (const [name, request] of [
+  ['a header', `GET /survey HTTP/1.1\r\nHost: ${READ_HOST}\r\nX: `],
+  ['a body', makePost([KEY, 'Content-Length: 10'], 'half')],
+] as const) {
+  test(`${name} that never ends is refused in time, and others are served meanwhile`, async () => {
+    // Symptom: the node accepts no connections any more though it is idle.
+    // Sequence: callers open connections and send a byte now and then, never a whole request.
+    // Cause: without a bound on its arrival each such request holds a connection for ever.
+    const slow = Array.from({ length: CONNECTION_LIMIT / 2 }, () => requestRaw(address, [request]));
+    await assertUndisturbed();
+    for (const exchange of await Promise.all(slow)) {
+      assert.deepEqual(exchange.results, [ResultCode.RequestTimeout], exchange.text);
+      assert.deepEqual(exchange.runStates, ['not-run']);
+    }
+    await assertUndisturbed();
+  });
+}
+
+test('connections above the limit are refused with a number, those below go on', async () => {
+  const sockets = await Promise.all(
+    Array.from({ length: CONNECTION_LIMIT }, async () => {
+      const socket = connect(parseTargetAddress(address));
+      await once(socket, 'connect');
+      return socket;
+    }),
+  );
+  const refused = await sendWell();
+  assert.deepEqual(refused.results, [ResultCode.TooManyConnections]);
+  assert.match(refused.text, /^retry-after: \d+/im);
+  const [first] = sockets;
+  first!.write(`GET /survey HTTP/1.1\r\nHost: ${READ_HOST}\r\nConnection: close\r\n\r\n`);
+  const [chunk] = (await once(first!, 'data')) as [Buffer];
+  assert.match(chunk.toString(), /^HTTP\/1\.1 200 /);
+  const closed = sockets.slice(1).map((socket) => once(socket, 'close'));
+  for (const socket of sockets) socket.destroy();
+  await Promise.all(closed);
+  await waitUntilServing();
+  await assertUndisturbed();
+});
+
 test('randomly damaged requests never end the node or disturb others', async () => {
   const base = makePost([KEY, 'Content-Length: 5', 'Accept: */*', 'Connection: close'], 'hello');
   const damage = fc.record({
--- a/packages/lab/src/processes/node/labWorld.ts
+++ b/packages/lab/src/processes/node/labWorld.ts
@@ -32,6 +32,9 @@
   readonly nodeCount?: number;
   /** Added to the environment of every node. */
   readonly nodeEnv?: Readonly<Record<string, string>>;
+  /** Replace single values of every node's settings. */
+  readonly nodeTiming?: Readonly<Record<string, number>>;
+  readonly nodeLimits?: Readonly<Record<string, number>>;
   /** The platform's address as node number `index` is to use it. Default: the platform's own. */
   readonly choosePlatformAddress?: (own: string, index: number) => Promise<string>;
   /** The address that the intent names for a target. Default: the target's own. */
@@ -110,6 +113,8 @@
       platformUrl: `http://${platformAddress}`,
       directory: this.directory ?? tmpdir(),
       ...(this.options.nodeEnv === undefined ? {} : { env: this.options.nodeEnv }),
+      timing: this.options.nodeTiming ?? {},
+      limits: this.options.nodeLimits ?? {},
     });
     this.nodes.push(node);
     const { failureDomain } = node.options;
--- a/packages/lab/src/processes/node/nodeProcess.ts
+++ b/packages/lab/src/processes/node/nodeProcess.ts
@@ -23,6 +23,8 @@
   readonly env?: Readonly<Record<string, string>>;
   /** Replaces single values of the settings' timing section. */
   readonly timing?: Readonly<Record<string, number>>;
+  /** Replaces single values of the settings' limits section. */
+  readonly limits?: Readonly<Record<string, number>>;
   /** Options of Node itself, such as a limit on its heap. */
   readonly nodeOptions?: readonly string[];
 }
@@ -100,6 +102,7 @@
       shutdownNoticeMs: 600,
       ...options.timing,
     },
+    limits: { ...options.limits },
     logging: { json: true },
   };
 }
