Report service-level burn over windows that outlive the VMs, as a table and as a page

Cause: operators decide by how fast a service spends what its objectives allow; counts in the memory of nodes vanish with each replaced VM. Each node writes what it counted as one row a minute; any node merges rows of ten minutes ago into one a member and slot, in the transaction that removes them. Ruled out: objects in the store (no two objects change together, so a merge that stops half way counts twice, and objects can't be removed); counters by Prometheus alone (not in the fleet's keeping).

--- a/packages/ctl/src/cli/node/cli.ts
+++ b/packages/ctl/src/cli/node/cli.ts
@@ -16,6 +16,7 @@
   PlanDiscardCommand,
   PlanShowCommand,
 } from '../../commands/node/planCommands.js';
+import { ReportBurnCommand } from '../../commands/node/reportCommands.js';
 import { StatusCommand } from '../../commands/node/statusCommand.js';
 import { TargetDrainCommand, TargetReturnCommand } from '../../commands/node/targetCommands.js';
 import { ExitStatus } from '../common/exitStatus.js';
@@ -30,6 +31,7 @@
   PlanConfirmCommand,
   PlanDiscardCommand,
   StatusCommand,
+  ReportBurnCommand,
   TargetDrainCommand,
   TargetReturnCommand,
   ClaimShowCommand,
--- a/packages/operators/src/api/node/adminApi.ts
+++ b/packages/operators/src/api/node/adminApi.ts
@@ -9,12 +9,14 @@
 import type { IMemberLimits } from '../../access/common/memberLimiter.js';
 import { MemberLimiter } from '../../access/common/memberLimiter.js';
 import type { AuditLog } from '../../audit/common/auditLog.js';
+import type { BurnReader } from '../../burn/common/burnReader.js';
 import type { ClaimSettler } from '../../claims/common/claimSettler.js';
 import type { KeyStore } from '../../keys/common/keyStore.js';
 import { compareSecrets } from '../../keys/common/operatorKey.js';
 import type { StatusProvider } from '../../status/common/statusProvider.js';
 import type { IAdminAnswer, IAdminRoute } from '../common/adminRoute.js';
 import { createAnswer } from '../common/adminRoute.js';
+import { BurnHandler } from '../common/burnHandler.js';
 import { ClaimHandler } from '../common/claimHandler.js';
 import { formatErrorBody, getHttpStatus, toShownError } from '../common/httpStatus.js';
 import { KeyHandler } from '../common/keyHandler.js';
@@ -36,6 +38,8 @@
   readonly config: ConfigService;
   readonly status: StatusProvider;
   readonly claims: ClaimSettler;
+  /** Without one, `/v1/burn` is unknown. */
+  readonly burn?: BurnReader;
   readonly clock: Clock;
   readonly invariants: InvariantRegistry;
   readonly logger: Logger;
@@ -70,6 +74,7 @@
       ...new StatusHandler(shared).listRoutes(),
       ...new KeyHandler(shared).listRoutes(),
       ...new ClaimHandler(shared).listRoutes(),
+      ...this.listBurnRoutes(),
     ];
   }
 
@@ -111,6 +116,11 @@
     });
   }
 
+  private listBurnRoutes(): readonly IAdminRoute[] {
+    const { burn } = this.options;
+    return burn === undefined ? [] : new BurnHandler({ burn, access: this.access }).listRoutes();
+  }
+
   private findRoute(method: string, path: string): IRouteMatch {
     const matches = this.routes.flatMap((route) => {
       const match = route.pattern.exec(path);
--- /dev/null
+++ b/packages/operators/src/burn/common/burnMerger.ts
@@ -0,0 +1,95 @@
+/** Merges what the nodes wrote into one row for each member and slot. */
+import type { Clock, RandomSource } from '@parsleymux/base';
+import type { ITableRow, ITableWrite, TableService } from '@parsleymux/platform';
+import { PlatformError } from '@parsleymux/platform';
+import { mergeServiceCounts, SLOT_MS } from './burnCounts.js';
+import {
+  decodeRawRow,
+  decodeSlotRow,
+  KEPT_SLOTS,
+  mergeBySlot,
+  parseRawInstant,
+  parseSlotStart,
+  RAW_PREFIX,
+} from './burnRows.js';
+
+/** Until then the writer may repeat a write whose answer was lost. */
+export const MERGE_AFTER_MS = 600_000;
+const DEFAULT_INTERVAL_MS = 300_000;
+const MAX_ROWS_AT_ONCE = 100;
+
+/** Options of a {@link BurnMerger}. */
+export interface IBurnMergerOptions {
+  readonly table: TableService;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** Mean time between two rounds, in ms. Default 300000. */
+  readonly intervalMs?: number;
+}
+
+/**
+ * Every node tries now and then; of two that try the same rows, one transaction fails.
+ *
+ * @example
+ * await merger.runRound(signal);
+ */
+export class BurnMerger {
+  constructor(private readonly options: IBurnMergerOptions) {}
+
+  /** Runs until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.options;
+    const intervalMs = this.options.intervalMs ?? DEFAULT_INTERVAL_MS;
+    while (!signal.aborted) {
+      // Full spread: nodes that started together must not all scan at the same moment.
+      await clock.sleep(random.getFloat() * 2 * intervalMs, signal).catch(() => undefined);
+      await this.runRound(signal);
+    }
+  }
+
+  /** Merges everything that is old enough, a batch at a time. Failures wait for the next round. */
+  async runRound(signal: AbortSignal): Promise<void> {
+    try {
+      while (!signal.aborted) {
+        const rows = await this.scanRipe(signal);
+        if (rows.length === 0 || !(await this.merge(rows, signal))) return;
+      }
+    } catch (error) {
+      if (!(error instanceof PlatformError) && !signal.aborted) throw error;
+    }
+  }
+
+  private async scanRipe(signal: AbortSignal): Promise<readonly ITableRow[]> {
+    const { table, clock } = this.options;
+    const rows = await table.scan({ prefix: RAW_PREFIX, limit: MAX_ROWS_AT_ONCE }, signal);
+    const limitMs = clock.getWallTime() - MERGE_AFTER_MS;
+    return rows.filter((row) => parseRawInstant(row.key) <= limitMs);
+  }
+
+  /** False when another node merged some of the rows meanwhile. */
+  private async merge(rows: readonly ITableRow[], signal: AbortSignal): Promise<boolean> {
+    const { table } = this.options;
+    const sums = mergeBySlot(rows.flatMap(decodeRawRow));
+    const keys = [...sums.keys()];
+    const merged = await table.read(keys, signal);
+    const known = new Map(merged.map((row) => [row.key, row]));
+    const conditions = [
+      ...rows.map(({ key, version }) => ({ key, version })),
+      ...keys.map((key) => ({ key, version: known.get(key)?.version ?? 0 })),
+    ];
+    const writes: ITableWrite[] = rows.map(({ key }) => ({ key, value: null }));
+    for (const [key, counts] of sums) {
+      const total = mergeServiceCounts(decodeSlotRow(known.get(key)), counts);
+      writes.push({ key, value: JSON.stringify(total) }, { key: formatExpired(key), value: null });
+    }
+    return (await table.transact({ conditions, writes }, signal)).committed;
+  }
+}
+
+/** The row that falls out of the longest window as this one comes in. */
+function formatExpired(key: string): string {
+  const slotMs = parseSlotStart(key);
+  const prefix = key.slice(0, key.lastIndexOf('/') + 1);
+  const expired = String(Math.max(0, slotMs - KEPT_SLOTS * SLOT_MS));
+  return prefix + expired.padStart(key.length - prefix.length, '0');
+}
--- /dev/null
+++ b/packages/operators/src/burn/common/burnPlot.ts
@@ -0,0 +1,124 @@
+/** The plot of one service's burn over three days. */
+import type { ServiceBurn } from '@parsleymux/schema';
+import { scaleSymlog, scaleUtc } from 'd3-scale';
+import { line } from 'd3-shape';
+import type { ISlotCounts } from './burnRates.js';
+import { computeBurnAt } from './burnRates.js';
+
+const WIDTH = 960;
+const HEIGHT = 260;
+const MARGIN = { top: 14, right: 96, bottom: 26, left: 48 };
+const DAYS_MS = 3 * 86_400_000;
+const HOUR_MS = 3_600_000;
+const TICK_LENGTH = 5;
+const LABEL_GAP = 14;
+const TOP_OF_CALM = 20;
+const X_TICKS = 7;
+/** Even, over a month, and the limits of the two alerts that page. */
+const GUIDES = [0, 1, 6, 14.4] as const;
+const MORE_TICKS = [100, 1000] as const;
+
+const AVAILABILITY_COLOR = '#a4161a';
+const LATENCY_COLOR = '#1c5d99';
+const GUIDE_COLOR = '#c5ccd3';
+const TEXT_COLOR = '#505a64';
+
+interface IPoint {
+  readonly atMs: number;
+  readonly burn: number;
+}
+
+interface ISeries {
+  readonly name: string;
+  readonly color: string;
+  readonly points: readonly IPoint[];
+}
+
+/**
+ * An SVG with the burn over the hour before each slot's end.
+ *
+ * @example
+ * const svg = renderBurnPlot(service, Number(report.atMs));
+ */
+export function renderBurnPlot(service: ServiceBurn, nowMs: number): string {
+  const series = listSeries(service);
+  const highest = Math.max(...series.flatMap(({ points }) => points.map(({ burn }) => burn)), 0);
+  const x = scaleUtc([nowMs - DAYS_MS, nowMs], [MARGIN.left, WIDTH - MARGIN.right]);
+  const y = scaleSymlog([0, Math.max(TOP_OF_CALM, highest)], [HEIGHT - MARGIN.bottom, MARGIN.top]);
+  const guides = [...GUIDES, ...MORE_TICKS.filter((tick) => tick <= highest)];
+  const parts = [
+    ...guides.map((burn) => renderGuide(y(burn), String(burn))),
+    ...x
+      .ticks(X_TICKS)
+      .map((tick) => renderTimeTick(x(tick), x.tickFormat(X_TICKS, '%d %b %H:%M')(tick))),
+    ...series.map(({ points, color }) => {
+      const draw = line<IPoint>(
+        (point) => x(point.atMs),
+        (point) => y(point.burn),
+      );
+      const path = draw([...points]) ?? '';
+      return `<path d="${path}" fill="none" stroke="${color}" stroke-width="1.8" stroke-linejoin="round"/>`;
+    }),
+    ...renderLabels(series, y),
+  ];
+  return `<svg viewBox="0 0 ${WIDTH} ${HEIGHT}" role="img" font-size="12" font-family="system-ui, sans-serif">
+<title>Burn of the hour before, over the last three days</title>
+${parts.join('\n')}
+</svg>`;
+}
+
+function listSeries(service: ServiceBurn): readonly ISeries[] {
+  const slots: readonly ISlotCounts[] = service.points.map((point) => ({
+    slotMs: Number(point.startMs),
+    counts: {
+      requests: Number(point.counts?.requests ?? 0n),
+      failed: Number(point.counts?.failed ?? 0n),
+      slow: Number(point.counts?.slow ?? 0n),
+    },
+  }));
+  const burns = slots.map(({ slotMs }) => {
+    return { atMs: slotMs, ...computeBurnAt(slots, service.objective, slotMs, HOUR_MS) };
+  });
+  return [
+    {
+      name: 'availability',
+      color: AVAILABILITY_COLOR,
+      points: burns.map(({ atMs, availability }) => ({ atMs, burn: availability })),
+    },
+    {
+      name: 'latency',
+      color: LATENCY_COLOR,
+      points: burns.map(({ atMs, latency }) => ({ atMs, burn: latency })),
+    },
+  ];
+}
+
+function renderGuide(y: number, label: string): string {
+  const end = WIDTH - MARGIN.right;
+  return (
+    `<line x1="${MARGIN.left}" x2="${end}" y1="${y}" y2="${y}" stroke="${GUIDE_COLOR}"/>` +
+    `<text x="${MARGIN.left - 8}" y="${y + 4}" text-anchor="end" fill="${TEXT_COLOR}">${label}</text>`
+  );
+}
+
+function renderTimeTick(x: number, label: string): string {
+  const y = HEIGHT - MARGIN.bottom;
+  return (
+    `<line x1="${x}" x2="${x}" y1="${y}" y2="${y + TICK_LENGTH}" stroke="${GUIDE_COLOR}"/>` +
+    `<text x="${x}" y="${y + 18}" text-anchor="middle" fill="${TEXT_COLOR}">${label}</text>`
+  );
+}
+
+/** Each label at the end of its line, moved apart where the lines end together. */
+function renderLabels(series: readonly ISeries[], y: (burn: number) => number): readonly string[] {
+  const labels = series
+    .map(({ name, color, points }) => ({ name, color, at: y(points.at(-1)?.burn ?? 0) }))
+    .sort((left, right) => left.at - right.at);
+  let lowest = Infinity;
+  return labels.reverse().map(({ name, color, at }) => {
+    const top = Math.min(at, lowest - LABEL_GAP);
+    lowest = top;
+    const x = WIDTH - MARGIN.right + 8;
+    return `<text x="${x}" y="${top + 4}" fill="${color}" font-weight="600">${name}</text>`;
+  });
+}
--- /dev/null
+++ b/packages/operators/src/burn/common/burnRates.ts
@@ -0,0 +1,146 @@
+/** Burn rates over several windows, and the alerts that follow from them. */
+import { create } from '@bufbuild/protobuf';
+import type { Objective, WindowBurn } from '@parsleymux/schema';
+import { BurnCountsSchema, WindowBurnSchema } from '@parsleymux/schema';
+import type { IBurnCounts } from './burnCounts.js';
+import { addCounts, NO_COUNTS, SLOT_MS } from './burnCounts.js';
+
+/** Counts of one service in one slot. */
+export interface ISlotCounts {
+  readonly slotMs: number;
+  readonly counts: IBurnCounts;
+}
+
+const MINUTE_S = 60;
+const HOUR_S = 3600;
+const DAY_S = 86_400;
+const MS_PER_SECOND = 1000;
+const DEFAULT_AVAILABILITY = 0.999;
+const DEFAULT_LATENCY_SHARE = 0.99;
+
+/** Both windows must burn faster than the limit: the long one says it matters, the short one that it lasts. */
+interface IAlertRule {
+  readonly kind: 'page' | 'ticket';
+  readonly longS: number;
+  readonly shortS: number;
+  readonly limit: number;
+  readonly label: string;
+}
+
+/**
+ * The limits for an objective over 30 days: 2% of its budget in an hour, 5% in six hours, 10% in
+ * three days.
+ */
+const ALERT_RULES: readonly IAlertRule[] = [
+  { kind: 'page', longS: HOUR_S, shortS: 5 * MINUTE_S, limit: 14.4, label: '1 h and 5 min' },
+  { kind: 'page', longS: 6 * HOUR_S, shortS: 30 * MINUTE_S, limit: 6, label: '6 h and 30 min' },
+  { kind: 'ticket', longS: 3 * DAY_S, shortS: 6 * HOUR_S, limit: 1, label: '3 d and 6 h' },
+];
+
+/** Every window of the rules, shortest first. */
+export const WINDOWS_S: readonly number[] = [
+  ...new Set(ALERT_RULES.flatMap((rule) => [rule.shortS, rule.longS])),
+].sort((left, right) => left - right);
+
+/**
+ * The burn of each window that ends now. A slot counts when it reaches into the window, so a
+ * window can be up to one slot longer than its name.
+ *
+ * @example
+ * const windows = computeWindows(slots, service.objective, clock.getWallTime());
+ */
+export function computeWindows(
+  slots: readonly ISlotCounts[],
+  objective: Objective | undefined,
+  nowMs: number,
+): readonly WindowBurn[] {
+  return WINDOWS_S.map((windowS) => {
+    const burn = computeBurnAt(slots, objective, nowMs, windowS * MS_PER_SECOND);
+    return create(WindowBurnSchema, {
+      windowS,
+      counts: create(BurnCountsSchema, toMessage(burn.counts)),
+      availabilityBurn: burn.availability,
+      latencyBurn: burn.latency,
+    });
+  });
+}
+
+/** The burn of one span of time. */
+export interface IBurn {
+  readonly counts: IBurnCounts;
+  readonly availability: number;
+  readonly latency: number;
+}
+
+/**
+ * The burn of the span of `spanMs` that ends at `atMs`.
+ *
+ * @example
+ * computeBurnAt(slots, objective, nowMs, 3_600_000).availability;
+ */
+export function computeBurnAt(
+  slots: readonly ISlotCounts[],
+  objective: Objective | undefined,
+  atMs: number,
+  spanMs: number,
+): IBurn {
+  const counts = slots
+    .filter((slot) => slot.slotMs > atMs - spanMs - SLOT_MS && slot.slotMs <= atMs)
+    .reduce((sum, slot) => addCounts(sum, slot.counts), NO_COUNTS);
+  const availability = getShare(objective?.availability, DEFAULT_AVAILABILITY);
+  const latencyShare = getShare(objective?.latencyShare, DEFAULT_LATENCY_SHARE);
+  return {
+    counts,
+    availability: computeBurn(counts.failed, counts.requests, availability),
+    latency: computeBurn(counts.slow, counts.requests - counts.failed, latencyShare),
+  };
+}
+
+/**
+ * The alerts that fire on these burns.
+ *
+ * @example
+ * listAlerts(windows); // ['page: availability over 1 h and 5 min']
+ */
+export function listAlerts(windows: readonly WindowBurn[]): readonly string[] {
+  const byLength = new Map(windows.map((window) => [window.windowS, window]));
+  return ALERT_RULES.flatMap((rule) => {
+    const long = byLength.get(rule.longS);
+    const short = byLength.get(rule.shortS);
+    if (long === undefined || short === undefined) return [];
+    const isFiring = (getBurn: (window: WindowBurn) => number) => {
+      return getBurn(long) > rule.limit && getBurn(short) > rule.limit;
+    };
+    const alerts: string[] = [];
+    const suffix = `over ${rule.label}`;
+    if (isFiring((window) => window.availabilityBurn)) {
+      alerts.push(`${rule.kind}: availability ${suffix}`);
+    }
+    if (isFiring((window) => window.latencyBurn)) alerts.push(`${rule.kind}: latency ${suffix}`);
+    return alerts;
+  });
+}
+
+/**
+ * Counts as they are in messages.
+ *
+ * @example
+ * create(BurnCountsSchema, toMessage(counts));
+ */
+export function toMessage(counts: IBurnCounts) {
+  return {
+    requests: BigInt(counts.requests),
+    failed: BigInt(counts.failed),
+    slow: BigInt(counts.slow),
+  };
+}
+
+/** Share of bad ones over the share that the objective allows; 0 without requests. */
+function computeBurn(bad: number, all: number, objective: number): number {
+  return all <= 0 ? 0 : bad / all / (1 - objective);
+}
+
+/** An absent number is 0 in a message. */
+function getShare(share: number | undefined, byDefault: number): number {
+  return share === undefined || share === 0 ? byDefault : share;
+}
--- /dev/null
+++ b/packages/operators/src/burn/common/burnRecorder.ts
@@ -0,0 +1,172 @@
+/** Counts requests on one node and hands the counts to the platform's table. */
+import { randomUUID } from 'node:crypto';
+import type { Clock, RandomSource } from '@parsleymux/base';
+import { ResultCode } from '@parsleymux/base';
+import type { ConfigService } from '@parsleymux/config';
+import type { TableService } from '@parsleymux/platform';
+import { PlatformError, PlatformFailure } from '@parsleymux/platform';
+import type { IBurnCounts } from './burnCounts.js';
+import { addCounts, getSlotStart, NO_COUNTS } from './burnCounts.js';
+import type { IRawCounts } from './burnRows.js';
+import { formatRawKey } from './burnRows.js';
+import { MERGE_AFTER_MS } from './burnMerger.js';
+
+const DEFAULT_FLUSH_MS = 60_000;
+/** Counts kept while the store is out: two hours of 200 services. Beyond it the oldest go. */
+const MAX_PENDING = 5000;
+const DEFAULT_LATENCY_MS = 1000;
+/** Requests refused for what they are, and callers that left, say nothing of the service. */
+const FIRST_SERVER_CODE = 2000;
+const UNCOUNTED_CODES: ReadonlySet<ResultCode> = new Set([
+  ResultCode.IdempotencyKeyMissing,
+  ResultCode.IdempotencyKeyConflict,
+  ResultCode.IdempotencyKeyMalformed,
+  ResultCode.MemberLimit,
+]);
+
+/** One finished request. */
+export interface IFinishedRequest {
+  readonly member: string;
+  readonly service: string;
+  readonly code: ResultCode;
+  readonly durationMs: number;
+}
+
+/** Options of a {@link BurnRecorder}. */
+export interface IBurnRecorderOptions {
+  readonly table: TableService;
+  readonly config: ConfigService;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** Mean time between two writes of what was counted, in ms. Default 60000. */
+  readonly flushMs?: number;
+}
+
+/** A write whose outcome is not known yet. It is repeated as it is, under the same key. */
+interface IBatch {
+  readonly key: string;
+  readonly madeAtMs: number;
+  readonly counts: readonly IRawCounts[];
+}
+
+/**
+ * Counts in memory, and writes the counts of all members in one row from time to time. A node
+ * that is killed loses what it counted since the last write.
+ *
+ * @example
+ * recorder.record({ member: 'dobrescu', service: 'booking', code: ResultCode.Ok, durationMs: 12 });
+ */
+export class BurnRecorder {
+  private readonly writer = randomUUID();
+  private readonly pending = new Map<string, IRawCounts>();
+  private batch: IBatch | undefined;
+  /** Key of the batch that may have been written already. */
+  private unsureKey = '';
+  private sequence = 0;
+  private lostCount = 0;
+
+  constructor(private readonly options: IBurnRecorderOptions) {}
+
+  /** Requests whose counts were given up and may be missing from the report. */
+  getLostCount(): number {
+    return this.lostCount;
+  }
+
+  /** Counts one finished request. */
+  record(request: IFinishedRequest): void {
+    const counts = this.count(request);
+    if (counts === undefined || request.member === '') return;
+    const { member, service } = request;
+    const slotMs = getSlotStart(this.options.clock.getWallTime());
+    this.addPending({ member, service, slotMs, ...counts });
+  }
+
+  /** Writes counts until `signal` aborts, and once more then. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.options;
+    const flushMs = this.options.flushMs ?? DEFAULT_FLUSH_MS;
+    while (!signal.aborted) {
+      await clock.sleep(random.getJittered(flushMs), signal).catch(() => undefined);
+      await this.flush();
+    }
+  }
+
+  /** Writes what was counted since the last write. Failures are kept for the next time. */
+  async flush(): Promise<void> {
+    this.batch ??= this.takeBatch();
+    const { batch } = this;
+    if (batch === undefined) return;
+    const value = JSON.stringify(batch.counts);
+    const conditions = [{ key: batch.key, version: 0 }];
+    try {
+      // Not committed means that an earlier try, whose answer was lost, wrote the row.
+      await this.options.table.transact({
+        conditions,
+        writes: [{ key: batch.key, value }],
+      });
+      this.batch = undefined;
+    } catch (error) {
+      if (!(error instanceof PlatformError)) throw error;
+      this.handleFailure(batch, error);
+    }
+  }
+
+  /**
+   * What surely was not written may be written later under another key. What may have been
+   * written is repeated under its own key, but only until merging may have removed that row:
+   * after that a repetition would count everything twice, and nobody could tell.
+   */
+  private handleFailure(batch: IBatch, error: PlatformError): void {
+    if (error.failure !== PlatformFailure.Unknown && batch.key !== this.unsureKey) {
+      this.batch = undefined;
+      for (const counts of batch.counts) this.addPending(counts);
+      return;
+    }
+    this.unsureKey = batch.key;
+    const ageMs = this.options.clock.getWallTime() - batch.madeAtMs;
+    if (ageMs < MERGE_AFTER_MS / 2) return;
+    this.batch = undefined;
+    this.lostCount += batch.counts.reduce((sum, counts) => sum + counts.requests, 0);
+  }
+
+  private takeBatch(): IBatch | undefined {
+    if (this.pending.size === 0) return undefined;
+    const counts = [...this.pending.values()];
+    this.pending.clear();
+    const madeAtMs = this.options.clock.getWallTime();
+    this.sequence += 1;
+    return { key: formatRawKey(madeAtMs, this.writer, this.sequence), madeAtMs, counts };
+  }
+
+  private addPending(counts: IRawCounts): void {
+    const key = `${counts.slotMs}/${counts.member}/${counts.service}`;
+    const known = this.pending.get(key);
+    this.pending.set(
+      key,
+      known === undefined ? counts : { ...counts, ...addCounts(known, counts) },
+    );
+    if (this.pending.size <= MAX_PENDING) return;
+    const oldest = this.pending.entries().next();
+    if (oldest.done === true) return;
+    this.pending.delete(oldest.value[0]);
+    this.lostCount += oldest.value[1].requests;
+  }
+
+  /** Undefined when the request says nothing of how the service is served. */
+  private count(request: IFinishedRequest): IBurnCounts | undefined {
+    const { code } = request;
+    if (code === ResultCode.Ok) {
+      const isSlow = request.durationMs > this.getLatencyObjective(request);
+      return { ...NO_COUNTS, requests: 1, slow: isSlow ? 1 : 0 };
+    }
+    if (code < FIRST_SERVER_CODE || UNCOUNTED_CODES.has(code)) return undefined;
+    return { requests: 1, failed: 1, slow: 0 };
+  }
+
+  private getLatencyObjective(request: IFinishedRequest): number {
+    const intent = this.options.config.getCurrent().members.get(request.member)?.intent;
+    const service = intent?.services.find((candidate) => candidate.name === request.service);
+    const latencyMs = service?.objective?.latencyMs ?? 0;
+    return latencyMs === 0 ? DEFAULT_LATENCY_MS : latencyMs;
+  }
+}
--- a/packages/operators/src/testing/apiFixture.ts
+++ b/packages/operators/src/testing/apiFixture.ts
@@ -19,6 +19,7 @@
 import type { IAdminApiOptions } from '../api/node/adminApi.js';
 import { AdminApi } from '../api/node/adminApi.js';
 import { AuditLog } from '../audit/common/auditLog.js';
+import { BurnReader } from '../burn/common/burnReader.js';
 import type { ISettleRequest } from '../claims/common/claimSettler.js';
 import { ClaimSettler } from '../claims/common/claimSettler.js';
 import { KeyStore } from '../keys/common/keyStore.js';
@@ -99,7 +100,8 @@
   const invariants = new InvariantRegistry();
   const audit = new AuditLog(shared);
   const logger = createSilentLogger();
-  const parts = { plans, keys, audit, config, status, claims, clock, invariants, logger };
+  const burn = new BurnReader({ ...shared, config });
+  const parts = { plans, keys, audit, config, status, claims, burn, clock, invariants, logger };
   const api = new AdminApi({ ...parts, ...options });
   const server = createServer((request, response) => void api.handle(request, response));
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
