Count burn on every node, serve the report, and keep targets off the fleet's own addresses

Cause: the report needs what entries count, and the check of target addresses needs to know the platform's address and those of the nodes that live now. The validator takes a function instead of a list, because nodes come and go. On loopback only the known addresses are reserved: a target's port there may equal a node's at another address.

--- a/packages/config/src/intents/common/intentValidator.test.ts
+++ b/packages/config/src/intents/common/intentValidator.test.ts
@@ -58,8 +58,8 @@
 
 test('loopback targets are for fleets whose nodes are on loopback themselves', () => {
   const intent = createTestIntent('dobrescu');
-  const local = new IntentValidator({ reservedAddresses: ['127.0.0.1:7003'] });
+  const local = new IntentValidator({ listReservedAddresses: () => ['127.0.0.1:7003'] });
   assert.equal(local.validate(intent).length, 0);
-  const remote = new IntentValidator({ reservedAddresses: ['10.0.0.1:7003'] });
+  const remote = new IntentValidator({ listReservedAddresses: () => ['10.0.0.1:7003'] });
   assert.equal(remote.validate(intent).length, 2);
 });
--- a/packages/config/src/intents/common/intentValidator.ts
+++ b/packages/config/src/intents/common/intentValidator.ts
@@ -13,8 +13,8 @@
 
 /** Options of an {@link IntentValidator}. */
 export interface IIntentValidatorOptions {
-  /** Addresses of this fleet's nodes and of the platform, each "IP:port". Default: none. */
-  readonly reservedAddresses?: readonly string[];
+  /** Addresses of this fleet's nodes and of the platform now, each "IP:port". Default: none. */
+  readonly listReservedAddresses?: () => readonly string[];
 }
 
 /**
@@ -25,25 +25,25 @@
  * if (problems.length > 0) throw createMalformedIntentError(problems);
  */
 export class IntentValidator {
-  private readonly addressRules: IAddressRules;
-
-  constructor(options: IIntentValidatorOptions = {}) {
-    const reserved = options.reservedAddresses ?? [];
-    this.addressRules = {
-      reserved: new Set(reserved),
-      // Where nodes have addresses of their own, loopback leads to a node's private ports.
-      allowLoopback: reserved.every(isLoopbackAddress),
-    };
-  }
+  constructor(private readonly options: IIntentValidatorOptions = {}) {}
 
   /** Every problem found; an intent without one can be planned. */
   validate(intent: Intent): readonly IIntentProblem[] {
     return [
       ...checkServices(intent.services),
-      ...checkTargetAddresses(intent.services, this.addressRules),
+      ...checkTargetAddresses(intent.services, this.buildAddressRules()),
       ...checkRoutes(intent),
     ];
   }
+
+  private buildAddressRules(): IAddressRules {
+    const reserved = this.options.listReservedAddresses?.() ?? [];
+    return {
+      reserved: new Set(reserved),
+      // Where nodes have addresses of their own, loopback leads to a node's private ports.
+      allowLoopback: reserved.every(isLoopbackAddress),
+    };
+  }
 }
 
 function checkServices(services: readonly Service[]): IIntentProblem[] {
--- a/packages/node/src/admin/node/createAdminApi.ts
+++ b/packages/node/src/admin/node/createAdminApi.ts
@@ -2,7 +2,7 @@
 import type { Clock, InvariantRegistry, Logger } from '@parsleymux/base';
 import { IntentValidator, PlanBuilder, PlanStore } from '@parsleymux/config';
 import type { ClaimSettler } from '@parsleymux/operators';
-import { AdminApi, AuditLog, KeyStore } from '@parsleymux/operators';
+import { AdminApi, AuditLog, BurnReader, KeyStore } from '@parsleymux/operators';
 import type { INodeCore } from '../../app/node/nodeCore.js';
 import { PeerStatusProvider } from './peerStatusProvider.js';
 
@@ -17,6 +17,8 @@
   readonly self: string;
   /** The fleet's key: whoever proves it may make the first operator key. */
   readonly bootstrapSecret: string | undefined;
+  /** Addresses that no member may name as a target. */
+  readonly listReservedAddresses: () => readonly string[];
 }
 
 /**
@@ -32,7 +34,7 @@
     platform,
     clock,
     random,
-    validator: new IntentValidator(),
+    validator: new IntentValidator({ listReservedAddresses: parts.listReservedAddresses }),
     builder: new PlanBuilder(),
   });
   return new AdminApi({
@@ -42,6 +44,7 @@
     config: core.config,
     status: new PeerStatusProvider({ membership, clients, self: parts.self }),
     claims: parts.claims,
+    burn: new BurnReader({ table: platform.table, config: core.config, clock }),
     clock,
     invariants,
     logger: log,
--- a/packages/node/src/app/node/muxNode.ts
+++ b/packages/node/src/app/node/muxNode.ts
@@ -10,10 +10,12 @@
   RunState,
 } from '@parsleymux/base';
 import { makeControlHandler, PeerAuthenticator } from '@parsleymux/fleet';
+import { BurnMerger, BurnRecorder } from '@parsleymux/operators';
 import type { Limits, NodeSettings, Timing } from '@parsleymux/schema';
 import { AdminServer } from '../../admin/node/adminServer.js';
 import { ClaimAdminSettler } from '../../admin/node/claimAdminSettler.js';
 import { createAdminApi } from '../../admin/node/createAdminApi.js';
+import { listReservedAddresses } from '../../admin/common/reservedAddresses.js';
 import { CallerServer } from '../../entry/node/callerServer.js';
 import { NodeMetrics } from '../../metrics/node/nodeMetrics.js';
 import { createControlImplementation } from '../../peer/node/controlImplementation.js';
@@ -99,8 +101,8 @@
     this.openControl(peerServer, authenticator, core, peer);
     const status = await this.openStatus(core, metrics);
     const caller = await this.openCallers(core, metrics);
-    const admin = await this.openAdmin(core, peer, keys);
-    this.startLoops(core);
+    const admin = await this.openAdmin(core, keys, [peer, caller, status]);
+    this.startLoops(core, metrics);
     return { caller, peer, admin, status };
   }
 
@@ -182,7 +184,13 @@
     return this.callerServer.listen(this.options.settings.callerAddress);
   }
 
-  private openAdmin(core: INodeCore, self: string, keys: readonly Uint8Array[]): Promise<string> {
+  private openAdmin(
+    core: INodeCore,
+    keys: readonly Uint8Array[],
+    ownAddresses: readonly string[],
+  ): Promise<string> {
+    const { settings } = this.options;
+    const [self = settings.peerAddress] = ownAddresses;
     const bootstrapSecret = keys[0] === undefined ? undefined : Buffer.from(keys[0]).toString();
     const api = createAdminApi({
       ...this.options,
@@ -191,15 +199,34 @@
       invariants: this.invariants,
       self,
       bootstrapSecret,
+      listReservedAddresses: () =>
+        listReservedAddresses({
+          platformUrl: settings.platformUrl,
+          ownAddresses: [...ownAddresses, settings.adminAddress],
+          nodes: core.membership.getLiveNodes(),
+        }),
     });
     const server = this.store.add(new AdminServer(api));
-    return server.listen(this.options.settings.adminAddress);
+    return server.listen(settings.adminAddress);
   }
 
-  private startLoops(core: INodeCore): void {
+  private startLoops(core: INodeCore, metrics: NodeMetrics): void {
     const { signal } = this.background;
     core.claims.sweeper.start();
-    this.loops = Promise.allSettled([core.membership.run(signal), core.config.run(signal)]);
+    const { config, random, platform } = core;
+    const burn = { table: platform.table, config, random, clock: this.options.clock };
+    const recorder = new BurnRecorder(burn);
+    this.store.add(
+      metrics.onDidRecordRequest((record) => {
+        recorder.record(record);
+      }),
+    );
+    this.loops = Promise.allSettled([
+      core.membership.run(signal),
+      config.run(signal),
+      recorder.run(signal),
+      new BurnMerger(burn).run(signal),
+    ]);
     core.config.waitForReady(signal).then(
       () => {
         if (!this.state.isLeaving()) this.state.setStage(NodeStage.Serving);
--- a/packages/node/src/metrics/node/nodeMetrics.ts
+++ b/packages/node/src/metrics/node/nodeMetrics.ts
@@ -1,6 +1,6 @@
 /** Counters of one node in the text format that `prom-client` writes. */
 import type { InvariantRegistry, Logger, MuxError, ResultCode } from '@parsleymux/base';
-import { getResultInfo, InvariantName } from '@parsleymux/base';
+import { Emitter, getResultInfo, InvariantName } from '@parsleymux/base';
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { NodeState } from '../../app/common/nodeState.js';
 
@@ -31,6 +31,9 @@
  */
 export class NodeMetrics {
   readonly registry = new Registry();
+  private readonly didRecordRequest = new Emitter<IRequestRecord>();
+  /** Fires for each finished request. */
+  readonly onDidRecordRequest = this.didRecordRequest.onDidFire;
   private readonly log: Logger;
   private readonly requests: Counter;
   private readonly latency: Histogram;
@@ -73,6 +76,7 @@
     const { member, service, code } = record;
     this.requests.inc({ member, service, code: String(code), name: getResultInfo(code).name });
     this.latency.observe({ member, service }, record.durationMs / MS_PER_SECOND);
+    this.didRecordRequest.fire(record);
   }
 
   recordHopTry(outcome: string): void {
