Stop claiming while the store is silent, and probe it instead

Cause: with a store that takes requests and answers none, each booking waited for the platform's timeout and left a release to be retried in memory, for hours. After three unanswered transactions in a row claims are refused unsent, at once, and one harmless transaction every half second finds out when the store is back.

Ruled out: counting refusals (503) too: they come at once, leave nothing behind, and a store at its limit still takes a share of the writes.

--- a/packages/claims/src/guard/common/claimGuard.test.ts
+++ b/packages/claims/src/guard/common/claimGuard.test.ts
@@ -209,6 +209,28 @@
   assert.equal(readText(await world.execute('a')), 'booked north/key-1 as 1 for caller-3');
 });
 
+test('a store that is silent for hours costs callers no wait and the node no memory', async () => {
+  // Symptom: bookings were refused only after seconds, and the node grew until it was killed.
+  // Sequence: the store took requests and answered none for hours; each claim waited for its
+  // answer and left a release behind. Cause: every booking was tried on the silent store.
+  const world = new ClaimWorld();
+  world.addNode('a');
+  world.table.chooseFault = () => TableFault.LoseRequest;
+  for (let count = 0; count < 200; count++) {
+    const call = await world.execute('a', { key: `silent-${count}` });
+    assertRefused(call, ResultCode.ClaimStoreUnavailable, RunState.NotRun);
+    if (count >= 3) assert.ok(call.endMs - call.startMs < 50, 'refused at once');
+    await world.clock.advanceBy(5_000);
+  }
+  assert.ok(world.getGuard('a').getPendingRecordCount() <= 3);
+  world.table.chooseFault = () => TableFault.None;
+  await world.execute('a', { key: 'probes' });
+  await world.clock.advanceBy(10_000);
+  assert.equal(readText(await world.execute('a')), 'booked north/key-1 as 1 for caller-201');
+  assert.equal(world.getGuard('a').getPendingRecordCount(), 0);
+  world.assertPromises();
+});
+
 test('under overload a key that ran is replayed and another refused without a write', async () => {
   const world = new ClaimWorld();
   world.addNode('a');
--- a/packages/claims/src/guard/common/claimGuardOptions.ts
+++ b/packages/claims/src/guard/common/claimGuardOptions.ts
@@ -63,14 +63,14 @@
 
 /** Fills in what is left out. */
 export function withGuardDefaults(options: IClaimGuardOptions): CompleteGuardOptions {
-  const { table, clock } = options;
+  const { table, clock, random } = options;
   const groupMs = options.groupMs ?? DEFAULT_GROUP_MS;
   return {
     ...options,
     isLive: options.isLive ?? (() => true),
     lookUp: options.lookUp ?? new NoOutcomeLookUp(),
     groupMs,
-    committer: options.committer ?? new GroupCommitter({ table, clock, groupMs }),
+    committer: options.committer ?? new GroupCommitter({ table, clock, random, groupMs }),
     metrics: options.metrics ?? new ClaimMetrics(),
     retentionS: options.retentionS ?? DEFAULT_RETENTION_S,
     // Not from the injected source: two nodes seeded alike would make the same tokens, and
--- a/packages/claims/src/store/common/claimStore.ts
+++ b/packages/claims/src/store/common/claimStore.ts
@@ -77,6 +77,9 @@
    * Rejects with a PlatformError.
    */
   async check(rowKey: string, expectedVersion: number): Promise<ICheckedRow> {
+    if (this.committer.isStoreOut()) {
+      throw new PlatformError(PlatformFailure.NotSent, 'the store has fallen silent');
+    }
     const change = { key: rowKey, expectedVersion, value: undefined };
     const { committed, row } = await this.committer.commit(change);
     const current = row === undefined ? undefined : decodeClaim(row);
@@ -95,6 +98,7 @@
     claim: IClaim,
     untilMs: number,
   ): Promise<IClaimResult> {
+    if (this.committer.isStoreOut()) return makeUndecided(ClaimVerdict.Unavailable);
     const change = { key: rowKey, expectedVersion, value: encodeClaim(claim) };
     let mayBeWritten = false;
     for (;;) {
--- a/packages/claims/src/store/common/groupCommitter.ts
+++ b/packages/claims/src/store/common/groupCommitter.ts
@@ -2,12 +2,23 @@
  * Commits the row changes of concurrent requests together: the table carries several hundred
  * writes a second, which single claims would exceed long before the nodes are busy.
  */
-import type { Clock, IDisposable } from '@parsleymux/base';
-import type { ITableRow, TableService } from '@parsleymux/platform';
+import type { Clock, IDisposable, RandomSource } from '@parsleymux/base';
+import { SeededRandom } from '@parsleymux/base';
+import type {
+  ITableRow,
+  ITableTransaction,
+  ITransactionResult,
+  TableService,
+} from '@parsleymux/platform';
+import { PlatformError, PlatformFailure } from '@parsleymux/platform';
+import { StoreHealth } from './storeHealth.js';
 
 const DEFAULT_GROUP_MS = 2;
 const DEFAULT_MAX_ROWS = 64;
 const DEFAULT_MAX_IN_FLIGHT = 4;
+/** A key that never has a row; a condition on it asks the store without touching anything. */
+const PROBE_KEY = 'claim/';
+const JITTER_SEED = 1;
 
 /** A conditional write of one row, or only its condition. */
 export interface IRowChange {
@@ -29,6 +40,8 @@
 export interface IGroupCommitterOptions {
   readonly table: TableService;
   readonly clock: Clock;
+  /** Spreads probes of a silent store. Default: a fixed sequence. */
+  readonly random?: RandomSource;
   /** Time that a change waits for others, in ms. Default 2. */
   readonly groupMs?: number;
   /** Most rows in one transaction. Default 64. */
@@ -57,6 +70,7 @@
   private readonly groupMs: number;
   private readonly maxRows: number;
   private readonly maxInFlight: number;
+  private readonly health: StoreHealth;
   private waiting: IPendingChange[] = [];
   private timer: IDisposable | undefined;
   private inFlight = 0;
@@ -69,6 +83,16 @@
     this.groupMs = options.groupMs ?? DEFAULT_GROUP_MS;
     this.maxRows = options.maxRows ?? DEFAULT_MAX_ROWS;
     this.maxInFlight = options.maxInFlight ?? DEFAULT_MAX_IN_FLIGHT;
+    this.health = new StoreHealth({
+      clock: options.clock,
+      random: options.random ?? new SeededRandom(JITTER_SEED),
+      probe: () => this.commit({ key: PROBE_KEY, expectedVersion: 0, value: undefined }),
+    });
+  }
+
+  /** Whether the store has fallen silent, so that a new claim had better not be sent. */
+  isStoreOut(): boolean {
+    return this.health.isOut();
   }
 
   /** Rejects with a PlatformError when the platform gave no answer. */
@@ -139,7 +163,7 @@
   private async sendOnce(group: readonly IPendingChange[]): Promise<readonly IPendingChange[]> {
     this.transactions += 1;
     this.rows += group.length;
-    const result = await this.table.transact({
+    const result = await this.transact({
       conditions: group.map(({ change }) => ({ key: change.key, version: change.expectedVersion })),
       writes: group.flatMap(({ change: { key, value } }) => {
         return value === undefined ? [] : [{ key, value }];
@@ -152,6 +176,18 @@
     return this.takeOutConflicts(group, result.conflicts);
   }
 
+  private async transact(transaction: ITableTransaction): Promise<ITransactionResult> {
+    try {
+      const result = await this.table.transact(transaction);
+      this.health.recordAnswer();
+      return result;
+    } catch (error) {
+      const isSilent = error instanceof PlatformError && error.failure === PlatformFailure.Unknown;
+      if (isSilent) this.health.recordSilence();
+      throw error;
+    }
+  }
+
   private async takeOutConflicts(
     group: readonly IPendingChange[],
     conflicts: readonly ITableRow[],
