--- a/packages/node/src/entry/common/homeRouter.ts
+++ b/packages/node/src/entry/common/homeRouter.ts
@@ -78,7 +78,7 @@
     hasReachedOther: boolean,
   ): Promise<IAnswer | HopError> {
     let mayHaveReached = hasReachedOther;
-    let last = new HopError(HopFailure.NotDelivered, 'peer not tried');
+    let last: HopError | undefined;
     for (let attempt = 0; attempt < TRIES_PER_PEER; attempt += 1) {
       const outcome = await this.tryOnce(peer, request, signal, mayHaveReached);
       if (!(outcome instanceof HopError)) return outcome;
@@ -87,6 +87,8 @@
       if (outcome.failure !== HopFailure.Lost) break;
       this.options.hop.retireConnections(peer);
     }
+    // Errors cost a stack trace each: none is made for the usual request that is answered.
+    last ??= new HopError(HopFailure.NotDelivered, 'peer not tried');
     this.recordOutcome(peer, last);
     return mayHaveReached ? new HopError(HopFailure.Lost, last.message, last) : last;
   }
