Refuse or start queued requests by the route's likely longest time, not the mean

Overload at 3x with deadlines of 150 and 250 ms: work was started when only the mean was left and missed its deadline on the slot.

The replay now gives retry amplification from the home's own counters.

--- a/packages/lab/src/replay/common/outcomeCheck.ts
+++ b/packages/lab/src/replay/common/outcomeCheck.ts
@@ -18,6 +18,9 @@
   check('p99 in ms', result.p99Ms, stated.maxP99Ms);
   check('attempts a request', result.amplification, stated.maxAmplification);
   check('goodput share', result.goodputShare ?? 0, stated.minGoodputShare, true);
+  check('retry amplification', result.retryAmplification, stated.maxRetryAmplification);
+  check("other callers' error share", result.othersErrorShare, stated.maxOthersErrorShare);
+  check("other callers' p99 in ms", result.othersP99Ms, stated.maxOthersP99Ms);
   // These hold of every trace and need no statement.
   check('slots over the floor', result.slotsOverFloor, 0, true);
   check('invariant violations', result.violations, 0);
--- a/packages/lab/src/replay/common/replayRecorder.ts
+++ b/packages/lab/src/replay/common/replayRecorder.ts
@@ -4,6 +4,7 @@
 import { Standing } from '@parsleymux/routing';
 import * as hdr from 'hdr-histogram-js';
 import type { ITrace, ITraceFault, ITraceRequest } from '../../trace/common/trace.js';
+import { FLOODER } from '../../trace/common/traceGenerator.js';
 import type { IDetectionResult } from './replayResult.js';
 
 const FIRST_SERVER_ERROR = 500;
@@ -25,8 +26,11 @@
   errors = 0;
   faultRequests = 0;
   faultErrors = 0;
+  othersRequests = 0;
+  othersErrors = 0;
   goodWorkMs = 0;
   readonly refusals: Record<string, number> = {};
+  private readonly othersLatencies = hdr.build({ highestTrackableValue: 120_000_000 });
   private readonly latencies = hdr.build({ highestTrackableValue: 120_000_000 });
   private readonly dispatches = new Map<string, number[]>();
   private readonly changes: IStandingChange[] = [];
@@ -38,7 +42,10 @@
     this.count(request, isError);
     if (isError) this.countRefusal(String(answer.code));
     else this.latencies.recordValue(Math.round(latencyMs * MICROSECONDS));
-    if (!isError && this.isDuringFault(request.atMs)) this.goodWorkMs += request.workMs;
+    if (isError || !this.isDuringFault(request.atMs)) return;
+    this.goodWorkMs += request.workMs;
+    if (request.caller === FLOODER) return;
+    this.othersLatencies.recordValue(Math.round(latencyMs * MICROSECONDS));
   }
 
   recordError(request: ITraceRequest, error: unknown): void {
@@ -63,6 +70,11 @@
     return this.latencies.getValueAtPercentile(percentile) / MICROSECONDS;
   }
 
+  /** The same for callers other than the one that floods, during the surge. */
+  getOthersLatency(percentile: number): number {
+    return this.othersLatencies.getValueAtPercentile(percentile) / MICROSECONDS;
+  }
+
   summarizeDetection(): IDetectionResult {
     const { header } = this.trace;
     return {
@@ -144,6 +156,9 @@
     if (!this.isDuringFault(request.atMs)) return;
     this.faultRequests += 1;
     if (isError) this.faultErrors += 1;
+    if (request.caller === FLOODER) return;
+    this.othersRequests += 1;
+    if (isError) this.othersErrors += 1;
   }
 
   private countRefusal(code: string): void {
--- a/packages/lab/src/replay/common/replayResult.ts
+++ b/packages/lab/src/replay/common/replayResult.ts
@@ -29,6 +29,11 @@
   readonly amplification: number;
   /** Work of successes that arrived during a surge, as a share of what all slots could do then. */
   readonly goodputShare: number | undefined;
+  /** Attempts for each request that was dispatched at all; the excess is retries and hedges. */
+  readonly retryAmplification: number;
+  /** The same figures for all callers but the one that floods, while it does. */
+  readonly othersErrorShare: number;
+  readonly othersP99Ms: number;
   readonly refusals: Readonly<Record<string, number>>;
   readonly violations: number;
 }
--- a/packages/lab/src/replay/common/replayTrace.ts
+++ b/packages/lab/src/replay/common/replayTrace.ts
@@ -4,7 +4,12 @@
 import type { IFleetConfig } from '@parsleymux/config';
 import { ConfigService } from '@parsleymux/config';
 import type { FailureDetector, IRoutedRequest } from '@parsleymux/routing';
-import { LocalHomeService, PassThroughGuard, TableEjectionLedger } from '@parsleymux/routing';
+import {
+  HomeMetrics,
+  LocalHomeService,
+  PassThroughGuard,
+  TableEjectionLedger,
+} from '@parsleymux/routing';
 import type { Route } from '@parsleymux/schema';
 import {
   DetectionPreference,
@@ -54,6 +59,7 @@
 class Replay {
   private readonly clock = new ManualClock();
   private readonly invariants = new InvariantRegistry();
+  private readonly metrics = new HomeMetrics();
   private readonly recorder: ReplayRecorder;
   private readonly home: LocalHomeService;
   private readonly transport: SimulatedTransport;
@@ -86,6 +92,7 @@
       invariants,
       observer: new SimulatedObserver(clock, this.observerTransport),
       createDetector: options.createDetector,
+      metrics: this.metrics,
       onStandingChange: (change) => {
         this.recorder.recordChange(change);
       },
@@ -132,7 +139,7 @@
     };
   }
 
-  private summarize(): IReplayResult {
+  private async summarize(): Promise<IReplayResult> {
     const { recorder, transport, observerTransport } = this;
     const { service, window } = this.trace.header;
     const slots = service.targets.length * service.slotsPerTarget;
@@ -149,12 +156,22 @@
       p50Ms: recorder.getLatency(50),
       p99Ms: recorder.getLatency(99),
       amplification: attempts / Math.max(1, this.trace.requests.length),
+      retryAmplification: await this.measureRetries(),
+      othersErrorShare: recorder.othersErrors / Math.max(1, recorder.othersRequests),
+      othersP99Ms: recorder.getOthersLatency(99),
       goodputShare: windowMs === 0 ? undefined : recorder.goodWorkMs / (slots * windowMs),
       refusals: recorder.refusals,
       violations: this.countViolations(),
     };
   }
 
+  /** Attempts at targets for each first attempt. */
+  private async measureRetries(): Promise<number> {
+    const { attempts, retries, hedges } = this.metrics;
+    const [all, again, beside] = await Promise.all([attempts, retries, hedges].map(readCounter));
+    return (all ?? 0) / Math.max(1, (all ?? 0) - (again ?? 0) - (beside ?? 0));
+  }
+
   private countViolations(): number {
     const names = Object.values(InvariantName);
     return names.reduce((sum, name) => sum + this.invariants.getViolations(name), 0);
@@ -201,6 +218,11 @@
   }
 }
 
+async function readCounter(counter: HomeMetrics['attempts']): Promise<number> {
+  const { values } = await counter.get();
+  return values.reduce((sum, { value }) => sum + value, 0);
+}
+
 function buildConfig(header: ITraceHeader, routes: readonly Route[]): IFleetConfig {
   const { service, member } = header;
   const isFast = service.detection === 'fast';
--- a/packages/lab/src/trace/common/scenarios.ts
+++ b/packages/lab/src/trace/common/scenarios.ts
@@ -8,6 +8,7 @@
   /** Load as a multiple of the service's slots, by time; absent: the member's ordinary load. */
   readonly surge?: ISurge;
   readonly faults: readonly IScenarioFault[];
+  readonly deadlines?: IScenarioDeadlines;
   /** Share of callers that hang up early, over poor links. */
   readonly hangUpShare?: number;
   /** Share of exchanges between home and targets that break, always and everywhere. */
@@ -22,6 +23,14 @@
   readonly untilMs: number;
   /** Requests offered, as a multiple of what all slots can do. */
   readonly load: number;
+  /** All that is above the ordinary load comes from one caller. */
+  readonly isOneCaller?: boolean;
+}
+
+/** Deadlines other than the member's usual ones, in ms. */
+export interface IScenarioDeadlines {
+  readonly readMs: number;
+  readonly bookMs: number;
 }
 
 /** One fault on several targets. */
@@ -45,6 +54,7 @@
 /** Trouble begins up to so much later, by the seed, so that no rule's interval is favoured. */
 export const MAX_SHIFT_MS = 10_000;
 const SURGE_UNTIL_MS = 35_000;
+const SURGE_DURATION_MS = 50_000;
 const CONTROL_MS = 300_000;
 const FLAP_MS = 3000;
 const FLAPS = 6;
@@ -86,9 +96,9 @@
   return { name: 'cold-start', durationMs: DURATION_MS, faults: [down, ...steps] };
 }
 
-function makeSurge(name: string, load: number): IScenario {
+function makeSurge(name: string, load: number, rest: Partial<IScenario> = {}): IScenario {
   const surge = { fromMs: FROM_MS, untilMs: SURGE_UNTIL_MS, load };
-  return { name, durationMs: DURATION_MS, surge, faults: [] };
+  return { name, durationMs: SURGE_DURATION_MS, surge, faults: [], ...rest };
 }
 
 /** Every scenario, by name. */
@@ -126,6 +136,10 @@
   },
   makeSurge('overload-1.5x', 1.5),
   makeSurge('overload-3x', 3),
+  makeSurge('overload-tight', 3, { deadlines: { readMs: 150, bookMs: 250 } }),
+  makeSurge('caller-flood', 3, {
+    surge: { fromMs: FROM_MS, untilMs: SURGE_UNTIL_MS, load: 3, isOneCaller: true },
+  }),
   {
     name: 'domain-gone',
     durationMs: DURATION_MS,
--- a/packages/lab/src/trace/common/trace.ts
+++ b/packages/lab/src/trace/common/trace.ts
@@ -114,4 +114,9 @@
   readonly maxAmplification?: number;
   /** Successes while the fault or overload lasts, as a share of what the slots can do. */
   readonly minGoodputShare?: number;
+  /** Attempts for each request that was dispatched. */
+  readonly maxRetryAmplification?: number;
+  /** Errors and latency of callers other than the one that floods. */
+  readonly maxOthersErrorShare?: number;
+  readonly maxOthersP99Ms?: number;
 }
--- a/packages/lab/src/trace/common/traceGenerator.ts
+++ b/packages/lab/src/trace/common/traceGenerator.ts
@@ -20,6 +20,8 @@
 const BURST_MS = 200;
 const BURST_LOSS_SHARE = 0.6;
 const HANG_UP_MS = 30;
+/** The one caller that floods. */
+export const FLOODER = 'flooder';
 
 /** Names of all traces: member and scenario. */
 export function listTraceNames(): readonly string[] {
@@ -127,7 +129,10 @@
     const isSurge = surge !== undefined && atMs >= surge.fromMs && atMs < surge.untilMs;
     atMs += random.getExponential(1 / (fullRate * (isSurge ? surge.load : profile.load)));
     if (atMs >= scenario.durationMs) return requests;
-    requests.push(buildRequest(profile, scenario, random, atMs));
+    const isFlood = surge?.isOneCaller === true && isSurge;
+    const isFlooder = isFlood && random.getFloat() > profile.load / surge.load;
+    const caller = isFlooder ? FLOODER : `caller-${random.getInteger(profile.callers)}`;
+    requests.push(buildRequest(profile, scenario, random, { atMs, caller }));
   }
 }
 
@@ -135,18 +140,22 @@
   profile: IMemberProfile,
   scenario: IScenario,
   random: RandomSource,
-  atMs: number,
+  arrival: Pick<ITraceRequest, 'atMs' | 'caller'>,
 ): ITraceRequest {
   const isBook = random.getFloat() < profile.bookShare;
   const meanMs = isBook ? profile.bookWorkMs : profile.readWorkMs;
+  const deadlines = scenario.deadlines ?? {
+    readMs: profile.readDeadlineMs,
+    bookMs: profile.bookDeadlineMs,
+  };
   const isHangUp = random.getFloat() < (scenario.hangUpShare ?? 0);
   return {
     kind: 'request',
-    atMs: toMicroseconds(atMs),
-    caller: `caller-${random.getInteger(profile.callers)}`,
+    atMs: toMicroseconds(arrival.atMs),
+    caller: arrival.caller,
     route: isBook ? 'book' : 'read',
     workMs: toMicroseconds(sampleServiceTime(random, meanMs, WORK_SIGMA)),
-    deadlineMs: isBook ? profile.bookDeadlineMs : profile.readDeadlineMs,
+    deadlineMs: isBook ? deadlines.bookMs : deadlines.readMs,
     ...(isHangUp ? { hangUpMs: HANG_UP_MS } : {}),
   };
 }
--- a/packages/routing/src/home/common/serviceHome.ts
+++ b/packages/routing/src/home/common/serviceHome.ts
@@ -186,7 +186,7 @@
     const startMs = this.context.clock.getMonotonicTime();
     const outcome = this.runner.run(attempt).then((ended) => {
       const durationMs = this.context.clock.getMonotonicTime() - startMs;
-      this.recordOutcome(slot, ended, durationMs);
+      this.recordOutcome(slot, request.route.name, ended, durationMs);
       this.intake.recordOutcome(request, slot.handle, ended, mark.isStalled);
       return ended;
     });
@@ -198,10 +198,15 @@
     };
   }
 
-  private recordOutcome(slot: ISlot, outcome: AttemptOutcome, durationMs: number): void {
+  private recordOutcome(
+    slot: ISlot,
+    route: string,
+    outcome: AttemptOutcome,
+    durationMs: number,
+  ): void {
     if (isGood(outcome)) {
       this.budget.recordSuccess();
-      this.pool.serviceTime.record(durationMs);
+      this.pool.recordServiceTime(route, durationMs);
       slot.handle.recordAccepted();
     } else if (outcome.kind === 'answered' && outcome.answer.notRun) {
       this.context.metrics.sheds.inc(this.labels);
--- a/packages/routing/src/home/common/slotPool.ts
+++ b/packages/routing/src/home/common/slotPool.ts
@@ -56,7 +56,8 @@
  */
 export class SlotPool {
   readonly handles = new Map<string, TargetHandle>();
-  readonly serviceTime = new ServiceTimeEstimate();
+  private readonly serviceTime = new ServiceTimeEstimate();
+  private readonly routeTimes = new Map<string, ServiceTimeEstimate>();
   private service: Service;
   private readonly clock: Clock;
   private readonly random: RandomSource;
@@ -126,7 +127,7 @@
     }
     if (this.queue.size === 0 && this.getFree() > 0) return undefined;
     const waitMs = this.estimateWait(wish.request.caller);
-    if (waitMs + this.serviceTime.getMean() > leftMs) {
+    if (waitMs + this.getLikelyLongest(wish.request) > leftMs) {
       return makeQueueTimeout(this.computeRetryAfter());
     }
     const isFull = this.queue.size >= this.getQueueLimit();
@@ -136,6 +137,17 @@
     return undefined;
   }
 
+  /** A request of the route was answered well after `durationMs` on a slot. */
+  recordServiceTime(route: string, durationMs: number): void {
+    this.serviceTime.record(durationMs);
+    let estimate = this.routeTimes.get(route);
+    if (estimate === undefined) {
+      estimate = new ServiceTimeEstimate();
+      this.routeTimes.set(route, estimate);
+    }
+    estimate.record(durationMs);
+  }
+
   /** When asking again makes sense: once the present queue has drained, spread at random. */
   computeRetryAfter(): number {
     const drainMs = ((this.queue.size + 1) * this.serviceTime.getMean()) / this.getAllowed();
@@ -183,8 +195,9 @@
     }
     return new Promise((resolve, reject) => {
       const { request } = wish;
-      // Past this instant the answer would most likely come too late, and the slot be wasted.
-      const latestStartMs = request.deadlineMs - this.serviceTime.getMean();
+      // Past this instant the answer may well come too late, and the slot be wasted: under overload
+      // a queue that starts work at the last moment fills every slot with work that nobody awaits.
+      const latestStartMs = request.deadlineMs - this.getLikelyLongest(request);
       const timer = this.clock.startTimer(latestStartMs - this.clock.getMonotonicTime(), () => {
         this.queue.remove(waiter);
         waiter.finish(makeQueueTimeout(this.computeRetryAfter()));
@@ -228,6 +241,10 @@
     return ((this.queue.countAhead(caller) + 1) * this.serviceTime.getMean()) / this.getAllowed();
   }
 
+  private getLikelyLongest(request: IRoutedRequest): number {
+    return this.routeTimes.get(request.route.name)?.getLikelyLongest() ?? 0;
+  }
+
   private getQueueLimit(): number {
     const factor = this.service.queueFactor || DEFAULT_QUEUE_FACTOR;
     const slots = this.service.targets.reduce((sum, target) => sum + target.slots, 0);
--- a/packages/routing/src/queue/common/serviceTimeEstimate.ts
+++ b/packages/routing/src/queue/common/serviceTimeEstimate.ts
@@ -1,6 +1,8 @@
 /** A running estimate of how long targets take, in ms. */
 
 const WEIGHT = 0.05;
+/** Mean deviations above the mean; about one log-normal time in thirty is longer. */
+const LIKELY_DEVIATIONS = 3;
 /** Before anything was measured, nothing is refused for want of time. */
 const INITIAL_MS = 0;
 
@@ -35,8 +37,8 @@
     return this.meanMs;
   }
 
-  /** A duration that most answers stay under. */
+  /** A duration that all but a few answers stay under; 0 before the first answer. */
   getLikelyLongest(): number {
-    return this.meanMs + 2 * this.deviationMs;
+    return this.meanMs + LIKELY_DEVIATIONS * this.deviationMs;
   }
 }
