--- /dev/null
+++ b/packages/lab/src/bench/routing/node/homeCost.ts
@@ -0,0 +1,170 @@
+/** What a home costs on a real clock, and what one member's flood does to another's latency. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { InvariantRegistry, SeededRandom, SystemClock } from '@parsleymux/base';
+import type { ITargetAnswer } from '@parsleymux/routing';
+import {
+  LocalHomeService,
+  PassThroughGuard,
+  TableEjectionLedger,
+  TargetTransport,
+} from '@parsleymux/routing';
+import * as hdr from 'hdr-histogram-js';
+import { SimulatedTable } from '../../../replay/common/simulatedTable.js';
+import { buildConfigService, buildRoutes } from '../../../replay/common/traceConfig.js';
+import type { IMemberProfile } from '../../../trace/common/members.js';
+import { computeMeanWork, countSlots, DOBRESCU, DONAUTAL } from '../../../trace/common/members.js';
+import type { ITraceHeader } from '../../../trace/common/trace.js';
+import { buildFrom } from '../../../trace/common/traceGenerator.js';
+import type { IBenchTable } from '../../common/bench.js';
+import { formatNumber } from '../../common/bench.js';
+
+const COST_REQUESTS = 20_000;
+const CONCURRENCY = 48;
+const PHASE_MS = 6000;
+const TICK_MS = 10;
+const MICROSECONDS = 1000;
+const FLOOD_LOAD = 3;
+
+/** Answers after the target's mean work, or at once. */
+class TimerTransport extends TargetTransport {
+  constructor(private readonly workMs: number) {
+    super();
+  }
+
+  override async send(): Promise<ITargetAnswer> {
+    if (this.workMs > 0) await delay(this.workMs);
+    const body = new Uint8Array();
+    const latencyMs = this.workMs;
+    return { status: 200, headers: [], body, notRun: false, draining: false, latencyMs };
+  }
+
+  override retireConnections(): void {
+    return;
+  }
+
+  override getConnectionCount(): number {
+    return 0;
+  }
+}
+
+/** The table of both measurements. */
+export async function measureHomeCost(): Promise<IBenchTable> {
+  const microseconds = await measureProcessorTime();
+  const alone = await measureQuietMember(false);
+  const beside = await measureQuietMember(true);
+  const change = (100 * (beside - alone)) / alone;
+  return {
+    title: 'A home on a real clock',
+    columns: ['figure', 'value'],
+    rows: [
+      ['processor time of one request in its home, µs', formatNumber(microseconds)],
+      ['requests a second at half a core', Math.round(500_000 / microseconds)],
+      ['p99 of the quiet member alone, ms', formatNumber(alone)],
+      ['p99 while the other floods at 3x, ms', formatNumber(beside)],
+      ['change, %', formatNumber(change, 2)],
+    ],
+  };
+}
+
+async function measureProcessorTime(): Promise<number> {
+  const home = createHome(DOBRESCU, 0);
+  const send = createSender(home, DOBRESCU);
+  await runConcurrently(send, COST_REQUESTS / 4);
+  const before = process.cpuUsage();
+  await runConcurrently(send, COST_REQUESTS);
+  const { user, system } = process.cpuUsage(before);
+  await home.dispose();
+  return (user + system) / COST_REQUESTS;
+}
+
+async function runConcurrently(send: () => Promise<unknown>, requests: number): Promise<void> {
+  let left = requests;
+  const runOne = async () => {
+    while (left > 0) {
+      left -= 1;
+      await send();
+    }
+  };
+  await Promise.all(Array.from({ length: CONCURRENCY }, runOne));
+}
+
+/** p99 of a member at its ordinary load, in one process with another that is quiet or floods. */
+async function measureQuietMember(isFlooded: boolean): Promise<number> {
+  const quiet = createHome(DOBRESCU, computeMeanWork(DOBRESCU));
+  const flooded = createHome(DONAUTAL, computeMeanWork(DONAUTAL));
+  const latencies = hdr.build({ highestTrackableValue: 120_000_000 });
+  const sendQuiet = createSender(quiet, DOBRESCU);
+  const sendFlood = createSender(flooded, DONAUTAL);
+  const quietRate = (DOBRESCU.load * countSlots(DOBRESCU)) / computeMeanWork(DOBRESCU);
+  const floodLoad = isFlooded ? FLOOD_LOAD : DONAUTAL.load;
+  const floodRate = (floodLoad * countSlots(DONAUTAL)) / computeMeanWork(DONAUTAL);
+  const running = new Set<Promise<void>>();
+  const start = (send: () => Promise<unknown>, isMeasured: boolean) => {
+    const startMs = performance.now();
+    const task = send()
+      .then(() => {
+        const latencyMs = performance.now() - startMs;
+        if (isMeasured) latencies.recordValue(Math.round(latencyMs * MICROSECONDS));
+      })
+      .catch(() => undefined)
+      .finally(() => running.delete(task));
+    running.add(task);
+  };
+  let owedQuiet = 0;
+  let owedFlood = 0;
+  for (let passedMs = 0; passedMs < PHASE_MS; passedMs += TICK_MS) {
+    owedQuiet += quietRate * TICK_MS;
+    owedFlood += floodRate * TICK_MS;
+    for (; owedFlood >= 1; owedFlood -= 1) start(sendFlood, false);
+    for (; owedQuiet >= 1; owedQuiet -= 1) start(sendQuiet, true);
+    await delay(TICK_MS);
+  }
+  await Promise.all(running);
+  await Promise.all([quiet.dispose(), flooded.dispose()]);
+  return latencies.getValueAtPercentile(99) / MICROSECONDS;
+}
+
+function createSender(home: LocalHomeService, profile: IMemberProfile): () => Promise<unknown> {
+  const route = buildRoutes(buildHeader(profile)).read;
+  let number = 0;
+  return () => {
+    number += 1;
+    return home.handle(
+      {
+        member: profile.member,
+        route,
+        method: 'GET',
+        path: '/read',
+        headers: [],
+        body: new Uint8Array(),
+        deadlineMs: performance.now() + profile.readDeadlineMs,
+        caller: `caller-${number % profile.callers}`,
+        idempotencyKey: undefined,
+      },
+      new AbortController().signal,
+    );
+  };
+}
+
+function createHome(profile: IMemberProfile, workMs: number): LocalHomeService {
+  const clock = new SystemClock();
+  const invariants = new InvariantRegistry();
+  return new LocalHomeService({
+    configService: buildConfigService(buildHeader(profile)),
+    clock,
+    random: new SeededRandom(1),
+    transport: new TimerTransport(workMs),
+    guard: new PassThroughGuard(),
+    ledger: new TableEjectionLedger({
+      table: new SimulatedTable(clock),
+      clock,
+      invariants,
+      node: 'node',
+    }),
+    invariants,
+  });
+}
+
+function buildHeader(profile: IMemberProfile): ITraceHeader {
+  return buildFrom(profile, { name: 'none', durationMs: 0, faults: [] }, 1).header;
+}
--- a/packages/lab/src/replay/common/replayTrace.ts
+++ b/packages/lab/src/replay/common/replayTrace.ts
@@ -1,8 +1,5 @@
 /** Replays a trace against the real home on a clock of its own. */
-import { create } from '@bufbuild/protobuf';
 import { InvariantName, InvariantRegistry, ManualClock, SeededRandom } from '@parsleymux/base';
-import type { IFleetConfig } from '@parsleymux/config';
-import { ConfigService } from '@parsleymux/config';
 import type { FailureDetector, IRoutedRequest } from '@parsleymux/routing';
 import {
   HomeMetrics,
@@ -11,20 +8,14 @@
   TableEjectionLedger,
 } from '@parsleymux/routing';
 import type { Route } from '@parsleymux/schema';
-import {
-  DetectionPreference,
-  IntentSchema,
-  MemberConfigSchema,
-  RouteSchema,
-  ServiceSchema,
-} from '@parsleymux/schema';
-import type { ITrace, ITraceHeader, ITraceRequest, RouteName } from '../../trace/common/trace.js';
+import type { ITrace, ITraceRequest, RouteName } from '../../trace/common/trace.js';
 import { ReplayRecorder } from './replayRecorder.js';
 import type { IReplayResult } from './replayResult.js';
 import { SimulatedObserver } from './simulatedObserver.js';
 import { SimulatedTable } from './simulatedTable.js';
 import { SimulatedTarget } from './simulatedTarget.js';
 import { SimulatedTransport, WORK_HEADER } from './simulatedTransport.js';
+import { buildConfigService, buildRoutes } from './traceConfig.js';
 
 const HOME_DOMAIN = 'domain-0';
 /** Time after the last request in which what runs may end. */
@@ -37,19 +28,6 @@
   readonly createDetector: () => FailureDetector;
 }
 
-/** Gives one unchanging configuration. */
-class FixedConfigService extends ConfigService {
-  readonly onDidChange = () => ({ dispose: () => undefined });
-
-  constructor(private readonly config: IFleetConfig) {
-    super();
-  }
-
-  override getCurrent(): IFleetConfig {
-    return this.config;
-  }
-}
-
 /** Replays and measures. */
 export async function replayTrace(trace: ITrace, options: IReplayOptions): Promise<IReplayResult> {
   const replay = new Replay(trace, options);
@@ -72,13 +50,13 @@
   ) {
     const { header } = trace;
     this.recorder = new ReplayRecorder(trace);
-    this.routes = { read: this.buildRoute('read'), book: this.buildRoute('book') };
+    this.routes = buildRoutes(header);
     const targets = this.buildTargets();
     this.transport = this.createTransport(targets, HOME_DOMAIN);
     this.observerTransport = this.createTransport(targets, undefined);
     const { clock, invariants } = this;
     this.home = new LocalHomeService({
-      configService: new FixedConfigService(buildConfig(header, Object.values(this.routes))),
+      configService: buildConfigService(header),
       clock,
       random: new SeededRandom(options.seed),
       transport: this.transport,
@@ -211,28 +189,9 @@
       },
     });
   }
-
-  private buildRoute(name: RouteName): Route {
-    const service = this.trace.header.service.name;
-    return create(RouteSchema, { name, service, idempotent: name === 'read' });
-  }
 }
 
 async function readCounter(counter: HomeMetrics['attempts']): Promise<number> {
   const { values } = await counter.get();
   return values.reduce((sum, { value }) => sum + value, 0);
 }
-
-function buildConfig(header: ITraceHeader, routes: readonly Route[]): IFleetConfig {
-  const { service, member } = header;
-  const isFast = service.detection === 'fast';
-  const declared = create(ServiceSchema, {
-    name: service.name,
-    floorSlots: service.floorSlots,
-    detection: isFast ? DetectionPreference.FAST : DetectionPreference.CAREFUL,
-    targets: service.targets.map((target) => ({ ...target, slots: service.slotsPerTarget })),
-  });
-  const intent = create(IntentSchema, { member, services: [declared], routes: [...routes] });
-  const config = create(MemberConfigSchema, { member, memberRevision: 1n, intent });
-  return { fleetRevision: 1, members: new Map([[member, config]]) };
-}
--- a/packages/lab/src/replay/common/simulatedTarget.ts
+++ b/packages/lab/src/replay/common/simulatedTarget.ts
@@ -30,6 +30,13 @@
 /** One target. */
 export class SimulatedTarget {
   executed = 0;
+  arrivals = 0;
+  /** Arrivals that found no free slot. */
+  collisions = 0;
+  /** Arrivals that were turned away. */
+  sheds = 0;
+  openConnections = 0;
+  maxConnections = 0;
   private running = 0;
   private readonly queue: IJob[] = [];
 
@@ -70,13 +77,22 @@
     });
   }
 
+  /** Takes note of connections opened, or closed when negative. */
+  countConnections(change: number): void {
+    this.openConnections += change;
+    this.maxConnections = Math.max(this.maxConnections, this.openConnections);
+  }
+
   private addJob(job: IJob, effect: IFaultEffect): void {
+    this.arrivals += 1;
     if (this.running < this.getSlots(effect)) {
       this.startJob(job, effect);
       return;
     }
+    this.collisions += 1;
     const queueLimit = effect.shedAboveSlots === undefined ? QUEUE_FACTOR * this.options.slots : 0;
     if (this.queue.length >= queueLimit) {
+      this.sheds += 1;
       job.finish({ status: 503, isShed: true });
       return;
     }
--- a/packages/lab/src/replay/common/simulatedTransport.ts
+++ b/packages/lab/src/replay/common/simulatedTransport.ts
@@ -9,6 +9,8 @@
 export const WORK_HEADER = 'x-work-ms';
 
 const CONNECT_MS = 1;
+/** Unused connections kept to one target. */
+const MAX_IDLE = 8;
 const CONNECT_TIMEOUT_MS = 1000;
 const HEALTH_WORK_MS = 1;
 const OK = 200;
@@ -37,8 +39,6 @@
 /** Sends to simulated targets. */
 export class SimulatedTransport extends TargetTransport {
   attempts = 0;
-  /** Most connections that were open to one target at once. */
-  maxConnections = 0;
   private readonly idle = new Map<string, IConnection[]>();
   private readonly open = new Map<string, number>();
   private readonly retiredAtMs = new Map<string, number>();
@@ -201,12 +201,15 @@
     const idle = this.idle.get(target) ?? [];
     idle.push(connection);
     this.idle.set(target, idle);
+    if (idle.length <= MAX_IDLE) return;
+    idle.shift();
+    this.countOpen(target, -1);
   }
 
   private countOpen(target: string, change: number): void {
     const open = (this.open.get(target) ?? 0) + change;
     this.open.set(target, open);
-    this.maxConnections = Math.max(this.maxConnections, open);
+    this.options.targets.get(target)?.countConnections(change);
   }
 
   private getNow(): number {
--- /dev/null
+++ b/packages/routing/src/shard/common/shardPlan.ts
@@ -0,0 +1,67 @@
+/**
+ * Into how many shards a service is cut. One home for a whole service sees all of its slots and
+ * outcomes, which measured better than homes by failure domain; only a service that one node can't
+ * carry is cut, first by failure domain, then each domain into equal parts.
+ */
+import type { IShard } from '@parsleymux/fleet';
+import type { Service, Target } from '@parsleymux/schema';
+
+/** Slots that one home serves. docs/decisions on homes gives the measurement behind it. */
+export const DEFAULT_MAX_SHARD_SLOTS = 300;
+
+/** A shard and what is in it. */
+export interface IPlannedShard extends IShard {
+  readonly targets: readonly Target[];
+  /** Its share of the service's floor, rounded up: whatever homes do alone, the sum holds. */
+  readonly floorSlots: number;
+}
+
+/**
+ * The shards of a service, the same on every node with the same configuration.
+ *
+ * @example
+ * const shards = planShards('dobrescu', service);
+ */
+export function planShards(
+  member: string,
+  service: Service,
+  maxSlots = DEFAULT_MAX_SHARD_SLOTS,
+): readonly IPlannedShard[] {
+  const id = `${member}/${service.name}`;
+  const total = countSlots(service.targets);
+  if (total <= maxSlots) return [buildShard(id, service, service.targets)];
+  return [...listByDomain(service.targets)].flatMap(([domain, targets]) => {
+    const parts = Math.ceil(countSlots(targets) / maxSlots);
+    return Array.from({ length: parts }, (_, part) => {
+      const own = targets.filter((_target, index) => index % parts === part);
+      const suffix = parts === 1 ? domain : `${domain}/${part}`;
+      return buildShard(`${id}/${suffix}`, service, own);
+    });
+  });
+}
+
+function buildShard(id: string, service: Service, targets: readonly Target[]): IPlannedShard {
+  const share = countSlots(targets) / Math.max(1, countSlots(service.targets));
+  const domains = [...listByDomain(targets)];
+  domains.sort((left, right) => countSlots(right[1]) - countSlots(left[1]));
+  return {
+    id,
+    targets,
+    floorSlots: Math.ceil(share * service.floorSlots),
+    failureDomains: domains.map(([domain]) => domain),
+  };
+}
+
+function listByDomain(targets: readonly Target[]): ReadonlyMap<string, readonly Target[]> {
+  const byDomain = new Map<string, Target[]>();
+  for (const target of targets) {
+    const own = byDomain.get(target.failureDomain) ?? [];
+    own.push(target);
+    byDomain.set(target.failureDomain, own);
+  }
+  return new Map([...byDomain].sort(([left], [right]) => (left < right ? -1 : 1)));
+}
+
+function countSlots(targets: readonly Target[]): number {
+  return targets.reduce((sum, target) => sum + target.slots, 0);
+}
