Serve callers, operators and peers over TLS where the settings name files

Cause: certificates were watched and no port used them. Peers need an authority: without one a node would trust whoever has a peer's address.

--- a/packages/node/src/app/node/muxNode.ts
+++ b/packages/node/src/app/node/muxNode.ts
@@ -21,7 +21,10 @@
 import { createControlImplementation } from '../../peer/node/controlImplementation.js';
 import { PeerServer } from '../../peer/node/peerServer.js';
 import { StatusServer } from '../../status/node/statusServer.js';
+import type { IPartReplacements } from '../common/partReplacements.js';
 import { NodeStage, NodeState } from '../common/nodeState.js';
+import type { IPortTls } from '../../tls/node/portTls.js';
+import { openPortTls } from '../../tls/node/portTls.js';
 import type { INodeCore } from './nodeCore.js';
 import { createNodeCore } from './nodeCore.js';
 
@@ -34,6 +37,8 @@
   readonly settings: NodeSettings;
   readonly clock: Clock;
   readonly log: Logger;
+  /** For experiments only. Default: every part is the node's own. */
+  readonly replacements?: IPartReplacements;
 }
 
 /** Addresses in use, ports chosen by the system filled in. */
@@ -78,7 +83,8 @@
     this.logChanges();
     const metrics = new NodeMetrics({ invariants: this.invariants, state: this.state, log });
     const maxHeaderBytes = this.limits.headerBytes + HOP_HEADER_BYTES;
-    const peerServer = this.store.add(new PeerServer({ maxHeaderBytes }));
+    const tls = await openPortTls(settings.security, this.store, log);
+    const peerServer = this.store.add(new PeerServer({ maxHeaderBytes, tls: tls.peer }));
     const peer = await peerServer.listen(settings.peerAddress);
     const keys = await loadFleetKeys(settings);
     const authenticator = new PeerAuthenticator({
@@ -95,13 +101,15 @@
       invariants: this.invariants,
       state: this.state,
       metrics,
+      tls,
+      replacements: this.options.replacements ?? {},
     });
     this.store.add(core.store);
     this.core = core;
     this.openControl(peerServer, authenticator, core, peer);
     const status = await this.openStatus(core, metrics);
-    const caller = await this.openCallers(core, metrics);
-    const admin = await this.openAdmin(core, keys, [peer, caller, status]);
+    const caller = await this.openCallers(core, metrics, tls);
+    const admin = await this.openAdmin(core, keys, [peer, caller, status], tls);
     this.startLoops(core, metrics);
     return { caller, peer, admin, status };
   }
@@ -111,8 +119,9 @@
    * the number of requests that were cut because the limit passed.
    */
   async stopGracefully(): Promise<number> {
-    const { clock } = this.options;
+    const { clock, replacements } = this.options;
     this.state.setStage(NodeStage.Leaving);
+    if (replacements?.stopsAtOnce === true) return this.recordCut();
     // The balancer's view lags: until it has seen "not ready", new requests still come here, and
     // closing the port at once would refuse them at TCP, which callers can't tell from a fault.
     await clock.sleep(this.timing.shutdownNoticeMs);
@@ -122,8 +131,7 @@
     });
     const closed = this.callerServer?.dispose();
     await this.state.waitUntilIdle(limit.signal);
-    const cut = this.state.getInFlight();
-    this.invariants.check(InvariantName.GracefulShutdown, cut === 0, () => `${cut} requests cut`);
+    const cut = this.recordCut();
     // Outcomes that the platform has not taken yet are known to this process alone.
     const flushed = this.core?.claims.guard.flush();
     await Promise.race([Promise.all([closed, flushed]), waitForAbort(limit.signal)]);
@@ -139,6 +147,12 @@
     await this.store.dispose();
   }
 
+  private recordCut(): number {
+    const cut = this.state.getInFlight();
+    this.invariants.check(InvariantName.GracefulShutdown, cut === 0, () => `${cut} requests cut`);
+    return cut;
+  }
+
   private openControl(
     server: PeerServer,
     authenticator: PeerAuthenticator,
@@ -170,7 +184,7 @@
     return server.listen(this.options.settings.statusAddress);
   }
 
-  private async openCallers(core: INodeCore, metrics: NodeMetrics): Promise<string> {
+  private async openCallers(core: INodeCore, metrics: NodeMetrics, tls: IPortTls): Promise<string> {
     this.callerServer = new CallerServer({
       clock: this.options.clock,
       config: core.config,
@@ -179,6 +193,7 @@
       metrics,
       limits: this.limits,
       timing: this.timing,
+      tls: tls.caller,
       isIsolated: () => core.config.isIsolated(),
     });
     return this.callerServer.listen(this.options.settings.callerAddress);
@@ -188,6 +203,7 @@
     core: INodeCore,
     keys: readonly Uint8Array[],
     ownAddresses: readonly string[],
+    tls: IPortTls,
   ): Promise<string> {
     const { settings } = this.options;
     const [self = settings.peerAddress] = ownAddresses;
@@ -206,7 +222,7 @@
           nodes: core.membership.getLiveNodes(),
         }),
     });
-    const server = this.store.add(new AdminServer(api));
+    const server = this.store.add(new AdminServer({ api, tls: tls.admin }));
     return server.listen(settings.adminAddress);
   }
 
--- a/packages/node/src/app/node/nodeCore.ts
+++ b/packages/node/src/app/node/nodeCore.ts
@@ -2,11 +2,12 @@
 import { randomInt } from 'node:crypto';
 import type { Clock, InvariantRegistry, Logger, RandomSource } from '@parsleymux/base';
 import { DisposableStore, SeededRandom } from '@parsleymux/base';
-import type { ClaimGuard } from '@parsleymux/claims';
+import type { AppliedConfig } from '@parsleymux/config';
 import { ConfigDistributor } from '@parsleymux/config';
 import type { INode, PeerAuthenticator } from '@parsleymux/fleet';
 import { ListedMembershipService, PeerClients, RendezvousPlacement } from '@parsleymux/fleet';
 import { openHttpPlatform } from '@parsleymux/platform';
+import type { DispatchGuard } from '@parsleymux/routing';
 import {
   HomeMetrics,
   HttpTargetTransport,
@@ -21,6 +22,9 @@
 import { LivePeerSource } from '../../peer/node/connectConfigPeer.js';
 import { ConnectTargetObserver } from '../../peer/node/connectTargetObserver.js';
 import { makeConfigPacing } from '../common/configPacing.js';
+import type { IPartReplacements } from '../common/partReplacements.js';
+import type { ITlsMaterial } from '../../tls/node/tlsFilesWatcher.js';
+import type { IPortTls } from '../../tls/node/portTls.js';
 import type { NodeState } from '../common/nodeState.js';
 import type { IClaimParts } from './claimParts.js';
 import { createClaimParts } from './claimParts.js';
@@ -38,6 +42,8 @@
   readonly invariants: InvariantRegistry;
   readonly state: NodeState;
   readonly metrics: NodeMetrics;
+  readonly tls: IPortTls;
+  readonly replacements: IPartReplacements;
   readonly log: Logger;
 }
 
@@ -79,7 +85,9 @@
     }),
   );
   const { authenticator } = options;
-  const clients = store.add(new PeerClients({ authenticator, membership, clock }));
+  const clients = store.add(
+    new PeerClients({ authenticator, membership, clock, ...makePeerTls(options.tls) }),
+  );
   const peers = new LivePeerSource({ clients, membership, random, self: self.address });
   const config = new ConfigDistributor({
     platform,
@@ -89,6 +97,7 @@
     invariants,
     ...makeConfigPacing(membership, timing.configPollMs),
     isolationLimitMs: timing.isolationLimitMs,
+    ...makeAppliedOption(options.replacements),
   });
   const shared = { ...options, store, random, platform, membership, clients, peers, config };
   const { metrics } = options;
@@ -96,7 +105,7 @@
     new HttpTargetTransport({ clock, invariants, registry: metrics.registry }),
   );
   const claims = createClaimParts({ ...shared, transport, nodeAddress: self.address });
-  const home = createHome(shared, transport, claims.guard);
+  const home = createHome(shared, transport, options.replacements.guard ?? claims.guard);
   const router = createRouter(shared, home);
   const hopServer = new HopServer({
     clock,
@@ -127,7 +136,7 @@
 function createHome(
   parts: ICoreParts,
   transport: HttpTargetTransport,
-  guard: ClaimGuard,
+  guard: DispatchGuard,
 ): LocalHomeService {
   const { platform, clock, random, invariants, self, config, clients, membership, log } = parts;
   const { registry } = parts.metrics;
@@ -139,7 +148,9 @@
       random,
       transport,
       guard,
-      ledger: new TableEjectionLedger({ table, clock, invariants, node: self.address }),
+      ledger:
+        parts.replacements.ledger ??
+        new TableEjectionLedger({ table, clock, invariants, node: self.address }),
       invariants,
       observer: new ConnectTargetObserver({ clients, membership, random, self }),
       metrics: new HomeMetrics(registry),
@@ -153,7 +164,7 @@
 
 function createRouter(parts: ICoreParts, home: LocalHomeService): HomeRouter {
   const { clock, authenticator, membership, config, metrics, store } = parts;
-  const hop = store.add(new HopClient({ clock, authenticator }));
+  const hop = store.add(new HopClient({ clock, authenticator, tls: parts.tls.peer }));
   const placement = new RendezvousPlacement();
   placement.setNodes(membership.getLiveNodes());
   store.add(
@@ -169,9 +180,19 @@
     hop,
     home,
     self: parts.self.address,
+    forgetsPossibleReach: parts.replacements.forgetsPossibleReach ?? false,
     isLeaving: () => parts.state.isLeaving(),
     onDidTry: (outcome) => {
       metrics.recordHopTry(outcome);
     },
   });
 }
+
+/** Certificates for control calls are read at start; a renewed authority needs a restart. */
+function makePeerTls(tls: IPortTls): { readonly tls?: ITlsMaterial } {
+  return tls.peer === undefined ? {} : { tls: tls.peer.getMaterial() };
+}
+
+function makeAppliedOption(replacements: IPartReplacements): { readonly applied?: AppliedConfig } {
+  return replacements.applied === undefined ? {} : { applied: replacements.applied };
+}
--- a/packages/node/src/entry/node/callerServer.ts
+++ b/packages/node/src/entry/node/callerServer.ts
@@ -1,6 +1,5 @@
 /** The port on which callers are served. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { createServer } from 'node:http';
 import type { Clock, IDisposable } from '@parsleymux/base';
 import { MuxError, ResultCode, RunState } from '@parsleymux/base';
 import type { ConfigService, IRouteMatch } from '@parsleymux/config';
@@ -14,6 +13,8 @@
 import { waitForEnd, writeAnswer } from '../../http/node/bodyWriter.js';
 import { closeServer, listenOn } from '../../http/node/listener.js';
 import type { NodeMetrics } from '../../metrics/node/nodeMetrics.js';
+import { createHttpServer } from '../../tls/node/httpServerFactory.js';
+import type { TlsFilesWatcher } from '../../tls/node/tlsFilesWatcher.js';
 import { findRoute, parseHost, parseKey, parseTimeout } from '../common/callerRequest.js';
 import type { HomeRouter } from '../common/homeRouter.js';
 import { CallerConnections } from './callerConnections.js';
@@ -33,6 +34,8 @@
   readonly metrics: NodeMetrics;
   readonly limits: Limits;
   readonly timing: Timing;
+  /** Absent: plain HTTP. */
+  readonly tls?: TlsFilesWatcher | undefined;
   /** Whether the node must not take new work now: cut off from store and peers for too long. */
   readonly isIsolated: () => boolean;
 }
@@ -57,7 +60,8 @@
     this.configSubscription = options.config.onDidChange(({ config }) => {
       this.table = new RouteTable(config);
     });
-    this.server = createServer(
+    this.server = createHttpServer(
+      options.tls,
       {
         maxHeaderSize: options.limits.headerBytes,
         headersTimeout: Math.min(options.timing.callerHeaderMs, options.timing.callerRequestMs),
--- a/packages/node/src/hop/node/hopClient.ts
+++ b/packages/node/src/hop/node/hopClient.ts
@@ -6,6 +6,7 @@
 import type { Header, IAnswer } from '@parsleymux/routing';
 import type { Dispatcher } from 'undici';
 import { Pool } from 'undici';
+import type { TlsFilesWatcher } from '../../tls/node/tlsFilesWatcher.js';
 import { toRawHeaders } from '../../http/common/headers.js';
 import { HopError, HopFailure } from '../common/hopError.js';
 import { HEARTBEAT_MS, HOP_PATH, HopHeader, HopKind } from '../common/hopProtocol.js';
@@ -30,6 +31,8 @@
 export interface IHopClientOptions {
   readonly clock: Clock;
   readonly authenticator: PeerAuthenticator;
+  /** Absent: plain HTTP. */
+  readonly tls?: TlsFilesWatcher | undefined;
   /** Connections to one peer. Default 64. */
   readonly connections?: number;
   /** Longest wait for a home's first sign of life, in ms. Default 400. */
@@ -45,6 +48,7 @@
 export class HopClient extends HopTransport implements IDisposable {
   private readonly clock: Clock;
   private readonly authenticator: PeerAuthenticator;
+  private readonly tls: TlsFilesWatcher | undefined;
   private readonly connections: number;
   private readonly firstSignMs: number;
   private readonly pools = new Map<string, Pool>();
@@ -53,6 +57,7 @@
     super();
     this.clock = options.clock;
     this.authenticator = options.authenticator;
+    this.tls = options.tls;
     this.connections = options.connections ?? DEFAULT_CONNECTIONS;
     this.firstSignMs = options.firstSignMs ?? DEFAULT_FIRST_SIGN_MS;
   }
@@ -98,9 +103,10 @@
   private getPool(peer: string): Pool {
     const existing = this.pools.get(peer);
     if (existing !== undefined) return existing;
-    const pool = new Pool(`http://${peer}`, {
+    const scheme = this.tls === undefined ? 'http' : 'https';
+    const pool = new Pool(`${scheme}://${peer}`, {
       connections: this.connections,
-      connectTimeout: this.firstSignMs,
+      connect: { timeout: this.firstSignMs, ...this.tls?.getMaterial() },
     });
     this.pools.set(peer, pool);
     return pool;
--- a/packages/node/src/peer/node/peerServer.ts
+++ b/packages/node/src/peer/node/peerServer.ts
@@ -1,11 +1,12 @@
 /** The port on which other nodes of the fleet are served: the request hop and control traffic. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { createServer } from 'node:http';
 import type { IDisposable } from '@parsleymux/base';
 import type { HttpHandler, PeerAuthenticator } from '@parsleymux/fleet';
 import { PROOF_HEADER } from '@parsleymux/fleet';
 import { closeServer, listenOn } from '../../http/node/listener.js';
 import { HOP_PATH } from '../../hop/common/hopProtocol.js';
+import { createHttpServer } from '../../tls/node/httpServerFactory.js';
+import type { TlsFilesWatcher } from '../../tls/node/tlsFilesWatcher.js';
 import type { HopServer } from '../../hop/node/hopServer.js';
 
 const UNAUTHORIZED = 401;
@@ -24,6 +25,8 @@
 export interface IPeerServerOptions {
   /** Largest total of header fields, in bytes: the caller's own and those of the hop. */
   readonly maxHeaderBytes: number;
+  /** Absent: plain HTTP. */
+  readonly tls?: TlsFilesWatcher | undefined;
 }
 
 /**
@@ -39,7 +42,8 @@
   private handlers: IPeerHandlers | undefined;
 
   constructor(options: IPeerServerOptions) {
-    this.server = createServer(
+    this.server = createHttpServer(
+      options.tls,
       { maxHeaderSize: options.maxHeaderBytes, keepAliveTimeout: KEEP_ALIVE_MS },
       (request, response) => {
         this.serve(request, response);
