--- /dev/null
+++ b/packages/node/src/entry/node/callerServer.test.ts
@@ -0,0 +1,176 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import type { Socket } from 'node:net';
+import { connect } from 'node:net';
+import type { TestContext } from 'node:test';
+import { test } from 'node:test';
+import { create } from '@bufbuild/protobuf';
+import {
+  Emitter,
+  InvariantRegistry,
+  ResultCode,
+  RunState,
+  SystemClock,
+  createSilentLogger,
+} from '@parsleymux/base';
+import type { IFleetConfigChange } from '@parsleymux/config';
+import { ConfigService } from '@parsleymux/config';
+import type { AnswerBody, IAnswer } from '@parsleymux/routing';
+import { LimitsSchema, MemberConfigSchema, TimingSchema } from '@parsleymux/schema';
+import { NodeState } from '../../app/common/nodeState.js';
+import { parseEndpoint } from '../../http/node/listener.js';
+import { NodeMetrics } from '../../metrics/node/nodeMetrics.js';
+import type { HomeRouter } from '../common/homeRouter.js';
+import { CallerServer } from './callerServer.js';
+
+const HOST = 'survey.example';
+const STALL_MS = 300;
+const LARGE_BYTES = 64 * 1024 * 1024;
+
+class FixedConfig extends ConfigService {
+  readonly onDidChange = new Emitter<IFleetConfigChange>().onDidFire;
+
+  override getCurrent() {
+    const member = create(MemberConfigSchema, {
+      member: 'm',
+      intent: {
+        member: 'm',
+        routes: [
+          {
+            name: 'r',
+            host: HOST,
+            pathPrefix: '/',
+            service: 's',
+            idempotent: true,
+            deadlineMs: 10_000,
+          },
+        ],
+      },
+    });
+    return { fleetRevision: 1, members: new Map([['m', member]]) };
+  }
+}
+
+interface IBench {
+  readonly state: NodeState;
+  openCaller(): Promise<Socket>;
+}
+
+async function openBench(t: TestContext, makeBody: () => AnswerBody): Promise<IBench> {
+  const state = new NodeState();
+  const serve = (): Promise<IAnswer> => {
+    const answer = { status: 200, headers: [], code: ResultCode.Ok, runState: RunState.Ran };
+    return Promise.resolve({ ...answer, body: makeBody() });
+  };
+  const server = new CallerServer({
+    clock: new SystemClock(),
+    config: new FixedConfig(),
+    router: { serve } as unknown as HomeRouter,
+    state,
+    metrics: new NodeMetrics({
+      invariants: new InvariantRegistry(),
+      state,
+      log: createSilentLogger(),
+    }),
+    limits: create(LimitsSchema, {
+      headerBytes: 16_384,
+      callerConnections: 100,
+      requestBodyBytes: 1000,
+    }),
+    timing: create(TimingSchema, {
+      defaultDeadlineMs: 10_000,
+      callerHeaderMs: 10_000,
+      callerRequestMs: 10_000,
+      callerStallMs: STALL_MS,
+    }),
+    isIsolated: () => false,
+  });
+  const { host, port } = parseEndpoint(await server.listen('127.0.0.1:0'));
+  const sockets: Socket[] = [];
+  t.after(async () => {
+    for (const socket of sockets) socket.destroy();
+    await server.dispose();
+  });
+  return {
+    state,
+    openCaller: async () => {
+      const socket = connect({ host, port });
+      sockets.push(socket);
+      await once(socket, 'connect');
+      socket.write(`GET / HTTP/1.1\r\nHost: ${HOST}\r\nConnection: close\r\n\r\n`);
+      return socket;
+    },
+  };
+}
+
+async function readToEnd(socket: Socket): Promise<string> {
+  let text = '';
+  socket.on('data', (chunk: Buffer) => (text += chunk.toString('latin1')));
+  socket.on('error', () => undefined);
+  await once(socket, 'close');
+  return text;
+}
+
+async function waitUntilIdle(state: NodeState): Promise<void> {
+  await state.waitUntilIdle(new AbortController().signal);
+}
+
+test('a caller that reads nothing of its answer is cut, and its memory is free again', async (t) => {
+  // Symptom: a node's memory grows with callers that read nothing, and it never finishes leaving.
+  // Sequence: callers ask for large answers and stop reading; each answer waits in memory.
+  // Cause: a write waits for its reader without any limit.
+  const bench = await openBench(t, () => Buffer.alloc(LARGE_BYTES));
+  const socket = await bench.openCaller();
+  socket.pause();
+  while (bench.state.getInFlight() === 0) await new Promise((resolve) => setImmediate(resolve));
+  await waitUntilIdle(bench.state);
+  const text = await readToEnd(socket.resume());
+  assert.ok(text.length < LARGE_BYTES);
+});
+
+test('a caller that reads slowly but steadily gets its whole answer', async (t) => {
+  const bench = await openBench(t, () => Buffer.alloc(8 * 1024 * 1024, 'x'));
+  const socket = await bench.openCaller();
+  let received = 0;
+  socket.on('data', (chunk: Buffer) => {
+    received += chunk.length;
+    socket.pause();
+    setTimeout(() => socket.resume(), 5);
+  });
+  while (received < 8 * 1024 * 1024) await once(socket, 'data');
+  assert.ok(received > 8 * 1024 * 1024);
+});
+
+test('a streamed answer whose source breaks is cut visibly', async (t) => {
+  // Symptom: a caller keeps half a cut list as if it were whole.
+  // Sequence: the head of a streamed answer is out when the target's connection breaks.
+  // Cause: ending the response in good order writes the mark of a whole chunked body.
+  const bench = await openBench(t, async function* () {
+    yield Buffer.from('half');
+    // So that the head and the first half are with the caller.
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    throw new Error('the source broke');
+  });
+  const text = await readToEnd(await bench.openCaller());
+  assert.match(text, /^HTTP\/1\.1 200 /);
+  assert.match(text, /half/);
+  assert.doesNotMatch(text, /\r\n0\r\n\r\n$/);
+});
+
+test('a streamed answer is read from its source only as fast as the caller reads', async (t) => {
+  let taken = 0;
+  const chunk = Buffer.alloc(64 * 1024);
+  const bench = await openBench(t, async function* () {
+    while (taken < LARGE_BYTES) {
+      taken += chunk.length;
+      yield chunk;
+      await Promise.resolve();
+    }
+  });
+  const socket = await bench.openCaller();
+  socket.pause();
+  while (bench.state.getInFlight() === 0) await new Promise((resolve) => setImmediate(resolve));
+  // The caller reads nothing, so the node cuts it; until then it must not have taken all.
+  await waitUntilIdle(bench.state);
+  assert.ok(taken < LARGE_BYTES / 2, `${taken} bytes were taken from the source`);
+});
--- a/packages/node/src/hop/common/hopProtocol.ts
+++ b/packages/node/src/hop/common/hopProtocol.ts
@@ -21,6 +21,8 @@
   TimeLeft: 'parsleymux-hop-time-left-ms',
   /** Revision of the member's configuration that the entry routed by. */
   MemberRevision: 'parsleymux-hop-member-revision',
+  /** Identifies one exchange; the home echoes it, so that no answer is taken for another's. */
+  Exchange: 'parsleymux-hop-exchange',
   /** On the answer: numbered result. Its absence means that no home wrote the answer. */
   Code: 'parsleymux-hop-code',
   RunState: 'parsleymux-hop-run-state',
--- a/packages/node/src/hop/node/hopClient.ts
+++ b/packages/node/src/hop/node/hopClient.ts
@@ -1,4 +1,5 @@
 /** The entry's side of the request hop. */
+import { randomBytes } from 'node:crypto';
 import type { Clock, IDisposable } from '@parsleymux/base';
 import { MuxError, ResultCode, RunState } from '@parsleymux/base';
 import type { PeerAuthenticator } from '@parsleymux/fleet';
@@ -14,6 +15,7 @@
 import { HopTransport } from '../common/hopTransport.js';
 
 const DEFAULT_CONNECTIONS = 64;
+const EXCHANGE_PREFIX_BYTES = 8;
 /** Longest silence in the middle of an answer, in ms. */
 const BODY_TIMEOUT_MS = 30_000;
 /** Longest wait for the first sign of life. Loopback and one domain crossing take a few ms. */
@@ -52,6 +54,8 @@
   private readonly connections: number;
   private readonly firstSignMs: number;
   private readonly pools = new Map<string, Pool>();
+  private readonly exchangePrefix = randomBytes(EXCHANGE_PREFIX_BYTES).toString('hex');
+  private exchanges = 0;
 
   constructor(options: IHopClientOptions) {
     super();
@@ -64,11 +68,16 @@
 
   override async send(peer: string, hop: IHopRequest, signal: AbortSignal): Promise<IAnswer> {
     const watch = new SignOfLifeWatch(this.clock, this.firstSignMs, signal);
+    const exchange = `${this.exchangePrefix}-${this.exchanges++}`;
     try {
       const answer = await this.getPool(peer).request({
         method: 'POST',
         path: HOP_PATH,
-        headers: toRawHeaders([...this.createHeaders(peer, hop), ...hop.request.headers]),
+        headers: toRawHeaders([
+          [HopHeader.Exchange, exchange],
+          ...this.createHeaders(peer, hop),
+          ...hop.request.headers,
+        ]),
         body: hop.request.body,
         signal: watch.signal,
         // Without this, undici would give up on a home that waits for a slow target.
@@ -79,6 +88,7 @@
         },
       });
       watch.recordSign();
+      checkExchange(answer, exchange);
       return await this.readAnswer(answer, watch);
     } catch (error) {
       throw toHopError(error, signal);
@@ -191,6 +201,18 @@
   }
 }
 
+/**
+ * HTTP/1.1 matches answers to requests by their order on a connection alone. Should the two ends
+ * ever disagree on it, a caller would get another caller's answer; the echo shows it. A home of
+ * an older version echoes nothing.
+ */
+function checkExchange(answer: Dispatcher.ResponseData, exchange: string): void {
+  const echoed = answer.headers[HopHeader.Exchange];
+  if (echoed === undefined || echoed === exchange) return;
+  answer.body.on('error', () => undefined).destroy();
+  throw new HopError(HopFailure.Lost, 'the answer belongs to another exchange');
+}
+
 async function* streamBody(
   answer: Dispatcher.ResponseData,
   watch: SignOfLifeWatch,
--- a/packages/node/src/hop/node/hopServer.ts
+++ b/packages/node/src/hop/node/hopServer.ts
@@ -48,10 +48,10 @@
       const routed = await this.readRequest(request);
       const answer = await this.options.home.handle(routed, abort.signal);
       heartbeat.stop();
-      await writeHomeAnswer(response, answer);
+      await writeHomeAnswer(response, answer, listEcho(request));
     } catch (error) {
       heartbeat.stop();
-      await writeRefusal(response, toMuxError(error));
+      await writeRefusal(response, toMuxError(error), listEcho(request));
     } finally {
       heartbeat.stop();
       await waitForEnd(response);
@@ -120,8 +120,19 @@
   }
 }
 
-async function writeHomeAnswer(response: ServerResponse, answer: IAnswer): Promise<void> {
+/** The identifier of the exchange, which the entry looks for on the answer. */
+function listEcho(request: IncomingMessage): readonly Header[] {
+  const exchange = request.headers[HopHeader.Exchange];
+  return typeof exchange === 'string' ? [[HopHeader.Exchange, exchange]] : [];
+}
+
+async function writeHomeAnswer(
+  response: ServerResponse,
+  answer: IAnswer,
+  echo: readonly Header[],
+): Promise<void> {
   const headers: Header[] = [
+    ...echo,
     ...answer.headers.filter(([name]) => name !== 'content-length'),
     [HopHeader.Code, String(answer.code)],
     [HopHeader.RunState, answer.runState],
@@ -131,12 +142,17 @@
   await writeAnswer(response, { status: answer.status, headers, body: answer.body });
 }
 
-async function writeRefusal(response: ServerResponse, refusal: MuxError): Promise<void> {
+async function writeRefusal(
+  response: ServerResponse,
+  refusal: MuxError,
+  echo: readonly Header[],
+): Promise<void> {
   if (response.headersSent) {
     response.destroy();
     return;
   }
   const headers: Header[] = [
+    ...echo,
     [HopHeader.Code, String(refusal.code)],
     [HopHeader.RunState, refusal.runState],
     [HopHeader.Kind, HopKind.Refusal],
--- a/packages/routing/src/transport/common/hopHeaders.ts
+++ b/packages/routing/src/transport/common/hopHeaders.ts
@@ -46,6 +46,20 @@
   return headers.filter(([name]) => !HOP_BY_HOP.has(name) && !named.has(name));
 }
 
+/** Headers of this prefix are the fleet's own word. */
+const OWN_PREFIX = 'parsleymux-';
+
+/**
+ * Leaves out the fleet's own headers: a target that sets the result or the run state of an answer
+ * would speak to callers with the fleet's voice.
+ *
+ * @example
+ * removeOwnHeaders([['parsleymux-result', '0'], ['x-a', '1']]); // [['x-a', '1']]
+ */
+export function removeOwnHeaders(headers: readonly Header[]): readonly Header[] {
+  return headers.filter(([name]) => !name.startsWith(OWN_PREFIX));
+}
+
 /** The first value of a header, its name in lower case. */
 export function findHeader(headers: readonly Header[], name: string): string | undefined {
   return headers.find(([candidate]) => candidate === name)?.[1];
--- a/packages/routing/src/transport/node/exchange.ts
+++ b/packages/routing/src/transport/node/exchange.ts
@@ -5,7 +5,12 @@
 import { errors } from 'undici';
 import VError from 'verror';
 import type { AnswerBody, Header } from '../../request/common/request.js';
-import { MuxHeader, findHeader, removeHopByHopHeaders } from '../common/hopHeaders.js';
+import {
+  MuxHeader,
+  findHeader,
+  removeHopByHopHeaders,
+  removeOwnHeaders,
+} from '../common/hopHeaders.js';
 import type { ITargetAnswer } from '../common/targetTransport.js';
 import { TransportError, TransportFailure } from '../common/targetTransport.js';
 import { AnswerStream } from './answerStream.js';
@@ -201,7 +206,7 @@
     const { status, headers, latencyMs } = head;
     return {
       status,
-      headers: removeHopByHopHeaders(headers),
+      headers: removeOwnHeaders(removeHopByHopHeaders(headers)),
       body,
       notRun: findHeader(headers, MuxHeader.RunState) === NOT_RUN,
       draining: findHeader(headers, MuxHeader.Draining) === 'true',
