Read large intents in a thread, and let no intent take long to check

Cause: reading a usual intent of 2000 routes (142 kB) held the thread that serves callers for 292 ms; one made to that end (2000 routes at one place with 20 methods each) for 2.4 s. Ruled out: keeping compiled patterns (308 ms after 302 ms; the engine keeps them itself), reverted; a lower limit on the size of intents (members are promised 2000 routes).

--- a/packages/config/src/intents/common/intentValidator.ts
+++ b/packages/config/src/intents/common/intentValidator.ts
@@ -111,30 +111,26 @@
   return problems;
 }
 
-/** Two routes that match the same requests would make the choice depend on their order. */
+/**
+ * Two routes that match the same requests would make the choice depend on their order. One look-up
+ * for each method: comparing every pair took seconds for an intent made to that end.
+ */
 function findAmbiguousRoutes(routes: readonly Route[]): readonly IIntentProblem[] {
-  const seen = new Map<string, Route[]>();
+  const seen = new Map<string, string>();
   const problems: IIntentProblem[] = [];
   routes.forEach((route, index) => {
-    const place = `${route.host} ${route.pathPrefix}`;
-    const rivals = seen.get(place) ?? [];
-    const rival = rivals.find((other) => hasCommonMethod(other, route));
+    const methods = route.methods.length === 0 ? ['every method'] : route.methods;
+    const places = methods.map((method) => `${method} ${route.host} ${route.pathPrefix}`);
+    const rival = places.map((place) => seen.get(place)).find((name) => name !== undefined);
     if (rival !== undefined) {
-      const message = `it matches the same requests as route "${rival.name}"`;
+      const message = `it matches the same requests as route "${rival}"`;
       problems.push({ path: `routes[${index}]`, message });
     }
-    seen.set(place, [...rivals, route]);
+    for (const place of places) seen.set(place, route.name);
   });
   return problems;
 }
 
-function hasCommonMethod(left: Route, right: Route): boolean {
-  if (left.methods.length === 0 || right.methods.length === 0) {
-    return left.methods.length === right.methods.length;
-  }
-  return left.methods.some((method) => right.methods.includes(method));
-}
-
 function findDuplicates<T>(
   items: readonly T[],
   getName: (item: T) => string,
--- a/packages/operators/src/api/common/planHandler.ts
+++ b/packages/operators/src/api/common/planHandler.ts
@@ -3,15 +3,11 @@
 import { MuxError, ResultCode, RunState } from '@parsleymux/base';
 import type { PlanStore } from '@parsleymux/config';
 import type { Intent, Plan } from '@parsleymux/schema';
-import {
-  IntentResponseSchema,
-  IntentSchema,
-  PlanSchema,
-  TargetRequestSchema,
-} from '@parsleymux/schema';
+import { IntentResponseSchema, PlanSchema, TargetRequestSchema } from '@parsleymux/schema';
 import type { AccessControl, IOperator } from '../../access/common/accessControl.js';
 import type { MemberLimiter } from '../../access/common/memberLimiter.js';
 import { createLimitError } from '../../access/common/memberLimiter.js';
+import type { IntentReader } from '../../intents/common/intentReader.js';
 import { applyTargetAction } from '../../targets/common/targetAction.js';
 import type { IAdminAnswer, IAdminRequest, IAdminRoute } from './adminRoute.js';
 import { AdminHandler, createAnswer, getParameter, parseBody } from './adminRoute.js';
@@ -23,6 +19,7 @@
   readonly plans: PlanStore;
   readonly access: AccessControl;
   readonly limiter: MemberLimiter;
+  readonly intents: IntentReader;
 }
 
 /** Answers `/v1/intent`, `/v1/intents`, `/v1/plans` and `/v1/targets`. */
@@ -78,7 +75,7 @@
 
   private async submit(request: IAdminRequest): Promise<IAdminAnswer> {
     this.options.limiter.spendProposal(request.operator.member);
-    const intent = parseBody(IntentSchema, request.body, ResultCode.MalformedIntent);
+    const intent = await this.options.intents.read(request.body, request.signal);
     const { access } = this.options;
     await access.checkMember(request.operator, intent.member, 'intent.submit', request.signal);
     return this.propose(request.operator, intent, request.signal);
--- a/packages/operators/src/api/node/adminApi.ts
+++ b/packages/operators/src/api/node/adminApi.ts
@@ -11,6 +11,7 @@
 import type { AuditLog } from '../../audit/common/auditLog.js';
 import type { BurnReader } from '../../burn/common/burnReader.js';
 import type { ClaimSettler } from '../../claims/common/claimSettler.js';
+import { WorkerIntentReader } from '../../intents/node/workerIntentReader.js';
 import type { KeyStore } from '../../keys/common/keyStore.js';
 import { compareSecrets } from '../../keys/common/operatorKey.js';
 import type { StatusProvider } from '../../status/common/statusProvider.js';
@@ -68,7 +69,8 @@
   constructor(private readonly options: IAdminApiOptions) {
     this.access = new AccessControl(options);
     this.limiter = new MemberLimiter(options.clock, options.limits);
-    const shared = { ...options, access: this.access, limiter: this.limiter };
+    const intents = new WorkerIntentReader(options);
+    const shared = { ...options, access: this.access, limiter: this.limiter, intents };
     this.routes = [
       ...new PlanHandler(shared).listRoutes(),
       ...new StatusHandler(shared).listRoutes(),
--- /dev/null
+++ b/packages/operators/src/intents/node/intentWorker.ts
@@ -0,0 +1,20 @@
+/** The thread that reads one intent and ends. */
+import { parentPort, workerData } from 'node:worker_threads';
+import { toBinary } from '@bufbuild/protobuf';
+import { IntentSchema } from '@parsleymux/schema';
+import { parseIntentText } from './intentText.js';
+
+/** What the thread answers. */
+export type IntentWorkerAnswer =
+  | { readonly bytes: Uint8Array; readonly problem?: undefined }
+  | { readonly bytes?: undefined; readonly problem: string };
+
+function readIntent(text: string): IntentWorkerAnswer {
+  try {
+    return { bytes: toBinary(IntentSchema, parseIntentText(text)) };
+  } catch (error) {
+    return { problem: error instanceof Error ? error.message : String(error) };
+  }
+}
+
+parentPort?.postMessage(readIntent(String(workerData)));
--- /dev/null
+++ b/packages/operators/src/intents/node/workerIntentReader.ts
@@ -0,0 +1,104 @@
+/**
+ * Reads large intents in a thread of their own. Reading half a megabyte takes the processor for
+ * tens of milliseconds, and a text made to that end for longer; on the thread that serves
+ * callers, one member's intent would show as a pause in every member's requests.
+ */
+import { Worker } from 'node:worker_threads';
+import { fromBinary } from '@bufbuild/protobuf';
+import type { Clock } from '@parsleymux/base';
+import type { Intent } from '@parsleymux/schema';
+import { IntentSchema } from '@parsleymux/schema';
+import { createLimitError } from '../../access/common/memberLimiter.js';
+import { IntentReader } from '../common/intentReader.js';
+import type { IntentWorkerAnswer } from './intentWorker.js';
+import { createIntentError, parseIntentText } from './intentText.js';
+
+/** Below this a thread costs more than it spares. */
+const INLINE_LENGTH = 8192;
+const DEFAULT_LIMIT_MS = 5000;
+const MAX_THREADS = 2;
+const MAX_WAITING = 20;
+const HEAP_MB = 96;
+const BUSY_RETRY_MS = 2000;
+
+/** Options of a {@link WorkerIntentReader}. */
+export interface IWorkerIntentReaderOptions {
+  readonly clock: Clock;
+  /** Longest that reading one intent may take, in ms. Default 5000. */
+  readonly limitMs?: number;
+}
+
+/**
+ * Reads small intents at once, and large ones in at most two threads.
+ *
+ * @example
+ * const intent = await reader.read(text, signal);
+ */
+export class WorkerIntentReader extends IntentReader {
+  private readonly waiting: (() => void)[] = [];
+  private running = 0;
+
+  constructor(private readonly options: IWorkerIntentReaderOptions) {
+    super();
+  }
+
+  override async read(text: string, signal: AbortSignal): Promise<Intent> {
+    if (text.length <= INLINE_LENGTH) return parseIntentText(text);
+    await this.reserveThread();
+    try {
+      signal.throwIfAborted();
+      return await this.readInThread(text, signal);
+    } finally {
+      this.releaseThread();
+    }
+  }
+
+  private async readInThread(text: string, signal: AbortSignal): Promise<Intent> {
+    const worker = new Worker(new URL('./intentWorker.js', import.meta.url), {
+      workerData: text,
+      resourceLimits: { maxOldGenerationSizeMb: HEAP_MB },
+    });
+    const limitMs = this.options.limitMs ?? DEFAULT_LIMIT_MS;
+    const end = () => void worker.terminate();
+    const timer = this.options.clock.startTimer(limitMs, end);
+    signal.addEventListener('abort', end, { once: true });
+    try {
+      const answer = await waitForAnswer(worker);
+      if (answer.bytes === undefined) throw createIntentError(answer.problem);
+      return fromBinary(IntentSchema, answer.bytes);
+    } finally {
+      void timer.dispose();
+      signal.removeEventListener('abort', end);
+      await worker.terminate();
+    }
+  }
+
+  private async reserveThread(): Promise<void> {
+    if (this.running < MAX_THREADS) {
+      this.running += 1;
+      return;
+    }
+    if (this.waiting.length >= MAX_WAITING) {
+      throw createLimitError('too many large intents are being read', BUSY_RETRY_MS);
+    }
+    await new Promise<void>((resolve) => this.waiting.push(resolve));
+  }
+
+  /** Hands the thread's place to whoever waits longest. */
+  private releaseThread(): void {
+    const next = this.waiting.shift();
+    if (next === undefined) this.running -= 1;
+    else next();
+  }
+}
+
+function waitForAnswer(worker: Worker): Promise<IntentWorkerAnswer> {
+  return new Promise((resolve) => {
+    const fail = () => {
+      resolve({ problem: 'reading the intent takes too much time or memory' });
+    };
+    worker.once('message', resolve);
+    worker.once('error', fail);
+    worker.once('exit', fail);
+  });
+}
--- a/packages/schema/src/rules/common/fieldRules.ts
+++ b/packages/schema/src/rules/common/fieldRules.ts
@@ -5,6 +5,9 @@
 import type { FieldRule } from '../../gen/parsleymux/options/v1/options_pb.js';
 import { rule } from '../../gen/parsleymux/options/v1/options_pb.js';
 
+/** Reading an option decodes it anew each time, which took most of the time of a check. */
+const rules = new WeakMap<DescField, FieldRule>();
+
 /**
  * The rule of a field; one without constraints when the schema gives none.
  *
@@ -12,7 +15,11 @@
  * getFieldRule(LimitsSchema.field.headerBytes).unit; // 'bytes'
  */
 export function getFieldRule(field: DescField): FieldRule {
-  return getOption(field, rule);
+  const known = rules.get(field);
+  if (known !== undefined) return known;
+  const found = getOption(field, rule);
+  rules.set(field, found);
+  return found;
 }
 
 /** The value that an absent field takes, or undefined when the schema names none. */
