Measure the cost of control on running nodes: npm run bench -- control

Stand-in nodes are the product's own nodes with all ports, several to a process; sockets, processor time, heap and the platform's operations are counted from outside. Series over nodes, targets, services, routes, members, changes and targets held, with least-squares slopes and their standard error.

--- /dev/null
+++ b/packages/lab/src/bench/control/node/bench.ts
@@ -0,0 +1,207 @@
+/** What control costs a running node, as functions of the fleet's size. docs/CAPACITY.md uses it. */
+import type { Cell, IBenchOptions, IBenchReport, IBenchTable } from '../../common/bench.js';
+import { Bench, formatNumber, parseNumbers } from '../../common/bench.js';
+import type { IPoint } from '../common/slope.js';
+import { computeSlope } from '../common/slope.js';
+import { measureCalls } from './callCost.js';
+import { FOOTPRINT_SHAPES, measureFootprints } from './configFootprint.js';
+import type { IControlPoint } from './controlWorld.js';
+import { ControlWorld } from './controlWorld.js';
+
+const BASE: IControlPoint = {
+  nodes: 8,
+  nodesPerProcess: 4,
+  members: 20,
+  services: 60,
+  targets: 600,
+  routes: 240,
+  changesPerSecond: 0,
+  liveTargets: 0,
+};
+const SETTLE_MS = 6000;
+const DEFAULT_SECONDS = 12;
+const BYTES_PER_MB = 1_000_000;
+
+interface ISeries {
+  readonly name: string;
+  readonly unit: string;
+  readonly values: readonly number[];
+  readonly makePoint: (value: number) => IControlPoint;
+}
+
+const SERIES: readonly ISeries[] = [
+  {
+    name: 'nodes',
+    unit: 'nodes',
+    values: [4, 16, 64, 192],
+    makePoint: (nodes) => ({ ...BASE, nodes, nodesPerProcess: 8 }),
+  },
+  {
+    name: 'targets',
+    unit: 'targets in the configuration',
+    values: [600, 2600, 10_400, 26_000],
+    makePoint: (targets) => ({ ...BASE, targets }),
+  },
+  {
+    name: 'services',
+    unit: 'services',
+    values: [60, 245, 490, 980],
+    makePoint: (services) => ({ ...BASE, services, targets: 2600 }),
+  },
+  {
+    name: 'routes',
+    unit: 'routes',
+    values: [240, 3000, 6000, 12_000],
+    makePoint: (routes) => ({ ...BASE, routes }),
+  },
+  {
+    name: 'members',
+    unit: 'members',
+    values: [2, 20, 100, 400],
+    makePoint: (members) => ({ ...BASE, members, services: 400, targets: 2600, routes: 400 }),
+  },
+  {
+    name: 'changes',
+    unit: 'changes/s',
+    values: [0, 0.5, 1, 2],
+    makePoint: (changesPerSecond) => ({ ...BASE, changesPerSecond }),
+  },
+  {
+    name: 'homes',
+    unit: 'targets with a home, in one fleet of one node',
+    values: [0, 6, 12, 24, 48],
+    makePoint: (liveTargets) => ({ ...BASE, nodes: 1, nodesPerProcess: 1, liveTargets }),
+  },
+];
+
+const COLUMNS = [
+  'CPU % of a core',
+  'heap MB',
+  'RSS MB of a process',
+  'platform B/s',
+  'other B/s',
+  'platform reads/s',
+  'platform writes/s',
+] as const;
+
+class ControlBench extends Bench {
+  override readonly summary = 'processor time, memory, bytes and platform operations of control';
+
+  override async run(options: IBenchOptions): Promise<IBenchReport> {
+    const wanted = options.values.get('series')?.split(',');
+    const seconds = parseNumbers(options, 'seconds', [DEFAULT_SECONDS])[0] ?? DEFAULT_SECONDS;
+    const tables: IBenchTable[] = [];
+    if (wanted === undefined || wanted.includes('parts')) {
+      tables.push(await measureCalls(), measureFootprints(FOOTPRINT_SHAPES));
+    }
+    for (const series of SERIES) {
+      if (wanted?.includes(series.name) === false) continue;
+      tables.push(...(await measureSeries(series, seconds, options)));
+    }
+    return { tables, notes: NOTES };
+  }
+}
+
+const NOTES: readonly string[] = [
+  'Nodes are the product’s own (MuxNode with all ports), several to a process where said; no traffic.',
+  'CPU, heap and bytes are for each node: of the process, over its nodes. Heap is after a collection.',
+  'Bytes are payload both ways on all sockets; TCP and IP come on top.',
+  'Platform operations are of the whole fleet, the bench’s own confirmations included.',
+  'Base: 8 nodes (4 to a process), 20 members, 60 services, 600 targets, 240 routes, no changes.',
+  'Series nodes has 8 nodes to a process. Spread: standard error of the slope.',
+];
+
+async function measureSeries(
+  series: ISeries,
+  seconds: number,
+  options: IBenchOptions,
+): Promise<readonly IBenchTable[]> {
+  const values = parseNumbers(options, series.name, series.values);
+  const rows: (readonly number[])[] = [];
+  for (const value of values) {
+    options.log(`control: ${value} ${series.unit}`);
+    const figures = await measurePoint(series.makePoint(value), seconds * 1000, options.seed);
+    options.log(`  ${figures.map((figure) => formatNumber(figure)).join(' ')}`);
+    rows.push([value, ...figures]);
+  }
+  const measured: IBenchTable = {
+    title: `Control against ${series.unit}`,
+    columns: [series.unit, ...COLUMNS],
+    rows: rows.map((row) => row.map((figure) => formatNumber(figure))),
+  };
+  return [measured, makeSlopeTable(series, rows)];
+}
+
+async function measurePoint(
+  point: IControlPoint,
+  durationMs: number,
+  seed: number,
+): Promise<readonly number[]> {
+  const world = new ControlWorld(point, seed);
+  try {
+    await world.start();
+    await sleep(SETTLE_MS);
+    const before = await world.readUsages();
+    const platformBefore = await world.readPlatform();
+    const startMs = performance.now();
+    await runChanges(world, durationMs);
+    const platformAfter = await world.readPlatform();
+    const passedS = (performance.now() - startMs) / 1000;
+    const after = await world.readUsages();
+    const computeRate = (pick: (usage: (typeof after)[number]) => number) => {
+      const change = after.reduce((sum, usage, index) => {
+        const earlier = before[index];
+        return earlier === undefined ? sum : sum + pick(usage) - pick(earlier);
+      }, 0);
+      return change / passedS / point.nodes;
+    };
+    const heap = after.reduce((sum, usage) => sum + usage.heapBytes, 0);
+    const resident = after.reduce((sum, usage) => sum + usage.residentBytes, 0);
+    return [
+      computeRate((usage) => usage.cpuMs) / 10,
+      heap / point.nodes / BYTES_PER_MB,
+      resident / after.length / BYTES_PER_MB,
+      computeRate((usage) => usage.platformBytes),
+      computeRate((usage) => usage.otherBytes),
+      (platformAfter.reads - platformBefore.reads) / passedS,
+      (platformAfter.writes - platformBefore.writes) / passedS,
+    ];
+  } finally {
+    await world.dispose();
+  }
+}
+
+async function runChanges(world: ControlWorld, durationMs: number): Promise<void> {
+  const { changesPerSecond } = world.point;
+  const endMs = performance.now() + durationMs;
+  if (changesPerSecond === 0) {
+    await sleep(durationMs);
+    return;
+  }
+  const intervalMs = 1000 / changesPerSecond;
+  for (let dueMs = performance.now(); dueMs < endMs; dueMs += intervalMs) {
+    await sleep(Math.max(0, dueMs - performance.now()));
+    await world.confirmChange();
+  }
+  await sleep(Math.max(0, endMs - performance.now()));
+}
+
+function makeSlopeTable(series: ISeries, rows: readonly (readonly number[])[]): IBenchTable {
+  const slopes = COLUMNS.map((column, index): readonly Cell[] => {
+    const points = rows.map((row): IPoint => ({ x: row[0] ?? 0, y: row[index + 1] ?? 0 }));
+    const { slope, base, spread } = computeSlope(points);
+    return [column, formatNumber(slope), formatNumber(spread), formatNumber(base)];
+  });
+  return {
+    title: `Slopes against ${series.unit}`,
+    columns: ['figure', `slope per ${series.unit}`, 'spread', 'at none'],
+    rows: slopes,
+  };
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
+/** Run by `npm run bench -- control`. */
+export const bench: Bench = new ControlBench();
--- a/packages/node/src/app/common/configPacing.ts
+++ b/packages/node/src/app/common/configPacing.ts
@@ -3,7 +3,7 @@
 import { computeSharedInterval } from '@parsleymux/fleet';
 
 /** Reads of the head row that the whole fleet may make in a second. */
-const HEAD_READS_PER_SECOND = 200;
+const HEAD_READS_PER_SECOND = 300;
 /** Fresh nodes of the whole fleet that may read every configuration from the store in a second. */
 const STARTS_PER_SECOND = 10;
 const MAX_START_SPREAD_MS = 20_000;
