--- a/packages/node/src/app/node/main.ts
+++ b/packages/node/src/app/node/main.ts
@@ -1,6 +1,6 @@
 /** The command line of the node. */
 import { readFile } from 'node:fs/promises';
-import { createLogger, SystemClock } from '@parsleymux/base';
+import { createLogger, getResultInfo, ResultCode, SystemClock } from '@parsleymux/base';
 import type { NodeSettings } from '@parsleymux/schema';
 import { parseSettings, SettingsError } from '@parsleymux/schema';
 import { Builtins, Cli, Command, Option } from 'clipanion';
@@ -10,6 +10,8 @@
 const EXIT_OK = 0;
 const EXIT_FAILED = 1;
 const EXIT_SETTINGS = 2;
+const EXIT_USAGE = 2;
+const BINARY_NAME = 'parsleymux';
 
 /** Reads a settings file, printing every problem of it; undefined when there are any. */
 async function loadSettings(
@@ -20,12 +22,18 @@
     return parseSettings(await readFile(file, 'utf8'), file);
   } catch (error) {
     const message = error instanceof Error ? error.message : String(error);
-    output.write(`${message}\n`);
+    output.write(`${message}\n${formatResult(ResultCode.SettingsInvalid)}\n`);
     if (!(error instanceof SettingsError) && !isMissingFile(error)) throw error;
     return undefined;
   }
 }
 
+/** The last line of every refusal, for whoever looks it up in docs/RESULT-CODES.md. */
+function formatResult(code: ResultCode): string {
+  const { name, action } = getResultInfo(code);
+  return `${BINARY_NAME}: result ${code} ${name}: ${action}`;
+}
+
 function isMissingFile(error: unknown): boolean {
   return typeof (error as { readonly code?: unknown }).code === 'string';
 }
@@ -96,6 +104,17 @@
   });
 }
 
+async function runCommand(cli: Cli, args: readonly string[]): Promise<number> {
+  const { stderr } = Cli.defaultContext;
+  try {
+    return await cli.run(cli.process([...args], Cli.defaultContext), Cli.defaultContext);
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    stderr.write(`${reason}\n\n${cli.usage()}\n${formatResult(ResultCode.UsageError)}\n`);
+    return EXIT_USAGE;
+  }
+}
+
 /**
  * Runs the command line and sets the process's exit code.
  *
@@ -105,14 +124,14 @@
 export async function runMain(args: readonly string[]): Promise<void> {
   const cli = new Cli({
     binaryLabel: 'parsleymux',
-    binaryName: 'parsleymux',
+    binaryName: BINARY_NAME,
     binaryVersion: VERSION,
   });
   cli.register(CheckSettingsCommand);
   cli.register(ServeCommand);
   cli.register(Builtins.HelpCommand);
   cli.register(Builtins.VersionCommand);
-  process.exitCode = await cli.run([...args], Cli.defaultContext);
+  process.exitCode = await runCommand(cli, args);
   // Idle connections to peers and targets would hold the process for their keep-alive time.
   process.exit();
 }
--- a/packages/node/src/entry/node/callerConnections.ts
+++ b/packages/node/src/entry/node/callerConnections.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import { Server as TlsServer, TLSSocket } from 'node:tls';
 import { MuxError, ResultCode, RunState } from '@parsleymux/base';
 import { writeRawRefusal } from './refusalWriter.js';
 
@@ -34,7 +35,9 @@
     this.options = options;
     const { server, limit } = options;
     server.maxConnections = limit + ANSWERED_ABOVE_LIMIT;
-    server.on('connection', (socket) => {
+    // Requests over TLS come on the socket of this event, not on that of the TCP connection.
+    const event = server instanceof TlsServer ? 'secureConnection' : 'connection';
+    server.on(event, (socket: Socket) => {
       this.track(socket);
     });
     server.on('clientError', (error, socket) => {
@@ -94,7 +97,14 @@
     // A caller matches answers to requests by their order alone. While a request of this
     // connection has no answer, a refusal of what came behind it would be read as its answer:
     // "not run", though it may run. A cut connection claims nothing.
-    if (this.hasWholeRequest(socket)) socket.destroy();
+    if (this.hasWholeRequest(socket) || isShakingHands(socket)) socket.destroy();
     else writeRawRefusal(socket, new MuxError({ code, message, runState: RunState.NotRun }));
   }
 }
+
+const TLS_VERSIONS: ReadonlySet<string> = new Set(['TLSv1.2', 'TLSv1.3']);
+
+/** Without a session nothing that is written can be read; the socket would wait for ever. */
+function isShakingHands(socket: Duplex): boolean {
+  return socket instanceof TLSSocket && !TLS_VERSIONS.has(socket.getProtocol() ?? '');
+}
--- a/packages/node/src/entry/node/refusalWriter.ts
+++ b/packages/node/src/entry/node/refusalWriter.ts
@@ -12,6 +12,8 @@
 const FIRST_PASSING_STATUS = 500;
 const DEFAULT_RETRY_AFTER_MS = 1000;
 const MS_PER_SECOND = 1000;
+/** Time that a caller has to read the refusal of what was no request, in ms. */
+const LINGER_MS = 1000;
 
 /** Answers a request with a refusal; an answer that has begun is cut instead. */
 export async function writeRefusal(
@@ -47,6 +49,12 @@
   const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`).join('');
   const { httpStatus } = getResultInfo(refusal.code);
   socket.end(`HTTP/1.1 ${httpStatus} Refused\r\n${lines}\r\n${body}`);
+  // A caller that never closes its side would keep the connection for ever; closing at once could
+  // reset it before the refusal is read.
+  const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+  socket.once('close', () => {
+    clearTimeout(timer);
+  });
 }
 
 function listRefusalHeaders(refusal: MuxError): readonly Header[] {
