Take seeds from the settings, for a node that starts in an outage

Cause: with the VM list out a fresh node knew no peer, and never became ready (recoveryFleet.test.ts). seed_peers in the node's settings names some nodes.

--- a/packages/node/src/app/node/nodeCore.ts
+++ b/packages/node/src/app/node/nodeCore.ts
@@ -82,6 +82,7 @@
       clock,
       random,
       pollMs: timing.vmListPollMs,
+      seeds: settings.seedPeers,
     }),
   );
   const { authenticator } = options;
