Count targets that a plan takes away as gone at once; close idle homes

- An ejection granted before a planned leaving instant reckoned with slots that the plan had promised away; the floor broke when the instant came.
Such targets now count as missing from the plan on, as the plans' own arithmetic has it.
- A node kept the state and the ledger reads of every service it had ever been home of.
A home without requests for two minutes is closed; the next request makes it again, and it takes over the ledger's ejections.
- The ledger row's form stood twice; routing uses that of config.
- The ledger is read every 10 s a home instead of 5.

--- a/packages/routing/src/home/common/evidenceIntake.ts
+++ b/packages/routing/src/home/common/evidenceIntake.ts
@@ -24,7 +24,7 @@
 const CHECK_FACTOR = 2;
 const MIN_STALL_MS = 20;
 const DEFAULT_CHECK_TIMEOUT_MS = 1000;
-const LEDGER_INTERVAL_MS = 5000;
+const LEDGER_INTERVAL_MS = 10_000;
 const PROBE_TIMEOUT_MS = 1000;
 
 /** Options of an {@link EvidenceIntake}. */
--- a/packages/routing/src/home/common/localHomeService.test.ts
+++ b/packages/routing/src/home/common/localHomeService.test.ts
@@ -10,6 +10,7 @@
   buildRoute,
   buildService,
   MEMBER,
+  OTHER_MEMBER,
   SERVICE,
 } from '../../test/common/builders.js';
 import { createHomeFixture } from '../../test/common/homeFixture.js';
@@ -116,3 +117,38 @@
   assert.equal((await booking).code, ResultCode.Ok);
   assert.equal(home.getInFlight(), 0);
 });
+
+test('one member cannot fill the node: its share is refused, the other member is served', async () => {
+  // Symptom: a member's requests are refused while another floods the same node.
+  // Sequence: the flood fills the node's places; the quiet member comes too late.
+  // Cause: places went to whoever came first.
+  const { home, transport, clock, answerAfter } = createHomeFixture(
+    4,
+    () => Promise.resolve(buildAnswer()),
+    { queueFactor: 10 },
+    { maxInFlight: 20 },
+  );
+  transport.respond = answerAfter(100);
+  const quiet = home.handle(buildRequest({ member: OTHER_MEMBER }), signal);
+  const flood = Array.from({ length: 40 }, () => home.handle(buildRequest(), signal));
+  const settled = Promise.allSettled(flood);
+  const late = home.handle(buildRequest({ member: OTHER_MEMBER }), signal);
+  await clock.advanceBy(1000);
+  assert.equal((await quiet).code, ResultCode.Ok);
+  assert.equal((await late).code, ResultCode.Ok);
+  const refused = (await settled).filter((result) => result.status === 'rejected');
+  assert.equal(refused.length, 30);
+  assert.ok(refused.every((result) => (result.reason as MuxError).code === ResultCode.MemberLimit));
+  await home.dispose();
+});
+
+test('a home without requests is closed, and made again when one comes', async () => {
+  const { home, clock } = createHomeFixture(2, () => Promise.resolve(buildAnswer()));
+  await home.handle(buildRequest(), signal);
+  assert.equal(home.getStatus().length, 1);
+  await clock.advanceBy(200_000);
+  assert.equal(home.getStatus().length, 0);
+  const deadlineMs = clock.getMonotonicTime() + 1000;
+  assert.equal((await home.handle(buildRequest({ deadlineMs }), signal)).code, ResultCode.Ok);
+  await home.dispose();
+});
--- a/packages/routing/src/home/common/localHomeService.ts
+++ b/packages/routing/src/home/common/localHomeService.ts
@@ -10,6 +10,12 @@
 import { describeShard } from './shardStatus.js';
 
 const RETRY_AFTER_MS = 1000;
+const SWEEP_INTERVAL_MS = 30_000;
+/**
+ * A home without requests for this long is closed. Placement moves services from node to node;
+ * without it each node would in the end keep the state, and the ledger reads, of every service.
+ */
+const IDLE_LIMIT_MS = 120_000;
 
 /**
  * Serves requests on this node.
@@ -22,6 +28,7 @@
   private readonly context: IHomeContext;
   private readonly homes = new Map<string, ServiceHome>();
   private readonly subscription: IDisposable;
+  private readonly abort = new AbortController();
 
   constructor(options: IHomeOptions) {
     super();
@@ -29,6 +36,7 @@
     this.subscription = options.configService.onDidChange((change) => {
       this.update(change.members);
     });
+    void this.closeIdle().catch(() => undefined);
   }
 
   override async handle(request: IRoutedRequest, signal: AbortSignal): Promise<IAnswer> {
@@ -51,6 +59,7 @@
   }
 
   async dispose(): Promise<void> {
+    this.abort.abort(new Error('home service was closed'));
     await this.subscription.dispose();
     for (const home of this.homes.values()) home.dispose();
   }
@@ -68,6 +77,19 @@
     throw makeMemberLimit(this.context.random.getJittered(RETRY_AFTER_MS));
   }
 
+  private async closeIdle(): Promise<void> {
+    const { clock } = this.context;
+    for (;;) {
+      await clock.sleep(SWEEP_INTERVAL_MS, this.abort.signal);
+      const limitMs = clock.getMonotonicTime() - IDLE_LIMIT_MS;
+      for (const [key, home] of this.homes) {
+        if (home.inFlight > 0 || home.lastUsedMs > limitMs) continue;
+        this.homes.delete(key);
+        home.dispose();
+      }
+    }
+  }
+
   private countInFlight(isCounted: (home: ServiceHome) => boolean): number {
     let sum = 0;
     for (const home of this.homes.values()) {
--- a/packages/routing/src/home/common/serviceHome.ts
+++ b/packages/routing/src/home/common/serviceHome.ts
@@ -48,6 +48,8 @@
   readonly member: string;
   readonly pool: SlotPool;
   inFlight = 0;
+  /** Instant of the newest request, on the monotonic clock. */
+  lastUsedMs: number;
   private service: Service;
   private readonly context: IHomeContext;
   private readonly runner: AttemptRunner;
@@ -59,6 +61,7 @@
     this.member = options.member;
     this.service = options.service;
     this.context = options.context;
+    this.lastUsedMs = options.context.clock.getMonotonicTime();
     this.pool = new SlotPool({ ...options.context, service: options.service });
     this.runner = new AttemptRunner(options.context, options.member);
     this.labels = { member: options.member, service: options.service.name };
@@ -88,6 +91,7 @@
   /** Serves one request. Rejects with a MuxError. */
   async handle(request: IRoutedRequest, signal: AbortSignal): Promise<IAnswer> {
     this.inFlight += 1;
+    this.lastUsedMs = this.context.clock.getMonotonicTime();
     try {
       if (request.route.idempotent) return await this.run(request, signal);
       return await this.context.guard.execute(
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -11,7 +11,6 @@
 export * from './home/common/homeService.js';
 export * from './home/common/localHomeService.js';
 export * from './ledger/common/ejectionLedger.js';
-export * from './ledger/common/ejectionRow.js';
 export * from './ledger/common/floorArithmetic.js';
 export * from './ledger/common/tableEjectionLedger.js';
 export * from './metrics/common/homeMetrics.js';
--- a/packages/routing/src/ledger/common/floorArithmetic.ts
+++ b/packages/routing/src/ledger/common/floorArithmetic.ts
@@ -9,8 +9,6 @@
   readonly ejected: ReadonlySet<string>;
   /** Targets that are cold, draining by their own word, or on trial. */
   readonly otherwiseUnhealthy: ReadonlySet<string>;
-  /** Milliseconds since the Unix epoch. */
-  readonly wallTimeMs: number;
 }
 
 /** True when the configuration lets the target have new work at `wallTimeMs`. */
@@ -21,7 +19,7 @@
 }
 
 /**
- * Healthy slots of the service: slots of targets that the configuration lets serve, that are not
+ * Healthy slots of the service: slots of targets that no plan takes away, that are not
  * ejected, and that the home knows of no other reason against. Cold, draining and probationary
  * targets count as missing: they may come to nothing, and the floor is a promise about capacity
  * that is there.
@@ -43,9 +41,14 @@
   return after === before || after >= question.service.floorSlots;
 }
 
+/** A target that a plan takes away counts as gone from the plan on, not from its leaving instant. */
+function isStaying(target: Target): boolean {
+  return target.state !== TargetState.DRAINING && target.leaveAtMs === 0n;
+}
+
 function isHealthy(target: Target, question: IFloorQuestion): boolean {
   return (
-    isConfiguredServing(target, question.wallTimeMs) &&
+    isStaying(target) &&
     !question.ejected.has(target.address) &&
     !question.otherwiseUnhealthy.has(target.address)
   );
--- a/packages/routing/src/ledger/common/tableEjectionLedger.test.ts
+++ b/packages/routing/src/ledger/common/tableEjectionLedger.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { InvariantName, InvariantRegistry, ManualClock } from '@parsleymux/base';
+import { decodeEjections, formatEjectionKey } from '@parsleymux/config';
 import fc from 'fast-check';
 import { buildService, MEMBER, SERVICE } from '../../test/common/builders.js';
 import { FakeTable } from '../../test/common/fakeTable.js';
 import { EjectionDecision } from './ejectionLedger.js';
-import { formatEjectionKey, parseEjectionRow } from './ejectionRow.js';
 import { TableEjectionLedger } from './tableEjectionLedger.js';
 
 const signal = new AbortController().signal;
@@ -25,7 +25,7 @@
 }
 
 function listEjected(table: FakeTable): readonly string[] {
-  return parseEjectionRow(table.rows.get(key)).ejected.map((entry) => entry.target);
+  return decodeEjections(table.rows.get(key)).ejected.map((entry) => entry.target);
 }
 
 test('two homes that both hold the service cannot eject below the floor together', async () => {
@@ -51,6 +51,18 @@
   assert.equal(decision, EjectionDecision.RefusedByFloor);
 });
 
+test('a target that a plan takes away later counts as missing already', async () => {
+  // Symptom: healthy slots fall below the floor at a planned leaving instant, though every
+  // ejection left enough when it was granted.
+  // Sequence: a plan lets t3 leave in an hour; t0 is ejected; the hour passes.
+  // Cause: the ejection reckoned with slots that were promised away.
+  const { makeLedger, makeRequest } = setUp(12);
+  const request = makeRequest('t0');
+  request.service.targets[3]!.leaveAtMs = 3_600_000n;
+  const decision = await makeLedger('a').requestEjection(request, signal);
+  assert.equal(decision, EjectionDecision.RefusedByFloor);
+});
+
 test('a lost answer is read back, and the ejection is granted once', async () => {
   // Symptom: a target is ejected in the store, but its home goes on as if it were not.
   // Sequence: the transaction takes effect, its answer is lost.
@@ -92,16 +104,25 @@
   await fc.assert(
     fc.asyncProperty(fc.array(step, { maxLength: 25 }), async (steps) => {
       const { table, invariants, makeLedger, makeRequest } = setUp(8);
+      const granted = new Set<string>();
       const ledgers = new Map(['a', 'b', 'c'].map((node) => [node, makeLedger(node)]));
       await Promise.all(
         steps.map(async ({ node, target, isReturn, isAnswerLost }) => {
           if (isAnswerLost) table.lostAnswers += 1;
           const ledger = ledgers.get(node)!;
-          if (isReturn) await ledger.returnTarget(MEMBER, SERVICE, target, signal).catch(() => 0);
-          else await ledger.requestEjection(makeRequest(target), signal);
+          if (isReturn) {
+            await ledger.returnTarget(MEMBER, SERVICE, target, signal).catch(() => 0);
+            granted.delete(target);
+          } else {
+            const decision = await ledger.requestEjection(makeRequest(target), signal);
+            if (decision === EjectionDecision.Granted) granted.add(target);
+          }
           assert.ok(16 - 4 * listEjected(table).length >= 8);
         }),
       );
+      // Returns can overtake ejections of the same target; without them every grant must stand.
+      if (steps.some((step) => step.isReturn)) return;
+      assert.deepEqual(new Set(listEjected(table)), granted);
       assert.equal(invariants.getViolations(InvariantName.CapacityFloor), 0);
     }),
     { seed: 5, numRuns: 100 },
--- a/packages/routing/src/ledger/common/tableEjectionLedger.ts
+++ b/packages/routing/src/ledger/common/tableEjectionLedger.ts
@@ -1,12 +1,12 @@
 /** The ejection ledger in the platform's table: one row a service, changed only conditionally. */
 import type { Clock, InvariantRegistry } from '@parsleymux/base';
 import { InvariantName } from '@parsleymux/base';
+import type { IEjectedTarget, IEjectionRow } from '@parsleymux/config';
+import { decodeEjections, encodeEjections, formatEjectionKey } from '@parsleymux/config';
 import type { ITableRow, TableService } from '@parsleymux/platform';
 import { PlatformError } from '@parsleymux/platform';
 import type { IEjectionRequest } from './ejectionLedger.js';
 import { EjectionDecision, EjectionLedger } from './ejectionLedger.js';
-import type { IEjectionEntry, IEjectionRow } from './ejectionRow.js';
-import { formatEjectionKey, parseEjectionRow } from './ejectionRow.js';
 import type { IFloorQuestion } from './floorArithmetic.js';
 import { isSpare, computeHealthySlots } from './floorArithmetic.js';
 
@@ -46,7 +46,7 @@
     request: IEjectionRequest,
     signal: AbortSignal,
   ): Promise<EjectionDecision> {
-    const entry: IEjectionEntry = {
+    const entry: IEjectedTarget = {
       target: request.target,
       node: this.options.node,
       sinceMs: this.options.clock.getWallTime(),
@@ -113,7 +113,6 @@
       service: request.service,
       ejected: new Set(row.ejected.map((entry) => entry.target)),
       otherwiseUnhealthy: new Set(request.otherwiseUnhealthy),
-      wallTimeMs: this.options.clock.getWallTime(),
     };
   }
 
@@ -138,12 +137,12 @@
 
   private async tryUpdate(key: string, change: Change, signal: AbortSignal): Promise<boolean> {
     const row = await this.readRow(key, signal);
-    const changed = change(parseEjectionRow(row));
+    const changed = change(decodeEjections(row));
     if (changed === undefined) return true;
     const result = await this.options.table.transact(
       {
         conditions: [{ key, version: row?.version ?? 0 }],
-        writes: [{ key, value: JSON.stringify(changed) }],
+        writes: [{ key, value: encodeEjections(changed) }],
       },
       signal,
     );
@@ -153,7 +152,7 @@
 
   private async readRow(key: string, signal: AbortSignal): Promise<ITableRow | undefined> {
     const [row] = await this.options.table.read([key], signal);
-    this.recordSeen(key, parseEjectionRow(row));
+    this.recordSeen(key, decodeEjections(row));
     return row;
   }
 
@@ -167,7 +166,7 @@
 }
 
 /** Entries of targets that are configured no more say nothing about capacity. */
-function listConfigured(row: IEjectionRow, request: IEjectionRequest): readonly IEjectionEntry[] {
+function listConfigured(row: IEjectionRow, request: IEjectionRequest): readonly IEjectedTarget[] {
   const configured = new Set(request.service.targets.map((target) => target.address));
   return row.ejected.filter((entry) => configured.has(entry.target));
 }
--- a/packages/routing/src/test/common/builders.ts
+++ b/packages/routing/src/test/common/builders.ts
@@ -15,6 +15,7 @@
 import { TargetTransport } from '../../transport/common/targetTransport.js';
 
 export const MEMBER = 'dobrescu';
+export const OTHER_MEMBER = 'donautal';
 export const SERVICE = 'booking';
 
 /** A service of `count` targets with four slots each; targets are named t0, t1, ... */
@@ -62,13 +63,13 @@
   }
 
   override getCurrent(): IFleetConfig {
-    const intent = create(IntentSchema, { member: MEMBER, services: [...this.services] });
-    const config = create(MemberConfigSchema, {
-      member: MEMBER,
-      memberRevision: BigInt(this.revision),
-      intent,
+    const memberRevision = BigInt(this.revision);
+    const configs = [MEMBER, OTHER_MEMBER].map((member) => {
+      const intent = create(IntentSchema, { member, services: [...this.services] });
+      return create(MemberConfigSchema, { member, memberRevision, intent });
     });
-    return { fleetRevision: this.revision, members: new Map([[MEMBER, config]]) };
+    const members = new Map(configs.map((config) => [config.member, config]));
+    return { fleetRevision: this.revision, members };
   }
 
   /** Puts other services in force. */
