Walk an operator through the first hour, by a page whose commands a test runs

Cause: a page of commands that nobody runs is wrong within weeks. It found at once that a drain below the floor was refused as a malformed intent; it is now refused by the plan, with the arithmetic.

--- a/packages/config/src/intents/common/intentValidator.ts
+++ b/packages/config/src/intents/common/intentValidator.ts
@@ -1,6 +1,5 @@
 /** Checks an intent for what the rules of single fields can't express. */
 import type { Intent, Route, Service } from '@parsleymux/schema';
-import { isLeaving } from '../../plans/common/capacity.js';
 import type { IAddressRules } from './targetAddress.js';
 import { findAddressProblem, isLoopbackAddress } from './targetAddress.js';
 
@@ -49,13 +48,12 @@
 function checkServices(services: readonly Service[]): IIntentProblem[] {
   const problems = findDuplicates(services, (service) => service.name, 'services', 'name');
   services.forEach((service, index) => {
-    const slots = service.targets
-      .filter((target) => !isLeaving(target))
-      .reduce((sum, target) => sum + target.slots, 0);
+    // What drains is left to the plan, which refuses with the arithmetic.
+    const slots = service.targets.reduce((sum, target) => sum + target.slots, 0);
     if (service.floorSlots <= slots) return;
     problems.push({
       path: `services[${index}].floorSlots`,
-      message: `the floor of ${service.floorSlots} slots is above the ${slots} slots that stay`,
+      message: `the floor of ${service.floorSlots} slots is above the ${slots} slots that there are`,
     });
   });
   return problems;
--- /dev/null
+++ b/packages/lab/src/walkthrough/common/walkthroughText.ts
@@ -0,0 +1,76 @@
+/** Reads the commands, files and expected outputs of docs/walkthrough.md. */
+
+/** Commands, and lines that their output has in this order. */
+export interface IWalkthroughStep {
+  readonly commands: string;
+  readonly expectedLines: readonly string[];
+}
+
+/** The whole page. */
+export interface IWalkthrough {
+  readonly steps: readonly IWalkthroughStep[];
+  /** Contents by file name. */
+  readonly files: ReadonlyMap<string, string>;
+}
+
+const BLOCK = /^```(\w+)(?: (\S+))?\n([\s\S]*?)^```$/gm;
+const ANYTHING = '…';
+
+/**
+ * Reads the page's blocks: `sh` is run, `text` is expected of the `sh` before it, and any other
+ * block with a name is a file.
+ *
+ * @example
+ * const { steps } = parseWalkthrough(readFileSync('docs/walkthrough.md', 'utf8'));
+ */
+export function parseWalkthrough(page: string): IWalkthrough {
+  const steps: { commands: string; expectedLines: readonly string[] }[] = [];
+  const files = new Map<string, string>();
+  for (const [, language, name, content = ''] of page.matchAll(BLOCK)) {
+    if (language === 'sh') steps.push({ commands: content, expectedLines: [] });
+    else if (name !== undefined) files.set(name, content);
+    else if (language === 'text') setExpected(steps, content);
+  }
+  return { steps, files };
+}
+
+/**
+ * The first expected line that the output lacks, or undefined when it has all in their order.
+ *
+ * @example
+ * findMissingLine('plan 7 proposed', ['plan … proposed']); // undefined
+ */
+export function findMissingLine(output: string, expected: readonly string[]): string | undefined {
+  const lines = output.split('\n');
+  let from = 0;
+  for (const wanted of expected) {
+    const pattern = makePattern(wanted);
+    const found = lines.findIndex((line, index) => index >= from && pattern.test(line));
+    if (found < 0) return wanted;
+    from = found + 1;
+  }
+  return undefined;
+}
+
+function setExpected(
+  steps: { commands: string; expectedLines: readonly string[] }[],
+  content: string,
+): void {
+  const last = steps.at(-1);
+  if (last === undefined) throw new Error('an expected output stands before any command');
+  last.expectedLines = content.split('\n').filter((line) => line.trim() !== '');
+}
+
+/** Runs of spaces are one: columns are as wide as what stands in them. */
+function makePattern(line: string): RegExp {
+  const parts = line
+    .trim()
+    .split(ANYTHING)
+    .map((part) => {
+      return part
+        .trim()
+        .replaceAll(/[.*+?^${}()|[\]\\]/g, String.raw`\$&`)
+        .replaceAll(/\s+/g, String.raw`\s+`);
+    });
+  return new RegExp(`^\\s*${parts.join('.*')}\\s*$`);
+}
