--- /dev/null
+++ b/packages/node/src/entry/test/failoverFleet.ts
@@ -0,0 +1,255 @@
+/** Nodes with their own membership, placement and router, on a fake network; for tests. */
+import { create } from '@bufbuild/protobuf';
+import type { Event } from '@parsleymux/base';
+import { ManualClock, ResultCode, RunState, SeededRandom, toDisposable } from '@parsleymux/base';
+import type { IFleetConfig, IFleetConfigChange } from '@parsleymux/config';
+import { ConfigService } from '@parsleymux/config';
+import { ListedMembershipService, RendezvousPlacement } from '@parsleymux/fleet';
+import type { IVm } from '@parsleymux/platform';
+import { VmList, VmState } from '@parsleymux/platform';
+import type { IAnswer, IRoutedRequest } from '@parsleymux/routing';
+import { HomeService } from '@parsleymux/routing';
+import { MemberConfigSchema, RouteSchema } from '@parsleymux/schema';
+import { HomeRouter } from '../common/homeRouter.js';
+import { HopError, HopFailure } from '../../hop/common/hopError.js';
+import { HopTransport } from '../../hop/common/hopTransport.js';
+
+const ROUTE = create(RouteSchema, { name: 'read', host: 'h', service: 'survey', idempotent: true });
+const HOP_MS = 2;
+/** An entry waits this long for the first sign of life. */
+const SILENCE_MS = 400;
+
+/** How a node treats hops that reach it. */
+export const NodeCondition = {
+  Up: 'up',
+  /** Its process is gone: connections are refused. */
+  Killed: 'killed',
+  /** Its process is stopped: connections open and nothing answers. */
+  Paused: 'paused',
+  Leaving: 'leaving',
+} as const;
+
+export type NodeCondition = (typeof NodeCondition)[keyof typeof NodeCondition];
+
+/** The platform's list, which lags for as long as a test wants. */
+class TestVmList extends VmList {
+  vms: readonly IVm[] = [];
+
+  override list(): Promise<readonly IVm[]> {
+    return Promise.resolve(this.vms);
+  }
+}
+
+class FixedConfig extends ConfigService {
+  override readonly onDidChange: Event<IFleetConfigChange> = () => toDisposable(() => undefined);
+  private readonly config: IFleetConfig;
+
+  constructor(domain: string) {
+    super();
+    const targets = [{ address: '10.0.0.1:1', failureDomain: domain, slots: 4 }];
+    const intent = { member: 'm', services: [{ name: 'survey', targets }], routes: [ROUTE] };
+    const member = create(MemberConfigSchema, { member: 'm', memberRevision: 1n, intent });
+    this.config = { fleetRevision: 1, members: new Map([['m', member]]) };
+  }
+
+  override getCurrent(): IFleetConfig {
+    return this.config;
+  }
+}
+
+class CountingHome extends HomeService {
+  served = 0;
+
+  override handle(): Promise<IAnswer> {
+    this.served += 1;
+    const body = new Uint8Array();
+    const { Ok: code } = ResultCode;
+    return Promise.resolve({ status: 200, headers: [], body, code, runState: RunState.Ran });
+  }
+
+  override getSpareSlots(): number {
+    return 0;
+  }
+
+  override getInFlight(): number {
+    return 0;
+  }
+
+  override getStatus(): readonly [] {
+    return [];
+  }
+}
+
+/** One node of the fleet. */
+export class FailoverNode {
+  readonly home = new CountingHome();
+  readonly membership: ListedMembershipService;
+  readonly router: HomeRouter;
+  condition: NodeCondition = NodeCondition.Up;
+  /** Share of hops that it leaves unanswered for too long, as an overloaded process does. */
+  unansweredShare = 0;
+  private readonly abort = new AbortController();
+  private readonly running: Promise<void>;
+
+  constructor(
+    fleet: FailoverFleet,
+    readonly address: string,
+    seed: number,
+  ) {
+    const { clock, vms } = fleet;
+    const self = { address, failureDomain: 'north' };
+    const random = new SeededRandom(seed);
+    this.membership = new ListedMembershipService({ self, vms, clock, random });
+    const placement = new RendezvousPlacement();
+    placement.setNodes(this.membership.getLiveNodes());
+    this.membership.onDidChange((nodes) => {
+      placement.setNodes(nodes);
+    });
+    this.router = new HomeRouter({
+      clock,
+      config: new FixedConfig('north'),
+      membership: this.membership,
+      placement,
+      hop: new TestHop(fleet, address),
+      home: this.home,
+      self: address,
+      isLeaving: () => this.condition === NodeCondition.Leaving,
+    });
+    this.running = this.membership.run(this.abort.signal);
+  }
+
+  async stop(): Promise<void> {
+    this.abort.abort();
+    await this.running;
+    this.membership.dispose();
+  }
+}
+
+/** What one request met. */
+export interface IServed {
+  readonly tookMs: number;
+  /** Hops that were tried, in order. */
+  readonly tried: readonly string[];
+}
+
+/**
+ * A fleet in one failure domain.
+ *
+ * @example
+ * const fleet = await FailoverFleet.open(5);
+ * fleet.getHome().condition = NodeCondition.Killed;
+ * const served = await fleet.serve(fleet.getEntry());
+ */
+export class FailoverFleet {
+  readonly clock = new ManualClock();
+  readonly vms = new TestVmList();
+  readonly nodes = new Map<string, FailoverNode>();
+  readonly random = new SeededRandom(9);
+  /** Cut one-way paths, as "from to". */
+  readonly cuts = new Set<string>();
+  tried: string[] = [];
+
+  static async open(count: number): Promise<FailoverFleet> {
+    const fleet = new FailoverFleet();
+    const addresses = Array.from({ length: count }, (_, index) => `10.0.0.${index + 1}:7002`);
+    fleet.setListed(addresses);
+    for (const [index, address] of addresses.entries()) {
+      fleet.nodes.set(address, new FailoverNode(fleet, address, index));
+    }
+    await fleet.clock.advanceBy(0);
+    return fleet;
+  }
+
+  setListed(addresses: readonly string[]): void {
+    this.vms.vms = addresses.map((address) => {
+      return { address, failureDomain: 'north', state: VmState.Live };
+    });
+  }
+
+  /** The nodes in the order in which they are candidates for home, as if all were live. */
+  listCandidates(): readonly FailoverNode[] {
+    const placement = new RendezvousPlacement();
+    const nodes = [...this.nodes.keys()].map((address) => ({ address, failureDomain: 'north' }));
+    placement.setNodes(nodes);
+    const ranked = placement.rank({ id: 'm/survey', failureDomains: ['north'] }, nodes.length);
+    return ranked.map(({ address }) => this.getNode(address));
+  }
+
+  /** A node that is neither of the first three candidates. */
+  getEntry(): FailoverNode {
+    return this.listCandidates()[3] ?? this.getNode('');
+  }
+
+  getNode(address: string): FailoverNode {
+    const node = this.nodes.get(address);
+    if (node === undefined) throw new Error(`no node ${address}`);
+    return node;
+  }
+
+  /** Serves one request that came to `entry`, advancing the clock until it is answered. */
+  async serve(entry: FailoverNode): Promise<IServed> {
+    const startMs = this.clock.getMonotonicTime();
+    this.tried = [];
+    let answer: IAnswer | undefined;
+    const done = entry.router.serve(makeRequest(), new AbortController().signal).then((value) => {
+      answer = value;
+    });
+    while (answer === undefined) await this.clock.advanceBy(1);
+    await done;
+    return { tookMs: this.clock.getMonotonicTime() - startMs, tried: this.tried };
+  }
+
+  async stop(): Promise<void> {
+    const stopped = [...this.nodes.values()].map((node) => node.stop());
+    await this.clock.advanceBy(1);
+    await Promise.all(stopped);
+  }
+}
+
+class TestHop extends HopTransport {
+  constructor(
+    private readonly fleet: FailoverFleet,
+    private readonly from: string,
+  ) {
+    super();
+  }
+
+  override async send(peer: string): Promise<IAnswer> {
+    const { clock, cuts, random } = this.fleet;
+    this.fleet.tried.push(peer);
+    const node = this.fleet.getNode(peer);
+    if (node.condition === NodeCondition.Killed) {
+      await clock.sleep(HOP_MS);
+      throw new HopError(HopFailure.NotDelivered, 'refused');
+    }
+    const isOut = cuts.has(`${this.from} ${peer}`) || cuts.has(`${peer} ${this.from}`);
+    const isSilent = isOut || random.getFloat() < node.unansweredShare;
+    if (isSilent || node.condition === NodeCondition.Paused) {
+      await clock.sleep(SILENCE_MS);
+      throw new HopError(HopFailure.Lost, 'no sign of life');
+    }
+    await clock.sleep(HOP_MS);
+    if (node.condition === NodeCondition.Leaving) {
+      throw new HopError(HopFailure.Leaving, 'leaving');
+    }
+    return node.home.handle();
+  }
+
+  override retireConnections(): void {
+    return;
+  }
+}
+
+function makeRequest(): IRoutedRequest {
+  return {
+    member: 'm',
+    route: ROUTE,
+    method: 'GET',
+    path: '/',
+    headers: [],
+    body: new Uint8Array(),
+    deadlineMs: Infinity,
+    caller: 'c',
+    idempotencyKey: undefined,
+  };
+}
