Metrics of configuration, administration and burn; one table of results

Cause: a node that drops old configurations or loses counts did so unseen, and the API kept a second table of statuses beside the one of the results. Metrics of administration name no member. Counting and merging stand in a file of their own.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -8,6 +8,7 @@
 export * from './layout/common/auditRow.js';
 export * from './layout/common/rowKeys.js';
 export * from './layout/common/rows.js';
+export * from './metrics/common/configMetrics.js';
 export * from './plans/common/capacity.js';
 export * from './plans/common/planBuilder.js';
 export * from './plans/common/planErrors.js';
--- a/packages/node/src/app/node/muxNode.ts
+++ b/packages/node/src/app/node/muxNode.ts
@@ -9,8 +9,9 @@
   ResultCode,
   RunState,
 } from '@parsleymux/base';
+import { registerConfigMetrics } from '@parsleymux/config';
 import { makeControlHandler, PeerAuthenticator } from '@parsleymux/fleet';
-import { BurnMerger, BurnRecorder } from '@parsleymux/operators';
+import { registerAdminMetrics } from '@parsleymux/operators';
 import type { Limits, NodeSettings, Timing } from '@parsleymux/schema';
 import { AdminServer } from '../../admin/node/adminServer.js';
 import { ClaimAdminSettler } from '../../admin/node/claimAdminSettler.js';
@@ -25,6 +26,7 @@
 import { NodeStage, NodeState } from '../common/nodeState.js';
 import type { IPortTls } from '../../tls/node/portTls.js';
 import { openPortTls } from '../../tls/node/portTls.js';
+import { runBurnLoops } from './burnLoops.js';
 import type { INodeCore } from './nodeCore.js';
 import { createNodeCore } from './nodeCore.js';
 
@@ -109,7 +111,7 @@
     this.openControl(peerServer, authenticator, core, peer);
     const status = await this.openStatus(core, metrics);
     const caller = await this.openCallers(core, metrics, tls);
-    const admin = await this.openAdmin(core, keys, [peer, caller, status], tls);
+    const admin = await this.openAdmin(core, metrics, keys, [peer, caller, status], tls);
     this.startLoops(core, metrics);
     return { caller, peer, admin, status };
   }
@@ -201,6 +203,7 @@
 
   private openAdmin(
     core: INodeCore,
+    metrics: NodeMetrics,
     keys: readonly Uint8Array[],
     ownAddresses: readonly string[],
     tls: IPortTls,
@@ -222,6 +225,8 @@
           nodes: core.membership.getLiveNodes(),
         }),
     });
+    registerConfigMetrics(metrics.registry, core.config);
+    registerAdminMetrics(metrics.registry, api);
     const server = this.store.add(new AdminServer({ api, tls: tls.admin }));
     return server.listen(settings.adminAddress);
   }
@@ -229,19 +234,11 @@
   private startLoops(core: INodeCore, metrics: NodeMetrics): void {
     const { signal } = this.background;
     core.claims.sweeper.start();
-    const { config, random, platform } = core;
-    const burn = { table: platform.table, config, random, clock: this.options.clock };
-    const recorder = new BurnRecorder(burn);
-    this.store.add(
-      metrics.onDidRecordRequest((record) => {
-        recorder.record(record);
-      }),
-    );
+    const { clock } = this.options;
     this.loops = Promise.allSettled([
       core.membership.run(signal),
-      config.run(signal),
-      recorder.run(signal),
-      new BurnMerger(burn).run(signal),
+      core.config.run(signal),
+      runBurnLoops({ core, metrics, clock, store: this.store }, signal),
     ]);
     core.config.waitForReady(signal).then(
       () => {
--- a/packages/operators/src/api/node/adminApi.ts
+++ b/packages/operators/src/api/node/adminApi.ts
@@ -1,7 +1,7 @@
 /** The administration API over HTTP: versioned paths, JSON bodies, one key for each operator. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock, InvariantRegistry, Logger } from '@parsleymux/base';
-import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { getResultInfo, MuxError, ResultCode, RunState } from '@parsleymux/base';
 import type { ConfigService, PlanStore } from '@parsleymux/config';
 import { CreateKeyResponseSchema } from '@parsleymux/schema';
 import { create } from '@bufbuild/protobuf';
@@ -19,7 +19,7 @@
 import { createAnswer } from '../common/adminRoute.js';
 import { BurnHandler } from '../common/burnHandler.js';
 import { ClaimHandler } from '../common/claimHandler.js';
-import { formatErrorBody, getHttpStatus, toShownError } from '../common/httpStatus.js';
+import { formatErrorBody, toShownError } from '../common/errorBody.js';
 import { KeyHandler } from '../common/keyHandler.js';
 import { PlanHandler } from '../common/planHandler.js';
 import { StatusHandler } from '../common/statusHandler.js';
@@ -85,6 +85,11 @@
     return this.counts;
   }
 
+  /** Refusals that are missing from the audit log, for metrics. */
+  getLostAuditCount(): number {
+    return this.access.getUnauditedCount() + this.options.audit.getLostCount();
+  }
+
   /** Answers one request. Never rejects. */
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const gone = new AbortController();
@@ -169,7 +174,10 @@
     }
     // The rest of a body that was not read would be taken for the next request.
     response.setHeader('connection', 'close');
-    writeAnswer(response, { status: getHttpStatus(shown.code), body: formatErrorBody(shown) });
+    writeAnswer(response, {
+      status: getResultInfo(shown.code).httpStatus,
+      body: formatErrorBody(shown),
+    });
   }
 
   private recordCode(code: ResultCode): void {
--- a/packages/operators/src/index.ts
+++ b/packages/operators/src/index.ts
@@ -14,5 +14,6 @@
 export * from './keys/common/keyRow.js';
 export * from './keys/common/keyStore.js';
 export * from './keys/common/operatorKey.js';
+export * from './metrics/node/operatorMetrics.js';
 export * from './status/common/statusProvider.js';
 export * from './targets/common/targetAction.js';
