--- /dev/null
+++ b/packages/lab/src/bench/connections/node/bench.ts
@@ -0,0 +1,121 @@
+/**
+ * Memory of one node by its open connections from callers: idle after one answer each, and all
+ * asking at once. The brief's targets have about 400 connections, so that is the size to look at.
+ */
+import { once } from 'node:events';
+import type { Socket } from 'node:net';
+import { connect } from 'node:net';
+import { parseTargetAddress } from '@parsleymux/routing';
+import VError from 'verror';
+import { LabWorld } from '../../../processes/node/labWorld.js';
+import { parseCounter } from '../../../processes/node/nodeMetrics.js';
+import type { NodeProcess } from '../../../processes/node/nodeProcess.js';
+import type { Cell, IBenchOptions, IBenchReport } from '../../common/bench.js';
+import { Bench, formatNumber, parseNumbers } from '../../common/bench.js';
+
+const REQUEST = 'GET /survey HTTP/1.1\r\nHost: survey.relinieri.example\r\n\r\n';
+const SETTLE_MS = 3000;
+const ROUNDS_WHEN_BUSY = 5;
+const MEBIBYTE = 1024 * 1024;
+
+/** Memory of a process as its metrics tell, in MiB. */
+interface IMemory {
+  readonly resident: number;
+  readonly heap: number;
+}
+
+class ConnectionsBench extends Bench {
+  override readonly summary = 'memory of a node by its open connections from callers';
+
+  override async run(options: IBenchOptions): Promise<IBenchReport> {
+    const world = new LabWorld({ seed: options.seed, nodeCount: 2 });
+    try {
+      await world.start();
+      await world.applyIntents();
+      const [node] = world.getNodes();
+      if (node === undefined) throw new VError('no node runs');
+      await waitUntilServing(node);
+      const rows: Cell[][] = [];
+      for (const count of parseNumbers(options, 'connections', [0, 100, 400, 1600])) {
+        options.log(`${count} connections`);
+        rows.push(await measureCount(node, count));
+      }
+      return makeReport(rows);
+    } finally {
+      await world.dispose();
+    }
+  }
+}
+
+async function measureCount(node: NodeProcess, count: number): Promise<Cell[]> {
+  const sockets = await Promise.all(Array.from({ length: count }, () => openConnection(node)));
+  await Promise.all(sockets.map(requestOnce));
+  await sleep(SETTLE_MS);
+  const idle = await readMemory(node);
+  let busiest: IMemory = { resident: 0, heap: 0 };
+  for (let round = 0; round < ROUNDS_WHEN_BUSY; round += 1) {
+    const asked = sockets.map(requestOnce);
+    const now = await readMemory(node);
+    if (now.resident > busiest.resident) busiest = now;
+    await Promise.all(asked);
+  }
+  for (const socket of sockets) socket.destroy();
+  await sleep(SETTLE_MS);
+  return [
+    count,
+    ...[idle.resident, idle.heap, busiest.resident].map((value) => formatNumber(value)),
+  ];
+}
+
+async function openConnection(node: NodeProcess): Promise<Socket> {
+  const socket = connect(parseTargetAddress(node.addresses.caller));
+  await once(socket, 'connect');
+  return socket;
+}
+
+/** One request; small answers come in one piece, and refusals count as answers here. */
+async function requestOnce(socket: Socket): Promise<void> {
+  socket.write(REQUEST);
+  await once(socket, 'data');
+}
+
+async function waitUntilServing(node: NodeProcess): Promise<void> {
+  for (;;) {
+    const socket = await openConnection(node);
+    socket.write(REQUEST);
+    const [chunk] = (await once(socket, 'data')) as [Buffer];
+    socket.destroy();
+    if (chunk.toString().startsWith('HTTP/1.1 200')) return;
+    await sleep(100);
+  }
+}
+
+async function readMemory(node: NodeProcess): Promise<IMemory> {
+  const page = (await node.fetchMetrics()) ?? '';
+  return {
+    resident: parseCounter(page, 'process_resident_memory_bytes') / MEBIBYTE,
+    heap: parseCounter(page, 'nodejs_heap_size_used_bytes') / MEBIBYTE,
+  };
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
+
+function makeReport(rows: readonly Cell[][]): IBenchReport {
+  return {
+    tables: [
+      {
+        title: 'one node by open connections from callers',
+        columns: ['connections', 'idle resident MiB', 'idle heap MiB', 'busy resident MiB'],
+        rows,
+      },
+    ],
+    notes: [
+      'Idle: each connection had one answer and then 3 s of rest. Busy: the highest of 5 readings while every connection waits for an answer; many are refused as overload.',
+      'The rows follow each other in one process, so memory that the heap keeps shows in later rows.',
+    ],
+  };
+}
+
+export const bench = new ConnectionsBench();
