--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -28,7 +28,7 @@
 const VERBS =
   'accept|add|advance|announce|apply|assert|audit|build|cancel|check|choose|claim|clear|close|commit|compare|compute|' +
   'confirm|consume|copy|count|create|decide|decode|describe|discard|dispatch|dispose|drain|eject|' +
-  'encode|end|ensure|estimate|execute|fetch|find|fire|finish|flush|format|forward|get|handle|has|hash|' +
+  'encode|end|ensure|estimate|execute|fetch|find|finish|fire|flush|format|forward|get|handle|has|hash|' +
   'is|join|list|listen|load|log|look|make|mark|match|measure|merge|notify|observe|on|open|parse|pick|plan|poll|' +
   'print|probe|propose|push|put|rank|read|receive|record|refuse|register|release|remove|render|replay|' +
   'report|request|reserve|reset|resolve|restore|retire|return|revoke|rotate|run|sample|scan|seed|send|serve|set|settle|' +
