--- a/packages/claims/src/guard/common/backgroundRetrier.ts
+++ b/packages/claims/src/guard/common/backgroundRetrier.ts
@@ -1,4 +1,5 @@
 /** Work that must get done although the store is out, after its caller has been answered. */
+import { setMaxListeners } from 'node:events';
 import type { Clock, IDisposable, RandomSource } from '@parsleymux/base';
 import { waitAtMost } from '../../attempt/common/waitAtMost.js';
 
@@ -26,6 +27,9 @@
   constructor(options: IBackgroundRetrierOptions) {
     this.clock = options.clock;
     this.random = options.random;
+    // Every pending action listens; while the store is out that is many, and Node would take
+    // them for a leak and say so.
+    setMaxListeners(0, this.stop.signal);
   }
 
   /** Starts `action` and resolves after its first try, or after `waitMs` if that is sooner. */
--- a/packages/lab/src/atMostOnce/node/bookingRun.ts
+++ b/packages/lab/src/atMostOnce/node/bookingRun.ts
@@ -15,6 +15,7 @@
 const REST_MS = 1500;
 /** Bookings that were answered and are asked for once more at the end. */
 const REPLAYS = 100;
+const MOST_SETTLED = 10;
 const CODE_NAMES = new Map<number, string>(
   Object.entries(ResultCode).map(([name, code]) => [code, name]),
 );
@@ -43,6 +44,8 @@
   readonly replays: ReadonlyMap<string, number>;
   /** Bookings without an answer that were asked for once more, by outcome. */
   readonly lateAsks: ReadonlyMap<string, number>;
+  /** Bookings of unknown outcome that an operator settled by what the targets had executed. */
+  readonly settled: ReadonlyMap<string, number>;
   readonly findings: readonly IFinding[];
 }
 
@@ -89,6 +92,7 @@
   const replays = await sendAgain(answered, caller, balancer);
   const unanswered = records.filter((record) => !isAnswered(record));
   const lateAsks = await sendAgain(unanswered, caller, balancer);
+  const settled = await settleUnknown(lateAsks, { world, caller, balancer });
   const all = [...records, ...replays, ...lateAsks];
   const verdict = compareOutcomes(joinAttempts(all), await world.fetchExecutions());
   return {
@@ -99,10 +103,44 @@
     outcomes: countOutcomes(records),
     replays: countOutcomes(replays),
     lateAsks: countOutcomes(lateAsks),
+    settled,
     findings: verdict.findings,
   };
 }
 
+interface IFinalLook {
+  readonly world: LabWorld;
+  readonly caller: Caller;
+  readonly balancer: ReadyBalancer;
+}
+
+/**
+ * Settles unknown outcomes by command, as the truth is, and asks once more. "Not run" of a claim
+ * this young must be refused, for its claimer may be paused.
+ */
+async function settleUnknown(
+  lateAsks: readonly IRequestRecord[],
+  look: IFinalLook,
+): Promise<ReadonlyMap<string, number>> {
+  const { world, caller, balancer } = look;
+  const executed = new Set((await world.fetchExecutions()).map(({ key }) => key));
+  const unknown = lateAsks.filter(({ attempts }) => {
+    return attempts[0]?.code === ResultCode.OutcomeUnknown;
+  });
+  const counts = new Map<string, number>();
+  for (const { request } of unknown.slice(0, MOST_SETTLED)) {
+    const outcome = executed.has(request.key) ? 'ran' : 'not-run';
+    const operator = world.getOperator(request.workload.member);
+    const args = ['claim', 'settle', request.key, '--outcome', outcome, '--note', 'looked it up'];
+    const { exitCode } = await operator.run(args);
+    const node = balancer.pick();
+    const after = node === undefined ? undefined : await caller.send(node, request);
+    const name = `${outcome}, exit code ${exitCode ?? -1}, then ${formatCode(after?.code ?? -1)}`;
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  return counts;
+}
+
 async function sendAgain(
   records: readonly IRequestRecord[],
   caller: Caller,
--- a/packages/lab/src/atMostOnce/node/main.ts
+++ b/packages/lab/src/atMostOnce/node/main.ts
@@ -32,6 +32,7 @@
   printCounts('last attempts', report.outcomes);
   printCounts('answered ones asked once more', report.replays);
   printCounts('unanswered ones asked once more', report.lateAsks);
+  printCounts('settled by command, and asked once more', report.settled);
   console.log(`  ${report.findings.length} broken promises`);
   for (const finding of report.findings) console.log(`    ${JSON.stringify(finding)}`);
 }
