--- a/packages/lab/src/bench/control/node/bench.ts
+++ b/packages/lab/src/bench/control/node/bench.ts
@@ -5,6 +5,7 @@
 import { computeSlope } from '../common/slope.js';
 import { measureCalls } from './callCost.js';
 import { FOOTPRINT_SHAPES, measureFootprints } from './configFootprint.js';
+import { measureMembership, measureProofs } from './membershipCost.js';
 import type { IControlPoint } from './controlWorld.js';
 import { ControlWorld } from './controlWorld.js';
 
@@ -92,7 +93,8 @@
     const seconds = parseNumbers(options, 'seconds', [DEFAULT_SECONDS])[0] ?? DEFAULT_SECONDS;
     const tables: IBenchTable[] = [];
     if (wanted === undefined || wanted.includes('parts')) {
-      tables.push(await measureCalls(), measureFootprints(FOOTPRINT_SHAPES));
+      tables.push(await measureCalls(), await measureMembership(), measureProofs());
+      tables.push(measureFootprints(FOOTPRINT_SHAPES));
     }
     for (const series of SERIES) {
       if (wanted?.includes(series.name) === false) continue;
