Give slots and connections of unread streams back; count run states by attempt

A streamed answer that nobody began to read kept its slot and connection for good: the generator that released the slot was never started, so its finally block never ran. The same held for a large error answer that was tried again elsewhere and for the loser of two hedged attempts. Bodies are now given up explicitly, and the release is tied to the body's end.

A failure to connect was counted as proof that an earlier dispatch of the same request had not run, so a read whose first target may have executed it could be refused as 'not run'. Each attempt now answers for its own dispatch only.

Ruled out: aborting the attempt's signal at the end of a request, which closes the connection but leaves the slot taken.

--- a/packages/node/src/hop/node/hopClient.ts
+++ b/packages/node/src/hop/node/hopClient.ts
@@ -5,6 +5,7 @@
 import type { PeerAuthenticator } from '@parsleymux/fleet';
 import { PROOF_HEADER } from '@parsleymux/fleet';
 import type { Header, IAnswer } from '@parsleymux/routing';
+import { watchBodyEnd } from '@parsleymux/routing';
 import type { Dispatcher } from 'undici';
 import { Pool } from 'undici';
 import type { TlsFilesWatcher } from '../../tls/node/tlsFilesWatcher.js';
@@ -213,14 +214,15 @@
   throw new HopError(HopFailure.Lost, 'the answer belongs to another exchange');
 }
 
-async function* streamBody(
+function streamBody(
   answer: Dispatcher.ResponseData,
   watch: SignOfLifeWatch,
 ): AsyncIterable<Uint8Array> {
   watch.stop();
-  for await (const chunk of answer.body as AsyncIterable<Uint8Array>) {
-    yield chunk;
-  }
+  return watchBodyEnd(answer.body as AsyncIterable<Uint8Array>, () => {
+    // Given up before its end: what is still to come must not stay on the connection.
+    answer.body.on('error', () => undefined).destroy();
+  });
 }
 
 function listAnswerHeaders(answer: Dispatcher.ResponseData): readonly Header[] {
--- a/packages/node/src/http/node/bodyWriter.ts
+++ b/packages/node/src/http/node/bodyWriter.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import { once } from 'node:events';
 import type { AnswerBody, Header } from '@parsleymux/routing';
+import { discardBody } from '@parsleymux/routing';
 import { toRawHeaders } from '../common/headers.js';
 
 const CONTENT_LENGTH = 'content-length';
@@ -40,7 +41,10 @@
  * await writeAnswer(response, { status: 200, headers: [], body: new Uint8Array() });
  */
 export async function writeAnswer(response: ServerResponse, outgoing: IOutgoing): Promise<void> {
-  if (response.destroyed) return;
+  if (response.destroyed) {
+    await discardBody(outgoing.body);
+    return;
+  }
   if (outgoing.body instanceof Uint8Array) {
     writeWhole(response, outgoing, outgoing.body);
     return;
--- a/packages/routing/src/attempt/common/attemptOutcome.ts
+++ b/packages/routing/src/attempt/common/attemptOutcome.ts
@@ -1,5 +1,6 @@
 /** What came of sending a request to one target, and what a caller is told of it. */
 import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { discardBody } from '../../request/common/answerBody.js';
 import type { IAnswer } from '../../request/common/request.js';
 import type { ITargetAnswer } from '../../transport/common/targetTransport.js';
 import { TransportError, TransportFailure } from '../../transport/common/targetTransport.js';
@@ -43,6 +44,11 @@
   return failure !== TransportFailure.Cancelled && failure !== TransportFailure.TooLarge;
 }
 
+/** Lets go of an outcome that nobody is given, with the connection and slot that it may hold. */
+export function discardOutcome(outcome: AttemptOutcome | undefined): void {
+  if (outcome?.kind === 'answered') void discardBody(outcome.answer.body);
+}
+
 /** The answer to give, or the refusal to throw, for the last outcome of a request. */
 export function toAnswer(outcome: AttemptOutcome, retryAfterMs: number): IAnswer {
   if (outcome.kind === 'failed') throw toMuxError(outcome.error);
--- a/packages/routing/src/attempt/common/attemptRunner.ts
+++ b/packages/routing/src/attempt/common/attemptRunner.ts
@@ -2,6 +2,7 @@
 import { InvariantName } from '@parsleymux/base';
 import type { IHomeContext } from '../../home/common/homeOptions.js';
 import type { ISlot } from '../../home/common/slotPool.js';
+import { watchBodyEnd } from '../../request/common/answerBody.js';
 import type { IRoutedRequest } from '../../request/common/request.js';
 import type { TargetHandle } from '../../target/common/targetHandle.js';
 import type { ISendOptions, ITargetAnswer } from '../../transport/common/targetTransport.js';
@@ -43,25 +44,31 @@
   async run(attempt: IAttempt): Promise<AttemptOutcome> {
     const { slot, count } = attempt;
     const target = slot.handle.address;
+    const mark = { isDispatched: false };
+    const onDispatch = () => {
+      this.checkDispatch(attempt);
+      mark.isDispatched = true;
+      count.dispatched += 1;
+    };
     try {
-      const answer = await this.send(attempt);
+      const answer = await this.send(attempt, onDispatch);
       const outcome: AttemptOutcome = {
         kind: 'answered',
         target,
         answer: reserveSlot(answer, slot),
       };
-      if (isProvablyNotRun(outcome)) count.provablyNotRun += 1;
+      if (mark.isDispatched && isProvablyNotRun(outcome)) count.provablyNotRun += 1;
       return outcome;
     } catch (error) {
       slot.release();
       const outcome = toFailedAttempt(target, error);
-      const didDispatch = !isProvablyNotRun(outcome);
-      if (!didDispatch) count.provablyNotRun = Math.min(count.dispatched, count.provablyNotRun + 1);
+      // A failure to connect proves nothing of an earlier attempt that was dispatched.
+      if (mark.isDispatched && isProvablyNotRun(outcome)) count.provablyNotRun += 1;
       return outcome;
     }
   }
 
-  private send(attempt: IAttempt): Promise<ITargetAnswer> {
+  private send(attempt: IAttempt, onDispatch: () => void): Promise<ITargetAnswer> {
     const { request, slot } = attempt;
     const leftMs = request.deadlineMs - this.context.clock.getMonotonicTime();
     return this.context.transport.send(
@@ -74,20 +81,17 @@
         body: request.body,
         timeoutMs: Math.max(MIN_TIMEOUT_MS, leftMs),
       },
-      this.buildSendOptions(attempt),
+      this.buildSendOptions(attempt, onDispatch),
     );
   }
 
-  private buildSendOptions(attempt: IAttempt): ISendOptions {
+  private buildSendOptions(attempt: IAttempt, onDispatch: () => void): ISendOptions {
     return {
       signal: attempt.signal,
       freshConnection: attempt.isFresh,
       maxAnswerBytes: this.context.maxAnswerBytes,
       streamLarge: attempt.request.route.streamLargeAnswers,
-      onDispatch: () => {
-        this.checkDispatch(attempt);
-        attempt.count.dispatched += 1;
-      },
+      onDispatch,
     };
   }
 
@@ -120,16 +124,8 @@
     slot.release();
     return answer;
   }
-  return { ...answer, body: streamAndRelease(answer.body, slot) };
-}
-
-async function* streamAndRelease(
-  body: AsyncIterable<Uint8Array>,
-  slot: ISlot,
-): AsyncIterable<Uint8Array> {
-  try {
-    yield* body;
-  } finally {
+  const body = watchBodyEnd(answer.body, () => {
     slot.release();
-  }
+  });
+  return { ...answer, body };
 }
--- a/packages/routing/src/attempt/common/hedgedAttempt.ts
+++ b/packages/routing/src/attempt/common/hedgedAttempt.ts
@@ -1,7 +1,7 @@
 /** An attempt that, when overdue, gets a second one beside it; the first good answer wins. */
 import type { Clock } from '@parsleymux/base';
 import type { AttemptOutcome } from './attemptOutcome.js';
-import { isGood } from './attemptOutcome.js';
+import { discardOutcome, isGood } from './attemptOutcome.js';
 
 /** An attempt under way. */
 export interface IRunningAttempt {
@@ -25,10 +25,15 @@
   if (stallMs === undefined) return first.outcome;
   return new Promise((resolve) => {
     let running = 1;
+    let isSettled = false;
     let second: IRunningAttempt | undefined;
     const settle = (outcome: AttemptOutcome, other: IRunningAttempt | undefined) => {
       running -= 1;
-      if (running > 0 && !isGood(outcome)) return;
+      if (isSettled || (running > 0 && !isGood(outcome))) {
+        discardOutcome(outcome);
+        return;
+      }
+      isSettled = true;
       void timer.dispose();
       if (running > 0) other?.cancel();
       resolve(outcome);
--- a/packages/routing/src/home/common/serviceHome.ts
+++ b/packages/routing/src/home/common/serviceHome.ts
@@ -4,6 +4,7 @@
 import type { Service } from '@parsleymux/schema';
 import type { AttemptOutcome } from '../../attempt/common/attemptOutcome.js';
 import {
+  discardOutcome,
   isGood,
   isProvablyNotRun,
   isWorthRetrying,
@@ -122,6 +123,7 @@
     for (;;) {
       const slot = await this.waitForSlot(passage, last);
       if (slot === undefined) break;
+      discardOutcome(last);
       last = await this.runAttempt(passage, slot);
       if (!this.isRetryAllowed(passage, last)) break;
     }
--- /dev/null
+++ b/packages/routing/src/home/common/streamedAnswers.test.ts
@@ -0,0 +1,93 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { MuxError, RunState } from '@parsleymux/base';
+import type { AnswerBody } from '../../request/common/request.js';
+import { discardBody } from '../../request/common/answerBody.js';
+import { buildAnswer, buildRequest, MEMBER, SERVICE } from '../../test/common/builders.js';
+import { createHomeFixture } from '../../test/common/homeFixture.js';
+import { TransportError, TransportFailure } from '../../transport/common/targetTransport.js';
+
+const signal = new AbortController().signal;
+
+/** A body whose source is open until it is read to its end or given up. */
+class OpenBody implements AsyncIterable<Uint8Array> {
+  isOpen = true;
+
+  [Symbol.asyncIterator](): AsyncIterator<Uint8Array> {
+    let chunks = 2;
+    return {
+      next: () => {
+        if (chunks-- > 0) return Promise.resolve({ done: false, value: new Uint8Array([1]) });
+        this.isOpen = false;
+        return Promise.resolve({ done: true, value: undefined });
+      },
+      return: () => {
+        this.isOpen = false;
+        return Promise.resolve({ done: true, value: undefined });
+      },
+    };
+  }
+}
+
+async function readAll(body: AnswerBody): Promise<number> {
+  if (body instanceof Uint8Array) return body.length;
+  let length = 0;
+  for await (const chunk of body) length += chunk.length;
+  return length;
+}
+
+test('a streamed answer holds its slot until it was read to its end', async () => {
+  const { home } = createHomeFixture(1, () =>
+    Promise.resolve(buildAnswer({ body: new OpenBody() })),
+  );
+  const answer = await home.handle(buildRequest(), signal);
+  assert.equal(home.getSpareSlots(MEMBER, SERVICE), 3);
+  assert.equal(await readAll(answer.body), 2);
+  assert.equal(home.getSpareSlots(MEMBER, SERVICE), 4);
+});
+
+test('a streamed answer that nobody begins to read gives its slot back', async () => {
+  // Symptom: a target's slots are all taken though it works on nothing; only a restart helps.
+  // Sequence: the target's answer begins; the caller hangs up before its first byte is written.
+  // Cause: a generator that was never started runs no finally block when it is given up.
+  const body = new OpenBody();
+  const { home } = createHomeFixture(1, () => Promise.resolve(buildAnswer({ body })));
+  const answer = await home.handle(buildRequest(), signal);
+  await discardBody(answer.body);
+  assert.equal(home.getSpareSlots(MEMBER, SERVICE), 4);
+  assert.equal(body.isOpen, false);
+});
+
+test('a large error answer that is tried again elsewhere gives slot and connection back', async () => {
+  // Symptom and cause as above. Sequence: a target answers 500 with a page above the limit.
+  const body = new OpenBody();
+  const { home, transport } = createHomeFixture(2, () => Promise.resolve(buildAnswer()));
+  transport.respond = () => {
+    const isFirst = transport.sent.length === 1;
+    return Promise.resolve(isFirst ? buildAnswer({ status: 500, body }) : buildAnswer());
+  };
+  const answer = await home.handle(buildRequest(), signal);
+  assert.equal(answer.status, 200);
+  assert.equal(home.getSpareSlots(MEMBER, SERVICE), 8);
+  assert.equal(body.isOpen, false);
+});
+
+test('a later target that cannot be reached does not undo that an earlier one may have run', async () => {
+  // Symptom: a caller is told "not run" of a request that a target executed.
+  // Sequence: the first target's connection breaks after dispatch; the second refuses connections.
+  // Cause: the failure to connect was counted as the proof that the first dispatch did not run.
+  const { home, transport, invariants } = createHomeFixture(2, () =>
+    Promise.resolve(buildAnswer()),
+  );
+  transport.respond = (_request, options) => {
+    const mayHaveRun = transport.sent.length === 1;
+    if (mayHaveRun) options.onDispatch?.();
+    const failure = mayHaveRun ? TransportFailure.Broken : TransportFailure.Connect;
+    return Promise.reject(new TransportError({ failure, mayHaveRun, reusedConnection: false }));
+  };
+  await assert.rejects(home.handle(buildRequest(), signal), (error: unknown) => {
+    return error instanceof MuxError && error.runState === RunState.MayHaveRun;
+  });
+  assert.equal(transport.sent.length, 2);
+  assert.equal(invariants.getViolations('truthful_refusal'), 0);
+});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -14,6 +14,7 @@
 export * from './ledger/common/floorArithmetic.js';
 export * from './ledger/common/tableEjectionLedger.js';
 export * from './metrics/common/homeMetrics.js';
+export * from './request/common/answerBody.js';
 export * from './request/common/request.js';
 export * from './shard/common/shardPlan.js';
 export * from './target/common/targetHandle.js';
