--- a/packages/config/src/plans/common/planStore.ts
+++ b/packages/config/src/plans/common/planStore.ts
@@ -37,6 +37,8 @@
   readonly builder: PlanBuilder;
   /** Makes identifiers of plans. Default: random UUIDs. */
   readonly createId?: () => string;
+  /** Told of each revision that was confirmed here, before anyone could have polled it. */
+  readonly onDidConfirm?: (fleetRevision: number) => void;
 }
 
 /** A plan of a member, and who asks. */
@@ -115,9 +117,11 @@
   async confirm(request: IPlanRequest, signal?: AbortSignal): Promise<Plan> {
     const plan = await this.getPlan(request.member, request.planId, signal);
     const current = new CurrentRows();
-    return this.retry.run(signal, (attempt) =>
+    const confirmed = await this.retry.run(signal, (attempt) =>
       this.tryConfirm({ request, plan, attempt, current }, signal),
     );
+    this.options.onDidConfirm?.(Number(confirmed.confirmedFleetRevision));
+    return confirmed;
   }
 
   /** Gives the plan up. Throws PlanNotFound, PlanAlreadyDecided, StoreUnavailable. */
--- a/packages/lab/src/bench/distribution/common/distributionFleet.ts
+++ b/packages/lab/src/bench/distribution/common/distributionFleet.ts
@@ -52,7 +52,10 @@
     const { clock, random, platform } = this;
     const validator = new IntentValidator();
     const builder = new PlanBuilder();
-    this.plans = new PlanStore({ platform, clock, random, validator, builder });
+    const onDidConfirm = (fleetRevision: number) => {
+      this.distributors[0]?.receiveAnnouncement(fleetRevision);
+    };
+    this.plans = new PlanStore({ platform, clock, random, validator, builder, onDidConfirm });
     this.distributors = Array.from({ length: options.nodes }, (_, index) => this.makeNode(index));
   }
 
--- a/packages/node/src/admin/node/createAdminApi.ts
+++ b/packages/node/src/admin/node/createAdminApi.ts
@@ -36,6 +36,8 @@
     random,
     validator: new IntentValidator({ listReservedAddresses: parts.listReservedAddresses }),
     builder: new PlanBuilder(),
+    // Otherwise the change would wait for some node's next poll before anyone tells of it.
+    onDidConfirm: (fleetRevision) => core.config.receiveAnnouncement(fleetRevision),
   });
   return new AdminApi({
     plans,
