Break each mechanism from outside the product, and see the runs fail

Cause: a check that nothing can trip proves nothing. Ruled out: a setting or an environment variable of the node, which would ship. First tries that did not fail: revisionOrder, since the distributor drops a lower head before it is fetched, so that is broken too; leavingRule, since drains ended before the grace; they now last 8 s at least. Found: the invariant leaving_target never looks at targets whose state is draining.

--- a/packages/lab/src/processes/node/labWorld.ts
+++ b/packages/lab/src/processes/node/labWorld.ts
@@ -30,11 +30,11 @@
   readonly seed: number;
   /** Default 5. */
   readonly nodeCount?: number;
-  /** Added to the environment of every node. */
-  readonly nodeEnv?: Readonly<Record<string, string>>;
   /** Replace single values of every node's settings. */
   readonly nodeTiming?: Readonly<Record<string, number>>;
   readonly nodeLimits?: Readonly<Record<string, number>>;
+  /** Options of Node itself, for every node of the fleet. */
+  readonly nodeOptions?: readonly string[];
   /** The platform's address as node number `index` is to use it. Default: the platform's own. */
   readonly choosePlatformAddress?: (own: string, index: number) => Promise<string>;
   /** The address that the intent names for a target. Default: the target's own. */
@@ -112,9 +112,9 @@
       failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length] ?? FAILURE_DOMAINS[0],
       platformUrl: `http://${platformAddress}`,
       directory: this.directory ?? tmpdir(),
-      ...(this.options.nodeEnv === undefined ? {} : { env: this.options.nodeEnv }),
       timing: this.options.nodeTiming ?? {},
       limits: this.options.nodeLimits ?? {},
+      nodeOptions: this.options.nodeOptions ?? [],
     });
     this.nodes.push(node);
     const { failureDomain } = node.options;
--- a/packages/lab/src/processes/node/nodeProcess.ts
+++ b/packages/lab/src/processes/node/nodeProcess.ts
@@ -20,7 +20,6 @@
   readonly platformUrl: string;
   /** Where the settings file goes. */
   readonly directory: string;
-  readonly env?: Readonly<Record<string, string>>;
   /** Replaces single values of the settings' timing section. */
   readonly timing?: Readonly<Record<string, number>>;
   /** Replaces single values of the settings' limits section. */
@@ -78,7 +77,6 @@
     name: options.name,
     script: Program.Node,
     args: ['serve', path],
-    env: options.env ?? {},
     nodeOptions: options.nodeOptions ?? [],
   });
   const addresses = (await child.waitForReady()) as INodeAddresses;
--- /dev/null
+++ b/packages/lab/src/prove/breaks/node/claims.ts
@@ -0,0 +1,7 @@
+/** Without claims: a request that is not idempotent is dispatched by whoever gets it. */
+import type { LooseObject } from './wrapMethod.js';
+import { executeLoose, wrapMethod } from './wrapMethod.js';
+
+await wrapMethod('claims/dist/guard/common/claimGuard.js', 'ClaimGuard', 'execute', () => {
+  return (guarded, signal) => executeLoose(guarded as LooseObject, 'run', signal);
+});
--- /dev/null
+++ b/packages/lab/src/prove/breaks/node/memberFilter.ts
@@ -0,0 +1,10 @@
+/** Status is collected for every member, whoever asks. */
+import { wrapMethod } from './wrapMethod.js';
+
+const MODULE = 'node/dist/admin/node/peerStatusProvider.js';
+
+await wrapMethod(MODULE, 'PeerStatusProvider', 'fetchStatus', (original) => {
+  return function (address, _member, signal) {
+    return original.call(this, address, '', signal);
+  };
+});
--- /dev/null
+++ b/packages/lab/src/prove/breaks/node/revisionOrder.ts
@@ -0,0 +1,31 @@
+/** Older configurations replace newer ones. */
+import { executeLoose, wrapMethod } from './wrapMethod.js';
+
+const MODULE = 'config/dist/distribution/common/appliedConfig.js';
+
+await wrapMethod(MODULE, 'AppliedConfig', 'isNewer', () => (config, known) => {
+  const offered = config as { readonly memberRevision: bigint };
+  const current = known as { readonly memberRevision: bigint } | undefined;
+  return offered.memberRevision !== current?.memberRevision;
+});
+await wrapMethod(MODULE, 'AppliedConfig', 'chooseRevision', () => (_current, offered) => offered);
+
+const DISTRIBUTOR = 'config/dist/distribution/common/configDistributor.js';
+
+interface IStoreReader {
+  fetchHead(signal: unknown): Promise<number>;
+  fetchAfter(after: number, head: number, known: unknown, signal: unknown): Promise<unknown>;
+}
+
+// The distributor drops a lower head before anything is fetched; this takes whatever is read.
+await wrapMethod(DISTRIBUTOR, 'ConfigDistributor', 'fetchFromStore', () => {
+  return async function (signal) {
+    const reader = this.reader as IStoreReader;
+    const head = await reader.fetchHead(signal).catch(() => undefined);
+    if (head === undefined) return false;
+    const snapshot = await reader.fetchAfter(0, head, new Map(), signal).catch(() => undefined);
+    if (snapshot === undefined) return false;
+    executeLoose(this, 'applySnapshot', snapshot);
+    return true;
+  };
+});
--- a/packages/lab/src/prove/node/brokenWorld.ts
+++ b/packages/lab/src/prove/node/brokenWorld.ts
@@ -16,11 +16,13 @@
 
 export type OutsideBreak = (typeof OutsideBreak)[keyof typeof OutsideBreak];
 
+export const OUTSIDE_BREAKS: readonly OutsideBreak[] = Object.values(OutsideBreak);
+
 const SHARE = 0.05;
 
 /** Tells a break outside the nodes from the name of a mechanism inside them. */
 export function parseOutsideBreak(name: string): OutsideBreak | undefined {
-  return Object.values(OutsideBreak).find((value) => value === name);
+  return OUTSIDE_BREAKS.find((value) => value === name);
 }
 
 /** Breaks the assumption for the whole run. */
--- a/packages/lab/src/prove/node/gracefulShutdowns.ts
+++ b/packages/lab/src/prove/node/gracefulShutdowns.ts
@@ -1,4 +1,5 @@
 /** Nodes that were asked to leave, compared with what happened to requests that they held. */
+import type { IProcessEnd } from '../../processes/node/managedProcess.js';
 import type { IRequestRecord } from '../../load/common/requestRecord.js';
 import { AttemptOutcome } from '../../load/common/requestRecord.js';
 import type { Findings } from './findings.js';
@@ -8,33 +9,45 @@
  * what it cut is that fault's doing.
  *
  * @example
- * shutdowns.record('127.0.0.11:4000', Date.now());
+ * shutdowns.record('127.0.0.11:4000', Date.now(), child.waitForEnd());
  */
 export class GracefulShutdowns {
   private readonly askedAtMs = new Map<string, number>();
+  private readonly ends = new Map<string, Promise<IProcessEnd>>();
   private readonly disturbed = new Set<string>();
 
   /** `node` is a caller address. */
-  record(node: string, nowMs: number): void {
+  record(node: string, nowMs: number, end: Promise<IProcessEnd>): void {
     this.askedAtMs.set(node, nowMs);
+    this.ends.set(node, end);
+  }
+
+  isAsked(node: string): boolean {
+    return this.askedAtMs.has(node);
   }
 
   markDisturbed(node: string): void {
     this.disturbed.add(node);
   }
 
-  checkAll(records: readonly IRequestRecord[], findings: Findings): void {
+  /** Waits for the nodes to end: one that was asked must end, and say that it cut nothing. */
+  async checkAll(records: readonly IRequestRecord[], findings: Findings): Promise<void> {
     const attempts = records.flatMap((record) => record.attempts);
     for (const [node, askedAtMs] of this.askedAtMs) {
       if (this.disturbed.has(node)) continue;
       const cut = attempts.filter((attempt) => {
-        const isInFlight = attempt.sentAtMs <= askedAtMs && attempt.endedAtMs >= askedAtMs;
+        const isInFlight = attempt.endedAtMs >= askedAtMs;
         const isCut =
           attempt.outcome === AttemptOutcome.Broken || attempt.outcome === AttemptOutcome.TimedOut;
         return attempt.node === node && isInFlight && isCut;
       });
       findings.check('no request cut by a graceful shutdown', cut.length === 0, () => {
-        return `${node} cut ${cut.length} requests that were in flight when it was asked to leave`;
+        const delaysMs = cut.map(({ sentAtMs }) => sentAtMs - askedAtMs);
+        return `${node} cut ${cut.length} requests, sent ${delaysMs.join(', ')} ms after it was asked`;
+      });
+      const end = await this.ends.get(node);
+      findings.check('a node that was asked to leave ends well', end?.code === 0, () => {
+        return `${node} ended with ${end?.code ?? end?.signal ?? 'nothing'}`;
       });
     }
   }
--- a/packages/lab/src/prove/node/leavingTargets.ts
+++ b/packages/lab/src/prove/node/leavingTargets.ts
@@ -4,7 +4,7 @@
 import type { Findings } from './findings.js';
 
 /** The promise is "after a few seconds": that many. */
-const GRACE_MS = 5000;
+const GRACE_MS = 3000;
 
 interface ISpan {
   readonly member: string;
--- a/packages/lab/src/prove/node/main.ts
+++ b/packages/lab/src/prove/node/main.ts
@@ -5,14 +5,16 @@
 import { parseArgs } from 'node:util';
 import type { FaultKind } from '../common/faultSchedule.js';
 import { FAULT_KINDS, makeSchedule } from '../common/faultSchedule.js';
-import { parseOutsideBreak } from './brokenWorld.js';
+import { formatBreakModule, listBreakModules } from './breakModules.js';
+import { OUTSIDE_BREAKS, parseOutsideBreak } from './brokenWorld.js';
+import type { IProveRunOptions } from './proveRun.js';
 import { runProve } from './proveRun.js';
 
 const USAGE = `npm run prove -- [--seed N] [--seconds S] [--spacing MS] [--load FACTOR]
   [--only KIND,KIND] [--break NAME]
 kinds: ${FAULT_KINDS.join(', ')}
---break platform-conditions | target-false-not-run | target-foreign-answers breaks the world
-around the nodes; any other name is given to the nodes, which leave out that mechanism.`;
+breaks around the nodes: ${OUTSIDE_BREAKS.join(', ')}
+breaks inside the nodes: ${listBreakModules().join(', ')}`;
 
 const { values } = parseArgs({
   options: {
@@ -33,10 +35,12 @@
   return FAULT_KINDS.filter((kind) => names.length === 0 || names.includes(kind));
 }
 
-function makeBreakOptions(name: string): object {
-  const outsideBreak = parseOutsideBreak(name);
+function makeBreakOptions(name: string): Partial<IProveRunOptions> {
   if (name === '') return {};
-  return outsideBreak === undefined ? { brokenMechanism: name } : { outsideBreak };
+  const outsideBreak = parseOutsideBreak(name);
+  if (outsideBreak !== undefined) return { outsideBreak };
+  if (!listBreakModules().includes(name)) throw new Error(`there is no break "${name}"\n${USAGE}`);
+  return { breakModule: formatBreakModule(name) };
 }
 
 async function runCommand(): Promise<number> {
--- a/packages/lab/src/prove/node/nodeFaults.ts
+++ b/packages/lab/src/prove/node/nodeFaults.ts
@@ -10,7 +10,10 @@
 const LEAST_NODES = 3;
 
 function pickNode(step: IFaultStep, world: ProveWorld): NodeProcess | undefined {
-  const nodes = world.lab.getNodes().filter(({ child }) => !child.isStopped());
+  // A node that was asked to leave is left alone: a second SIGTERM ends it at once, by design.
+  const nodes = world.lab.getNodes().filter(({ child, addresses }) => {
+    return !child.isStopped() && !world.shutdowns.isAsked(addresses.caller);
+  });
   return nodes.length < LEAST_NODES ? undefined : pickElement(nodes, step.pick);
 }
 
@@ -48,7 +51,7 @@
     const node = pickNode(step, world);
     if (node === undefined) return 'skipped';
     await world.lab.markLeaving(node);
-    world.shutdowns.record(node.addresses.caller, Date.now());
+    world.shutdowns.record(node.addresses.caller, Date.now(), node.child.waitForEnd());
     node.child.sendSignal('SIGTERM');
     void node.child.waitForEnd().then(() => world.lab.platform.removeVm(node.addresses.peer));
     return () => world.addNode();
--- a/packages/lab/src/prove/node/operatorFaults.ts
+++ b/packages/lab/src/prove/node/operatorFaults.ts
@@ -12,6 +12,9 @@
 import { FaultInjector, endNothing, pickElement } from './faultInjector.js';
 import type { ProveWorld } from './proveWorld.js';
 
+/** Long enough to see work that comes after the few seconds that a drain may take. */
+const LEAST_DRAIN_MS = 8000;
+
 function getPlanId(result: ICommandResult): string | undefined {
   const id = (result.output as { readonly id?: unknown } | undefined)?.id;
   return result.exitCode === 0 && typeof id === 'string' ? id : undefined;
@@ -21,6 +24,18 @@
   return pickElement(MEMBERS, pick) ?? '';
 }
 
+/** A member's status says nothing of another's targets. */
+async function checkStatus(step: IFaultStep, world: ProveWorld, member: string): Promise<void> {
+  const result = await world.lab.getOperator(member, step.pick).run(['status']);
+  if (result.exitCode !== 0) return;
+  const text = JSON.stringify(result.output);
+  const others = world.lab.getPlaces().filter((place) => place.member !== member);
+  const seen = others.filter(({ address }) => text.includes(`"${address}"`));
+  world.findings.check("a member's status shows its own alone", seen.length === 0, () => {
+    return `${member} saw ${seen.map(({ address }) => address).join(', ')}`;
+  });
+}
+
 class OperatorRace extends FaultInjector {
   override readonly kind = FaultKind.OperatorRace;
 
@@ -47,6 +62,7 @@
     world.findings.check('one of two racing plans', won <= 1, () => {
       return `${member}: both ${ids.join(' and ')} were confirmed`;
     });
+    await checkStatus(step, world, member);
     return endNothing;
   }
 }
@@ -87,7 +103,11 @@
     const result = await operator.run(['plan', 'confirm', id]);
     if (result.exitCode !== 0) return 'skipped';
     world.leavingTargets.open(place, Date.now());
-    return () => world.restoreIntent(place.member);
+    const watched = new Promise((resolve) => setTimeout(resolve, LEAST_DRAIN_MS));
+    return async () => {
+      await watched;
+      await world.restoreIntent(place.member);
+    };
   }
 }
 
--- a/packages/lab/src/prove/node/proveReport.ts
+++ b/packages/lab/src/prove/node/proveReport.ts
@@ -74,6 +74,9 @@
     const isAlarm = entry.level === 'error' || entry.level === 'warn';
     return isAlarm ? `${entry.level}: ${String(entry.message)}` : undefined;
   } catch {
-    return `not JSON: ${line.slice(0, 160)}`;
+    const isStack = line.startsWith('    at ');
+    return isStack
+      ? undefined
+      : `not JSON: ${line.replace(/\(node:\d+\)/, '(node)').slice(0, 160)}`;
   }
 }
--- a/packages/lab/src/prove/node/proveRun.ts
+++ b/packages/lab/src/prove/node/proveRun.ts
@@ -34,8 +34,8 @@
   readonly schedule: readonly IFaultStep[];
   /** Requests a second, as a multiple of the layout's. */
   readonly loadFactor: number;
-  /** Mechanism that the nodes leave out. */
-  readonly brokenMechanism?: string;
+  /** Module that nodes load first, and that breaks a mechanism in them. */
+  readonly breakModule?: string;
   /** Assumption that the world around the nodes breaks. */
   readonly outsideBreak?: OutsideBreak;
 }
@@ -113,7 +113,7 @@
   recordPromise(world, verdict, 'truthful refusals', verdict.notRunChecked);
   const findTarget = (control: string) => world.lab.getOwnAddress(control);
   world.leavingTargets.checkAll(executions, findTarget, world.findings);
-  world.shutdowns.checkAll(records, world.findings);
+  await world.shutdowns.checkAll(records, world.findings);
 }
 
 function recordPromise(
--- a/packages/lab/src/prove/node/proveWorld.ts
+++ b/packages/lab/src/prove/node/proveWorld.ts
@@ -7,14 +7,11 @@
 import { GracefulShutdowns } from './gracefulShutdowns.js';
 import { LeavingTargets } from './leavingTargets.js';
 
-/** Environment variable by which the nodes of a run are told to leave out one mechanism. */
-export const BREAK_VARIABLE = 'PARSLEYMUX_LAB_BREAK';
-
 /** Options of a {@link ProveWorld}. */
 export interface IProveWorldOptions {
   readonly seed: number;
-  /** Name of the mechanism that nodes are to leave out. */
-  readonly brokenMechanism?: string;
+  /** Module that nodes load first, and that breaks a mechanism in them. */
+  readonly breakModule?: string;
 }
 
 /**
@@ -36,11 +33,10 @@
   private isEnding = false;
 
   constructor(options: IProveWorldOptions) {
-    const { brokenMechanism } = options;
-    const nodeEnv = brokenMechanism === undefined ? {} : { [BREAK_VARIABLE]: brokenMechanism };
+    const { breakModule } = options;
     this.lab = new LabWorld({
       seed: options.seed,
-      nodeEnv,
+      nodeOptions: breakModule === undefined ? [] : ['--import', breakModule],
       choosePlatformAddress: (own) => this.openLink(own, this.platformLinks),
       chooseTargetAddress: (place) => this.openLink(place.address, this.targetLinks),
     });
