Rebuild only the routes of members that changed, and bound audit log and keys by age

Cause: each change of any member rebuilt all routes on every node; a host that changed hands belonged to whichever configuration was read first while the former owner's newer one could not be read. Now the later owner has it (the test fails without the comparison of revisions). Reading the audit log read all of it, up to 20 scans; now as far back as needed. Entries and ended keys go after 90 days.

--- a/packages/config/src/plans/common/planStore.ts
+++ b/packages/config/src/plans/common/planStore.ts
@@ -9,7 +9,8 @@
 import { IntentSchema, PlanSchema, PlanState } from '@parsleymux/schema';
 import type { IntentValidator } from '../../intents/common/intentValidator.js';
 import type { IAuditEntry } from '../../layout/common/auditRow.js';
-import { formatMemberKey, formatPlanKey } from '../../layout/common/rowKeys.js';
+import { encodeAuditEntry } from '../../layout/common/auditRow.js';
+import { formatAuditKey, formatMemberKey, formatPlanKey } from '../../layout/common/rowKeys.js';
 import type { IPlanRow, RowMap } from '../../layout/common/rows.js';
 import { decodePlanRow, decodePointer, encodePlanRow } from '../../layout/common/rows.js';
 import { listConfirmKeys, makeCondition, makeConfirmTransaction } from './confirmTransaction.js';
@@ -127,7 +128,7 @@
   /** Gives the plan up. Throws PlanNotFound, PlanAlreadyDecided, StoreUnavailable. */
   async discard(request: IPlanRequest, signal?: AbortSignal): Promise<Plan> {
     const plan = await this.getPlan(request.member, request.planId, signal);
-    return this.retry.run(signal, (attempt) => this.tryDiscard(plan, attempt, signal));
+    return this.retry.run(signal, (attempt) => this.tryDiscard(request, plan, attempt, signal));
   }
 
   private async buildPlan(intent: Intent, operator: string, signal?: AbortSignal): Promise<Plan> {
@@ -172,6 +173,7 @@
   }
 
   private async tryDiscard(
+    request: IPlanRequest,
     plan: Plan,
     attempt: IStoreAttempt,
     signal?: AbortSignal,
@@ -184,7 +186,12 @@
     if (row.state === PlanState.CONFIRMED) throw createPlanDecidedError(plan.id, 'confirmed');
     const discarded: IPlanRow = { ...row, state: PlanState.DISCARDED };
     const conditions = [makeCondition(key, rows.get(key))];
-    const writes = [{ key, value: encodePlanRow(discarded) }];
+    const audit = this.makeAuditEntry(request, 'plan.discard');
+    const auditKey = formatAuditKey(plan.member, audit.atMs, `${plan.id}-discard`);
+    const writes = [
+      { key, value: encodePlanRow(discarded) },
+      { key: auditKey, value: encodeAuditEntry(audit) },
+    ];
     attempt.markSent();
     const isCommitted = await this.repository.transact({ conditions, writes }, signal);
     return isCommitted ? copyInState(plan, discarded) : undefined;
--- a/packages/config/src/routes/common/routeTable.ts
+++ b/packages/config/src/routes/common/routeTable.ts
@@ -1,6 +1,6 @@
 /** Finds the route of a request by host, path and method. */
-import type { Route } from '@parsleymux/schema';
-import type { IFleetConfig } from '../../fleetConfig/common/fleetConfig.js';
+import type { MemberConfig, Route } from '@parsleymux/schema';
+import type { IFleetConfig, IFleetConfigChange } from '../../fleetConfig/common/fleetConfig.js';
 
 /** The route that a request takes, and whose it is. */
 export interface IRouteMatch {
@@ -17,30 +17,42 @@
 
 export type RouteMiss = (typeof RouteMiss)[keyof typeof RouteMiss];
 
+/** The routes of one host name, longest path prefix first. */
+interface IHostRoutes {
+  readonly member: string;
+  /** Revision of the configuration that they come from. */
+  readonly fleetRevision: bigint;
+  readonly matches: readonly IRouteMatch[];
+}
+
 /**
- * An index over all routes, rebuilt for the hosts of a member when its configuration changes.
+ * An index over all routes. A change rebuilds the hosts of the members that changed and no
+ * others, so that one member's frequent changes cost the others' requests nothing.
  *
  * @example
  * const table = new RouteTable(config);
  * const match = table.match('booking.example', '/jobs/7', 'POST');
  */
 export class RouteTable {
-  private readonly routesByHost = new Map<string, IRouteMatch[]>();
+  private readonly routesByHost = new Map<string, IHostRoutes>();
+  private readonly hostsByMember = new Map<string, readonly string[]>();
 
   constructor(config: IFleetConfig) {
-    for (const memberConfig of config.members.values()) {
-      for (const route of memberConfig.intent?.routes ?? []) {
-        this.addRoute({ member: memberConfig.member, route });
-      }
-    }
-    for (const matches of this.routesByHost.values()) {
-      matches.sort((left, right) => right.route.pathPrefix.length - left.route.pathPrefix.length);
+    for (const memberConfig of config.members.values()) this.addMember(memberConfig);
+  }
+
+  /** Takes over a change of some members' configurations. */
+  update(change: IFleetConfigChange): void {
+    for (const member of change.members) this.removeMember(member);
+    for (const member of change.members) {
+      const memberConfig = change.config.members.get(member);
+      if (memberConfig !== undefined) this.addMember(memberConfig);
     }
   }
 
   /** The match with the longest path prefix, or why there is none. */
   match(host: string, path: string, method: string): IRouteMatch | RouteMiss {
-    const matches = this.routesByHost.get(host);
+    const matches = this.routesByHost.get(host)?.matches;
     if (matches === undefined) return RouteMiss.UnknownHost;
     const onPath = matches.filter(({ route }) => path.startsWith(route.pathPrefix));
     if (onPath.length === 0) return RouteMiss.UnknownPath;
@@ -50,9 +62,29 @@
     return found ?? RouteMiss.MethodNotAllowed;
   }
 
-  private addRoute(match: IRouteMatch): void {
-    const matches = this.routesByHost.get(match.route.host);
-    if (matches === undefined) this.routesByHost.set(match.route.host, [match]);
-    else matches.push(match);
+  private addMember(memberConfig: MemberConfig): void {
+    const { member, fleetRevision } = memberConfig;
+    const byHost = new Map<string, IRouteMatch[]>();
+    for (const route of memberConfig.intent?.routes ?? []) {
+      const matches = byHost.get(route.host) ?? [];
+      matches.push({ member, route });
+      byHost.set(route.host, matches);
+    }
+    for (const [host, matches] of byHost) {
+      // A host that changed hands can stand in both members' configurations while the former
+      // owner's newer one can't be read; its callers belong to whoever took it last.
+      const other = this.routesByHost.get(host);
+      if (other !== undefined && other.fleetRevision > fleetRevision) continue;
+      matches.sort((left, right) => right.route.pathPrefix.length - left.route.pathPrefix.length);
+      this.routesByHost.set(host, { member, fleetRevision, matches });
+    }
+    this.hostsByMember.set(member, [...byHost.keys()]);
+  }
+
+  private removeMember(member: string): void {
+    for (const host of this.hostsByMember.get(member) ?? []) {
+      if (this.routesByHost.get(host)?.member === member) this.routesByHost.delete(host);
+    }
+    this.hostsByMember.delete(member);
   }
 }
--- a/packages/node/src/admin/node/createAdminApi.ts
+++ b/packages/node/src/admin/node/createAdminApi.ts
@@ -42,7 +42,7 @@
   return new AdminApi({
     plans,
     keys: new KeyStore({ table: platform.table, clock, random }),
-    audit: new AuditLog({ table: platform.table }),
+    audit: new AuditLog({ table: platform.table, clock }),
     config: core.config,
     status: new PeerStatusProvider({ membership, clients, self: parts.self }),
     claims: parts.claims,
--- a/packages/node/src/entry/node/callerServer.ts
+++ b/packages/node/src/entry/node/callerServer.ts
@@ -52,13 +52,13 @@
   private readonly server: Server;
   private readonly connections: CallerConnections;
   private readonly configSubscription: IDisposable;
-  private table: RouteTable;
+  private readonly table: RouteTable;
 
   constructor(options: ICallerServerOptions) {
     this.options = options;
     this.table = new RouteTable(options.config.getCurrent());
-    this.configSubscription = options.config.onDidChange(({ config }) => {
-      this.table = new RouteTable(config);
+    this.configSubscription = options.config.onDidChange((change) => {
+      this.table.update(change);
     });
     this.server = createHttpServer(
       options.tls,
--- a/packages/operators/src/audit/common/auditLog.ts
+++ b/packages/operators/src/audit/common/auditLog.ts
@@ -1,5 +1,6 @@
 /** The audit log in the platform's table. */
 import { randomUUID } from 'node:crypto';
+import type { Clock } from '@parsleymux/base';
 import type { IAuditEntry } from '@parsleymux/config';
 import {
   createStoreError,
@@ -8,19 +9,21 @@
   formatAuditKey,
   formatAuditPrefix,
 } from '@parsleymux/config';
-import type { TableService } from '@parsleymux/platform';
+import type { ITableRow, TableService } from '@parsleymux/platform';
 import { PlatformError } from '@parsleymux/platform';
 
 const SCAN_LIMIT = 1000;
-/** Entries that a member's log keeps; beyond it the oldest go. */
-const DEFAULT_MAX_ENTRIES = 20_000;
-const TRIM_BATCH = 100;
+const DAY_MS = 86_400_000;
+/** Spans that are read until there are enough entries; the last one is all that is kept. */
+const SPANS_DAYS = [1, 7, 30, 90] as const;
+/** Entries older than this go, a batch at a time, whenever the log is read. */
+const KEPT_DAYS = 90;
+const REMOVED_AT_ONCE = 100;
 
 /** Options of an {@link AuditLog}. */
 export interface IAuditLogOptions {
   readonly table: TableService;
-  /** Entries kept for each member. Default 20000. */
-  readonly maxEntries?: number;
+  readonly clock: Clock;
 }
 
 /**
@@ -63,9 +66,13 @@
   /** The newest entries, newest first. Throws StoreUnavailable. */
   async list(member: string, limit: number, signal?: AbortSignal): Promise<readonly IAuditEntry[]> {
     try {
-      const keys = await this.scanAll(member, signal);
-      await this.removeExcess(keys, signal);
-      return keys
+      await this.removeExpired(member, signal);
+      let rows: readonly ITableRow[] = [];
+      for (const days of SPANS_DAYS) {
+        rows = await this.scanSince(member, this.getNowMs() - days * DAY_MS, signal);
+        if (rows.length >= limit) break;
+      }
+      return rows
         .slice(-limit)
         .reverse()
         .map(({ value }) => decodeAuditEntry(value));
@@ -81,32 +88,31 @@
     await this.options.table.transact({ conditions: [{ key, version: 0 }], writes }, signal);
   }
 
-  private async scanAll(
+  private async scanSince(
     member: string,
+    sinceMs: number,
     signal?: AbortSignal,
-  ): Promise<readonly { readonly key: string; readonly value: string }[]> {
+  ): Promise<readonly ITableRow[]> {
     const prefix = formatAuditPrefix(member);
-    const found: { readonly key: string; readonly value: string }[] = [];
-    let after: string | undefined;
+    const found: ITableRow[] = [];
+    let after = formatAuditKey(member, Math.max(0, sinceMs), '');
     for (;;) {
-      const range = after === undefined ? {} : { after };
-      const rows = await this.options.table.scan({ prefix, limit: SCAN_LIMIT, ...range }, signal);
+      const rows = await this.options.table.scan({ prefix, limit: SCAN_LIMIT, after }, signal);
       found.push(...rows);
-      after = rows.at(-1)?.key;
+      after = rows.at(-1)?.key ?? after;
       if (rows.length < SCAN_LIMIT) return found;
     }
   }
 
-  /** Keeps the log bounded, a batch at a time. */
-  private async removeExcess(
-    rows: readonly { readonly key: string }[],
-    signal?: AbortSignal,
-  ): Promise<void> {
-    const excess = rows.length - (this.options.maxEntries ?? DEFAULT_MAX_ENTRIES);
-    if (excess <= 0) return;
-    const writes = rows.slice(0, Math.min(excess, TRIM_BATCH)).map(({ key }) => {
-      return { key, value: null };
-    });
-    await this.options.table.transact({ conditions: [], writes }, signal);
+  private async removeExpired(member: string, signal?: AbortSignal): Promise<void> {
+    const prefix = formatAuditPrefix(member);
+    const oldest = await this.options.table.scan({ prefix, limit: REMOVED_AT_ONCE }, signal);
+    const limit = formatAuditKey(member, Math.max(0, this.getNowMs() - KEPT_DAYS * DAY_MS), '');
+    const writes = oldest.filter(({ key }) => key < limit).map(({ key }) => ({ key, value: null }));
+    if (writes.length > 0) await this.options.table.transact({ conditions: [], writes }, signal);
+  }
+
+  private getNowMs(): number {
+    return Math.trunc(this.options.clock.getWallTime());
   }
 }
--- a/packages/operators/src/keys/common/keyStore.ts
+++ b/packages/operators/src/keys/common/keyStore.ts
@@ -18,6 +18,8 @@
 } from './operatorKey.js';
 
 const MAX_KEYS_PER_MEMBER = 50;
+/** As long as the audit log that names the key. */
+const ENDED_KEY_KEPT_MS = 90 * 86_400_000;
 /** This row stands for "the fleet has had its first key"; only the platform's owner removes it. */
 const BOOTSTRAP_KEY = 'keys/@fleet-bootstrapped';
 
@@ -87,7 +89,7 @@
     const key = createOperatorKey(request.member);
     const row = this.makeRow(key, request);
     const audit = this.makeAuditWrite(request, 'key.create', key.id);
-    return this.storeNew(key, row, [audit], signal);
+    return this.storeNew(key, row, [audit, ...this.makeRemovals(keys)], signal);
   }
 
   /** The member's keys, revoked ones included. Throws StoreUnavailable. */
@@ -187,6 +189,14 @@
     return ended;
   }
 
+  /** Keys that ended long ago; without this each rotation would leave a row for ever. */
+  private makeRemovals(keys: readonly IKeyRow[]): readonly ITableWrite[] {
+    const limitMs = this.getNowMs() - ENDED_KEY_KEPT_MS;
+    return keys
+      .filter(({ endsAtMs }) => endsAtMs > 0 && endsAtMs < limitMs)
+      .map(({ member, id }) => ({ key: formatKeyRowKey(member, id), value: null }));
+  }
+
   private makeRow(key: IOperatorKey, request: ICreateKeyRequest): IKeyRow {
     return {
       id: key.id,
