--- a/packages/lab/src/bench/control/node/bench.ts
+++ b/packages/lab/src/bench/control/node/bench.ts
@@ -67,6 +67,21 @@
     values: [0, 0.5, 1, 2],
     makePoint: (changesPerSecond) => ({ ...BASE, changesPerSecond }),
   },
+  {
+    name: 'whole',
+    unit: 'share of the two-year configuration, each node a process, 0.5 changes/s',
+    values: [0.1, 0.25, 0.5, 1],
+    makePoint: (share) => ({
+      nodes: 3,
+      nodesPerProcess: 1,
+      members: Math.round(200 * share),
+      services: Math.round(980 * share),
+      targets: Math.round(26_000 * share),
+      routes: Math.round(12_000 * share),
+      changesPerSecond: 0.5,
+      liveTargets: 0,
+    }),
+  },
   {
     name: 'homes',
     unit: 'targets with a home, in one fleet of one node',
