Dispatch nothing after its deadline, also when timers are late; export the claims' counters

Cause: an operator may settle a vanished claim as not run after 15 minutes, on the strength of every deadline having passed by then; a node that was stopped and resumed could still dispatch, for its timers fire after its connections. Checked without the check: the new test saw a dispatch.

--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -10,6 +10,7 @@
 export * from './guard/common/claimGuard.js';
 export * from './guard/common/claimGuardOptions.js';
 export * from './metrics/common/claimMetrics.js';
+export * from './metrics/common/claimMetrics.js';
 export * from './outcome/common/outcomeLookUp.js';
 export * from './outcome/common/targetOutcomeLookUp.js';
 export * from './peer/common/claimLookUpHandler.js';
--- a/packages/node/src/app/node/claimParts.ts
+++ b/packages/node/src/app/node/claimParts.ts
@@ -3,6 +3,7 @@
 import {
   ClaimAdmin,
   ClaimGuard,
+  ClaimMetrics,
   ClaimSweeper,
   GroupCommitter,
   Retention,
@@ -12,6 +13,7 @@
 import type { ListedMembershipService, PeerClients } from '@parsleymux/fleet';
 import type { IPlatform } from '@parsleymux/platform';
 import type { TargetTransport } from '@parsleymux/routing';
+import type { Registry } from 'prom-client';
 import type { Limits, Timing } from '@parsleymux/schema';
 import { ConnectClaimPeer } from '../../peer/node/connectClaimPeer.js';
 
@@ -28,6 +30,7 @@
   readonly invariants: InvariantRegistry;
   readonly limits: Limits;
   readonly timing: Timing;
+  readonly registry: Registry;
   /** Peer address of this node. */
   readonly nodeAddress: string;
 }
@@ -43,7 +46,7 @@
 export function createClaimParts(options: IClaimPartsOptions): IClaimParts {
   const { platform, membership, clock, random, timing, nodeAddress, store } = options;
   const { table } = platform;
-  const committer = new GroupCommitter({ table, clock, groupMs: timing.claimGroupMs });
+  const committer = new GroupCommitter({ table, clock, random, groupMs: timing.claimGroupMs });
   const peer = new ConnectClaimPeer(options.clients);
   const isLive = (address: string) => membership.isListed(address);
   const guard = new ClaimGuard({
@@ -56,6 +59,7 @@
     peer,
     isLive,
     committer,
+    metrics: new ClaimMetrics(options.registry),
     retentionS: timing.claimRetentionS,
     maxAnswerBytes: options.limits.answerBodyBytes,
     lookUp: new TargetOutcomeLookUp({
--- a/packages/node/src/app/node/nodeCore.ts
+++ b/packages/node/src/app/node/nodeCore.ts
@@ -105,7 +105,12 @@
   const transport = store.add(
     new HttpTargetTransport({ clock, invariants, registry: metrics.registry }),
   );
-  const claims = createClaimParts({ ...shared, transport, nodeAddress: self.address });
+  const claims = createClaimParts({
+    ...shared,
+    transport,
+    registry: metrics.registry,
+    nodeAddress: self.address,
+  });
   const home = createHome(shared, transport, options.replacements.guard ?? claims.guard);
   const router = createRouter(shared, home);
   const hopServer = new HopServer({
--- a/packages/routing/src/home/common/serviceHome.ts
+++ b/packages/routing/src/home/common/serviceHome.ts
@@ -13,6 +13,7 @@
 } from '../../attempt/common/attemptOutcome.js';
 import type { IRunningAttempt } from '../../attempt/common/hedgedAttempt.js';
 import { runHedged } from '../../attempt/common/hedgedAttempt.js';
+import { makeDeadlinePassed } from '../../refusal/common/refusals.js';
 import { AttemptRunner, DispatchCount } from '../../attempt/common/attemptRunner.js';
 import { RetryBudget } from '../../budget/common/retryBudget.js';
 import type { IAnswer, IRoutedRequest } from '../../request/common/request.js';
@@ -123,6 +124,11 @@
     for (;;) {
       const slot = await this.waitForSlot(passage, last);
       if (slot === undefined) break;
+      if (this.hasPassed(passage.request.deadlineMs)) {
+        slot.release();
+        if (last === undefined) throw makeDeadlinePassed();
+        break;
+      }
       discardOutcome(last);
       last = await this.runAttempt(passage, slot);
       if (!this.isRetryAllowed(passage, last)) break;
@@ -131,6 +137,10 @@
     return toAnswer(last, this.pool.computeRetryAfter());
   }
 
+  private hasPassed(deadlineMs: number): boolean {
+    return this.context.clock.getMonotonicTime() >= deadlineMs;
+  }
+
   /** Undefined when an earlier attempt's outcome is the better answer than the refusal to queue. */
   private async waitForSlot(
     passage: IPassage,
--- a/packages/routing/src/transport/node/attemptSignal.ts
+++ b/packages/routing/src/transport/node/attemptSignal.ts
@@ -47,6 +47,11 @@
     return Math.max(1, Math.ceil(this.dueMs - this.clock.getMonotonicTime()));
   }
 
+  /** Whether the time is over, be it that the timer has not fired yet. */
+  isOverdue(): boolean {
+    return this.clock.getMonotonicTime() >= this.dueMs;
+  }
+
   /** Replaces the time limit by one that starts now; undefined: none for the present. */
   setTimeLimit(limitMs: number | undefined): void {
     void this.timer?.dispose();
--- a/packages/routing/src/transport/node/httpTargetTransport.test.ts
+++ b/packages/routing/src/transport/node/httpTargetTransport.test.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo } from 'node:net';
 import type { TestContext } from 'node:test';
 import { test } from 'node:test';
-import { ManualClock } from '@parsleymux/base';
+import { ManualClock, SystemClock } from '@parsleymux/base';
 import type { ISendOptions, ITargetRequest } from '../common/targetTransport.js';
 import { TransportError, TransportFailure } from '../common/targetTransport.js';
 import type { IRawRequest } from '../test/rawTarget.js';
@@ -187,6 +187,31 @@
   assert.equal(dispatches, 0);
 });
 
+/** The machine's clock, with the time added that a process spent stopped. */
+class PausedClock extends SystemClock {
+  pauseMs = 0;
+
+  override getMonotonicTime(): number {
+    return super.getMonotonicTime() + this.pauseMs;
+  }
+}
+
+test('a request whose deadline passed while the process was stopped is not dispatched', async (t) => {
+  // Symptom: a booking runs long after an operator settled it as not run.
+  // Sequence: the node takes a connection, is stopped past the deadline, and resumes; the
+  // connection is ready before its timers have fired.
+  // Cause: the deadline was enforced by timers alone.
+  const clock = new PausedClock();
+  const bench = await openBench(t, ({ socket }) => socket.write(answerText('ran')), { clock });
+  let dispatches = 0;
+  const sending = bench.send({ timeoutMs: 1000 }, { onDispatch: () => (dispatches += 1) });
+  clock.pauseMs = 900_000;
+  const error = await takeError(sending);
+  assert.equal(error.failure, TransportFailure.Timeout);
+  assert.equal(error.mayHaveRun, false);
+  assert.equal(dispatches, 0);
+});
+
 for (const method of ['GET', 'PUT', 'POST']) {
   for (const isReused of [false, true]) {
     test(`a ${method} that the target drops after reading is never sent again (reused: ${isReused})`, async (t) => {
--- a/packages/routing/src/transport/node/httpTargetTransport.ts
+++ b/packages/routing/src/transport/node/httpTargetTransport.ts
@@ -5,13 +5,8 @@
 import type { Dispatcher } from 'undici';
 import type { Registry } from 'prom-client';
 import { MuxHeader, removeHopByHopHeaders } from '../common/hopHeaders.js';
-import type {
-  ISendOptions,
-  ITargetAnswer,
-  ITargetRequest,
-  TransportFailure,
-} from '../common/targetTransport.js';
-import { TargetTransport, TransportError } from '../common/targetTransport.js';
+import type { ISendOptions, ITargetAnswer, ITargetRequest } from '../common/targetTransport.js';
+import { TargetTransport, TransportError, TransportFailure } from '../common/targetTransport.js';
 import { AttemptSignal } from './attemptSignal.js';
 import { ConnectionPool } from './connectionPool.js';
 import { Exchange } from './exchange.js';
@@ -99,6 +94,12 @@
   ): Promise<ITargetAnswer> {
     const pool = this.getPool(request.member, request.target);
     const connection = await this.takeConnection(pool, options, attempt);
+    // A process that was paused finds its deadline passed before its timers have fired; a request
+    // sent now would run after its caller, or an operator, has taken it for not run.
+    if (attempt.isOverdue()) {
+      pool.release(connection);
+      throw makeUnsentError(TransportFailure.Timeout);
+    }
     const attemptId = `${this.attemptPrefix}-${this.attempts++}`;
     const exchange = new Exchange({
       connection,
