--- a/packages/node/src/app/node/muxNode.ts
+++ b/packages/node/src/app/node/muxNode.ts
@@ -22,7 +22,6 @@
 import { createControlImplementation } from '../../peer/node/controlImplementation.js';
 import { PeerServer } from '../../peer/node/peerServer.js';
 import { StatusServer } from '../../status/node/statusServer.js';
-import type { IPartReplacements } from '../common/partReplacements.js';
 import { NodeStage, NodeState } from '../common/nodeState.js';
 import type { IPortTls } from '../../tls/node/portTls.js';
 import { openPortTls } from '../../tls/node/portTls.js';
@@ -39,8 +38,6 @@
   readonly settings: NodeSettings;
   readonly clock: Clock;
   readonly log: Logger;
-  /** For experiments only. Default: every part is the node's own. */
-  readonly replacements?: IPartReplacements;
 }
 
 /** Addresses in use, ports chosen by the system filled in. */
@@ -104,7 +101,6 @@
       state: this.state,
       metrics,
       tls,
-      replacements: this.options.replacements ?? {},
     });
     this.store.add(core.store);
     this.core = core;
@@ -121,9 +117,8 @@
    * the number of requests that were cut because the limit passed.
    */
   async stopGracefully(): Promise<number> {
-    const { clock, replacements } = this.options;
+    const { clock } = this.options;
     this.state.setStage(NodeStage.Leaving);
-    if (replacements?.stopsAtOnce === true) return this.recordCut();
     // The balancer's view lags: until it has seen "not ready", new requests still come here, and
     // closing the port at once would refuse them at TCP, which callers can't tell from a fault.
     await clock.sleep(this.timing.shutdownNoticeMs);
--- a/packages/node/src/app/node/nodeCore.ts
+++ b/packages/node/src/app/node/nodeCore.ts
@@ -2,7 +2,6 @@
 import { randomInt } from 'node:crypto';
 import type { Clock, InvariantRegistry, Logger, RandomSource } from '@parsleymux/base';
 import { DisposableStore, SeededRandom } from '@parsleymux/base';
-import type { AppliedConfig } from '@parsleymux/config';
 import { ConfigDistributor } from '@parsleymux/config';
 import type { INode, PeerAuthenticator } from '@parsleymux/fleet';
 import { ListedMembershipService, PeerClients, RendezvousPlacement } from '@parsleymux/fleet';
@@ -22,7 +21,6 @@
 import { LivePeerSource } from '../../peer/node/connectConfigPeer.js';
 import { ConnectTargetObserver } from '../../peer/node/connectTargetObserver.js';
 import { makeConfigPacing } from '../common/configPacing.js';
-import type { IPartReplacements } from '../common/partReplacements.js';
 import type { ITlsMaterial } from '../../tls/node/tlsFilesWatcher.js';
 import type { IPortTls } from '../../tls/node/portTls.js';
 import type { NodeState } from '../common/nodeState.js';
@@ -43,7 +41,6 @@
   readonly state: NodeState;
   readonly metrics: NodeMetrics;
   readonly tls: IPortTls;
-  readonly replacements: IPartReplacements;
   readonly log: Logger;
 }
 
@@ -98,7 +95,6 @@
     invariants,
     ...makeConfigPacing(membership, timing.configPollMs),
     isolationLimitMs: timing.isolationLimitMs,
-    ...makeAppliedOption(options.replacements),
   });
   const shared = { ...options, store, random, platform, membership, clients, peers, config };
   const { metrics } = options;
@@ -111,7 +107,7 @@
     registry: metrics.registry,
     nodeAddress: self.address,
   });
-  const home = createHome(shared, transport, options.replacements.guard ?? claims.guard);
+  const home = createHome(shared, transport, claims.guard);
   const router = createRouter(shared, home);
   const hopServer = new HopServer({
     clock,
@@ -154,9 +150,7 @@
       random,
       transport,
       guard,
-      ledger:
-        parts.replacements.ledger ??
-        new TableEjectionLedger({ table, clock, invariants, node: self.address }),
+      ledger: new TableEjectionLedger({ table, clock, invariants, node: self.address }),
       invariants,
       observer: new ConnectTargetObserver({ clients, membership, random, self }),
       metrics: new HomeMetrics(registry),
@@ -186,7 +180,6 @@
     hop,
     home,
     self: parts.self.address,
-    forgetsPossibleReach: parts.replacements.forgetsPossibleReach ?? false,
     isLeaving: () => parts.state.isLeaving(),
     onDidTry: (outcome) => {
       metrics.recordHopTry(outcome);
@@ -198,7 +191,3 @@
 function makePeerTls(tls: IPortTls): { readonly tls?: ITlsMaterial } {
   return tls.peer === undefined ? {} : { tls: tls.peer.getMaterial() };
 }
-
-function makeAppliedOption(replacements: IPartReplacements): { readonly applied?: AppliedConfig } {
-  return replacements.applied === undefined ? {} : { applied: replacements.applied };
-}
--- a/packages/node/src/entry/common/homeRouter.ts
+++ b/packages/node/src/entry/common/homeRouter.ts
@@ -25,8 +25,6 @@
   readonly self: string;
   /** Whether this node is on its way out of the fleet. */
   readonly isLeaving: () => boolean;
-  /** For experiments: believe every refusal "not run". Default false. */
-  readonly forgetsPossibleReach?: boolean;
   /** Called for each exchange with a home, for metrics. */
   readonly onDidTry?: (outcome: HopFailure | 'answered' | 'local') => void;
 }
@@ -59,7 +57,7 @@
       }
       const outcome = await this.tryPeer(candidate, request, signal, mayHaveReached);
       if (!(outcome instanceof HopError)) return outcome;
-      mayHaveReached ||= this.hasPossiblyReached(outcome);
+      mayHaveReached ||= outcome.hasPossiblyReached();
     }
     this.options.onDidTry?.('local');
     return this.serveHere(request, signal, mayHaveReached);
@@ -85,7 +83,7 @@
       const outcome = await this.tryOnce(peer, request, signal, mayHaveReached);
       if (!(outcome instanceof HopError)) return outcome;
       last = outcome;
-      mayHaveReached ||= this.hasPossiblyReached(outcome);
+      mayHaveReached ||= outcome.hasPossiblyReached();
       if (outcome.failure !== HopFailure.Lost) break;
       this.options.hop.retireConnections(peer);
     }
@@ -121,10 +119,6 @@
     }
   }
 
-  private hasPossiblyReached(error: HopError): boolean {
-    return this.options.forgetsPossibleReach !== true && error.hasPossiblyReached();
-  }
-
   private recordOutcome(peer: string, error: HopError): void {
     if (error.failure === HopFailure.Leaving) this.options.membership.recordLeaving(peer);
     else if (error.failure === HopFailure.Behind) this.options.membership.recordContact(peer);
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,4 +1,3 @@
 /** The node: entry, home, observer and administration API in one process. */
-export * from './app/common/partReplacements.js';
 export * from './app/node/main.js';
 export * from './app/node/muxNode.js';
