--- a/packages/lab/src/bench/control/node/bench.ts
+++ b/packages/lab/src/bench/control/node/bench.ts
@@ -3,9 +3,11 @@
 import { Bench, formatNumber, parseNumbers } from '../../common/bench.js';
 import type { IPoint } from '../common/slope.js';
 import { computeSlope } from '../common/slope.js';
+import { measureBurnRows } from './burnCost.js';
 import { measureCalls } from './callCost.js';
 import { FOOTPRINT_SHAPES, measureFootprints } from './configFootprint.js';
 import { measureMembership, measureProofs } from './membershipCost.js';
+import { measureConnections } from './connectionCost.js';
 import type { IControlPoint } from './controlWorld.js';
 import { ControlWorld } from './controlWorld.js';
 
@@ -109,6 +111,7 @@
     const tables: IBenchTable[] = [];
     if (wanted === undefined || wanted.includes('parts')) {
       tables.push(await measureCalls(), await measureMembership(), measureProofs());
+      tables.push(await measureBurnRows(), await measureConnections());
       tables.push(measureFootprints(FOOTPRINT_SHAPES));
     }
     for (const series of SERIES) {
