Carry the caller's Host over the hop under a name of its own; test a fleet over TLS

Cause: as `host` the client took it for the peer's name, verified certificates by it and reconnected for each new one; over TLS every entry but the home would fail. Before: ERR_TLS_CERT_ALTNAME_INVALID.

--- a/packages/lab/src/processes/node/labWorld.ts
+++ b/packages/lab/src/processes/node/labWorld.ts
@@ -33,6 +33,10 @@
   /** Replace single values of every node's settings. */
   readonly nodeTiming?: Readonly<Record<string, number>>;
   readonly nodeLimits?: Readonly<Record<string, number>>;
+  /** The security section of every node's settings. */
+  readonly nodeSecurity?: object;
+  /** File with the authority of the administration API's certificates. Absent: plain HTTP. */
+  readonly adminAuthorityFile?: string;
   /** Options of Node itself, for every node of the fleet. */
   readonly nodeOptions?: readonly string[];
   /** The platform's address as node number `index` is to use it. Default: the platform's own. */
@@ -114,6 +118,7 @@
       directory: this.directory ?? tmpdir(),
       timing: this.options.nodeTiming ?? {},
       limits: this.options.nodeLimits ?? {},
+      security: this.options.nodeSecurity ?? {},
       nodeOptions: this.options.nodeOptions ?? [],
     });
     this.nodes.push(node);
@@ -158,6 +163,7 @@
       fleet: this.fleet,
       admin: node.addresses.admin,
       key: this.keys.get(member) ?? '',
+      authorityFile: this.options.adminAuthorityFile,
     });
   }
 
--- a/packages/lab/src/processes/node/nodeProcess.ts
+++ b/packages/lab/src/processes/node/nodeProcess.ts
@@ -24,6 +24,8 @@
   readonly timing?: Readonly<Record<string, number>>;
   /** Replaces single values of the settings' limits section. */
   readonly limits?: Readonly<Record<string, number>>;
+  /** The settings' security section. */
+  readonly security?: object;
   /** Options of Node itself, such as a limit on its heap. */
   readonly nodeOptions?: readonly string[];
 }
@@ -101,6 +103,7 @@
       ...options.timing,
     },
     limits: { ...options.limits },
+    security: { ...options.security },
     logging: { json: true },
   };
 }
--- a/packages/lab/src/processes/node/operatorCommand.ts
+++ b/packages/lab/src/processes/node/operatorCommand.ts
@@ -9,6 +9,8 @@
   /** Administration address of any node. */
   readonly admin: string;
   readonly key: string;
+  /** File with the authority of the administration API's certificate. Absent: plain HTTP. */
+  readonly authorityFile?: string | undefined;
 }
 
 /** What a run of the command gave. */
@@ -31,11 +33,15 @@
 
   /** Runs one command to its end, whatever its exit code. */
   async run(args: readonly string[]): Promise<ICommandResult> {
-    const { fleet, admin, key } = this.options;
+    const { fleet, admin, key, authorityFile } = this.options;
+    const access =
+      authorityFile === undefined
+        ? ['--admin', `http://${admin}`]
+        : ['--admin', `https://${admin}`, '--ca', authorityFile];
     const child = fleet.start({
       name: `parsleyctl ${args.join(' ')}`,
       script: Program.Ctl,
-      args: [...args, '--admin', `http://${admin}`, '--key', key, '--json'],
+      args: [...args, ...access, '--key', key, '--json'],
     });
     const { code } = await child.waitForEnd();
     const output = parseOutput(child.getOutputLines().join('\n'));
--- a/packages/node/src/hop/common/hopProtocol.ts
+++ b/packages/node/src/hop/common/hopProtocol.ts
@@ -17,6 +17,8 @@
   Path: 'parsleymux-hop-path',
   Caller: 'parsleymux-hop-caller',
   Key: 'parsleymux-hop-key',
+  /** The caller's Host. As `host` it would be taken for the peer's name in TLS. */
+  Host: 'parsleymux-hop-host',
   /** Time left to the caller's deadline, in ms. */
   TimeLeft: 'parsleymux-hop-time-left-ms',
   /** Revision of the member's configuration that the entry routed by. */
--- a/packages/node/src/hop/node/hopClient.ts
+++ b/packages/node/src/hop/node/hopClient.ts
@@ -77,7 +77,7 @@
         headers: toRawHeaders([
           [HopHeader.Exchange, exchange],
           ...this.createHeaders(peer, hop),
-          ...hop.request.headers,
+          ...hop.request.headers.map(toHopHeader),
         ]),
         body: hop.request.body,
         signal: watch.signal,
@@ -207,6 +207,11 @@
  * ever disagree on it, a caller would get another caller's answer; the echo shows it. A home of
  * an older version echoes nothing.
  */
+/** The client would take `host` for the peer's name in TLS, and reconnect for each new one. */
+function toHopHeader(header: Header): Header {
+  return header[0] === 'host' ? [HopHeader.Host, header[1]] : header;
+}
+
 function checkExchange(answer: Dispatcher.ResponseData, exchange: string): void {
   const echoed = answer.headers[HopHeader.Exchange];
   if (echoed === undefined || echoed === exchange) return;
--- a/packages/node/src/hop/node/hopServer.ts
+++ b/packages/node/src/hop/node/hopServer.ts
@@ -71,7 +71,7 @@
       route,
       method: getHeader(request, HopHeader.Method),
       path: getHeader(request, HopHeader.Path),
-      headers: listEndToEndHeaders(request.rawHeaders),
+      headers: listCallerHeaders(request),
       body: await readBody(request, this.options.maxBodyBytes),
       deadlineMs,
       caller: getHeader(request, HopHeader.Caller),
@@ -93,6 +93,13 @@
   }
 }
 
+/** The caller's headers, with its own Host in the place of this node's name. */
+function listCallerHeaders(request: IncomingMessage): readonly Header[] {
+  const headers = listEndToEndHeaders(request.rawHeaders).filter(([name]) => name !== 'host');
+  const host = request.headers[HopHeader.Host];
+  return typeof host === 'string' ? [['host', host], ...headers] : headers;
+}
+
 /** Tells the entry at once, and again from time to time, that the home is alive and working. */
 class Heartbeat {
   private timer: IDisposable | undefined;
