--- a/packages/operators/src/api/common/adminRoute.ts
+++ b/packages/operators/src/api/common/adminRoute.ts
@@ -8,7 +8,7 @@
 /** A request whose operator is known. */
 export interface IAdminRequest {
   readonly operator: IOperator;
-  /** What the groups of the route's pattern matched, decoded. */
+  /** What stands for the names in braces of the route's path, decoded. */
   readonly parameters: readonly string[];
   readonly query: URLSearchParams;
   /** The whole body, within the limit. */
@@ -25,8 +25,8 @@
 /** A method and path, and what answers them. */
 export interface IAdminRoute {
   readonly method: 'GET' | 'POST' | 'DELETE';
-  /** Must match the whole path. */
-  readonly pattern: RegExp;
+  /** Such as "/v1/plans/{id}"; what stands for a name in braces becomes a parameter. */
+  readonly path: string;
   /** Name for the audit log and counters, such as "plan.confirm". */
   readonly action: string;
   readonly handle: (request: IAdminRequest) => Promise<IAdminAnswer>;
--- a/packages/operators/src/api/common/burnHandler.ts
+++ b/packages/operators/src/api/common/burnHandler.ts
@@ -21,7 +21,7 @@
     return [
       {
         method: 'GET',
-        pattern: /^\/v1\/burn$/,
+        path: '/v1/burn',
         action: 'burn.show',
         handle: (request) => this.getReport(request),
       },
--- a/packages/operators/src/api/common/claimHandler.ts
+++ b/packages/operators/src/api/common/claimHandler.ts
@@ -25,13 +25,13 @@
     return [
       {
         method: 'GET',
-        pattern: /^\/v1\/claims\/([^/]+)$/,
+        path: '/v1/claims/{key}',
         action: 'claim.show',
         handle: (request) => this.getClaim(request),
       },
       {
         method: 'POST',
-        pattern: /^\/v1\/claims\/([^/]+)\/settle$/,
+        path: '/v1/claims/{key}/settle',
         action: 'claim.settle',
         handle: (request) => this.settle(request),
       },
--- a/packages/operators/src/api/common/keyHandler.ts
+++ b/packages/operators/src/api/common/keyHandler.ts
@@ -39,27 +39,39 @@
 
   override listRoutes(): readonly IAdminRoute[] {
     return [
-      this.makeRoute('GET', /^\/v1\/keys$/, 'key.list', (request) => this.list(request)),
-      this.makeRoute('POST', /^\/v1\/keys$/, 'key.create', (request) => this.create(request)),
-      this.makeRoute('POST', /^\/v1\/keys\/([^/]+)\/rotate$/, 'key.rotate', (request) =>
-        this.rotate(request),
-      ),
-      this.makeRoute('DELETE', /^\/v1\/keys\/([^/]+)$/, 'key.revoke', (request) =>
-        this.revoke(request),
-      ),
-      this.makeRoute('GET', /^\/v1\/audit$/, 'audit.show', (request) => this.listAudit(request)),
+      {
+        method: 'GET',
+        path: '/v1/keys',
+        action: 'key.list',
+        handle: (request) => this.list(request),
+      },
+      {
+        method: 'POST',
+        path: '/v1/keys',
+        action: 'key.create',
+        handle: (request) => this.create(request),
+      },
+      {
+        method: 'POST',
+        path: '/v1/keys/{id}/rotate',
+        action: 'key.rotate',
+        handle: (request) => this.rotate(request),
+      },
+      {
+        method: 'DELETE',
+        path: '/v1/keys/{id}',
+        action: 'key.revoke',
+        handle: (request) => this.revoke(request),
+      },
+      {
+        method: 'GET',
+        path: '/v1/audit',
+        action: 'audit.show',
+        handle: (request) => this.listAudit(request),
+      },
     ];
   }
 
-  private makeRoute(
-    method: IAdminRoute['method'],
-    pattern: RegExp,
-    action: string,
-    handle: IAdminRoute['handle'],
-  ): IAdminRoute {
-    return { method, pattern, action, handle };
-  }
-
   private async list(request: IAdminRequest): Promise<IAdminAnswer> {
     const member = await this.resolveMember(request, 'key.list');
     const rows = await this.options.keys.list(member, request.signal);
--- a/packages/operators/src/api/common/planHandler.ts
+++ b/packages/operators/src/api/common/planHandler.ts
@@ -29,39 +29,57 @@
   }
 
   override listRoutes(): readonly IAdminRoute[] {
-    const plan = /^\/v1\/plans\/([^/]+)$/;
-    return [
-      this.makeRoute('GET', /^\/v1\/intent$/, 'intent.show', (request) => this.getIntent(request)),
-      this.makeRoute('POST', /^\/v1\/intents$/, 'intent.submit', (request) => this.submit(request)),
-      this.makeRoute('GET', plan, 'plan.show', (request) => this.getPlan(request)),
-      this.makeRoute('DELETE', plan, 'plan.discard', (request) => this.discard(request)),
-      this.makeRoute('POST', /^\/v1\/plans\/([^/]+)\/confirm$/, 'plan.confirm', (request) =>
-        this.confirm(request),
-      ),
-      this.makeRoute('POST', /^\/v1\/targets$/, 'target.change', (request) =>
-        this.planTarget(request),
-      ),
+    const routes: readonly IAdminRoute[] = [
+      {
+        method: 'GET',
+        path: '/v1/intent',
+        action: 'intent.show',
+        handle: (request) => this.getIntent(request),
+      },
+      {
+        method: 'POST',
+        path: '/v1/intents',
+        action: 'intent.submit',
+        handle: (request) => this.submit(request),
+      },
+      {
+        method: 'GET',
+        path: '/v1/plans/{id}',
+        action: 'plan.show',
+        handle: (request) => this.getPlan(request),
+      },
+      {
+        method: 'POST',
+        path: '/v1/plans/{id}/confirm',
+        action: 'plan.confirm',
+        handle: (request) => this.confirm(request),
+      },
+      {
+        method: 'DELETE',
+        path: '/v1/plans/{id}',
+        action: 'plan.discard',
+        handle: (request) => this.discard(request),
+      },
+      {
+        method: 'POST',
+        path: '/v1/targets',
+        action: 'target.change',
+        handle: (request) => this.planTarget(request),
+      },
     ];
+    return routes.map((route) => this.withMemberCheck(route));
   }
 
   /** Intents and plans are the members' own: operators of the fleet have none and see none. */
-  private makeRoute(
-    method: IAdminRoute['method'],
-    pattern: RegExp,
-    action: string,
-    handle: IAdminRoute['handle'],
-  ): IAdminRoute {
-    return {
-      method,
-      pattern,
-      action,
-      handle: async (request) => {
-        const member = request.query.get('member') ?? request.operator.member;
-        await this.options.access.checkMember(request.operator, member, action, request.signal);
-        if (request.operator.isFleet) throw createFleetError();
-        return handle(request);
-      },
+  private withMemberCheck(route: IAdminRoute): IAdminRoute {
+    const handle: IAdminRoute['handle'] = async (request) => {
+      const { operator, signal } = request;
+      const member = request.query.get('member') ?? operator.member;
+      await this.options.access.checkMember(operator, member, route.action, signal);
+      if (operator.isFleet) throw createFleetError();
+      return route.handle(request);
     };
+    return { ...route, handle };
   }
 
   private async getIntent(request: IAdminRequest): Promise<IAdminAnswer> {
--- a/packages/operators/src/api/common/statusHandler.ts
+++ b/packages/operators/src/api/common/statusHandler.ts
@@ -28,7 +28,7 @@
     return [
       {
         method: 'GET',
-        pattern: /^\/v1\/status$/,
+        path: '/v1/status',
         action: 'status.show',
         handle: (request) => this.getStatus(request),
       },
--- a/packages/operators/src/api/node/adminApi.test.ts
+++ b/packages/operators/src/api/node/adminApi.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
 import { test } from 'node:test';
 import { create, toJson } from '@bufbuild/protobuf';
 import { InvariantName, ResultCode } from '@parsleymux/base';
@@ -212,3 +213,12 @@
     assert.match((await api.call('GET', '/v1/audit', own)).text, /RAN: asked the depot/);
   });
 });
+
+test('the page of the API lists every operation, and no other', async () => {
+  await withApi((api) => {
+    const page = readFileSync(new URL('../../../../../docs/ADMIN-API.md', import.meta.url), 'utf8');
+    const listed = [...page.matchAll(/^\| `([A-Z]+ \/v1[^`]*)`/gm)].map((match) => match[1]);
+    assert.deepEqual(listed.sort(), [...api.operations].sort());
+    return Promise.resolve();
+  });
+});
--- a/packages/operators/src/api/node/adminApi.ts
+++ b/packages/operators/src/api/node/adminApi.ts
@@ -63,7 +63,7 @@
 export class AdminApi {
   private readonly access: AccessControl;
   private readonly limiter: MemberLimiter;
-  private readonly routes: readonly IAdminRoute[];
+  private readonly routes: readonly ICompiledRoute[];
   private readonly counts = new Map<ResultCode, number>();
 
   constructor(private readonly options: IAdminApiOptions) {
@@ -77,7 +77,13 @@
       ...new KeyHandler(shared).listRoutes(),
       ...new ClaimHandler(shared).listRoutes(),
       ...this.listBurnRoutes(),
-    ];
+    ].map((route) => ({ ...route, pattern: makePattern(route.path) }));
+  }
+
+  /** Every operation, for the docs. */
+  listOperations(): readonly string[] {
+    const bootstrap = `POST ${BOOTSTRAP_PATH}`;
+    return [bootstrap, ...this.routes.map(({ method, path }) => `${method} ${path}`)];
   }
 
   /** Answers by result code, for metrics. */
@@ -185,11 +191,19 @@
   }
 }
 
+interface ICompiledRoute extends IAdminRoute {
+  readonly pattern: RegExp;
+}
+
 interface IRouteMatch {
   readonly route: IAdminRoute;
   readonly parameters: readonly string[];
 }
 
+function makePattern(path: string): RegExp {
+  return new RegExp(`^${path.replaceAll(/\{[a-z]+\}/g, '([^/]+)')}$`);
+}
+
 function writeAnswer(response: ServerResponse, answer: IAdminAnswer): void {
   response.writeHead(answer.status, {
     'content-type': 'application/json',
--- a/packages/operators/src/testing/apiFixture.ts
+++ b/packages/operators/src/testing/apiFixture.ts
@@ -77,6 +77,7 @@
   readonly status: FixedStatus;
   readonly claims: FakeClaims;
   readonly invariants: InvariantRegistry;
+  readonly operations: readonly string[];
   call(method: string, path: string, key?: string, body?: unknown): Promise<ICallResult>;
 }
 
@@ -108,6 +109,7 @@
   const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
   return {
     ...{ url, platform, clock, keys, config, status, claims, invariants },
+    operations: api.listOperations(),
     call: (method, path, key, body) => executeCall(url + path, method, key, body),
     dispose: async () => {
       server.closeAllConnections();
