Hold at most a node's share of a target's connections

A quarter of the target's limit, at least its slots, so that two homes and the observers together stay under it. Before, every node could hold 64 to a target whatever its limit.

--- a/packages/node/src/app/node/nodeCore.ts
+++ b/packages/node/src/app/node/nodeCore.ts
@@ -21,6 +21,7 @@
 import { LivePeerSource } from '../../peer/node/connectConfigPeer.js';
 import { ConnectTargetObserver } from '../../peer/node/connectTargetObserver.js';
 import { makeConfigPacing } from '../common/configPacing.js';
+import { findConnectionShare } from '../common/connectionShare.js';
 import type { ITlsMaterial } from '../../tls/node/tlsFilesWatcher.js';
 import type { IPortTls } from '../../tls/node/portTls.js';
 import type { NodeState } from '../common/nodeState.js';
@@ -99,7 +100,14 @@
   const shared = { ...options, store, random, platform, membership, clients, peers, config };
   const { metrics } = options;
   const transport = store.add(
-    new HttpTargetTransport({ clock, invariants, registry: metrics.registry }),
+    new HttpTargetTransport({
+      clock,
+      invariants,
+      registry: metrics.registry,
+      getConnectionLimit: (member, target) => {
+        return findConnectionShare(config.getCurrent(), member, target);
+      },
+    }),
   );
   const claims = createClaimParts({
     ...shared,
