--- a/packages/operators/src/burn/common/burnRecorder.ts
+++ b/packages/operators/src/burn/common/burnRecorder.ts
@@ -8,7 +8,7 @@
 import type { IBurnCounts } from './burnCounts.js';
 import { addCounts, getSlotStart, NO_COUNTS } from './burnCounts.js';
 import type { IRawCounts } from './burnRows.js';
-import { formatRawKey } from './burnRows.js';
+import { encodeRawCounts, formatRawKey } from './burnRows.js';
 import { MERGE_AFTER_MS } from './burnMerger.js';
 
 const DEFAULT_FLUSH_MS = 60_000;
@@ -96,7 +96,7 @@
     this.batch ??= this.takeBatch();
     const { batch } = this;
     if (batch === undefined) return;
-    const value = JSON.stringify(batch.counts);
+    const value = encodeRawCounts(batch.counts);
     const conditions = [{ key: batch.key, version: 0 }];
     try {
       // Not committed means that an earlier try, whose answer was lost, wrote the row.
--- a/packages/operators/src/burn/common/burnRows.ts
+++ b/packages/operators/src/burn/common/burnRows.ts
@@ -71,6 +71,26 @@
   return Number(key.slice(-INSTANT_DIGITS));
 }
 
+/** Requests, failed and slow ones of each service, by member and slot. */
+type PackedCounts = Record<string, Record<string, Record<string, [number, number, number]>>>;
+
+/**
+ * The value of a raw row. An entry of a large fleet serves every service, and hands in a row a
+ * minute: with every name repeated, 980 services would take all that a node may send for control.
+ *
+ * @example
+ * const value = encodeRawCounts(counts);
+ */
+export function encodeRawCounts(counts: readonly IRawCounts[]): string {
+  const packed: PackedCounts = {};
+  for (const { member, service, slotMs, requests, failed, slow } of counts) {
+    const slots = (packed[member] ??= {});
+    const services = (slots[String(slotMs)] ??= {});
+    services[service] = [requests, failed, slow];
+  }
+  return JSON.stringify(packed);
+}
+
 /**
  * The counts in a raw row.
  *
@@ -78,7 +98,14 @@
  * decodeRawRow(row).length;
  */
 export function decodeRawRow(row: ITableRow): readonly IRawCounts[] {
-  return JSON.parse(row.value) as readonly IRawCounts[];
+  const packed = JSON.parse(row.value) as PackedCounts;
+  return Object.entries(packed).flatMap(([member, slots]) => {
+    return Object.entries(slots).flatMap(([slotMs, services]) => {
+      return Object.entries(services).map(([service, [requests, failed, slow]]) => {
+        return { member, service, slotMs: Number(slotMs), requests, failed, slow };
+      });
+    });
+  });
 }
 
 /**
