Count targets as cold for a minute after a plan made them serve

Cause: one plan added targets and the next, seconds later, took the former ones away; the second took the cold targets for warm ones, so two plans could do what one may not. The row of a target says since when it serves. It is read only for services that a plan takes capacity from, so other plans cost nothing more. First targets of a new service count at once: there is nothing yet that they could be cold beside. Ruled out: asking the homes (they may be cut off from the node that plans). A service below its floor may still be repaired, but what is cold may no longer be taken away on that ground.

--- a/packages/config/src/layout/common/rows.ts
+++ b/packages/config/src/layout/common/rows.ts
@@ -7,6 +7,8 @@
 /** Who owns a host name or a target address. */
 export interface IOwnerRow {
   readonly member: string;
+  /** For a target: the wall time, in ms, at which a plan last made it serve; 0 with its service. */
+  readonly servesSinceMs?: number;
 }
 
 /** The state of a plan. The plan itself is an object, for it can be large. */
@@ -111,23 +113,22 @@
 }
 
 /**
- * The member that owns a host name or target address, or undefined when it is free.
+ * The owner of a host name or target address, or undefined when it is free.
  *
  * @example
- * decodeOwner(rows.get(formatHostKey('booking.example')));
+ * decodeOwner(rows.get(formatHostKey('booking.example')))?.member;
  */
-export function decodeOwner(row: ITableRow | undefined): string | undefined {
-  return row === undefined ? undefined : (JSON.parse(row.value) as IOwnerRow).member;
+export function decodeOwner(row: ITableRow | undefined): IOwnerRow | undefined {
+  return row === undefined ? undefined : (JSON.parse(row.value) as IOwnerRow);
 }
 
 /**
  * The text of an owner's row.
  *
  * @example
- * encodeOwner('dobrescu');
+ * encodeOwner({ member: 'dobrescu' });
  */
-export function encodeOwner(member: string): string {
-  const row: IOwnerRow = { member };
+export function encodeOwner(row: IOwnerRow): string {
   return JSON.stringify(row);
 }
 
--- a/packages/config/src/plans/common/capacity.ts
+++ b/packages/config/src/plans/common/capacity.ts
@@ -3,7 +3,8 @@
  *
  * How targets count: a serving target counts with its slots; a draining one, one with an
  * instant to leave, and an ejected one count as gone; a target that the plan adds is cold and
- * counts only after the plan, not during it.
+ * counts only after the plan, not during it; one that an earlier plan added a moment ago is cold
+ * still, so that two plans in a row can't do what one may not.
  */
 import { create } from '@bufbuild/protobuf';
 import type { Intent, Service, ServiceCapacity, Target } from '@parsleymux/schema';
@@ -12,6 +13,16 @@
 /** Addresses of the ejected targets of each service. */
 export type EjectedTargets = ReadonlyMap<string, ReadonlySet<string>>;
 
+/** What capacity is reckoned from. */
+export interface ICapacityInput {
+  /** The intent in force. */
+  readonly before: Intent | undefined;
+  readonly after: Intent;
+  readonly ejected: EjectedTargets;
+  /** Addresses of targets in force that began to serve a moment ago. */
+  readonly warmingUp: ReadonlySet<string>;
+}
+
 /** A service's capacity and how it came about. */
 export interface ICapacityFinding {
   readonly capacity: ServiceCapacity;
@@ -46,43 +57,68 @@
  * The capacity of each service that `after` names or that `before` named.
  *
  * @example
- * const findings = computeCapacity(before, after, new Map());
+ * const findings = computeCapacity({ before, after, ejected: new Map(), warmingUp: new Set() });
  */
-export function computeCapacity(
-  before: Intent | undefined,
-  after: Intent,
-  ejected: EjectedTargets,
-): readonly ICapacityFinding[] {
+export function computeCapacity(input: ICapacityInput): readonly ICapacityFinding[] {
+  const { before, after } = input;
   const oldServices = new Map(before?.services.map((service) => [service.name, service]));
   const newServices = new Map(after.services.map((service) => [service.name, service]));
   const names = new Set([...oldServices.keys(), ...newServices.keys()]);
   return [...names].map((name) => {
-    const gone = ejected.get(name) ?? new Set<string>();
-    return findCapacity(name, oldServices.get(name), newServices.get(name), gone);
+    return findCapacity(name, oldServices.get(name), newServices.get(name), input);
   });
 }
 
+/**
+ * Serving targets of the services that a plan takes capacity from; only for those does it matter
+ * which are cold.
+ *
+ * @example
+ * const addresses = listTargetsOfShrinking(before, after);
+ */
+export function listTargetsOfShrinking(
+  before: Intent | undefined,
+  after: Intent,
+): readonly string[] {
+  const findings = computeCapacity({ before, after, ejected: new Map(), warmingUp: new Set() });
+  const shrinking = findings
+    .filter(({ capacity }) => capacity.duringSlots < capacity.beforeSlots)
+    .map(({ capacity }) => capacity.service);
+  const services = before?.services.filter((service) => shrinking.includes(service.name)) ?? [];
+  return services.flatMap((service) =>
+    listServing(service, new Set()).map((target) => target.address),
+  );
+}
+
 function findCapacity(
   name: string,
   before: Service | undefined,
   after: Service | undefined,
-  ejected: ReadonlySet<string>,
+  input: ICapacityInput,
 ): ICapacityFinding {
+  const ejected = input.ejected.get(name) ?? new Set<string>();
   const oldTargets = before === undefined ? [] : listServing(before, ejected);
   const newTargets = after === undefined ? [] : listServing(after, ejected);
+  const kept = listKept(oldTargets, newTargets);
+  const isWarm = (target: Target) => !input.warmingUp.has(target.address);
   const capacity = create(ServiceCapacitySchema, {
     service: name,
     floorSlots: after?.floorSlots ?? 0,
-    beforeSlots: countSlots(oldTargets),
-    duringSlots: countSlots(listKept(oldTargets, newTargets)),
+    beforeSlots: countSlots(oldTargets.filter(isWarm)),
+    duringSlots: countSlots(kept.filter(isWarm)),
     afterSlots: countSlots(newTargets),
   });
-  const isRepair = checkRepair(capacity, before);
+  const isKept = countSlots(kept) >= Math.min(capacity.floorSlots, countSlots(oldTargets));
+  const isRepair = isKept && checkRepair(capacity, before);
   return {
     capacity,
     isRepair,
     breaksFloor: !isRepair && checkBreak(capacity, before, after),
-    arithmetic: describeArithmetic(capacity, ejected),
+    arithmetic: describeArithmetic(
+      capacity,
+      ejected.size,
+      oldTargets.length - oldTargets.filter(isWarm).length,
+    ),
   };
 }
 
@@ -99,7 +135,10 @@
   return capacity.duringSlots < Math.min(before.floorSlots, after.floorSlots);
 }
 
-/** Without this, a service that fell below its floor could not be given more targets. */
+/**
+ * Without this, a service that fell below its floor could not be given more targets. What is
+ * cold may not be taken away on this ground either, down to the floor.
+ */
 function checkRepair(capacity: ServiceCapacity, before: Service | undefined): boolean {
   if (before === undefined || capacity.beforeSlots >= before.floorSlots) return false;
   if (capacity.floorSlots > before.floorSlots) return false;
@@ -126,10 +165,15 @@
   return targets.reduce((sum, target) => sum + target.slots, 0);
 }
 
-function describeArithmetic(capacity: ServiceCapacity, ejected: ReadonlySet<string>): string {
+function describeArithmetic(
+  capacity: ServiceCapacity,
+  ejectedCount: number,
+  coldCount: number,
+): string {
+  const cold = coldCount === 0 ? '' : `, ${coldCount} began to serve a moment ago and are cold`;
   return (
     `service "${capacity.service}": floor ${capacity.floorSlots} slots; ` +
     `before ${capacity.beforeSlots}, during ${capacity.duringSlots}, after ${capacity.afterSlots} ` +
-    `(${ejected.size} targets ejected, counted as gone)`
+    `(${ejectedCount} targets ejected, counted as gone${cold})`
   );
 }
--- a/packages/config/src/plans/common/confirmTransaction.ts
+++ b/packages/config/src/plans/common/confirmTransaction.ts
@@ -32,6 +32,7 @@
   encodePlanRow,
   encodePointer,
 } from '../../layout/common/rows.js';
+import { isLeaving } from './capacity.js';
 
 /** Host names and target addresses that a plan takes and gives up. */
 export interface IOwnershipChange {
@@ -149,7 +150,7 @@
   const ownership = compareOwnership(input.before, input.after);
   const fleetRevision = confirmed.confirmedFleetRevision;
   const pointer = makePointer(input, fleetRevision);
-  const owner = encodeOwner(member);
+  const owner = encodeOwner({ member });
   return [
     { key: HEAD_KEY, value: encodeHead(fleetRevision) },
     { key: formatMemberKey(member), value: pointer },
@@ -157,7 +158,7 @@
     { key: formatPlanKey(member, planId), value: encodePlanRow(confirmed) },
     ...ownership.addedHosts.map((host) => ({ key: formatHostKey(host), value: owner })),
     ...ownership.removedHosts.map((host) => ({ key: formatHostKey(host), value: null })),
-    ...ownership.addedTargets.map((target) => ({ key: formatTargetKey(target), value: owner })),
+    ...makeTargetWrites(input),
     ...ownership.removedTargets.map((target) => ({ key: formatTargetKey(target), value: null })),
     ...makeEjectionWrites(input),
     ...makeLogTrim(fleetRevision),
@@ -168,6 +169,28 @@
   ];
 }
 
+/** Targets that begin to serve with this plan, and those that it adds without that. */
+function makeTargetWrites(input: IConfirmInput): readonly ITableWrite[] {
+  const { member, nowMs } = input;
+  const oldServices = new Set(input.before?.services.map((service) => service.name));
+  const known = new Map(
+    input.before?.services.flatMap((service) =>
+      service.targets.map((target) => [target.address, target] as const),
+    ),
+  );
+  return input.after.services.flatMap((service) => {
+    // A new service has no capacity yet that its first targets could be cold beside.
+    const servesSinceMs = oldServices.has(service.name) ? nowMs : 0;
+    return service.targets.flatMap((target) => {
+      const former = known.get(target.address);
+      const hasReturned = former !== undefined && isLeaving(former) && !isLeaving(target);
+      if (former !== undefined && !hasReturned) return [];
+      const value = encodeOwner({ member, servesSinceMs });
+      return [{ key: formatTargetKey(target.address), value }];
+    });
+  });
+}
+
 function makePointer(input: IConfirmInput, fleetRevision: number): string {
   const { member, planId } = input;
   return encodePointer(
--- a/packages/config/src/plans/common/planBuilder.ts
+++ b/packages/config/src/plans/common/planBuilder.ts
@@ -1,22 +1,19 @@
 /** Works out what confirming an intent will do. */
 import { create } from '@bufbuild/protobuf';
-import type { Change, Intent, Plan, Service } from '@parsleymux/schema';
+import type { Change, Plan, Service } from '@parsleymux/schema';
 import { ChangeKind, PlanSchema, PlanState } from '@parsleymux/schema';
-import type { EjectedTargets, ICapacityFinding } from './capacity.js';
+import type { ICapacityFinding, ICapacityInput } from './capacity.js';
 import { computeCapacity, isLeaving } from './capacity.js';
 import { computeChanges } from './changes.js';
 import { createFloorError } from './planErrors.js';
 
 /** What a plan is made from. */
-export interface IPlanInput {
+export interface IPlanInput extends ICapacityInput {
   readonly id: string;
   readonly operator: string;
   readonly nowMs: number;
   /** The member's revision in force; 0 when it has none. */
   readonly baseMemberRevision: number;
-  readonly before: Intent | undefined;
-  readonly after: Intent;
-  readonly ejected: EjectedTargets;
 }
 
 /**
@@ -45,8 +42,8 @@
   }
 
   /** The capacity of every service. Throws FloorWouldBreak with the arithmetic. */
-  check(input: Pick<IPlanInput, 'before' | 'after' | 'ejected'>): readonly ICapacityFinding[] {
-    const findings = computeCapacity(input.before, input.after, input.ejected);
+  check(input: ICapacityInput): readonly ICapacityFinding[] {
+    const findings = computeCapacity(input);
     const broken = findings.filter((finding) => finding.breaksFloor);
     if (broken.length > 0) throw createFloorError(broken.map((finding) => finding.arithmetic));
     return findings;
--- a/packages/config/src/plans/common/planRefusals.ts
+++ b/packages/config/src/plans/common/planRefusals.ts
@@ -36,6 +36,8 @@
   readonly inForce: IIntentInForce;
   readonly after: Intent;
   readonly rows: RowMap;
+  /** Targets in force that began to serve a moment ago. */
+  readonly warmingUp: ReadonlySet<string>;
 }
 
 /**
@@ -64,7 +66,7 @@
   input: Omit<IDecisionInput, 'planId'>,
 ): IPlanRefusal | undefined {
   const { member, rows } = input;
-  const isTaken = (key: string) => (decodeOwner(rows.get(key)) ?? member) !== member;
+  const isTaken = (key: string) => (decodeOwner(rows.get(key))?.member ?? member) !== member;
   const ownership = compareOwnership(input.inForce.intent, input.after);
   const host = ownership.addedHosts.find((name) => isTaken(formatHostKey(name)));
   if (host !== undefined) return { error: createHostTakenError(host), keys: [formatHostKey(host)] };
@@ -104,7 +106,8 @@
 ): IPlanRefusal | undefined {
   const before = input.inForce.intent;
   try {
-    builder.check({ before, after: input.after, ejected: listEjected(input) });
+    const { after, warmingUp } = input;
+    builder.check({ before, after, ejected: listEjected(input), warmingUp });
     return undefined;
   } catch (error) {
     if (!(error instanceof MuxError)) throw error;
--- a/packages/config/src/plans/common/planRepository.ts
+++ b/packages/config/src/plans/common/planRepository.ts
@@ -9,9 +9,18 @@
 import { PlatformError, PlatformFailure } from '@parsleymux/platform';
 import type { Intent, Plan } from '@parsleymux/schema';
 import { IntentSchema, PlanSchema, PlanState } from '@parsleymux/schema';
-import { formatIntentKey, formatMemberKey, formatPlanKey } from '../../layout/common/rowKeys.js';
+import {
+  formatIntentKey,
+  formatMemberKey,
+  formatPlanKey,
+  formatTargetKey,
+} from '../../layout/common/rowKeys.js';
 import type { IPlanRow, RowMap } from '../../layout/common/rows.js';
-import { decodePointer, encodePlanRow, toRowMap } from '../../layout/common/rows.js';
+import { decodeOwner, decodePointer, encodePlanRow, toRowMap } from '../../layout/common/rows.js';
+import { listTargetsOfShrinking } from './capacity.js';
+
+/** Time from which a target that a plan added counts as warm. */
+export const WARM_UP_MS = 60_000;
 
 /** A member's intent in force. */
 export interface IIntentInForce {
@@ -96,6 +105,28 @@
     return this.fetchPointed((await this.readRows([key], signal, current)).get(key), signal);
   }
 
+  /**
+   * Targets in force that began to serve a moment ago, of the services that the plan takes
+   * capacity from. Their rows change only together with the member's pointer, on which the
+   * confirmation is conditional, so they need no condition of their own.
+   */
+  async fetchWarmingUp(
+    before: Intent | undefined,
+    after: Intent,
+    nowMs: number,
+    signal?: AbortSignal,
+  ): Promise<ReadonlySet<string>> {
+    const addresses = listTargetsOfShrinking(before, after);
+    if (addresses.length === 0) return new Set();
+    const rows = await this.readRows(addresses.map(formatTargetKey), signal);
+    return new Set(
+      addresses.filter((address) => {
+        const owner = decodeOwner(rows.get(formatTargetKey(address)));
+        return (owner?.servesSinceMs ?? 0) > nowMs - WARM_UP_MS;
+      }),
+    );
+  }
+
   /** The plan with its intent, in the state in which it was stored: proposed. */
   async fetchPlan(member: string, planId: string, signal?: AbortSignal): Promise<Plan> {
     const plan = fromBinary(
--- a/packages/config/src/plans/common/planStore.test.ts
+++ b/packages/config/src/plans/common/planStore.test.ts
@@ -10,6 +10,7 @@
 import { createMemoryPlatform } from '../../testing/memoryPlatform.js';
 import { PlanBuilder } from './planBuilder.js';
 import { MAX_OPEN_PLANS, OPEN_PLAN_LIFETIME_MS } from './planLimits.js';
+import { WARM_UP_MS } from './planRepository.js';
 import { PlanStore } from './planStore.js';
 
 function createStore(seed = 1) {
@@ -128,6 +129,44 @@
   }
 });
 
+/*
+ * Symptom: healthy capacity is below the floor for a minute after a change of targets.
+ * Sequence: one plan adds targets, the next, seconds later, takes the former ones away.
+ * Cause: the second plan takes the cold targets for warm ones.
+ */
+test('two plans in a row can not do what one may not: added targets stay cold for a while', async () => {
+  const { store, clock } = createStore();
+  const former = ['127.0.0.1:9001', '127.0.0.2:9001'];
+  const added = ['127.0.0.3:9001', '127.0.0.4:9001'];
+  const floorSlots = 8;
+  await putInForce(store, createTestIntent('dobrescu', { targets: former, floorSlots }));
+  const both = [...former, ...added];
+  await putInForce(store, createTestIntent('dobrescu', { targets: both, floorSlots }));
+  const exchanged = createTestIntent('dobrescu', { targets: added, floorSlots });
+  await assert.rejects(store.propose(exchanged, 'key-1'), (error: unknown) => {
+    assert.ok(isRefusal(ResultCode.FloorWouldBreak)(error));
+    assert.match(String(error), /before 8, during 0, after 8 .* 2 began to serve a moment ago/);
+    return true;
+  });
+  const unchanged = createTestIntent('dobrescu', { targets: both, floorSlots, note: 'route' });
+  await putInForce(store, unchanged);
+  clock.advance(WARM_UP_MS + 1);
+  await putInForce(store, exchanged);
+});
+
+test('what is cold may not be taken away on the ground that nothing is warm', async () => {
+  const { store } = createStore();
+  const createIntent = (targets: readonly string[], floorSlots: number) => {
+    return createTestIntent('dobrescu', { targets, floorSlots });
+  };
+  await putInForce(store, createIntent(['127.0.0.1:9001'], 0));
+  await putInForce(store, createIntent(['127.0.0.3:9001', '127.0.0.4:9001'], 4));
+  const others = createIntent(['127.0.0.5:9001', '127.0.0.6:9001'], 4);
+  await assert.rejects(store.propose(others, 'key-1'), isRefusal(ResultCode.FloorWouldBreak));
+  const more = createIntent(['127.0.0.3:9001', '127.0.0.5:9001', '127.0.0.6:9001'], 4);
+  await putInForce(store, more);
+});
+
 test('open plans of a member are bounded, and old ones make room', async () => {
   const { store, platform, clock } = createStore();
   const intent = createTestIntent('dobrescu');
--- a/packages/config/src/plans/common/planStore.ts
+++ b/packages/config/src/plans/common/planStore.ts
@@ -143,6 +143,7 @@
       before: input.inForce.intent,
       after: intent,
       ejected: listEjected(input),
+      warmingUp: input.warmingUp,
     });
   }
 
@@ -224,7 +225,13 @@
     const inForce = await this.repository.fetchInForce(member, signal, current);
     const keys = listConfirmKeys(member, planId, inForce.intent, after);
     const rows = await this.repository.readRows(keys, signal, current);
-    return { member, planId, inForce, after, rows };
+    const warmingUp = await this.repository.fetchWarmingUp(
+      inForce.intent,
+      after,
+      this.getNowMs(),
+      signal,
+    );
+    return { member, planId, inForce, after, rows, warmingUp };
   }
 
   /** A replay's clock may stand between two milliseconds; rows hold whole ones. */
--- a/packages/config/src/plans/common/rivals.test.ts
+++ b/packages/config/src/plans/common/rivals.test.ts
@@ -134,8 +134,11 @@
       const ownsHost = winners.filter((winner) => winner.wantsHost);
       const ownsTarget = winners.filter((winner) => winner.wantsTarget);
       assert.ok(ownsHost.length <= 1 && ownsTarget.length <= 1);
-      assert.equal(decodeOwner(rows.get(formatHostKey(CONTESTED_HOST))), getName(ownsHost));
-      assert.equal(decodeOwner(rows.get(formatTargetKey(CONTESTED_TARGET))), getName(ownsTarget));
+      assert.equal(decodeOwner(rows.get(formatHostKey(CONTESTED_HOST)))?.member, getName(ownsHost));
+      assert.equal(
+        decodeOwner(rows.get(formatTargetKey(CONTESTED_TARGET)))?.member,
+        getName(ownsTarget),
+      );
       assert.ok(winners.length > 0, 'somebody wins');
       assert.deepEqual(repeated.map(describeOutcome), outcomes.map(describeOutcome));
     }),
