--- a/packages/operators/src/access/common/accessControl.ts
+++ b/packages/operators/src/access/common/accessControl.ts
@@ -3,9 +3,10 @@
 import { MuxError, ResultCode, RunState } from '@parsleymux/base';
 import type { AuditLog } from '../../audit/common/auditLog.js';
 import type { KeyStore } from '../../keys/common/keyStore.js';
-import { FLEET_MEMBER } from '../../keys/common/operatorKey.js';
+import { compareSecrets, FLEET_MEMBER } from '../../keys/common/operatorKey.js';
 import { RateLimiter } from './rateLimiter.js';
 
+const LOOPBACK = /^(::ffff:)?127\.|^::1$/;
 const BEARER = /^Bearer ([\x21-\x7e]+)$/i;
 /** Wrong keys from one address: enough for typing errors, too few to load the store. */
 const FAILURES_PER_SECOND = 0.5;
@@ -66,26 +67,36 @@
 
   /** The operator. Throws Unauthenticated, LimitExceeded, StoreUnavailable. */
   async verify(request: IAccessRequest, signal: AbortSignal): Promise<IOperator> {
-    const address = request.remoteAddress;
-    if (this.failures.getWaitMs(address) > 0) {
-      throw new MuxError({
-        code: ResultCode.LimitExceeded,
-        message: 'too many wrong keys came from this address',
-        runState: RunState.NotRun,
-        retryAfterMs: this.failures.getWaitMs(address),
-      });
-    }
+    this.checkFailures(request.remoteAddress);
     const key = BEARER.exec(request.authorization ?? '')?.[1];
     const row = key === undefined ? undefined : await this.options.keys.verify(key, signal);
     if (row !== undefined) {
       return { keyId: row.id, member: row.member, isFleet: row.member === FLEET_MEMBER };
     }
-    this.failures.spend(address);
-    await this.auditRefusal(FLEET_MEMBER, 'anonymous', request.action, address, address, signal);
+    await this.recordFailure(request, signal);
     const message = 'the request needs "authorization: Bearer KEY" with a key in force';
     throw new MuxError({ code: ResultCode.Unauthenticated, message, runState: RunState.NotRun });
   }
 
+  /**
+   * Refuses whoever does not prove the secret that the nodes share. Without a secret only clients
+   * on this VM pass. Throws Forbidden, LimitExceeded.
+   */
+  async checkSecret(
+    request: IAccessRequest,
+    secret: string | undefined,
+    signal: AbortSignal,
+  ): Promise<void> {
+    this.checkFailures(request.remoteAddress);
+    const offered = BEARER.exec(request.authorization ?? '')?.[1] ?? '';
+    const isTrusted =
+      secret === undefined ? LOOPBACK.test(request.remoteAddress) : compareSecrets(offered, secret);
+    if (isTrusted) return;
+    await this.recordFailure(request, signal);
+    const message = "the first key needs proof of the fleet's secret";
+    throw new MuxError({ code: ResultCode.Forbidden, message, runState: RunState.NotRun });
+  }
+
   /**
    * Refuses and audits an attempt at another member's rows. The entry goes into the asker's own
    * log and the fleet's; the other member's log would tell it who its rivals are.
@@ -111,6 +122,31 @@
     await this.checkMember(operator, FLEET_MEMBER, action, signal);
   }
 
+  /** Guessing must be slow, and must not load the store. */
+  private checkFailures(address: string): void {
+    const waitMs = this.failures.getWaitMs(address);
+    if (waitMs === 0) return;
+    throw new MuxError({
+      code: ResultCode.LimitExceeded,
+      message: 'too many wrong keys came from this address',
+      runState: RunState.NotRun,
+      retryAfterMs: waitMs,
+    });
+  }
+
+  private async recordFailure(request: IAccessRequest, signal: AbortSignal): Promise<void> {
+    const { remoteAddress, action } = request;
+    this.failures.spend(remoteAddress);
+    await this.auditRefusal(
+      FLEET_MEMBER,
+      'anonymous',
+      action,
+      remoteAddress,
+      remoteAddress,
+      signal,
+    );
+  }
+
   private async auditRefusal(
     member: string,
     operator: string,
--- a/packages/operators/src/api/node/adminApi.test.ts
+++ b/packages/operators/src/api/node/adminApi.test.ts
@@ -188,6 +188,27 @@
   );
 });
 
+/*
+ * Symptom: somebody makes the fleet's first key without having been given its secret.
+ * Sequence: a client tries secrets, thousands a second, before the fleet's operators come.
+ * Cause: no limit on wrong tries.
+ */
+test('guessing the secret for the first key is slowed down and audited', async () => {
+  await withApi(
+    async (api) => {
+      const statuses: number[] = [];
+      for (let count = 0; count < 25; count += 1) {
+        statuses.push((await api.call('POST', '/v1/bootstrap', `guess-${count}`)).status);
+      }
+      assert.equal(statuses[0], 403);
+      assert.equal(statuses.at(-1), 429);
+      const rows = [...api.platform.table.getRows().keys()];
+      assert.ok(rows.some((key) => key.startsWith('audit/@fleet/')));
+    },
+    { bootstrapSecret: 'fleet-secret' },
+  );
+});
+
 test("one member's flood and its huge intents leave the other's requests alone", async () => {
   await withApi(
     async (api, own, rival) => {
--- a/packages/operators/src/api/node/adminApi.ts
+++ b/packages/operators/src/api/node/adminApi.ts
@@ -5,6 +5,7 @@
 import type { ConfigService, PlanStore } from '@parsleymux/config';
 import { CreateKeyResponseSchema } from '@parsleymux/schema';
 import { create } from '@bufbuild/protobuf';
+import type { IAccessRequest } from '../../access/common/accessControl.js';
 import { AccessControl } from '../../access/common/accessControl.js';
 import type { IMemberLimits } from '../../access/common/memberLimiter.js';
 import { MemberLimiter } from '../../access/common/memberLimiter.js';
@@ -13,7 +14,6 @@
 import type { ClaimSettler } from '../../claims/common/claimSettler.js';
 import { WorkerIntentReader } from '../../intents/node/workerIntentReader.js';
 import type { KeyStore } from '../../keys/common/keyStore.js';
-import { compareSecrets } from '../../keys/common/operatorKey.js';
 import type { StatusProvider } from '../../status/common/statusProvider.js';
 import type { IAdminAnswer, IAdminRoute } from '../common/adminRoute.js';
 import { createAnswer } from '../common/adminRoute.js';
@@ -29,7 +29,6 @@
 const BOOTSTRAP_ACTION = 'key.bootstrap';
 const CREATED_STATUS = 201;
 const MS_PER_SECOND = 1000;
-const LOOPBACK = /^(::ffff:)?127\.|^::1$/;
 
 /** Options of an {@link AdminApi}. */
 export interface IAdminApiOptions {
@@ -115,14 +114,8 @@
     const url = new URL(request.url ?? '/', 'http://admin.invalid');
     if (url.pathname === BOOTSTRAP_PATH) return this.createFirst(request, signal);
     const { route, parameters } = this.findRoute(request.method ?? '', url.pathname);
-    const operator = await this.access.verify(
-      {
-        authorization: request.headers.authorization,
-        remoteAddress: getRemoteAddress(request),
-        action: route.action,
-      },
-      signal,
-    );
+    const access = makeAccessRequest(request, route.action);
+    const operator = await this.access.verify(access, signal);
     return this.limiter.run(operator.member, async () => {
       const body = await readRequestBody(request, this.limiter.limits.intentBytes);
       return route.handle({ operator, parameters, query: url.searchParams, body, signal });
@@ -152,16 +145,10 @@
     if (request.method !== 'POST') {
       throw refuse(ResultCode.MethodNotAllowed, 'the path takes POST only');
     }
-    const secret = this.options.bootstrapSecret;
-    const offered = request.headers.authorization?.replace(/^Bearer /i, '') ?? '';
-    const isTrusted =
-      secret === undefined
-        ? LOOPBACK.test(getRemoteAddress(request))
-        : compareSecrets(offered, secret);
-    if (!isTrusted) {
-      throw refuse(ResultCode.Forbidden, "the first key needs proof of the fleet's secret");
-    }
-    const created = await this.options.keys.createFirst(BOOTSTRAP_ACTION, signal);
+    const { bootstrapSecret, keys } = this.options;
+    const access = makeAccessRequest(request, BOOTSTRAP_ACTION);
+    await this.access.checkSecret(access, bootstrapSecret, signal);
+    const created = await keys.createFirst(BOOTSTRAP_ACTION, signal);
     const { id, member, note, createdBy } = created.row;
     const info = { id, member, note, createdBy, createdAtMs: BigInt(created.row.createdAtMs) };
     const message = create(CreateKeyResponseSchema, { info, key: created.key });
@@ -220,8 +207,12 @@
   }
 }
 
-function getRemoteAddress(request: IncomingMessage): string {
-  return request.socket.remoteAddress ?? 'unknown';
+function makeAccessRequest(request: IncomingMessage, action: string): IAccessRequest {
+  return {
+    authorization: request.headers.authorization,
+    remoteAddress: request.socket.remoteAddress ?? 'unknown',
+    action,
+  };
 }
 
 function refuse(code: ResultCode, message: string): MuxError {
