--- /dev/null
+++ b/packages/lab/src/bench/detection-real/node/bench.ts
@@ -0,0 +1,94 @@
+/**
+ * The check of the replays by real processes: `npm run bench -- detection-real`. Target stand-ins
+ * in processes of their own, over HTTP on loopback, under the same faults and policies. Times here
+ * depend on the machine; what counts is whether the policies come in the same order.
+ */
+import { SeededRandom } from '@parsleymux/base';
+import type { ITargetFaults } from '@parsleymux/standins';
+import { ProcessFleet } from '../../../processes/node/processFleet.js';
+import { startTargetGroup } from '../../../processes/node/targetGroup.js';
+import { POLICY_NAMES } from '../../../replay/common/policies.js';
+import type { PolicyName } from '../../../replay/common/policies.js';
+import type { Cell, IBenchOptions, IBenchReport } from '../../common/bench.js';
+import { Bench, formatNumber } from '../../common/bench.js';
+import { RealHome } from './realHome.js';
+
+const WARM_UP_MS = 6000;
+const FAULT_MS = 22_000;
+/** Mean time between two requests under one policy, in ms. */
+const INTERVAL_MS = 8;
+const SERVICE = {
+  member: 'donautal',
+  name: 'order-booking',
+  targetsPerDomain: 2,
+  slots: 3,
+  maxConnections: 350,
+  meanServiceMs: 25,
+  floorSlots: 3,
+  idempotent: true,
+  perSecond: 125,
+};
+
+const FAULTS: readonly (readonly [string, Partial<ITargetFaults>])[] = [
+  ['fail-20', { failShare: 0.2 }],
+  ['fail-100', { failShare: 1 }],
+  ['slow-10x', { slowFactor: 10 }],
+  ['one-way', { oneWay: true }],
+];
+
+class RealDetectionBench extends Bench {
+  override readonly summary = 'detection over loopback, to check the order that replays give';
+
+  override async run(options: IBenchOptions): Promise<IBenchReport> {
+    const rows: Cell[][] = [];
+    for (const [name, faults] of FAULTS) {
+      options.log(name);
+      const runs = POLICY_NAMES.map((policy) => runPolicy(policy, faults, options.seed));
+      for (const figures of await Promise.all(runs)) rows.push([name, ...figures]);
+    }
+    return {
+      tables: [
+        {
+          title: 'Six targets over loopback, one of them faulty',
+          columns: ['fault', 'policy', 'detection ms', 'errors %', 'p99 ms', 'false ejections'],
+          rows,
+        },
+      ],
+      notes: [
+        'one seed; the four policies run at once, each against targets of its own',
+        'the machine was shared, so the times are no more than an order',
+      ],
+    };
+  }
+}
+
+async function runPolicy(
+  policy: PolicyName,
+  faults: Partial<ITargetFaults>,
+  seed: number,
+): Promise<readonly Cell[]> {
+  const fleet = new ProcessFleet();
+  try {
+    const group = await startTargetGroup(fleet, SERVICE, seed);
+    const home = new RealHome({ policy, service: SERVICE, places: group.places, seed });
+    const random = new SeededRandom(seed);
+    await home.sendFor(WARM_UP_MS, INTERVAL_MS, random);
+    const faulty = group.places[0];
+    if (faulty === undefined) throw new Error('no target was started');
+    await group.setFaults(faulty, faults);
+    home.markFault(faulty.address);
+    await home.sendFor(FAULT_MS, INTERVAL_MS, random);
+    const figures = await home.finish();
+    return [
+      policy,
+      figures.detectionMs?.toFixed(0) ?? 'never',
+      formatNumber(100 * figures.errorShare, 2),
+      formatNumber(figures.p99Ms),
+      figures.falseEjections,
+    ];
+  } finally {
+    await fleet.dispose();
+  }
+}
+
+export const bench: Bench = new RealDetectionBench();
--- /dev/null
+++ b/packages/lab/src/bench/detection-real/node/realHome.ts
@@ -0,0 +1,187 @@
+/** A home with the real transport on the real clock, and what its callers see. */
+import type { RandomSource } from '@parsleymux/base';
+import { InvariantRegistry, SeededRandom, SystemClock } from '@parsleymux/base';
+import type { ISendOptions, ITargetAnswer, ITargetRequest } from '@parsleymux/routing';
+import {
+  HttpTargetTransport,
+  LocalHomeService,
+  PassThroughGuard,
+  Standing,
+  TableEjectionLedger,
+} from '@parsleymux/routing';
+import * as hdr from 'hdr-histogram-js';
+import type { IServiceLayout, ITargetPlace } from '../../../processes/common/worldLayout.js';
+import type { PolicyName } from '../../../replay/common/policies.js';
+import { createPolicy } from '../../../replay/common/policies.js';
+import { SimulatedTable } from '../../../replay/common/simulatedTable.js';
+import { buildConfigService, buildRoutes } from '../../../replay/common/traceConfig.js';
+import type { ITraceHeader } from '../../../trace/common/trace.js';
+
+const READ_DEADLINE_MS = 2000;
+const BOOK_SHARE = 0.3;
+const FIRST_SERVER_ERROR = 500;
+const MICROSECONDS = 1000;
+/** Without a dispatch for longer than any deadline, a target counts as given no work. */
+const NO_TRAFFIC_MS = 6000;
+
+/** Options of a {@link RealHome}. */
+export interface IRealHomeOptions {
+  readonly policy: PolicyName;
+  readonly service: IServiceLayout;
+  readonly places: readonly ITargetPlace[];
+  readonly seed: number;
+}
+
+/** What was measured since the fault began. */
+export interface IRealFigures {
+  readonly detectionMs: number | undefined;
+  readonly errorShare: number;
+  readonly p99Ms: number;
+  readonly falseEjections: number;
+}
+
+/** Notes when requests for callers are sent to which target. */
+class RecordingTransport extends HttpTargetTransport {
+  readonly dispatches: { readonly target: string; readonly atMs: number }[] = [];
+
+  override send(request: ITargetRequest, options: ISendOptions): Promise<ITargetAnswer> {
+    if (options.onDispatch !== undefined) {
+      this.dispatches.push({ target: request.target, atMs: performance.now() });
+    }
+    return super.send(request, options);
+  }
+}
+
+/** Sends requests through a home and measures. */
+export class RealHome {
+  private readonly transport = new RecordingTransport();
+  private readonly home: LocalHomeService;
+  private readonly routes;
+  private readonly running = new Set<Promise<void>>();
+  private readonly ejected: string[] = [];
+  private latencies = hdr.build({ highestTrackableValue: 120_000_000 });
+  private requests = 0;
+  private errors = 0;
+  private fault: { readonly target: string; readonly atMs: number } | undefined;
+
+  constructor(private readonly options: IRealHomeOptions) {
+    const header = buildHeader(options);
+    this.routes = buildRoutes(header);
+    const clock = new SystemClock();
+    const invariants = new InvariantRegistry();
+    this.home = new LocalHomeService({
+      configService: buildConfigService(header),
+      clock,
+      random: new SeededRandom(options.seed),
+      transport: this.transport,
+      guard: new PassThroughGuard(),
+      ledger: new TableEjectionLedger({
+        table: new SimulatedTable(clock),
+        clock,
+        invariants,
+        node: 'node',
+      }),
+      invariants,
+      createDetector: () => createPolicy(options.policy, 'fast'),
+      onStandingChange: (change) => {
+        if (change.standing === Standing.Ejected) this.ejected.push(change.target);
+      },
+    });
+  }
+
+  /** From now on the target is faulty, and figures count. */
+  markFault(target: string): void {
+    this.fault = { target, atMs: performance.now() };
+    this.latencies = hdr.build({ highestTrackableValue: 120_000_000 });
+    this.requests = 0;
+    this.errors = 0;
+  }
+
+  /** Poisson arrivals for `durationMs`. */
+  async sendFor(durationMs: number, meanMs: number, random: RandomSource): Promise<void> {
+    const clock = new SystemClock();
+    const endMs = performance.now() + durationMs;
+    let dueMs = performance.now();
+    while (dueMs < endMs) {
+      dueMs += random.getExponential(meanMs);
+      const waitMs = dueMs - performance.now();
+      if (waitMs > 0) await clock.sleep(waitMs);
+      const task = this.send(random.getFloat() < BOOK_SHARE).finally(() => {
+        this.running.delete(task);
+      });
+      this.running.add(task);
+    }
+  }
+
+  async finish(): Promise<IRealFigures> {
+    const endMs = performance.now();
+    await Promise.all(this.running);
+    await this.home.dispose();
+    this.transport.dispose();
+    return {
+      detectionMs: this.measureDetection(endMs),
+      errorShare: this.errors / Math.max(1, this.requests),
+      p99Ms: this.latencies.getValueAtPercentile(99) / MICROSECONDS,
+      falseEjections: this.ejected.filter((target) => target !== this.fault?.target).length,
+    };
+  }
+
+  private async send(isBook: boolean): Promise<void> {
+    const startMs = performance.now();
+    this.requests += 1;
+    try {
+      const answer = await this.home.handle(
+        {
+          member: this.options.service.member,
+          route: isBook ? this.routes.book : this.routes.read,
+          method: isBook ? 'POST' : 'GET',
+          path: isBook ? '/book' : '/read',
+          headers: [],
+          body: new Uint8Array(),
+          deadlineMs: startMs + READ_DEADLINE_MS,
+          caller: 'bench',
+          idempotencyKey: undefined,
+        },
+        new AbortController().signal,
+      );
+      if (answer.status >= FIRST_SERVER_ERROR) this.errors += 1;
+      else this.latencies.recordValue(Math.round((performance.now() - startMs) * MICROSECONDS));
+    } catch {
+      this.errors += 1;
+    }
+  }
+
+  /** Time to the last dispatch for a caller before a long time without any. */
+  private measureDetection(endMs: number): number | undefined {
+    if (this.fault === undefined) return undefined;
+    const { target, atMs: startMs } = this.fault;
+    let lastMs = startMs;
+    for (const dispatch of this.transport.dispatches) {
+      if (dispatch.target !== target || dispatch.atMs < startMs) continue;
+      if (dispatch.atMs - lastMs >= NO_TRAFFIC_MS) break;
+      lastMs = dispatch.atMs;
+    }
+    const isQuiet = endMs - lastMs >= NO_TRAFFIC_MS;
+    return isQuiet ? lastMs - startMs : undefined;
+  }
+}
+
+function buildHeader(options: IRealHomeOptions): ITraceHeader {
+  const { service, places } = options;
+  return {
+    kind: 'header',
+    name: 'real',
+    member: service.member,
+    seed: options.seed,
+    durationMs: 0,
+    service: {
+      name: service.name,
+      targets: places.map(({ address, failureDomain }) => ({ address, failureDomain })),
+      slotsPerTarget: service.slots,
+      floorSlots: service.slots,
+      detection: 'fast',
+    },
+    nearMs: 0,
+    farMs: 0,
+  };
+}
--- a/packages/lab/src/bench/detection/node/bench.ts
+++ b/packages/lab/src/bench/detection/node/bench.ts
@@ -114,7 +114,7 @@
     const own = results.filter((result) => {
       return result.trace.startsWith(member) && result.policy === policy;
     });
-    const control = own.filter((result) => result.trace.endsWith('-control'));
+    const control = own.filter((result) => result.trace.includes('-control'));
     const all = summarizeReplays(own);
     const quiet = summarizeReplays(control.length === 0 ? own : control);
     return [
@@ -129,7 +129,7 @@
     title: `${member}: all traces`,
     columns: [
       'policy',
-      'false per target-hour, control',
+      'false per target-hour, controls',
       'false per target-hour, all',
       'missed',
       'lowest slots over floor',
--- a/packages/lab/src/trace/common/scenarios.ts
+++ b/packages/lab/src/trace/common/scenarios.ts
@@ -111,6 +111,19 @@
     lossShare: 0.003,
     burstEveryMs: 60_000,
   },
+  {
+    name: 'control-errors',
+    durationMs: CONTROL_MS,
+    faults: [
+      {
+        fromMs: 0,
+        untilMs: CONTROL_MS + MAX_SHIFT_MS,
+        pick: { by: 'share', share: 1 },
+        effect: { failShare: 0.01 },
+        verdict: 'keep',
+      },
+    ],
+  },
   makeGray('fail-5', { failShare: 0.05 }),
   makeGray('fail-20', { failShare: 0.2 }),
   makeGray('fail-50', { failShare: 0.5 }),
--- a/packages/routing/src/detection/common/sequentialDetector.ts
+++ b/packages/routing/src/detection/common/sequentialDetector.ts
@@ -23,7 +23,10 @@
 const REFERENCE_AGE_MS = 100;
 const OBSERVED_ANSWERS_SHARE = 0.5;
 
-/** What an operator's preference comes to. */
+/**
+ * What an operator's preference comes to. By Page's bound, targets like their peers are suspected
+ * at most once in about e^threshold outcomes, whatever their peers' rate.
+ */
 export interface ISequentialOptions {
   /** Evidence in nats that is enough to suspect a target. */
   readonly threshold?: number;
@@ -51,8 +54,8 @@
   threshold: 13,
   baselineRate: 0.002,
   ejectionMs: 10_000,
-  confirmMs: 100,
-  confirmCopies: 3,
+  confirmMs: 250,
+  confirmCopies: 4,
 };
 
 /** The options that a preference stands for. */
--- a/packages/routing/src/ejection/common/connectionCheck.ts
+++ b/packages/routing/src/ejection/common/connectionCheck.ts
@@ -13,8 +13,11 @@
 /** What a check needs of its surroundings. */
 export interface IConnectionCheckOptions {
   readonly clock: Clock;
-  /** Sends a copy on a fresh connection; true when it was answered well and in time. */
-  tryFresh(): Promise<boolean>;
+  /**
+   * Sends a copy on a fresh connection; true when it was answered in time, undefined when the
+   * target had no slot to spare for it, which says nothing.
+   */
+  tryFresh(): Promise<boolean | undefined>;
   retireConnections(): void;
   /** Charges the target with so many silences. */
   chargeTarget(silences: number): void;
@@ -47,11 +50,11 @@
     this.isRunning = false;
     const silences = this.pending;
     this.pending = 0;
-    if (isAnswered) {
+    if (isAnswered === true) {
       this.retiredAtMs = this.options.clock.getMonotonicTime();
       this.options.retireConnections();
     } else {
-      this.options.chargeTarget(silences + 1);
+      this.options.chargeTarget(isAnswered === undefined ? silences : silences + 1);
     }
   }
 }
--- /dev/null
+++ b/packages/routing/src/ejection/common/targetReturn.ts
@@ -0,0 +1,162 @@
+/** How an ejected, cold or cut-off target comes back: waiting, trial, ramp, and the ledger. */
+import type { FailureDetector, ISuspicion } from '../../detection/common/failureDetector.js';
+import { Standing } from '../../target/common/targetHandle.js';
+import type { TargetHandle } from '../../target/common/targetHandle.js';
+import { EjectionBackoff } from './ejectionBackoff.js';
+import type { IEjectionSurroundings } from './ejectionSurroundings.js';
+import type { ITrialResult } from './trial.js';
+import { runTrial } from './trial.js';
+
+/** Time between two tries to change the ledger while it is out or refuses, in ms. */
+export const RETRY_LEDGER_MS = 5000;
+
+const RAMP_STEPS: readonly number[] = [0.25, 0.5, 1];
+const RAMP_STEP_MS = 2000;
+/** Time after a start in which slowness is not held against a target. */
+const COLD_MS = 10_000;
+const WAIT_SLICE_MS = 1000;
+const RELAPSE_SLICE_MS = 100;
+
+/** Options of a {@link TargetReturn}. */
+export interface ITargetReturnOptions {
+  readonly surroundings: IEjectionSurroundings;
+  /** Targets that were suspected again while on their way back. */
+  readonly relapsed: ReadonlyMap<string, ISuspicion>;
+  /** Aborted when the home is closed. */
+  readonly signal: AbortSignal;
+}
+
+/** The steps of a return. */
+export class TargetReturn {
+  private readonly surroundings: IEjectionSurroundings;
+  private readonly detector: FailureDetector;
+  private readonly relapsed: ReadonlyMap<string, ISuspicion>;
+  private readonly signal: AbortSignal;
+  private readonly backoffs = new Map<string, EjectionBackoff>();
+
+  constructor(options: ITargetReturnOptions) {
+    this.surroundings = options.surroundings;
+    this.detector = options.surroundings.detector;
+    this.relapsed = options.relapsed;
+    this.signal = options.signal;
+  }
+
+  /** Waits for as long as the target's ejection is to last. */
+  async waitOutEjection(handle: TargetHandle): Promise<void> {
+    const endMs = this.getNow() + this.getBackoff(handle).takeNext(this.getNow());
+    while (this.getNow() < endMs) {
+      await this.sleep(Math.min(WAIT_SLICE_MS, endMs - this.getNow()));
+      // Someone else gave the target back: its slots count as there, so they should be.
+      if (!this.listInLedger().has(handle.address)) return;
+    }
+  }
+
+  /** True when the target passes its trial, or when returns need none. */
+  async isWellAgain(handle: TargetHandle, failureShare: number): Promise<boolean> {
+    if (!this.detector.traits.returnsByTrial) return true;
+    return (await this.tryOut(handle, failureShare)).isWell;
+  }
+
+  /** Tries the target with copies. */
+  async tryOut(handle: TargetHandle, failureShare: number): Promise<ITrialResult> {
+    const { clock, sender, samples } = this.surroundings;
+    const before = handle.standing;
+    if (before === Standing.Ejected) this.setStanding(handle, Standing.Trial, handle.evidence);
+    const result = await runTrial({
+      clock,
+      sender,
+      samples,
+      detector: this.detector,
+      handle,
+      failureShare,
+      signal: this.signal,
+    });
+    this.surroundings.countTrial(result.isWell);
+    return result;
+  }
+
+  /** Gives the target work gradually, and serves it fully unless it relapses on the way. */
+  async runRamp(handle: TargetHandle): Promise<void> {
+    if (!this.detector.traits.returnsByTrial) {
+      this.serve(handle);
+      return;
+    }
+    this.detector.setCold(handle.address, true);
+    this.setStanding(handle, Standing.Cold, 'has just started or returned');
+    const endMs = this.getNow() + COLD_MS;
+    for (const ramp of RAMP_STEPS) {
+      handle.ramp = ramp;
+      this.surroundings.pool.serveWaiting();
+      const stepEndMs = this.getNow() + RAMP_STEP_MS;
+      await this.sleepUnlessRelapsed(handle, stepEndMs);
+    }
+    await this.sleepUnlessRelapsed(handle, endMs);
+    handle.ramp = 1;
+    this.detector.setCold(handle.address, false);
+    if (!this.relapsed.has(handle.address)) this.serve(handle);
+  }
+
+  /** The target serves like any other from here on. */
+  serve(handle: TargetHandle): void {
+    // A target that said meanwhile that it is draining is believed.
+    if (handle.standing === Standing.Draining) return;
+    handle.isCutOff = false;
+    // What came in while the target was left out must not count against it from here on.
+    this.detector.reset(handle.address);
+    this.getBackoff(handle).recordReturn(this.getNow());
+    this.setStanding(handle, Standing.Serving, '');
+  }
+
+  /** Serving an ejected target never breaks the floor, so a ledger that is out delays nothing. */
+  async returnToLedger(handle: TargetHandle): Promise<void> {
+    while (this.isConfigured(handle)) {
+      try {
+        await this.surroundings.returnTarget(handle, this.signal);
+        return;
+      } catch {
+        await this.sleep(RETRY_LEDGER_MS);
+      }
+    }
+  }
+
+  /** Targets that the ledger has as ejected. */
+  listInLedger(): ReadonlySet<string> {
+    return this.surroundings.listEjected();
+  }
+
+  /** False once the configuration has dropped or replaced the target. */
+  isConfigured(handle: TargetHandle): boolean {
+    return this.surroundings.pool.handles.get(handle.address) === handle;
+  }
+
+  private getBackoff(handle: TargetHandle): EjectionBackoff {
+    let backoff = this.backoffs.get(handle.address);
+    if (backoff === undefined) {
+      backoff = new EjectionBackoff(this.detector.traits.ejectionMs);
+      this.backoffs.set(handle.address, backoff);
+    }
+    return backoff;
+  }
+
+  /** Changes how the target stands, and tells whoever wants to know. */
+  setStanding(handle: TargetHandle, standing: Standing, reason: string): void {
+    handle.setStanding(standing, reason, this.getNow());
+    this.surroundings.notifyStanding(handle);
+  }
+
+  /** The instant on the monotonic clock. */
+  getNow(): number {
+    return this.surroundings.clock.getMonotonicTime();
+  }
+
+  private async sleepUnlessRelapsed(handle: TargetHandle, endMs: number): Promise<void> {
+    while (this.getNow() < endMs && !this.relapsed.has(handle.address)) {
+      await this.sleep(Math.min(RELAPSE_SLICE_MS, endMs - this.getNow()));
+    }
+  }
+
+  /** Rejects when the home is closed. */
+  sleep(durationMs: number): Promise<void> {
+    return this.surroundings.clock.sleep(durationMs, this.signal);
+  }
+}
--- a/packages/routing/src/home/common/evidenceIntake.ts
+++ b/packages/routing/src/home/common/evidenceIntake.ts
@@ -23,6 +23,9 @@
 /** A copy on a fresh connection that takes this many times as long clears nobody. */
 const CHECK_FACTOR = 2;
 const MIN_STALL_MS = 20;
+/** A busy target has a slot free again soon; one whose requests are all stuck never has. */
+const CHECK_ATTEMPTS = 5;
+const CHECK_RETRY_MS = 20;
 const DEFAULT_CHECK_TIMEOUT_MS = 1000;
 const LEDGER_INTERVAL_MS = 10_000;
 const PROBE_TIMEOUT_MS = 1000;
@@ -77,7 +80,7 @@
   /** An attempt is overdue, and has not ended. True when that was taken as evidence. */
   recordStall(request: IRoutedRequest, handle: TargetHandle, isFresh: boolean): boolean {
     if (!this.detector.traits.watchesStalls) return false;
-    void this.getCheck(handle, request).handleSilence(isFresh);
+    void this.getCheck(handle, request).handleSilence(isFresh).catch(discardClosed);
     return true;
   }
 
@@ -94,7 +97,7 @@
     }
     if (wasStalled) return;
     if (this.isConnectionSuspect(outcome)) {
-      void this.getCheck(handle, request).handleSilence(false);
+      void this.getCheck(handle, request).handleSilence(false).catch(discardClosed);
       return;
     }
     const evidence = this.toEvidence(request, handle, outcome);
@@ -178,13 +181,17 @@
     });
   }
 
-  private async tryFresh(handle: TargetHandle): Promise<boolean> {
+  private async tryFresh(handle: TargetHandle): Promise<boolean | undefined> {
     const sample = this.samples.get();
     const limitMs = this.detector.getSlowLimit(sample.route, handle.address);
     const timeoutMs = limitMs === undefined ? DEFAULT_CHECK_TIMEOUT_MS : limitMs * CHECK_FACTOR;
     const signal = this.abort.signal;
-    const result = await this.sender.send({ handle, sample, timeoutMs, signal });
-    return result?.answered ?? false;
+    for (let attempt = 0; attempt < CHECK_ATTEMPTS; attempt += 1) {
+      const result = await this.sender.send({ handle, sample, timeoutMs, signal });
+      if (result !== undefined) return result.answered;
+      await this.context.clock.sleep(CHECK_RETRY_MS, signal);
+    }
+    return undefined;
   }
 
   private async watchLedger(): Promise<void> {
@@ -223,3 +230,8 @@
     return { member: this.options.member, service: this.options.getService().name };
   }
 }
+
+/** What was under way when the home was closed has no one left to tell. */
+function discardClosed(): void {
+  return;
+}
