--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -2,6 +2,7 @@
 export * from './membership/common/listedMembershipService.js';
 export * from './membership/common/membershipService.js';
 export * from './membership/common/peerExperience.js';
+export * from './neighbours/common/neighbourSet.js';
 export * from './pacing/common/sharedPace.js';
 export * from './peers/node/controlHandler.js';
 export * from './peers/node/peerAuthenticator.js';
--- a/packages/lab/src/bench/distribution/common/distributionFleet.ts
+++ b/packages/lab/src/bench/distribution/common/distributionFleet.ts
@@ -7,6 +7,7 @@
 import type { IConfigSnapshot } from '@parsleymux/config';
 import { ConfigDistributor, ConfigPeer, ConfigPeerSource } from '@parsleymux/config';
 import { IntentValidator, PlanBuilder, PlanStore } from '@parsleymux/config';
+import { NeighbourSet } from '@parsleymux/fleet';
 import type { IMemoryPlatform } from '@parsleymux/config/testing';
 import { createMemoryPlatform, createTestIntent } from '@parsleymux/config/testing';
 
@@ -22,6 +23,8 @@
   readonly seed: number;
   /** Share of calls between nodes that are lost. */
   readonly lostCalls: number;
+  /** Peers that a node chooses from; 0: the whole fleet. */
+  readonly neighbours: number;
   /** Nodes that can't reach the store; the first ones can. */
   readonly withoutStore: number;
 }
@@ -152,6 +155,7 @@
 
 class RandomPeers extends ConfigPeerSource {
   private readonly random: RandomSource;
+  private neighbours: readonly number[] | undefined;
 
   constructor(
     private readonly fleet: DistributionFleet,
@@ -162,14 +166,32 @@
   }
 
   override pick(count: number): readonly ConfigPeer[] {
+    this.neighbours ??= this.listNeighbours();
     const picked = new Set<number>();
-    const wanted = Math.min(count, this.fleet.options.nodes - 1);
+    const wanted = Math.min(count, this.neighbours.length);
     while (picked.size < wanted) {
-      const index = this.random.getInteger(this.fleet.options.nodes);
-      if (index !== this.self) picked.add(index);
+      picked.add(this.neighbours[this.random.getInteger(this.neighbours.length)] ?? 0);
     }
     return [...picked].map((index) => new DirectPeer(this.fleet, this.self, index));
   }
+
+  private listNeighbours(): readonly number[] {
+    const { nodes, neighbours } = this.fleet.options;
+    const indexes = Array.from({ length: nodes }, (_, index) => index);
+    if (neighbours === 0) return indexes.filter((index) => index !== this.self);
+    const set = new NeighbourSet(formatAddress(this.self), neighbours);
+    set.setNodes(indexes.map((index) => ({ address: formatAddress(index), failureDomain: '' })));
+    return set.getAddresses().map(parseAddress);
+  }
+}
+
+function formatAddress(index: number): string {
+  return `10.0.${index >> 8}.${index & 255}:7002`;
+}
+
+function parseAddress(address: string): number {
+  const [, , high, low] = address.replace(':7002', '').split('.').map(Number);
+  return (high ?? 0) * 256 + (low ?? 0);
 }
 
 function makeUnreachablePlatform(): IMemoryPlatform {
--- a/packages/lab/src/bench/distribution/node/bench.ts
+++ b/packages/lab/src/bench/distribution/node/bench.ts
@@ -29,7 +29,8 @@
     for (const nodes of parseNumbers(options, 'nodes', [48, 2100])) {
       const { seed, log } = options;
       log(`distribution: ${nodes} nodes`);
-      const base = { nodes, seed, lostCalls: 0, withoutStore: 0 };
+      const neighbours = parseNumbers(options, 'neighbours', [8])[0] ?? 8;
+      const base = { nodes, seed, neighbours, lostCalls: 0, withoutStore: 0 };
       const polls = parseNumbers(options, 'pollMs', POLLS_MS);
       const plain = await measureAll(base, polls, parseNumbers(options, 'fanOut', FAN_OUTS));
       tables.push(formatTable(`${nodes} nodes, every call answered`, plain));
@@ -45,6 +46,7 @@
       tables,
       notes: [
         'In one process on a manual clock: the distributors are the product, network and store fakes.',
+        'Peers are drawn from eight neighbours of each node, unless --set neighbours says otherwise.',
         'One-way delay 1 to 3 ms; a lost announcement ends after 1 s, a lost fetch after 3 s.',
         `Means of ${CHANGES} changes, each watched for ${WATCHED_MS / 1000} s. Messages are for each node and change.`,
         'Announcements count those of the watched time, the ones without news included.',
--- a/packages/node/src/peer/node/connectConfigPeer.ts
+++ b/packages/node/src/peer/node/connectConfigPeer.ts
@@ -3,6 +3,7 @@
 import type { IConfigSnapshot } from '@parsleymux/config';
 import { ConfigPeer, ConfigPeerSource } from '@parsleymux/config';
 import type { MembershipService, PeerClients } from '@parsleymux/fleet';
+import { NeighbourSet } from '@parsleymux/fleet';
 
 /** One peer by its address. */
 export class ConnectConfigPeer extends ConfigPeer {
@@ -44,22 +45,25 @@
   readonly self: string;
 }
 
-/** Picks peers at random among the live nodes. */
+/** Picks peers at random among this node's neighbours. */
 export class LivePeerSource extends ConfigPeerSource {
   private readonly options: ILivePeerSourceOptions;
+  private readonly neighbours: NeighbourSet;
 
   constructor(options: ILivePeerSourceOptions) {
     super();
     this.options = options;
+    this.neighbours = new NeighbourSet(options.self);
   }
 
   override pick(count: number): readonly ConfigPeer[] {
-    const { membership, random, self } = this.options;
-    const others = membership.getLiveNodes().filter(({ address }) => address !== self);
+    const { membership, random } = this.options;
+    this.neighbours.setNodes(membership.getLiveNodes());
+    const others = [...this.neighbours.getAddresses()];
     const picked: ConfigPeer[] = [];
     while (picked.length < count && others.length > 0) {
-      const [node] = others.splice(random.getInteger(others.length), 1);
-      if (node !== undefined) picked.push(this.makePeer(node.address));
+      const [address] = others.splice(random.getInteger(others.length), 1);
+      if (address !== undefined) picked.push(this.makePeer(address));
     }
     return picked;
   }
