Fuzz settings, intents and answers; TLS ports of a real node

2000 damaged settings, 2000 damaged intents and 300 damaged answers, seeded: each is accepted, or refused in the one typed form with a place that exists. A real node serves callers over TLS with numbered answers, refuses operators without a certificate of the named authority, and outlives plain text on a TLS port. No fault was found by these.

--- /dev/null
+++ b/packages/lab/src/badInput/node/fuzz.test.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+import { test } from 'node:test';
+import { HttpTargetTransport, TransportError } from '@parsleymux/routing';
+import { IntentSchema, SettingsError, checkMessageText, parseSettings } from '@parsleymux/schema';
+import fc from 'fast-check';
+
+const SEED = 4711;
+const TEXT_RUNS = 2000;
+const ANSWER_RUNS = 300;
+
+const SETTINGS = `{
+  "failureDomain": "north", // domain
+  "peerAddress": "127.0.0.1:1", "callerAddress": "127.0.0.1:1", "adminAddress": "[::1]:1",
+  "statusAddress": "127.0.0.1:1", "platformUrl": "http://127.0.0.1:1",
+  "timing": { "configPollMs": 100 }, "security": { "callerTls": { "certificateFile": "a", "keyFile": "b" } },
+}`;
+const INTENT = `{ "member": "m", "services": [{ "name": "s", "detection": "fast", "targets": [
+  { "address": "127.0.0.1:1", "failureDomain": "n", "slots": 1, "leaveAtMs": "5" }] }],
+  "routes": [{ "name": "r", "host": "h.example", "service": "s", "methods": ["GET"] }] }`;
+const BODY = 'a whole answer';
+const ANSWERS = [
+  `HTTP/1.1 200 OK\r\nServer: t\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`,
+  `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${BODY.length.toString(16)}\r\n${BODY}\r\n0\r\n\r\n`,
+];
+
+interface IDamage {
+  readonly at: number;
+  readonly removed: number;
+  readonly inserted: string;
+}
+
+function makeDamages(length: number, inserted: fc.Arbitrary<string>): fc.Arbitrary<IDamage[]> {
+  const damage = fc.record({ at: fc.nat(length), removed: fc.nat(8), inserted });
+  return fc.array(damage, { minLength: 1, maxLength: 5 });
+}
+
+function applyDamages(text: string, damages: readonly IDamage[]): string {
+  return damages.reduce((damaged, { at, removed, inserted }) => {
+    return damaged.slice(0, at) + inserted + damaged.slice(at + removed);
+  }, text);
+}
+
+const JSON_PIECES = fc.constantFrom(
+  '{',
+  '}',
+  '[',
+  ']',
+  '"',
+  ',',
+  ':',
+  '//',
+  '/*',
+  '\n',
+  'null',
+  '1e999',
+  '-1',
+  'true',
+  '"x"',
+  '"__proto__"',
+  '\\u0000',
+  '\ud800',
+);
+
+for (const [name, text, check] of [
+  ['settings', SETTINGS, (damaged: string) => parseSettings(damaged, 'f')],
+  ['intents', INTENT, (damaged: string) => checkMessageText(IntentSchema, damaged, 'f')],
+] as const) {
+  test(`damaged ${name} are accepted or refused with places that exist, and nothing else`, () => {
+    assert.doesNotThrow(() => check(text));
+    fc.assert(
+      fc.property(makeDamages(text.length, JSON_PIECES), (damages) => {
+        const damaged = applyDamages(text, damages);
+        try {
+          check(damaged);
+        } catch (error) {
+          assert.ok(error instanceof SettingsError, String(error));
+          const lines = damaged.split('\n');
+          for (const { line, column, message } of error.problems) {
+            assert.ok(message !== '' && column >= 1);
+            assert.ok(column <= (lines[line - 1] ?? '').length + 1);
+          }
+        }
+      }),
+      { seed: SEED, numRuns: TEXT_RUNS },
+    );
+  });
+}
+
+test('damaged answers of targets are whole answers or transport errors, and nothing else', async (t) => {
+  let answer = '';
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', () => socket.end(answer, 'latin1'));
+  }).listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const transport = new HttpTargetTransport();
+  t.after(() => {
+    transport.dispose();
+    server.close();
+  });
+  const target = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const request = {
+    target,
+    member: 'm',
+    method: 'GET',
+    path: '/',
+    headers: [],
+    body: new Uint8Array(),
+    timeoutMs: 10_000,
+  };
+  const { signal } = new AbortController();
+  const damaged = fc
+    .constantFrom(...ANSWERS)
+    .chain((whole) =>
+      makeDamages(whole.length, fc.string({ unit: 'binary-ascii', maxLength: 6 })).map((damages) =>
+        applyDamages(whole, damages),
+      ),
+    );
+  await fc.assert(
+    fc.asyncProperty(damaged, async (text) => {
+      answer = text;
+      const outcome = await transport
+        .send(request, { signal, maxAnswerBytes: 1000 })
+        .catch((error: unknown) => error);
+      if (outcome instanceof TransportError) return;
+      const { headers, body } = outcome as Awaited<ReturnType<typeof transport.send>>;
+      assert.ok(body instanceof Uint8Array);
+      const length = headers.find(([name]) => name === 'content-length')?.[1];
+      if (length !== undefined) assert.equal(body.length, Number(length));
+    }),
+    { seed: SEED, numRuns: ANSWER_RUNS },
+  );
+});
--- /dev/null
+++ b/packages/lab/src/badInput/node/tlsPorts.test.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { request } from 'node:https';
+import type { IncomingMessage } from 'node:http';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, before, test } from 'node:test';
+import { ResultCode } from '@parsleymux/base';
+import { generate } from 'selfsigned';
+import type { INodeAddresses } from '../../processes/node/nodeProcess.js';
+import { startPlatform } from '../../processes/node/platformProcess.js';
+import { ProcessFleet } from '../../processes/node/processFleet.js';
+import { Program } from '../../processes/node/programs.js';
+import { requestRaw } from './rawCaller.js';
+
+const fleet = new ProcessFleet();
+let folder = '';
+let node: INodeAddresses = { caller: '', peer: '', admin: '', status: '' };
+let client = { cert: '', key: '' };
+
+before(async () => {
+  folder = await mkdtemp(join(tmpdir(), 'tls-ports-'));
+  const server = await generate([{ name: 'commonName', value: 'node' }], { keySize: 2048 });
+  const pair = await generate([{ name: 'commonName', value: 'operator' }], { keySize: 2048 });
+  client = { cert: pair.cert, key: pair.private };
+  const platform = await startPlatform(fleet, {});
+  const callerTls = {
+    certificateFile: await write('cert.pem', server.cert),
+    keyFile: await write('key.pem', server.private),
+  };
+  const adminTls = { ...callerTls, clientAuthorityFile: await write('clients.pem', pair.cert) };
+  const address = '127.0.0.1:0';
+  const settings = {
+    failureDomain: 'north',
+    peerAddress: address,
+    callerAddress: address,
+    adminAddress: address,
+    statusAddress: address,
+    platformUrl: `http://${platform.address}`,
+    timing: { shutdownNoticeMs: 0 },
+    security: { callerTls, adminTls },
+  };
+  const file = await write('node.jsonc', JSON.stringify(settings));
+  const child = fleet.start({ name: 'node', script: Program.Node, args: ['serve', file] });
+  node = (await child.waitForReady()) as INodeAddresses;
+});
+
+after(async () => {
+  await fleet.dispose();
+  await rm(folder, { recursive: true });
+});
+
+async function write(name: string, text: string): Promise<string> {
+  const path = join(folder, name);
+  await writeFile(path, text);
+  return path;
+}
+
+async function send(address: string, identity: Partial<typeof client>): Promise<IncomingMessage> {
+  const outgoing = request(`https://${address}/`, {
+    rejectUnauthorized: false,
+    agent: false,
+    ...identity,
+  });
+  outgoing.end();
+  const [answer] = (await once(outgoing, 'response')) as [IncomingMessage];
+  answer.resume();
+  return answer;
+}
+
+test('callers are served over TLS, with numbered answers', async () => {
+  const { headers } = await send(node.caller, {});
+  assert.equal(headers['parsleymux-result'], String(ResultCode.UnknownHost));
+  assert.equal(headers['parsleymux-run-state'], 'not-run');
+});
+
+test('operators need a certificate of the authority that the settings name', async () => {
+  await assert.rejects(send(node.admin, {}));
+  const { statusCode } = await send(node.admin, client);
+  assert.equal(statusCode, 404);
+});
+
+test('plain text on a TLS port brings nothing but the end of its connection', async () => {
+  for (const address of [node.caller, node.admin]) {
+    const { statuses, wasClosed } = await requestRaw(address, [
+      'GET / HTTP/1.1\r\nHost: x\r\n\r\n',
+    ]);
+    assert.deepEqual(statuses, []);
+    assert.ok(wasClosed);
+  }
+  const { headers } = await send(node.caller, {});
+  assert.equal(headers['parsleymux-result'], String(ResultCode.UnknownHost));
+});
