--- a/packages/lab/src/demo/node/main.ts
+++ b/packages/lab/src/demo/node/main.ts
@@ -7,6 +7,7 @@
 import { DisposableStore } from '@parsleymux/base';
 import { LoadGenerator } from '../../load/node/loadGenerator.js';
 import { makeWorkloads } from '../../processes/common/worldLayout.js';
+import { disposeOnInterrupt } from '../../processes/node/interrupt.js';
 import { LabWorld } from '../../processes/node/labWorld.js';
 import { ReadyBalancer } from '../../processes/node/readyBalancer.js';
 import { LiveSummary } from './liveSummary.js';
@@ -37,10 +38,12 @@
 }
 
 const store = new DisposableStore();
+const isInterrupted = disposeOnInterrupt(store);
 let exitCode = 1;
 try {
   exitCode = (await runDemo(store)) === 0 ? 0 : 1;
 } catch (error) {
+  if (isInterrupted()) await new Promise(() => undefined);
   console.error(error);
 } finally {
   await store.dispose();
--- a/packages/lab/src/processes/node/processFleet.ts
+++ b/packages/lab/src/processes/node/processFleet.ts
@@ -11,6 +11,8 @@
 export interface IProcessFleetOptions {
   /** Time that children get to end by themselves, in ms. Default 5000. */
   readonly graceMs?: number;
+  /** End the children and the lab on SIGINT and SIGTERM. Default true; else the owner does it. */
+  readonly handleSignals?: boolean;
 }
 
 /**
@@ -38,6 +40,7 @@
     // A child that is stopped by SIGSTOP ignores SIGTERM and would stay for ever, so the last
     // resort at exit is SIGKILL, by process id.
     process.once('exit', this.onExit);
+    if (options.handleSignals === false) return;
     process.once('SIGINT', this.onSignal);
     process.once('SIGTERM', this.onSignal);
   }
--- a/packages/lab/src/prove/node/proveReport.ts
+++ b/packages/lab/src/prove/node/proveReport.ts
@@ -7,6 +7,17 @@
 import type { MetricsWatcher } from './metricsWatcher.js';
 
 const NAME_WIDTH = 44;
+const REASON_LENGTH = 300;
+
+/** The fields of a log line that the report shows. */
+interface ILogEntry {
+  readonly level?: string;
+  readonly message?: unknown;
+  readonly cause?: unknown;
+  readonly error?: unknown;
+  /** Of a violated invariant. */
+  readonly name?: unknown;
+}
 
 function printTable(title: string, lines: readonly string[]): void {
   console.log(`\n${title}`);
@@ -70,9 +81,11 @@
 /** What a log line says when it is an alarm; a line that is not JSON is one. */
 function parseAlarm(line: string): string | undefined {
   try {
-    const entry = JSON.parse(line) as { readonly level?: string; readonly message?: unknown };
+    const entry = JSON.parse(line) as ILogEntry;
     const isAlarm = entry.level === 'error' || entry.level === 'warn';
-    return isAlarm ? `${entry.level}: ${String(entry.message)}` : undefined;
+    const why = entry.cause ?? entry.error ?? entry.name;
+    const reason = why === undefined ? '' : ` (${JSON.stringify(why).slice(0, REASON_LENGTH)})`;
+    return isAlarm ? `${entry.level}: ${String(entry.message)}${reason}` : undefined;
   } catch {
     const isStack = line.startsWith('    at ');
     return isStack
--- a/packages/lab/src/prove/node/proveRun.ts
+++ b/packages/lab/src/prove/node/proveRun.ts
@@ -6,6 +6,7 @@
 import { compareOutcomes } from '../../load/common/verdict.js';
 import { LoadGenerator } from '../../load/node/loadGenerator.js';
 import { makeWorkloads } from '../../processes/common/worldLayout.js';
+import { disposeOnInterrupt } from '../../processes/node/interrupt.js';
 import { ReadyBalancer } from '../../processes/node/readyBalancer.js';
 import type { IFaultStep } from '../common/faultSchedule.js';
 import type { OutsideBreak } from './brokenWorld.js';
@@ -43,6 +44,7 @@
 /** Runs, prints the report, and returns whether nothing was violated. */
 export async function runProve(options: IProveRunOptions): Promise<boolean> {
   const store = new DisposableStore();
+  disposeOnInterrupt(store);
   try {
     return await runInWorld(options, store);
   } finally {
