--- a/packages/routing/src/ejection/common/ejectionController.test.ts
+++ b/packages/routing/src/ejection/common/ejectionController.test.ts
@@ -119,6 +119,22 @@
   await home.dispose();
 });
 
+test('a target that someone else gave back is ejected anew only by the ledger', async () => {
+  // Symptom: healthy slots are under the floor, and the ledger says that they are not.
+  // Sequence: a home ejects t0; another home, or an operator, gives it back in the ledger; the
+  // first home finds it still failing and goes on leaving it out.
+  // Cause: the home's own verdict outlived the ledger's word.
+  const { breakNow, run, table, home } = setUp(fail, 8);
+  await breakNow();
+  const [key] = [...table.rows.keys()];
+  table.write(key!, JSON.stringify({ ejected: [] }));
+  await run(15_000);
+  const [t0] = home.getStatus()[0]!.targets;
+  assert.equal(t0?.verdict, 'ejected');
+  assert.ok(table.rows.get(key!)?.value.includes('"t0"'));
+  await home.dispose();
+});
+
 test('a target that only this node cannot reach is not ejected for everyone', async () => {
   // Symptom: a healthy target is ejected because of one broken path.
   // Sequence: what the home sends is lost; all other nodes reach the target.
--- a/packages/routing/src/ejection/common/ejectionController.ts
+++ b/packages/routing/src/ejection/common/ejectionController.ts
@@ -21,6 +21,14 @@
 /** Trials in a row without one answer after which a path counts as cut. */
 const DEAD_TRIALS = 2;
 
+/** What is assumed of a target that another home ejected. */
+const TAKEN_OVER: Omit<ISuspicion, 'target'> = {
+  reason: 'ejected in the ledger',
+  failureShare: 1,
+  isSlow: false,
+  isPathPossible: false,
+};
+
 /** Watches over the standing of one service's targets. */
 export class EjectionController implements IDisposable {
   private readonly tasks = new Map<string, Promise<void>>();
@@ -64,7 +72,8 @@
       const handle = this.surroundings.pool.handles.get(address);
       if (handle === undefined || this.tasks.has(address)) continue;
       this.back.setStanding(handle, Standing.Ejected, 'ejected in the ledger');
-      this.startTask(handle, () => this.waitAndReturn(handle, 1));
+      const suspicion = { ...TAKEN_OVER, target: address };
+      this.startTask(handle, () => this.waitAndReturn(handle, suspicion));
     }
   }
 
@@ -138,23 +147,27 @@
       }
     }
     this.back.setStanding(handle, Standing.Ejected, suspicion.reason);
-    return this.waitAndReturn(handle, suspicion.failureShare);
+    return this.waitAndReturn(handle, suspicion);
   }
 
   /** Waits, tries, ramps up; a relapse on the way starts over with twice the time. */
-  private async waitAndReturn(handle: TargetHandle, failureShare: number): Promise<void> {
+  private async waitAndReturn(handle: TargetHandle, suspicion: ISuspicion): Promise<void> {
     for (;;) {
       this.detector.reset(handle.address);
       this.relapsed.delete(handle.address);
       await this.back.waitOutEjection(handle);
       if (!this.back.isConfigured(handle)) return;
-      if (!(await this.back.isWellAgain(handle, failureShare))) {
-        this.back.setStanding(handle, Standing.Ejected, 'failed its trial');
-        continue;
+      const isWell = await this.back.isWellAgain(handle, suspicion.failureShare);
+      if (isWell) await this.back.runRamp(handle);
+      if (isWell && !this.relapsed.has(handle.address)) break;
+      const reason = isWell ? 'relapsed after its return' : 'failed its trial';
+      if (!this.back.listInLedger().has(handle.address)) {
+        // Someone else gave it back. The ledger counts its slots as healthy, so it may be left out
+        // only when the ledger agrees again; kept ejected here, the floor would break unseen.
+        this.back.setStanding(handle, Standing.Suspect, reason);
+        return this.eject(handle, { ...suspicion, reason });
       }
-      await this.back.runRamp(handle);
-      if (!this.relapsed.has(handle.address)) break;
-      this.back.setStanding(handle, Standing.Ejected, 'relapsed after its return');
+      this.back.setStanding(handle, Standing.Ejected, reason);
     }
     await this.back.returnToLedger(handle);
   }
