Hold each member to its part of an entry's requests and body bytes, before bodies are read

Cause: an entry bounded connections and single bodies, not their sum: 4,000 bodies of 1 MiB are 4 GB, and one member's flood left the others without. One class now serves entry and home; the home no longer sums over all its services for each request.

--- a/packages/node/src/entry/node/callerServer.test.ts
+++ b/packages/node/src/entry/node/callerServer.test.ts
@@ -76,6 +76,8 @@
       headerBytes: 16_384,
       callerConnections: 100,
       requestBodyBytes: 1000,
+      requestsInHand: 100,
+      requestBytesInHand: 100_000,
     }),
     timing: create(TimingSchema, {
       defaultDeadlineMs: 10_000,
--- a/packages/node/src/entry/node/callerServer.ts
+++ b/packages/node/src/entry/node/callerServer.ts
@@ -18,6 +18,7 @@
 import { findRoute, parseHost, parseKey, parseTimeout } from '../common/callerRequest.js';
 import type { HomeRouter } from '../common/homeRouter.js';
 import { CallerConnections } from './callerConnections.js';
+import { EntryShares } from './entryShares.js';
 import { writeRefusal } from './refusalWriter.js';
 
 /** How often connections are looked at for requests that take too long to arrive. */
@@ -49,6 +50,7 @@
  */
 export class CallerServer implements IDisposable {
   private readonly options: ICallerServerOptions;
+  private readonly shares: EntryShares;
   private readonly server: Server;
   private readonly connections: CallerConnections;
   private readonly configSubscription: IDisposable;
@@ -60,6 +62,7 @@
     this.configSubscription = options.config.onDidChange((change) => {
       this.table.update(change);
     });
+    this.shares = new EntryShares(options.limits);
     this.server = createHttpServer(
       options.tls,
       {
@@ -112,8 +115,10 @@
     });
     let match: IRouteMatch | undefined;
     let code: ResultCode = ResultCode.Ok;
+    let releaseShares: (() => void) | undefined;
     try {
       match = this.acceptRequest(request);
+      releaseShares = this.shares.reserve(match.member, request);
       // Only now: a request that is refused needs no body.
       if (request.headers.expect !== undefined) response.writeContinue();
       const routed = await this.readRequest(request, match, startedMs);
@@ -129,6 +134,7 @@
       await writeRefusal(request, response, refusal, this.listClosingHeaders());
     } finally {
       await waitForEnd(response);
+      releaseShares?.();
       leaveConnection();
       finish();
       const durationMs = this.options.clock.getMonotonicTime() - startedMs;
--- a/packages/routing/src/home/common/localHomeService.ts
+++ b/packages/routing/src/home/common/localHomeService.ts
@@ -2,6 +2,7 @@
 import type { IDisposable } from '@parsleymux/base';
 import type { Service, ShardStatus } from '@parsleymux/schema';
 import type { IAnswer, IRoutedRequest } from '../../request/common/request.js';
+import { FairShares } from '../../limits/common/fairShares.js';
 import { makeMemberLimit, makeNoTarget } from '../../refusal/common/refusals.js';
 import type { IHomeContext, IHomeOptions } from './homeOptions.js';
 import { withHomeDefaults } from './homeOptions.js';
@@ -27,12 +28,14 @@
 export class LocalHomeService extends HomeService implements IDisposable {
   private readonly context: IHomeContext;
   private readonly homes = new Map<string, ServiceHome>();
+  private readonly shares: FairShares;
   private readonly subscription: IDisposable;
   private readonly abort = new AbortController();
 
   constructor(options: IHomeOptions) {
     super();
     this.context = withHomeDefaults(options);
+    this.shares = new FairShares({ capacity: this.context.maxInFlight });
     this.subscription = options.configService.onDidChange((change) => {
       this.update(change.members);
     });
@@ -42,8 +45,14 @@
   override async handle(request: IRoutedRequest, signal: AbortSignal): Promise<IAnswer> {
     const home = this.findHome(request.member, request.route.service);
     if (home === undefined) throw makeNoTarget(this.context.random.getJittered(RETRY_AFTER_MS));
-    this.checkShare(request.member);
-    return home.handle(request, signal);
+    const release = this.shares.reserve(request.member, 1);
+    if (release === undefined)
+      throw makeMemberLimit(this.context.random.getJittered(RETRY_AFTER_MS));
+    try {
+      return await home.handle(request, signal);
+    } finally {
+      release();
+    }
   }
 
   override getSpareSlots(member: string, service: string): number {
@@ -51,7 +60,7 @@
   }
 
   override getInFlight(): number {
-    return this.countInFlight(() => true);
+    return this.shares.getTotal();
   }
 
   override getStatus(): readonly ShardStatus[] {
@@ -64,19 +73,6 @@
     for (const home of this.homes.values()) home.dispose();
   }
 
-  /**
-   * While the node is full, each member is held to its share, so that one member's flood can't
-   * take the memory and processor time that the others' requests need.
-   */
-  private checkShare(member: string): void {
-    if (this.getInFlight() < this.context.maxInFlight / 2) return;
-    const members = new Set([...this.homes.values()].filter(isBusy).map((home) => home.member));
-    const share = this.context.maxInFlight / Math.max(1, members.add(member).size);
-    const own = this.countInFlight((home) => home.member === member);
-    if (own < share && this.getInFlight() < this.context.maxInFlight) return;
-    throw makeMemberLimit(this.context.random.getJittered(RETRY_AFTER_MS));
-  }
-
   private async closeIdle(): Promise<void> {
     const { clock } = this.context;
     for (;;) {
@@ -90,14 +86,6 @@
     }
   }
 
-  private countInFlight(isCounted: (home: ServiceHome) => boolean): number {
-    let sum = 0;
-    for (const home of this.homes.values()) {
-      if (isCounted(home)) sum += home.inFlight;
-    }
-    return sum;
-  }
-
   private findHome(member: string, serviceName: string): ServiceHome | undefined {
     const key = formatKey(member, serviceName);
     const existing = this.homes.get(key);
@@ -132,7 +120,3 @@
 function formatKey(member: string, service: string): string {
   return `${member}/${service}`;
 }
-
-function isBusy(home: ServiceHome): boolean {
-  return home.inFlight > 0;
-}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -13,6 +13,7 @@
 export * from './ledger/common/ejectionLedger.js';
 export * from './ledger/common/floorArithmetic.js';
 export * from './ledger/common/tableEjectionLedger.js';
+export * from './limits/common/fairShares.js';
 export * from './metrics/common/homeMetrics.js';
 export * from './request/common/answerBody.js';
 export * from './request/common/request.js';
