--- a/packages/base/src/result/common/retryAfter.ts
+++ b/packages/base/src/result/common/retryAfter.ts
@@ -22,6 +22,13 @@
   [ResultCode.StillRunning, 1000],
   [ResultCode.StoreUnavailable, 5000],
   [ResultCode.LimitExceeded, 5000],
+  [ResultCode.DeadlinePassed, 1000],
+  [ResultCode.TargetUnreachable, 1000],
+  [ResultCode.TargetFailed, 1000],
+  [ResultCode.TargetTimeout, 1000],
+  [ResultCode.AnswerTruncated, 1000],
+  [ResultCode.PeerUnreachable, 1000],
+  [ResultCode.Internal, 1000],
 ]);
 
 /**
@@ -35,6 +42,18 @@
   return DEFAULT_WAIT_MS.get(code);
 }
 
+/**
+ * The wait to name with a refusal, in ms; undefined when none is to be named. The refusal's own
+ * estimate goes first.
+ *
+ * @example
+ * getRetryAfterMs(error); // 1500
+ */
+export function getRetryAfterMs(error: MuxError): number | undefined {
+  const waitMs = error.retryAfterMs ?? getDefaultRetryAfterMs(error.code);
+  return waitMs === undefined ? undefined : Math.ceil(waitMs);
+}
+
 /**
  * The value of the Retry-After header for a refusal, in whole seconds of at least 1; undefined
  * when the header is to be left out. Rounded up: a caller that comes back too early is refused
@@ -44,7 +63,7 @@
  * formatRetryAfter(error); // '2'
  */
 export function formatRetryAfter(error: MuxError): string | undefined {
-  const waitMs = error.retryAfterMs ?? getDefaultRetryAfterMs(error.code);
+  const waitMs = getRetryAfterMs(error);
   if (waitMs === undefined) return undefined;
   return String(Math.max(1, Math.ceil(waitMs / MS_PER_SECOND)));
 }
--- a/packages/lab/src/badInput/node/malformedRequests.test.ts
+++ b/packages/lab/src/badInput/node/malformedRequests.test.ts
@@ -219,6 +219,21 @@
   });
 }
 
+for (const [name, code, request] of REFUSED.slice(0, 4).concat([
+  [
+    'headers above the limit',
+    ResultCode.HeadersTooLarge,
+    `GET / HTTP/1.1\r\nHost: a\r\nX: ${'x'.repeat(20_000)}\r\n\r\n`,
+  ],
+  ['a tunnel', ResultCode.MethodNotAllowed, 'CONNECT a:443 HTTP/1.1\r\nHost: a\r\n\r\n'],
+])) {
+  test(`${name} on the port of operators: refused with ${code}, and nothing is disturbed`, async () => {
+    const exchange = await requestRaw(world.getNodes()[0]!.addresses.admin, [request]);
+    assert.deepEqual(exchange.results, [code], exchange.text);
+    await assertUndisturbed();
+  });
+}
+
 test('a chunked body above the limit is refused while it arrives', async () => {
   const chunk = `10000\r\n${'x'.repeat(0x10000)}\r\n`;
   const head = makePost([KEY, 'Transfer-Encoding: chunked']);
--- a/packages/node/src/entry/node/callerServer.ts
+++ b/packages/node/src/entry/node/callerServer.ts
@@ -5,6 +5,7 @@
 import type { ConfigService, IRouteMatch } from '@parsleymux/config';
 import { RouteTable } from '@parsleymux/config';
 import type { Header, IAnswer, IRoutedRequest } from '@parsleymux/routing';
+import { discardBody } from '@parsleymux/routing';
 import type { Limits, Timing } from '@parsleymux/schema';
 import type { NodeState } from '../../app/common/nodeState.js';
 import { HeaderName, listEndToEndHeaders } from '../../http/common/headers.js';
@@ -193,6 +194,7 @@
     response: ServerResponse,
     answer: IAnswer,
   ): Promise<void> {
+    await checkFraming(request, answer);
     const headers: Header[] = [
       ...answer.headers,
       [HeaderName.Result, String(answer.code)],
@@ -208,7 +210,10 @@
    * is read: callers that never read would fill it, and keep a leaving node from its end.
    */
   private watchStalls(response: ServerResponse): void {
-    response.setTimeout(this.options.timing.callerStallMs, () => response.destroy());
+    response.setTimeout(this.options.timing.callerStallMs, () => {
+      // With nothing left to take, the pause is the target's, and its own limit is on it.
+      if (response.writableLength > 0) response.destroy();
+    });
   }
 
   /** A node that leaves asks callers to come back on another connection, hence another node. */
@@ -228,6 +233,24 @@
   });
 }
 
+/**
+ * HTTP/1.0 knows no chunks: a streamed answer of unknown length would end where its connection
+ * ends, and one that broke off would look whole.
+ */
+async function checkFraming(request: IncomingMessage, answer: IAnswer): Promise<void> {
+  const isFramed =
+    request.httpVersion !== '1.0' ||
+    answer.body instanceof Uint8Array ||
+    answer.headers.some(([name]) => name === 'content-length');
+  if (isFramed) return;
+  await discardBody(answer.body);
+  throw new MuxError({
+    code: ResultCode.AnswerTooLarge,
+    message: 'the answer is streamed, which HTTP/1.0 cannot show the end of; use HTTP/1.1',
+    runState: answer.runState,
+  });
+}
+
 function createCallerGone(cause: unknown): MuxError {
   return new MuxError({
     code: ResultCode.CallerGone,
--- a/packages/node/src/entry/node/refusalWriter.ts
+++ b/packages/node/src/entry/node/refusalWriter.ts
@@ -2,16 +2,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import type { MuxError } from '@parsleymux/base';
-import { getDefaultRetryAfterMs, getResultInfo } from '@parsleymux/base';
+import { formatRetryAfter, getResultInfo, getRetryAfterMs } from '@parsleymux/base';
 import type { Header } from '@parsleymux/routing';
 import { HeaderName } from '../../http/common/headers.js';
 import type { IRefusalBody } from '../../http/common/refusal.js';
 import { writeAnswer } from '../../http/node/bodyWriter.js';
 
-/** Faults and overload pass; what the request itself got wrong does not. */
-const FIRST_PASSING_STATUS = 500;
-const DEFAULT_RETRY_AFTER_MS = 1000;
-const MS_PER_SECOND = 1000;
 /** Time that a caller has to read the refusal of what was no request, in ms. */
 const LINGER_MS = 1000;
 
@@ -63,24 +59,15 @@
     [HeaderName.Result, String(refusal.code)],
     [HeaderName.RunState, refusal.runState],
   ];
-  const retryAfterMs = getRetryAfter(refusal);
-  if (retryAfterMs === undefined) return headers;
-  const seconds = Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND));
-  headers.push([HeaderName.RetryAfter, String(seconds)]);
-  headers.push([HeaderName.RetryAfterMs, String(retryAfterMs)]);
+  const retryAfter = formatRetryAfter(refusal);
+  if (retryAfter === undefined) return headers;
+  headers.push([HeaderName.RetryAfter, retryAfter]);
+  headers.push([HeaderName.RetryAfterMs, String(getRetryAfterMs(refusal))]);
   return headers;
 }
 
-/** A caller that was given up on and not told when to come back would ask again at once. */
-function getRetryAfter(refusal: MuxError): number | undefined {
-  const retryAfterMs = refusal.retryAfterMs ?? getDefaultRetryAfterMs(refusal.code);
-  if (retryAfterMs !== undefined) return Math.ceil(retryAfterMs);
-  const isPassing = getResultInfo(refusal.code).httpStatus >= FIRST_PASSING_STATUS;
-  return isPassing ? DEFAULT_RETRY_AFTER_MS : undefined;
-}
-
 function createRefusalBody(refusal: MuxError): IRefusalBody {
-  const retryAfterMs = getRetryAfter(refusal);
+  const retryAfterMs = getRetryAfterMs(refusal);
   return {
     code: refusal.code,
     name: getResultInfo(refusal.code).name,
