--- a/packages/node/src/app/node/nodeCore.ts
+++ b/packages/node/src/app/node/nodeCore.ts
@@ -178,6 +178,7 @@
   store.add(
     membership.onDidChange((nodes) => {
       placement.setNodes(nodes);
+      hop.closeAbsent(nodes.map(({ address }) => address));
     }),
   );
   return new HomeRouter({
--- a/packages/node/src/hop/node/hopClient.ts
+++ b/packages/node/src/hop/node/hopClient.ts
@@ -105,6 +105,14 @@
     void pool.close();
   }
 
+  /** Closes what leads to nodes that are not among `peers`: with every replaced VM one is left. */
+  closeAbsent(peers: readonly string[]): void {
+    const present = new Set(peers);
+    for (const peer of this.pools.keys()) {
+      if (!present.has(peer)) this.retireConnections(peer);
+    }
+  }
+
   async dispose(): Promise<void> {
     const pools = [...this.pools.values()];
     this.pools.clear();
--- a/packages/routing/src/transport/node/connectionPool.ts
+++ b/packages/routing/src/transport/node/connectionPool.ts
@@ -12,6 +12,8 @@
   readonly getLimit: () => number;
   /** Called when a connection was opened. */
   readonly onDidOpen?: () => void;
+  /** Called when the last connection has closed. */
+  readonly onDidEmpty?: () => void;
 }
 
 /** How a connection is wanted. */
@@ -97,6 +99,7 @@
     connection.onDidClose(() => {
       this.open.delete(connection);
       this.idle = this.idle.filter((candidate) => candidate !== connection);
+      if (this.size === 0) this.options.onDidEmpty?.();
     });
   }
 
--- a/packages/routing/src/transport/node/httpTargetTransport.test.ts
+++ b/packages/routing/src/transport/node/httpTargetTransport.test.ts
@@ -5,6 +5,7 @@
 import type { TestContext } from 'node:test';
 import { test } from 'node:test';
 import { ManualClock, SystemClock } from '@parsleymux/base';
+import { Registry } from 'prom-client';
 import type { ISendOptions, ITargetRequest } from '../common/targetTransport.js';
 import { TransportError, TransportFailure } from '../common/targetTransport.js';
 import type { IRawRequest } from '../test/rawTarget.js';
@@ -67,6 +68,10 @@
   return Buffer.from(body).toString();
 }
 
+async function waitUntil(isDone: () => boolean): Promise<void> {
+  while (!isDone()) await new Promise((resolve) => setImmediate(resolve));
+}
+
 test('hop-by-hop headers are dropped both ways, repeated headers are kept', async (t) => {
   const bench = await openBench(t, ({ socket }) => {
     socket.write(
@@ -294,3 +299,13 @@
   await bench.send({}, { freshConnection: true });
   assert.equal(bench.target.connections, 2);
 });
+
+test('nothing is kept of a target whose last connection has closed', async (t) => {
+  // Symptom: a node's memory and metrics grow with every target that ever was.
+  // Sequence: targets are added and removed by plans for weeks. Cause: pools were never let go.
+  const registry = new Registry();
+  const bench = await openBench(t, ({ socket }) => socket.end(answerText('bye')), { registry });
+  await bench.send();
+  await waitUntil(() => bench.transport.getConnectionCount('m', bench.target.address) === 0);
+  assert.ok(!(await registry.metrics()).includes(`target="${bench.target.address}"`));
+});
--- a/packages/routing/src/transport/node/httpTargetTransport.ts
+++ b/packages/routing/src/transport/node/httpTargetTransport.ts
@@ -160,12 +160,22 @@
         onDidOpen: () => {
           this.metrics.recordOpened();
         },
+        onDidEmpty: () => {
+          this.removePool(member, target);
+        },
       });
       pools.set(target, pool);
     }
     return pool;
   }
 
+  /** Targets and members come and go for as long as a node lives; what is unused must not stay. */
+  private removePool(member: string, target: string): void {
+    const pools = this.pools.get(member);
+    pools?.delete(target);
+    if (pools?.size === 0) this.pools.delete(member);
+  }
+
   private getLimit(member: string, target: string): number {
     return this.options.getConnectionLimit?.(member, target) ?? DEFAULT_CONNECTION_LIMIT;
   }
