Answer "not ready" until the configuration is known, instead of "unknown host"

Cause: a fresh node had no routes and refused every host as unknown; callers take that for final. Checked without the check: the new test saw 404.

--- a/packages/node/src/entry/node/callerServer.test.ts
+++ b/packages/node/src/entry/node/callerServer.test.ts
@@ -17,7 +17,7 @@
 import { ConfigService } from '@parsleymux/config';
 import type { AnswerBody, IAnswer } from '@parsleymux/routing';
 import { LimitsSchema, MemberConfigSchema, TimingSchema } from '@parsleymux/schema';
-import { NodeState } from '../../app/common/nodeState.js';
+import { NodeStage, NodeState } from '../../app/common/nodeState.js';
 import { parseEndpoint } from '../../http/node/listener.js';
 import { NodeMetrics } from '../../metrics/node/nodeMetrics.js';
 import type { HomeRouter } from '../common/homeRouter.js';
@@ -56,8 +56,13 @@
   openCaller(version?: string): Promise<Socket>;
 }
 
-async function openBench(t: TestContext, makeBody: () => AnswerBody): Promise<IBench> {
+async function openBench(
+  t: TestContext,
+  makeBody: () => AnswerBody,
+  stage: NodeStage = NodeStage.Serving,
+): Promise<IBench> {
   const state = new NodeState();
+  state.setStage(stage);
   const serve = (): Promise<IAnswer> => {
     const answer = { status: 200, headers: [], code: ResultCode.Ok, runState: RunState.Ran };
     return Promise.resolve({ ...answer, body: makeBody() });
@@ -199,3 +204,14 @@
   await waitUntilIdle(bench.state);
   assert.ok(taken < LARGE_BYTES / 2, `${taken} bytes were taken from the source`);
 });
+
+test('a node without configuration says "not ready", and no host is unknown to it', async (t) => {
+  // Symptom: during a rolling replacement some callers get 404 for a host that exists.
+  // Sequence: a fresh node opens its port; a lagging balancer sends it callers at once.
+  // Cause: an empty table of routes looked like one without the caller's host.
+  const bench = await openBench(t, () => Buffer.alloc(1), NodeStage.Starting);
+  const text = await readToEnd(await bench.openCaller());
+  assert.match(text, /^HTTP\/1\.1 503 /);
+  assert.match(text, new RegExp(`parsleymux-result: ${ResultCode.NotReady}\r\n`));
+  assert.match(text, /retry-after: 1\r\n/);
+});
--- a/packages/node/src/entry/node/callerServer.ts
+++ b/packages/node/src/entry/node/callerServer.ts
@@ -8,6 +8,7 @@
 import { discardBody } from '@parsleymux/routing';
 import type { Limits, Timing } from '@parsleymux/schema';
 import type { NodeState } from '../../app/common/nodeState.js';
+import { NodeStage } from '../../app/common/nodeState.js';
 import { HeaderName, listEndToEndHeaders } from '../../http/common/headers.js';
 import { toMuxError } from '../../http/common/refusal.js';
 import { readBody } from '../../http/node/bodyReader.js';
@@ -151,18 +152,27 @@
   private acceptRequest(request: IncomingMessage): IRouteMatch {
     this.connections.checkLimit(request);
     checkExpectation(request);
-    if (this.options.isIsolated()) {
-      throw new MuxError({
-        code: ResultCode.NodeIsolated,
-        message: 'this node is cut off from the rest of the fleet',
-        runState: RunState.NotRun,
-        retryAfterMs: MS_PER_SECOND,
-      });
-    }
+    this.checkServing();
     const host = parseHost(request.headersDistinct.host);
     return findRoute(this.table, host, request.url ?? '/', request.method ?? 'GET');
   }
 
+  /**
+   * A node that has no configuration yet would answer "unknown host" to every caller that a
+   * lagging balancer sends it, and callers take that for final.
+   */
+  private checkServing(): void {
+    if (this.options.state.getStage() === NodeStage.Starting) {
+      throw refuseForNow(ResultCode.NotReady, 'this node does not know its configuration yet');
+    }
+    if (this.options.isIsolated()) {
+      throw refuseForNow(
+        ResultCode.NodeIsolated,
+        'this node is cut off from the rest of the fleet',
+      );
+    }
+  }
+
   private async readRequest(
     request: IncomingMessage,
     match: IRouteMatch,
@@ -251,6 +261,11 @@
   });
 }
 
+function refuseForNow(code: ResultCode, message: string): MuxError {
+  const retryAfterMs = MS_PER_SECOND;
+  return new MuxError({ code, message, runState: RunState.NotRun, retryAfterMs });
+}
+
 function createCallerGone(cause: unknown): MuxError {
   return new MuxError({
     code: ResultCode.CallerGone,
