--- a/packages/lab/src/bench/hop/node/bench.ts
+++ b/packages/lab/src/bench/hop/node/bench.ts
@@ -62,12 +62,14 @@
 ): Promise<readonly IBenchTable[]> {
   const seconds = parseNumbers(options, 'seconds', [DEFAULT_SECONDS])[0] ?? DEFAULT_SECONDS;
   const tables: IBenchTable[] = [];
-  for (const path of listPaths(world)) {
+  const wanted = options.values.get('paths')?.split(',');
+  const paths = listPaths(world).filter(({ name }) => wanted?.includes(name) ?? true);
+  for (const path of paths) {
     await runStream(makeStream(path, 200, WARM_UP_MS, options.seed));
   }
   for (const perSecond of parseNumbers(options, 'rates', RATES)) {
     options.log(`hop: ${perSecond} requests/s`);
-    tables.push(await measureRate(world, perSecond, seconds * 1000, options.seed));
+    tables.push(await measureRate(world, paths, perSecond, seconds * 1000, options.seed));
   }
   return tables;
 }
@@ -97,13 +99,14 @@
 
 async function measureRate(
   world: HopWorld,
+  paths: readonly IPath[],
   perSecond: number,
   durationMs: number,
   seed: number,
 ): Promise<IBenchTable> {
   const rows: (readonly Cell[])[] = [];
   let straight: IStreamFigures | undefined;
-  for (const path of listPaths(world)) {
+  for (const path of paths) {
     const before = await readUsage(world);
     const figures = await runStream(makeStream(path, perSecond, durationMs, seed));
     const after = await readUsage(world);
