Take only chunks at the end for framing; forget pools without connections

An answer with another transfer encoding at its end is read until the connection ends, so a cut one looked whole. Pools of targets that are gone no longer stay in the map and in the metrics.

--- a/packages/routing/src/transport/node/connectionPool.ts
+++ b/packages/routing/src/transport/node/connectionPool.ts
@@ -12,7 +12,7 @@
   readonly getLimit: () => number;
   /** Called when a connection was opened. */
   readonly onDidOpen?: () => void;
-  /** Called when the last connection has closed. */
+  /** Called when the last connection has closed; the pool may be forgotten. */
   readonly onDidEmpty?: () => void;
 }
 
@@ -69,6 +69,7 @@
       throw makeError(TransportFailure.Connect, cause);
     } finally {
       this.opening -= 1;
+      this.checkEmpty();
     }
   }
 
@@ -99,10 +100,14 @@
     connection.onDidClose(() => {
       this.open.delete(connection);
       this.idle = this.idle.filter((candidate) => candidate !== connection);
-      if (this.size === 0) this.options.onDidEmpty?.();
+      this.checkEmpty();
     });
   }
 
+  private checkEmpty(): void {
+    if (this.size === 0) this.options.onDidEmpty?.();
+  }
+
   private takeIdle(): TargetConnection | undefined {
     for (;;) {
       const connection = this.idle.pop();
--- a/packages/routing/src/transport/node/exchange.ts
+++ b/packages/routing/src/transport/node/exchange.ts
@@ -134,9 +134,8 @@
     this.finish();
     this.options.connection.startReading();
     this.options.onWhole();
-    if (this.stream === undefined)
-      this.waiter?.resolve(this.makeAnswer(this.head, Buffer.concat(this.held)));
-    else this.stream.end();
+    if (this.stream !== undefined) this.stream.end();
+    else this.waiter?.resolve(this.makeAnswer(this.head, Buffer.concat(this.held)));
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
@@ -233,16 +232,19 @@
     if (echoed !== undefined && echoed !== this.options.attemptId) {
       return { failure: TransportFailure.Broken, reason: 'answer belongs to another attempt' };
     }
-    const isFramed =
-      this.isBodiless(head.status) ||
-      head.contentLength !== undefined ||
-      findHeader(head.headers, 'transfer-encoding') !== undefined;
     // A body that ends where the connection ends looks whole wherever it is cut.
-    if (isFramed) return undefined;
+    if (this.isBodiless(head.status) || isFramed(head)) return undefined;
     return { failure: TransportFailure.Truncated, reason: 'answer has no framing of its own' };
   }
 }
 
+/** Encodings other than chunks at the end are read until the connection ends, like none. */
+function isFramed(head: IAnswerHead): boolean {
+  const encodings = head.headers.filter(([name]) => name === 'transfer-encoding');
+  if (encodings.length === 0) return head.contentLength !== undefined;
+  return /(^|,)\s*chunked\s*$/i.test(encodings.map(([, value]) => value).join(','));
+}
+
 function isFramingError(error: Error): boolean {
   return (
     error instanceof errors.HTTPParserError ||
--- a/packages/routing/src/transport/node/wholeAnswers.test.ts
+++ b/packages/routing/src/transport/node/wholeAnswers.test.ts
@@ -120,14 +120,20 @@
   });
 }
 
-test('an answer without framing of its own is refused', async (t) => {
-  const bench = await openBench(t, ({ socket }) => {
-    socket.end(`HTTP/1.1 200 OK\r\n\r\n${BODY}`);
-  });
-  await assert.rejects(bench.send(), (error: unknown) => {
-    return error instanceof TransportError && error.failure === TransportFailure.Truncated;
+for (const header of [
+  '',
+  'Transfer-Encoding: gzip\r\n',
+  'Transfer-Encoding: chunked, identity\r\n',
+]) {
+  test(`an answer without framing of its own is refused (${header.trim() || 'no header'})`, async (t) => {
+    const bench = await openBench(t, ({ socket }) => {
+      socket.end(`HTTP/1.1 200 OK\r\n${header}\r\n${BODY}`);
+    });
+    await assert.rejects(bench.send(), (error: unknown) => {
+      return error instanceof TransportError && error.failure === TransportFailure.Truncated;
+    });
   });
-});
+}
 
 test('answers that have no body need no framing', async (t) => {
   const bench = await openBench(t, ({ socket, index }) => {
