Measure how long a confirmed plan takes until it is in force on real nodes

Cause: the distribution was measured on fakes and a manual clock only. Now eight real nodes, a plan confirmed with parsleyctl, one node cut one way from the platform by a relay, and in two rounds of five from its peers by a module of the lab that withholds its control calls.

--- /dev/null
+++ b/packages/lab/src/bench/in-force/node/bench.ts
@@ -0,0 +1,166 @@
+/**
+ * How long a confirmed plan takes until it is in force on real nodes: `npm run bench -- in-force`.
+ * One node is cut one way from the platform, and in some rounds from its peers too; the plan is
+ * confirmed with `parsleyctl` at another node, and later the cut heals.
+ */
+import { fileURLToPath } from 'node:url';
+import { DisposableStore } from '@parsleymux/base';
+import type { ILinkFaults } from '@parsleymux/standins';
+import { FaultyLink, NO_LINK_FAULTS } from '@parsleymux/standins';
+import { disposeOnInterrupt } from '../../../processes/node/interrupt.js';
+import { LabWorld } from '../../../processes/node/labWorld.js';
+import type { IBenchOptions, IBenchReport } from '../../common/bench.js';
+import { Bench, parseNumbers } from '../../common/bench.js';
+import type { Cell } from '../../common/bench.js';
+import { RevisionWatch } from './revisionWatch.js';
+
+const MEMBER = 'relinieri';
+/** Settings that ship, in place of the lab's short ones. */
+const SHIPPED_TIMING = { configPollMs: 2000, vmListPollMs: 2000, isolationLimitMs: 30_000 };
+/** Calls that were under way when the cut began are over after this. */
+const CUT_SETTLE_MS = 4000;
+const HELD_MS = 6000;
+const IN_FORCE_LIMIT_MS = 60_000;
+
+interface IRound {
+  readonly name: string;
+  readonly link: Partial<ILinkFaults>;
+  /** Peers are cut by a signal to the node; the order of the rounds is that of its states. */
+  readonly cutsPeers: boolean;
+}
+
+const ROUNDS: readonly IRound[] = [
+  { name: 'none', link: {}, cutsPeers: false },
+  { name: 'calls to platform lost', link: { cutForward: true }, cutsPeers: false },
+  { name: 'answers of platform lost', link: { cutBackward: true }, cutsPeers: false },
+  { name: 'calls to platform and peers lost', link: { cutForward: true }, cutsPeers: true },
+  { name: 'hears neither platform nor peers', link: { cutBackward: true }, cutsPeers: true },
+];
+
+class InForceBench extends Bench {
+  override readonly summary = 'time until a plan is in force on real nodes, one of them cut off';
+
+  override async run(options: IBenchOptions): Promise<IBenchReport> {
+    const [nodeCount = 8] = parseNumbers(options, 'nodes', [8]);
+    const [repeats = 3] = parseNumbers(options, 'repeats', [3]);
+    const store = new DisposableStore();
+    disposeOnInterrupt(store);
+    try {
+      const world = store.add(await InForceWorld.start(nodeCount, options.seed));
+      const rows: Cell[][] = [];
+      for (let repeat = 0; repeat < repeats; repeat += 1) {
+        for (const round of ROUNDS) {
+          options.log(round.name);
+          rows.push([round.name, ...(await world.runRound(round))]);
+        }
+      }
+      return buildReport(nodeCount, rows);
+    } finally {
+      await store.dispose();
+    }
+  }
+}
+
+/** Nodes of which the last one can be cut off. */
+class InForceWorld {
+  private constructor(
+    private readonly lab: LabWorld,
+    private readonly links: readonly FaultyLink[],
+  ) {}
+
+  static async start(nodeCount: number, seed: number): Promise<InForceWorld> {
+    const links: FaultyLink[] = [];
+    const lab = new LabWorld({
+      seed,
+      nodeCount,
+      nodeTiming: SHIPPED_TIMING,
+      nodeOptions: ['--import', fileURLToPath(new URL('cutPeers.js', import.meta.url))],
+      choosePlatformAddress: async (own) => {
+        const link = new FaultyLink({ to: own });
+        await link.start();
+        links.push(link);
+        return link.getAddress();
+      },
+    });
+    const world = new InForceWorld(lab, links);
+    try {
+      await lab.start();
+      await lab.applyIntents();
+    } catch (error) {
+      await world.dispose();
+      throw error;
+    }
+    return world;
+  }
+
+  /** Milliseconds from the start of the confirming command; "no" for not within the cut. */
+  async runRound(round: IRound): Promise<readonly Cell[]> {
+    const nodes = this.lab.getNodes();
+    const cutNode = nodes.at(-1);
+    const link = this.links.find((one) => {
+      return cutNode?.options.platformUrl === `http://${one.getAddress()}`;
+    });
+    if (cutNode === undefined || link === undefined) throw new Error('no node runs');
+    const others = nodes.slice(0, -1);
+    const operator = this.lab.getOperator(MEMBER);
+    const file = await this.lab.writeIntent(MEMBER, this.lab.getPlaces());
+    await link.setFaults(round.link);
+    if (round.cutsPeers) cutNode.child.sendSignal('SIGUSR2');
+    await sleep(CUT_SETTLE_MS);
+    const watch = await RevisionWatch.start(nodes);
+    const submitted = await operator.run(['intent', 'submit', file]);
+    const { id } = submitted.output as { readonly id: string };
+    const startMs = performance.now();
+    const confirmed = await operator.run(['plan', 'confirm', id]);
+    const commandMs = performance.now() - startMs;
+    if (confirmed.exitCode !== 0) throw new Error(confirmed.errors);
+    const lastMs = await watch.waitUntilAll(others, IN_FORCE_LIMIT_MS);
+    await sleep(HELD_MS);
+    const ownMs = watch.getReachedMs(cutNode);
+    const healedMs = performance.now();
+    await link.setFaults(NO_LINK_FAULTS);
+    if (round.cutsPeers) cutNode.child.sendSignal('SIGUSR2');
+    const reachedMs = await watch.waitUntilAll([cutNode], IN_FORCE_LIMIT_MS);
+    await watch.stop();
+    return [
+      Math.round(commandMs),
+      Math.round(lastMs - startMs),
+      ownMs === undefined ? 'no' : Math.round(ownMs - startMs),
+      ownMs === undefined ? Math.round(reachedMs - healedMs) : '',
+    ];
+  }
+
+  async dispose(): Promise<void> {
+    await this.lab.dispose();
+    for (const link of this.links) await link.dispose();
+  }
+}
+
+function buildReport(nodeCount: number, rows: readonly (readonly Cell[])[]): IBenchReport {
+  return {
+    tables: [
+      {
+        title: `A plan confirmed with parsleyctl, ${nodeCount} nodes, the last one cut off`,
+        columns: [
+          'cut',
+          'command ms',
+          'in force on the others ms',
+          'on the cut node during the cut ms',
+          'on the cut node after healing ms',
+        ],
+        rows,
+      },
+    ],
+    notes: [
+      'from the start of the confirming command, which itself takes some time to start',
+      'revisions are read every 40 ms; settings as shipped (poll 2 s, isolation 30 s)',
+      'one machine, so network times are those of loopback',
+    ],
+  };
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
+
+export const bench: Bench = new InForceBench();
--- /dev/null
+++ b/packages/lab/src/bench/in-force/node/revisionWatch.ts
@@ -0,0 +1,65 @@
+/** Notes when each node has a revision newer than the one at the start. */
+import { parseCounter } from '../../../processes/node/nodeMetrics.js';
+import type { NodeProcess } from '../../../processes/node/nodeProcess.js';
+
+const POLL_MS = 40;
+
+/**
+ * Reads the nodes' metrics until stopped.
+ *
+ * @example
+ * const watch = await RevisionWatch.start(nodes);
+ * await watch.waitUntilAll(nodes, 60_000);
+ * await watch.stop();
+ */
+export class RevisionWatch {
+  private readonly reached = new Map<NodeProcess, number>();
+  private loops: Promise<unknown> = Promise.resolve();
+  private isStopped = false;
+
+  /** Takes the revisions that are in force now as the former ones. */
+  static async start(nodes: readonly NodeProcess[]): Promise<RevisionWatch> {
+    const watch = new RevisionWatch();
+    const revisions = await Promise.all(nodes.map((node) => fetchRevision(node)));
+    const former = Math.max(...revisions.map((revision) => revision ?? 0));
+    watch.loops = Promise.all(nodes.map((node) => watch.watchNode(node, former)));
+    return watch;
+  }
+
+  /** When the node was seen with a newer revision, on the clock of `performance.now`. */
+  getReachedMs(node: NodeProcess): number | undefined {
+    return this.reached.get(node);
+  }
+
+  /** Resolves with the instant at which the last of them was seen with it. */
+  async waitUntilAll(nodes: readonly NodeProcess[], limitMs: number): Promise<number> {
+    const endMs = performance.now() + limitMs;
+    while (nodes.some((node) => !this.reached.has(node))) {
+      if (performance.now() > endMs) throw new Error('not in force everywhere within the limit');
+      await sleep(POLL_MS);
+    }
+    return Math.max(...nodes.map((node) => this.reached.get(node) ?? 0));
+  }
+
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    await this.loops;
+  }
+
+  private async watchNode(node: NodeProcess, former: number): Promise<void> {
+    while (!this.isStopped && !this.reached.has(node)) {
+      const revision = await fetchRevision(node);
+      if (revision !== undefined && revision > former) this.reached.set(node, performance.now());
+      await sleep(POLL_MS);
+    }
+  }
+}
+
+async function fetchRevision(node: NodeProcess): Promise<number | undefined> {
+  const page = await node.fetchMetrics();
+  return page === undefined ? undefined : parseCounter(page, 'parsleymux_config_revision');
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
