--- a/packages/lab/src/bench/detection/node/bench.ts
+++ b/packages/lab/src/bench/detection/node/bench.ts
@@ -60,7 +60,7 @@
     notes: [
       `${jobs.length} replays; simulated time, so the machine's load does not matter`,
       `invariant violations in all of them: ${violations}`,
-      'detection: from the start of the fault to the last dispatch for a caller before 9 s without any',
+      'detection: from the start of the fault to the first decision against the target, or to the last dispatch for a caller before 9 s without any, whichever is later',
       'a false ejection takes a healthy target out; a demotion makes it the last choice for a while',
     ],
   };
--- a/packages/lab/src/replay/common/replayRecorder.ts
+++ b/packages/lab/src/replay/common/replayRecorder.ts
@@ -10,6 +10,7 @@
 const FIRST_SERVER_ERROR = 500;
 /** What was under way when a fault ended can still lead to an ejection, for so long. */
 const FAULT_TAIL_MS = 2000;
+const AGAINST: ReadonlySet<Standing> = new Set([Standing.Suspect, Standing.Ejected]);
 const PROLONGING: ReadonlySet<string> = new Set(['failed its trial']);
 /**
  * Without a dispatch for this long a target counts as given no work, in ms: longer than any
@@ -94,12 +95,21 @@
     return [...firsts.values()].map((fault) => this.measureDetection(fault));
   }
 
-  /** Time from the fault's beginning to the last dispatch for a caller before a long silence. */
+  /**
+   * Time from the fault's beginning until the target gets no more work by decision: the later of
+   * the first decision against it and the last dispatch before a long silence. The last dispatch
+   * alone flatters a home that does nothing: slots full of stuck requests let nothing new through.
+   */
   private measureDetection(fault: ITraceFault): number | undefined {
     const endMs = this.findLastEnd(fault.target);
+    const decision = this.changes.find((change) => {
+      const isOwn = change.target === fault.target && AGAINST.has(change.standing);
+      return isOwn && change.atMs >= fault.atMs && change.atMs < endMs;
+    });
+    if (decision === undefined) return undefined;
     const times = this.dispatches.get(fault.target) ?? [];
-    let lastMs = fault.atMs;
-    for (const atMs of times.filter((time) => time >= fault.atMs && time < endMs)) {
+    let lastMs = decision.atMs;
+    for (const atMs of times.filter((time) => time >= decision.atMs && time < endMs)) {
       if (atMs - lastMs >= NO_TRAFFIC_MS) return lastMs - fault.atMs;
       lastMs = atMs;
     }
--- a/packages/lab/src/replay/common/replayResult.ts
+++ b/packages/lab/src/replay/common/replayResult.ts
@@ -2,7 +2,7 @@
 
 /** How the faults of the trace met the detector. */
 export interface IDetectionResult {
-  /** For each target with an "eject" fault: time until callers' requests stop going there, in ms. */
+  /** For each target with an "eject" fault: time until by decision none of callers' requests goes there, in ms. */
   readonly detectionMs: readonly (number | undefined)[];
   /** Removals of targets that should have stayed. */
   readonly falseEjections: number;
