Take an answer too large for a copy as an answer

Checks and trials send copies whose answers are held whole up to a limit. Where a service streams larger ones, each copy failed and counted as silence, so healthy targets were suspected after every overdue request. The test failed before.

--- /dev/null
+++ b/packages/routing/src/ejection/common/copySender.test.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { buildAnswer, buildRequest, buildRoute } from '../../test/common/builders.js';
+import { createHomeFixture } from '../../test/common/homeFixture.js';
+import { TransportError, TransportFailure } from '../../transport/common/targetTransport.js';
+
+const signal = new AbortController().signal;
+const ROUNDS = 400;
+
+test('answers too large for a copy do not speak against a target', async () => {
+  // Symptom: targets of a service with large, streamed answers are suspected in turn.
+  // Sequence: a booking is overdue; the check sends a copy of a read; its answer exceeds what is
+  // held whole, so the exchange fails.
+  // Cause: a failed exchange was taken for silence, though the target had answered.
+  const { home, transport, clock, standings, answerAfter } = createHomeFixture(4, () => {
+    return Promise.resolve(buildAnswer());
+  });
+  let number = 0;
+  transport.respond = async (request, options) => {
+    const isCopy = options.onDispatch === undefined;
+    number += 1;
+    if (!isCopy) return answerAfter(number % 50 === 0 ? 500 : 10)(request, options);
+    await clock.sleep(5);
+    throw new TransportError({
+      failure: TransportFailure.TooLarge,
+      mayHaveRun: true,
+      reusedConnection: false,
+    });
+  };
+  for (let round = 0; round < ROUNDS; round += 1) {
+    const deadlineMs = clock.getMonotonicTime() + 2000;
+    const request = buildRequest({ route: buildRoute(true), deadlineMs });
+    void home.handle(request, signal).catch(() => undefined);
+    await clock.advanceBy(10);
+  }
+  assert.ok(transport.retired.length > 0);
+  assert.deepEqual(standings, []);
+  await home.dispose();
+});
--- a/packages/routing/src/ejection/common/copySender.ts
+++ b/packages/routing/src/ejection/common/copySender.ts
@@ -2,6 +2,7 @@
 import type { IHomeContext } from '../../home/common/homeOptions.js';
 import type { SlotPool } from '../../home/common/slotPool.js';
 import type { TargetHandle } from '../../target/common/targetHandle.js';
+import { TransportError, TransportFailure } from '../../transport/common/targetTransport.js';
 import type { IRequestSample } from './requestSample.js';
 
 const FIRST_SERVER_ERROR = 500;
@@ -38,24 +39,35 @@
     private readonly pool: SlotPool,
   ) {}
 
-  /** Undefined when the target has no slot to spare for it. */
+  /** Undefined when it was not sent: no slot or no connection to spare. */
   async send(copy: ICopy): Promise<ICopyResult | undefined> {
     const slot = this.pool.takeOf(copy.handle);
     if (slot === undefined) return undefined;
     const timeout = new AbortController();
+    const startMs = this.context.clock.getMonotonicTime();
     const timer = this.context.clock.startTimer(copy.timeoutMs, () => {
       timeout.abort(new Error('copy timed out'));
     });
     try {
       return await this.sendCopy(copy, AbortSignal.any([timeout.signal, copy.signal]));
-    } catch {
-      return NO_ANSWER;
+    } catch (error) {
+      return this.toResult(error, startMs);
     } finally {
       void timer.dispose();
       slot.release();
     }
   }
 
+  private toResult(error: unknown, startMs: number): ICopyResult | undefined {
+    const failure = error instanceof TransportError ? error.failure : undefined;
+    if (failure === TransportFailure.NoConnection) return undefined;
+    if (failure !== TransportFailure.TooLarge) return NO_ANSWER;
+    // The target did answer, with more than a copy may hold. Taken for silence, every check and
+    // trial of a service with large answers would accuse healthy targets.
+    const latencyMs = this.context.clock.getMonotonicTime() - startMs;
+    return { succeeded: true, answered: true, draining: false, latencyMs };
+  }
+
   private async sendCopy(copy: ICopy, signal: AbortSignal): Promise<ICopyResult> {
     const { sample, handle } = copy;
     const answer = await this.context.transport.send(
