--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -27,11 +27,11 @@
 /** The verbs that functions may begin with. docs/NAMING.md gives the meaning of each. */
 const VERBS =
   'accept|add|advance|announce|apply|assert|audit|build|cancel|check|choose|claim|clear|close|commit|compare|compute|' +
-  'confirm|consume|copy|count|create|decide|decode|describe|discard|dispatch|dispose|drain|eject|' +
+  'confirm|copy|count|create|decide|decode|describe|discard|dispatch|dispose|eject|' +
   'encode|end|ensure|estimate|execute|fetch|find|finish|fire|flush|format|forward|get|handle|has|hash|' +
   'is|join|list|listen|load|log|look|make|mark|match|measure|merge|notify|observe|on|open|parse|pick|plan|poll|' +
   'print|probe|propose|push|put|rank|read|receive|record|refuse|register|release|remove|render|replay|' +
-  'report|request|reserve|reset|resolve|restore|retire|return|revoke|rotate|run|sample|scan|seed|send|serve|set|settle|' +
+  'request|reserve|reset|resolve|restore|retire|return|revoke|rotate|run|sample|scan|seed|send|serve|set|settle|' +
   'sleep|sort|spend|start|stop|store|stream|submit|summarize|take|throw|to|track|transact|try|update|validate|' +
   'verify|visit|wait|watch|with|wrap|write';
 
