Let joined abort signals go, so that loops leave nothing in the signal they run under

Cause: AbortSignal.any leaves an entry in each source for as long as the source lives (Node 20.20), and the distributor's and the membership's loops join their own signal about two times a second. The clients of the platform still join what they are given: their callers give them signals of short life. Ruled out: connect-es, which takes its listeners back when a call ends.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -7,6 +7,7 @@
 export * from './hash/common/hasher.js';
 export * from './invariant/common/invariantRegistry.js';
 export * from './lifecycle/common/disposable.js';
+export * from './lifecycle/common/joinedSignal.js';
 export * from './log/node/logger.js';
 export * from './random/common/randomSource.js';
 export * from './result/common/resultCode.js';
--- a/packages/config/src/distribution/common/boundedCall.ts
+++ b/packages/config/src/distribution/common/boundedCall.ts
@@ -1,5 +1,6 @@
 /** Calls to other processes that end in bounded time on the injected clock. */
 import type { Clock } from '@parsleymux/base';
+import { JoinedSignal } from '@parsleymux/base';
 
 /**
  * Runs `call` with a signal that aborts after `limitMs` or with `signal`. A peer that fell
@@ -16,7 +17,8 @@
   call: (signal: AbortSignal) => Promise<T>,
 ): Promise<T> {
   const limit = new AbortController();
-  const bounded = AbortSignal.any([signal, limit.signal]);
+  const joined = new JoinedSignal([signal, limit.signal]);
+  const bounded = joined.signal;
   let onAbort: (() => void) | undefined;
   const aborted = new Promise<never>((_, reject) => {
     onAbort = () => {
@@ -31,6 +33,7 @@
     return await Promise.race([call(bounded), aborted]);
   } finally {
     void timer.dispose();
+    joined.dispose();
     if (onAbort !== undefined) bounded.removeEventListener('abort', onAbort);
   }
 }
--- a/packages/config/src/distribution/common/configDistributor.ts
+++ b/packages/config/src/distribution/common/configDistributor.ts
@@ -1,6 +1,6 @@
 /** Keeps a node's configuration current from the platform's store and from other nodes. */
 import type { Event } from '@parsleymux/base';
-import { Emitter } from '@parsleymux/base';
+import { Emitter, JoinedSignal } from '@parsleymux/base';
 import type { IFleetConfig, IFleetConfigChange } from '../../fleetConfig/common/fleetConfig.js';
 import { ConfigService } from '../../fleetConfig/common/fleetConfig.js';
 import { AppliedConfig } from './appliedConfig.js';
@@ -246,8 +246,9 @@
     // Announced during the round: each hop of the rumour would wait a while otherwise.
     if (this.announcer !== undefined) return;
     const delayMs = this.pace.getDelay({ isBehind: this.isBehind(), hasStore: this.hasStore });
-    const wakeUp = AbortSignal.any([signal, this.wakeUp.signal]);
-    await this.options.clock.sleep(delayMs, wakeUp).catch(() => undefined);
+    const wakeUp = new JoinedSignal([signal, this.wakeUp.signal]);
+    await this.options.clock.sleep(delayMs, wakeUp.signal).catch(() => undefined);
+    wakeUp.dispose();
   }
 
   private hasStoreTurn(): boolean {
--- a/packages/fleet/src/membership/common/listedMembershipService.ts
+++ b/packages/fleet/src/membership/common/listedMembershipService.ts
@@ -1,6 +1,6 @@
 /** Membership from the platform's VM list, corrected by this node's own experience. */
 import type { Clock, Event, IDisposable, RandomSource } from '@parsleymux/base';
-import { Emitter } from '@parsleymux/base';
+import { Emitter, JoinedSignal } from '@parsleymux/base';
 import type { IVm, VmList } from '@parsleymux/platform';
 import { VmState } from '@parsleymux/platform';
 import type { INode } from './membershipService.js';
@@ -143,12 +143,16 @@
 
   private async tryPoll(signal: AbortSignal): Promise<boolean> {
     this.counters.polls += 1;
+    // The platform's client joins what it is given with its own timeout; see JoinedSignal.
+    const joined = new JoinedSignal([signal]);
     try {
-      this.applyList(await this.options.vms.list(signal));
+      this.applyList(await this.options.vms.list(joined.signal));
       return true;
     } catch {
       this.counters.failedPolls += 1;
       return false;
+    } finally {
+      joined.dispose();
     }
   }
 
