Count work for drained targets as a violation, whichever way they leave

Cause: the invariant leaving_target knew leaving instants only, so a home that goes on giving work to a target that a plan drains, or that says so itself, tripped only the check from outside. The handle now notes when a drain was first seen.

--- a/packages/routing/src/attempt/common/attemptRunner.ts
+++ b/packages/routing/src/attempt/common/attemptRunner.ts
@@ -4,12 +4,11 @@
 import type { ISlot } from '../../home/common/slotPool.js';
 import { watchBodyEnd } from '../../request/common/answerBody.js';
 import type { IRoutedRequest } from '../../request/common/request.js';
-import type { TargetHandle } from '../../target/common/targetHandle.js';
 import type { ISendOptions, ITargetAnswer } from '../../transport/common/targetTransport.js';
 import type { AttemptOutcome } from './attemptOutcome.js';
 import { isProvablyNotRun, toFailedAttempt } from './attemptOutcome.js';
 
-/** Work handed out this long after a target's leaving instant is a broken promise. */
+/** Work handed out this long after a target was known to be leaving is a broken promise. */
 const LEAVING_GRACE_MS = 3000;
 const MIN_TIMEOUT_MS = 1;
 
@@ -104,20 +103,15 @@
       request.route.idempotent || !count.isMaybeRun(),
       () => `${this.member}/${request.route.service}: second dispatch of one attempt`,
     );
-    const isInTime = !hasLeft(slot.handle, clock.getWallTime() - LEAVING_GRACE_MS);
+    const leavingMs = slot.handle.getLeavingMs(clock.getWallTime(), clock.getMonotonicTime());
     invariants.check(
       InvariantName.LeavingTarget,
-      isInTime,
+      leavingMs < LEAVING_GRACE_MS,
       () => `${this.member}/${request.route.service}: ${slot.handle.address} has left`,
     );
   }
 }
 
-function hasLeft(handle: TargetHandle, wallTimeMs: number): boolean {
-  const leaveAtMs = Number(handle.target.leaveAtMs);
-  return leaveAtMs !== 0 && wallTimeMs >= leaveAtMs;
-}
-
 /** Gives the slot back at once for a whole answer, or when a streamed one has passed or broken. */
 function reserveSlot(answer: ITargetAnswer, slot: ISlot): ITargetAnswer {
   if (answer.body instanceof Uint8Array) {
--- a/packages/routing/src/home/common/slotPool.ts
+++ b/packages/routing/src/home/common/slotPool.ts
@@ -84,7 +84,7 @@
     const added: TargetHandle[] = [];
     for (const target of service.targets) {
       const handle = this.handles.get(target.address);
-      if (handle !== undefined) handle.update(target);
+      if (handle !== undefined) handle.update(target, this.clock.getMonotonicTime());
       else added.push(this.addHandle(target));
     }
     this.serveWaiting();
--- a/packages/routing/src/target/common/targetHandle.ts
+++ b/packages/routing/src/target/common/targetHandle.ts
@@ -1,5 +1,6 @@
 /** What a home holds of one target: slots in use, concurrency limit, and standing. */
 import type { Target } from '@parsleymux/schema';
+import { TargetState } from '@parsleymux/schema';
 import { isConfiguredServing } from '../../ledger/common/floorArithmetic.js';
 
 /** How a home treats a target. The names are those of the status report. */
@@ -39,9 +40,12 @@
   isCutOff = false;
   /** Silent a moment ago, and now tried on a fresh connection: the last choice until that ends. */
   isUnderCheck = false;
+  /** When the configuration's drain was seen here, on the monotonic clock. */
+  private drainingSinceMs: number | undefined;
 
   constructor(target: Target, sinceMs: number) {
     this.target = target;
+    this.drainingSinceMs = isDraining(target) ? sinceMs : undefined;
     this.sinceMs = sinceMs;
     this.limit = target.slots;
   }
@@ -69,6 +73,18 @@
     );
   }
 
+  /**
+   * For how long it is known here that the target gets no new work, in ms: by a plan's leaving
+   * instant, a plan's drain or its own word. 0 while it may get some.
+   */
+  getLeavingMs(wallTimeMs: number, monotonicMs: number): number {
+    const leaveAtMs = Number(this.target.leaveAtMs);
+    const byPlan = leaveAtMs === 0 ? 0 : wallTimeMs - leaveAtMs;
+    const byDrain = monotonicMs - (this.drainingSinceMs ?? monotonicMs);
+    const byOwnWord = this.standing === Standing.Draining ? monotonicMs - this.sinceMs : 0;
+    return Math.max(0, byPlan, byDrain, byOwnWord);
+  }
+
   /** The target shed: its own limit is lower than its slots for now. */
   recordShed(): void {
     this.limit = Math.max(MIN_LIMIT, Math.min(this.limit, this.inUse) * SHED_DECREASE);
@@ -79,7 +95,8 @@
     this.limit = Math.min(this.target.slots, this.limit + INCREASE_PER_ROUND / this.limit);
   }
 
-  update(target: Target): void {
+  update(target: Target, nowMs: number): void {
+    this.drainingSinceMs = isDraining(target) ? (this.drainingSinceMs ?? nowMs) : undefined;
     const isFull = this.limit >= this.target.slots;
     this.target = target;
     this.limit = isFull ? target.slots : Math.min(this.limit, target.slots);
@@ -91,3 +108,7 @@
     this.sinceMs = nowMs;
   }
 }
+
+function isDraining(target: Target): boolean {
+  return target.state === TargetState.DRAINING;
+}
