--- a/packages/lab/src/prove/node/leavingTargets.ts
+++ b/packages/lab/src/prove/node/leavingTargets.ts
@@ -16,30 +16,44 @@
   untilMs: number;
 }
 
+/** One confirmation among those of its member. */
+export interface IConfirmation {
+  readonly member: string;
+  readonly count: number;
+}
+
 /**
  * Remembers spans and compares them with executions.
  *
  * @example
- * leaving.open(place, Date.now());
- * leaving.close(place.member, Date.now());
+ * const confirmation = leaving.startConfirmation(place.member, Date.now());
+ * leaving.open(place, confirmation, Date.now());
  */
 export class LeavingTargets {
   private readonly spans: ISpan[] = [];
-
-  /** Begins a span of a target. */
-  open(place: ITargetPlace, sinceMs: number): void {
-    const { member, control } = place;
-    this.spans.push({ member, control, sinceMs, untilMs: Infinity });
-  }
+  private readonly confirmations = new Map<string, number>();
 
   /**
-   * Ends the member's open spans. Call it before any further plan of the member is confirmed:
-   * an intent replaces the former one whole, and with it the drain.
+   * Call it right before any plan of the member is confirmed: an intent replaces the former one
+   * whole, and with it the drain. Ends the member's open spans.
    */
-  close(member: string, nowMs: number): void {
+  startConfirmation(member: string, nowMs: number): IConfirmation {
     for (const span of this.spans) {
       if (span.member === member) span.untilMs = Math.min(span.untilMs, nowMs);
     }
+    const count = (this.confirmations.get(member) ?? 0) + 1;
+    this.confirmations.set(member, count);
+    return { member, count };
+  }
+
+  /**
+   * Begins the span of a target that a confirmation drained, unless another was started since:
+   * that one may have taken the drain back before we came to know that ours took effect.
+   */
+  open(place: ITargetPlace, confirmation: IConfirmation, sinceMs: number): void {
+    const { member, control } = place;
+    if (this.confirmations.get(member) !== confirmation.count) return;
+    this.spans.push({ member, control, sinceMs, untilMs: Infinity });
   }
 
   /** Compares with all executions; `findTarget` gives a target's own address. */
@@ -56,8 +70,10 @@
         return execution.target === target && isInSpan;
       });
       findings.check('no new work for a leaving target', late.length === 0, () => {
-        const lastMs = Math.max(...late.map(({ startedAtMs }) => startedAtMs - sinceMs));
-        return `${target}: ${late.length} executions, the last ${lastMs} ms after the plan`;
+        const last = late.at(-1);
+        const lastMs = (last?.startedAtMs ?? 0) - sinceMs;
+        const which = `request "${last?.requestId ?? ''}", plan at ${new Date(sinceMs).toISOString()}`;
+        return `${target}: ${late.length} executions, the last ${lastMs} ms after the plan, ${which}`;
       });
     }
   }
--- a/packages/lab/src/prove/node/operatorFaults.ts
+++ b/packages/lab/src/prove/node/operatorFaults.ts
@@ -50,7 +50,7 @@
       operators.map((one) => one.run(['intent', 'submit', file])),
     );
     const ids = submitted.map(getPlanId);
-    world.leavingTargets.close(member, Date.now());
+    world.leavingTargets.startConfirmation(member, Date.now());
     const confirmed = await Promise.all(
       operators.map(async (operator, index) => {
         const id = ids[index];
@@ -76,7 +76,7 @@
     const file = await world.lab.writeIntent(member, world.lab.getPlaces(), { hostsOf: rival });
     const operator = world.lab.getOperator(member, step.pick);
     const id = getPlanId(await operator.run(['intent', 'submit', file]));
-    world.leavingTargets.close(member, Date.now());
+    world.leavingTargets.startConfirmation(member, Date.now());
     const result = id === undefined ? undefined : await operator.run(['plan', 'confirm', id]);
     world.findings.check("no member takes a rival's host", result?.exitCode !== 0, () => {
       return `${member} took the hosts of ${rival} by plan ${id ?? ''}`;
@@ -99,10 +99,10 @@
     });
     const id = getPlanId(await operator.run(['intent', 'submit', file]));
     if (id === undefined) return 'skipped';
-    world.leavingTargets.close(place.member, Date.now());
+    const confirmation = world.leavingTargets.startConfirmation(place.member, Date.now());
     const result = await operator.run(['plan', 'confirm', id]);
     if (result.exitCode !== 0) return 'skipped';
-    world.leavingTargets.open(place, Date.now());
+    world.leavingTargets.open(place, confirmation, Date.now());
     const watched = new Promise((resolve) => setTimeout(resolve, LEAST_DRAIN_MS));
     return async () => {
       await watched;
--- a/packages/lab/src/prove/node/proveWorld.ts
+++ b/packages/lab/src/prove/node/proveWorld.ts
@@ -61,14 +61,15 @@
     if (!this.isEnding) await this.lab.startNextNode();
   }
 
-  /** Submits the member's first intent again. */
+  /** Submits and confirms the member's first intent again; an outage may keep it from that. */
   async restoreIntent(member: string): Promise<void> {
-    this.leavingTargets.close(member, Date.now());
     const file = await this.lab.writeIntent(member, this.lab.getPlaces());
-    await this.lab
-      .getOperator(member)
-      .applyIntent(file)
-      .catch(() => undefined);
+    const operator = this.lab.getOperator(member);
+    const submitted = await operator.run(['intent', 'submit', file]);
+    const id = (submitted.output as { readonly id?: string } | undefined)?.id;
+    if (submitted.exitCode !== 0 || id === undefined) return;
+    this.leavingTargets.startConfirmation(member, Date.now());
+    await operator.run(['plan', 'confirm', id]);
   }
 
   /** Ends whatever fault is left. */
