--- a/packages/routing/src/transport/node/httpTargetTransport.test.ts
+++ b/packages/routing/src/transport/node/httpTargetTransport.test.ts
@@ -2,56 +2,12 @@
 import { once } from 'node:events';
 import { createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
-import type { TestContext } from 'node:test';
 import { test } from 'node:test';
 import { ManualClock, SystemClock } from '@parsleymux/base';
 import { Registry } from 'prom-client';
-import type { ISendOptions, ITargetRequest } from '../common/targetTransport.js';
 import { TransportError, TransportFailure } from '../common/targetTransport.js';
 import type { IRawRequest } from '../test/rawTarget.js';
-import { RawTarget } from '../test/rawTarget.js';
-import type { IHttpTargetTransportOptions } from './httpTargetTransport.js';
-import { HttpTargetTransport } from './httpTargetTransport.js';
-
-interface IBench {
-  readonly target: RawTarget;
-  readonly transport: HttpTargetTransport;
-  send(
-    request?: Partial<ITargetRequest>,
-    options?: Partial<ISendOptions>,
-  ): ReturnType<HttpTargetTransport['send']>;
-}
-
-async function openBench(
-  t: TestContext,
-  onRequest: (request: IRawRequest) => void,
-  options: IHttpTargetTransportOptions = {},
-): Promise<IBench> {
-  const target = await RawTarget.listen(onRequest);
-  const transport = new HttpTargetTransport(options);
-  t.after(async () => {
-    transport.dispose();
-    await target.dispose();
-  });
-  return {
-    target,
-    transport,
-    send: (request, sendOptions) =>
-      transport.send(
-        {
-          target: target.address,
-          member: 'm',
-          method: 'GET',
-          path: '/',
-          headers: [],
-          body: Buffer.alloc(0),
-          timeoutMs: 10_000,
-          ...request,
-        },
-        { signal: new AbortController().signal, maxAnswerBytes: 1000, ...sendOptions },
-      ),
-  };
-}
+import { openBench } from '../test/transportBench.js';
 
 async function takeError(run: Promise<unknown>): Promise<TransportError> {
   const outcome: unknown = await run.catch((error: unknown) => error);
--- a/packages/routing/src/transport/node/wholeAnswers.test.ts
+++ b/packages/routing/src/transport/node/wholeAnswers.test.ts
@@ -1,51 +1,14 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import type { Socket } from 'node:net';
-import type { TestContext } from 'node:test';
 import { test } from 'node:test';
-import type { ISendOptions, ITargetAnswer, ITargetRequest } from '../common/targetTransport.js';
+import type { ITargetAnswer } from '../common/targetTransport.js';
 import { TransportError, TransportFailure } from '../common/targetTransport.js';
 import type { IRawRequest } from '../test/rawTarget.js';
-import { RawTarget } from '../test/rawTarget.js';
-import { HttpTargetTransport } from './httpTargetTransport.js';
+import { MAX_ANSWER_BYTES, openBench } from '../test/transportBench.js';
 
-const MAX_ANSWER_BYTES = 1000;
 const BODY = 'a whole answer';
 
-interface IBench {
-  readonly target: RawTarget;
-  send(request?: Partial<ITargetRequest>, options?: Partial<ISendOptions>): Promise<ITargetAnswer>;
-}
-
-async function openBench(
-  t: TestContext,
-  onRequest: (request: IRawRequest) => void,
-): Promise<IBench> {
-  const target = await RawTarget.listen(onRequest);
-  const transport = new HttpTargetTransport();
-  t.after(async () => {
-    transport.dispose();
-    await target.dispose();
-  });
-  return {
-    target,
-    send: (request, options) =>
-      transport.send(
-        {
-          target: target.address,
-          member: 'm',
-          method: 'GET',
-          path: '/',
-          headers: [],
-          body: Buffer.alloc(0),
-          timeoutMs: 10_000,
-          ...request,
-        },
-        { signal: new AbortController().signal, maxAnswerBytes: MAX_ANSWER_BYTES, ...options },
-      ),
-  };
-}
-
 async function readText(body: ITargetAnswer['body']): Promise<string> {
   if (body instanceof Uint8Array) return Buffer.from(body).toString();
   let text = '';
--- /dev/null
+++ b/packages/routing/src/transport/test/transportBench.ts
@@ -0,0 +1,51 @@
+/** What the tests of the transport to targets run on. */
+import type { TestContext } from 'node:test';
+import type { ISendOptions, ITargetRequest } from '../common/targetTransport.js';
+import type { IHttpTargetTransportOptions } from '../node/httpTargetTransport.js';
+import { HttpTargetTransport } from '../node/httpTargetTransport.js';
+import type { IRawRequest } from './rawTarget.js';
+import { RawTarget } from './rawTarget.js';
+
+export const MAX_ANSWER_BYTES = 1000;
+
+/** A transport before one target. */
+export interface ITransportBench {
+  readonly target: RawTarget;
+  readonly transport: HttpTargetTransport;
+  send(
+    request?: Partial<ITargetRequest>,
+    options?: Partial<ISendOptions>,
+  ): ReturnType<HttpTargetTransport['send']>;
+}
+
+/** Opens both; they are closed when the test ends. Answers above 1000 bytes are large. */
+export async function openBench(
+  t: TestContext,
+  onRequest: (request: IRawRequest) => void,
+  options: IHttpTargetTransportOptions = {},
+): Promise<ITransportBench> {
+  const target = await RawTarget.listen(onRequest);
+  const transport = new HttpTargetTransport(options);
+  t.after(async () => {
+    transport.dispose();
+    await target.dispose();
+  });
+  return {
+    target,
+    transport,
+    send: (request, sendOptions) =>
+      transport.send(
+        {
+          target: target.address,
+          member: 'm',
+          method: 'GET',
+          path: '/',
+          headers: [],
+          body: Buffer.alloc(0),
+          timeoutMs: 10_000,
+          ...request,
+        },
+        { signal: new AbortController().signal, maxAnswerBytes: MAX_ANSWER_BYTES, ...sendOptions },
+      ),
+  };
+}
