Wait in the TLS test until the node knows its configuration

Cause: since a node answers "not ready" until its configuration is known, the test's first request got 1004 or 1005 depending on which came first. What the test asserts is unchanged.

--- a/packages/lab/src/badInput/node/tlsPorts.test.ts
+++ b/packages/lab/src/badInput/node/tlsPorts.test.ts
@@ -8,12 +8,14 @@
 import { after, before, test } from 'node:test';
 import { ResultCode } from '@parsleymux/base';
 import { generate } from 'selfsigned';
+import { tryFetchText } from '../../processes/node/jsonRequest.js';
 import type { INodeAddresses } from '../../processes/node/nodeProcess.js';
 import { startPlatform } from '../../processes/node/platformProcess.js';
 import { ProcessFleet } from '../../processes/node/processFleet.js';
 import { Program } from '../../processes/node/programs.js';
 import { requestRaw } from './rawCaller.js';
 
+const READY_POLL_MS = 20;
 const fleet = new ProcessFleet();
 let folder = '';
 let node: INodeAddresses = { caller: '', peer: '', admin: '', status: '' };
@@ -44,6 +46,7 @@
   const file = await write('node.jsonc', JSON.stringify(settings));
   const child = fleet.start({ name: 'node', script: Program.Node, args: ['serve', file] });
   node = (await child.waitForReady()) as INodeAddresses;
+  await waitUntilConfigured();
 });
 
 after(async () => {
@@ -51,6 +54,13 @@
   await rm(folder, { recursive: true });
 });
 
+/** The ports are open before the configuration is known, and until then no host is unknown. */
+async function waitUntilConfigured(): Promise<void> {
+  while ((await tryFetchText(node.status, '/ready')) === undefined) {
+    await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS));
+  }
+}
+
 async function write(name: string, text: string): Promise<string> {
   const path = join(folder, name);
   await writeFile(path, text);
