Let joined signals listen to one source as often as there are calls

Ruled out: a bound for each owner, which every owner would have to know of. The new test failed without the bound lifted (2 passed, 1 failed), and passes with it.

--- a/packages/base/src/lifecycle/common/joinedSignal.test.ts
+++ b/packages/base/src/lifecycle/common/joinedSignal.test.ts
@@ -25,3 +25,17 @@
   source.abort();
   assert.equal(joined.signal.aborted, false);
 });
+
+test('many calls at once under one signal bring no warning of forgotten listeners', async () => {
+  // Symptom: MaxListenersExceededWarning in a node's log. Sequence: a loop tells many peers at
+  // once. Cause: each call listens to the loop's signal, and Node takes more than ten for a leak.
+  const warnings: Error[] = [];
+  const onWarning = (warning: Error): number => warnings.push(warning);
+  process.on('warning', onWarning);
+  const source = new AbortController();
+  const joined = Array.from({ length: 20 }, () => new JoinedSignal([source.signal]));
+  await new Promise((resolve) => setImmediate(resolve));
+  process.off('warning', onWarning);
+  for (const one of joined) one.dispose();
+  assert.deepEqual(warnings, []);
+});
--- a/packages/base/src/lifecycle/common/joinedSignal.ts
+++ b/packages/base/src/lifecycle/common/joinedSignal.ts
@@ -1,6 +1,10 @@
 /** A signal that aborts with any of several, and that can be let go. */
+import { setMaxListeners } from 'node:events';
 import type { IDisposable } from './disposable.js';
 
+/** Node's word for no bound. */
+const UNBOUNDED = 0;
+
 /**
  * Aborts when one of its sources does, until it is disposed of. `AbortSignal.any` leaves an entry
  * in each source for as long as that lives (Node 20), seen as memory that grows with every round
@@ -14,6 +18,8 @@
   private readonly abort = new AbortController();
 
   constructor(private readonly sources: readonly AbortSignal[]) {
+    // Node warns of many listeners because they may have been forgotten; these are taken back.
+    setMaxListeners(UNBOUNDED, ...sources);
     for (const source of sources) source.addEventListener('abort', this.onAbort);
     this.onAbort();
   }
