--- a/packages/config/src/distribution/common/distribution.fuzz.test.ts
+++ b/packages/config/src/distribution/common/distribution.fuzz.test.ts
@@ -26,6 +26,8 @@
 const RUNS = 120;
 /** From confirmation until every node that is not cut off has it in force. */
 const IN_FORCE_LIMIT_MS = 6000;
+/** Longer than the isolation limit that distributors have by default. */
+const PAST_ISOLATION_MS = 60_000;
 
 const steps = fc.record({
   kind: fc.constantFrom('confirm', 'confirm', 'cut', 'heal', 'outage', 'stale', 'replace', 'wait'),
@@ -225,6 +227,36 @@
   await fleet.stop();
 });
 
+/*
+ * Symptom: nodes give work to a drained target for as long as a cut lasts, past the isolation limit.
+ * Sequence: the store is out for all but node 0, which reads the drain; nodes 1 and up hear each
+ * other, and node 0 no more. Cause: any exchange counts as contact, for the group looks to itself
+ * like a fleet whose store is out. Decision 43 names the way around it, an instant in the future.
+ */
+test('nodes that are cut off together work on by the former plan, and follow after healing', async () => {
+  const fleet = new Fleet(4, (invariants) => new AppliedConfig(invariants));
+  await fleet.confirmChange(0);
+  await fleet.confirmChange(0);
+  await fleet.clock.advanceBy(IN_FORCE_LIMIT_MS);
+  const before = listLeaving(fleet);
+  for (let index = 1; index < NODE_COUNT; index += 1) {
+    fleet.cuts.add(`${index}-0`);
+    fleet.cuts.add(`0-${index}`);
+  }
+  await fleet.confirmChange(0);
+  await fleet.nodes[0]!.runRound(fleet.abort.signal);
+  fleet.platform.table.faults.isOut = true;
+  await fleet.clock.advanceBy(PAST_ISOLATION_MS);
+  const group = fleet.nodes.slice(1);
+  assert.equal(fleet.nodes[0]!.isIsolated(), true, 'alone with what it knows');
+  assert.ok(group.every((node) => !node.isIsolated()));
+  assert.deepEqual(listLeaving(fleet).slice(1), before.slice(1));
+  fleet.cuts.clear();
+  await fleet.clock.advanceBy(IN_FORCE_LIMIT_MS);
+  assert.deepEqual(listLeaving(fleet), Array(NODE_COUNT).fill(!before[0]));
+  await fleet.stop();
+});
+
 test('without the check against going back, the same faults make the invariant trip', async () => {
   class RevertingConfig extends AppliedConfig {
     protected override isNewer(): boolean {
