--- a/packages/lab/src/bench/detection/node/bench.ts
+++ b/packages/lab/src/bench/detection/node/bench.ts
@@ -20,6 +20,8 @@
 
 const DEFAULT_SEEDS = [1, 2, 3, 4, 5];
 const DEFAULT_THREADS = [4];
+/** Traces about load alone; the benchmark of overload has them. */
+const LOAD_PATTERN = /-(overload-.*|caller-flood)$/;
 const MEMBERS = ['dobrescu', 'donautal'] as const;
 
 class DetectionBench extends Bench {
@@ -29,7 +31,9 @@
     const seeds = parseNumbers(options, 'seeds', DEFAULT_SEEDS);
     const [threads = 1] = parseNumbers(options, 'threads', DEFAULT_THREADS);
     const part = options.values.get('traces') ?? '';
-    const traces = listTraceNames().filter((name) => name.includes(part));
+    const traces = listTraceNames().filter((name) => {
+      return name.includes(part) && !LOAD_PATTERN.test(name);
+    });
     const jobs = traces.flatMap((trace) => {
       return POLICY_NAMES.flatMap((policy) => seeds.map((seed) => ({ trace, policy, seed })));
     });
@@ -91,7 +95,7 @@
     });
   });
   return {
-    title: `${member}: each trace`,
+    title: `${member}: traces one by one`,
     columns: [
       'trace',
       'policy',
@@ -126,7 +130,7 @@
     ];
   });
   return {
-    title: `${member}: all traces`,
+    title: `${member}: all traces together`,
     columns: [
       'policy',
       'false per target-hour, controls',
@@ -145,9 +149,17 @@
 
 function writePages(out: string, report: IBenchReport, curves: readonly IMeasuredCurves[]): void {
   mkdirSync(out, { recursive: true });
-  const head =
-    '# Detection\n\nWritten by `npm run bench -- detection --set out=docs/benchmarks`.\n\n';
-  writeFileSync(join(out, 'detection.md'), head + formatReport(report));
+  const head = 'Written by `npm run bench -- detection --set out=docs/benchmarks`.\n\n';
+  const tables = report.tables.filter((table) => table.title.includes('traces'));
+  if (tables.length > 0) {
+    const page = `# Detection\n\n${head}${formatReport({ ...report, tables })}`;
+    writeFileSync(join(out, 'detection.md'), page);
+  }
+  if (curves.length > 0) {
+    const page = `# Detection over the threshold\n\n${head}`;
+    const body = formatReport({ tables: curves.map(formatCurves), notes: report.notes });
+    writeFileSync(join(out, 'detection-curves.md'), page + body);
+  }
   for (const { member, trace, curves: drawn } of curves) {
     const svg = renderCurves(`${member}, ${trace}`, drawn, NEVER_MS);
     writeFileSync(join(out, `detection-${member}-${trace}.svg`), svg);
