--- a/packages/node/src/http/common/headers.ts
+++ b/packages/node/src/http/common/headers.ts
@@ -1,5 +1,6 @@
 /** Header names of the project, and which headers travel end to end. */
 import type { Header } from '@parsleymux/routing';
+import { removeHopByHopHeaders, removeOwnHeaders } from '@parsleymux/routing';
 
 /** Headers that callers, targets and nodes exchange. */
 export const HeaderName = {
@@ -14,47 +15,22 @@
   RetryAfter: 'retry-after',
 } as const;
 
-/** Headers of this prefix belong to the project and are never passed through. */
-const OWN_PREFIX = 'parsleymux-';
-
-/** Headers that concern one connection only (RFC 9110, section 7.6.1), and those we set anew. */
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
-  'connection',
-  'content-length',
-  'expect',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
+const CONTENT_LENGTH = 'content-length';
 
 /**
  * The end-to-end headers among raw header fields as Node gives them: name, value, name, value.
+ * Whoever sends the body on declares its length anew.
  *
  * @example
  * const headers = listEndToEndHeaders(request.rawHeaders);
  */
 export function listEndToEndHeaders(rawHeaders: readonly string[]): readonly Header[] {
   const headers: Header[] = [];
-  const named = new Set<string>();
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-    const name = (rawHeaders[index] ?? '').toLowerCase();
-    const value = rawHeaders[index + 1] ?? '';
-    if (name === 'connection') addConnectionOptions(named, value);
-    if (HOP_BY_HOP.has(name) || name.startsWith(OWN_PREFIX)) continue;
-    headers.push([name, value]);
-  }
-  return named.size === 0 ? headers : headers.filter(([name]) => !named.has(name));
-}
-
-function addConnectionOptions(named: Set<string>, value: string): void {
-  for (const option of value.split(',')) {
-    named.add(option.trim().toLowerCase());
+    headers.push([(rawHeaders[index] ?? '').toLowerCase(), rawHeaders[index + 1] ?? '']);
   }
+  const passed = removeOwnHeaders(removeHopByHopHeaders(headers));
+  return passed.filter(([name]) => name !== CONTENT_LENGTH);
 }
 
 /** Flattens headers to the list that `writeHead` and undici take. */
