Put the exchange check's comment back above its function

The comment on the echo of the exchange stood above toHopHeader, which it does not describe; a reader met two doc comments in a row. The watch for signs of life says what it is for.

--- a/packages/node/src/hop/node/hopClient.ts
+++ b/packages/node/src/hop/node/hopClient.ts
@@ -181,7 +181,11 @@
   }
 }
 
-/** Aborts the exchange when the home gives no sign of life for too long. */
+/**
+ * Aborts the exchange when the home gives no sign of life for too long. A paused or cut-off home
+ * would otherwise keep the request until the caller's deadline, seen as timeouts of just the
+ * services that have it for home.
+ */
 class SignOfLifeWatch {
   private readonly abort = new AbortController();
   private readonly clock: Clock;
@@ -210,16 +214,16 @@
   }
 }
 
-/**
- * HTTP/1.1 matches answers to requests by their order on a connection alone. Should the two ends
- * ever disagree on it, a caller would get another caller's answer; the echo shows it. A home of
- * an older version echoes nothing.
- */
 /** The client would take `host` for the peer's name in TLS, and reconnect for each new one. */
 function toHopHeader(header: Header): Header {
   return header[0] === 'host' ? [HopHeader.Host, header[1]] : header;
 }
 
+/**
+ * HTTP/1.1 matches answers to requests by their order on a connection alone. Should the two ends
+ * ever disagree on it, a caller would get another caller's answer; the echo shows it. A home of
+ * an older version echoes nothing.
+ */
 function checkExchange(answer: Dispatcher.ResponseData, exchange: string): void {
   const echoed = answer.headers[HopHeader.Exchange];
   if (echoed === undefined || echoed === exchange) return;
