--- a/packages/node/src/peer/node/targetObservation.ts
+++ b/packages/node/src/peer/node/targetObservation.ts
@@ -1,6 +1,6 @@
 /** Tries a target on behalf of another node that is its home. */
 import type { ConfigService } from '@parsleymux/config';
-import type { IObservationRequest, TargetTransport } from '@parsleymux/routing';
+import type { IObservation, IObservationRequest, TargetTransport } from '@parsleymux/routing';
 import { TransportError } from '@parsleymux/routing';
 
 const FIRST_FAILURE_STATUS = 500;
@@ -8,19 +8,14 @@
 /** Methods that an observation may use: trying a target must never be a second execution. */
 const SAFE_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD']);
 
-/** What the target answered over this node's path; status 0 when nothing came. */
-export interface ITargetObservation {
-  readonly succeeded: boolean;
-  readonly status: number;
-  readonly latencyMs: number;
-}
-
-const NOTHING: ITargetObservation = { succeeded: false, status: 0, latencyMs: 0 };
+/** No answer came over this node's path. */
+const NOTHING: IObservation = { succeeded: false, status: 0, latencyMs: 0 };
 
 /** Options of {@link observeTarget}. */
 export interface IObserveTargetOptions {
   readonly config: ConfigService;
   readonly transport: TargetTransport;
+  /** Largest answer that is read. */
   readonly maxAnswerBytes: number;
 }
 
@@ -35,7 +30,7 @@
   options: IObserveTargetOptions,
   request: IObservationRequest,
   signal: AbortSignal,
-): Promise<ITargetObservation> {
+): Promise<IObservation> {
   if (!SAFE_METHODS.has(request.method)) return NOTHING;
   const host = findHost(options.config, request);
   if (host === undefined) return NOTHING;
