Build the node's core in steps, one function for each part

createNodeCore was 71 lines that opened the platform, membership, peers, configuration, transport, claims, home and router one after another. The steps that need nothing of the request path are createFleetParts; the others have a function each. Order and arguments are as before.

--- a/packages/node/src/app/node/nodeCore.ts
+++ b/packages/node/src/app/node/nodeCore.ts
@@ -69,37 +69,70 @@
  * await core.store.dispose();
  */
 export function createNodeCore(options: INodeCoreOptions): INodeCore {
-  const { settings, timing, self, clock, invariants } = options;
+  const fleet = createFleetParts(options);
+  const parts: ICoreParts = { ...options, ...fleet };
+  const transport = createTransport(parts);
+  const claims = createClaimParts({
+    ...parts,
+    transport,
+    registry: options.metrics.registry,
+    nodeAddress: options.self.address,
+  });
+  const home = createHome(parts, transport, claims.guard);
+  const router = createRouter(parts, home);
+  const hopServer = createHopServer(parts, home);
+  return { ...fleet, transport, claims, home, router, hopServer };
+}
+
+/** The platform's client, and what this node knows through it and through its peers. */
+type IFleetParts = Pick<
+  INodeCore,
+  'store' | 'random' | 'platform' | 'membership' | 'clients' | 'peers' | 'config'
+>;
+
+type ICoreParts = INodeCoreOptions & IFleetParts;
+
+function createFleetParts(options: INodeCoreOptions): IFleetParts {
+  const { self, clock, authenticator } = options;
   const store = new DisposableStore();
   const random = new SeededRandom(randomInt(MAX_SEED));
-  const platform = store.add(openHttpPlatform({ url: settings.platformUrl }));
+  const platform = store.add(openHttpPlatform({ url: options.settings.platformUrl }));
   const membership = store.add(
     new ListedMembershipService({
       self,
       vms: platform.vms,
       clock,
       random,
-      pollMs: timing.vmListPollMs,
-      seeds: settings.seedPeers,
+      pollMs: options.timing.vmListPollMs,
+      seeds: options.settings.seedPeers,
     }),
   );
-  const { authenticator } = options;
   const clients = store.add(
     new PeerClients({ authenticator, membership, clock, ...makePeerTls(options.tls) }),
   );
   const peers = new LivePeerSource({ clients, membership, random, self: self.address });
-  const config = new ConfigDistributor({
-    platform,
-    peers,
+  const config = createConfig(options, { platform, peers, random, membership });
+  return { store, random, platform, membership, clients, peers, config };
+}
+
+function createConfig(
+  options: INodeCoreOptions,
+  sources: Pick<IFleetParts, 'platform' | 'peers' | 'random' | 'membership'>,
+): ConfigDistributor {
+  const { clock, invariants, timing } = options;
+  const { membership, ...rest } = sources;
+  return new ConfigDistributor({
+    ...rest,
     clock,
-    random,
     invariants,
     ...makeConfigPacing(membership, timing.configPollMs),
     isolationLimitMs: timing.isolationLimitMs,
   });
-  const shared = { ...options, store, random, platform, membership, clients, peers, config };
-  const { metrics } = options;
-  const transport = store.add(
+}
+
+function createTransport(parts: ICoreParts): HttpTargetTransport {
+  const { clock, invariants, config, metrics } = parts;
+  return parts.store.add(
     new HttpTargetTransport({
       clock,
       invariants,
@@ -109,39 +142,12 @@
       },
     }),
   );
-  const claims = createClaimParts({
-    ...shared,
-    transport,
-    registry: metrics.registry,
-    nodeAddress: self.address,
-  });
-  const home = createHome(shared, transport, claims.guard);
-  const router = createRouter(shared, home);
-  const hopServer = new HopServer({
-    clock,
-    config,
-    home,
-    state: options.state,
-    maxBodyBytes: options.limits.requestBodyBytes,
-  });
-  return {
-    store,
-    random,
-    membership,
-    clients,
-    peers,
-    config,
-    transport,
-    claims,
-    home,
-    router,
-    hopServer,
-    platform,
-  };
 }
 
-type ICoreParts = INodeCoreOptions &
-  Pick<INodeCore, 'store' | 'random' | 'platform' | 'membership' | 'clients' | 'config'>;
+function createHopServer(parts: ICoreParts, home: LocalHomeService): HopServer {
+  const { clock, config, state } = parts;
+  return new HopServer({ clock, config, home, state, maxBodyBytes: parts.limits.requestBodyBytes });
+}
 
 function createHome(
   parts: ICoreParts,
