Take the reading of a caller's request out of the caller's port

Reading is now callerRequestReader.ts; making the server, counting a request and writing a refusal are methods of their own. Home and entry had the same lines for a receiver that hangs up: both use createHangUpSignal. No change of behaviour; the order of checks, stall limits and counts is the same.

--- /dev/null
+++ b/packages/node/src/entry/node/callerRequestReader.ts
@@ -0,0 +1,73 @@
+/** Reading of a caller's request whole, once its route is known. */
+import type { IncomingMessage } from 'node:http';
+import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import type { IRouteMatch } from '@parsleymux/config';
+import type { IRoutedRequest } from '@parsleymux/routing';
+import { HeaderName, listEndToEndHeaders } from '../../http/common/headers.js';
+import { readBody } from '../../http/node/bodyReader.js';
+import { parseKey, parseTimeout } from '../common/callerRequest.js';
+
+/** Options of {@link readCallerRequest}. */
+export interface ICallerRequestOptions {
+  readonly match: IRouteMatch;
+  /** Instant at which the request came, on the monotonic clock, in ms. */
+  readonly startedMs: number;
+  /** Time that it may take when neither caller nor route says, in ms. */
+  readonly defaultDeadlineMs: number;
+  readonly maxBodyBytes: number;
+}
+
+/**
+ * Reads the rest of the request. Throws the numbered refusal of one that is malformed, too large
+ * or ends early.
+ *
+ * @example
+ * const routed = await readCallerRequest(request, { match, startedMs, defaultDeadlineMs, maxBodyBytes });
+ */
+export async function readCallerRequest(
+  request: IncomingMessage,
+  options: ICallerRequestOptions,
+): Promise<IRoutedRequest> {
+  const { member, route } = options.match;
+  const timeout = request.headers[HeaderName.TimeoutMs];
+  const timeoutMs = parseTimeout(
+    typeof timeout === 'string' ? timeout : undefined,
+    route,
+    options.defaultDeadlineMs,
+  );
+  const idempotencyKey = parseKey(request.headers[route.keyHeader], route);
+  return {
+    member,
+    route,
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    headers: listEndToEndHeaders(request.rawHeaders),
+    body: await readBody(request, options.maxBodyBytes),
+    deadlineMs: options.startedMs + timeoutMs,
+    caller: getCaller(request),
+    idempotencyKey,
+  };
+}
+
+/**
+ * Throws for an expectation other than the only one that has a meaning (RFC 9110, section 10.1.1).
+ *
+ * @example
+ * checkExpectation(request);
+ */
+export function checkExpectation(request: IncomingMessage): void {
+  const { expect } = request.headers;
+  if (expect === undefined || expect.toLowerCase() === '100-continue') return;
+  throw new MuxError({
+    code: ResultCode.MalformedRequest,
+    message: 'the expectation is not known',
+    runState: RunState.NotRun,
+  });
+}
+
+/** The address that the platform's balancer saw, or the connection's own. */
+function getCaller(request: IncomingMessage): string {
+  const forwarded = request.headers['x-forwarded-for'];
+  const last = typeof forwarded === 'string' ? forwarded.split(',').at(-1)?.trim() : undefined;
+  return last ?? request.socket.remoteAddress ?? '';
+}
--- a/packages/node/src/entry/node/callerServer.ts
+++ b/packages/node/src/entry/node/callerServer.ts
@@ -9,24 +9,26 @@
 import type { Limits, Timing } from '@parsleymux/schema';
 import type { NodeState } from '../../app/common/nodeState.js';
 import { NodeStage } from '../../app/common/nodeState.js';
-import { HeaderName, listEndToEndHeaders } from '../../http/common/headers.js';
+import { HeaderName } from '../../http/common/headers.js';
 import { toMuxError } from '../../http/common/refusal.js';
-import { readBody } from '../../http/node/bodyReader.js';
 import { waitForEnd, writeAnswer } from '../../http/node/bodyWriter.js';
+import { createHangUpSignal } from '../../http/node/hangUpSignal.js';
 import { closeServer, listenOn } from '../../http/node/listener.js';
 import type { NodeMetrics } from '../../metrics/node/nodeMetrics.js';
 import { createHttpServer } from '../../tls/node/httpServerFactory.js';
 import type { TlsFilesWatcher } from '../../tls/node/tlsFilesWatcher.js';
-import { findRoute, parseHost, parseKey, parseTimeout } from '../common/callerRequest.js';
+import { findRoute, parseHost } from '../common/callerRequest.js';
 import type { HomeRouter } from '../common/homeRouter.js';
 import { CallerConnections } from './callerConnections.js';
+import { checkExpectation, readCallerRequest } from './callerRequestReader.js';
 import { EntryShares } from './entryShares.js';
 import { writeRefusal } from './refusalWriter.js';
 
 /** How often connections are looked at for requests that take too long to arrive. */
 const CHECKING_INTERVAL_MS = 1000;
 const KEEP_ALIVE_MS = 65_000;
-const MS_PER_SECOND = 1000;
+/** Time after which a caller may come back to a node that can't serve now. */
+const RETRY_AFTER_MS = 1000;
 
 /** Options of a {@link CallerServer}. */
 export interface ICallerServerOptions {
@@ -65,23 +67,7 @@
       this.table.update(change);
     });
     this.shares = new EntryShares(options.limits);
-    this.server = createHttpServer(
-      options.tls,
-      {
-        maxHeaderSize: options.limits.headerBytes,
-        headersTimeout: Math.min(options.timing.callerHeaderMs, options.timing.callerRequestMs),
-        requestTimeout: options.timing.callerRequestMs,
-        connectionsCheckingInterval: CHECKING_INTERVAL_MS,
-        keepAliveTimeout: KEEP_ALIVE_MS,
-        // Checked here, for a numbered answer.
-        requireHostHeader: false,
-      },
-      (request, response) => {
-        void this.serve(request, response);
-      },
-    );
-    // The size of the header bounds their number; dropping some silently would change requests.
-    this.server.maxHeadersCount = 0;
+    this.server = this.createServer();
     this.connections = new CallerConnections({
       server: this.server,
       limit: options.limits.callerConnections,
@@ -89,12 +75,6 @@
         options.metrics.recordRequest({ member: '', service: '', code, durationMs: 0 });
       },
     });
-    this.server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
-      void this.serve(request, response);
-    });
-    this.server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
-      void this.serve(request, response);
-    });
   }
 
   listen(address: string): Promise<string> {
@@ -107,14 +87,37 @@
     await closeServer(this.server);
   }
 
+  private createServer(): Server {
+    const { limits, timing, tls } = this.options;
+    const listener = (request: IncomingMessage, response: ServerResponse) => {
+      void this.serve(request, response);
+    };
+    const server = createHttpServer(
+      tls,
+      {
+        maxHeaderSize: limits.headerBytes,
+        headersTimeout: Math.min(timing.callerHeaderMs, timing.callerRequestMs),
+        requestTimeout: timing.callerRequestMs,
+        connectionsCheckingInterval: CHECKING_INTERVAL_MS,
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        // Checked here, for a numbered answer.
+        requireHostHeader: false,
+      },
+      listener,
+    );
+    // The size of the header bounds their number; dropping some silently would change requests.
+    server.maxHeadersCount = 0;
+    // Without listeners Node would answer these by itself, without a number.
+    server.on('checkContinue', listener);
+    server.on('checkExpectation', listener);
+    return server;
+  }
+
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const startedMs = this.options.clock.getMonotonicTime();
     const finish = this.options.state.startRequest();
     const leaveConnection = this.connections.startRequest(request);
-    const abort = new AbortController();
-    response.once('close', () => {
-      if (!response.writableFinished) abort.abort(new Error('the caller hung up'));
-    });
+    const signal = createHangUpSignal(response, 'the caller hung up');
     let match: IRouteMatch | undefined;
     let code: ResultCode = ResultCode.Ok;
     let releaseShares: (() => void) | undefined;
@@ -124,31 +127,31 @@
       // Only now: a request that is refused needs no body.
       if (request.headers.expect !== undefined) response.writeContinue();
       const routed = await this.readRequest(request, match, startedMs);
-      const answer = await this.options.router.serve(routed, abort.signal);
+      const answer = await this.options.router.serve(routed, signal);
       code = answer.code;
-      this.watchStalls(response);
       await this.writeAnswer(request, response, answer);
     } catch (error) {
-      const refusal = abort.signal.aborted ? createCallerGone(error) : toMuxError(error);
+      const refusal = signal.aborted ? createCallerGone(error) : toMuxError(error);
       code = refusal.code;
-      if (code === ResultCode.Internal) this.options.metrics.recordInternalError(refusal);
-      this.watchStalls(response);
-      await writeRefusal(request, response, refusal, this.listClosingHeaders());
+      await this.writeRefusal(request, response, refusal);
     } finally {
       await waitForEnd(response);
       releaseShares?.();
       leaveConnection();
       finish();
-      const durationMs = this.options.clock.getMonotonicTime() - startedMs;
-      this.options.metrics.recordRequest({
-        member: match?.member ?? '',
-        service: match?.route.service ?? '',
-        code,
-        durationMs,
-      });
+      this.recordRequest(match, code, startedMs);
     }
   }
 
+  private recordRequest(match: IRouteMatch | undefined, code: ResultCode, startedMs: number): void {
+    this.options.metrics.recordRequest({
+      member: match?.member ?? '',
+      service: match?.route.service ?? '',
+      code,
+      durationMs: this.options.clock.getMonotonicTime() - startedMs,
+    });
+  }
+
   private acceptRequest(request: IncomingMessage): IRouteMatch {
     this.connections.checkLimit(request);
     checkExpectation(request);
@@ -173,30 +176,18 @@
     }
   }
 
-  private async readRequest(
+  private readRequest(
     request: IncomingMessage,
     match: IRouteMatch,
     startedMs: number,
   ): Promise<IRoutedRequest> {
-    const { member, route } = match;
-    const timeout = request.headers[HeaderName.TimeoutMs];
-    const timeoutMs = parseTimeout(
-      typeof timeout === 'string' ? timeout : undefined,
-      route,
-      this.options.timing.defaultDeadlineMs,
-    );
-    const idempotencyKey = parseKey(request.headers[route.keyHeader], route);
-    return {
-      member,
-      route,
-      method: request.method ?? 'GET',
-      path: request.url ?? '/',
-      headers: listEndToEndHeaders(request.rawHeaders),
-      body: await readBody(request, this.options.limits.requestBodyBytes),
-      deadlineMs: startedMs + timeoutMs,
-      caller: getCaller(request),
-      idempotencyKey,
-    };
+    const { limits, timing } = this.options;
+    return readCallerRequest(request, {
+      match,
+      startedMs,
+      defaultDeadlineMs: timing.defaultDeadlineMs,
+      maxBodyBytes: limits.requestBodyBytes,
+    });
   }
 
   private async writeAnswer(
@@ -204,6 +195,7 @@
     response: ServerResponse,
     answer: IAnswer,
   ): Promise<void> {
+    this.watchStalls(response);
     await checkFraming(request, answer);
     const headers: Header[] = [
       ...answer.headers,
@@ -215,6 +207,16 @@
     await writeAnswer(response, { status: answer.status, headers, body: answer.body, isHead });
   }
 
+  private async writeRefusal(
+    request: IncomingMessage,
+    response: ServerResponse,
+    refusal: MuxError,
+  ): Promise<void> {
+    if (refusal.code === ResultCode.Internal) this.options.metrics.recordInternalError(refusal);
+    this.watchStalls(response);
+    await writeRefusal(request, response, refusal, this.listClosingHeaders());
+  }
+
   /**
    * Bounds the time in which a caller takes nothing. An answer is in this node's memory until it
    * is read: callers that never read would fill it, and keep a leaving node from its end.
@@ -232,17 +234,6 @@
   }
 }
 
-/** Only the expectation that has a meaning is taken (RFC 9110, section 10.1.1). */
-function checkExpectation(request: IncomingMessage): void {
-  const { expect } = request.headers;
-  if (expect === undefined || expect.toLowerCase() === '100-continue') return;
-  throw new MuxError({
-    code: ResultCode.MalformedRequest,
-    message: 'the expectation is not known',
-    runState: RunState.NotRun,
-  });
-}
-
 /**
  * HTTP/1.0 knows no chunks: a streamed answer of unknown length would end where its connection
  * ends, and one that broke off would look whole.
@@ -262,8 +253,7 @@
 }
 
 function refuseForNow(code: ResultCode, message: string): MuxError {
-  const retryAfterMs = MS_PER_SECOND;
-  return new MuxError({ code, message, runState: RunState.NotRun, retryAfterMs });
+  return new MuxError({ code, message, runState: RunState.NotRun, retryAfterMs: RETRY_AFTER_MS });
 }
 
 function createCallerGone(cause: unknown): MuxError {
@@ -274,10 +264,3 @@
     cause,
   });
 }
-
-/** The address that the platform's balancer saw, or the connection's own. */
-function getCaller(request: IncomingMessage): string {
-  const forwarded = request.headers['x-forwarded-for'];
-  const last = typeof forwarded === 'string' ? forwarded.split(',').at(-1)?.trim() : undefined;
-  return last ?? request.socket.remoteAddress ?? '';
-}
--- a/packages/node/src/hop/node/hopServer.ts
+++ b/packages/node/src/hop/node/hopServer.ts
@@ -8,6 +8,7 @@
 import type { NodeState } from '../../app/common/nodeState.js';
 import { listEndToEndHeaders } from '../../http/common/headers.js';
 import { readBody } from '../../http/node/bodyReader.js';
+import { createHangUpSignal } from '../../http/node/hangUpSignal.js';
 import { waitForEnd, writeAnswer } from '../../http/node/bodyWriter.js';
 import { toMuxError } from '../../http/common/refusal.js';
 import { HEARTBEAT_MS, HopHeader, HopKind } from '../common/hopProtocol.js';
@@ -40,13 +41,10 @@
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const finish = this.options.state.startRequest();
     const heartbeat = new Heartbeat(this.options.clock, response);
-    const abort = new AbortController();
-    response.once('close', () => {
-      if (!response.writableFinished) abort.abort(new Error('the entry hung up'));
-    });
+    const signal = createHangUpSignal(response, 'the entry hung up');
     try {
       const routed = await this.readRequest(request);
-      const answer = await this.options.home.handle(routed, abort.signal);
+      const answer = await this.options.home.handle(routed, signal);
       heartbeat.stop();
       await writeHomeAnswer(response, answer, listEcho(request));
     } catch (error) {
