Decide in one place whether a target is leaving

The floor's arithmetic in routing had its own isStaying, the exact opposite of isLeaving in config. A change of one (a new state of targets, say) would have let homes eject by other capacity than plans reckon with. No change of behaviour.

--- a/packages/config/src/plans/common/capacity.ts
+++ b/packages/config/src/plans/common/capacity.ts
@@ -34,7 +34,8 @@
 }
 
 /**
- * Whether a target is draining or is to leave.
+ * Whether a target is draining or is to leave. One that leaves at an instant counts as gone from
+ * the plan on: were it counted until then, an ejection shortly before would break the floor.
  *
  * @example
  * const serving = service.targets.filter((target) => !isLeaving(target));
--- a/packages/routing/src/ledger/common/floorArithmetic.ts
+++ b/packages/routing/src/ledger/common/floorArithmetic.ts
@@ -1,4 +1,5 @@
 /** The one place that decides whether a service can spare a target. */
+import { isLeaving } from '@parsleymux/config';
 import type { Service, Target } from '@parsleymux/schema';
 import { TargetState } from '@parsleymux/schema';
 
@@ -41,14 +42,9 @@
   return after === before || after >= question.service.floorSlots;
 }
 
-/** A target that a plan takes away counts as gone from the plan on, not from its leaving instant. */
-function isStaying(target: Target): boolean {
-  return target.state !== TargetState.DRAINING && target.leaveAtMs === 0n;
-}
-
 function isHealthy(target: Target, question: IFloorQuestion): boolean {
   return (
-    isStaying(target) &&
+    !isLeaving(target) &&
     !question.ejected.has(target.address) &&
     !question.otherwiseUnhealthy.has(target.address)
   );
