--- a/packages/base/src/clock/common/manualClock.ts
+++ b/packages/base/src/clock/common/manualClock.ts
@@ -78,14 +78,6 @@
     this.nowMs = Math.max(this.nowMs, instantMs);
   }
 
-  /** Advances until no timer is left or `limitMs` is reached. */
-  async advanceToEnd(limitMs: number): Promise<void> {
-    await waitForMicrotasks();
-    while (this.heap.length > 0 && (this.heap[0]?.dueMs ?? Infinity) <= limitMs) {
-      await this.advanceTo(this.heap[0]?.dueMs ?? limitMs);
-    }
-  }
-
   private pushTimer(timer: ITimer): void {
     const heap = this.heap;
     let index = heap.push(timer) - 1;
--- a/packages/claims/src/attempt/common/attemptRegistry.ts
+++ b/packages/claims/src/attempt/common/attemptRegistry.ts
@@ -106,6 +106,7 @@
   private readonly byToken = new Map<string, Attempt>();
   private readonly byRow = new Map<string, Attempt>();
 
+  /** Adds an attempt before its claim is written, so that peers that ask by its token find it. */
   add(attempt: Attempt): void {
     this.byToken.set(attempt.token, attempt);
     this.byRow.set(attempt.rowKey, attempt);
@@ -117,6 +118,7 @@
     if (this.byRow.get(attempt.rowKey) === attempt) this.byRow.delete(attempt.rowKey);
   }
 
+  /** The attempt with this token, unless its row tells its outcome already. */
   find(token: string): Attempt | undefined {
     return this.byToken.get(token);
   }
@@ -125,8 +127,4 @@
   findByRow(rowKey: string): Attempt | undefined {
     return this.byRow.get(rowKey);
   }
-
-  getSize(): number {
-    return this.byToken.size;
-  }
 }
--- a/packages/operators/src/access/common/accessControl.ts
+++ b/packages/operators/src/access/common/accessControl.ts
@@ -117,11 +117,6 @@
     throw new MuxError({ code: ResultCode.Forbidden, message, runState: RunState.NotRun });
   }
 
-  /** Refuses what only operators of the fleet may do. */
-  async checkFleet(operator: IOperator, action: string, signal: AbortSignal): Promise<void> {
-    await this.checkMember(operator, FLEET_MEMBER, action, signal);
-  }
-
   /** Guessing must be slow, and must not load the store. */
   private checkFailures(address: string): void {
     const waitMs = this.failures.getWaitMs(address);
