Count word of the configuration from when it was asked for, and go by other nodes while it is late

A home that resumes after a pause reads answers and requests that waited in its sockets: the answers counted as word of now, the requests were served by the old configuration. Ruled out: shorter polls, since the requests are read before any poll can answer. Now an exchange counts from its start; a node without word for three polls (8 s at least) refuses hops as being behind and serves by itself only when no other node can. Without the change the new test fails.

--- a/packages/config/src/distribution/common/configDistributor.test.ts
+++ b/packages/config/src/distribution/common/configDistributor.test.ts
@@ -227,6 +227,39 @@
   await running;
 });
 
+/** A clock that goes on while the process is stopped and its timers are not. */
+class PausedClock extends ManualClock {
+  pauseMs = 0;
+
+  override getMonotonicTime(): number {
+    return super.getMonotonicTime() + this.pauseMs;
+  }
+}
+
+/*
+ * Symptom: a target that left by a confirmed plan gets work half a minute later.
+ * Sequence: a node asks the store; it is paused with the answer in its socket; the plan is
+ * confirmed; the node resumes, reads the answer, and serves the requests that wait in its sockets.
+ * Cause: the answer's arrival counted as word of now, though it is as old as the pause.
+ */
+test('an answer that came before a pause is no word of now', async () => {
+  const { platform, plans } = createPlatform();
+  const clock = new PausedClock();
+  const { node } = createNode(platform, clock);
+  await putInForce(plans, 'dobrescu', 'one');
+  const read = platform.table.read.bind(platform.table);
+  platform.table.read = async (...args) => {
+    const rows = await read(...args);
+    clock.pauseMs += 27_000;
+    return rows;
+  };
+  await node.runRound(signal);
+  assert.ok(node.isStale());
+  platform.table.read = read;
+  await node.runRound(signal);
+  assert.equal(node.isStale(), false);
+});
+
 test("one member's missing object does not hold up another member's change", async () => {
   const { platform, plans } = createPlatform();
   const { node } = createNode(platform);
--- a/packages/config/src/distribution/common/configDistributor.ts
+++ b/packages/config/src/distribution/common/configDistributor.ts
@@ -73,10 +73,19 @@
 
   /** Neither store nor peers have answered for longer than the limit: refuse new work. */
   isIsolated(): boolean {
-    const silentMs = this.options.clock.getMonotonicTime() - this.lastContactMs;
+    const silentMs = this.getNow() - this.lastContactMs;
     return silentMs > (this.options.isolationLimitMs ?? DEFAULT_ISOLATION_LIMIT_MS);
   }
 
+  /**
+   * Word from store or peers is late, as after a pause: whoever can should go by another node,
+   * which may know of plans that this one has missed.
+   */
+  isStale(): boolean {
+    const silentMs = this.getNow() - this.lastContactMs;
+    return this.isIsolated() || silentMs > this.pace.getStaleLimit();
+  }
+
   /** What happened so far. */
   getCounters(): IDistributionCounters {
     return {
@@ -168,9 +177,10 @@
   /** True when the store answered. */
   private async fetchFromStore(signal: AbortSignal): Promise<boolean> {
     if (this.isBehind() && !this.hasStoreTurn()) return true;
+    const startMs = this.getNow();
     try {
       const head = await this.executeCall(signal, (bounded) => this.reader.fetchHead(bounded));
-      this.recordContact();
+      this.recordContact(startMs);
       this.recordRevision(head);
       const current = this.getCurrent();
       if (head < current.fleetRevision) this.applied.recordDropped();
@@ -207,12 +217,13 @@
   /** The peer's revision, or undefined when the exchange did not complete. */
   private async announceTo(peer: ConfigPeer, signal: AbortSignal): Promise<number | undefined> {
     const own = this.getCurrent().fleetRevision;
+    const startMs = this.getNow();
     try {
       const limitMs = Math.min(ANNOUNCE_LIMIT_MS, this.getCallLimit());
       const revision = await executeBounded(this.options.clock, limitMs, signal, (bounded) =>
         peer.announce(own, bounded),
       );
-      this.recordContact();
+      this.recordContact(startMs);
       this.recordRevision(revision);
       return revision;
     } catch {
@@ -223,9 +234,10 @@
 
   private async fetchFromPeer(peer: ConfigPeer, signal: AbortSignal): Promise<boolean> {
     const own = this.getCurrent().fleetRevision;
+    const startMs = this.getNow();
     try {
       const snapshot = await this.executeCall(signal, (bounded) => peer.fetchAfter(own, bounded));
-      this.recordContact();
+      this.recordContact(startMs);
       this.appliedFromPeers += this.applySnapshot(snapshot);
       return true;
     } catch {
@@ -271,8 +283,17 @@
     return new Map(members.map((config) => [config.member, Number(config.memberRevision)]));
   }
 
-  private recordContact(): void {
-    this.lastContactMs = this.options.clock.getMonotonicTime();
+  /**
+   * An exchange proves what was in force when it began. A process that was paused reads, when it
+   * resumes, answers that came before the pause; counted from then, it would take a configuration
+   * of long ago for the newest, and send work to targets that have left meanwhile.
+   */
+  private recordContact(startMs: number): void {
+    this.lastContactMs = Math.max(this.lastContactMs, startMs);
+  }
+
+  private getNow(): number {
+    return this.options.clock.getMonotonicTime();
   }
 
   private setReady(): void {
--- a/packages/config/src/distribution/common/distributionPace.ts
+++ b/packages/config/src/distribution/common/distributionPace.ts
@@ -7,6 +7,10 @@
  * a call that is lost must not cost it another whole interval of a large fleet.
  */
 const MAX_POLL_WITHOUT_STORE_MS = 4000;
+/** Rounds without word after which a node counts as stale. */
+const STALE_ROUNDS = 3;
+/** One round in which store and a peer stay silent takes about this long. */
+const MIN_STALE_LIMIT_MS = 8000;
 /** Pause of a node that heard of a newer revision and could not fetch it yet. */
 const BEHIND_DELAY_MS = 200;
 
@@ -50,6 +54,12 @@
     return nowMs >= this.storeTurnMs;
   }
 
+  /** Silence of store and peers that is not explained by the wait between rounds, in ms. */
+  getStaleLimit(): number {
+    const pollMs = resolveMs(this.options.pollMs ?? DEFAULT_POLL_MS);
+    return Math.max(MIN_STALE_LIMIT_MS, STALE_ROUNDS * pollMs);
+  }
+
   /** The wait until the next round, in ms. */
   getDelay(state: { readonly isBehind: boolean; readonly hasStore: boolean }): number {
     const wantedMs = resolveMs(this.options.pollMs ?? DEFAULT_POLL_MS);
--- a/packages/node/src/app/node/nodeCore.ts
+++ b/packages/node/src/app/node/nodeCore.ts
@@ -146,7 +146,14 @@
 
 function createHopServer(parts: ICoreParts, home: LocalHomeService): HopServer {
   const { clock, config, state } = parts;
-  return new HopServer({ clock, config, home, state, maxBodyBytes: parts.limits.requestBodyBytes });
+  return new HopServer({
+    clock,
+    config,
+    home,
+    state,
+    isStale: () => config.isStale(),
+    maxBodyBytes: parts.limits.requestBodyBytes,
+  });
 }
 
 function createHome(
@@ -196,6 +203,7 @@
     home,
     self: parts.self.address,
     isLeaving: () => parts.state.isLeaving(),
+    isStale: () => config.isStale(),
     onDidTry: (outcome) => {
       metrics.recordHopTry(outcome);
     },
--- a/packages/node/src/entry/common/homeRouter.test.ts
+++ b/packages/node/src/entry/common/homeRouter.test.ts
@@ -144,6 +144,7 @@
   reactions: Readonly<Record<string, readonly Reaction[]>>,
   local: Reaction = ANSWER,
   isLeaving = false,
+  isStale = false,
 ) {
   const hop = new ScriptedHop(reactions);
   const home = new ScriptedHome(local);
@@ -157,6 +158,7 @@
     home,
     self: SELF,
     isLeaving: () => isLeaving,
+    isStale: () => isStale,
   });
   const serve = () => router.serve(REQUEST, new AbortController().signal);
   return { hop, home, membership, serve };
@@ -223,3 +225,19 @@
   assert.deepEqual(hop.sent, ['b:1']);
   assert.equal(home.served, 0);
 });
+
+test('a node that missed word of the configuration serves by itself only when nobody else can', async () => {
+  const { hop, home, serve } = createFixture(
+    [SELF, 'b:1'],
+    { 'b:1': [ANSWER] },
+    ANSWER,
+    false,
+    true,
+  );
+  assert.equal(await serve(), ANSWER);
+  assert.deepEqual([hop.sent, home.served], [['b:1'], 0]);
+  const gone = new HopError(HopFailure.NotDelivered, 'refused');
+  const alone = createFixture([SELF, 'b:1'], { 'b:1': [gone] }, ANSWER, false, true);
+  assert.equal(await alone.serve(), ANSWER);
+  assert.equal(alone.home.served, 1);
+});
--- a/packages/node/src/entry/common/homeRouter.ts
+++ b/packages/node/src/entry/common/homeRouter.ts
@@ -25,6 +25,8 @@
   readonly self: string;
   /** Whether this node is on its way out of the fleet. */
   readonly isLeaving: () => boolean;
+  /** Whether word of the configuration is late here. */
+  readonly isStale: () => boolean;
   /** Called for each exchange with a home, for metrics. */
   readonly onDidTry?: (outcome: HopFailure | 'answered' | 'local') => void;
 }
@@ -50,7 +52,7 @@
     let mayHaveReached = false;
     for (const candidate of this.listCandidates(request)) {
       if (candidate === this.options.self) {
-        if (!this.options.isLeaving()) break;
+        if (!this.options.isLeaving() && !this.options.isStale()) break;
         // The other entries have gone on to the next candidate; serving here as well would make
         // two homes that each count only their own share of the targets' slots.
         continue;
--- a/packages/node/src/entry/test/failoverFleet.ts
+++ b/packages/node/src/entry/test/failoverFleet.ts
@@ -114,6 +114,7 @@
       home: this.home,
       self: address,
       isLeaving: () => this.condition === NodeCondition.Leaving,
+      isStale: () => false,
     });
     this.running = this.membership.run(this.abort.signal);
   }
--- a/packages/node/src/hop/node/hopServer.ts
+++ b/packages/node/src/hop/node/hopServer.ts
@@ -21,6 +21,8 @@
   readonly config: ConfigService;
   readonly home: HomeService;
   readonly state: NodeState;
+  /** Whether word of the configuration is late. */
+  readonly isStale: () => boolean;
   readonly maxBodyBytes: number;
 }
 
@@ -59,6 +61,9 @@
 
   private async readRequest(request: IncomingMessage): Promise<IRoutedRequest> {
     if (this.options.state.isLeaving()) throw createRefusal(ResultCode.NodeLeaving);
+    // A home that was paused finds requests in its sockets that are as old as the pause, and would
+    // serve them by a configuration of that age: targets that have left would get new work.
+    if (this.options.isStale()) throw createRefusal(ResultCode.PeerBehind);
     const member = getHeader(request, HopHeader.Member);
     const route = this.findRoute(request, member);
     const key = request.headers[HopHeader.Key];
