--- a/packages/base/src/result/common/retryAfter.ts
+++ b/packages/base/src/result/common/retryAfter.ts
@@ -1,9 +1,8 @@
 /** When a refused caller should come back. */
 import type { MuxError } from '../../error/common/muxError.js';
+import { MS_PER_SECOND } from '../../clock/common/durations.js';
 import { ResultCode } from './resultCode.js';
 
-const MS_PER_SECOND = 1000;
-
 /**
  * Wait that is named when the refusal itself estimates none, in ms. Short where another node
  * answers at once, longer where the cause is unlikely to pass within a second.
--- a/packages/claims/src/expiry/common/claimSweeper.ts
+++ b/packages/claims/src/expiry/common/claimSweeper.ts
@@ -4,7 +4,7 @@
  * do no harm: each removal is conditional on the version that was judged.
  */
 import type { Clock, IDisposable, RandomSource } from '@parsleymux/base';
-import { hashToInteger } from '@parsleymux/base';
+import { hashToInteger, MS_PER_DAY } from '@parsleymux/base';
 import type { ITableRow, TableService } from '@parsleymux/platform';
 import { decodeClaim } from '../../claim/common/claim.js';
 import { CLAIM_PREFIX, formatClaimRowKey } from '../../claim/common/claimIdentity.js';
@@ -15,7 +15,7 @@
 const SLICE_DIGITS = 2;
 const HEXADECIMAL = 16;
 const PAGE_ROWS = 500;
-const DEFAULT_PASS_MS = 86_400_000;
+const DEFAULT_PASS_MS = MS_PER_DAY;
 /** Follows every key of a member in the order of keys, as '0' follows '/'. */
 const AFTER_MEMBER = '0';
 
--- a/packages/claims/src/expiry/common/retention.ts
+++ b/packages/claims/src/expiry/common/retention.ts
@@ -3,12 +3,10 @@
  * again, so rows outlive every retry that a caller may reasonably send: the retention counts
  * from the last change of the row, and rows whose outcome nobody knows are kept longer still.
  */
+import { MS_PER_DAY, MS_PER_HOUR, MS_PER_SECOND } from '@parsleymux/base';
 import type { IClaim } from '../../claim/common/claim.js';
 import { ClaimState } from '../../claim/common/claim.js';
 
-const SECOND_MS = 1000;
-const HOUR_MS = 3_600_000;
-const DAY_MS = 24 * HOUR_MS;
 const DEFAULT_RETENTION_S = 604_800;
 /** Unsettled claims are kept this many times as long: a late answer to them is worth most. */
 const UNSETTLED_FACTOR = 4;
@@ -16,9 +14,9 @@
  * Whatever the settings say, nothing goes sooner. A write that is still on its way to the table,
  * such as a claim whose sender gave up, must find the row that it was meant for.
  */
-const MIN_KEEP_MS = HOUR_MS;
+const MIN_KEEP_MS = MS_PER_HOUR;
 /** An attempt may take minutes; its row must never go while it runs. */
-const MIN_UNSETTLED_KEEP_MS = DAY_MS;
+const MIN_UNSETTLED_KEEP_MS = MS_PER_DAY;
 /** Clocks of callers and nodes differ; a dated key is refused this share of its time early. */
 const SKEW_SHARE = 0.05;
 
@@ -36,7 +34,7 @@
   readonly unsettledKeepMs: number;
 
   constructor(retentionS = DEFAULT_RETENTION_S) {
-    this.keepMs = Math.max(retentionS * SECOND_MS, MIN_KEEP_MS);
+    this.keepMs = Math.max(retentionS * MS_PER_SECOND, MIN_KEEP_MS);
     this.unsettledKeepMs = Math.max(this.keepMs * UNSETTLED_FACTOR, MIN_UNSETTLED_KEEP_MS);
   }
 
--- a/packages/config/src/plans/common/planLimits.ts
+++ b/packages/config/src/plans/common/planLimits.ts
@@ -1,5 +1,5 @@
 /** Keeps the number of a member's plan rows bounded. */
-import { ResultCode, MuxError, RunState } from '@parsleymux/base';
+import { MS_PER_DAY, MuxError, ResultCode, RunState } from '@parsleymux/base';
 import type { ITableRow, ITableWrite, TableService } from '@parsleymux/platform';
 import { PlanState } from '@parsleymux/schema';
 import { formatPlanPrefix } from '../../layout/common/rowKeys.js';
@@ -9,9 +9,9 @@
 /** Open plans that a member may have. */
 export const MAX_OPEN_PLANS = 50;
 /** A plan that nobody confirmed for this long is dropped. */
-export const OPEN_PLAN_LIFETIME_MS = 86_400_000;
+export const OPEN_PLAN_LIFETIME_MS = MS_PER_DAY;
 /** Longer than anyone repeats a confirmation whose answer was lost. */
-export const DECIDED_PLAN_LIFETIME_MS = 30 * 86_400_000;
+export const DECIDED_PLAN_LIFETIME_MS = 30 * MS_PER_DAY;
 
 const SCAN_LIMIT = 1000;
 const MAX_REMOVED = 100;
--- a/packages/ctl/src/commands/node/adminCommand.ts
+++ b/packages/ctl/src/commands/node/adminCommand.ts
@@ -2,14 +2,13 @@
 import { readFileSync } from 'node:fs';
 import type { DescMessage, MessageShape } from '@bufbuild/protobuf';
 import { toJsonString } from '@bufbuild/protobuf';
-import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { MS_PER_SECOND, MuxError, ResultCode, RunState } from '@parsleymux/base';
 import { Command, Option } from 'clipanion';
 import type { IAdminCall } from '../../client/node/adminClient.js';
 import { AdminClient } from '../../client/node/adminClient.js';
 import { chooseExitStatus, ExitStatus } from '../../cli/common/exitStatus.js';
 
 const DEFAULT_ADMIN_URL = 'http://127.0.0.1:7003';
-const MS_PER_SECOND = 1000;
 
 /** A command with the options that name the node and the key. */
 export abstract class AdminCommand extends Command {
--- a/packages/operators/src/access/common/rateLimiter.ts
+++ b/packages/operators/src/access/common/rateLimiter.ts
@@ -1,5 +1,6 @@
 /** Rates that callers may not exceed, counted in memory on each node. */
 import type { Clock } from '@parsleymux/base';
+import { MS_PER_SECOND } from '@parsleymux/base';
 
 /** Options of a {@link RateLimiter}. */
 export interface IRateLimiterOptions {
@@ -18,7 +19,6 @@
 }
 
 const DEFAULT_MAX_NAMES = 1000;
-const MS_PER_SECOND = 1000;
 
 /**
  * A token bucket for each name.
--- a/packages/operators/src/api/common/keyHandler.ts
+++ b/packages/operators/src/api/common/keyHandler.ts
@@ -1,4 +1,5 @@
 /** Operators' keys and the audit log. */
+import { MS_PER_SECOND } from '@parsleymux/base';
 import { create } from '@bufbuild/protobuf';
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import {
@@ -17,7 +18,6 @@
 import { AdminHandler, createAnswer, getParameter, parseBody } from './adminRoute.js';
 
 const CREATED_STATUS = 201;
-const MS_PER_SECOND = 1000;
 const DEFAULT_AUDIT_ENTRIES = 100;
 const MAX_AUDIT_ENTRIES = 1000;
 
--- a/packages/operators/src/api/node/adminApi.ts
+++ b/packages/operators/src/api/node/adminApi.ts
@@ -1,7 +1,7 @@
 /** The administration API over HTTP: versioned paths, JSON bodies, one key for each operator. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock, InvariantRegistry, Logger } from '@parsleymux/base';
-import { getResultInfo, MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { getResultInfo, MS_PER_SECOND, MuxError, ResultCode, RunState } from '@parsleymux/base';
 import type { ConfigService, PlanStore } from '@parsleymux/config';
 import { CreateKeyResponseSchema } from '@parsleymux/schema';
 import { create } from '@bufbuild/protobuf';
@@ -28,7 +28,6 @@
 const BOOTSTRAP_PATH = '/v1/bootstrap';
 const BOOTSTRAP_ACTION = 'key.bootstrap';
 const CREATED_STATUS = 201;
-const MS_PER_SECOND = 1000;
 
 /** Options of an {@link AdminApi}. */
 export interface IAdminApiOptions {
--- a/packages/operators/src/audit/common/auditLog.ts
+++ b/packages/operators/src/audit/common/auditLog.ts
@@ -1,6 +1,7 @@
 /** The audit log in the platform's table. */
 import { randomUUID } from 'node:crypto';
 import type { Clock } from '@parsleymux/base';
+import { MS_PER_DAY } from '@parsleymux/base';
 import type { IAuditEntry } from '@parsleymux/config';
 import {
   createStoreError,
@@ -13,7 +14,6 @@
 import { PlatformError } from '@parsleymux/platform';
 
 const SCAN_LIMIT = 1000;
-const DAY_MS = 86_400_000;
 /** Spans that are read until there are enough entries; the last one is all that is kept. */
 const SPANS_DAYS = [1, 7, 30, 90] as const;
 /** Entries older than this go, a batch at a time, whenever the log is read. */
@@ -69,7 +69,7 @@
       await this.removeExpired(member, signal);
       let rows: readonly ITableRow[] = [];
       for (const days of SPANS_DAYS) {
-        rows = await this.scanSince(member, this.getNowMs() - days * DAY_MS, signal);
+        rows = await this.scanSince(member, this.getNowMs() - days * MS_PER_DAY, signal);
         if (rows.length >= limit) break;
       }
       return rows
@@ -107,7 +107,7 @@
   private async removeExpired(member: string, signal?: AbortSignal): Promise<void> {
     const prefix = formatAuditPrefix(member);
     const oldest = await this.options.table.scan({ prefix, limit: REMOVED_AT_ONCE }, signal);
-    const limit = formatAuditKey(member, Math.max(0, this.getNowMs() - KEPT_DAYS * DAY_MS), '');
+    const limit = formatAuditKey(member, Math.max(0, this.getNowMs() - KEPT_DAYS * MS_PER_DAY), '');
     const writes = oldest.filter(({ key }) => key < limit).map(({ key }) => ({ key, value: null }));
     if (writes.length > 0) await this.options.table.transact({ conditions: [], writes }, signal);
   }
--- a/packages/operators/src/burn/common/burnPlot.ts
+++ b/packages/operators/src/burn/common/burnPlot.ts
@@ -1,4 +1,5 @@
 /** The plot of one service's burn over three days. */
+import { MS_PER_DAY, MS_PER_HOUR } from '@parsleymux/base';
 import type { ServiceBurn } from '@parsleymux/schema';
 import { scaleSymlog, scaleUtc } from 'd3-scale';
 import { line } from 'd3-shape';
@@ -8,8 +9,7 @@
 const WIDTH = 960;
 const HEIGHT = 260;
 const MARGIN = { top: 14, right: 96, bottom: 26, left: 48 };
-const DAYS_MS = 3 * 86_400_000;
-const HOUR_MS = 3_600_000;
+const PLOT_SPAN_MS = 3 * MS_PER_DAY;
 const TICK_LENGTH = 5;
 const LABEL_GAP = 14;
 const TOP_OF_CALM = 20;
@@ -43,7 +43,7 @@
 export function renderBurnPlot(service: ServiceBurn, nowMs: number): string {
   const series = listSeries(service);
   const highest = Math.max(...series.flatMap(({ points }) => points.map(({ burn }) => burn)), 0);
-  const x = scaleUtc([nowMs - DAYS_MS, nowMs], [MARGIN.left, WIDTH - MARGIN.right]);
+  const x = scaleUtc([nowMs - PLOT_SPAN_MS, nowMs], [MARGIN.left, WIDTH - MARGIN.right]);
   const y = scaleSymlog([0, Math.max(TOP_OF_CALM, highest)], [HEIGHT - MARGIN.bottom, MARGIN.top]);
   const guides = [...GUIDES, ...MORE_TICKS.filter((tick) => tick <= highest)];
   const parts = [
@@ -77,7 +77,7 @@
     },
   }));
   const burns = slots.map(({ slotMs }) => {
-    return { atMs: slotMs, ...computeBurnAt(slots, service.objective, slotMs, HOUR_MS) };
+    return { atMs: slotMs, ...computeBurnAt(slots, service.objective, slotMs, MS_PER_HOUR) };
   });
   return [
     {
--- a/packages/operators/src/burn/common/burnRates.ts
+++ b/packages/operators/src/burn/common/burnRates.ts
@@ -1,5 +1,6 @@
 /** Burn rates over several windows, and the alerts that follow from them. */
 import { create } from '@bufbuild/protobuf';
+import { MS_PER_SECOND } from '@parsleymux/base';
 import type { Objective, WindowBurn } from '@parsleymux/schema';
 import { BurnCountsSchema, WindowBurnSchema } from '@parsleymux/schema';
 import type { IBurnCounts } from './burnCounts.js';
@@ -14,7 +15,6 @@
 const MINUTE_S = 60;
 const HOUR_S = 3600;
 const DAY_S = 86_400;
-const MS_PER_SECOND = 1000;
 const DEFAULT_AVAILABILITY = 0.999;
 const DEFAULT_LATENCY_SHARE = 0.99;
 
--- a/packages/operators/src/burn/common/burnReader.ts
+++ b/packages/operators/src/burn/common/burnReader.ts
@@ -1,6 +1,7 @@
 /** Reads a member's counts of the last three days and computes its burn. */
 import { create } from '@bufbuild/protobuf';
 import type { Clock } from '@parsleymux/base';
+import { MS_PER_SECOND } from '@parsleymux/base';
 import type { ConfigService } from '@parsleymux/config';
 import { createStoreError } from '@parsleymux/config';
 import type { ITableRow, TableService } from '@parsleymux/platform';
@@ -28,7 +29,6 @@
 } from './burnRows.js';
 
 const SCAN_LIMIT = 1000;
-const MS_PER_SECOND = 1000;
 /** A merge between the two scans would hide the rows it moved; then both are read anew. */
 const MAX_SCANS = 3;
 
--- a/packages/operators/src/keys/common/keyStore.ts
+++ b/packages/operators/src/keys/common/keyStore.ts
@@ -1,6 +1,6 @@
 /** Operators' keys in the platform's table: created, rotated, revoked, verified. */
 import type { Clock, RandomSource } from '@parsleymux/base';
-import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { MS_PER_DAY, MuxError, ResultCode, RunState } from '@parsleymux/base';
 import type { IAuditEntry } from '@parsleymux/config';
 import { encodeAuditEntry, formatAuditKey, StoreRetry } from '@parsleymux/config';
 import type { ITableRow, ITableWrite, TableService } from '@parsleymux/platform';
@@ -19,7 +19,7 @@
 
 const MAX_KEYS_PER_MEMBER = 50;
 /** As long as the audit log that names the key. */
-const ENDED_KEY_KEPT_MS = 90 * 86_400_000;
+const ENDED_KEY_KEPT_MS = 90 * MS_PER_DAY;
 /** This row stands for "the fleet has had its first key"; only the platform's owner removes it. */
 const BOOTSTRAP_KEY = 'keys/@fleet-bootstrapped';
 
