--- a/packages/base/src/log/node/logger.ts
+++ b/packages/base/src/log/node/logger.ts
@@ -12,11 +12,15 @@
   readonly level?: LogLevel;
 }
 
+/** Severity of a line, gravest first. */
 export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
 
 /** The part of the logger that components use. */
 export type Logger = Pick<ConsolaInstance, 'info' | 'warn' | 'error' | 'debug'>;
 
+/** Below every level that consola knows. */
+const SILENT_LEVEL = -999;
+
 const CONSOLA_LEVELS: Readonly<Record<LogLevel, number>> = { error: 0, warn: 1, info: 3, debug: 4 };
 
 /**
@@ -44,7 +48,12 @@
   });
 }
 
-/** A logger that writes nothing, for tests and replays. */
+/**
+ * A logger that writes nothing, for tests and replays.
+ *
+ * @example
+ * const node = new MuxNode({ ...options, log: createSilentLogger() });
+ */
 export function createSilentLogger(): Logger {
-  return createConsola({ level: -999 });
+  return createConsola({ level: SILENT_LEVEL });
 }
--- a/packages/base/src/result/common/resultTable.ts
+++ b/packages/base/src/result/common/resultTable.ts
@@ -260,7 +260,12 @@
   return INFO_BY_CODE.get(code) ?? { ...UNKNOWN, code };
 }
 
-/** Every row in the order of its number. */
+/**
+ * Every row in the order of its number.
+ *
+ * @example
+ * const names = listResultInfos().map(({ code, name }) => `${code} ${name}`);
+ */
 export function listResultInfos(): readonly IResultInfo[] {
   return [...INFO_BY_CODE.values()].sort((left, right) => left.code - right.code);
 }
--- a/packages/claims/src/claim/common/answerCodec.ts
+++ b/packages/claims/src/claim/common/answerCodec.ts
@@ -33,7 +33,13 @@
   return { status, headers, code, body: Buffer.from(answer.body).toString('base64') };
 }
 
-/** A recorded answer whose body is in the object `objectKey`. */
+/**
+ * A recorded answer whose body is in the object `objectKey`.
+ *
+ * @example
+ * await objects.put(objectKey, answer.body);
+ * return encodeAnswerHead(answer, objectKey);
+ */
 export function encodeAnswerHead(answer: IWholeAnswer, objectKey: string): IStoredAnswer {
   const { status, headers, code } = answer;
   return { status, headers, code, objectKey };
@@ -55,18 +61,33 @@
   });
 }
 
-/** The answer with the header that marks a replay. */
+/**
+ * The answer with the header that marks a replay.
+ *
+ * @example
+ * return markReplayed(outcome.answer);
+ */
 export function markReplayed(answer: IWholeAnswer): IWholeAnswer {
   const kept = answer.headers.filter(([name]) => name !== REPLAY_HEADER);
   return { ...answer, headers: [...kept, [REPLAY_HEADER, 'true']] };
 }
 
-/** An answer as bytes, for the look-up between nodes. */
+/**
+ * An answer as bytes, for the look-up between nodes.
+ *
+ * @example
+ * return { state: ClaimLookUp.FINISHED, answer: encodeAnswerBytes(outcome.answer) };
+ */
 export function encodeAnswerBytes(answer: IWholeAnswer): Uint8Array {
   return Buffer.from(JSON.stringify(encodeAnswer(answer)));
 }
 
-/** The answer in bytes that {@link encodeAnswerBytes} made, marked as a replay. */
+/**
+ * The answer in bytes that {@link encodeAnswerBytes} made, marked as a replay.
+ *
+ * @example
+ * return decodeAnswerBytes(said.answer);
+ */
 export function decodeAnswerBytes(bytes: Uint8Array): IWholeAnswer {
   return decodeAnswer(JSON.parse(Buffer.from(bytes).toString('utf8')) as IStoredAnswer);
 }
--- a/packages/claims/src/claim/common/claimIdentity.ts
+++ b/packages/claims/src/claim/common/claimIdentity.ts
@@ -16,7 +16,12 @@
   readonly digest: string;
 }
 
-/** Key of the row of one claim. The member is part of it: members' keys never meet. */
+/**
+ * Key of the row of one claim. The member is part of it: members' keys never meet.
+ *
+ * @example
+ * formatClaimRowKey(identity.member, identity.claimKey);
+ */
 export function formatClaimRowKey(member: string, claimKey: string): string {
   return `${CLAIM_PREFIX}${member}/${claimKey}`;
 }
--- a/packages/claims/src/expiry/common/retention.ts
+++ b/packages/claims/src/expiry/common/retention.ts
@@ -7,7 +7,8 @@
 import type { IClaim } from '../../claim/common/claim.js';
 import { ClaimState } from '../../claim/common/claim.js';
 
-const DEFAULT_RETENTION_S = 604_800;
+/** Seven days, in s. */
+export const DEFAULT_RETENTION_S = 604_800;
 /** Unsettled claims are kept this many times as long: a late answer to them is worth most. */
 const UNSETTLED_FACTOR = 4;
 /**
--- a/packages/claims/src/guard/common/claimErrors.ts
+++ b/packages/claims/src/guard/common/claimErrors.ts
@@ -5,7 +5,13 @@
 const RUNNING_RETRY_MS = 1000;
 const UNKNOWN_RETRY_MS = 30_000;
 
-/** The store can't be reached, so nobody may dispatch. Speaks of this request alone. */
+/**
+ * The store can't be reached, so nobody may dispatch. Speaks of this request alone. The wait that it
+ * names grows by `jitteredShare`, between 0 and 1, so that refused callers don't return together.
+ *
+ * @example
+ * throw makeStoreUnavailable(random.getFloat());
+ */
 export function makeStoreUnavailable(jitteredShare: number): MuxError {
   return new MuxError({
     code: ResultCode.ClaimStoreUnavailable,
@@ -17,7 +23,12 @@
   });
 }
 
-/** It ran, and its recorded answer can't be read just now. */
+/**
+ * It ran, and its recorded answer can't be read just now.
+ *
+ * @example
+ * throw makeAnswerUnavailable(error);
+ */
 export function makeAnswerUnavailable(cause: unknown): MuxError {
   return new MuxError({
     code: ResultCode.ClaimStoreUnavailable,
@@ -28,6 +39,12 @@
   });
 }
 
+/**
+ * The key is taken by a request with another digest.
+ *
+ * @example
+ * if (claim.digest !== identity.digest) throw makeKeyConflict();
+ */
 export function makeKeyConflict(): MuxError {
   return new MuxError({
     code: ResultCode.IdempotencyKeyConflict,
@@ -36,7 +53,12 @@
   });
 }
 
-/** Of a key that tells its own age. */
+/**
+ * A key that tells its own age is older than records are kept, and there is no row of it.
+ *
+ * @example
+ * if (known === undefined && isTooOld) throw makeKeyExpired();
+ */
 export function makeKeyExpired(): MuxError {
   return new MuxError({
     code: ResultCode.IdempotencyKeyExpired,
@@ -45,6 +67,12 @@
   });
 }
 
+/**
+ * Another request with the key runs, and does not end within this one's deadline.
+ *
+ * @example
+ * if (outcome === undefined) throw makeStillRunning();
+ */
 export function makeStillRunning(): MuxError {
   return new MuxError({
     code: ResultCode.StillRunning,
@@ -54,7 +82,12 @@
   });
 }
 
-/** `canChange` when the targets can be asked again later. */
+/**
+ * Nobody knows whether it ran. `canChange` when the targets can be asked again later.
+ *
+ * @example
+ * throw makeOutcomeUnknown(request.route.lookUpPath !== '');
+ */
 export function makeOutcomeUnknown(canChange: boolean): MuxError {
   return new MuxError({
     code: ResultCode.OutcomeUnknown,
@@ -64,6 +97,12 @@
   });
 }
 
+/**
+ * It ran, and its answer could not be kept, or is gone.
+ *
+ * @example
+ * if (body === undefined) throw makeAnswerNotKept();
+ */
 export function makeAnswerNotKept(): MuxError {
   return new MuxError({
     code: ResultCode.AnswerNotKept,
@@ -72,6 +111,12 @@
   });
 }
 
+/**
+ * An operator settled the claim as run.
+ *
+ * @example
+ * if (claim.settlement !== undefined) throw makeOutcomeSettled();
+ */
 export function makeOutcomeSettled(): MuxError {
   return new MuxError({
     code: ResultCode.OutcomeSettled,
@@ -80,6 +125,12 @@
   });
 }
 
+/**
+ * The deadline passed while the request could still be given up unrun.
+ *
+ * @example
+ * if (clock.getMonotonicTime() >= request.deadlineMs) throw makeDeadlinePassed();
+ */
 export function makeDeadlinePassed(): MuxError {
   return new MuxError({
     code: ResultCode.DeadlinePassed,
@@ -88,6 +139,12 @@
   });
 }
 
+/**
+ * The caller left while the request could still be given up unrun.
+ *
+ * @example
+ * if (signal.aborted) throw makeCallerGone();
+ */
 export function makeCallerGone(): MuxError {
   return new MuxError({
     code: ResultCode.CallerGone,
@@ -96,6 +153,12 @@
   });
 }
 
+/**
+ * A dispatch failed with an error that carries no number, so the request may have run.
+ *
+ * @example
+ * const failure = error instanceof MuxError ? error : makeUnexpectedError(error);
+ */
 export function makeUnexpectedError(cause: unknown): MuxError {
   return new MuxError({
     code: ResultCode.Internal,
--- a/packages/claims/src/guard/common/claimFollower.ts
+++ b/packages/claims/src/guard/common/claimFollower.ts
@@ -48,6 +48,10 @@
 export class ClaimFollower {
   constructor(private readonly options: IClaimFollowerOptions) {}
 
+  /**
+   * The answer under the key, or the version at which its row may be claimed. Waits for the
+   * claimer until the request's deadline.
+   */
   async resolve(
     request: IRoutedRequest,
     identity: IClaimIdentity,
--- a/packages/claims/src/guard/common/claimGuardOptions.ts
+++ b/packages/claims/src/guard/common/claimGuardOptions.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import type { Clock, InvariantRegistry, RandomSource } from '@parsleymux/base';
 import type { ObjectStore, TableService } from '@parsleymux/platform';
+import { DEFAULT_RETENTION_S } from '../../expiry/common/retention.js';
 import { ClaimMetrics } from '../../metrics/common/claimMetrics.js';
 import type { OutcomeLookUp } from '../../outcome/common/outcomeLookUp.js';
 import { NoOutcomeLookUp } from '../../outcome/common/outcomeLookUp.js';
@@ -9,7 +10,6 @@
 import { GroupCommitter } from '../../store/common/groupCommitter.js';
 
 const DEFAULT_GROUP_MS = 2;
-const DEFAULT_RETENTION_S = 604_800;
 const DEFAULT_MAX_ANSWER_BYTES = 1 << 20;
 const DEFAULT_MAX_ROW_BYTES = 8 << 10;
 const DEFAULT_CLAIM_WAIT_MS = 1000;
@@ -61,7 +61,12 @@
 /** Options with nothing left out. */
 export type CompleteGuardOptions = Required<IClaimGuardOptions>;
 
-/** Fills in what is left out. */
+/**
+ * Fills in what is left out.
+ *
+ * @example
+ * const options = withGuardDefaults(given);
+ */
 export function withGuardDefaults(options: IClaimGuardOptions): CompleteGuardOptions {
   const { table, clock, random } = options;
   const groupMs = options.groupMs ?? DEFAULT_GROUP_MS;
--- a/packages/claims/src/guard/common/outcomeSettler.ts
+++ b/packages/claims/src/guard/common/outcomeSettler.ts
@@ -128,12 +128,22 @@
   }
 }
 
-/** The claim is settled by `answer`. */
+/**
+ * The claim is settled by `answer`.
+ *
+ * @example
+ * return makeAnswered(decodeAnswerBytes(said.answer));
+ */
 export function makeAnswered(answer: IWholeAnswer): IFollowResult {
   return { answer, claimableVersion: 0 };
 }
 
-/** The row provably stands for no execution and may be claimed at `version`. */
+/**
+ * The row provably stands for no execution and may be claimed at `version`.
+ *
+ * @example
+ * if (said?.state === ClaimLookUp.NOT_RUN) return makeClaimable(known.version);
+ */
 export function makeClaimable(version: number): IFollowResult {
   return { answer: undefined, claimableVersion: version };
 }
--- a/packages/config/src/fleetConfig/common/fleetConfig.ts
+++ b/packages/config/src/fleetConfig/common/fleetConfig.ts
@@ -19,5 +19,6 @@
 export abstract class ConfigService {
   abstract readonly onDidChange: Event<IFleetConfigChange>;
 
+  /** What is applied on this node; it is replaced as a whole and never changed in place. */
   abstract getCurrent(): IFleetConfig;
 }
--- a/packages/config/src/layout/common/rowKeys.ts
+++ b/packages/config/src/layout/common/rowKeys.ts
@@ -12,8 +12,11 @@
  * | objects `intents/MEMBER/ID`, `plans/MEMBER/ID` | a plan's intent, and the plan without it |
  */
 
+/** Key of the row with the newest fleet revision. */
 export const HEAD_KEY = 'head';
+/** Prefix of the pointers by fleet revision. */
 export const CHANGE_PREFIX = 'changes/';
+/** Prefix of the pointers in force. */
 export const MEMBER_PREFIX = 'members/';
 
 /** Changes that are kept one by one; a node further behind reads every member's pointer. */
--- a/packages/ctl/src/cli/common/exitStatus.ts
+++ b/packages/ctl/src/cli/common/exitStatus.ts
@@ -1,6 +1,7 @@
-/** Exit statuses, for scripts that call the command line. */
+/** Maps results to exit statuses, for scripts that call the command line. */
 import { ResultCode } from '@parsleymux/base';
 
+/** Exit statuses. A number is never given a new meaning: scripts rely on it. */
 export const ExitStatus = {
   Ok: 0,
   /** Something unforeseen. */
--- a/packages/ctl/src/commands/node/adminCommand.ts
+++ b/packages/ctl/src/commands/node/adminCommand.ts
@@ -43,6 +43,7 @@
     }
   }
 
+  /** Does the command's work; a MuxError that it throws becomes the exit status. */
   protected abstract run(): Promise<void>;
 
   /** The operator's key, from the file when one is named. */
@@ -97,7 +98,12 @@
   }
 }
 
-/** Reads a file that the operator named. Throws UsageError. */
+/**
+ * Reads a file that the operator named. Throws UsageError.
+ *
+ * @example
+ * const intent = readText(this.file);
+ */
 export function readText(path: string): string {
   try {
     return readFileSync(path, 'utf8');
--- a/packages/operators/src/api/common/adminRoute.ts
+++ b/packages/operators/src/api/common/adminRoute.ts
@@ -34,6 +34,7 @@
 
 /** Offers routes. */
 export abstract class AdminHandler {
+  /** The operations that this handler answers. */
   abstract listRoutes(): readonly IAdminRoute[];
 }
 
--- a/packages/operators/src/burn/common/burnCounts.ts
+++ b/packages/operators/src/burn/common/burnCounts.ts
@@ -12,6 +12,7 @@
 /** Counts by service name. */
 export type ServiceCounts = Readonly<Record<string, IBurnCounts>>;
 
+/** Counts of a span without requests. */
 export const NO_COUNTS: IBurnCounts = { requests: 0, failed: 0, slow: 0 };
 
 /** Length of the time slots in which requests are counted, in ms. */
--- a/packages/operators/src/burn/common/burnRows.ts
+++ b/packages/operators/src/burn/common/burnRows.ts
@@ -7,6 +7,7 @@
 import type { IBurnCounts, ServiceCounts } from './burnCounts.js';
 import { addCounts, NO_COUNTS } from './burnCounts.js';
 
+/** Prefix of the rows that nodes insert, until they are merged. */
 export const RAW_PREFIX = 'burn/raw/';
 /** Slots kept of each member: the longest window, three days, and the slot that is running. */
 export const KEPT_SLOTS = 865;
--- a/packages/platform/src/protocol/common/platformProtocol.ts
+++ b/packages/platform/src/protocol/common/platformProtocol.ts
@@ -14,6 +14,7 @@
 import type { ITableRow } from '../../table/common/tableService.js';
 import type { IVm } from '../../vmList/common/vmList.js';
 
+/** Paths below the platform's base URL. */
 export const PlatformPath = {
   Read: '/table/read',
   Scan: '/table/scan',
@@ -22,18 +23,22 @@
   Vms: '/vms',
 } as const;
 
+/** Keys of the rows to read. */
 export interface IReadBody {
   readonly keys: readonly string[];
 }
 
+/** Rows that were read; absent ones are left out. */
 export interface IRowsBody {
   readonly rows: readonly ITableRow[];
 }
 
+/** Keys of objects, sorted. */
 export interface IKeysBody {
   readonly keys: readonly string[];
 }
 
+/** VMs of the list. */
 export interface IVmsBody {
   readonly vms: readonly IVm[];
 }
--- a/packages/schema/src/rules/common/fieldRules.ts
+++ b/packages/schema/src/rules/common/fieldRules.ts
@@ -22,7 +22,12 @@
   return found;
 }
 
-/** The value that an absent field takes, or undefined when the schema names none. */
+/**
+ * The value that an absent field takes, or undefined when the schema names none.
+ *
+ * @example
+ * getDefaultValue(LimitsSchema.field.headerBytes); // 16384
+ */
 export function getDefaultValue(field: DescField): JsonValue | undefined {
   const text = getFieldRule(field).default;
   return text === '' ? undefined : (JSON.parse(text) as JsonValue);
@@ -32,6 +37,9 @@
  * Whether an absent message field stands for a message of defaults. It does when nothing in that
  * message is required: `timing` left out means every default of `timing`, but `callerTls` left
  * out means no TLS, because a certificate has no default.
+ *
+ * @example
+ * isFilledWhenAbsent(TlsFilesSchema); // false
  */
 export function isFilledWhenAbsent(message: DescMessage): boolean {
   return !message.fields.some((field) => getFieldRule(field).required);
--- a/packages/schema/src/rules/common/valueCheck.ts
+++ b/packages/schema/src/rules/common/valueCheck.ts
@@ -76,14 +76,24 @@
   return makeFault(`has no value "${value}"${guess}`, hint);
 }
 
-/** The short form of an enum value's name, as people write it in files. */
+/**
+ * The short form of an enum value's name, as people write it in files.
+ *
+ * @example
+ * formatEnumName(TargetStateSchema, TargetStateSchema.value[2]); // 'draining'
+ */
 export function formatEnumName(type: DescEnum, entry: DescEnumValue): string {
   const prefix = (type.sharedPrefix ?? '').toUpperCase();
   const name = entry.name.startsWith(prefix) ? entry.name.slice(prefix.length) : entry.name;
   return name.toLowerCase().replaceAll('_', '-');
 }
 
-/** Names a value's JSON type, and the value itself when it is short. */
+/**
+ * Names a value's JSON type, and the value itself when it is short.
+ *
+ * @example
+ * describeValue({}); // 'an object'
+ */
 export function describeValue(value: unknown): string {
   if (value === null) return 'null';
   if (Array.isArray(value)) return 'a list';
