Answer with a new key, and end a key, in one short function each

The first key's answer was put together in AdminApi once more than in KeyHandler, and the status 201 stood in three modules. endKey and ClaimRunner.run were over 30 lines; the latter said twice how an attempt is dropped whose claim is not in the table.

--- a/packages/claims/src/guard/common/claimRunner.ts
+++ b/packages/claims/src/guard/common/claimRunner.ts
@@ -82,12 +82,10 @@
       case ClaimVerdict.Won:
         return this.runClaimed(guarded, attempt, claim, result.version, signal);
       case ClaimVerdict.Lost:
-        attempt.end({ end: AttemptEnd.NotRun }, false);
-        this.options.registry.remove(attempt);
+        this.remove(attempt);
         return { ...EMPTY_ROW, current: result.current };
       case ClaimVerdict.Unavailable:
-        attempt.end({ end: AttemptEnd.NotRun }, false);
-        this.options.registry.remove(attempt);
+        this.remove(attempt);
         throw this.makeStoreUnavailable();
       case ClaimVerdict.Unresolved:
         // The claim may stand, or land later, although nobody will ever run it. Until the row
@@ -125,6 +123,12 @@
     return { ...EMPTY_ROW, outcome };
   }
 
+  /** Drops an attempt whose claim is not in the table and never will be. */
+  private remove(attempt: Attempt): void {
+    attempt.end({ end: AttemptEnd.NotRun }, false);
+    this.options.registry.remove(attempt);
+  }
+
   /** The process may have been paused between the claim's commit and now. */
   private findLateRefusal(guarded: IGuardedAttempt, signal: AbortSignal): MuxError | undefined {
     const { deadlineMs } = guarded.request;
--- a/packages/operators/src/api/common/adminRoute.ts
+++ b/packages/operators/src/api/common/adminRoute.ts
@@ -39,6 +39,8 @@
 }
 
 const OK_STATUS = 200;
+/** Status of answers with what a request has made. */
+export const CREATED_STATUS = 201;
 
 /**
  * An answer with a message as its body.
--- /dev/null
+++ b/packages/operators/src/api/common/keyAnswer.ts
@@ -0,0 +1,35 @@
+/** Operators' keys as the administration API shows them. */
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import { create } from '@bufbuild/protobuf';
+import type { KeyInfoSchema } from '@parsleymux/schema';
+import { CreateKeyResponseSchema } from '@parsleymux/schema';
+import type { IKeyRow } from '../../keys/common/keyRow.js';
+import type { ICreatedKey } from '../../keys/common/keyStore.js';
+import type { IAdminAnswer } from './adminRoute.js';
+import { createAnswer, CREATED_STATUS } from './adminRoute.js';
+
+/**
+ * The answer with a new key: the only one that ever holds a secret.
+ *
+ * @example
+ * return createKeyAnswer(await keys.createFirst('bootstrap', signal));
+ */
+export function createKeyAnswer(created: ICreatedKey): IAdminAnswer {
+  const response = create(CreateKeyResponseSchema, {
+    info: toKeyInfo(created.row),
+    key: created.key,
+  });
+  return createAnswer(CreateKeyResponseSchema, response, CREATED_STATUS);
+}
+
+/**
+ * A key's row without the hash of its secret.
+ *
+ * @example
+ * const response = create(ListKeysResponseSchema, { keys: rows.map(toKeyInfo) });
+ */
+export function toKeyInfo(row: IKeyRow): MessageInitShape<typeof KeyInfoSchema> {
+  const { id, member, note, createdBy } = row;
+  const createdAtMs = BigInt(row.createdAtMs);
+  return { id, member, note, createdBy, createdAtMs, endsAtMs: BigInt(row.endsAtMs) };
+}
--- a/packages/operators/src/api/common/keyHandler.ts
+++ b/packages/operators/src/api/common/keyHandler.ts
@@ -1,10 +1,8 @@
 /** Operators' keys and the audit log. */
 import { MS_PER_SECOND } from '@parsleymux/base';
 import { create } from '@bufbuild/protobuf';
-import type { MessageInitShape } from '@bufbuild/protobuf';
 import {
   CreateKeyRequestSchema,
-  CreateKeyResponseSchema,
   KeyInfoSchema,
   ListAuditResponseSchema,
   ListKeysResponseSchema,
@@ -12,12 +10,11 @@
 } from '@parsleymux/schema';
 import type { AccessControl } from '../../access/common/accessControl.js';
 import type { AuditLog } from '../../audit/common/auditLog.js';
-import type { IKeyRow } from '../../keys/common/keyRow.js';
-import type { ICreatedKey, KeyStore } from '../../keys/common/keyStore.js';
+import type { KeyStore } from '../../keys/common/keyStore.js';
 import type { IAdminAnswer, IAdminRequest, IAdminRoute } from './adminRoute.js';
 import { AdminHandler, createAnswer, getParameter, parseBody } from './adminRoute.js';
+import { createKeyAnswer, toKeyInfo } from './keyAnswer.js';
 
-const CREATED_STATUS = 201;
 const DEFAULT_AUDIT_ENTRIES = 100;
 const MAX_AUDIT_ENTRIES = 1000;
 
@@ -131,17 +128,3 @@
     return member;
   }
 }
-
-function createKeyAnswer(created: ICreatedKey): IAdminAnswer {
-  const response = create(CreateKeyResponseSchema, {
-    info: toKeyInfo(created.row),
-    key: created.key,
-  });
-  return createAnswer(CreateKeyResponseSchema, response, CREATED_STATUS);
-}
-
-function toKeyInfo(row: IKeyRow): MessageInitShape<typeof KeyInfoSchema> {
-  const { id, member, note, createdBy } = row;
-  const createdAtMs = BigInt(row.createdAtMs);
-  return { id, member, note, createdBy, createdAtMs, endsAtMs: BigInt(row.endsAtMs) };
-}
--- a/packages/operators/src/api/common/planHandler.ts
+++ b/packages/operators/src/api/common/planHandler.ts
@@ -10,9 +10,13 @@
 import type { IntentReader } from '../../intents/common/intentReader.js';
 import { applyTargetAction } from '../../targets/common/targetAction.js';
 import type { IAdminAnswer, IAdminRequest, IAdminRoute } from './adminRoute.js';
-import { AdminHandler, createAnswer, getParameter, parseBody } from './adminRoute.js';
-
-const CREATED_STATUS = 201;
+import {
+  AdminHandler,
+  createAnswer,
+  CREATED_STATUS,
+  getParameter,
+  parseBody,
+} from './adminRoute.js';
 
 /** Options of a {@link PlanHandler}. */
 export interface IPlanHandlerOptions {
--- a/packages/operators/src/api/node/adminApi.ts
+++ b/packages/operators/src/api/node/adminApi.ts
@@ -3,8 +3,6 @@
 import type { Clock, InvariantRegistry, Logger } from '@parsleymux/base';
 import { getResultInfo, MS_PER_SECOND, MuxError, ResultCode, RunState } from '@parsleymux/base';
 import type { ConfigService, PlanStore } from '@parsleymux/config';
-import { CreateKeyResponseSchema } from '@parsleymux/schema';
-import { create } from '@bufbuild/protobuf';
 import type { IAccessRequest } from '../../access/common/accessControl.js';
 import { AccessControl } from '../../access/common/accessControl.js';
 import type { IMemberLimits } from '../../access/common/memberLimiter.js';
@@ -16,10 +14,10 @@
 import type { KeyStore } from '../../keys/common/keyStore.js';
 import type { StatusProvider } from '../../status/common/statusProvider.js';
 import type { IAdminAnswer, IAdminRoute } from '../common/adminRoute.js';
-import { createAnswer } from '../common/adminRoute.js';
 import { BurnHandler } from '../common/burnHandler.js';
 import { ClaimHandler } from '../common/claimHandler.js';
 import { formatErrorBody, toShownError } from '../common/errorBody.js';
+import { createKeyAnswer } from '../common/keyAnswer.js';
 import { KeyHandler } from '../common/keyHandler.js';
 import { PlanHandler } from '../common/planHandler.js';
 import { StatusHandler } from '../common/statusHandler.js';
@@ -27,7 +25,6 @@
 
 const BOOTSTRAP_PATH = '/v1/bootstrap';
 const BOOTSTRAP_ACTION = 'key.bootstrap';
-const CREATED_STATUS = 201;
 
 /** Options of an {@link AdminApi}. */
 export interface IAdminApiOptions {
@@ -147,11 +144,7 @@
     const { bootstrapSecret, keys } = this.options;
     const access = makeAccessRequest(request, BOOTSTRAP_ACTION);
     await this.access.checkSecret(access, bootstrapSecret, signal);
-    const created = await keys.createFirst(BOOTSTRAP_ACTION, signal);
-    const { id, member, note, createdBy } = created.row;
-    const info = { id, member, note, createdBy, createdAtMs: BigInt(created.row.createdAtMs) };
-    const message = create(CreateKeyResponseSchema, { info, key: created.key });
-    return createAnswer(CreateKeyResponseSchema, message, CREATED_STATUS);
+    return createKeyAnswer(await keys.createFirst(BOOTSTRAP_ACTION, signal));
   }
 
   private writeRefusal(response: ServerResponse, error: unknown): void {
--- a/packages/operators/src/keys/common/keyStore.ts
+++ b/packages/operators/src/keys/common/keyStore.ts
@@ -156,6 +156,7 @@
     });
   }
 
+  /** Ends the key `delayMs` from now, or leaves it as it is when it has ended. Throws NotFound. */
   private async endKey(
     request: IKeyRequest,
     action: string,
@@ -170,19 +171,12 @@
       const row = decodeKeyRow(stored);
       // A revoked key stays revoked: rotating it must not give it time again.
       if (!isKeyInForce(row, nowMs)) return row;
-      const endsAtMs = Math.min(nowMs + delayMs, row.endsAtMs === 0 ? Infinity : row.endsAtMs);
-      const next: IKeyRow = { ...row, endsAtMs };
+      const next = withEnd(row, nowMs + delayMs);
+      const audit = this.makeAuditWrite(request, action, request.id);
+      const writes = [{ key: rowKey, value: JSON.stringify(next) }, audit];
+      const conditions = [{ key: rowKey, version: stored.version }];
       attempt.markSent();
-      const result = await this.options.table.transact(
-        {
-          conditions: [{ key: rowKey, version: stored.version }],
-          writes: [
-            { key: rowKey, value: JSON.stringify(next) },
-            this.makeAuditWrite(request, action, request.id),
-          ],
-        },
-        signal,
-      );
+      const result = await this.options.table.transact({ conditions, writes }, signal);
       return result.committed ? next : undefined;
     });
     this.cache.clear(rowKey);
@@ -230,6 +224,12 @@
   return JSON.parse(row.value) as IKeyRow;
 }
 
+/** The row with the earlier of both ends: rotating a key twice must not give it time again. */
+function withEnd(row: IKeyRow, wantedMs: number): IKeyRow {
+  const endsAtMs = row.endsAtMs === 0 ? wantedMs : Math.min(wantedMs, row.endsAtMs);
+  return { ...row, endsAtMs };
+}
+
 function createKeyNotFoundError(id: string): MuxError {
   const message = `there is no key "${id}"`;
   return new MuxError({ code: ResultCode.NotFound, message, runState: RunState.NotRun });
