Let the faulty link stop listening without a promise that means nothing

stopListening returned a resolved promise beside a comment that says it waits for nothing; callers awaited it as if it did. Now it is plain, and so is dispose.

--- a/packages/lab/src/bench/in-force/node/bench.ts
+++ b/packages/lab/src/bench/in-force/node/bench.ts
@@ -132,7 +132,7 @@
 
   async dispose(): Promise<void> {
     await this.lab.dispose();
-    for (const link of this.links) await link.dispose();
+    for (const link of this.links) link.dispose();
   }
 }
 
--- a/packages/standins/src/link/node/faultyLink.test.ts
+++ b/packages/standins/src/link/node/faultyLink.test.ts
@@ -40,7 +40,7 @@
     await use({ link, received, accepted, open });
   } finally {
     for (const socket of [...opened, ...accepted]) socket.destroy();
-    await link.dispose();
+    link.dispose();
     server.close();
   }
 }
--- a/packages/standins/src/link/node/faultyLink.ts
+++ b/packages/standins/src/link/node/faultyLink.ts
@@ -51,7 +51,7 @@
  * const link = new FaultyLink({ to: '127.0.0.1:9000' });
  * await link.start();
  * link.setFaults({ cutBackward: true });
- * await link.dispose();
+ * link.dispose();
  */
 export class FaultyLink implements IDisposable {
   private readonly options: IFaultyLinkOptions;
@@ -94,7 +94,7 @@
   /** Changes the faults in part. */
   async setFaults(patch: Partial<ILinkFaults>): Promise<void> {
     this.faults = mergeFaults(this.faults, patch);
-    if (this.faults.refuse) await this.stopListening();
+    if (this.faults.refuse) this.stopListening();
     else if (!this.server.listening) await this.listen();
   }
 
@@ -111,13 +111,12 @@
     }
   }
 
-  async dispose(): Promise<void> {
-    const stopped = this.stopListening();
+  dispose(): void {
+    this.stopListening();
     for (const { near, far } of this.pairs) {
       near.destroy();
       far.destroy();
     }
-    await stopped;
   }
 
   /** On the former port when there was one, since the other party knows no other. */
@@ -133,9 +132,8 @@
   }
 
   /** Connections that are open go on; a server that waited for their end would wait for ever. */
-  private stopListening(): Promise<void> {
+  private stopListening(): void {
     if (this.server.listening) this.server.close();
-    return Promise.resolve();
   }
 
   private acceptConnection(near: Socket): void {
