--- a/packages/standins/src/target/common/targetConfig.ts
+++ b/packages/standins/src/target/common/targetConfig.ts
@@ -58,7 +58,7 @@
   /** Share of answers that are those of the request before. */
   readonly foreignShare: number;
   /** `GET /health` answers 200 ("green"), 503 ("red"), or as "auto": red only while draining. */
-  readonly health: string;
+  readonly health: 'green' | 'red' | 'auto';
   /** What `GET /load` claims as running requests; -1 for the truth. */
   readonly claimedLoad: number;
 }
--- a/packages/standins/src/target/node/targetStandIn.ts
+++ b/packages/standins/src/target/node/targetStandIn.ts
@@ -24,16 +24,14 @@
 import { DEFAULT_TARGET_CONFIG, NO_TARGET_FAULTS } from '../common/targetConfig.js';
 import { Exchange } from './exchange.js';
 import { handleTargetControl } from './targetControl.js';
+import { TargetProbes } from './targetProbes.js';
 import type { MutableTargetCounters } from './targetReplies.js';
 import { TargetReplies } from './targetReplies.js';
 
 const OK = 200;
-const NOT_FOUND = 404;
-const CONFLICT = 409;
 const FAILED = 500;
 const UNAVAILABLE = 503;
 const TIMED_OUT = 504;
-const LOOK_UP_PREFIX = '/lookup/';
 const NOT_RUN = { 'parsleymux-run-state': RunState.NotRun };
 
 /** Options of a {@link TargetStandIn}. */
@@ -67,6 +65,7 @@
   private readonly queue: SlotQueue;
   private readonly silentSockets = new WeakSet<Socket>();
   private readonly replies: TargetReplies;
+  private readonly probes: TargetProbes;
   private readonly counters: MutableTargetCounters = {
     executed: 0,
     finished: 0,
@@ -99,6 +98,7 @@
       silentSockets: this.silentSockets,
       getFaults: () => this.faults,
     });
+    this.probes = this.createProbes();
     this.service = new LoopbackServer({
       host,
       port,
@@ -175,6 +175,17 @@
     await this.control.dispose();
   }
 
+  private createProbes(): TargetProbes {
+    return new TargetProbes({
+      replies: this.replies,
+      counters: this.counters,
+      executions: this.executions,
+      slots: this.config.slots,
+      getFaults: () => this.faults,
+      getRunning: () => this.queue.getRunning(),
+    });
+  }
+
   private acceptConnection(openConnections: number): boolean {
     const isAccepted = openConnections < this.config.maxConnections;
     if (isAccepted) this.counters.connectionsOpened += 1;
@@ -190,40 +201,12 @@
     const exchange = new Exchange(request, response);
     try {
       exchange.setBody(await readBody(request));
-      if (exchange.path === '/health') this.sendHealth(exchange);
-      else if (exchange.path === '/load') this.sendLoad(exchange);
-      else if (exchange.path.startsWith(LOOK_UP_PREFIX)) this.sendLookUp(exchange);
-      else await this.serve(exchange);
+      if (!this.probes.handle(exchange)) await this.serve(exchange);
     } finally {
       exchange.dispose();
     }
   }
 
-  private sendHealth(exchange: Exchange): void {
-    this.counters.probes += 1;
-    const { health, draining } = this.faults;
-    const isRed = health === 'red' || (health === 'auto' && draining);
-    this.replies.sendStatus(exchange, isRed ? UNAVAILABLE : OK, { healthy: !isRed });
-  }
-
-  private sendLoad(exchange: Exchange): void {
-    this.counters.probes += 1;
-    const { claimedLoad } = this.faults;
-    const running = claimedLoad < 0 ? this.queue.getRunning() : claimedLoad;
-    this.replies.sendStatus(exchange, OK, { running, slots: this.config.slots });
-  }
-
-  private sendLookUp(exchange: Exchange): void {
-    const key = decodeURIComponent(exchange.path.slice(LOOK_UP_PREFIX.length));
-    const found = this.executions.find(key);
-    if (found.answer !== undefined) {
-      this.replies.sendAnswer(exchange, OK, found.answer.body);
-      return;
-    }
-    const isOpen = found.count > 0 || found.waiting > 0;
-    this.replies.sendStatus(exchange, isOpen ? CONFLICT : NOT_FOUND, { executions: found.count });
-  }
-
   /** Real work: wait for a slot, execute, answer. */
   private async serve(exchange: Exchange): Promise<void> {
     if (this.faults.draining) {
