Take the reading of the fleet's keys out of MuxNode, and shorten its start

start had 34 lines and built the core in the middle of opening ports; the file also parsed the key file. createCore and fleetKeys.ts take these over; the order of steps is as before.

--- a/packages/node/src/app/node/muxNode.ts
+++ b/packages/node/src/app/node/muxNode.ts
@@ -1,5 +1,4 @@
 /** One node: opens its ports, joins its parts, and leaves without cutting a request. */
-import { readFile } from 'node:fs/promises';
 import type { Clock, IDisposable, Logger } from '@parsleymux/base';
 import {
   DisposableStore,
@@ -26,6 +25,7 @@
 import type { IPortTls } from '../../tls/node/portTls.js';
 import { openPortTls } from '../../tls/node/portTls.js';
 import { runBurnLoops } from './burnLoops.js';
+import { loadFleetKeys } from './fleetKeys.js';
 import type { INodeCore } from './nodeCore.js';
 import { createNodeCore } from './nodeCore.js';
 
@@ -85,24 +85,9 @@
     const tls = await openPortTls(settings.security, this.store, log);
     const peerServer = this.store.add(new PeerServer({ maxHeaderBytes, tls: tls.peer }));
     const peer = await peerServer.listen(settings.peerAddress);
-    const keys = await loadFleetKeys(settings);
-    const authenticator = new PeerAuthenticator({
-      keys,
-      clock,
-      selfAddress: peer,
-    });
-    const core = createNodeCore({
-      ...this.options,
-      limits: this.limits,
-      timing: this.timing,
-      self: { address: peer, failureDomain: settings.failureDomain },
-      authenticator,
-      invariants: this.invariants,
-      state: this.state,
-      metrics,
-      tls,
-    });
-    this.store.add(core.store);
+    const keys = await loadFleetKeys(settings.security?.fleetKeyFile ?? '');
+    const authenticator = new PeerAuthenticator({ keys, clock, selfAddress: peer });
+    const core = this.createCore(peer, authenticator, metrics, tls);
     this.core = core;
     this.openControl(peerServer, authenticator, core, peer);
     const status = await this.openStatus(core, metrics);
@@ -150,6 +135,27 @@
     return cut;
   }
 
+  private createCore(
+    peer: string,
+    authenticator: PeerAuthenticator,
+    metrics: NodeMetrics,
+    tls: IPortTls,
+  ): INodeCore {
+    const core = createNodeCore({
+      ...this.options,
+      limits: this.limits,
+      timing: this.timing,
+      self: { address: peer, failureDomain: this.options.settings.failureDomain },
+      authenticator,
+      invariants: this.invariants,
+      state: this.state,
+      metrics,
+      tls,
+    });
+    this.store.add(core.store);
+    return core;
+  }
+
   private openControl(
     server: PeerServer,
     authenticator: PeerAuthenticator,
@@ -263,13 +269,6 @@
   }
 }
 
-async function loadFleetKeys(settings: NodeSettings): Promise<readonly Uint8Array[]> {
-  const file = settings.security?.fleetKeyFile ?? '';
-  if (file === '') return [];
-  const lines = (await readFile(file, 'utf8')).split('\n');
-  return lines.filter((line) => line.trim() !== '').map((line) => Buffer.from(line.trim()));
-}
-
 function waitForAbort(signal: AbortSignal): Promise<void> {
   if (signal.aborted) return Promise.resolve();
   return new Promise((resolve) => {
