Give public functions of node, fleet, stand-ins and lab their examples, and exports a comment

A scan over exported functions and classes found 48 without an example and a dozen constants without a comment. ConnectConfigPeer is used in its own file only and is no longer exported. Two comments were unclear or wrong: 'wrong agreement is harmless' meant that nodes may disagree for a while, and shards.ts pointed at no particular page for the size from which a service has to be split.

--- a/packages/fleet/src/membership/common/peerExperience.ts
+++ b/packages/fleet/src/membership/common/peerExperience.ts
@@ -29,6 +29,12 @@
  * with it each time, seen as a steady trickle of retries. Suspicions therefore double while they
  * follow one another, and the level falls to zero only after the peer stayed in contact for as
  * long as its last suspicion lasted.
+ *
+ * @example
+ * const experience = new PeerExperience({ failuresToSuspect: 2 });
+ * experience.recordFailure(0); // false
+ * experience.recordFailure(10); // true
+ * experience.isUsable(500); // false
  */
 export class PeerExperience {
   private readonly options: Required<ISuspicionOptions>;
--- a/packages/fleet/src/peers/node/peerClients.ts
+++ b/packages/fleet/src/peers/node/peerClients.ts
@@ -27,6 +27,7 @@
   Code.DataLoss,
 ]);
 
+/** Typed calls of one peer's control service. */
 export type ControlClient = Client<typeof ControlService>;
 
 /** What a call is given besides the client; pass it on to the client's method. */
--- a/packages/fleet/src/placement/common/placement.ts
+++ b/packages/fleet/src/placement/common/placement.ts
@@ -1,4 +1,7 @@
-/** Which nodes are home to a shard. Every node computes it alone; wrong agreement is harmless. */
+/**
+ * Which nodes are home to a shard. Every node computes it alone; two nodes that disagree for a
+ * while cost speed, never correctness.
+ */
 import type { INode } from '../../membership/common/membershipService.js';
 
 /** What a placement decides on. */
--- a/packages/lab/src/bench/common/bench.ts
+++ b/packages/lab/src/bench/common/bench.ts
@@ -52,7 +52,12 @@
   return given.split(',').map(Number);
 }
 
-/** Rounds to `digits` significant digits, so that reports don't show noise. */
+/**
+ * Rounds to `digits` significant digits, so that reports don't show noise.
+ *
+ * @example
+ * formatNumber(0.123456); // 0.123
+ */
 export function formatNumber(value: number, digits = 3): number {
   return Number(value.toPrecision(digits));
 }
--- a/packages/lab/src/bench/control/common/fleetShape.ts
+++ b/packages/lab/src/bench/control/common/fleetShape.ts
@@ -14,12 +14,22 @@
   readonly routes: number;
 }
 
-/** Name of member number `index`. */
+/**
+ * Name of member number `index`.
+ *
+ * @example
+ * formatMember(3); // 'member-3'
+ */
 export function formatMember(index: number): string {
   return `member-${index}`;
 }
 
-/** Name of failure domain number `index`. */
+/**
+ * Name of failure domain number `index`.
+ *
+ * @example
+ * formatDomain(4); // 'domain-1'
+ */
 export function formatDomain(index: number): string {
   return `domain-${index % DOMAINS}`;
 }
--- a/packages/lab/src/bench/placement/common/placementCase.ts
+++ b/packages/lab/src/bench/placement/common/placementCase.ts
@@ -24,12 +24,22 @@
   readonly firstNode: number;
 }
 
-/** Nodes are spread evenly over the domains. */
+/**
+ * Nodes are spread evenly over the domains.
+ *
+ * @example
+ * placement.setNodes(makeNodes(size));
+ */
 export function makeNodes(size: IPlacementSize): readonly INode[] {
   return Array.from({ length: size.nodes }, (_, index) => makeNode(size, index));
 }
 
-/** Node number `index`, counted from the first. */
+/**
+ * Node number `index`, counted from the first.
+ *
+ * @example
+ * const joining = makeNode(size, size.nodes);
+ */
 export function makeNode(size: IPlacementSize, index: number): INode {
   const number = size.firstNode + index;
   return {
@@ -38,7 +48,12 @@
   };
 }
 
-/** Shards of all services. Sizes are log-normal; each service lies in three domains. */
+/**
+ * Shards of all services. Sizes are log-normal; each service lies in three domains.
+ *
+ * @example
+ * const shards = makeShards(size, new SeededRandom(1));
+ */
 export function makeShards(size: IPlacementSize, random: RandomSource): readonly ISizedShard[] {
   const weights = Array.from({ length: size.services }, () => sampleLogNormal(random));
   const total = weights.reduce((sum, weight) => sum + weight, 0);
--- a/packages/lab/src/demo/node/checkList.ts
+++ b/packages/lab/src/demo/node/checkList.ts
@@ -1,6 +1,12 @@
 /** Named checks, printed as they are decided. */
 
-/** Collects what passed and what did not. */
+/**
+ * Collects what passed and what did not.
+ *
+ * @example
+ * const checks = new CheckList();
+ * checks.check('every node is ready', ready === 5, `${ready} of 5`);
+ */
 export class CheckList {
   private failures = 0;
 
--- a/packages/lab/src/demo/node/onceScript.ts
+++ b/packages/lab/src/demo/node/onceScript.ts
@@ -18,7 +18,12 @@
 /** Of a fair share: trials of an ejected target go on. */
 const MOST_GRAY_SHARE = 0.5;
 
-/** Runs the script; returns the number of checks that failed. */
+/**
+ * Runs the script; returns the number of checks that failed.
+ *
+ * @example
+ * process.exitCode = (await runOnce(world, load)) === 0 ? 0 : 1;
+ */
 export async function runOnce(world: LabWorld, load: LoadGenerator): Promise<number> {
   await sleep(GRAY_AFTER_MS);
   const gray = await makeSurveyTargetGray(world);
--- a/packages/lab/src/load/common/requestRecord.ts
+++ b/packages/lab/src/load/common/requestRecord.ts
@@ -47,7 +47,12 @@
   readonly attempts: readonly IAttemptRecord[];
 }
 
-/** How the request ended in the end: answered, if any attempt was. */
+/**
+ * How the request ended in the end: answered, if any attempt was.
+ *
+ * @example
+ * const outcome = getFinalAttempt(record.attempts)?.outcome;
+ */
 export function getFinalAttempt(attempts: readonly IAttemptRecord[]): IAttemptRecord | undefined {
   return attempts.find(({ outcome }) => outcome === AttemptOutcome.Answered) ?? attempts.at(-1);
 }
--- a/packages/lab/src/processes/common/worldLayout.ts
+++ b/packages/lab/src/processes/common/worldLayout.ts
@@ -5,6 +5,7 @@
 import { create, toJson } from '@bufbuild/protobuf';
 import type { IWorkload } from '../../load/common/workload.js';
 
+/** The failure domains of every world. */
 export const FAILURE_DOMAINS = ['north', 'middle', 'south'] as const;
 
 /** One service and the load on it. */
@@ -91,14 +92,25 @@
   },
 ];
 
+/** The members of every world. */
 export const MEMBERS: readonly string[] = [RELINIERI.member, DONAUTAL.member];
 
-/** Host name of a service's route. */
+/**
+ * Host name of a service's route.
+ *
+ * @example
+ * formatHost(service); // 'booking.relinieri.example'
+ */
 export function formatHost(service: IServiceLayout): string {
   return `${service.name}.${service.member}.example`;
 }
 
-/** What callers ask of every service, at `factor` times the layout's rate. */
+/**
+ * What callers ask of every service, at `factor` times the layout's rate.
+ *
+ * @example
+ * const load = new LoadGenerator({ workloads: makeWorkloads(2), balancer, seed });
+ */
 export function makeWorkloads(factor = 1): readonly IWorkload[] {
   return SERVICES.map((service) => ({
     member: service.member,
@@ -126,7 +138,13 @@
   readonly states?: ReadonlyMap<string, TargetState>;
 }
 
-/** A member's intent over the targets that are there. */
+/**
+ * A member's intent over the targets that are there.
+ *
+ * @example
+ * const drained = new Map([[address, TargetState.DRAINING]]);
+ * const intent = makeIntent('relinieri', places, { states: drained });
+ */
 export function makeIntent(
   member: string,
   places: readonly ITargetPlace[],
@@ -164,7 +182,12 @@
   });
 }
 
-/** An intent as the JSON that operators write. */
+/**
+ * An intent as the JSON that operators write.
+ *
+ * @example
+ * await writeFile(file, JSON.stringify(toIntentJson(intent)));
+ */
 export function toIntentJson(intent: Intent): JsonValue {
   return toJson(IntentSchema, intent);
 }
--- a/packages/lab/src/processes/node/interrupt.ts
+++ b/packages/lab/src/processes/node/interrupt.ts
@@ -8,6 +8,9 @@
  * Disposes of `owner` on the first SIGINT or SIGTERM, and exits; a second one exits at once.
  * Returns a function that tells whether that has begun: work that fails because its world is
  * being taken down must then leave the exit to us, or children would be killed half-way.
+ *
+ * @example
+ * const isInterrupted = disposeOnInterrupt(world);
  */
 export function disposeOnInterrupt(owner: IDisposable): () => boolean {
   let isStopping = false;
--- a/packages/lab/src/processes/node/jsonRequest.ts
+++ b/packages/lab/src/processes/node/jsonRequest.ts
@@ -5,7 +5,12 @@
 const FIRST_ERROR_STATUS = 400;
 const TIMEOUT_MS = 5000;
 
-/** Sends a request to `address` and returns the JSON answer; rejects on an error status. */
+/**
+ * Sends a request to `address` and returns the JSON answer; rejects on an error status.
+ *
+ * @example
+ * await requestJson(control, 'POST', '/control/faults', { failShare: 0.3 });
+ */
 export async function requestJson(
   address: string,
   method: 'GET' | 'POST' | 'PUT' | 'DELETE',
@@ -24,7 +29,12 @@
   return JSON.parse(text) as unknown;
 }
 
-/** The text of a GET, or undefined when it fails in any way or takes longer than `timeoutMs`. */
+/**
+ * The text of a GET, or undefined when it fails in any way or takes longer than `timeoutMs`.
+ *
+ * @example
+ * const page = await tryFetchText(status, '/metrics');
+ */
 export async function tryFetchText(
   address: string,
   path: string,
--- a/packages/lab/src/processes/node/nodeMetrics.ts
+++ b/packages/lab/src/processes/node/nodeMetrics.ts
@@ -11,7 +11,12 @@
   readonly count: number;
 }
 
-/** Counters of one metrics page. */
+/**
+ * Counters of one metrics page.
+ *
+ * @example
+ * const violations = parseInvariantCounts(page, 'violations');
+ */
 export function parseInvariantCounts(
   page: string,
   kind: 'checks' | 'violations',
@@ -24,7 +29,12 @@
   });
 }
 
-/** Sum of a counter over all its labels; 0 when the page has none of that name. */
+/**
+ * Sum of a counter over all its labels; 0 when the page has none of that name.
+ *
+ * @example
+ * const refused = parseCounter(page, 'parsleymux_config_dropped_total');
+ */
 export function parseCounter(page: string, name: string): number {
   const lines = page.split('\n').filter((line) => {
     return line.startsWith(`${name} `) || line.startsWith(`${name}{`);
@@ -32,14 +42,24 @@
   return lines.reduce((sum, line) => sum + Number(line.slice(line.lastIndexOf(' ') + 1)), 0);
 }
 
-/** Counts by name, added up. */
+/**
+ * Counts by name, added up.
+ *
+ * @example
+ * const totals = mergeCounts([countsOfOneNode, countsOfAnother]);
+ */
 export function mergeCounts(lists: readonly (readonly IInvariantCount[])[]): IInvariantCount[] {
   const totals = new Map<string, number>();
   for (const { name, count } of lists.flat()) totals.set(name, (totals.get(name) ?? 0) + count);
   return [...totals].map(([name, count]) => ({ name, count }));
 }
 
-/** Violations over the nodes that answer. */
+/**
+ * Violations over the nodes that answer.
+ *
+ * @example
+ * const violations = await readViolations(world.getNodes());
+ */
 export async function readViolations(
   nodes: readonly NodeProcess[],
 ): Promise<readonly IInvariantCount[]> {
--- a/packages/lab/src/processes/node/nodeProcess.ts
+++ b/packages/lab/src/processes/node/nodeProcess.ts
@@ -67,7 +67,13 @@
   }
 }
 
-/** Starts a node on ports that the operating system chooses. It is not yet ready. */
+/**
+ * Starts a node on ports that the operating system chooses. It is not yet ready.
+ *
+ * @example
+ * const node = await startNode(fleet, options);
+ * await node.waitUntilReady();
+ */
 export async function startNode(
   fleet: ProcessFleet,
   options: INodeProcessOptions,
--- a/packages/lab/src/processes/node/platformProcess.ts
+++ b/packages/lab/src/processes/node/platformProcess.ts
@@ -45,7 +45,12 @@
   }
 }
 
-/** Starts the platform stand-in with faults in force from the start. */
+/**
+ * Starts the platform stand-in with faults in force from the start.
+ *
+ * @example
+ * const platform = await startPlatform(fleet, { vmLagMs: 1000 });
+ */
 export async function startPlatform(
   fleet: ProcessFleet,
   faults: Partial<IPlatformFaults>,
--- a/packages/lab/src/processes/node/programs.ts
+++ b/packages/lab/src/processes/node/programs.ts
@@ -7,6 +7,7 @@
   return fileURLToPath(new URL(relative, PACKAGES));
 }
 
+/** Paths of the programs, each run by Node. */
 export const Program = {
   Platform: toPath('standins/dist/platform/node/main.js'),
   Target: toPath('standins/dist/target/node/main.js'),
--- a/packages/lab/src/processes/node/targetGroup.ts
+++ b/packages/lab/src/processes/node/targetGroup.ts
@@ -40,7 +40,12 @@
   }
 }
 
-/** Starts the targets of a service, the same number in each failure domain. */
+/**
+ * Starts the targets of a service, the same number in each failure domain.
+ *
+ * @example
+ * const group = await startTargetGroup(fleet, service, 1);
+ */
 export async function startTargetGroup(
   fleet: ProcessFleet,
   service: IServiceLayout,
--- a/packages/node/src/admin/node/claimAdminSettler.ts
+++ b/packages/node/src/admin/node/claimAdminSettler.ts
@@ -4,7 +4,12 @@
 import { ClaimSettler } from '@parsleymux/operators';
 import type { ClaimInfo } from '@parsleymux/schema';
 
-/** Joins the layers: claims know nothing of operators. */
+/**
+ * Joins the layers: claims know nothing of operators.
+ *
+ * @example
+ * const claims = new ClaimAdminSettler(core.claims.admin);
+ */
 export class ClaimAdminSettler extends ClaimSettler {
   constructor(private readonly admin: ClaimAdmin) {
     super();
--- a/packages/node/src/app/common/connectionShare.ts
+++ b/packages/node/src/app/common/connectionShare.ts
@@ -22,7 +22,12 @@
   return Math.max(1, Math.min(target.maxConnections, Math.max(share, target.slots)));
 }
 
-/** The share of a target by its address, as the configuration in force has it. */
+/**
+ * The share of a target by its address, as the configuration in force has it.
+ *
+ * @example
+ * const limit = findConnectionShare(config.getCurrent(), 'dobrescu', '10.0.0.7:9000');
+ */
 export function findConnectionShare(config: IFleetConfig, member: string, address: string): number {
   const services = config.members.get(member)?.intent?.services ?? [];
   for (const service of services) {
--- a/packages/node/src/app/common/nodeState.ts
+++ b/packages/node/src/app/common/nodeState.ts
@@ -1,4 +1,4 @@
-/** Whether this node takes work, and how much it has in hand. */
+/** Whether this node takes work, and how many requests it has in flight. */
 import { Emitter } from '@parsleymux/base';
 
 /** Stages in the life of a node, in their order. */
--- a/packages/node/src/app/node/claimParts.ts
+++ b/packages/node/src/app/node/claimParts.ts
@@ -42,7 +42,12 @@
   readonly sweeper: ClaimSweeper;
 }
 
-/** Joins them; all share one committer, so that concurrent claims make one transaction. */
+/**
+ * Joins them; all share one committer, so that concurrent claims make one transaction.
+ *
+ * @example
+ * const { guard, admin, sweeper } = createClaimParts(options);
+ */
 export function createClaimParts(options: IClaimPartsOptions): IClaimParts {
   const { platform, membership, clock, random, timing, nodeAddress, store } = options;
   const { table } = platform;
--- a/packages/node/src/entry/common/callerRequest.ts
+++ b/packages/node/src/entry/common/callerRequest.ts
@@ -24,7 +24,12 @@
   return header.replace(/:\d*$/, '').replace(/\.$/, '').toLowerCase();
 }
 
-/** The route of a request; throws the numbered refusal when there is none. */
+/**
+ * The route of a request; throws the numbered refusal when there is none.
+ *
+ * @example
+ * const { member, route } = findRoute(table, 'booking.example', '/jobs?day=3', 'POST');
+ */
 export function findRoute(
   table: RouteTable,
   host: string,
@@ -61,7 +66,12 @@
   throw refuse(ResultCode.MalformedDeadline, 'the timeout is not a whole number of ms above 0');
 }
 
-/** The idempotency key; throws when the route needs one and there is no well-formed one. */
+/**
+ * The idempotency key; throws when the route needs one and there is no well-formed one.
+ *
+ * @example
+ * const key = parseKey(request.headers[route.keyHeader], route);
+ */
 export function parseKey(
   header: string | readonly string[] | undefined,
   route: Route,
--- a/packages/node/src/entry/common/shards.ts
+++ b/packages/node/src/entry/common/shards.ts
@@ -4,7 +4,7 @@
 
 /**
  * The one shard of a service. Pooling all slots of a service at one home keeps its queue short;
- * docs/decisions say from which size on a service has to be split.
+ * docs/CAPACITY.md says from which size on a service has to be split.
  *
  * @example
  * placement.rank(describeShard('relinieri', service), 3);
--- a/packages/node/src/entry/node/entryShares.ts
+++ b/packages/node/src/entry/node/entryShares.ts
@@ -1,4 +1,4 @@
-/** What each member may have in hand at one entry: requests, and bytes of their bodies. */
+/** What each member may have in progress at one entry: requests, and bytes of their bodies. */
 import type { IncomingMessage } from 'node:http';
 import { MuxError, ResultCode, RunState } from '@parsleymux/base';
 import { FairShares } from '@parsleymux/routing';
@@ -23,7 +23,7 @@
     this.maxBodyBytes = limits.requestBodyBytes;
   }
 
-  /** Throws MemberLimit when the member's part is used up. The result gives the part back. */
+  /** Throws MemberLimit when the member's share is used up. Calling the result gives it back. */
   reserve(member: string, request: IncomingMessage): () => void {
     const releaseRequest = this.requests.reserve(member, 1);
     if (releaseRequest === undefined) throw makeMemberLimit('requests');
--- a/packages/node/src/entry/node/refusalWriter.ts
+++ b/packages/node/src/entry/node/refusalWriter.ts
@@ -11,7 +11,12 @@
 /** Time that a caller has to read the refusal of what was no request, in ms. */
 const LINGER_MS = 1000;
 
-/** Answers a request with a refusal; an answer that has begun is cut instead. */
+/**
+ * Answers a request with a refusal; an answer that has begun is cut instead.
+ *
+ * @example
+ * await writeRefusal(request, response, toMuxError(error), [['connection', 'close']]);
+ */
 export async function writeRefusal(
   request: IncomingMessage,
   response: ServerResponse,
@@ -30,7 +35,12 @@
   await writeAnswer(response, { status, headers, body, isHead: request.method === 'HEAD' });
 }
 
-/** Writes a refusal to a connection on which no request could be read, and ends it. */
+/**
+ * Writes a refusal to a connection on which no request could be read, and ends it.
+ *
+ * @example
+ * server.on('clientError', (error, socket) => writeRawRefusal(socket, refusal));
+ */
 export function writeRawRefusal(socket: Duplex, refusal: MuxError): void {
   if (!socket.writable) {
     socket.destroy();
--- a/packages/node/src/hop/common/hopError.ts
+++ b/packages/node/src/hop/common/hopError.ts
@@ -1,6 +1,7 @@
 /** Why a home gave no answer over the hop. */
 import VError from 'verror';
 
+/** What is known of a request that got no answer from the home. */
 export const HopFailure = {
   /** No connection: the request was not delivered. */
   NotDelivered: 'not-delivered',
--- a/packages/node/src/hop/common/hopProtocol.ts
+++ b/packages/node/src/hop/common/hopProtocol.ts
@@ -10,6 +10,7 @@
 /** Interval between signs of life from a home, in ms. */
 export const HEARTBEAT_MS = 500;
 
+/** Header names of the hop. */
 export const HopHeader = {
   Member: 'parsleymux-hop-member',
   Route: 'parsleymux-hop-route',
@@ -35,6 +36,7 @@
   Streamed: 'parsleymux-hop-streamed',
 } as const;
 
+/** Whether the home answers with the target's answer or refuses. */
 export const HopKind = { Answer: 'answer', Refusal: 'refusal' } as const;
 
 export type HopKind = (typeof HopKind)[keyof typeof HopKind];
--- a/packages/node/src/http/common/headers.ts
+++ b/packages/node/src/http/common/headers.ts
@@ -33,7 +33,12 @@
   return passed.filter(([name]) => name !== CONTENT_LENGTH);
 }
 
-/** Flattens headers to the list that `writeHead` and undici take. */
+/**
+ * Flattens headers to the list that `writeHead` and undici take.
+ *
+ * @example
+ * toRawHeaders([['host', 'booking.example']]); // ['host', 'booking.example']
+ */
 export function toRawHeaders(headers: readonly Header[]): string[] {
   return headers.flatMap(([name, value]) => [name, value]);
 }
--- a/packages/node/src/http/node/listener.ts
+++ b/packages/node/src/http/node/listener.ts
@@ -21,7 +21,12 @@
   return { host, port: Number(address.slice(split + 1)) };
 }
 
-/** Listens and resolves with the address in use, its port chosen by the system when it was 0. */
+/**
+ * Listens and resolves with the address in use, its port chosen by the system when it was 0.
+ *
+ * @example
+ * const address = await listenOn(server, '127.0.0.1:0'); // '127.0.0.1:40123'
+ */
 export function listenOn(server: Server, address: string): Promise<string> {
   const { host, port } = parseEndpoint(address);
   return new Promise((resolve, reject) => {
@@ -44,7 +49,12 @@
   });
 }
 
-/** Stops listening and resolves when every connection has ended. */
+/**
+ * Stops listening and resolves when every connection has ended.
+ *
+ * @example
+ * await closeServer(server);
+ */
 export function closeServer(server: Server): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => {
--- a/packages/node/src/peer/node/connectClaimPeer.ts
+++ b/packages/node/src/peer/node/connectClaimPeer.ts
@@ -6,7 +6,12 @@
 /** Time for the exchange itself, beside the time that the claimer waits, in ms. */
 const EXCHANGE_MS = 500;
 
-/** Asks claimers by their peer address. */
+/**
+ * Asks claimers by their peer address.
+ *
+ * @example
+ * const { state } = await new ConnectClaimPeer(clients).lookUp('10.0.0.1:7002', question, signal);
+ */
 export class ConnectClaimPeer extends ClaimPeer {
   constructor(private readonly clients: PeerClients) {
     super();
--- a/packages/node/src/peer/node/connectConfigPeer.ts
+++ b/packages/node/src/peer/node/connectConfigPeer.ts
@@ -6,7 +6,7 @@
 import { NeighbourSet } from '@parsleymux/fleet';
 
 /** One peer by its address. */
-export class ConnectConfigPeer extends ConfigPeer {
+class ConnectConfigPeer extends ConfigPeer {
   constructor(
     private readonly clients: PeerClients,
     private readonly self: string,
@@ -45,7 +45,13 @@
   readonly self: string;
 }
 
-/** Picks peers at random among this node's neighbours. */
+/**
+ * Picks peers at random among this node's neighbours.
+ *
+ * @example
+ * const peers = new LivePeerSource({ clients, membership, random, self });
+ * await Promise.all(peers.pick(3).map((peer) => peer.announce(revision, signal)));
+ */
 export class LivePeerSource extends ConfigPeerSource {
   private readonly options: ILivePeerSourceOptions;
   private readonly neighbours: NeighbourSet;
--- a/packages/standins/src/link/node/faultyLink.ts
+++ b/packages/standins/src/link/node/faultyLink.ts
@@ -22,6 +22,7 @@
   readonly refuse: boolean;
 }
 
+/** A link that carries everything at once. */
 export const NO_LINK_FAULTS: ILinkFaults = {
   cutForward: false,
   cutBackward: false,
--- a/packages/standins/src/platform/common/platformFaults.ts
+++ b/packages/standins/src/platform/common/platformFaults.ts
@@ -38,6 +38,7 @@
   readonly vmLagMs: number;
 }
 
+/** A platform in good health; its VM list lags by a second. */
 export const NO_PLATFORM_FAULTS: IPlatformFaults = {
   outage: PlatformOutage.None,
   delayMs: 0,
--- a/packages/standins/src/platform/node/platformControl.ts
+++ b/packages/standins/src/platform/node/platformControl.ts
@@ -16,7 +16,12 @@
 const BAD_REQUEST = 400;
 const NOT_FOUND = 404;
 
-/** Serves one control request. */
+/**
+ * Serves one control request.
+ *
+ * @example
+ * await handlePlatformControl(platform, request, response);
+ */
 export async function handlePlatformControl(
   platform: PlatformStandIn,
   request: IncomingMessage,
--- a/packages/standins/src/server/node/httpBody.ts
+++ b/packages/standins/src/server/node/httpBody.ts
@@ -4,7 +4,12 @@
 
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
 
-/** Reads a whole body; rejects when the connection breaks first or 64 MiB are exceeded. */
+/**
+ * Reads a whole body; rejects when the connection breaks first or 64 MiB are exceeded.
+ *
+ * @example
+ * const bytes = await readBody(request);
+ */
 export async function readBody(request: IncomingMessage): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let size = 0;
@@ -17,13 +22,23 @@
   return Buffer.concat(chunks);
 }
 
-/** Reads a JSON body. An empty one counts as `{}`. */
+/**
+ * Reads a JSON body. An empty one counts as `{}`.
+ *
+ * @example
+ * const patch = (await readJson(request)) as Partial<ITargetFaults>;
+ */
 export async function readJson(request: IncomingMessage): Promise<unknown> {
   const text = (await readBody(request)).toString('utf8');
   return text === '' ? {} : (JSON.parse(text) as unknown);
 }
 
-/** Answers with a JSON body of known length. */
+/**
+ * Answers with a JSON body of known length.
+ *
+ * @example
+ * sendJson(response, 404, { error: 'no such path' });
+ */
 export function sendJson(
   response: ServerResponse,
   status: number,
@@ -36,7 +51,12 @@
   });
 }
 
-/** Answers with bytes of known length. */
+/**
+ * Answers with bytes of known length.
+ *
+ * @example
+ * sendBytes(response, 200, bytes, { 'content-type': 'text/plain' });
+ */
 export function sendBytes(
   response: ServerResponse,
   status: number,
--- a/packages/standins/src/server/node/packedBody.ts
+++ b/packages/standins/src/server/node/packedBody.ts
@@ -11,7 +11,12 @@
   readonly headers: OutgoingHttpHeaders;
 }
 
-/** Packs `bytes` when they are long and the sender of `request` accepts it. */
+/**
+ * Packs `bytes` when they are long and the sender of `request` accepts it.
+ *
+ * @example
+ * const { bytes, headers } = encodePacked(request, answer);
+ */
 export function encodePacked(request: IncomingMessage, bytes: Uint8Array): IPackedBody {
   const accepted = request.headers['accept-encoding'];
   const isAccepted = typeof accepted === 'string' && accepted.includes('gzip');
--- a/packages/standins/src/server/node/standInMain.ts
+++ b/packages/standins/src/server/node/standInMain.ts
@@ -3,13 +3,23 @@
 import { parseArgs } from 'node:util';
 import type { IDisposable } from '@parsleymux/base';
 
-/** Reads the JSON object of `--config`; `{}` when absent. */
+/**
+ * Reads the JSON object of `--config`; `{}` when absent.
+ *
+ * @example
+ * const config = parseConfigArgument(process.argv.slice(2)) as ITargetConfig;
+ */
 export function parseConfigArgument(argv: readonly string[]): unknown {
   const { values } = parseArgs({ args: [...argv], options: { config: { type: 'string' } } });
   return JSON.parse(values.config ?? '{}') as unknown;
 }
 
-/** Prints the one line on standard output that tells the starter the addresses. */
+/**
+ * Prints the one line on standard output that tells the starter the addresses.
+ *
+ * @example
+ * printReady({ control: target.getControlAddress() });
+ */
 export function printReady(ready: Readonly<Record<string, unknown>>): void {
   process.stdout.write(`${JSON.stringify(ready)}\n`);
 }
@@ -18,6 +28,9 @@
  * Disposes of the stand-in and ends the process on SIGTERM, on SIGINT, or when the starter's end
  * of standard input closes. A starter that is killed sends no signal; without watching the pipe,
  * the stand-in would stay behind for ever, holding its ports.
+ *
+ * @example
+ * disposeOnStop(target);
  */
 export function disposeOnStop(standIn: IDisposable): void {
   const stop = () => {
--- a/packages/standins/src/target/common/standInAnswer.ts
+++ b/packages/standins/src/target/common/standInAnswer.ts
@@ -33,12 +33,22 @@
 
 export type AnswerFault = (typeof AnswerFault)[keyof typeof AnswerFault];
 
-/** Checksum of bytes, for comparison only. */
+/**
+ * Checksum of bytes, for comparison only.
+ *
+ * @example
+ * const requestChecksum = computeChecksum(body);
+ */
 export function computeChecksum(bytes: Uint8Array | string): string {
   return createHash('sha256').update(bytes).digest('hex').slice(0, CHECKSUM_LENGTH);
 }
 
-/** The answer's body: the content as JSON, with its checksum as the last field. */
+/**
+ * The answer's body: the content as JSON, with its checksum as the last field.
+ *
+ * @example
+ * const body = encodeAnswer(content);
+ */
 export function encodeAnswer(content: IAnswerContent): Buffer {
   const checksum = computeChecksum(JSON.stringify(content));
   return Buffer.from(JSON.stringify({ ...content, checksum }));
--- a/packages/standins/src/target/common/targetConfig.ts
+++ b/packages/standins/src/target/common/targetConfig.ts
@@ -22,6 +22,7 @@
   readonly seed: number;
 }
 
+/** Values of what a configuration leaves out. */
 export const DEFAULT_TARGET_CONFIG: ITargetConfig = {
   member: 'member',
   service: 'service',
@@ -63,6 +64,7 @@
   readonly claimedLoad: number;
 }
 
+/** A target that works, and whose probes tell the truth. */
 export const NO_TARGET_FAULTS: ITargetFaults = {
   down: false,
   draining: false,
--- a/packages/standins/src/target/node/targetControl.ts
+++ b/packages/standins/src/target/node/targetControl.ts
@@ -22,7 +22,12 @@
   readonly executions: readonly IExecution[];
 }
 
-/** Serves one control request. */
+/**
+ * Serves one control request.
+ *
+ * @example
+ * await handleTargetControl(target, request, response);
+ */
 export async function handleTargetControl(
   target: TargetStandIn,
   request: IncomingMessage,
--- a/packages/standins/src/target/node/targetReplies.ts
+++ b/packages/standins/src/target/node/targetReplies.ts
@@ -5,6 +5,7 @@
 import type { ITargetCounters, ITargetFaults } from '../common/targetConfig.js';
 import type { Exchange } from './exchange.js';
 
+/** The counters as their owner counts them up. */
 export type MutableTargetCounters = {
   -readonly [K in keyof ITargetCounters]: ITargetCounters[K];
 };
@@ -18,7 +19,12 @@
   readonly getFaults: () => ITargetFaults;
 }
 
-/** Sends answers as the faults in force allow. */
+/**
+ * Sends answers as the faults in force allow.
+ *
+ * @example
+ * replies.sendAnswer(exchange, 200, encodeAnswer(content));
+ */
 export class TargetReplies {
   constructor(private readonly options: ITargetRepliesOptions) {}
 
