Use the field's words for requests, look-up results and a fake target's behaviour

A body of the administration API was a wish, a look-up's result the target's word, the fake target's behaviour its mood, and the number of peers asked one in calm and one in need; each had to be explained. Also scanRipe is scanMergeable, unsureKey unresolvedKey, and the default of the group's interval stands in one module of claims instead of two. Names only; in tests, too, nothing but names.

--- a/packages/claims/src/admin/common/claimAdmin.test.ts
+++ b/packages/claims/src/admin/common/claimAdmin.test.ts
@@ -4,12 +4,12 @@
 import { ClaimOutcome } from '@parsleymux/schema';
 import { GroupCommitter } from '../../store/common/groupCommitter.js';
 import { assertRefused, ClaimWorld, readText } from '../../test/claimWorld.js';
-import { TargetMood } from '../../test/fakeTarget.js';
-import type { ISettleWish } from './claimAdmin.js';
+import { TargetBehavior } from '../../test/fakeTarget.js';
+import type { ISettleRequest } from './claimAdmin.js';
 import { ClaimAdmin } from './claimAdmin.js';
 
 const MINUTE_MS = 60_000;
-const WISH: ISettleWish = {
+const SETTLE_REQUEST: ISettleRequest = {
   member: 'north',
   claimKey: 'key-1',
   outcome: ClaimOutcome.RAN,
@@ -26,8 +26,12 @@
   });
 }
 
-async function settle(world: ClaimWorld, admin: ClaimAdmin, wish: ISettleWish): Promise<string> {
-  const settled = admin.settle(wish, new AbortController().signal).then(
+async function settle(
+  world: ClaimWorld,
+  admin: ClaimAdmin,
+  request: ISettleRequest,
+): Promise<string> {
+  const settled = admin.settle(request, new AbortController().signal).then(
     ({ state, settledBy }) => `${state} by ${settledBy}`,
     (error: unknown) => (error instanceof MuxError ? `refused ${error.code}` : String(error)),
   );
@@ -38,20 +42,23 @@
 test('an operator settles an unknown outcome as run, and every retry is told so', async () => {
   const world = new ClaimWorld();
   world.addNode('a');
-  await world.execute('a', { mood: TargetMood.FallSilent });
+  await world.execute('a', { behavior: TargetBehavior.FallSilent });
   const admin = makeAdmin(world, new Set(['a']));
-  assert.equal(await settle(world, admin, WISH), 'ran-not-kept by ioana');
+  assert.equal(await settle(world, admin, SETTLE_REQUEST), 'ran-not-kept by ioana');
   assertRefused(await world.execute('a'), ResultCode.OutcomeSettled, RunState.Ran);
-  assert.equal(await settle(world, admin, WISH), `refused ${ResultCode.ClaimNotSettleable}`);
+  assert.equal(
+    await settle(world, admin, SETTLE_REQUEST),
+    `refused ${ResultCode.ClaimNotSettleable}`,
+  );
   world.assertPromises();
 });
 
 test("a claim is another member's own, and absent ones can't be settled", async () => {
   const world = new ClaimWorld();
   world.addNode('a');
-  await world.execute('a', { mood: TargetMood.FallSilent });
+  await world.execute('a', { behavior: TargetBehavior.FallSilent });
   const admin = makeAdmin(world, new Set());
-  const other = { ...WISH, member: 'south' };
+  const other = { ...SETTLE_REQUEST, member: 'south' };
   assert.equal(await settle(world, admin, other), `refused ${ResultCode.NotFound}`);
 });
 
@@ -64,14 +71,14 @@
   world.addNode('b');
   world.send('a');
   await world.clock.advanceBy(1000);
-  const wish = { ...WISH, outcome: ClaimOutcome.NOT_RUN };
+  const request = { ...SETTLE_REQUEST, outcome: ClaimOutcome.NOT_RUN };
   const notSettleable = `refused ${ResultCode.ClaimNotSettleable}`;
   const admin = makeAdmin(world, new Set());
-  assert.equal(await settle(world, admin, wish), notSettleable, 'too young');
+  assert.equal(await settle(world, admin, request), notSettleable, 'too young');
   await world.clock.advanceBy(15 * MINUTE_MS);
   const adminOfLive = makeAdmin(world, new Set(['a']));
-  assert.equal(await settle(world, adminOfLive, wish), notSettleable, 'listed as live');
-  assert.equal(await settle(world, admin, wish), 'not-run by ioana');
+  assert.equal(await settle(world, adminOfLive, request), notSettleable, 'listed as live');
+  assert.equal(await settle(world, admin, request), 'not-run by ioana');
   assert.equal(readText(await world.execute('b')), 'booked north/key-1 as 1 for caller-1');
   world.assertPromises();
 });
@@ -79,9 +86,9 @@
 test('a claimer that is alive speaks for its claim', async () => {
   const world = new ClaimWorld();
   world.addNode('a');
-  const first = world.send('a', { mood: TargetMood.FallSilent });
+  const first = world.send('a', { behavior: TargetBehavior.FallSilent });
   await world.clock.advanceBy(50);
-  const settling = settle(world, makeAdmin(world, new Set()), WISH);
+  const settling = settle(world, makeAdmin(world, new Set()), SETTLE_REQUEST);
   assert.equal(await settling, `refused ${ResultCode.ClaimNotSettleable}`);
   await world.finish(first);
 });
--- a/packages/claims/src/admin/common/claimAdmin.ts
+++ b/packages/claims/src/admin/common/claimAdmin.ts
@@ -32,7 +32,7 @@
 }
 
 /** An operator's word on an outcome. */
-export interface ISettleWish {
+export interface ISettleRequest {
   readonly member: string;
   /** The caller's idempotency key, or its SHA-256 in hexadecimal. */
   readonly claimKey: string;
@@ -70,21 +70,21 @@
    * Settles a claim without outcome, if its claimer is gone and the row has not changed since.
    * Throws ClaimNotSettleable, NotFound, StoreUnavailable.
    */
-  async settle(wish: ISettleWish, signal: AbortSignal): Promise<ClaimInfo> {
-    const hashed = hashKey(wish.claimKey);
-    const rowKey = formatClaimRowKey(wish.member, hashed);
+  async settle(request: ISettleRequest, signal: AbortSignal): Promise<ClaimInfo> {
+    const hashed = hashKey(request.claimKey);
+    const rowKey = formatClaimRowKey(request.member, hashed);
     const known = await this.find(rowKey);
     if (known === undefined) {
       throw refuse(ResultCode.NotFound, 'there is no claim under this idempotency key');
     }
-    await this.checkSettleable(wish, hashed, known.claim, signal);
-    const settled = this.makeSettled(wish, known.claim);
+    await this.checkSettleable(request, hashed, known.claim, signal);
+    const settled = this.makeSettled(request, known.claim);
     await this.write(rowKey, known.version, settled);
-    return describeClaim(wish.member, hashed, settled);
+    return describeClaim(request.member, hashed, settled);
   }
 
   private async checkSettleable(
-    wish: ISettleWish,
+    request: ISettleRequest,
     hashed: string,
     claim: IClaim,
     signal: AbortSignal,
@@ -93,10 +93,10 @@
     if (claim.state !== ClaimState.Running) {
       throw refuseSettling(`its outcome is known: ${claim.state}`);
     }
-    const isGone = await this.isClaimerGone(wish.member, hashed, claim, signal);
+    const isGone = await this.isClaimerGone(request.member, hashed, claim, signal);
     if (!isGone) throw refuseSettling(`node ${claim.claimer} still answers for it, or may`);
     const ageMs = this.options.clock.getWallTime() - claim.claimedAtMs;
-    if (wish.outcome === ClaimOutcome.NOT_RUN && ageMs < this.minAgeMs) {
+    if (request.outcome === ClaimOutcome.NOT_RUN && ageMs < this.minAgeMs) {
       throw refuseSettling('its claimer may be paused; "not-run" is taken after 15 minutes');
     }
   }
@@ -119,14 +119,14 @@
     }
   }
 
-  private makeSettled(wish: ISettleWish, claim: IClaim): IClaim {
+  private makeSettled(request: ISettleRequest, claim: IClaim): IClaim {
     const nowMs = this.options.clock.getWallTime();
-    const hasRun = wish.outcome === ClaimOutcome.RAN;
+    const hasRun = request.outcome === ClaimOutcome.RAN;
     return {
       ...claim,
       state: hasRun ? ClaimState.RanNotKept : ClaimState.NotRun,
       changedAtMs: nowMs,
-      settlement: { operator: wish.operator, note: wish.note, settledAtMs: nowMs },
+      settlement: { operator: request.operator, note: request.note, settledAtMs: nowMs },
     };
   }
 
--- a/packages/claims/src/guard/common/claimGuard.test.ts
+++ b/packages/claims/src/guard/common/claimGuard.test.ts
@@ -3,7 +3,7 @@
 import { MuxError, ResultCode, RunState } from '@parsleymux/base';
 import { assertRefused, ClaimWorld, isReplayed, readText } from '../../test/claimWorld.js';
 import { TableFault } from '../../test/fakeTable.js';
-import { TargetMood } from '../../test/fakeTarget.js';
+import { TargetBehavior } from '../../test/fakeTarget.js';
 
 const BOOKED = 'booked north/key-1 as 1 for caller-0';
 
@@ -119,7 +119,7 @@
   const world = new ClaimWorld();
   for (const address of ['a', 'b']) world.addNode(address);
   loseAnswers(world, [TableFault.None, TableFault.LoseAnswer]);
-  const shed = await world.execute('a', { mood: TargetMood.Shed });
+  const shed = await world.execute('a', { behavior: TargetBehavior.Shed });
   assertRefused(shed, ResultCode.TargetShed, RunState.NotRun);
   assert.equal(readText(await world.execute('b')), 'booked north/key-1 as 1 for caller-1');
   world.assertPromises();
@@ -148,7 +148,7 @@
 test('a target that ran it and fell silent leaves one stable "may have run"', async () => {
   const world = new ClaimWorld();
   for (const address of ['a', 'b']) world.addNode(address);
-  const first = await world.execute('a', { mood: TargetMood.FallSilent });
+  const first = await world.execute('a', { behavior: TargetBehavior.FallSilent });
   assertRefused(first, ResultCode.TargetTimeout, RunState.MayHaveRun);
   for (const address of ['b', 'a', 'b']) {
     const retry = await world.execute(address);
@@ -162,7 +162,7 @@
   const world = new ClaimWorld();
   for (const address of ['a', 'b']) world.addNode(address);
   const lookUpPath = '/jobs/by-key/{key}';
-  const first = await world.execute('a', { mood: TargetMood.FallSilent, lookUpPath });
+  const first = await world.execute('a', { behavior: TargetBehavior.FallSilent, lookUpPath });
   assert.equal(readText(first), BOOKED);
   const retry = await world.execute('b', { lookUpPath });
   assert.deepEqual([readText(retry), isReplayed(retry)], [BOOKED, true]);
@@ -176,7 +176,7 @@
   const world = new ClaimWorld();
   world.addNode('a');
   const lookUpPath = '/jobs/by-key/{key}';
-  await world.execute('a', { mood: TargetMood.ExecuteLate, lookUpPath });
+  await world.execute('a', { behavior: TargetBehavior.ExecuteLate, lookUpPath });
   const early = await world.execute('a', { lookUpPath });
   assertRefused(early, ResultCode.OutcomeUnknown, RunState.MayHaveRun);
   await world.clock.advanceBy(61_000);
@@ -187,7 +187,7 @@
 test('while it runs, a retry waits within its deadline and is then told so', async () => {
   const world = new ClaimWorld();
   for (const address of ['a', 'b']) world.addNode(address);
-  const first = world.send('a', { mood: TargetMood.FallSilent });
+  const first = world.send('a', { behavior: TargetBehavior.FallSilent });
   await world.clock.advanceBy(50);
   const retry = await world.execute('b', { deadlineMs: 150 });
   assertRefused(retry, ResultCode.StillRunning, RunState.MayHaveRun);
@@ -252,7 +252,7 @@
   const world = new ClaimWorld();
   for (const address of ['a', 'b']) world.addNode(address);
   for (const address of ['a', 'b']) {
-    const call = await world.execute(address, { mood: TargetMood.AnswerHuge });
+    const call = await world.execute(address, { behavior: TargetBehavior.AnswerHuge });
     assertRefused(call, ResultCode.AnswerNotKept, RunState.Ran);
   }
   world.assertPromises();
--- a/packages/claims/src/guard/common/claimGuardOptions.ts
+++ b/packages/claims/src/guard/common/claimGuardOptions.ts
@@ -7,9 +7,8 @@
 import type { OutcomeLookUp } from '../../outcome/common/outcomeLookUp.js';
 import { NoOutcomeLookUp } from '../../outcome/common/outcomeLookUp.js';
 import type { ClaimPeer } from '../../peer/common/claimPeer.js';
-import { GroupCommitter } from '../../store/common/groupCommitter.js';
+import { DEFAULT_GROUP_MS, GroupCommitter } from '../../store/common/groupCommitter.js';
 
-const DEFAULT_GROUP_MS = 2;
 const DEFAULT_MAX_ANSWER_BYTES = 1 << 20;
 const DEFAULT_MAX_ROW_BYTES = 8 << 10;
 const DEFAULT_CLAIM_WAIT_MS = 1000;
--- a/packages/claims/src/guard/common/claimModel.test.ts
+++ b/packages/claims/src/guard/common/claimModel.test.ts
@@ -5,7 +5,7 @@
 import { ResultCode, SeededRandom } from '@parsleymux/base';
 import { ClaimWorld, getError } from '../../test/claimWorld.js';
 import { TableFault } from '../../test/fakeTable.js';
-import { TargetMood } from '../../test/fakeTarget.js';
+import { TargetBehavior } from '../../test/fakeTarget.js';
 import type { IProcessFault } from '../../test/processGate.js';
 
 const RUNS = Number(process.env.CLAIM_MODEL_RUNS ?? '150');
@@ -30,7 +30,7 @@
     readonly key: number;
     readonly gapMs: number;
     readonly deadlineMs: number;
-    readonly mood: TargetMood;
+    readonly behavior: TargetBehavior;
     readonly body: string;
   }[];
 }
@@ -40,9 +40,9 @@
   pauseMs: fc.oneof(fc.constant(undefined), fc.constantFrom(30, 700, 5000, 90_000)),
 });
 
-const moodArbitrary = fc.oneof(
-  { weight: 4, arbitrary: fc.constant(TargetMood.Answer) },
-  { weight: 3, arbitrary: fc.constantFrom(...Object.values(TargetMood)) },
+const behaviorArbitrary = fc.oneof(
+  { weight: 4, arbitrary: fc.constant(TargetBehavior.Answer) },
+  { weight: 3, arbitrary: fc.constantFrom(...Object.values(TargetBehavior)) },
 );
 
 const scheduleArbitrary: fc.Arbitrary<ISchedule> = fc.record({
@@ -60,7 +60,7 @@
       key: fc.nat(1),
       gapMs: fc.constantFrom(0, 1, 7, 30, 120, 1000),
       deadlineMs: fc.constantFrom(20, 200, 1500, 5000),
-      mood: moodArbitrary,
+      behavior: behaviorArbitrary,
       body: fc.constantFrom('job', 'job', 'job', 'other job'),
     }),
     { minLength: 2, maxLength: 12 },
@@ -88,9 +88,9 @@
   });
   loseCalls(world, schedule);
   const path = schedule.hasLookUp ? { lookUpPath: '/jobs/by-key/{key}' } : {};
-  for (const { node, key, gapMs, deadlineMs, mood, body } of schedule.requests) {
+  for (const { node, key, gapMs, deadlineMs, behavior, body } of schedule.requests) {
     const address = nodes[node % nodes.length]?.address ?? 'a';
-    world.send(address, { key: `key-${key}`, deadlineMs, mood, body, ...path });
+    world.send(address, { key: `key-${key}`, deadlineMs, behavior, body, ...path });
     await world.clock.advanceBy(gapMs);
   }
   await world.clock.advanceBy(RESTART_MS);
--- a/packages/claims/src/guard/common/claimSteps.test.ts
+++ b/packages/claims/src/guard/common/claimSteps.test.ts
@@ -6,7 +6,7 @@
 import type { ITestRequest } from '../../test/claimWorld.js';
 import { ClaimWorld, getError } from '../../test/claimWorld.js';
 import { TableFault } from '../../test/fakeTable.js';
-import { TargetMood } from '../../test/fakeTarget.js';
+import { TargetBehavior } from '../../test/fakeTarget.js';
 import type { IProcessFault } from '../../test/processGate.js';
 
 const RETRY_EVERY_MS = 40;
@@ -21,20 +21,20 @@
 
 const SCENARIOS: readonly IScenario[] = [
   { name: 'answered', request: {}, faults: [] },
-  { name: 'large answer', request: { mood: TargetMood.AnswerHuge }, faults: [] },
-  { name: 'shed', request: { mood: TargetMood.Shed }, faults: [] },
-  { name: 'silent target', request: { mood: TargetMood.FallSilent }, faults: [] },
+  { name: 'large answer', request: { behavior: TargetBehavior.AnswerHuge }, faults: [] },
+  { name: 'shed', request: { behavior: TargetBehavior.Shed }, faults: [] },
+  { name: 'silent target', request: { behavior: TargetBehavior.FallSilent }, faults: [] },
   { name: 'claim answer lost', request: {}, faults: [TableFault.LoseAnswer] },
   { name: 'claim lands late', request: {}, faults: [TableFault.LandLate, TableFault.LoseRequest] },
   {
     name: 'release answer lost',
-    request: { mood: TargetMood.Shed },
+    request: { behavior: TargetBehavior.Shed },
     faults: [TableFault.None, TableFault.LoseAnswer],
   },
   { name: 'outcome lost', request: {}, faults: [TableFault.None, TableFault.LoseRequest] },
   {
     name: 'look-up by targets',
-    request: { mood: TargetMood.FallSilent, lookUpPath: '/jobs/by-key/{key}' },
+    request: { behavior: TargetBehavior.FallSilent, lookUpPath: '/jobs/by-key/{key}' },
     faults: [],
   },
 ];
@@ -53,7 +53,7 @@
   world.send('a', { ...scenario.request, deadlineMs: 1000 });
   await world.clock.advanceBy(firstRetryMs);
   for (let retries = 0; retries < 4; retries++) {
-    world.send('b', { ...scenario.request, mood: TargetMood.Answer, deadlineMs: 500 });
+    world.send('b', { ...scenario.request, behavior: TargetBehavior.Answer, deadlineMs: 500 });
     await world.clock.advanceBy(RETRY_EVERY_MS);
   }
   await world.clock.advanceBy(PAUSE_MS);
--- a/packages/claims/src/guard/common/outcomeSettler.ts
+++ b/packages/claims/src/guard/common/outcomeSettler.ts
@@ -9,7 +9,7 @@
 import type { IClaimIdentity } from '../../claim/common/claimIdentity.js';
 import { formatClaimRowKey } from '../../claim/common/claimIdentity.js';
 import type { OutcomeLookUp } from '../../outcome/common/outcomeLookUp.js';
-import { TargetWord } from '../../outcome/common/outcomeLookUp.js';
+import { LookUpResult } from '../../outcome/common/outcomeLookUp.js';
 import type { ClaimStore } from '../../store/common/claimStore.js';
 import type { BackgroundRetrier } from './backgroundRetrier.js';
 import {
@@ -83,11 +83,11 @@
     });
     const said = await this.options.lookUp.lookUp(request, stop.signal);
     void timer.dispose();
-    if (said.word === TargetWord.Ran && said.answer !== undefined) {
+    if (said.result === LookUpResult.Ran && said.answer !== undefined) {
       await this.recordAnswer(identity, known, said.answer);
       return makeAnswered(markReplayed(said.answer));
     }
-    if (said.word === TargetWord.NotRun && this.isQuiet(known.claim)) {
+    if (said.result === LookUpResult.NotRun && this.isQuiet(known.claim)) {
       return makeClaimable(known.version);
     }
     throw makeOutcomeUnknown(true);
--- a/packages/claims/src/outcome/common/outcomeLookUp.ts
+++ b/packages/claims/src/outcome/common/outcomeLookUp.ts
@@ -3,7 +3,7 @@
 import type { IWholeAnswer } from '../../claim/common/answerCodec.js';
 
 /** What the targets said. */
-export const TargetWord = {
+export const LookUpResult = {
   Ran: 'ran',
   /** No execution so far. One that was sent may still be on its way. */
   NotRun: 'not-run',
@@ -11,23 +11,23 @@
   Silent: 'silent',
 } as const;
 
-export type TargetWord = (typeof TargetWord)[keyof typeof TargetWord];
+export type LookUpResult = (typeof LookUpResult)[keyof typeof LookUpResult];
 
-/** The targets' word, with the recorded answer when it ran. */
+/** What the targets said, with the recorded answer when it ran. */
 export interface ITargetOutcome {
-  readonly word: TargetWord;
+  readonly result: LookUpResult;
   readonly answer?: IWholeAnswer;
 }
 
 /** Sends a route's look-up request. */
 export abstract class OutcomeLookUp {
-  /** Never rejects: a failure is {@link TargetWord.Silent}. */
+  /** Never rejects: a failure is {@link LookUpResult.Silent}. */
   abstract lookUp(request: IRoutedRequest, signal: AbortSignal): Promise<ITargetOutcome>;
 }
 
 /** For fleets whose routes name no look-up. */
 export class NoOutcomeLookUp extends OutcomeLookUp {
   override lookUp(): Promise<ITargetOutcome> {
-    return Promise.resolve({ word: TargetWord.Silent });
+    return Promise.resolve({ result: LookUpResult.Silent });
   }
 }
--- a/packages/claims/src/outcome/common/targetOutcomeLookUp.test.ts
+++ b/packages/claims/src/outcome/common/targetOutcomeLookUp.test.ts
@@ -4,7 +4,7 @@
 import type { IRoutedRequest, ITargetAnswer, ITargetRequest } from '@parsleymux/routing';
 import { TargetTransport } from '@parsleymux/routing';
 import { RouteSchema } from '@parsleymux/schema';
-import { TargetWord } from './outcomeLookUp.js';
+import { LookUpResult } from './outcomeLookUp.js';
 import { TargetOutcomeLookUp } from './targetOutcomeLookUp.js';
 
 class FakeTransport extends TargetTransport {
@@ -40,21 +40,21 @@
   const finder = new TargetOutcomeLookUp({ transport, getTargets: () => targets });
   const route = create(RouteSchema, { lookUpPath: '/jobs/{key}', service: 'booking' });
   const request = { member: 'north', route, idempotencyKey: 'a/b' } as unknown as IRoutedRequest;
-  const { word } = await finder.lookUp(request, new AbortController().signal);
-  return { word, paths: transport.paths };
+  const { result } = await finder.lookUp(request, new AbortController().signal);
+  return { result, paths: transport.paths };
 }
 
 test('one target that executed settles it, whatever the others say', async () => {
   const said = await lookUp({ x: { status: 404 }, z: { status: 200 } });
-  assert.deepEqual(said, { word: TargetWord.Ran, paths: Array(3).fill('/jobs/a%2Fb') });
+  assert.deepEqual(said, { result: LookUpResult.Ran, paths: Array(3).fill('/jobs/a%2Fb') });
 });
 
 test('"never ran" takes the word of every target', async () => {
   const no = { status: 404 };
-  assert.equal((await lookUp({ x: no, y: no, z: no })).word, TargetWord.NotRun);
-  assert.equal((await lookUp({ x: no, y: no })).word, TargetWord.Silent, 'one is silent');
-  assert.equal((await lookUp({ x: no, y: no, z: { status: 500 } })).word, TargetWord.Silent);
+  assert.equal((await lookUp({ x: no, y: no, z: no })).result, LookUpResult.NotRun);
+  assert.equal((await lookUp({ x: no, y: no })).result, LookUpResult.Silent, 'one is silent');
+  assert.equal((await lookUp({ x: no, y: no, z: { status: 500 } })).result, LookUpResult.Silent);
   const shed = { status: 404, notRun: true };
-  assert.equal((await lookUp({ x: no, y: no, z: shed })).word, TargetWord.Silent, 'one sheds');
-  assert.equal((await lookUp({}, [])).word, TargetWord.Silent, 'no targets');
+  assert.equal((await lookUp({ x: no, y: no, z: shed })).result, LookUpResult.Silent, 'one sheds');
+  assert.equal((await lookUp({}, [])).result, LookUpResult.Silent, 'no targets');
 });
--- a/packages/claims/src/outcome/common/targetOutcomeLookUp.ts
+++ b/packages/claims/src/outcome/common/targetOutcomeLookUp.ts
@@ -3,7 +3,7 @@
 import type { IRoutedRequest, ITargetAnswer, TargetTransport } from '@parsleymux/routing';
 import { readWholeBody } from '../../guard/common/wholeBody.js';
 import type { ITargetOutcome } from './outcomeLookUp.js';
-import { OutcomeLookUp, TargetWord } from './outcomeLookUp.js';
+import { LookUpResult, OutcomeLookUp } from './outcomeLookUp.js';
 
 const OK = 200;
 const NOT_FOUND = 404;
@@ -49,11 +49,11 @@
     for (const target of targets) {
       if (signal.aborted) break;
       const said = await this.fetchWord(target, request, signal);
-      if (said.word === TargetWord.Ran) return said;
-      if (said.word === TargetWord.NotRun) denials += 1;
+      if (said.result === LookUpResult.Ran) return said;
+      if (said.result === LookUpResult.NotRun) denials += 1;
     }
     const isDenied = targets.length > 0 && denials === targets.length;
-    return { word: isDenied ? TargetWord.NotRun : TargetWord.Silent };
+    return { result: isDenied ? LookUpResult.NotRun : LookUpResult.Silent };
   }
 
   private async fetchWord(
@@ -78,7 +78,7 @@
       );
       return await this.readWord(answer);
     } catch {
-      return { word: TargetWord.Silent };
+      return { result: LookUpResult.Silent };
     }
   }
 
@@ -86,10 +86,10 @@
     const { status, headers, notRun } = answer;
     const body = await readWholeBody(answer.body, this.maxAnswerBytes);
     // A target that sheds the look-up itself has said nothing about the key.
-    if (notRun || body === undefined) return { word: TargetWord.Silent };
-    if (status === NOT_FOUND) return { word: TargetWord.NotRun };
-    if (status !== OK) return { word: TargetWord.Silent };
+    if (notRun || body === undefined) return { result: LookUpResult.Silent };
+    if (status === NOT_FOUND) return { result: LookUpResult.NotRun };
+    if (status !== OK) return { result: LookUpResult.Silent };
     const whole = { status, headers, body, code: ResultCode.Ok, runState: RunState.Ran };
-    return { word: TargetWord.Ran, answer: whole };
+    return { result: LookUpResult.Ran, answer: whole };
   }
 }
--- a/packages/claims/src/store/common/groupCommitter.ts
+++ b/packages/claims/src/store/common/groupCommitter.ts
@@ -13,7 +13,8 @@
 import { PlatformError, PlatformFailure } from '@parsleymux/platform';
 import { StoreHealth } from './storeHealth.js';
 
-const DEFAULT_GROUP_MS = 2;
+/** Two ms: docs/decisions/40-at-most-once.md has the measurements. */
+export const DEFAULT_GROUP_MS = 2;
 const DEFAULT_MAX_ROWS = 64;
 const DEFAULT_MAX_IN_FLIGHT = 4;
 /** A key that never has a row; a condition on it asks the store without touching anything. */
--- a/packages/claims/src/test/claimWorld.ts
+++ b/packages/claims/src/test/claimWorld.ts
@@ -18,7 +18,7 @@
 import type { IClaimLookUpAnswer, IClaimLookUpQuestion } from '../peer/common/claimPeer.js';
 import { ClaimPeer } from '../peer/common/claimPeer.js';
 import { FakeObjects, FakeTable } from './fakeTable.js';
-import { FakeTarget, TargetMood } from './fakeTarget.js';
+import { FakeTarget, TargetBehavior } from './fakeTarget.js';
 import type { IProcessFault } from './processGate.js';
 import { GatedClock, GatedTable, ProcessGate } from './processGate.js';
 
@@ -38,7 +38,7 @@
   readonly body?: string;
   readonly deadlineMs?: number;
   readonly lookUpPath?: string;
-  readonly mood?: TargetMood;
+  readonly behavior?: TargetBehavior;
   readonly refusal?: MuxError;
   readonly signal?: AbortSignal;
 }
@@ -112,7 +112,7 @@
     const guarded = {
       request,
       estimateRefusal: () => options.refusal,
-      run: () => this.target.serve(request, options.mood ?? TargetMood.Answer, gate),
+      run: () => this.target.serve(request, options.behavior ?? TargetBehavior.Answer, gate),
     };
     const answer = guard.execute(guarded, options.signal ?? new AbortController().signal);
     const call: ITestCall = {
--- a/packages/claims/src/test/fakeTarget.ts
+++ b/packages/claims/src/test/fakeTarget.ts
@@ -3,11 +3,11 @@
 import { MuxError, ResultCode, RunState } from '@parsleymux/base';
 import type { IAnswer, IRoutedRequest } from '@parsleymux/routing';
 import type { ITargetOutcome } from '../outcome/common/outcomeLookUp.js';
-import { OutcomeLookUp, TargetWord } from '../outcome/common/outcomeLookUp.js';
+import { LookUpResult, OutcomeLookUp } from '../outcome/common/outcomeLookUp.js';
 import type { ProcessGate } from './processGate.js';
 
 /** What a target does with one request. */
-export const TargetMood = {
+export const TargetBehavior = {
   Answer: 'answer',
   /** Executes, and is not heard of again. */
   FallSilent: 'fall-silent',
@@ -21,7 +21,7 @@
   AnswerHuge: 'answer-huge',
 } as const;
 
-export type TargetMood = (typeof TargetMood)[keyof typeof TargetMood];
+export type TargetBehavior = (typeof TargetBehavior)[keyof typeof TargetBehavior];
 
 /** One execution. */
 export interface IExecution {
@@ -50,14 +50,18 @@
   }
 
   /** Sends from a process that may be killed or paused on either side of the dispatch. */
-  async serve(request: IRoutedRequest, mood: TargetMood, gate?: ProcessGate): Promise<IAnswer> {
+  async serve(
+    request: IRoutedRequest,
+    behavior: TargetBehavior,
+    gate?: ProcessGate,
+  ): Promise<IAnswer> {
     await gate?.advance();
     if (this.clock.getMonotonicTime() >= request.deadlineMs) {
       throw makeError(ResultCode.QueueTimeout, RunState.NotRun);
     }
     await gate?.advance();
-    if (mood === TargetMood.Shed) throw makeError(ResultCode.TargetShed, RunState.NotRun);
-    const answer = this.executeInMood(request, mood);
+    if (behavior === TargetBehavior.Shed) throw makeError(ResultCode.TargetShed, RunState.NotRun);
+    const answer = this.executeAs(request, behavior);
     try {
       return await answer;
     } finally {
@@ -67,25 +71,25 @@
 
   override lookUp(request: IRoutedRequest): Promise<ITargetOutcome> {
     const execution = this.getExecutions(request)[0];
-    if (execution === undefined) return Promise.resolve({ word: TargetWord.NotRun });
+    if (execution === undefined) return Promise.resolve({ result: LookUpResult.NotRun });
     const body = Buffer.from(execution.answer);
-    return Promise.resolve({ word: TargetWord.Ran, answer: { ...makeAnswer(''), body } });
+    return Promise.resolve({ result: LookUpResult.Ran, answer: { ...makeAnswer(''), body } });
   }
 
-  private async executeInMood(request: IRoutedRequest, mood: TargetMood): Promise<IAnswer> {
-    if (mood === TargetMood.ExecuteLate) {
+  private async executeAs(request: IRoutedRequest, behavior: TargetBehavior): Promise<IAnswer> {
+    if (behavior === TargetBehavior.ExecuteLate) {
       this.clock.startTimer(LATE_MS, () => this.execute(request));
       await this.clock.sleep(SILENCE_MS);
       throw makeError(ResultCode.TargetTimeout, RunState.MayHaveRun);
     }
     const text = this.execute(request);
-    await this.clock.sleep(mood === TargetMood.FallSilent ? SILENCE_MS : SERVICE_MS);
-    switch (mood) {
-      case TargetMood.FallSilent:
+    await this.clock.sleep(behavior === TargetBehavior.FallSilent ? SILENCE_MS : SERVICE_MS);
+    switch (behavior) {
+      case TargetBehavior.FallSilent:
         throw makeError(ResultCode.TargetTimeout, RunState.MayHaveRun);
-      case TargetMood.BreakOff:
+      case TargetBehavior.BreakOff:
         return { ...makeAnswer(text), body: streamHalf(text) };
-      case TargetMood.AnswerHuge:
+      case TargetBehavior.AnswerHuge:
         return { ...makeAnswer(text), body: new Uint8Array(HUGE_BYTES) };
       default:
         return makeAnswer(text);
--- a/packages/config/src/distribution/common/configDistributor.ts
+++ b/packages/config/src/distribution/common/configDistributor.ts
@@ -21,9 +21,9 @@
  */
 const ANNOUNCE_LIMIT_MS = 1000;
 /** Peers asked each round while the store answers: enough to notice a store that lags. */
-const PEERS_IN_CALM = 1;
+const PEERS_ASKED = 1;
 /** Peers asked at start and during an outage. */
-const PEERS_IN_NEED = 3;
+const PEERS_ASKED_IN_OUTAGE = 3;
 /** Peers told of a change; docs/decisions/21-distribution.md measures other numbers. */
 const DEFAULT_FAN_OUT = 3;
 /**
@@ -163,7 +163,7 @@
   }
 
   private getPeersAsked(hasStore: boolean): number {
-    return hasStore && this.isReadyNow ? PEERS_IN_CALM : PEERS_IN_NEED;
+    return hasStore && this.isReadyNow ? PEERS_ASKED : PEERS_ASKED_IN_OUTAGE;
   }
 
   /** True when an announced revision was fetched from its announcer, which spares the store. */
--- a/packages/ctl/src/commands/node/claimCommands.ts
+++ b/packages/ctl/src/commands/node/claimCommands.ts
@@ -62,8 +62,8 @@
       const message = '--outcome is "ran" or "not-run"';
       throw new MuxError({ code: ResultCode.UsageError, message, runState: RunState.NotRun });
     }
-    const wish = create(SettleClaimRequestSchema, { outcome, note: this.note });
-    const body = toJsonString(SettleClaimRequestSchema, wish);
+    const message = create(SettleClaimRequestSchema, { outcome, note: this.note });
+    const body = toJsonString(SettleClaimRequestSchema, message);
     const path = `/v1/claims/${encodeURIComponent(this.claimKey)}/settle`;
     await this.request(ClaimInfoSchema, { method: 'POST', path, body }, formatClaim);
   }
--- a/packages/ctl/src/commands/node/keyCommands.ts
+++ b/packages/ctl/src/commands/node/keyCommands.ts
@@ -70,8 +70,8 @@
   readonly note = Option.String('--note', '', { description: 'whose it is' });
 
   protected override async run(): Promise<void> {
-    const wish = create(CreateKeyRequestSchema, { member: this.member ?? '', note: this.note });
-    const body = toJsonString(CreateKeyRequestSchema, wish);
+    const message = create(CreateKeyRequestSchema, { member: this.member ?? '', note: this.note });
+    const body = toJsonString(CreateKeyRequestSchema, message);
     const call = { method: 'POST', path: '/v1/keys', body } as const;
     await this.request(CreateKeyResponseSchema, call, formatCreatedKey);
   }
@@ -95,8 +95,8 @@
   });
 
   protected override async run(): Promise<void> {
-    const wish = create(RotateKeyRequestSchema, { overlapS: this.overlap });
-    const body = toJsonString(RotateKeyRequestSchema, wish);
+    const message = create(RotateKeyRequestSchema, { overlapS: this.overlap });
+    const body = toJsonString(RotateKeyRequestSchema, message);
     const path = this.formatPath(`/v1/keys/${encodeURIComponent(this.id)}/rotate`);
     const call = { method: 'POST', path, body } as const;
     await this.request(CreateKeyResponseSchema, call, formatCreatedKey);
--- a/packages/ctl/src/commands/node/targetCommands.ts
+++ b/packages/ctl/src/commands/node/targetCommands.ts
@@ -16,8 +16,8 @@
 
   protected override async run(): Promise<void> {
     const { target, note, action } = this;
-    const wish = create(TargetRequestSchema, { target, note, action });
-    const body = toJsonString(TargetRequestSchema, wish);
+    const message = create(TargetRequestSchema, { target, note, action });
+    const body = toJsonString(TargetRequestSchema, message);
     await this.request(PlanSchema, { method: 'POST', path: '/v1/targets', body }, formatPlan);
   }
 }
--- a/packages/operators/src/api/common/adminRoute.ts
+++ b/packages/operators/src/api/common/adminRoute.ts
@@ -60,7 +60,7 @@
  * The message in a body, checked against the schema's rules. Throws MalformedRequest, or `code`.
  *
  * @example
- * const wish = parseBody(TargetRequestSchema, request.body);
+ * const body = parseBody(TargetRequestSchema, request.body);
  */
 export function parseBody<Desc extends DescMessage>(
   schema: Desc,
--- a/packages/operators/src/api/common/claimHandler.ts
+++ b/packages/operators/src/api/common/claimHandler.ts
@@ -49,13 +49,13 @@
   }
 
   private async settle(request: IAdminRequest): Promise<IAdminAnswer> {
-    const wish = parseBody(SettleClaimRequestSchema, request.body);
-    if (wish.outcome === ClaimOutcome.UNSPECIFIED) {
+    const body = parseBody(SettleClaimRequestSchema, request.body);
+    if (body.outcome === ClaimOutcome.UNSPECIFIED) {
       throw refuse(ResultCode.MalformedRequest, 'the outcome is "ran" or "not-run"');
     }
     const { member, keyId } = request.operator;
     const claimKey = getParameter(request);
-    const { outcome, note } = wish;
+    const { outcome, note } = body;
     const settlement = { member, claimKey, outcome, operator: keyId, note };
     // Before the settlement, so that none can take effect without its line in the audit log.
     await this.recordAudit(request, `${ClaimOutcome[outcome]}: ${note}`);
--- a/packages/operators/src/api/common/keyHandler.ts
+++ b/packages/operators/src/api/common/keyHandler.ts
@@ -77,20 +77,20 @@
   }
 
   private async create(request: IAdminRequest): Promise<IAdminAnswer> {
-    const wish = parseBody(CreateKeyRequestSchema, request.body);
-    const member = await this.resolveMember(request, 'key.create', wish.member);
+    const body = parseBody(CreateKeyRequestSchema, request.body);
+    const member = await this.resolveMember(request, 'key.create', body.member);
     const { keys } = this.options;
     const operator = request.operator.keyId;
     return createKeyAnswer(
-      await keys.create({ member, note: wish.note, operator }, request.signal),
+      await keys.create({ member, note: body.note, operator }, request.signal),
     );
   }
 
   private async rotate(request: IAdminRequest): Promise<IAdminAnswer> {
-    const wish = parseBody(RotateKeyRequestSchema, request.body);
+    const body = parseBody(RotateKeyRequestSchema, request.body);
     const member = await this.resolveMember(request, 'key.rotate');
     const target = { member, id: getParameter(request), operator: request.operator.keyId };
-    const overlapMs = wish.overlapS * MS_PER_SECOND;
+    const overlapMs = body.overlapS * MS_PER_SECOND;
     return createKeyAnswer(await this.options.keys.rotate(target, overlapMs, request.signal));
   }
 
--- a/packages/operators/src/api/common/planHandler.ts
+++ b/packages/operators/src/api/common/planHandler.ts
@@ -105,9 +105,9 @@
 
   private async planTarget(request: IAdminRequest): Promise<IAdminAnswer> {
     this.options.limiter.spendProposal(request.operator.member);
-    const wish = parseBody(TargetRequestSchema, request.body);
+    const body = parseBody(TargetRequestSchema, request.body);
     const inForce = await this.options.plans.getIntent(request.operator.member, request.signal);
-    const intent = applyTargetAction(inForce.intent, wish);
+    const intent = applyTargetAction(inForce.intent, body);
     return this.propose(request.operator, intent, request.signal);
   }
 
--- a/packages/operators/src/burn/common/burnMerger.ts
+++ b/packages/operators/src/burn/common/burnMerger.ts
@@ -51,7 +51,7 @@
   async runRound(signal: AbortSignal): Promise<void> {
     try {
       while (!signal.aborted) {
-        const rows = await this.scanRipe(signal);
+        const rows = await this.scanMergeable(signal);
         if (rows.length === 0 || !(await this.merge(rows, signal))) return;
       }
     } catch (error) {
@@ -59,7 +59,7 @@
     }
   }
 
-  private async scanRipe(signal: AbortSignal): Promise<readonly ITableRow[]> {
+  private async scanMergeable(signal: AbortSignal): Promise<readonly ITableRow[]> {
     const { table, clock } = this.options;
     const rows = await table.scan({ prefix: RAW_PREFIX, limit: MAX_ROWS_AT_ONCE }, signal);
     const limitMs = clock.getWallTime() - MERGE_AFTER_MS;
--- a/packages/operators/src/burn/common/burnRecorder.ts
+++ b/packages/operators/src/burn/common/burnRecorder.ts
@@ -61,7 +61,7 @@
   private readonly pending = new Map<string, IRawCounts>();
   private batch: IBatch | undefined;
   /** Key of the batch that may have been written already. */
-  private unsureKey = '';
+  private unresolvedKey = '';
   private sequence = 0;
   private lostCount = 0;
 
@@ -117,12 +117,12 @@
    * after that a repetition would count everything twice, and nobody could tell.
    */
   private handleFailure(batch: IBatch, error: PlatformError): void {
-    if (error.failure !== PlatformFailure.Unknown && batch.key !== this.unsureKey) {
+    if (error.failure !== PlatformFailure.Unknown && batch.key !== this.unresolvedKey) {
       this.batch = undefined;
       for (const counts of batch.counts) this.addPending(counts);
       return;
     }
-    this.unsureKey = batch.key;
+    this.unresolvedKey = batch.key;
     const ageMs = this.options.clock.getWallTime() - batch.madeAtMs;
     if (ageMs < MERGE_AFTER_MS / 2) return;
     this.batch = undefined;
--- a/packages/operators/src/targets/common/targetAction.ts
+++ b/packages/operators/src/targets/common/targetAction.ts
@@ -8,19 +8,19 @@
  * The intent with one target drained or returned. Throws NotFound, MalformedRequest.
  *
  * @example
- * const intent = applyTargetAction(inForce.intent, wish);
+ * const intent = applyTargetAction(inForce.intent, request);
  */
-export function applyTargetAction(inForce: Intent | undefined, wish: TargetRequest): Intent {
+export function applyTargetAction(inForce: Intent | undefined, request: TargetRequest): Intent {
   const intent = inForce === undefined ? create(IntentSchema) : clone(IntentSchema, inForce);
   const target = intent.services
     .flatMap((service) => service.targets)
-    .find((candidate) => candidate.address === wish.target);
+    .find((candidate) => candidate.address === request.target);
   if (target === undefined) {
-    throw refuse(ResultCode.NotFound, `no service in force has the target "${wish.target}"`);
+    throw refuse(ResultCode.NotFound, `no service in force has the target "${request.target}"`);
   }
-  target.state = chooseState(wish.action);
+  target.state = chooseState(request.action);
   target.leaveAtMs = 0n;
-  intent.note = wish.note;
+  intent.note = request.note;
   return intent;
 }
 
