--- a/packages/lab/src/bench/control/node/bench.ts
+++ b/packages/lab/src/bench/control/node/bench.ts
@@ -36,7 +36,7 @@
   {
     name: 'nodes',
     unit: 'nodes',
-    values: [4, 16, 64, 192],
+    values: [4, 16, 64, 192, 320],
     makePoint: (nodes) => ({ ...BASE, nodes, nodesPerProcess: 8 }),
   },
   {
