--- a/packages/lab/src/atMostOnce/node/bookingRun.ts
+++ b/packages/lab/src/atMostOnce/node/bookingRun.ts
@@ -1,4 +1,5 @@
 /** Bookings over real processes that die and stand still, compared with what the targets executed. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { DisposableStore, ResultCode, SeededRandom } from '@parsleymux/base';
 import type { IRequestRecord } from '../../load/common/requestRecord.js';
 import { AttemptOutcome, getFinalAttempt } from '../../load/common/requestRecord.js';
@@ -183,7 +184,3 @@
 function formatCode(code: number): string {
   return `${code} ${CODE_NAMES.get(code) ?? ''}`;
 }
-
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/packages/lab/src/atMostOnce/node/disturber.ts
+++ b/packages/lab/src/atMostOnce/node/disturber.ts
@@ -1,4 +1,5 @@
 /** Kills and pauses nodes, and loses answers of the platform, at random instants. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { RandomSource } from '@parsleymux/base';
 import type { LabWorld } from '../../processes/node/labWorld.js';
 import type { NodeProcess } from '../../processes/node/nodeProcess.js';
@@ -103,7 +104,3 @@
     await this.world.platform.setFaults({ loseNextAnswers });
   }
 }
-
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/packages/lab/src/atMostOnce/node/silentTarget.test.ts
+++ b/packages/lab/src/atMostOnce/node/silentTarget.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { DisposableStore, ResultCode, RunState } from '@parsleymux/base';
 import { AttemptOutcome } from '../../load/common/requestRecord.js';
 import type { IWorkload } from '../../load/common/workload.js';
@@ -61,7 +62,7 @@
   for (let poll = 1; poll <= MOST_POLLS; poll += 1) {
     const sent = { ...request, requestId: `ready-${node}-${poll}`, key: '' };
     if ((await caller.send(node, sent)).outcome === AttemptOutcome.Answered) return;
-    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    await sleep(POLL_MS);
   }
   assert.fail(`${node} did not get the configuration`);
 }
--- a/packages/lab/src/badInput/node/malformedRequests.test.ts
+++ b/packages/lab/src/badInput/node/malformedRequests.test.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { connect } from 'node:net';
 import { after, before, test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { ResultCode } from '@parsleymux/base';
 import { parseTargetAddress } from '@parsleymux/routing';
 import fc from 'fast-check';
@@ -49,7 +50,7 @@
   for (;;) {
     const { statuses } = await sendWell();
     if (statuses[0] === 200) return;
-    await new Promise((resolve) => setTimeout(resolve, 50));
+    await sleep(50);
   }
 }
 
--- a/packages/lab/src/badInput/node/tlsPorts.test.ts
+++ b/packages/lab/src/badInput/node/tlsPorts.test.ts
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { after, before, test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { ResultCode } from '@parsleymux/base';
 import { generate } from 'selfsigned';
 import { tryFetchText } from '../../processes/node/jsonRequest.js';
@@ -57,7 +58,7 @@
 /** The ports are open before the configuration is known, and until then no host is unknown. */
 async function waitUntilConfigured(): Promise<void> {
   while ((await tryFetchText(node.status, '/ready')) === undefined) {
-    await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS));
+    await sleep(READY_POLL_MS);
   }
 }
 
--- a/packages/lab/src/bench/connections/node/bench.ts
+++ b/packages/lab/src/bench/connections/node/bench.ts
@@ -5,6 +5,7 @@
 import { once } from 'node:events';
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { parseTargetAddress } from '@parsleymux/routing';
 import VError from 'verror';
 import { LabWorld } from '../../../processes/node/labWorld.js';
@@ -98,10 +99,6 @@
   };
 }
 
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 function makeReport(rows: readonly Cell[][]): IBenchReport {
   return {
     tables: [
--- a/packages/lab/src/bench/control/node/bench.ts
+++ b/packages/lab/src/bench/control/node/bench.ts
@@ -1,4 +1,5 @@
 /** What control costs a running node, as functions of the fleet's size. docs/CAPACITY.md uses it. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Cell, IBenchOptions, IBenchReport, IBenchTable } from '../../common/bench.js';
 import { Bench, formatNumber, parseNumbers } from '../../common/bench.js';
 import type { IPoint } from '../common/slope.js';
@@ -219,9 +220,5 @@
   };
 }
 
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
-
 /** Run by `npm run bench -- control`. */
 export const bench: Bench = new ControlBench();
--- a/packages/lab/src/bench/control/node/controlWorld.ts
+++ b/packages/lab/src/bench/control/node/controlWorld.ts
@@ -1,4 +1,5 @@
 /** A platform, nodes of which several share a process, and a configuration of a stated size. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { create } from '@bufbuild/protobuf';
 import type { IDisposable } from '@parsleymux/base';
@@ -127,7 +128,7 @@
     for (const { status } of this.listNodes()) {
       while ((await tryFetchText(status, '/ready')) === undefined) {
         if (performance.now() > limitMs) throw new Error(`${status} did not become ready`);
-        await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS));
+        await sleep(READY_POLL_MS);
       }
     }
   }
--- a/packages/lab/src/bench/hop/node/hopWorld.ts
+++ b/packages/lab/src/bench/hop/node/hopWorld.ts
@@ -2,6 +2,7 @@
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { create } from '@bufbuild/protobuf';
 import type { IDisposable } from '@parsleymux/base';
 import { SeededRandom, SystemClock } from '@parsleymux/base';
@@ -83,7 +84,7 @@
   }
   await Promise.all(nodes.map((node) => node.waitUntilReady()));
   await putInForce(platform.address, makeIntent(group.places), options.seed);
-  await new Promise((resolve) => setTimeout(resolve, SETTLE_MS + TIMING.configPollMs));
+  await sleep(SETTLE_MS + TIMING.configPollMs);
   const [home, other] = sortByHome(nodes);
   return new HopWorld(fleet, group.places, home, other, directory);
 }
--- a/packages/lab/src/bench/hop/node/requestStream.ts
+++ b/packages/lab/src/bench/hop/node/requestStream.ts
@@ -1,4 +1,5 @@
 /** An open-loop stream of requests to one or more addresses, with its latencies. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { SeededRandom } from '@parsleymux/base';
 import type { Histogram } from 'hdr-histogram-js';
 import { build } from 'hdr-histogram-js';
@@ -76,7 +77,7 @@
       dueMs += this.random.getExponential(1000 / this.options.perSecond);
       if (dueMs > endMs) break;
       const waitMs = dueMs - performance.now();
-      if (waitMs > 0) await new Promise((resolve) => setTimeout(resolve, waitMs));
+      if (waitMs > 0) await sleep(waitMs);
       this.startRequest();
     }
     await Promise.all(this.pending);
--- a/packages/lab/src/bench/in-force/node/bench.ts
+++ b/packages/lab/src/bench/in-force/node/bench.ts
@@ -3,6 +3,7 @@
  * One node is cut one way from the platform, and in some rounds from its peers too; the plan is
  * confirmed with `parsleyctl` at another node, and later the cut heals.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { DisposableStore } from '@parsleymux/base';
 import type { ILinkFaults } from '@parsleymux/standins';
@@ -159,8 +160,4 @@
   };
 }
 
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 export const bench: Bench = new InForceBench();
--- a/packages/lab/src/bench/in-force/node/cutPeers.ts
+++ b/packages/lab/src/bench/in-force/node/cutPeers.ts
@@ -3,6 +3,7 @@
  * goes on to the next state: whole, mute, whole, deaf. Peers address each other directly, so no
  * relay can stand between them.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { LooseMethod } from '../../../prove/breaks/node/wrapMethod.js';
 import { executeLoose, wrapMethod } from '../../../prove/breaks/node/wrapMethod.js';
 
@@ -20,7 +21,7 @@
 
 /** What a call over a cut path looks like to the caller: silence until its own timeout. */
 async function waitInSilence(timeoutMs: number): Promise<never> {
-  await new Promise((resolve) => setTimeout(resolve, timeoutMs));
+  await sleep(timeoutMs);
   throw new Error('the path is cut');
 }
 
--- a/packages/lab/src/bench/in-force/node/revisionWatch.ts
+++ b/packages/lab/src/bench/in-force/node/revisionWatch.ts
@@ -1,4 +1,5 @@
 /** Notes when each node has a revision newer than the one at the start. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { parseCounter } from '../../../processes/node/nodeMetrics.js';
 import type { NodeProcess } from '../../../processes/node/nodeProcess.js';
 
@@ -59,7 +60,3 @@
   const page = await node.fetchMetrics();
   return page === undefined ? undefined : parseCounter(page, 'parsleymux_config_revision');
 }
-
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/packages/lab/src/demo/node/main.ts
+++ b/packages/lab/src/demo/node/main.ts
@@ -3,6 +3,7 @@
  * their own; intents submitted and confirmed by `parsleyctl`; then traffic until Ctrl-C.
  * `npm run demo -- --once`: ten seconds of it as a script that checks what it did; exits 0 or 1.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { parseArgs } from 'node:util';
 import { DisposableStore } from '@parsleymux/base';
 import { LoadGenerator } from '../../load/node/loadGenerator.js';
@@ -26,7 +27,7 @@
   console.log(`started: platform, ${count}, ${world.fleet.getRunning().length} processes`);
   const plans = await world.applyIntents();
   console.log(`confirmed plans: ${plans.join(', ')}`);
-  await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+  await sleep(SETTLE_MS);
   const balancer = store.add(new ReadyBalancer(() => world.getNodes()));
   await balancer.poll();
   const load = store.add(new LoadGenerator({ workloads: makeWorkloads(), balancer, seed: SEED }));
--- a/packages/lab/src/demo/node/onceScript.ts
+++ b/packages/lab/src/demo/node/onceScript.ts
@@ -1,4 +1,5 @@
 /** The demo as a script: ten seconds of traffic, a node killed, a target gray, then checks. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { IExecution } from '@parsleymux/standins';
 import type { LoadGenerator } from '../../load/node/loadGenerator.js';
 import type { IVerdict } from '../../load/common/verdict.js';
@@ -104,7 +105,3 @@
   const total = violations.reduce((sum, { count }) => sum + count, 0);
   checks.check('invariants inside the nodes', total === 0, `${total} violations`);
 }
-
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/packages/lab/src/load/node/loadGenerator.test.ts
+++ b/packages/lab/src/load/node/loadGenerator.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { RunState } from '@parsleymux/base';
 import { TargetStandIn } from '@parsleymux/standins';
 import type { IAttemptRecord } from '../common/requestRecord.js';
@@ -73,7 +74,7 @@
     }
     const load = new LoadGenerator({ workloads: [WORKLOAD], balancer: new OneNode(), seed: 1 });
     load.start();
-    while (load.getRecords().length < 20) await new Promise((resolve) => setTimeout(resolve, 5));
+    while (load.getRecords().length < 20) await sleep(5);
     await load.stop();
     const records = load.getRecords();
     assert.equal(load.getPendingCount(), 0);
--- a/packages/lab/src/load/node/loadGenerator.ts
+++ b/packages/lab/src/load/node/loadGenerator.ts
@@ -2,6 +2,7 @@
  * Open-loop load: requests arrive when they arrive, however slow the fleet is. A closed loop
  * would slow down with the fleet and hide the very delays that are to be measured.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { IDisposable } from '@parsleymux/base';
 import { SeededRandom } from '@parsleymux/base';
 import type { Histogram } from 'hdr-histogram-js';
@@ -198,7 +199,3 @@
 function makeHistogram(): Histogram {
   return build({ highestTrackableValue: HIGHEST_LATENCY_MS, numberOfSignificantValueDigits: 3 });
 }
-
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/packages/lab/src/processes/node/nodeProcess.ts
+++ b/packages/lab/src/processes/node/nodeProcess.ts
@@ -1,6 +1,7 @@
 /** One node of the fleet as a process. */
 import { mkdir, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import VError from 'verror';
 import { tryFetchText } from './jsonRequest.js';
 import type { ManagedProcess } from './managedProcess.js';
@@ -58,7 +59,7 @@
         const lines = this.child.getErrorLines().slice(-20).join('\n');
         throw new VError('%s did not become ready:\n%s', this.options.name, lines);
       }
-      await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS));
+      await sleep(READY_POLL_MS);
     }
   }
 
--- a/packages/lab/src/shutdown/node/shutdownUnderLoad.test.ts
+++ b/packages/lab/src/shutdown/node/shutdownUnderLoad.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { compareOutcomes } from '../../load/common/verdict.js';
 import { Balancer, LoadGenerator } from '../../load/node/loadGenerator.js';
 import { makeWorkloads } from '../../processes/common/worldLayout.js';
@@ -32,10 +33,6 @@
   }
 }
 
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 async function slowTargets(world: LabWorld): Promise<void> {
   for (const place of world.getPlaces()) {
     await world.getGroup(place).setFaults(place, { slowFactor: SLOW_FACTOR });
--- a/packages/lab/src/wholeAnswers/node/wholeAnswers.test.ts
+++ b/packages/lab/src/wholeAnswers/node/wholeAnswers.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { DisposableStore } from '@parsleymux/base';
 import { compareOutcomes } from '../../load/common/verdict.js';
 import { AttemptOutcome, getFinalAttempt } from '../../load/common/requestRecord.js';
@@ -14,10 +15,6 @@
 /** Longest wait for targets to finish what callers no longer wait for. */
 const REST_MS = 500;
 
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 async function sumCounter(world: LabWorld, name: string): Promise<number> {
   const pages = await Promise.all(world.getNodes().map((node) => node.fetchMetrics()));
   return pages.reduce((sum, page) => sum + parseCounter(page ?? '', name), 0);
