--- a/packages/lab/src/atMostOnce/node/bookingRun.ts
+++ b/packages/lab/src/atMostOnce/node/bookingRun.ts
@@ -87,20 +87,26 @@
   await load.stop();
   await Promise.all(world.getNodes().map((node) => node.waitUntilReady()));
   await sleep(REST_MS);
-  const records = load.getRecords();
-  const caller = store.add(new Caller());
+  const look: IFinalLook = { world, caller: store.add(new Caller()), balancer };
+  return { ...(await makeReport(load.getRecords(), look)), disturbances: disturber.getCounts() };
+}
+
+/** Asks for every booking once more, settles what stays unknown, and compares. */
+async function makeReport(
+  records: readonly IRequestRecord[],
+  look: IFinalLook,
+): Promise<Omit<IBookingReport, 'disturbances'>> {
   const answered = records.filter(isAnswered).slice(0, REPLAYS);
-  const replays = await sendAgain(answered, caller, balancer);
+  const replays = await sendAgain(answered, look);
   const unanswered = records.filter((record) => !isAnswered(record));
-  const lateAsks = await sendAgain(unanswered, caller, balancer);
-  const settled = await settleUnknown(lateAsks, { world, caller, balancer });
+  const lateAsks = await sendAgain(unanswered, look);
+  const settled = await settleUnknown(lateAsks, look);
   const all = [...records, ...replays, ...lateAsks];
-  const verdict = compareOutcomes(joinAttempts(all), await world.fetchExecutions());
+  const verdict = compareOutcomes(joinAttempts(all), await look.world.fetchExecutions());
   return {
     bookings: records.length,
     executions: verdict.executions,
     notRunChecked: verdict.notRunChecked,
-    disturbances: disturber.getCounts(),
     outcomes: countOutcomes(records),
     replays: countOutcomes(replays),
     lateAsks: countOutcomes(lateAsks),
@@ -109,6 +115,7 @@
   };
 }
 
+/** What it takes to ask again once the disturbances are over. */
 interface IFinalLook {
   readonly world: LabWorld;
   readonly caller: Caller;
@@ -144,8 +151,7 @@
 
 async function sendAgain(
   records: readonly IRequestRecord[],
-  caller: Caller,
-  balancer: ReadyBalancer,
+  { caller, balancer }: IFinalLook,
 ): Promise<readonly IRequestRecord[]> {
   const again: IRequestRecord[] = [];
   for (const { request } of records) {
--- a/packages/lab/src/bench/control/node/bench.ts
+++ b/packages/lab/src/bench/control/node/bench.ts
@@ -11,6 +11,7 @@
 import { measureConnections } from './connectionCost.js';
 import type { IControlPoint } from './controlWorld.js';
 import { ControlWorld } from './controlWorld.js';
+import type { INodeHostUsage } from './nodeHostMain.js';
 
 const BASE: IControlPoint = {
   nodes: 8,
@@ -169,21 +170,9 @@
     const platformAfter = await world.readPlatform();
     const passedS = (performance.now() - startMs) / 1000;
     const after = await world.readUsages();
-    const computeRate = (pick: (usage: (typeof after)[number]) => number) => {
-      const change = after.reduce((sum, usage, index) => {
-        const earlier = before[index];
-        return earlier === undefined ? sum : sum + pick(usage) - pick(earlier);
-      }, 0);
-      return change / passedS / point.nodes;
-    };
-    const heap = after.reduce((sum, usage) => sum + usage.heapBytes, 0);
-    const resident = after.reduce((sum, usage) => sum + usage.residentBytes, 0);
+    const changes = { before, after, passedS };
     return [
-      computeRate((usage) => usage.cpuMs) / 10,
-      heap / point.nodes / BYTES_PER_MB,
-      resident / after.length / BYTES_PER_MB,
-      computeRate((usage) => usage.platformBytes),
-      computeRate((usage) => usage.otherBytes),
+      ...computeNodeFigures(changes, point.nodes),
       (platformAfter.reads - platformBefore.reads) / passedS,
       (platformAfter.writes - platformBefore.writes) / passedS,
     ];
@@ -192,6 +181,31 @@
   }
 }
 
+/** What the processes used at the beginning and the end of a measurement. */
+interface IUsageChange {
+  readonly before: readonly INodeHostUsage[];
+  readonly after: readonly INodeHostUsage[];
+  readonly passedS: number;
+}
+
+/** Processor %, heap MB, resident MB, bytes to the platform and to peers a second; for each node. */
+function computeNodeFigures(change: IUsageChange, nodes: number): readonly number[] {
+  const { before, after, passedS } = change;
+  const sum = (usages: readonly INodeHostUsage[], pick: (usage: INodeHostUsage) => number) => {
+    return usages.reduce((total, usage) => total + pick(usage), 0);
+  };
+  const computeRate = (pick: (usage: INodeHostUsage) => number) => {
+    return (sum(after, pick) - sum(before, pick)) / passedS / nodes;
+  };
+  return [
+    computeRate((usage) => usage.cpuMs) / 10,
+    sum(after, (usage) => usage.heapBytes) / nodes / BYTES_PER_MB,
+    sum(after, (usage) => usage.residentBytes) / after.length / BYTES_PER_MB,
+    computeRate((usage) => usage.platformBytes),
+    computeRate((usage) => usage.otherBytes),
+  ];
+}
+
 async function runChanges(world: ControlWorld, durationMs: number): Promise<void> {
   const { changesPerSecond } = world.point;
   const endMs = performance.now() + durationMs;
