Name the command that exists, and say what repeating an operator's call may do

The settings page told operators to start a node by parsleymux run; the command is serve. The client of the administration API claimed that every call can be repeated without harm; creating a key or submitting an intent twice makes two. Its example called a method that does not exist.

--- a/packages/claims/src/outcome/common/targetOutcomeLookUp.ts
+++ b/packages/claims/src/outcome/common/targetOutcomeLookUp.ts
@@ -48,7 +48,7 @@
     let denials = 0;
     for (const target of targets) {
       if (signal.aborted) break;
-      const said = await this.fetchWord(target, request, signal);
+      const said = await this.fetchResult(target, request, signal);
       if (said.result === LookUpResult.Ran) return said;
       if (said.result === LookUpResult.NotRun) denials += 1;
     }
@@ -56,7 +56,7 @@
     return { result: isDenied ? LookUpResult.NotRun : LookUpResult.Silent };
   }
 
-  private async fetchWord(
+  private async fetchResult(
     target: string,
     request: IRoutedRequest,
     signal: AbortSignal,
@@ -76,13 +76,13 @@
         },
         { signal, maxAnswerBytes: this.maxAnswerBytes, freshConnection: true },
       );
-      return await this.readWord(answer);
+      return await this.readResult(answer);
     } catch {
       return { result: LookUpResult.Silent };
     }
   }
 
-  private async readWord(answer: ITargetAnswer): Promise<ITargetOutcome> {
+  private async readResult(answer: ITargetAnswer): Promise<ITargetOutcome> {
     const { status, headers, notRun } = answer;
     const body = await readWholeBody(answer.body, this.maxAnswerBytes);
     // A target that sheds the look-up itself has said nothing about the key.
--- a/packages/ctl/src/client/node/adminClient.ts
+++ b/packages/ctl/src/client/node/adminClient.ts
@@ -27,11 +27,13 @@
 }
 
 /**
- * Sends calls with the operator's key. Every call can be repeated without harm, so one whose
- * connection broke is sent to the next node.
+ * Sends calls with the operator's key. One whose connection broke is sent to the next node, also
+ * when the first may have carried it out: a plan is confirmed or discarded once however often it is
+ * asked for. What makes something may make it twice: a second open plan, which is dropped after a
+ * day, or a second key, which `parsleyctl key list` shows and nobody has the secret of.
  *
  * @example
- * const plan = await client.call(PlanSchema, { method: 'GET', path: '/v1/plans/p1' });
+ * const plan = await client.send(PlanSchema, { method: 'GET', path: '/v1/plans/p1' });
  */
 export class AdminClient {
   private readonly agent: Agent;
--- a/packages/lab/src/docs/common/pages.ts
+++ b/packages/lab/src/docs/common/pages.ts
@@ -39,7 +39,7 @@
 
 ${NOTICE}
 
-A node reads one file, JSON with comments and trailing commas, named by \`parsleymux run FILE\`.
+A node reads one file, JSON with comments and trailing commas, named by \`parsleymux serve FILE\`.
 \`parsleymux check-settings FILE\` checks it and changes nothing. Every fault is told at once, as
 \`file:line:column: field: message (hint)\`; a field that is not listed here is refused. Numbers
 outside the limits are refused, never clipped. TLS files are read again when they change; all
