--- a/packages/config/src/plans/common/capacity.ts
+++ b/packages/config/src/plans/common/capacity.ts
@@ -111,16 +111,10 @@
   });
   const isKept = countSlots(kept) >= Math.min(capacity.floorSlots, countSlots(oldTargets));
   const isRepair = isKept && checkRepair(capacity, before);
-  return {
-    capacity,
-    isRepair,
-    breaksFloor: !isRepair && checkBreak(capacity, before, after),
-    arithmetic: describeArithmetic(
-      capacity,
-      ejected.size,
-      oldTargets.length - oldTargets.filter(isWarm).length,
-    ),
-  };
+  const breaksFloor = !isRepair && checkBreak(capacity, before, after);
+  const coldCount = oldTargets.filter((target) => !isWarm(target)).length;
+  const arithmetic = describeArithmetic(capacity, ejected.size, coldCount);
+  return { capacity, isRepair, breaksFloor, arithmetic };
 }
 
 /** During the change the lower of both floors holds: a raised floor can wait for its new targets. */
