--- a/packages/config/src/testing/intents.ts
+++ b/packages/config/src/testing/intents.ts
@@ -6,13 +6,18 @@
 /** What differs from the usual intent. */
 export interface ITestIntentOptions {
   readonly host?: string;
-  /** Host part and port of each target; each has 4 slots. */
+  /** IP number and port of each target; each has 4 slots. */
   readonly targets?: readonly string[];
   readonly floorSlots?: number;
   readonly note?: string;
 }
 
-/** One service "booking" with a route that is not idempotent. */
+/**
+ * One service "booking" with a route that is not idempotent.
+ *
+ * @example
+ * const intent = createTestIntent('dobrescu', { floorSlots: 4 });
+ */
 export function createTestIntent(member: string, options: ITestIntentOptions = {}): Intent {
   const targets = options.targets ?? [`127.0.0.1:9001`, `127.0.0.2:9001`];
   return create(IntentSchema, {
--- a/packages/config/src/testing/memoryPlatform.ts
+++ b/packages/config/src/testing/memoryPlatform.ts
@@ -137,7 +137,13 @@
   readonly objects: MemoryObjects;
 }
 
-/** A fresh platform. */
+/**
+ * An empty table and object store in memory that fail as told.
+ *
+ * @example
+ * const platform = createMemoryPlatform(new SeededRandom(1));
+ * platform.table.faults.isOut = true;
+ */
 export function createMemoryPlatform(random: RandomSource): IMemoryPlatform {
   const table = new MemoryTable(random);
   return { table, objects: new MemoryObjects(table.faults) };
--- a/packages/operators/src/access/common/rateLimiter.ts
+++ b/packages/operators/src/access/common/rateLimiter.ts
@@ -14,8 +14,10 @@
 }
 
 interface IBucket {
-  tokens: number;
-  updatedAtMs: number;
+  /** May be a fraction. */
+  readonly tokens: number;
+  /** Monotonic instant at which the tokens were counted. */
+  readonly updatedAtMs: number;
 }
 
 const DEFAULT_MAX_NAMES = 1000;
@@ -33,30 +35,35 @@
 
   /** Takes one token of `name`; false when there is none. */
   spend(name: string): boolean {
-    const bucket = this.takeBucket(name);
-    if (bucket.tokens < 1) return false;
-    bucket.tokens -= 1;
+    const tokens = this.countTokens(name);
+    if (tokens < 1) return false;
+    this.putTokens(name, tokens - 1);
     return true;
   }
 
   /** Milliseconds until `name` has a token. */
   getWaitMs(name: string): number {
-    const missing = 1 - this.takeBucket(name).tokens;
+    const missing = 1 - this.countTokens(name);
     return Math.max(0, Math.ceil((missing / this.options.perSecond) * MS_PER_SECOND));
   }
 
-  /** The bucket as it is now, moved to the end of the order in which buckets are forgotten. */
-  private takeBucket(name: string): IBucket {
+  /** The tokens that `name` has now. Asking also counts as use: the name is remembered longest. */
+  private countTokens(name: string): number {
     const { perSecond, burst } = this.options;
     const nowMs = this.options.clock.getMonotonicTime();
     const bucket = this.buckets.get(name) ?? { tokens: burst, updatedAtMs: nowMs };
     const gained = ((nowMs - bucket.updatedAtMs) / MS_PER_SECOND) * perSecond;
-    bucket.tokens = Math.min(burst, bucket.tokens + gained);
-    bucket.updatedAtMs = nowMs;
+    const tokens = Math.min(burst, bucket.tokens + gained);
+    this.putTokens(name, tokens);
+    return tokens;
+  }
+
+  /** Removed first, so that the bucket goes to the end of the order in which they are forgotten. */
+  private putTokens(name: string, tokens: number): void {
+    const updatedAtMs = this.options.clock.getMonotonicTime();
     this.buckets.delete(name);
-    this.buckets.set(name, bucket);
+    this.buckets.set(name, { tokens, updatedAtMs });
     this.removeOldest();
-    return bucket;
   }
 
   private removeOldest(): void {
--- a/packages/operators/src/testing/apiFixture.ts
+++ b/packages/operators/src/testing/apiFixture.ts
@@ -81,7 +81,14 @@
   call(method: string, path: string, key?: string, body?: unknown): Promise<ICallResult>;
 }
 
-/** Starts the API. */
+/**
+ * Starts the API over a platform in memory.
+ *
+ * @example
+ * const api = await startApiFixture();
+ * const { status } = await api.call('GET', '/v1/status', key);
+ * await api.dispose();
+ */
 export async function startApiFixture(
   options: Partial<IAdminApiOptions> = {},
 ): Promise<IApiFixture> {
--- a/packages/operators/src/testing/burnFixture.ts
+++ b/packages/operators/src/testing/burnFixture.ts
@@ -38,7 +38,12 @@
   record(recorder: BurnRecorder, requests: number, failed?: number): void;
 }
 
-/** Creates the parts. */
+/**
+ * Creates recorder, merger and reader over one table in memory.
+ *
+ * @example
+ * const fixture = createBurnFixture(7);
+ */
 export function createBurnFixture(seed = 1): IBurnFixture {
   const random = new SeededRandom(seed);
   const platform = createMemoryPlatform(random);
