Make refusals of requests that were not run in one place

Seven files of the node built the same MuxError with RunState.NotRun, two of them by a function of their own with different names (refuse, refuseForNow). createRefusal in http/common/refusal.ts is now the one; codes, messages and times to come back are unchanged.

--- a/packages/node/src/entry/common/callerRequest.ts
+++ b/packages/node/src/entry/common/callerRequest.ts
@@ -1,8 +1,9 @@
 /** What a caller's request says of itself, checked before anything is done for it. */
-import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { ResultCode } from '@parsleymux/base';
 import type { IRouteMatch, RouteTable } from '@parsleymux/config';
 import { RouteMiss } from '@parsleymux/config';
 import type { Route } from '@parsleymux/schema';
+import { createRefusal } from '../../http/common/refusal.js';
 
 const MAX_DEADLINE_MS = 600_000;
 const MAX_KEY_LENGTH = 256;
@@ -19,7 +20,7 @@
 export function parseHost(headers: readonly string[] | undefined): string {
   const [header, ...others] = headers ?? [];
   if (header === undefined || others.length > 0) {
-    throw refuse(ResultCode.MalformedRequest, 'there must be exactly one Host header');
+    throw createRefusal(ResultCode.MalformedRequest, 'there must be exactly one Host header');
   }
   return header.replace(/:\d*$/, '').replace(/\.$/, '').toLowerCase();
 }
@@ -38,7 +39,7 @@
 ): IRouteMatch {
   const match = table.match(host, path.replace(/\?.*$/s, ''), method);
   if (typeof match !== 'string') return match;
-  throw refuse(MISS_CODES[match], MISS_MESSAGES[match]);
+  throw createRefusal(MISS_CODES[match], MISS_MESSAGES[match]);
 }
 
 const MISS_CODES: Readonly<Record<RouteMiss, ResultCode>> = {
@@ -63,7 +64,10 @@
   if (header === undefined) return route.deadlineMs === 0 ? defaultMs : route.deadlineMs;
   const timeoutMs = Number(header);
   if (/^\d{1,9}$/.test(header) && timeoutMs > 0) return Math.min(timeoutMs, MAX_DEADLINE_MS);
-  throw refuse(ResultCode.MalformedDeadline, 'the timeout is not a whole number of ms above 0');
+  throw createRefusal(
+    ResultCode.MalformedDeadline,
+    'the timeout is not a whole number of ms above 0',
+  );
 }
 
 /**
@@ -79,15 +83,11 @@
   if (route.idempotent) return undefined;
   if (header === undefined || header === '') {
     const message = `this route is not idempotent: send a key in the header ${route.keyHeader}`;
-    throw refuse(ResultCode.IdempotencyKeyMissing, message);
+    throw createRefusal(ResultCode.IdempotencyKeyMissing, message);
   }
   if (typeof header !== 'string' || header.length > MAX_KEY_LENGTH || !KEY_PATTERN.test(header)) {
     const message = `the key must be 1 to ${MAX_KEY_LENGTH} visible ASCII characters`;
-    throw refuse(ResultCode.IdempotencyKeyMalformed, message);
+    throw createRefusal(ResultCode.IdempotencyKeyMalformed, message);
   }
   return header;
 }
-
-function refuse(code: ResultCode, message: string): MuxError {
-  return new MuxError({ code, message, runState: RunState.NotRun });
-}
--- a/packages/node/src/entry/node/callerConnections.ts
+++ b/packages/node/src/entry/node/callerConnections.ts
@@ -3,7 +3,8 @@
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { Server as TlsServer, TLSSocket } from 'node:tls';
-import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { ResultCode } from '@parsleymux/base';
+import { createRefusal } from '../../http/common/refusal.js';
 import { writeRawRefusal } from './refusalWriter.js';
 
 /** Connections above the limit that still get an answer; beyond them the system drops. */
@@ -61,11 +62,7 @@
   /** Throws when the request's connection was opened above the limit. */
   checkLimit(request: IncomingMessage): void {
     if (!this.aboveLimit.has(request.socket)) return;
-    throw new MuxError({
-      code: ResultCode.TooManyConnections,
-      message: 'too many connections from callers',
-      runState: RunState.NotRun,
-    });
+    throw createRefusal(ResultCode.TooManyConnections, 'too many connections from callers');
   }
 
   private track(socket: Socket): void {
@@ -98,7 +95,7 @@
     // connection has no answer, a refusal of what came behind it would be read as its answer:
     // "not run", though it may run. A cut connection claims nothing.
     if (this.hasWholeRequest(socket) || isShakingHands(socket)) socket.destroy();
-    else writeRawRefusal(socket, new MuxError({ code, message, runState: RunState.NotRun }));
+    else writeRawRefusal(socket, createRefusal(code, message));
   }
 }
 
--- a/packages/node/src/entry/node/callerRequestReader.ts
+++ b/packages/node/src/entry/node/callerRequestReader.ts
@@ -1,8 +1,9 @@
 /** Reading of a caller's request whole, once its route is known. */
 import type { IncomingMessage } from 'node:http';
-import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { ResultCode } from '@parsleymux/base';
 import type { IRouteMatch } from '@parsleymux/config';
 import type { IRoutedRequest } from '@parsleymux/routing';
+import { createRefusal } from '../../http/common/refusal.js';
 import { HeaderName, listEndToEndHeaders } from '../../http/common/headers.js';
 import { readBody } from '../../http/node/bodyReader.js';
 import { parseKey, parseTimeout } from '../common/callerRequest.js';
@@ -58,11 +59,7 @@
 export function checkExpectation(request: IncomingMessage): void {
   const { expect } = request.headers;
   if (expect === undefined || expect.toLowerCase() === '100-continue') return;
-  throw new MuxError({
-    code: ResultCode.MalformedRequest,
-    message: 'the expectation is not known',
-    runState: RunState.NotRun,
-  });
+  throw createRefusal(ResultCode.MalformedRequest, 'the expectation is not known');
 }
 
 /** The address that the platform's balancer saw, or the connection's own. */
--- a/packages/node/src/entry/node/callerServer.ts
+++ b/packages/node/src/entry/node/callerServer.ts
@@ -10,7 +10,7 @@
 import type { NodeState } from '../../app/common/nodeState.js';
 import { NodeStage } from '../../app/common/nodeState.js';
 import { HeaderName } from '../../http/common/headers.js';
-import { toMuxError } from '../../http/common/refusal.js';
+import { createRefusal, toMuxError } from '../../http/common/refusal.js';
 import { waitForEnd, writeAnswer } from '../../http/node/bodyWriter.js';
 import { createHangUpSignal } from '../../http/node/hangUpSignal.js';
 import { closeServer, listenOn } from '../../http/node/listener.js';
@@ -166,12 +166,17 @@
    */
   private checkServing(): void {
     if (this.options.state.getStage() === NodeStage.Starting) {
-      throw refuseForNow(ResultCode.NotReady, 'this node does not know its configuration yet');
+      throw createRefusal(
+        ResultCode.NotReady,
+        'this node does not know its configuration yet',
+        RETRY_AFTER_MS,
+      );
     }
     if (this.options.isIsolated()) {
-      throw refuseForNow(
+      throw createRefusal(
         ResultCode.NodeIsolated,
         'this node is cut off from the rest of the fleet',
+        RETRY_AFTER_MS,
       );
     }
   }
@@ -252,10 +257,6 @@
   });
 }
 
-function refuseForNow(code: ResultCode, message: string): MuxError {
-  return new MuxError({ code, message, runState: RunState.NotRun, retryAfterMs: RETRY_AFTER_MS });
-}
-
 function createCallerGone(cause: unknown): MuxError {
   return new MuxError({
     code: ResultCode.CallerGone,
--- a/packages/node/src/entry/node/entryShares.ts
+++ b/packages/node/src/entry/node/entryShares.ts
@@ -1,8 +1,10 @@
 /** What each member may have in progress at one entry: requests, and bytes of their bodies. */
 import type { IncomingMessage } from 'node:http';
-import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import type { MuxError } from '@parsleymux/base';
+import { ResultCode } from '@parsleymux/base';
 import { FairShares } from '@parsleymux/routing';
 import type { Limits } from '@parsleymux/schema';
+import { createRefusal } from '../../http/common/refusal.js';
 
 const RETRY_AFTER_MS = 1000;
 
@@ -46,10 +48,9 @@
 }
 
 function makeMemberLimit(what: string): MuxError {
-  return new MuxError({
-    code: ResultCode.MemberLimit,
-    message: `the member has too many ${what} in hand on this node`,
-    runState: RunState.NotRun,
-    retryAfterMs: RETRY_AFTER_MS,
-  });
+  return createRefusal(
+    ResultCode.MemberLimit,
+    `the member has too many ${what} in hand on this node`,
+    RETRY_AFTER_MS,
+  );
 }
--- a/packages/node/src/hop/node/hopServer.ts
+++ b/packages/node/src/hop/node/hopServer.ts
@@ -1,7 +1,7 @@
 /** The home's side of the request hop. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Clock, IDisposable } from '@parsleymux/base';
-import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import type { Clock, IDisposable, MuxError } from '@parsleymux/base';
+import { ResultCode } from '@parsleymux/base';
 import type { ConfigService } from '@parsleymux/config';
 import type { Header, HomeService, IAnswer, IRoutedRequest } from '@parsleymux/routing';
 import type { Route } from '@parsleymux/schema';
@@ -10,7 +10,7 @@
 import { readBody } from '../../http/node/bodyReader.js';
 import { createHangUpSignal } from '../../http/node/hangUpSignal.js';
 import { waitForEnd, writeAnswer } from '../../http/node/bodyWriter.js';
-import { toMuxError } from '../../http/common/refusal.js';
+import { createRefusal, toMuxError } from '../../http/common/refusal.js';
 import { HEARTBEAT_MS, HopHeader, HopKind } from '../common/hopProtocol.js';
 
 const OK = 200;
@@ -60,10 +60,10 @@
   }
 
   private async readRequest(request: IncomingMessage): Promise<IRoutedRequest> {
-    if (this.options.state.isLeaving()) throw createRefusal(ResultCode.NodeLeaving);
+    if (this.options.state.isLeaving()) throw createNotTaken(ResultCode.NodeLeaving);
     // A home that was paused finds requests in its sockets that are as old as the pause, and would
     // serve them by a configuration of that age: targets that have left would get new work.
-    if (this.options.isStale()) throw createRefusal(ResultCode.PeerBehind);
+    if (this.options.isStale()) throw createNotTaken(ResultCode.PeerBehind);
     const member = getHeader(request, HopHeader.Member);
     const route = this.findRoute(request, member);
     const key = request.headers[HopHeader.Key];
@@ -88,10 +88,10 @@
     const ownRevision = Number(memberConfig?.memberRevision ?? 0);
     // A home that missed a change would send work to targets that a confirmed plan took away.
     // The entry's newer revision shows it; refusing lets the entry go to a home that is current.
-    if (ownRevision < entryRevision) throw createRefusal(ResultCode.PeerBehind);
+    if (ownRevision < entryRevision) throw createNotTaken(ResultCode.PeerBehind);
     const name = getHeader(request, HopHeader.Route);
     const route = memberConfig?.intent?.routes.find((candidate) => candidate.name === name);
-    if (route === undefined) throw createRefusal(ResultCode.UnknownRoute);
+    if (route === undefined) throw createNotTaken(ResultCode.UnknownRoute);
     return route;
   }
 }
@@ -179,16 +179,12 @@
   await writeAnswer(response, { status: OK, headers, body });
 }
 
-function createRefusal(code: ResultCode): MuxError {
-  return new MuxError({ code, message: 'not taken by this node', runState: RunState.NotRun });
+function createNotTaken(code: ResultCode): MuxError {
+  return createRefusal(code, 'not taken by this node');
 }
 
 function getHeader(request: IncomingMessage, name: string): string {
   const value = request.headers[name];
   if (typeof value === 'string') return value;
-  throw new MuxError({
-    code: ResultCode.MalformedRequest,
-    message: `header ${name} is missing`,
-    runState: RunState.NotRun,
-  });
+  throw createRefusal(ResultCode.MalformedRequest, `header ${name} is missing`);
 }
--- a/packages/node/src/http/common/refusal.ts
+++ b/packages/node/src/http/common/refusal.ts
@@ -18,6 +18,21 @@
   });
 }
 
+/**
+ * The refusal of a request that nothing was done for.
+ *
+ * @example
+ * throw createRefusal(ResultCode.UnknownHost, 'no member serves this host');
+ */
+export function createRefusal(code: ResultCode, message: string, retryAfterMs?: number): MuxError {
+  return new MuxError({
+    code,
+    message,
+    runState: RunState.NotRun,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+  });
+}
+
 /** Fields of the JSON body of a refusal to a caller. */
 export interface IRefusalBody {
   readonly code: number;
--- a/packages/node/src/http/node/bodyReader.ts
+++ b/packages/node/src/http/node/bodyReader.ts
@@ -1,6 +1,7 @@
 /** Reading of whole bodies within a limit. */
 import type { IncomingMessage } from 'node:http';
 import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { createRefusal } from '../common/refusal.js';
 
 /**
  * Reads a request's body, at most `maxBytes`.
@@ -34,9 +35,5 @@
 }
 
 function createTooLarge(maxBytes: number): MuxError {
-  return new MuxError({
-    code: ResultCode.BodyTooLarge,
-    message: `the body is larger than ${maxBytes} bytes`,
-    runState: RunState.NotRun,
-  });
+  return createRefusal(ResultCode.BodyTooLarge, `the body is larger than ${maxBytes} bytes`);
 }
