--- a/packages/node/src/admin/node/adminServer.ts
+++ b/packages/node/src/admin/node/adminServer.ts
@@ -7,7 +7,7 @@
 import { CallerConnections } from '../../entry/node/callerConnections.js';
 import { writeRefusal } from '../../entry/node/refusalWriter.js';
 import { toMuxError } from '../../http/common/refusal.js';
-import { closeServer, listenOn } from '../../http/node/listener.js';
+import { endServer, listenOn } from '../../http/node/listener.js';
 
 /** Operators are few; the file descriptors of the node are for callers. */
 const MAX_CONNECTIONS = 256;
@@ -58,10 +58,8 @@
     return listenOn(this.server, address);
   }
 
-  async dispose(): Promise<void> {
-    const closed = closeServer(this.server);
-    this.server.closeAllConnections();
-    await closed;
+  dispose(): Promise<void> {
+    return endServer(this.server);
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/node/src/http/node/listener.ts
+++ b/packages/node/src/http/node/listener.ts
@@ -63,3 +63,16 @@
     server.closeIdleConnections();
   });
 }
+
+/**
+ * Stops listening and cuts the connections that are open. For ports whose clients keep connections
+ * for long: waiting for their end would hold the process for the whole keep-alive time.
+ *
+ * @example
+ * await endServer(server);
+ */
+export async function endServer(server: Server): Promise<void> {
+  const closed = closeServer(server);
+  server.closeAllConnections();
+  await closed;
+}
--- a/packages/node/src/peer/node/peerServer.ts
+++ b/packages/node/src/peer/node/peerServer.ts
@@ -3,7 +3,7 @@
 import type { IDisposable } from '@parsleymux/base';
 import type { HttpHandler, PeerAuthenticator } from '@parsleymux/fleet';
 import { PROOF_HEADER } from '@parsleymux/fleet';
-import { closeServer, listenOn } from '../../http/node/listener.js';
+import { endServer, listenOn } from '../../http/node/listener.js';
 import { HOP_PATH } from '../../hop/common/hopProtocol.js';
 import { createHttpServer } from '../../tls/node/httpServerFactory.js';
 import type { TlsFilesWatcher } from '../../tls/node/tlsFilesWatcher.js';
@@ -60,10 +60,8 @@
     this.handlers = handlers;
   }
 
-  async dispose(): Promise<void> {
-    const closed = closeServer(this.server);
-    this.server.closeAllConnections();
-    await closed;
+  dispose(): Promise<void> {
+    return endServer(this.server);
   }
 
   private serve(request: IncomingMessage, response: ServerResponse): void {
