--- a/packages/lab/src/processes/common/worldLayout.ts
+++ b/packages/lab/src/processes/common/worldLayout.ts
@@ -1,7 +1,7 @@
 /** The small world that demo and prove run: two members, six services, three failure domains. */
-import type { Intent } from '@parsleymux/schema';
+import type { Intent, RouteSchema, ServiceSchema } from '@parsleymux/schema';
 import { DetectionPreference, IntentSchema, TargetState } from '@parsleymux/schema';
-import type { JsonValue } from '@bufbuild/protobuf';
+import type { JsonValue, MessageInitShape } from '@bufbuild/protobuf';
 import { create, toJson } from '@bufbuild/protobuf';
 import type { IWorkload } from '../../load/common/workload.js';
 
@@ -155,33 +155,48 @@
   return create(IntentSchema, {
     member,
     note: change.note ?? '',
-    services: services.map((service) => ({
-      name: service.name,
-      targets: places
-        .filter((place) => isPlaceOf(place, service))
-        .map((place) => ({
-          address: place.address,
-          failureDomain: place.failureDomain,
-          slots: service.slots,
-          maxConnections: service.maxConnections,
-          state: change.states?.get(place.address) ?? TargetState.SERVING,
-        })),
-      floorSlots: Math.max(0, service.floorSlots + (change.floorChange ?? 0)),
-      detection:
-        member === RELINIERI.member ? DetectionPreference.CAREFUL : DetectionPreference.FAST,
-    })),
-    routes: services.map((service, index) => ({
-      name: service.name,
-      host: formatHost(hosts[index] ?? service),
-      pathPrefix: '/',
-      service: service.name,
-      idempotent: service.idempotent,
-      deadlineMs: 4000,
-      lookUpPath: service.idempotent ? '' : '/lookup/{key}',
-    })),
+    services: services.map((service) => makeService(service, places, change)),
+    routes: services.map((service, index) => makeRoute(service, hosts[index] ?? service)),
   });
 }
 
+function makeService(
+  service: IServiceLayout,
+  places: readonly ITargetPlace[],
+  change: IIntentChange,
+): MessageInitShape<typeof ServiceSchema> {
+  return {
+    name: service.name,
+    targets: places
+      .filter((place) => isPlaceOf(place, service))
+      .map((place) => ({
+        address: place.address,
+        failureDomain: place.failureDomain,
+        slots: service.slots,
+        maxConnections: service.maxConnections,
+        state: change.states?.get(place.address) ?? TargetState.SERVING,
+      })),
+    floorSlots: Math.max(0, service.floorSlots + (change.floorChange ?? 0)),
+    detection:
+      service.member === RELINIERI.member ? DetectionPreference.CAREFUL : DetectionPreference.FAST,
+  };
+}
+
+function makeRoute(
+  service: IServiceLayout,
+  hostOf: IServiceLayout,
+): MessageInitShape<typeof RouteSchema> {
+  return {
+    name: service.name,
+    host: formatHost(hostOf),
+    pathPrefix: '/',
+    service: service.name,
+    idempotent: service.idempotent,
+    deadlineMs: 4000,
+    lookUpPath: service.idempotent ? '' : '/lookup/{key}',
+  };
+}
+
 /**
  * An intent as the JSON that operators write.
  *
