Count the distribution bench's calls behind methods, and give the benches' parts examples

DistributionFleet offered a mutable record that another class counted up. The counts are private now and read by getMessages. Exported parts of benches and lab worlds have the examples and comments that they lacked.

--- a/packages/lab/src/badInput/common/requestCases.ts
+++ b/packages/lab/src/badInput/common/requestCases.ts
@@ -1,6 +1,7 @@
 /** Requests that no node may serve. */
 import { ResultCode } from '@parsleymux/base';
 
+/** Host name of a route that is idempotent. */
 export const READ_HOST = 'survey.relinieri.example';
 const WRITE_HOST = 'booking.relinieri.example';
 
@@ -11,6 +12,7 @@
 
 /** What a second parser would take for a request of its own. */
 const SMUGGLED = `GET /smuggled HTTP/1.1\r\nHost: ${READ_HOST}\r\n\r\n`;
+/** A header line that names a booking. */
 export const KEY = 'Idempotency-Key: k-1';
 
 /** Requests that are wrong by themselves, with the number that answers them. */
--- a/packages/lab/src/bench/control/node/burnCost.ts
+++ b/packages/lab/src/bench/control/node/burnCost.ts
@@ -36,7 +36,12 @@
   }
 }
 
-/** One flush of a node that served requests of so many services since the last. */
+/**
+ * One flush of a node that served requests of so many services since the last.
+ *
+ * @example
+ * tables.push(await measureBurnRows());
+ */
 export async function measureBurnRows(): Promise<IBenchTable> {
   const rows = [];
   for (const services of SERVICES) {
--- a/packages/lab/src/bench/control/node/callCost.ts
+++ b/packages/lab/src/bench/control/node/callCost.ts
@@ -66,7 +66,12 @@
   }
 }
 
-/** Measures announcements and fetches, on kept and on new connections. */
+/**
+ * Measures announcements and fetches, on kept and on new connections.
+ *
+ * @example
+ * tables.push(await measureCalls());
+ */
 export async function measureCalls(): Promise<IBenchTable> {
   const peer = await startPeer();
   const announce: PeerCall<unknown> = (client, options) =>
--- a/packages/lab/src/bench/control/node/connectionCost.ts
+++ b/packages/lab/src/bench/control/node/connectionCost.ts
@@ -8,7 +8,12 @@
 const COUNTS: readonly number[] = [250, 500, 1000, 2000];
 const KEEP_ALIVE_MS = 60_000;
 
-/** Opens so many pools of one connection each, as an entry has to so many homes. */
+/**
+ * Opens so many pools of one connection each, as an entry has to so many homes.
+ *
+ * @example
+ * tables.push(await measureConnections());
+ */
 export async function measureConnections(): Promise<IBenchTable> {
   const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (_, response) => {
     response.end('x');
--- a/packages/lab/src/bench/control/node/controlWorld.ts
+++ b/packages/lab/src/bench/control/node/controlWorld.ts
@@ -35,7 +35,14 @@
   readonly liveTargets: number;
 }
 
-/** A running world. */
+/**
+ * A running world.
+ *
+ * @example
+ * const world = new ControlWorld(point, seed);
+ * await world.start();
+ * await world.dispose();
+ */
 export class ControlWorld implements IDisposable {
   private readonly fleet = new ProcessFleet({ graceMs: 3000 });
   private readonly hosts: INodeHostReady[] = [];
--- a/packages/lab/src/bench/control/node/membershipCost.ts
+++ b/packages/lab/src/bench/control/node/membershipCost.ts
@@ -23,7 +23,12 @@
   }
 }
 
-/** One node's share of knowing the others. */
+/**
+ * One node's share of knowing the others.
+ *
+ * @example
+ * tables.push(await measureMembership());
+ */
 export async function measureMembership(): Promise<IBenchTable> {
   const rows = [];
   for (const nodes of SIZES) rows.push([nodes, ...(await measureSize(nodes))]);
@@ -104,7 +109,12 @@
   return (performance.now() - startMs) / ROUNDS;
 }
 
-/** What one proof and its check cost a pair of nodes. */
+/**
+ * What one proof and its check cost a pair of nodes.
+ *
+ * @example
+ * tables.push(measureProofs());
+ */
 export function measureProofs(): IBenchTable {
   const clock = new SystemClock();
   const keys = [Buffer.alloc(32, 1)];
--- a/packages/lab/src/bench/distribution/common/distributionFleet.ts
+++ b/packages/lab/src/bench/distribution/common/distributionFleet.ts
@@ -31,15 +31,21 @@
 
 /** Calls between nodes since the last reset. */
 export interface IMessageCounts {
-  announcements: number;
-  fetches: number;
+  readonly announcements: number;
+  readonly fetches: number;
 }
 
-/** One fleet. */
+/**
+ * One fleet.
+ *
+ * @example
+ * const fleet = new DistributionFleet(options);
+ * await fleet.start();
+ * await fleet.confirmChange();
+ */
 export class DistributionFleet {
   readonly clock = new ManualClock();
   readonly platform: IMemoryPlatform;
-  readonly messages: IMessageCounts = { announcements: 0, fetches: 0 };
   readonly distributors: readonly ConfigDistributor[];
   /** Instants at which each node had the awaited revision, in ms. */
   readonly arrivals: number[] = [];
@@ -48,6 +54,8 @@
   private readonly abort = new AbortController();
   private readonly running: Promise<void>[] = [];
   private awaited = Infinity;
+  private announcements = 0;
+  private fetches = 0;
 
   constructor(readonly options: IDistributionOptions) {
     this.random = new SeededRandom(options.seed);
@@ -71,11 +79,24 @@
     await this.clock.advanceBy(3 * this.options.pollMs);
   }
 
+  /** Calls since the last change was confirmed. */
+  getMessages(): IMessageCounts {
+    return { announcements: this.announcements, fetches: this.fetches };
+  }
+
+  recordAnnouncement(): void {
+    this.announcements += 1;
+  }
+
+  recordFetch(): void {
+    this.fetches += 1;
+  }
+
   /** Confirms one change; arrivals are counted from now on. */
   async confirmChange(): Promise<void> {
     this.arrivals.length = 0;
-    this.messages.announcements = 0;
-    this.messages.fetches = 0;
+    this.announcements = 0;
+    this.fetches = 0;
     this.platform.table.readCount = 0;
     this.awaited = this.getHighestRevision() + 1;
     await this.putInForce(`revision ${this.awaited}`);
@@ -136,13 +157,13 @@
   }
 
   override announce(fleetRevision: number): Promise<number> {
-    this.fleet.messages.announcements += 1;
+    this.fleet.recordAnnouncement();
     const back = new DirectPeer(this.fleet, this.to, this.from);
     return this.fleet.request(() => this.getTarget().receiveAnnouncement(fleetRevision, back));
   }
 
   override fetchAfter(fleetRevision: number): Promise<IConfigSnapshot> {
-    this.fleet.messages.fetches += 1;
+    this.fleet.recordFetch();
     return this.fleet.request(() => this.getTarget().getAfter(fleetRevision));
   }
 
--- a/packages/lab/src/bench/distribution/node/bench.ts
+++ b/packages/lab/src/bench/distribution/node/bench.ts
@@ -88,14 +88,15 @@
   await fleet.clock.advanceBy(WATCHED_MS);
   const times = fleet.arrivals.map((arrivalMs) => arrivalMs - startMs);
   times.sort((left, right) => left - right);
+  const messages = fleet.getMessages();
   const findTime = (share: number) => times[Math.ceil(share * nodes) - 1] ?? Infinity;
   return {
     reachedShare: times.length / nodes,
     halfMs: findTime(0.5),
     p99Ms: findTime(0.99),
     lastMs: findTime(1),
-    announcements: fleet.messages.announcements / nodes,
-    fetches: fleet.messages.fetches / nodes,
+    announcements: messages.announcements / nodes,
+    fetches: messages.fetches / nodes,
     readsPerSecond: (fleet.platform.table.readCount * 1000) / WATCHED_MS,
   };
 }
--- a/packages/lab/src/bench/hop/node/hopWorld.ts
+++ b/packages/lab/src/bench/hop/node/hopWorld.ts
@@ -19,9 +19,13 @@
 import { ProcessFleet } from '../../../processes/node/processFleet.js';
 import { startTargetGroup } from '../../../processes/node/targetGroup.js';
 
+/** The one member of the world. */
 export const MEMBER = 'member';
+/** Its one service. */
 export const SERVICE = 'service';
+/** Host name of the route that is idempotent. */
 export const READ_HOST = 'read.example';
+/** Host name of the route that is not. */
 export const BOOK_HOST = 'book.example';
 
 const NODE_COUNT = 2;
@@ -41,7 +45,12 @@
   readonly nodeOptions: readonly string[];
 }
 
-/** A running world. */
+/**
+ * A running world.
+ *
+ * @example
+ * const { home, other } = await startHopWorld(options);
+ */
 export class HopWorld implements IDisposable {
   constructor(
     readonly fleet: ProcessFleet,
@@ -58,7 +67,13 @@
   }
 }
 
-/** Starts all processes and puts the configuration in force. */
+/**
+ * Starts all processes and puts the configuration in force.
+ *
+ * @example
+ * const world = await startHopWorld({ seed: 1, meanServiceMs: 2, nodeOptions: [] });
+ * await world.dispose();
+ */
 export async function startHopWorld(options: IHopWorldOptions): Promise<HopWorld> {
   const fleet = new ProcessFleet({ graceMs: 10_000 });
   const directory = await mkdtemp(join(tmpdir(), 'parsleymux-hop-'));
--- a/packages/lab/src/bench/recovery/common/recoveryFleet.ts
+++ b/packages/lab/src/bench/recovery/common/recoveryFleet.ts
@@ -99,7 +99,12 @@
   }
 }
 
-/** The fleet of one case. */
+/**
+ * The fleet of one case.
+ *
+ * @example
+ * const fleet = new RecoveryFleet(size);
+ */
 export class RecoveryFleet {
   readonly clock = new ManualClock();
   readonly platform: MeteredPlatform;
--- a/packages/lab/src/demo/node/liveSummary.ts
+++ b/packages/lab/src/demo/node/liveSummary.ts
@@ -13,7 +13,12 @@
   readonly balancer: ReadyBalancer;
 }
 
-/** Prints until it is disposed of. */
+/**
+ * Prints until it is disposed of.
+ *
+ * @example
+ * store.add(new LiveSummary({ load, world, balancer }));
+ */
 export class LiveSummary implements IDisposable {
   private readonly options: ILiveSummaryOptions;
   private readonly startMs = performance.now();
--- a/packages/lab/src/processes/node/nodeProcess.ts
+++ b/packages/lab/src/processes/node/nodeProcess.ts
@@ -39,7 +39,13 @@
   readonly status: string;
 }
 
-/** A started node. */
+/**
+ * A started node.
+ *
+ * @example
+ * const node = await startNode(fleet, options);
+ * const isReady = await node.isReady();
+ */
 export class NodeProcess {
   constructor(
     readonly options: INodeProcessOptions,
