--- a/packages/node/src/app/node/claimParts.ts
+++ b/packages/node/src/app/node/claimParts.ts
@@ -49,40 +49,56 @@
  * const { guard, admin, sweeper } = createClaimParts(options);
  */
 export function createClaimParts(options: IClaimPartsOptions): IClaimParts {
-  const { platform, membership, clock, random, timing, nodeAddress, store } = options;
+  const { platform, membership, clock, random, timing, store } = options;
   const { table } = platform;
   const committer = new GroupCommitter({ table, clock, random, groupMs: timing.claimGroupMs });
   const peer = new ConnectClaimPeer(options.clients);
   const isLive = (address: string) => membership.isListed(address);
-  const guard = new ClaimGuard({
-    table,
+  const shared: ISharedParts = { committer, peer, isLive };
+  return {
+    guard: store.add(createGuard(options, shared)),
+    admin: new ClaimAdmin({ clock, ...shared }),
+    sweeper: store.add(createSweeper(options, committer)),
+  };
+}
+
+interface ISharedParts {
+  readonly committer: GroupCommitter;
+  readonly peer: ConnectClaimPeer;
+  readonly isLive: (address: string) => boolean;
+}
+
+function createGuard(options: IClaimPartsOptions, shared: ISharedParts): ClaimGuard {
+  const { platform, clock, random, invariants, nodeAddress } = options;
+  return new ClaimGuard({
+    ...shared,
+    table: platform.table,
     objects: platform.objects,
     clock,
     random,
-    invariants: options.invariants,
+    invariants,
     nodeAddress,
-    peer,
-    isLive,
-    committer,
     metrics: new ClaimMetrics(options.registry),
-    retentionS: timing.claimRetentionS,
+    retentionS: options.timing.claimRetentionS,
     maxAnswerBytes: options.limits.answerBodyBytes,
     lookUp: new TargetOutcomeLookUp({
       transport: options.transport,
       getTargets: (member, service) => listTargets(options.config, member, service),
     }),
   });
-  const sweeper = new ClaimSweeper({
-    table,
+}
+
+function createSweeper(options: IClaimPartsOptions, committer: GroupCommitter): ClaimSweeper {
+  const { platform, membership, clock, random, nodeAddress } = options;
+  return new ClaimSweeper({
+    table: platform.table,
     committer,
     clock,
     random,
-    retention: new Retention(timing.claimRetentionS),
+    retention: new Retention(options.timing.claimRetentionS),
     nodeAddress,
     getLiveNodes: () => membership.getLiveNodes().map(({ address }) => address),
   });
-  const admin = new ClaimAdmin({ committer, clock, peer, isLive });
-  return { guard: store.add(guard), admin, sweeper: store.add(sweeper) };
 }
 
 function listTargets(config: ConfigService, member: string, service: string): readonly string[] {
