Call the hop's signs of life heartbeats everywhere

The protocol already had HEARTBEAT_MS, the home a class Heartbeat, and the entry SignOfLifeWatch, firstSignMs and recordSign for the same thing. Heartbeat is the field's word. Messages within the program change their wording with it; nothing tests or parses them. The connection is blamed, not accused, in the texts.

--- a/packages/fleet/src/peers/node/peerClients.ts
+++ b/packages/fleet/src/peers/node/peerClients.ts
@@ -135,7 +135,7 @@
       return;
     }
     // A connection that the far end has lost track of stays silent while new ones work. The
-    // connections are accused first: they are dropped, and only a call on new ones that fails as
+    // connections are blamed first: they are dropped, and only a call on new ones that fails as
     // well counts against the peer.
     if (this.entries.get(address) === entry) this.closeEntry(address);
     if (!wasProved) this.options.membership.recordFailure(address);
--- a/packages/node/src/entry/test/failoverFleet.ts
+++ b/packages/node/src/entry/test/failoverFleet.ts
@@ -16,7 +16,7 @@
 
 const ROUTE = create(RouteSchema, { name: 'read', host: 'h', service: 'survey', idempotent: true });
 const HOP_MS = 2;
-/** An entry waits this long for the first sign of life. */
+/** An entry waits this long for the first heartbeat. */
 const SILENCE_MS = 400;
 
 /** How a node treats hops that reach it. */
@@ -227,7 +227,7 @@
     const isSilent = isOut || random.getFloat() < node.unansweredShare;
     if (isSilent || node.condition === NodeCondition.Paused) {
       await clock.sleep(SILENCE_MS);
-      throw new HopError(HopFailure.Lost, 'no sign of life');
+      throw new HopError(HopFailure.Lost, 'no heartbeat');
     }
     await clock.sleep(HOP_MS);
     if (node.condition === NodeCondition.Leaving) {
--- a/packages/node/src/hop/common/hopError.ts
+++ b/packages/node/src/hop/common/hopError.ts
@@ -5,7 +5,7 @@
 export const HopFailure = {
   /** No connection: the request was not delivered. */
   NotDelivered: 'not-delivered',
-  /** No sign of life in time, or the connection broke: the request may have been delivered. */
+  /** No heartbeat in time, or the connection broke: the request may have been delivered. */
   Lost: 'lost',
   /** The home says that it is leaving and did not take the request. */
   Leaving: 'leaving',
@@ -19,7 +19,7 @@
  * An exchange over the hop that brought no answer of a home.
  *
  * @example
- * throw new HopError(HopFailure.Lost, 'no sign of life');
+ * throw new HopError(HopFailure.Lost, 'no heartbeat');
  */
 export class HopError extends VError {
   readonly failure: HopFailure;
--- a/packages/node/src/hop/common/hopProtocol.ts
+++ b/packages/node/src/hop/common/hopProtocol.ts
@@ -7,7 +7,7 @@
  */
 export const HOP_PATH = '/hop';
 
-/** Interval between signs of life from a home, in ms. */
+/** Interval between heartbeats from a home, in ms. */
 export const HEARTBEAT_MS = 500;
 
 /** Header names of the hop. */
--- a/packages/node/src/hop/node/hopClient.test.ts
+++ b/packages/node/src/hop/node/hopClient.test.ts
@@ -19,7 +19,7 @@
   const server = createServer(listener);
   const peer = await listenOn(server, '127.0.0.1:0');
   const authenticator = new PeerAuthenticator({ keys: [], clock, selfAddress: '127.0.0.1:1' });
-  const client = new HopClient({ clock, authenticator, firstSignMs: 10_000 });
+  const client = new HopClient({ clock, authenticator, firstHeartbeatMs: 10_000 });
   t.after(async () => {
     await client.dispose();
     server.closeAllConnections();
--- a/packages/node/src/hop/node/hopClient.ts
+++ b/packages/node/src/hop/node/hopClient.ts
@@ -19,9 +19,9 @@
 const EXCHANGE_PREFIX_BYTES = 8;
 /** Longest silence in the middle of an answer, in ms. */
 const BODY_TIMEOUT_MS = 30_000;
-/** Longest wait for the first sign of life. Loopback and one domain crossing take a few ms. */
-const DEFAULT_FIRST_SIGN_MS = 400;
-/** Missed signs of life after which a home counts as lost. */
+/** Longest wait for the first heartbeat. Loopback and one domain crossing take a few ms. */
+const DEFAULT_FIRST_HEARTBEAT_MS = 400;
+/** Missed heartbeats after which a home counts as lost. */
 const MISSED_HEARTBEATS = 3;
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
@@ -38,8 +38,8 @@
   readonly tls?: TlsFilesWatcher | undefined;
   /** Connections to one peer. Default 64. */
   readonly connections?: number;
-  /** Longest wait for a home's first sign of life, in ms. Default 400. */
-  readonly firstSignMs?: number;
+  /** Longest wait for a home's first heartbeat, in ms. Default 400. */
+  readonly firstHeartbeatMs?: number;
 }
 
 /**
@@ -53,7 +53,7 @@
   private readonly authenticator: PeerAuthenticator;
   private readonly tls: TlsFilesWatcher | undefined;
   private readonly connections: number;
-  private readonly firstSignMs: number;
+  private readonly firstHeartbeatMs: number;
   private readonly pools = new Map<string, Pool>();
   private readonly exchangePrefix = randomBytes(EXCHANGE_PREFIX_BYTES).toString('hex');
   private exchanges = 0;
@@ -64,11 +64,11 @@
     this.authenticator = options.authenticator;
     this.tls = options.tls;
     this.connections = options.connections ?? DEFAULT_CONNECTIONS;
-    this.firstSignMs = options.firstSignMs ?? DEFAULT_FIRST_SIGN_MS;
+    this.firstHeartbeatMs = options.firstHeartbeatMs ?? DEFAULT_FIRST_HEARTBEAT_MS;
   }
 
   override async send(peer: string, hop: IHopRequest, signal: AbortSignal): Promise<IAnswer> {
-    const watch = new SignOfLifeWatch(this.clock, this.firstSignMs, signal);
+    const watch = new HeartbeatWatch(this.clock, this.firstHeartbeatMs, signal);
     const exchange = `${this.exchangePrefix}-${this.exchanges++}`;
     try {
       const answer = await this.getPool(peer).request({
@@ -85,10 +85,10 @@
         headersTimeout: 0,
         bodyTimeout: BODY_TIMEOUT_MS,
         onInfo: () => {
-          watch.recordSign();
+          watch.recordHeartbeat();
         },
       });
-      watch.recordSign();
+      watch.recordHeartbeat();
       checkExchange(answer, exchange);
       return await this.readAnswer(answer, watch);
     } catch (error) {
@@ -125,7 +125,7 @@
     const scheme = this.tls === undefined ? 'http' : 'https';
     const pool = new Pool(`${scheme}://${peer}`, {
       connections: this.connections,
-      connect: { timeout: this.firstSignMs, ...this.tls?.getMaterial() },
+      connect: { timeout: this.firstHeartbeatMs, ...this.tls?.getMaterial() },
     });
     this.pools.set(peer, pool);
     return pool;
@@ -153,7 +153,7 @@
 
   private async readAnswer(
     answer: Dispatcher.ResponseData,
-    watch: SignOfLifeWatch,
+    watch: HeartbeatWatch,
   ): Promise<IAnswer> {
     const code = answer.headers[HopHeader.Code];
     if (typeof code !== 'string') {
@@ -182,23 +182,23 @@
 }
 
 /**
- * Aborts the exchange when the home gives no sign of life for too long. A paused or cut-off home
+ * Aborts the exchange when the home sends no heartbeat for too long. A paused or cut-off home
  * would otherwise keep the request until the caller's deadline, seen as timeouts of just the
  * services that have it for home.
  */
-class SignOfLifeWatch {
+class HeartbeatWatch {
   private readonly abort = new AbortController();
   private readonly clock: Clock;
   readonly signal: AbortSignal;
   private timer: IDisposable;
 
-  constructor(clock: Clock, firstSignMs: number, outer: AbortSignal) {
+  constructor(clock: Clock, firstHeartbeatMs: number, outer: AbortSignal) {
     this.clock = clock;
     this.signal = AbortSignal.any([this.abort.signal, outer]);
-    this.timer = this.startTimer(firstSignMs);
+    this.timer = this.startTimer(firstHeartbeatMs);
   }
 
-  recordSign(): void {
+  recordHeartbeat(): void {
     this.stop();
     this.timer = this.startTimer(HEARTBEAT_MS * MISSED_HEARTBEATS);
   }
@@ -209,7 +209,7 @@
 
   private startTimer(delayMs: number): IDisposable {
     return this.clock.startTimer(delayMs, () => {
-      this.abort.abort(new HopError(HopFailure.Lost, 'no sign of life from the peer'));
+      this.abort.abort(new HopError(HopFailure.Lost, 'no heartbeat from the peer'));
     });
   }
 }
@@ -233,7 +233,7 @@
 
 function streamBody(
   answer: Dispatcher.ResponseData,
-  watch: SignOfLifeWatch,
+  watch: HeartbeatWatch,
 ): AsyncIterable<Uint8Array> {
   watch.stop();
   return watchBodyEnd(answer.body as AsyncIterable<Uint8Array>, () => {
--- a/packages/node/src/hop/node/hopServer.ts
+++ b/packages/node/src/hop/node/hopServer.ts
@@ -113,7 +113,7 @@
   constructor(clock: Clock, response: ServerResponse) {
     this.clock = clock;
     this.response = response;
-    this.sendSign();
+    this.sendHeartbeat();
   }
 
   stop(): void {
@@ -121,11 +121,11 @@
     void this.timer?.dispose();
   }
 
-  private sendSign(): void {
+  private sendHeartbeat(): void {
     if (this.isStopped || this.response.headersSent || this.response.destroyed) return;
     this.response.writeProcessing();
     this.timer = this.clock.startTimer(HEARTBEAT_MS, () => {
-      this.sendSign();
+      this.sendHeartbeat();
     });
   }
 }
