--- a/packages/base/src/error/common/muxError.ts
+++ b/packages/base/src/error/common/muxError.ts
@@ -1,6 +1,7 @@
 /** The typed error of the project: a numbered result, whether the request ran, and a cause. */
 import VError from 'verror';
-import type { ResultCode, RunState } from '../../result/common/resultCode.js';
+import type { ResultCode } from '../../result/common/resultCode.js';
+import { RunState } from '../../result/common/resultCode.js';
 
 /** Options of a {@link MuxError}. */
 export interface IMuxErrorOptions {
@@ -35,4 +36,19 @@
     this.retryAfterMs = options.retryAfterMs;
     this.summary = options.message;
   }
+
+  /**
+   * The same refusal for a request that somebody may have executed: an earlier attempt, or a node
+   * that fell silent with it. "Not run" of the last attempt alone would be false of the request.
+   */
+  toMayHaveRun(): MuxError {
+    if (this.runState !== RunState.NotRun) return this;
+    return new MuxError({
+      code: this.code,
+      message: this.summary,
+      runState: RunState.MayHaveRun,
+      cause: this,
+      ...(this.retryAfterMs === undefined ? {} : { retryAfterMs: this.retryAfterMs }),
+    });
+  }
 }
--- a/packages/node/src/entry/common/homeRouter.ts
+++ b/packages/node/src/entry/common/homeRouter.ts
@@ -1,6 +1,6 @@
 /** The entry's choice of a home for each request, and its way on when a home does not answer. */
 import type { Clock } from '@parsleymux/base';
-import { MuxError, RunState } from '@parsleymux/base';
+import { MuxError } from '@parsleymux/base';
 import type { ConfigService } from '@parsleymux/config';
 import type { MembershipService, Placement } from '@parsleymux/fleet';
 import type { HomeService, IAnswer, IRoutedRequest } from '@parsleymux/routing';
@@ -150,12 +150,5 @@
  * the next home would then be false; the caller would learn of it only from a second booking.
  */
 function withPossibleReach(error: MuxError, mayHaveReached: boolean): MuxError {
-  if (!mayHaveReached || error.runState !== RunState.NotRun) return error;
-  return new MuxError({
-    code: error.code,
-    message: error.message,
-    runState: RunState.MayHaveRun,
-    cause: error,
-    ...(error.retryAfterMs === undefined ? {} : { retryAfterMs: error.retryAfterMs }),
-  });
+  return mayHaveReached ? error.toMayHaveRun() : error;
 }
--- a/packages/routing/src/attempt/common/attemptOutcome.ts
+++ b/packages/routing/src/attempt/common/attemptOutcome.ts
@@ -91,17 +91,6 @@
   });
 }
 
-/** The same refusal for a request of which an earlier attempt may have been executed. */
-export function markMayHaveRun(error: MuxError): MuxError {
-  return new MuxError({
-    code: error.code,
-    message: error.message,
-    runState: RunState.MayHaveRun,
-    cause: error,
-    ...(error.retryAfterMs === undefined ? {} : { retryAfterMs: error.retryAfterMs }),
-  });
-}
-
 /** Wraps what a transport threw, so that a fault of the transport itself is not taken for "not run". */
 export function toFailedAttempt(target: string, thrown: unknown): IFailedAttempt {
   const error =
--- a/packages/routing/src/home/common/serviceHome.ts
+++ b/packages/routing/src/home/common/serviceHome.ts
@@ -8,7 +8,6 @@
   isGood,
   isProvablyNotRun,
   isWorthRetrying,
-  markMayHaveRun,
   toAnswer,
 } from '../../attempt/common/attemptOutcome.js';
 import type { IRunningAttempt } from '../../attempt/common/hedgedAttempt.js';
@@ -242,8 +241,7 @@
   private checkRefusal(passage: IPassage, error: unknown): unknown {
     if (!(error instanceof MuxError)) return error;
     const mayHaveRun = passage.count.isMaybeRun();
-    const truthful =
-      mayHaveRun && error.runState === RunState.NotRun ? markMayHaveRun(error) : error;
+    const truthful = mayHaveRun ? error.toMayHaveRun() : error;
     this.context.invariants.check(
       InvariantName.TruthfulRefusal,
       !(mayHaveRun && truthful.runState === RunState.NotRun),
