Take an operator that hangs up for that, not for a fault of the program

Cause: a body cut off by an interrupted command was logged as an internal error. Without the change the new test does not end, since the hang-up is counted as internal.

--- a/packages/operators/src/api/node/adminApi.test.ts
+++ b/packages/operators/src/api/node/adminApi.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
 import { readFileSync } from 'node:fs';
+import { connect } from 'node:net';
 import { test } from 'node:test';
 import { create, toJson } from '@bufbuild/protobuf';
-import { InvariantName, ResultCode } from '@parsleymux/base';
+import { createSilentLogger, InvariantName, ResultCode } from '@parsleymux/base';
 import { createTestIntent } from '@parsleymux/config/testing';
 import type { Intent } from '@parsleymux/schema';
 import { GetNodeStatusResponseSchema, IntentSchema } from '@parsleymux/schema';
@@ -243,3 +245,26 @@
     return Promise.resolve();
   });
 });
+
+// Symptom: the log has errors of the program whenever an operator interrupts a command. Sequence:
+// the connection ends in the middle of a request's body. Cause: the broken read was taken for a
+// fault of ours.
+test('an operator that hangs up is counted, and no error is logged', async () => {
+  const lines: unknown[] = [];
+  const logger = { ...createSilentLogger(), error: (line: unknown) => lines.push(line) };
+  await withApi(
+    async (api, own) => {
+      const { hostname, port } = new URL(api.url);
+      const socket = connect({ host: hostname, port: Number(port) });
+      socket.write(`POST /v1/intents HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${own}\r\n`);
+      socket.write('expect: 100-continue\r\ncontent-length: 100\r\n\r\n');
+      await once(socket, 'data');
+      socket.write('{');
+      socket.destroy();
+      const isCounted = () => api.getCounts().get(ResultCode.CallerGone) === 1;
+      while (!isCounted()) await new Promise((resolve) => setImmediate(resolve));
+      assert.deepEqual(lines, []);
+    },
+    { logger: logger as never },
+  );
+});
--- a/packages/operators/src/api/node/adminApi.ts
+++ b/packages/operators/src/api/node/adminApi.ts
@@ -148,12 +148,17 @@
   }
 
   private writeRefusal(response: ServerResponse, error: unknown): void {
+    if (response.destroyed) {
+      // Whatever broke off, nobody reads the answer; an operator's Ctrl-C is no fault of ours.
+      this.recordCode(ResultCode.CallerGone);
+      return;
+    }
     const shown = toShownError(error);
     this.recordCode(shown.code);
     if (shown.code === ResultCode.Internal) {
       this.options.logger.error('administration request failed', { error: String(error) });
     }
-    if (response.headersSent || response.destroyed) return;
+    if (response.headersSent) return;
     if (shown.retryAfterMs !== undefined) {
       response.setHeader('retry-after', Math.ceil(shown.retryAfterMs / MS_PER_SECOND));
     }
--- a/packages/operators/src/testing/apiFixture.ts
+++ b/packages/operators/src/testing/apiFixture.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { create } from '@bufbuild/protobuf';
-import type { Event, IDisposable } from '@parsleymux/base';
+import type { Event, IDisposable, ResultCode } from '@parsleymux/base';
 import {
   createSilentLogger,
   Emitter,
@@ -78,6 +78,8 @@
   readonly claims: FakeClaims;
   readonly invariants: InvariantRegistry;
   readonly operations: readonly string[];
+  /** Answers so far, by result code. */
+  getCounts(): ReadonlyMap<ResultCode, number>;
   call(method: string, path: string, key?: string, body?: unknown): Promise<ICallResult>;
 }
 
@@ -117,6 +119,7 @@
   return {
     ...{ url, platform, clock, keys, config, status, claims, invariants },
     operations: api.listOperations(),
+    getCounts: () => api.getCounts(),
     call: (method, path, key, body) => executeCall(url + path, method, key, body),
     dispose: async () => {
       server.closeAllConnections();
