Name the table, object store and VM list package store, so that platform can be the adapter's name

Cause: the users' adapter has to lie in platform/, and a package of that name stood for another thing. Ruled out: keeping both under one word. Only names and paths change; build and lint pass before and after.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -6,7 +6,7 @@
 const LAYERS = [
   'base',
   'schema',
-  'platform',
+  'store',
   'config',
   'fleet',
   'routing',
--- a/packages/claims/src/admin/common/claimAdmin.ts
+++ b/packages/claims/src/admin/common/claimAdmin.ts
@@ -2,7 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import type { Clock } from '@parsleymux/base';
 import { MuxError, ResultCode, RunState } from '@parsleymux/base';
-import { PlatformError } from '@parsleymux/platform';
+import { PlatformError } from '@parsleymux/store';
 import type { ClaimInfo } from '@parsleymux/schema';
 import { ClaimInfoSchema, ClaimLookUp, ClaimOutcome } from '@parsleymux/schema';
 import type { IClaim, IVersionedClaim } from '../../claim/common/claim.js';
--- a/packages/claims/src/claim/common/claim.ts
+++ b/packages/claims/src/claim/common/claim.ts
@@ -4,7 +4,7 @@
  * the last change. Were it deleted on release, a claim that is late on its way to the table would
  * land on the empty place and hold the key for a request that is long over.
  */
-import type { ITableRow } from '@parsleymux/platform';
+import type { ITableRow } from '@parsleymux/store';
 import type { IStoredAnswer } from './answerCodec.js';
 
 /** What is known of the one execution of a key. */
--- a/packages/claims/src/expiry/common/claimSweeper.ts
+++ b/packages/claims/src/expiry/common/claimSweeper.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, IDisposable, RandomSource } from '@parsleymux/base';
 import { hashToInteger, MS_PER_DAY } from '@parsleymux/base';
-import type { ITableRow, TableService } from '@parsleymux/platform';
+import type { ITableRow, TableService } from '@parsleymux/store';
 import { decodeClaim } from '../../claim/common/claim.js';
 import { CLAIM_PREFIX, formatClaimRowKey } from '../../claim/common/claimIdentity.js';
 import type { GroupCommitter } from '../../store/common/groupCommitter.js';
--- a/packages/claims/src/guard/common/claimGuardOptions.ts
+++ b/packages/claims/src/guard/common/claimGuardOptions.ts
@@ -1,7 +1,7 @@
 /** Options of the guard, and what is taken where they are left out. */
 import { randomUUID } from 'node:crypto';
 import type { Clock, InvariantRegistry, RandomSource } from '@parsleymux/base';
-import type { ObjectStore, TableService } from '@parsleymux/platform';
+import type { ObjectStore, TableService } from '@parsleymux/store';
 import { DEFAULT_RETENTION_S } from '../../expiry/common/retention.js';
 import { ClaimMetrics } from '../../metrics/common/claimMetrics.js';
 import type { OutcomeLookUp } from '../../outcome/common/outcomeLookUp.js';
--- a/packages/claims/src/guard/common/claimRunner.ts
+++ b/packages/claims/src/guard/common/claimRunner.ts
@@ -1,7 +1,7 @@
 /** Claims a key, dispatches under the claim, and records what came of it. */
 import type { Clock, InvariantRegistry, RandomSource } from '@parsleymux/base';
 import { MuxError, RunState } from '@parsleymux/base';
-import type { ObjectStore } from '@parsleymux/platform';
+import type { ObjectStore } from '@parsleymux/store';
 import type { IAnswer, IGuardedAttempt } from '@parsleymux/routing';
 import type { AttemptRegistry, IAttemptOutcome } from '../../attempt/common/attemptRegistry.js';
 import { Attempt, AttemptEnd } from '../../attempt/common/attemptRegistry.js';
--- a/packages/claims/src/guard/common/outcomeSettler.ts
+++ b/packages/claims/src/guard/common/outcomeSettler.ts
@@ -1,6 +1,6 @@
 /** Reads recorded outcomes, and asks the targets where the fleet itself does not know. */
 import type { Clock } from '@parsleymux/base';
-import type { ObjectStore } from '@parsleymux/platform';
+import type { ObjectStore } from '@parsleymux/store';
 import type { IRoutedRequest } from '@parsleymux/routing';
 import type { IStoredAnswer, IWholeAnswer } from '../../claim/common/answerCodec.js';
 import { decodeAnswer, encodeAnswer, markReplayed } from '../../claim/common/answerCodec.js';
--- a/packages/claims/src/store/common/claimStore.ts
+++ b/packages/claims/src/store/common/claimStore.ts
@@ -1,6 +1,6 @@
 /** Claims in the platform's table, with every lost answer settled by asking again. */
 import type { Clock, RandomSource } from '@parsleymux/base';
-import { PlatformError, PlatformFailure } from '@parsleymux/platform';
+import { PlatformError, PlatformFailure } from '@parsleymux/store';
 import type { IClaim, IVersionedClaim } from '../../claim/common/claim.js';
 import { ClaimState, decodeClaim, encodeClaim } from '../../claim/common/claim.js';
 import type { GroupCommitter } from './groupCommitter.js';
--- a/packages/claims/src/store/common/groupCommitter.test.ts
+++ b/packages/claims/src/store/common/groupCommitter.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { ManualClock } from '@parsleymux/base';
-import { PlatformError, PlatformFailure } from '@parsleymux/platform';
+import { PlatformError, PlatformFailure } from '@parsleymux/store';
 import { FakeTable, TableFault } from '../../test/fakeTable.js';
 import type { IRowResult } from './groupCommitter.js';
 import { GroupCommitter } from './groupCommitter.js';
--- a/packages/claims/src/store/common/groupCommitter.ts
+++ b/packages/claims/src/store/common/groupCommitter.ts
@@ -9,8 +9,8 @@
   ITableTransaction,
   ITransactionResult,
   TableService,
-} from '@parsleymux/platform';
-import { PlatformError, PlatformFailure } from '@parsleymux/platform';
+} from '@parsleymux/store';
+import { PlatformError, PlatformFailure } from '@parsleymux/store';
 import { StoreHealth } from './storeHealth.js';
 
 /** Two ms: docs/decisions/40-at-most-once.md has the measurements. */
--- a/packages/claims/src/test/fakeTable.ts
+++ b/packages/claims/src/test/fakeTable.ts
@@ -5,8 +5,8 @@
   ITableRow,
   ITableTransaction,
   ITransactionResult,
-} from '@parsleymux/platform';
-import { ObjectStore, PlatformError, PlatformFailure, TableService } from '@parsleymux/platform';
+} from '@parsleymux/store';
+import { ObjectStore, PlatformError, PlatformFailure, TableService } from '@parsleymux/store';
 
 /** What happens to one call. */
 export const TableFault = {
--- a/packages/claims/src/test/processGate.ts
+++ b/packages/claims/src/test/processGate.ts
@@ -6,8 +6,8 @@
   ITableRow,
   ITableTransaction,
   ITransactionResult,
-} from '@parsleymux/platform';
-import { TableService } from '@parsleymux/platform';
+} from '@parsleymux/store';
+import { TableService } from '@parsleymux/store';
 
 /** What befalls a process. */
 export interface IProcessFault {
--- a/packages/config/src/distribution/common/configDistributorOptions.ts
+++ b/packages/config/src/distribution/common/configDistributorOptions.ts
@@ -1,6 +1,6 @@
 /** What a configuration distributor is made of, and what it counts. */
 import type { InvariantRegistry } from '@parsleymux/base';
-import type { IPlatform } from '@parsleymux/platform';
+import type { IPlatform } from '@parsleymux/store';
 import type { AppliedConfig } from './appliedConfig.js';
 import type { ConfigPeerSource } from './configPeer.js';
 import type { IDistributionPaceOptions } from './distributionPace.js';
--- a/packages/config/src/distribution/common/storeReader.ts
+++ b/packages/config/src/distribution/common/storeReader.ts
@@ -1,7 +1,7 @@
 /** Reads from the platform's store what changed since a revision. */
 import { create, fromBinary } from '@bufbuild/protobuf';
-import type { IPlatform, ITableRow } from '@parsleymux/platform';
-import { PlatformError, PlatformFailure } from '@parsleymux/platform';
+import type { IPlatform, ITableRow } from '@parsleymux/store';
+import { PlatformError, PlatformFailure } from '@parsleymux/store';
 import type { MemberConfig, MemberPointer } from '@parsleymux/schema';
 import { IntentSchema, MemberConfigSchema } from '@parsleymux/schema';
 import {
--- a/packages/config/src/layout/common/rows.ts
+++ b/packages/config/src/layout/common/rows.ts
@@ -2,7 +2,7 @@
 import { create, fromJsonString, toJsonString } from '@bufbuild/protobuf';
 import type { MemberPointer, PlanState } from '@parsleymux/schema';
 import { HeadSchema, MemberPointerSchema } from '@parsleymux/schema';
-import type { ITableRow } from '@parsleymux/platform';
+import type { ITableRow } from '@parsleymux/store';
 
 /** Who owns a host name or a target address. */
 export interface IOwnerRow {
--- a/packages/config/src/plans/common/confirmTransaction.ts
+++ b/packages/config/src/plans/common/confirmTransaction.ts
@@ -4,7 +4,7 @@
   ITableRow,
   ITableTransaction,
   ITableWrite,
-} from '@parsleymux/platform';
+} from '@parsleymux/store';
 import type { Intent, Service } from '@parsleymux/schema';
 import { MemberPointerSchema, PlanState } from '@parsleymux/schema';
 import { create } from '@bufbuild/protobuf';
--- a/packages/config/src/plans/common/planLimits.ts
+++ b/packages/config/src/plans/common/planLimits.ts
@@ -1,6 +1,6 @@
 /** Keeps the number of a member's plan rows bounded. */
 import { MS_PER_DAY, MuxError, ResultCode, RunState } from '@parsleymux/base';
-import type { ITableRow, ITableWrite, TableService } from '@parsleymux/platform';
+import type { ITableRow, ITableWrite, TableService } from '@parsleymux/store';
 import { PlanState } from '@parsleymux/schema';
 import { formatPlanPrefix } from '../../layout/common/rowKeys.js';
 import type { IPlanRow } from '../../layout/common/rows.js';
--- a/packages/config/src/plans/common/planRepository.ts
+++ b/packages/config/src/plans/common/planRepository.ts
@@ -5,8 +5,8 @@
   ITableRow,
   ITableTransaction,
   ITransactionResult,
-} from '@parsleymux/platform';
-import { PlatformError, PlatformFailure } from '@parsleymux/platform';
+} from '@parsleymux/store';
+import { PlatformError, PlatformFailure } from '@parsleymux/store';
 import type { Intent, Plan } from '@parsleymux/schema';
 import { IntentSchema, PlanSchema, PlanState } from '@parsleymux/schema';
 import {
--- a/packages/config/src/plans/common/storeRetry.ts
+++ b/packages/config/src/plans/common/storeRetry.ts
@@ -1,6 +1,6 @@
 /** Repeats work on the platform's store that lost a race or an answer. */
 import type { Clock, RandomSource } from '@parsleymux/base';
-import { PlatformError, PlatformFailure } from '@parsleymux/platform';
+import { PlatformError, PlatformFailure } from '@parsleymux/store';
 import { createStoreError } from './planErrors.js';
 
 const MAX_LOST_RACES = 40;
--- a/packages/config/src/testing/memoryPlatform.ts
+++ b/packages/config/src/testing/memoryPlatform.ts
@@ -5,8 +5,8 @@
   ITableRow,
   ITableTransaction,
   ITransactionResult,
-} from '@parsleymux/platform';
-import { ObjectStore, PlatformError, PlatformFailure, TableService } from '@parsleymux/platform';
+} from '@parsleymux/store';
+import { ObjectStore, PlatformError, PlatformFailure, TableService } from '@parsleymux/store';
 
 /** Faults of the store; shares are in [0, 1]. */
 export interface IStoreFaults {
--- a/packages/fleet/src/membership/common/listedMembershipService.test.ts
+++ b/packages/fleet/src/membership/common/listedMembershipService.test.ts
@@ -2,8 +2,8 @@
 import type { TestContext } from 'node:test';
 import { test } from 'node:test';
 import { ManualClock, SeededRandom } from '@parsleymux/base';
-import type { IVm } from '@parsleymux/platform';
-import { PlatformError, PlatformFailure, VmList, VmState } from '@parsleymux/platform';
+import type { IVm } from '@parsleymux/store';
+import { PlatformError, PlatformFailure, VmList, VmState } from '@parsleymux/store';
 import { ListedMembershipService } from './listedMembershipService.js';
 
 const SELF = 'a:1';
--- a/packages/fleet/src/membership/common/listedMembershipService.ts
+++ b/packages/fleet/src/membership/common/listedMembershipService.ts
@@ -1,8 +1,8 @@
 /** Membership from the platform's VM list, corrected by this node's own experience. */
 import type { Clock, Event, IDisposable, RandomSource } from '@parsleymux/base';
 import { Emitter, JoinedSignal } from '@parsleymux/base';
-import type { IVm, VmList } from '@parsleymux/platform';
-import { VmState } from '@parsleymux/platform';
+import type { IVm, VmList } from '@parsleymux/store';
+import { VmState } from '@parsleymux/store';
 import type { INode } from './membershipService.js';
 import { MembershipService } from './membershipService.js';
 import { computeSharedInterval } from '../../pacing/common/sharedPace.js';
--- a/packages/lab/src/bench/claims/common/measureClaims.ts
+++ b/packages/lab/src/bench/claims/common/measureClaims.ts
@@ -4,7 +4,7 @@
 import { ResultCode, RunState } from '@parsleymux/base';
 import type { IClaimLookUpAnswer } from '@parsleymux/claims';
 import { ClaimGuard, ClaimPeer, GroupCommitter } from '@parsleymux/claims';
-import type { IPlatform } from '@parsleymux/platform';
+import type { IPlatform } from '@parsleymux/store';
 import type { IAnswer, IGuardedAttempt } from '@parsleymux/routing';
 import type { Route } from '@parsleymux/schema';
 import { RouteSchema } from '@parsleymux/schema';
--- a/packages/lab/src/bench/claims/node/bench.ts
+++ b/packages/lab/src/bench/claims/node/bench.ts
@@ -1,6 +1,6 @@
 /** The trade of the group interval against latency and store writes, and the size of records. */
 import { InvariantRegistry, SeededRandom, SystemClock } from '@parsleymux/base';
-import { openHttpPlatform } from '@parsleymux/platform';
+import { openHttpPlatform } from '@parsleymux/store';
 import type { PlatformProcess } from '../../../processes/node/platformProcess.js';
 import { startPlatform } from '../../../processes/node/platformProcess.js';
 import { ProcessFleet } from '../../../processes/node/processFleet.js';
--- a/packages/lab/src/bench/control/node/burnCost.ts
+++ b/packages/lab/src/bench/control/node/burnCost.ts
@@ -3,8 +3,8 @@
 import type { IFleetConfig } from '@parsleymux/config';
 import { ConfigService } from '@parsleymux/config';
 import { BurnRecorder } from '@parsleymux/operators';
-import type { ITableRow, ITableTransaction, ITransactionResult } from '@parsleymux/platform';
-import { TableService } from '@parsleymux/platform';
+import type { ITableRow, ITableTransaction, ITransactionResult } from '@parsleymux/store';
+import { TableService } from '@parsleymux/store';
 import type { IBenchTable } from '../../common/bench.js';
 import { formatNumber } from '../../common/bench.js';
 
--- a/packages/lab/src/bench/control/node/membershipCost.ts
+++ b/packages/lab/src/bench/control/node/membershipCost.ts
@@ -2,8 +2,8 @@
 import { gzipSync } from 'node:zlib';
 import { ManualClock, SeededRandom, SystemClock } from '@parsleymux/base';
 import { ListedMembershipService, PeerAuthenticator, RendezvousPlacement } from '@parsleymux/fleet';
-import type { IVm } from '@parsleymux/platform';
-import { VmList, VmState } from '@parsleymux/platform';
+import type { IVm } from '@parsleymux/store';
+import { VmList, VmState } from '@parsleymux/store';
 import type { IBenchTable } from '../../common/bench.js';
 import { formatNumber } from '../../common/bench.js';
 
--- a/packages/lab/src/bench/hop/node/hopWorld.ts
+++ b/packages/lab/src/bench/hop/node/hopWorld.ts
@@ -8,7 +8,7 @@
 import { SeededRandom, SystemClock } from '@parsleymux/base';
 import { IntentValidator, PlanBuilder, PlanStore } from '@parsleymux/config';
 import { RendezvousPlacement } from '@parsleymux/fleet';
-import { openHttpPlatform, VmState } from '@parsleymux/platform';
+import { openHttpPlatform, VmState } from '@parsleymux/store';
 import type { Intent } from '@parsleymux/schema';
 import { IntentSchema } from '@parsleymux/schema';
 import type { ITargetPlace } from '../../../processes/common/worldLayout.js';
--- a/packages/lab/src/bench/recovery/common/meteredPlatform.ts
+++ b/packages/lab/src/bench/recovery/common/meteredPlatform.ts
@@ -8,14 +8,14 @@
   ITableTransaction,
   ITransactionResult,
   IVm,
-} from '@parsleymux/platform';
+} from '@parsleymux/store';
 import {
   ObjectStore,
   PlatformError,
   PlatformFailure,
   TableService,
   VmList,
-} from '@parsleymux/platform';
+} from '@parsleymux/store';
 
 const MS_PER_SECOND = 1000;
 
--- a/packages/lab/src/bench/recovery/common/recoveryFleet.ts
+++ b/packages/lab/src/bench/recovery/common/recoveryFleet.ts
@@ -12,7 +12,7 @@
 } from '@parsleymux/config';
 import { createMemoryPlatform, createTestIntent } from '@parsleymux/config/testing';
 import { computeSharedInterval, ListedMembershipService } from '@parsleymux/fleet';
-import { VmState } from '@parsleymux/platform';
+import { VmState } from '@parsleymux/store';
 import { MeteredPlatform } from './meteredPlatform.js';
 
 const OPERATION_MS = 5;
--- a/packages/lab/src/bench/standins/node/bench.ts
+++ b/packages/lab/src/bench/standins/node/bench.ts
@@ -2,8 +2,8 @@
  * What the platform stand-in carries by itself. A run in which the stand-in were the bottleneck
  * would measure the stand-in; these figures say up to which load that can't be so.
  */
-import type { IHttpPlatform } from '@parsleymux/platform';
-import { openHttpPlatform } from '@parsleymux/platform';
+import type { IHttpPlatform } from '@parsleymux/store';
+import { openHttpPlatform } from '@parsleymux/store';
 import { build } from 'hdr-histogram-js';
 import { startPlatform } from '../../../processes/node/platformProcess.js';
 import { ProcessFleet } from '../../../processes/node/processFleet.js';
--- a/packages/lab/src/processes/node/labWorld.ts
+++ b/packages/lab/src/processes/node/labWorld.ts
@@ -6,7 +6,7 @@
 import type { IDisposable } from '@parsleymux/base';
 import { SeededRandom, SystemClock } from '@parsleymux/base';
 import { KeyStore } from '@parsleymux/operators';
-import { VmState, openHttpPlatform } from '@parsleymux/platform';
+import { VmState, openHttpPlatform } from '@parsleymux/store';
 import type { IExecution } from '@parsleymux/standins';
 import type { IIntentChange, ITargetPlace } from '../common/worldLayout.js';
 import {
--- a/packages/lab/src/processes/node/platformProcess.ts
+++ b/packages/lab/src/processes/node/platformProcess.ts
@@ -1,6 +1,6 @@
 /** The platform stand-in as a process. */
 import type { IPlatformCounters, IPlatformFaults } from '@parsleymux/standins';
-import type { IVm } from '@parsleymux/platform';
+import type { IVm } from '@parsleymux/store';
 import { requestJson } from './jsonRequest.js';
 import type { ProcessFleet } from './processFleet.js';
 import { Program } from './programs.js';
--- a/packages/lab/src/replay/common/simulatedTable.ts
+++ b/packages/lab/src/replay/common/simulatedTable.ts
@@ -5,8 +5,8 @@
   ITableRow,
   ITableTransaction,
   ITransactionResult,
-} from '@parsleymux/platform';
-import { TableService } from '@parsleymux/platform';
+} from '@parsleymux/store';
+import { TableService } from '@parsleymux/store';
 import { VersionedTable } from '@parsleymux/standins';
 
 const ROUND_TRIP_MS = 10;
--- a/packages/node/src/app/node/claimParts.ts
+++ b/packages/node/src/app/node/claimParts.ts
@@ -11,7 +11,7 @@
 } from '@parsleymux/claims';
 import type { ConfigService } from '@parsleymux/config';
 import type { ListedMembershipService, PeerClients } from '@parsleymux/fleet';
-import type { IPlatform } from '@parsleymux/platform';
+import type { IPlatform } from '@parsleymux/store';
 import type { TargetTransport } from '@parsleymux/routing';
 import type { Registry } from 'prom-client';
 import type { Limits, Timing } from '@parsleymux/schema';
--- a/packages/node/src/app/node/nodeCore.ts
+++ b/packages/node/src/app/node/nodeCore.ts
@@ -5,7 +5,7 @@
 import { ConfigDistributor } from '@parsleymux/config';
 import type { INode, PeerAuthenticator } from '@parsleymux/fleet';
 import { ListedMembershipService, PeerClients, RendezvousPlacement } from '@parsleymux/fleet';
-import { openHttpPlatform } from '@parsleymux/platform';
+import { openHttpPlatform } from '@parsleymux/store';
 import type { DispatchGuard } from '@parsleymux/routing';
 import {
   HomeMetrics,
--- a/packages/node/src/entry/test/failoverFleet.ts
+++ b/packages/node/src/entry/test/failoverFleet.ts
@@ -5,8 +5,8 @@
 import type { IFleetConfig, IFleetConfigChange } from '@parsleymux/config';
 import { ConfigService } from '@parsleymux/config';
 import { ListedMembershipService, RendezvousPlacement } from '@parsleymux/fleet';
-import type { IVm } from '@parsleymux/platform';
-import { VmList, VmState } from '@parsleymux/platform';
+import type { IVm } from '@parsleymux/store';
+import { VmList, VmState } from '@parsleymux/store';
 import type { IAnswer, IRoutedRequest } from '@parsleymux/routing';
 import { HomeService } from '@parsleymux/routing';
 import { MemberConfigSchema, RouteSchema } from '@parsleymux/schema';
--- a/packages/operators/src/audit/common/auditLog.ts
+++ b/packages/operators/src/audit/common/auditLog.ts
@@ -10,8 +10,8 @@
   formatAuditKey,
   formatAuditPrefix,
 } from '@parsleymux/config';
-import type { ITableRow, TableService } from '@parsleymux/platform';
-import { PlatformError } from '@parsleymux/platform';
+import type { ITableRow, TableService } from '@parsleymux/store';
+import { PlatformError } from '@parsleymux/store';
 
 const SCAN_LIMIT = 1000;
 /** Spans that are read until there are enough entries; the last one is all that is kept. */
--- a/packages/operators/src/burn/common/burnMerger.ts
+++ b/packages/operators/src/burn/common/burnMerger.ts
@@ -1,7 +1,7 @@
 /** Merges what the nodes wrote into one row for each member and slot. */
 import type { Clock, RandomSource } from '@parsleymux/base';
-import type { ITableRow, ITableWrite, TableService } from '@parsleymux/platform';
-import { PlatformError } from '@parsleymux/platform';
+import type { ITableRow, ITableWrite, TableService } from '@parsleymux/store';
+import { PlatformError } from '@parsleymux/store';
 import { mergeServiceCounts, SLOT_MS } from './burnCounts.js';
 import {
   decodeRawRow,
--- a/packages/operators/src/burn/common/burnReader.ts
+++ b/packages/operators/src/burn/common/burnReader.ts
@@ -4,8 +4,8 @@
 import { MS_PER_SECOND } from '@parsleymux/base';
 import type { ConfigService } from '@parsleymux/config';
 import { createStoreError } from '@parsleymux/config';
-import type { ITableRow, TableService } from '@parsleymux/platform';
-import { PlatformError } from '@parsleymux/platform';
+import type { ITableRow, TableService } from '@parsleymux/store';
+import { PlatformError } from '@parsleymux/store';
 import type { BurnResponse, Service, ServiceBurn } from '@parsleymux/schema';
 import {
   BurnCountsSchema,
--- a/packages/operators/src/burn/common/burnRows.ts
+++ b/packages/operators/src/burn/common/burnRows.ts
@@ -3,7 +3,7 @@
  * merges those rows into one for each member and slot under `burn/slot/`, in one transaction that
  * removes what it merged, so that nothing is counted twice and the number of rows is bounded.
  */
-import type { ITableRow } from '@parsleymux/platform';
+import type { ITableRow } from '@parsleymux/store';
 import type { IBurnCounts, ServiceCounts } from './burnCounts.js';
 import { addCounts, NO_COUNTS } from './burnCounts.js';
 
--- a/packages/operators/src/keys/common/keyCache.ts
+++ b/packages/operators/src/keys/common/keyCache.ts
@@ -1,8 +1,8 @@
 /** Rows of keys as read lately, so that requests need not read the store each time. */
 import type { Clock } from '@parsleymux/base';
 import { createStoreError } from '@parsleymux/config';
-import type { TableService } from '@parsleymux/platform';
-import { PlatformError } from '@parsleymux/platform';
+import type { TableService } from '@parsleymux/store';
+import { PlatformError } from '@parsleymux/store';
 import type { IKeyRow } from './keyRow.js';
 
 /** A revoked key is refused by every node after this time. */
--- a/packages/operators/src/keys/common/keyStore.ts
+++ b/packages/operators/src/keys/common/keyStore.ts
@@ -3,7 +3,7 @@
 import { MS_PER_DAY, MuxError, ResultCode, RunState } from '@parsleymux/base';
 import type { IAuditEntry } from '@parsleymux/config';
 import { encodeAuditEntry, formatAuditKey, StoreRetry } from '@parsleymux/config';
-import type { ITableRow, ITableWrite, TableService } from '@parsleymux/platform';
+import type { ITableRow, ITableWrite, TableService } from '@parsleymux/store';
 import { KeyCache } from './keyCache.js';
 import type { IKeyRow } from './keyRow.js';
 import { formatKeyPrefix, formatKeyRowKey, isKeyInForce } from './keyRow.js';
--- a/packages/operators/src/targets/common/floorRace.test.ts
+++ b/packages/operators/src/targets/common/floorRace.test.ts
@@ -14,7 +14,7 @@
 } from '@parsleymux/config';
 import { createMemoryPlatform, createTestIntent, InstantClock } from '@parsleymux/config/testing';
 import { TableEjectionLedger } from '@parsleymux/routing';
-import type { ITableRow } from '@parsleymux/platform';
+import type { ITableRow } from '@parsleymux/store';
 import type { Intent } from '@parsleymux/schema';
 import { TargetState } from '@parsleymux/schema';
 import fc from 'fast-check';
--- a/packages/routing/src/test/common/fakeTable.ts
+++ b/packages/routing/src/test/common/fakeTable.ts
@@ -4,8 +4,8 @@
   ITableRow,
   ITableTransaction,
   ITransactionResult,
-} from '@parsleymux/platform';
-import { PlatformError, PlatformFailure, TableService } from '@parsleymux/platform';
+} from '@parsleymux/store';
+import { PlatformError, PlatformFailure, TableService } from '@parsleymux/store';
 
 /** Transactions in memory. */
 export class FakeTable extends TableService {
--- a/packages/standins/src/platform/common/platformState.ts
+++ b/packages/standins/src/platform/common/platformState.ts
@@ -5,8 +5,8 @@
   ITableRow,
   ITableTransaction,
   IVm,
-} from '@parsleymux/platform';
-import { PlatformPath } from '@parsleymux/platform';
+} from '@parsleymux/store';
+import { PlatformPath } from '@parsleymux/store';
 import type { IPlatformCounters, IPlatformFaults } from './platformFaults.js';
 import { LaggedValue } from './laggedValue.js';
 import { VersionedTable } from './versionedTable.js';
--- a/packages/standins/src/platform/common/versionedTable.ts
+++ b/packages/standins/src/platform/common/versionedTable.ts
@@ -11,7 +11,7 @@
   ITableRow,
   ITableTransaction,
   ITransactionResult,
-} from '@parsleymux/platform';
+} from '@parsleymux/store';
 import { KeyIndex } from './keyIndex.js';
 
 const MAX_SCAN_ROWS = 1000;
--- a/packages/standins/src/platform/node/platformControl.ts
+++ b/packages/standins/src/platform/node/platformControl.ts
@@ -7,7 +7,7 @@
  * - `GET|PUT /control/vms` (one IVm), `DELETE /control/vms?address=A`
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { IVm } from '@parsleymux/platform';
+import type { IVm } from '@parsleymux/store';
 import { readJson, sendJson } from '../../server/node/httpBody.js';
 import type { IPlatformFaults } from '../common/platformFaults.js';
 import type { PlatformStandIn } from './platformStandIn.js';
--- a/packages/standins/src/platform/node/platformStandIn.test.ts
+++ b/packages/standins/src/platform/node/platformStandIn.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { ManualClock } from '@parsleymux/base';
-import type { IHttpPlatform } from '@parsleymux/platform';
-import { PlatformError, PlatformFailure, VmState, openHttpPlatform } from '@parsleymux/platform';
+import type { IHttpPlatform } from '@parsleymux/store';
+import { PlatformError, PlatformFailure, VmState, openHttpPlatform } from '@parsleymux/store';
 import { request } from 'undici';
 import { PlatformStandIn } from './platformStandIn.js';
 import type { IPlatformStandInOptions } from './platformStandIn.js';
--- a/packages/standins/src/platform/node/platformStandIn.ts
+++ b/packages/standins/src/platform/node/platformStandIn.ts
@@ -6,8 +6,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock, IDisposable } from '@parsleymux/base';
 import { SystemClock } from '@parsleymux/base';
-import type { ITableRow, IVm } from '@parsleymux/platform';
-import { PlatformPath } from '@parsleymux/platform';
+import type { ITableRow, IVm } from '@parsleymux/store';
+import { PlatformPath } from '@parsleymux/store';
 import { mergeFaults } from '../../control/common/faultSettings.js';
 import { readBody, sendBytes, sendJson } from '../../server/node/httpBody.js';
 import { encodePacked } from '../../server/node/packedBody.js';
