--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -11,6 +11,7 @@
   'fleet',
   'routing',
   'claims',
+  'dispatch',
   'operators',
   'node',
   'ctl',
@@ -65,7 +66,7 @@
 }
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'packages/schema/src/gen/**', 'out/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'packages/schema/src/gen/**', 'out/**', 'target/**'] },
   eslint.configs.recommended,
   {
     files: ['**/*.ts'],
--- a/packages/base/src/log/node/logger.ts
+++ b/packages/base/src/log/node/logger.ts
@@ -10,6 +10,8 @@
   readonly fields?: Readonly<Record<string, string>>;
   /** Lowest severity that is written. Default 'info'. */
   readonly level?: LogLevel;
+  /** Where JSON lines go; `isImportant` is true of warnings and errors. Default: standard error. */
+  readonly writeLine?: (line: string, isImportant: boolean) => void;
 }
 
 /** Severity of a line, gravest first. */
@@ -33,21 +35,28 @@
 export function createLogger(options: ILoggerOptions = {}): Logger {
   const level = CONSOLA_LEVELS[options.level ?? 'info'];
   if (options.json !== true) return createConsola({ level, stdout: process.stderr });
+  const writeLine = options.writeLine ?? writeToStderr;
   return createConsola({
     level,
+    // Lines that are alike speak of different requests; none may be left out for being repeated.
+    throttle: 0,
     reporters: [
       {
         log(entry) {
           const [message, ...details] = entry.args as readonly unknown[];
           const fields = Object.assign({}, options.fields, ...details) as Record<string, unknown>;
           const line = { time: entry.date.toISOString(), level: entry.type, message, ...fields };
-          process.stderr.write(`${JSON.stringify(line)}\n`);
+          writeLine(JSON.stringify(line), entry.level <= CONSOLA_LEVELS.warn);
         },
       },
     ],
   });
 }
 
+function writeToStderr(line: string): void {
+  process.stderr.write(`${line}\n`);
+}
+
 /**
  * A logger that writes nothing, for tests and replays.
  *
--- a/packages/base/src/result/common/resultCode.ts
+++ b/packages/base/src/result/common/resultCode.ts
@@ -39,6 +39,7 @@
   NotReady: 2006,
   TooManyConnections: 2007,
   MemberLimit: 2008,
+  RetryBudgetSpent: 2009,
   TargetUnreachable: 3001,
   TargetFailed: 3002,
   TargetTimeout: 3003,
--- a/packages/base/src/result/common/resultTable.ts
+++ b/packages/base/src/result/common/resultTable.ts
@@ -71,6 +71,12 @@
     'The member uses its whole share of the node.',
     'Come back after Retry-After.',
   ],
+  RetryBudgetSpent: [
+    503,
+    NotRun,
+    'The retries that the service allows are used up.',
+    'Come back after Retry-After.',
+  ],
   TargetUnreachable: [502, NotRun, 'No connection to a target could be made.', 'Ask again.'],
   TargetFailed: [
     502,
--- /dev/null
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -0,0 +1,311 @@
+/** A node that dispatches directly: from start to exit. */
+import { randomInt } from 'node:crypto';
+import type { Server } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { Clock, Logger, RandomSource } from '@parsleymux/base';
+import { DisposableStore, toDisposable } from '@parsleymux/base';
+import type { Header, TargetProtocol } from '@parsleymux/routing';
+import { HttpTargetTransport, parseTargetAddress } from '@parsleymux/routing';
+import { Registry, collectDefaultMetrics } from 'prom-client';
+import { DestinationPicker } from '../../catalog/common/destinationPicker.js';
+import type { Authority, IMember } from '../../directory/common/authority.js';
+import type { FollowedTable } from '../../directory/common/followedTable.js';
+import { NodeDirectory } from '../../directory/common/nodeDirectory.js';
+import { DirectoryService } from '../../directory/node/directoryService.js';
+import { createStateServer } from '../../directory/node/stateServer.js';
+import type { AnswerCheck } from '../../entry/common/attemptOutcome.js';
+import type { CallerProtocol } from '../../entry/common/callerProtocol.js';
+import { PathHealth } from '../../entry/common/pathHealth.js';
+import { RequestRunner } from '../../entry/common/requestRun.js';
+import { FrontServer } from '../../entry/node/frontServer.js';
+import { RequestLog } from '../../entry/node/requestLog.js';
+import type { DatagramBody } from '../../grants/common/datagramChannel.js';
+import { GrantServer } from '../../grants/common/grantServer.js';
+import { HomeSelector } from '../../grants/common/homeSelector.js';
+import { UdpChannel } from '../../grants/node/udpChannel.js';
+import { HomeService } from '../../home/common/homeService.js';
+
+const MAX_INCARNATION = 0x7fff_ffff;
+const OK = 200;
+const UNAVAILABLE = 503;
+/**
+ * From the signal on new connections still come for this long, in ms: the balancer asks every
+ * second and takes a node out after two misses.
+ */
+const NOTICE_MS = 2600;
+/** Kept back from the time to stop, in ms, for closing what is left. */
+const STOP_MARGIN_MS = 400;
+const STOP_CHECK_MS = 50;
+/**
+ * Longest wait for a connection to a target, in ms: some fifty round trips between failure domains.
+ * A target that doesn't accept by then is cut off or overfull, and nothing was sent yet.
+ */
+const CONNECT_TIMEOUT_MS = 250;
+
+/** Settings of a node that dispatches directly. */
+export interface IDirectNodeSettings {
+  readonly name: string;
+  readonly failureDomain: string;
+  /** Addresses to listen on, each an IP number and a port. */
+  readonly frontAddress: string;
+  readonly readyAddress: string;
+  readonly datagramAddress: string;
+  readonly stateAddress: string;
+  readonly metricsAddress: string;
+  /** Retries of one service that all nodes together may send. */
+  readonly retryWindowMs: number;
+  readonly retryRatio: number;
+  readonly retryBurst: number;
+  /** Share of a service's sound targets that must be used while many requests fail. */
+  readonly floorShare: number;
+  /** From the signal to stop until the process is ended by force, in ms. */
+  readonly graceMs: number;
+}
+
+/** How the deployment's callers and targets speak. */
+export interface IDeploymentProtocol {
+  readonly callers: CallerProtocol;
+  readonly targets: TargetProtocol;
+  readonly isAuthentic: AnswerCheck;
+  readonly listTargetHeaders: (targetId: string) => readonly Header[];
+}
+
+/** Options of a {@link DirectNode}. */
+export interface IDirectNodeOptions {
+  readonly settings: IDirectNodeSettings;
+  readonly authority: Authority;
+  readonly protocol: IDeploymentProtocol;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Logger;
+}
+
+/**
+ * Entry, home and follower in one process.
+ *
+ * @example
+ * const node = new DirectNode(options);
+ * await node.start();
+ * await node.stopGracefully();
+ */
+export class DirectNode {
+  private readonly store = new DisposableStore();
+  private readonly background = new AbortController();
+  private readonly directory: NodeDirectory;
+  private readonly incarnation = randomInt(1, MAX_INCARNATION);
+  private front: FrontServer | undefined;
+  private directoryService: DirectoryService | undefined;
+  private isStopping = false;
+
+  constructor(private readonly options: IDirectNodeOptions) {
+    this.directory = new NodeDirectory(options.clock);
+  }
+
+  /** Opens the ports and starts the loops; the node is ready once it knows a configuration. */
+  async start(): Promise<void> {
+    const { clock, log, random, settings } = this.options;
+    const registry = new Registry();
+    collectDefaultMetrics({ register: registry });
+    const channel = this.store.add(await UdpChannel.open(settings.datagramAddress, log));
+    const homes = this.store.add(this.createHomes());
+    const tables = [
+      this.directory.catalog,
+      this.directory.targets,
+      this.directory.members,
+    ] as unknown as FollowedTable<unknown>[];
+    await this.listen(createStateServer(tables), settings.stateAddress);
+    await this.listen(this.createReadyServer(), settings.readyAddress);
+    await this.listen(createMetricsServer(registry), settings.metricsAddress);
+    const selector = new HomeSelector({
+      channel,
+      homes,
+      clock,
+      log,
+      incarnation: this.incarnation,
+      rankHomes: (service) => this.directory.rankHomes(service),
+      findTarget: (id) => this.directory.targets.get(id),
+    });
+    const server = new GrantServer({ channel, homes, clock, log });
+    const self = this.makeMember(channel.address);
+    const { authority } = this.options;
+    const service = new DirectoryService({
+      authority,
+      channel,
+      clock,
+      directory: this.directory,
+      log,
+      random,
+      self,
+    });
+    this.directoryService = this.store.add(service);
+    channel.setHandler((sender, body) => {
+      handleDatagram({ selector, server, service }, sender, body);
+    });
+    this.front = await this.openFront(selector, registry);
+    homes.start();
+    void service.run(this.background.signal).catch((error: unknown) => {
+      log.error('directory stopped by a fault of the program', { reason: String(error) });
+    });
+    log.info('started', { ...settings, incarnation: this.incarnation });
+  }
+
+  /**
+   * Leaves without cutting a request: not ready at once, answers end their connections, then the
+   * port closes, and what is in flight is finished as far as the grace time allows.
+   */
+  async stopGracefully(): Promise<void> {
+    const { clock, log, settings } = this.options;
+    const startMs = clock.getMonotonicTime();
+    this.isStopping = true;
+    log.info('stopping', { openRequests: this.front?.connections.openRequests ?? 0 });
+    this.front?.connections.stop();
+    const left = this.directoryService?.leave(this.background.signal);
+    await clock.sleep(Math.min(NOTICE_MS, settings.graceMs / 2));
+    this.front?.closePort();
+    const limitMs = settings.graceMs - STOP_MARGIN_MS;
+    while (clock.getMonotonicTime() - startMs < limitMs) {
+      this.front?.connections.closeIdle();
+      if ((this.front?.connections.size ?? 0) === 0) break;
+      await clock.sleep(STOP_CHECK_MS);
+    }
+    const cut = this.front?.connections.openRequests ?? 0;
+    log.info('stopped', { cut, ms: Math.round(clock.getMonotonicTime() - startMs) });
+    await Promise.race([left, clock.sleep(STOP_MARGIN_MS / 2)]);
+    await this.dispose();
+  }
+
+  async dispose(): Promise<void> {
+    this.background.abort(new Error('the node stops'));
+    await this.store.dispose();
+  }
+
+  private createHomes(): HomeService {
+    const { clock, settings } = this.options;
+    const homes = new HomeService({
+      clock,
+      floorShare: settings.floorShare,
+      retries: {
+        windowMs: settings.retryWindowMs,
+        ratio: settings.retryRatio,
+        burst: settings.retryBurst,
+      },
+    });
+    const { targets } = this.directory;
+    targets.onDidChange(() => {
+      homes.setTargets(targets.listValues());
+    });
+    return homes;
+  }
+
+  private async openFront(selector: HomeSelector, registry: Registry): Promise<FrontServer> {
+    const { clock, log, protocol, random, settings } = this.options;
+    const transport = this.store.add(
+      new HttpTargetTransport({
+        clock,
+        registry,
+        protocol: protocol.targets,
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      }),
+    );
+    const runner = new RequestRunner({
+      clock,
+      selector,
+      transport,
+      paths: new PathHealth(clock),
+      failureDomain: settings.failureDomain,
+      isAuthentic: protocol.isAuthentic,
+      listTargetHeaders: protocol.listTargetHeaders,
+    });
+    const front = new FrontServer({
+      clock,
+      log,
+      runner,
+      directory: this.directory,
+      picker: new DestinationPicker(random),
+      callers: protocol.callers,
+      requestLog: new RequestLog({ clock, log, registry, directory: this.directory }),
+    });
+    this.store.add(front);
+    await listenOn(front.server, settings.frontAddress);
+    return front;
+  }
+
+  private createReadyServer(): Server {
+    return createServer((_, response) => {
+      const isReady = !this.isStopping && this.directory.getCatalog() !== undefined;
+      response.writeHead(isReady ? OK : UNAVAILABLE, { 'content-length': '0' }).end();
+    });
+  }
+
+  private makeMember(address: string): IMember {
+    const { failureDomain, stateAddress } = this.options.settings;
+    return { address, failureDomain, stateAddress, incarnation: this.incarnation };
+  }
+
+  private async listen(server: Server, address: string): Promise<void> {
+    await listenOn(server, address);
+    this.store.add(
+      toDisposable(() => {
+        server.close();
+        server.closeAllConnections();
+      }),
+    );
+  }
+}
+
+interface IDatagramHandlers {
+  readonly selector: HomeSelector;
+  readonly server: GrantServer;
+  readonly service: DirectoryService;
+}
+
+function handleDatagram(handlers: IDatagramHandlers, sender: string, body: DatagramBody): void {
+  const { selector, server, service } = handlers;
+  switch (body.case) {
+    case 'ask':
+      server.handleAsk(sender, body.value);
+      break;
+    case 'decision':
+      selector.handleDecision(sender, body.value);
+      break;
+    case 'report':
+      server.handleReport(sender, body.value);
+      break;
+    case 'reportReceived':
+      selector.handleReportReceived(body.value.askId);
+      break;
+    case 'update':
+      service.handleUpdate(sender, body.value);
+      break;
+    case 'updateReceived':
+      service.handleUpdateReceived(sender);
+      break;
+    case 'leaving':
+      selector.handleLeaving(sender);
+      break;
+  }
+}
+
+function createMetricsServer(registry: Registry): Server {
+  return createServer((_, response) => {
+    registry.metrics().then(
+      (text) => {
+        response.writeHead(OK, { 'content-type': registry.contentType }).end(text);
+      },
+      (error: unknown) => {
+        response.writeHead(UNAVAILABLE).end(String(error));
+      },
+    );
+  });
+}
+
+function listenOn(server: Server, address: string): Promise<AddressInfo> {
+  const { host, port } = parseTargetAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      resolve(server.address() as AddressInfo);
+    });
+  });
+}
--- /dev/null
+++ b/packages/dispatch/src/directory/common/followerRole.ts
@@ -0,0 +1,62 @@
+/** Decides which nodes of a failure domain read the store, and when others take over. */
+import type { Clock } from '@parsleymux/base';
+
+/** The second follower takes over when its copy is this old, in ms: one update may be lost. */
+const TAKE_OVER_MS = 1000;
+/** Each further node waits this much longer, in ms, so that one alone takes over. */
+const TAKE_OVER_STEP_MS = 200;
+/** No node's copy gets older than this without a read of its own, in ms. */
+const OLDEST_MS = 1600;
+
+/** Options of a {@link FollowerRole}. */
+export interface IFollowerRoleOptions {
+  readonly clock: Clock;
+  readonly self: string;
+  /** Nodes of the failure domain, the first follower first. */
+  readonly rankFollowers: () => readonly string[];
+}
+
+/**
+ * The first in order follows. Whoever finds its copy too old takes over, and steps back when it
+ * hears from one before it. Two that follow at once cost some calls; none at all would leave the
+ * domain on old news, so silence decides and nothing is agreed on.
+ *
+ * @example
+ * if (role.mustRead(table.getAgeMs())) await read();
+ */
+export class FollowerRole {
+  private isActing = false;
+
+  constructor(private readonly options: IFollowerRoleOptions) {}
+
+  /** Whether this node reads the store for its failure domain now. */
+  isFollower(): boolean {
+    return this.isActing || this.getRank() === 0;
+  }
+
+  /** Whether this node is the first in order. */
+  isFirst(): boolean {
+    return this.getRank() === 0;
+  }
+
+  /** Whether a copy of this age has to be read by this node. */
+  mustRead(ageMs: number): boolean {
+    if (this.isFollower()) return true;
+    const waitMs = TAKE_OVER_MS + TAKE_OVER_STEP_MS * Math.max(0, this.getRank() - 1);
+    if (ageMs <= Math.min(OLDEST_MS, waitMs)) return false;
+    this.isActing = true;
+    return true;
+  }
+
+  /** A peer sent an update. */
+  recordUpdate(sender: string): void {
+    const ranking = this.options.rankFollowers();
+    const rank = ranking.indexOf(sender);
+    if (rank !== -1 && rank < this.getRank()) this.isActing = false;
+  }
+
+  private getRank(): number {
+    const rank = this.options.rankFollowers().indexOf(this.options.self);
+    return rank === -1 ? Infinity : rank;
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/directory/common/nodeDirectory.ts
@@ -0,0 +1,107 @@
+/** What a node knows of configuration, targets and members, ready to be asked for each request. */
+import type { Clock, Event } from '@parsleymux/base';
+import { Emitter } from '@parsleymux/base';
+import type { INode } from '@parsleymux/fleet';
+import { RendezvousPlacement } from '@parsleymux/fleet';
+import type { ICatalog, ITargetRecord } from '../../catalog/common/catalog.js';
+import { RouteTable } from '../../catalog/common/routeTable.js';
+import type { IMember } from './authority.js';
+import { FollowedTable } from './followedTable.js';
+
+/** Homes of a service that are ranked: the home, and those that take over one after the other. */
+const RANKED_HOMES = 3;
+
+/**
+ * Derives look-up tables once for each change.
+ *
+ * @example
+ * const match = directory.routes?.match(host, path);
+ */
+export class NodeDirectory {
+  readonly catalog: FollowedTable<ICatalog>;
+  readonly targets: FollowedTable<ITargetRecord>;
+  readonly members: FollowedTable<IMember>;
+  private currentCatalog: ICatalog | undefined;
+  private currentRoutes: RouteTable | undefined;
+  private readonly placement = new RendezvousPlacement();
+  private readonly catalogChanged = new Emitter<ICatalog>();
+
+  /** Fires when a newer configuration is in force. */
+  readonly onDidChangeCatalog: Event<ICatalog> = this.catalogChanged.onDidFire;
+
+  constructor(clock: Clock) {
+    this.catalog = new FollowedTable({
+      name: 'catalog',
+      clock,
+      isSame: (left, right) => left.version === right.version,
+    });
+    this.targets = new FollowedTable({ name: 'targets', clock, isSame: isSameTarget });
+    this.members = new FollowedTable({ name: 'members', clock, isSame: isSameMember });
+    this.catalog.onDidChange(() => {
+      this.takeCatalog();
+    });
+    this.members.onDidChange(() => {
+      this.placement.setNodes(this.members.listValues().map(toNode));
+    });
+  }
+
+  /** The configuration in force; undefined until one is known. */
+  getCatalog(): ICatalog | undefined {
+    return this.currentCatalog;
+  }
+
+  getRoutes(): RouteTable | undefined {
+    return this.currentRoutes;
+  }
+
+  /** Addresses of the homes of a service, best first. */
+  rankHomes(service: string): readonly string[] {
+    return this.placement
+      .rank({ id: service, failureDomains: [] }, RANKED_HOMES)
+      .map(({ address }) => address);
+  }
+
+  /** Followers of a failure domain in their order, of its members that are registered. */
+  rankFollowers(failureDomain: string): readonly string[] {
+    const inDomain = this.members.listValues().filter((member) => {
+      return member.failureDomain === failureDomain;
+    });
+    const placement = new RendezvousPlacement();
+    placement.setNodes(inDomain.map(toNode));
+    return placement
+      .rank({ id: 'followers', failureDomains: [] }, inDomain.length)
+      .map(({ address }) => address);
+  }
+
+  /**
+   * A configuration in force is never replaced by an older one, whatever a store or peer says:
+   * requests would be routed by rules that were already withdrawn.
+   */
+  private takeCatalog(): void {
+    for (const catalog of this.catalog.listValues()) {
+      if (catalog.version <= (this.currentCatalog?.version ?? -Infinity)) continue;
+      this.currentCatalog = catalog;
+      this.currentRoutes = new RouteTable(catalog.routes);
+      this.catalogChanged.fire(catalog);
+    }
+  }
+}
+
+function toNode(member: IMember): INode {
+  return { address: member.address, failureDomain: member.failureDomain };
+}
+
+/** What is left of a cold start shrinks all the time; that alone is no change. */
+function isSameTarget(left: ITargetRecord, right: ITargetRecord): boolean {
+  return (
+    left.isDraining === right.isDraining &&
+    left.address === right.address &&
+    left.service === right.service &&
+    left.slots === right.slots &&
+    left.failureDomain === right.failureDomain
+  );
+}
+
+function isSameMember(left: IMember, right: IMember): boolean {
+  return left.incarnation === right.incarnation && left.stateAddress === right.stateAddress;
+}
--- /dev/null
+++ b/packages/dispatch/src/directory/common/storeFollower.ts
@@ -0,0 +1,130 @@
+/** Reads the authority's tables while this node is a follower, or while nobody tells it the news. */
+import type { Clock, Logger } from '@parsleymux/base';
+import type { AuthorityTable } from './authority.js';
+import { StoreCallError, StoreFailure } from './authority.js';
+import type { FollowedTable } from './followedTable.js';
+
+/** When this node looks again whether it has to read, in ms. */
+const IDLE_CHECK_MS = 150;
+/** Wait after a failed read by the first followers, in ms: short, for all nodes wait for them. */
+const FOLLOWER_RETRY_MS = 400;
+/** Wait after a failed read by any other node, in ms; spread, so that a store is not stormed. */
+const OTHER_RETRY_MS = 1500;
+
+/** How a table is read. */
+export interface IFollowPace {
+  /** Pause between two reads, in ms. */
+  readonly pauseMs: number;
+  /** How long the store may hold a read until something changes, in ms. */
+  readonly waitMs: number;
+}
+
+/** Options of a {@link StoreFollower}. */
+export interface IStoreFollowerOptions<T> {
+  readonly table: FollowedTable<T>;
+  readonly source: AuthorityTable<T>;
+  readonly pace: IFollowPace;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly jitter: (delayMs: number) => number;
+  /** Whether the table has to be read by this node now. */
+  readonly mustRead: () => boolean;
+  /** Whether this node is among the first to read. */
+  readonly isFirst: () => boolean;
+  /** Called after every successful read. */
+  readonly onDidRead: () => void;
+}
+
+/**
+ * One loop for one table.
+ *
+ * @example
+ * await new StoreFollower({ table, source, pace, ... }).run(signal);
+ */
+export class StoreFollower<T> {
+  private isStoreLost = false;
+  private readStartMs: number | undefined;
+  /** Reads that failed, by kind, and that went well. */
+  readonly counts = { succeeded: 0, failed: new Map<StoreFailure, number>() };
+
+  constructor(private readonly options: IStoreFollowerOptions<T>) {}
+
+  /** Ends when `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, mustRead, pace } = this.options;
+    while (!signal.aborted) {
+      if (!mustRead()) {
+        await clock.sleep(IDLE_CHECK_MS, signal).catch(() => undefined);
+        continue;
+      }
+      const isRead = await this.read(signal);
+      const delayMs = isRead ? pace.pauseMs : this.getRetryMs();
+      await clock.sleep(delayMs, signal).catch(() => undefined);
+    }
+  }
+
+  /** A read that the store holds has shown no change since it began. */
+  isWaitingQuietly(): boolean {
+    if (this.readStartMs === undefined) return false;
+    return this.options.clock.getMonotonicTime() - this.readStartMs <= this.options.pace.waitMs;
+  }
+
+  private async read(signal: AbortSignal): Promise<boolean> {
+    const { clock, table } = this.options;
+    this.readStartMs = clock.getMonotonicTime();
+    try {
+      await this.readOnce(this.readStartMs, signal);
+      this.counts.succeeded += 1;
+      this.noteRegained();
+      this.options.onDidRead();
+      return true;
+    } catch (error) {
+      if (signal.aborted) return false;
+      if (!(error instanceof StoreCallError)) throw error;
+      const { failure } = error;
+      this.counts.failed.set(failure, (this.counts.failed.get(failure) ?? 0) + 1);
+      this.noteLost(error, table.name);
+      return false;
+    } finally {
+      this.readStartMs = undefined;
+    }
+  }
+
+  private async readOnce(startMs: number, signal: AbortSignal): Promise<void> {
+    const { clock, pace, source, table } = this.options;
+    const after = table.version;
+    if (after === undefined) {
+      table.replaceAll(await source.readAll(signal), startMs);
+      return;
+    }
+    try {
+      const content = await source.readChanges(after, pace.waitMs, signal);
+      // A held read is answered at the change or when the wait is over: it is as of its end.
+      const isHeld = pace.waitMs > 0;
+      table.apply(after, content, isHeld ? clock.getMonotonicTime() : startMs);
+    } catch (error) {
+      const isLost = error instanceof StoreCallError && error.failure === StoreFailure.HistoryLost;
+      if (!isLost) throw error;
+      this.options.log.warn('history of a table is lost; reading it whole', { table: table.name });
+      table.replaceAll(await source.readAll(signal), clock.getMonotonicTime());
+    }
+  }
+
+  private getRetryMs(): number {
+    const { isFirst, jitter } = this.options;
+    return jitter(isFirst() ? FOLLOWER_RETRY_MS : OTHER_RETRY_MS);
+  }
+
+  private noteLost(error: StoreCallError, table: string): void {
+    if (this.isStoreLost) return;
+    this.isStoreLost = true;
+    this.options.log.warn('store lost', { table, failure: error.failure, reason: error.message });
+  }
+
+  private noteRegained(): void {
+    if (!this.isStoreLost) return;
+    this.isStoreLost = false;
+    const { table } = this.options;
+    this.options.log.info('store regained', { table: table.name, version: table.version });
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/directory/common/tableMessages.ts
@@ -0,0 +1,36 @@
+/** Translation between tables and the messages that carry their changes. */
+import { create } from '@bufbuild/protobuf';
+import type { FollowedChanges } from '@parsleymux/schema';
+import { FollowedChangesSchema } from '@parsleymux/schema';
+import type { ITableChanges } from './authority.js';
+
+/**
+ * Values travel as JSON: they are small, few, and read by people in traces.
+ *
+ * @example
+ * encodeChanges('targets', 40, { version: 42, changes });
+ */
+export function encodeChanges(
+  table: string,
+  after: number,
+  content: ITableChanges<unknown>,
+): FollowedChanges {
+  const version = BigInt(content.version);
+  const rows = content.changes.map(({ key, value }) => {
+    if (value === undefined) return { key, version };
+    return { key, version, value: Buffer.from(JSON.stringify(value)) };
+  });
+  return create(FollowedChangesSchema, { table, after: BigInt(after), version, rows });
+}
+
+/** The changes of a message, and the version after which they are complete. */
+export function decodeChanges(message: FollowedChanges): {
+  readonly after: number;
+  readonly content: ITableChanges<unknown>;
+} {
+  const changes = message.rows.map(({ key, value }) => ({
+    key,
+    value: value === undefined ? undefined : (JSON.parse(Buffer.from(value).toString()) as unknown),
+  }));
+  return { after: Number(message.after), content: { version: Number(message.version), changes } };
+}
--- /dev/null
+++ b/packages/dispatch/src/directory/common/updateRelay.ts
@@ -0,0 +1,121 @@
+/** Followers tell the nodes of their failure domain what they have read, and who of them is alive. */
+import { create } from '@bufbuild/protobuf';
+import type { Clock, Logger } from '@parsleymux/base';
+import type { FollowedChanges, Update } from '@parsleymux/schema';
+import { FollowedChangesSchema, UpdateReceivedSchema, UpdateSchema } from '@parsleymux/schema';
+import type { DatagramChannel } from '../../grants/common/datagramChannel.js';
+import type { FollowedTable } from './followedTable.js';
+import { decodeChanges, encodeChanges } from './tableMessages.js';
+
+/** Rows that fit into one datagram with room to spare, in bytes; more are fetched as a whole. */
+const MAX_ROW_BYTES = 1000;
+
+/** Options of an {@link UpdateRelay}. */
+export interface IUpdateRelayOptions {
+  readonly channel: DatagramChannel;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly statePort: number;
+  readonly tables: readonly FollowedTable<unknown>[];
+  /** Nodes of this failure domain, this one left out. */
+  readonly listPeers: () => readonly string[];
+  /** Fetches a whole table from a node that has a newer one. */
+  readonly fetchTable: (table: FollowedTable<unknown>, stateAddress: string) => Promise<void>;
+}
+
+/**
+ * Sends and takes updates.
+ *
+ * @example
+ * relay.publish(); // after a read of the store
+ */
+export class UpdateRelay {
+  private sequence = 0n;
+  private readonly heardMs = new Map<string, number>();
+  private readonly firstSentMs = new Map<string, number>();
+  private readonly fetching = new Set<string>();
+
+  constructor(private readonly options: IUpdateRelayOptions) {}
+
+  /** Tells all peers the present state of the tables. */
+  publish(): void {
+    const { channel, clock, listPeers, statePort } = this.options;
+    this.sequence += 1n;
+    const changes = this.options.tables
+      .filter(({ version }) => version !== undefined)
+      .map((table) => this.encodeTable(table));
+    const value = create(UpdateSchema, { sequence: this.sequence, changes, statePort });
+    const nowMs = clock.getMonotonicTime();
+    for (const peer of listPeers()) {
+      if (!this.firstSentMs.has(peer)) this.firstSentMs.set(peer, nowMs);
+      channel.send(peer, { case: 'update', value });
+    }
+  }
+
+  handleUpdate(sender: string, update: Update): void {
+    const value = create(UpdateReceivedSchema, { sequence: update.sequence });
+    this.options.channel.send(sender, { case: 'updateReceived', value });
+    const host = sender.slice(0, sender.lastIndexOf(':'));
+    for (const changes of update.changes) {
+      this.take(changes, `${host}:${update.statePort}`);
+    }
+  }
+
+  handleUpdateReceived(sender: string): void {
+    this.heardMs.set(sender, this.options.clock.getMonotonicTime());
+  }
+
+  /** Peers that were sent updates for `limitMs` and confirmed none. */
+  listSilent(limitMs: number): readonly string[] {
+    const nowMs = this.options.clock.getMonotonicTime();
+    return this.options.listPeers().filter((peer) => {
+      const sinceMs = Math.max(
+        this.firstSentMs.get(peer) ?? nowMs,
+        this.heardMs.get(peer) ?? -Infinity,
+      );
+      return nowMs - sinceMs > limitMs;
+    });
+  }
+
+  /** Forgets what was heard, when this node stops being a follower. */
+  clear(): void {
+    this.heardMs.clear();
+    this.firstSentMs.clear();
+  }
+
+  private encodeTable(table: FollowedTable<unknown>): FollowedChanges {
+    const { after, content } = table.listRecent();
+    const encoded = encodeChanges(table.name, after, content);
+    const bytes = encoded.rows.reduce((sum, { value }) => sum + (value?.byteLength ?? 0), 0);
+    const ageMs = Math.max(0, Math.round(table.getAgeMs()));
+    if (bytes <= MAX_ROW_BYTES) return create(FollowedChangesSchema, { ...encoded, ageMs });
+    // Too much for a datagram: who lacks these changes fetches the table.
+    const version = encoded.version;
+    return create(FollowedChangesSchema, { table: table.name, after: version, version, ageMs });
+  }
+
+  private take(changes: FollowedChanges, stateAddress: string): void {
+    const table = this.options.tables.find(({ name }) => name === changes.table);
+    if (table === undefined) return;
+    const asOfMs = this.options.clock.getMonotonicTime() - changes.ageMs;
+    const { after, content } = decodeChanges(changes);
+    if (table.apply(after, content, asOfMs)) return;
+    this.fetch(table, stateAddress);
+  }
+
+  private fetch(table: FollowedTable<unknown>, stateAddress: string): void {
+    if (this.fetching.has(table.name)) return;
+    this.fetching.add(table.name);
+    this.options
+      .fetchTable(table, stateAddress)
+      .catch((error: unknown) => {
+        const reason = error instanceof Error ? error.message : String(error);
+        this.options.log.warn('table not fetched from peer', {
+          table: table.name,
+          peer: stateAddress,
+          reason,
+        });
+      })
+      .finally(() => this.fetching.delete(table.name));
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -0,0 +1,212 @@
+/** Keeps a node's directory fresh: follows the store or its followers, and registers the node. */
+import type { Clock, IDisposable, Logger, RandomSource } from '@parsleymux/base';
+import { create } from '@bufbuild/protobuf';
+import type { Update } from '@parsleymux/schema';
+import { LeavingSchema } from '@parsleymux/schema';
+import type { DatagramChannel } from '../../grants/common/datagramChannel.js';
+import type { Authority, IMember } from '../common/authority.js';
+import { StoreCallError } from '../common/authority.js';
+import type { FollowedTable } from '../common/followedTable.js';
+import { FollowerRole } from '../common/followerRole.js';
+import type { NodeDirectory } from '../common/nodeDirectory.js';
+import type { IFollowPace } from '../common/storeFollower.js';
+import { StoreFollower } from '../common/storeFollower.js';
+import { UpdateRelay } from '../common/updateRelay.js';
+import { fetchTable } from './stateServer.js';
+
+/**
+ * Pause between reads of the targets, in ms. Each read is paid for; a target that drains has to be
+ * known everywhere within 2 s, of which the take-over from a dead follower needs 1.2 s.
+ */
+const TARGETS_PACE: IFollowPace = { pauseMs: 700, waitMs: 0 };
+/** The store holds these reads until there is news; the wait bounds how long a dead connection hides it. */
+const CATALOG_PACE: IFollowPace = { pauseMs: 10, waitMs: 2500 };
+const MEMBERS_PACE: IFollowPace = { pauseMs: 300, waitMs: 5000 };
+/** A peer that confirmed no update for this long is taken for gone, in ms: six updates. */
+const SILENT_PEER_MS = 4500;
+/** Pause between attempts to register, in ms. */
+const REGISTER_RETRY_MS = 500;
+/** How often the node looks whether it is still registered, in ms. */
+const REGISTERED_CHECK_MS = 1000;
+
+const LEAVING = create(LeavingSchema);
+
+/** Options of a {@link DirectoryService}. */
+export interface IDirectoryServiceOptions {
+  readonly directory: NodeDirectory;
+  readonly authority: Authority;
+  readonly channel: DatagramChannel;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Logger;
+  readonly self: IMember;
+}
+
+/**
+ * Runs all loops of the directory.
+ *
+ * @example
+ * await new DirectoryService(options).run(signal);
+ */
+export class DirectoryService implements IDisposable {
+  private readonly role: FollowerRole;
+  private readonly relay: UpdateRelay;
+  private readonly targetsFollower: StoreFollower<unknown>;
+  private readonly catalogFollower: StoreFollower<unknown>;
+  private readonly membersFollower: StoreFollower<unknown>;
+  private readonly removing = new Set<string>();
+
+  constructor(private readonly options: IDirectoryServiceOptions) {
+    const { channel, clock, directory, log, self } = options;
+    const { catalog, members, targets } = directory;
+    this.role = new FollowerRole({
+      clock,
+      self: self.address,
+      rankFollowers: () => directory.rankFollowers(self.failureDomain),
+    });
+    this.relay = new UpdateRelay({
+      channel,
+      clock,
+      log,
+      statePort: Number(self.stateAddress.slice(self.stateAddress.lastIndexOf(':') + 1)),
+      tables: [catalog, targets, members] as unknown as FollowedTable<unknown>[],
+      listPeers: () => this.listPeers(),
+      fetchTable: (table, address) => fetchTable(table, address, clock),
+    });
+    this.targetsFollower = this.createFollower('targets', TARGETS_PACE, () => {
+      return this.role.mustRead(targets.getAgeMs());
+    });
+    // While the targets can't be read, asking for more would only add to the calls.
+    const isOpen = () => targets.version === undefined || targets.getAgeMs() < TARGETS_PACE.pauseMs * 2;
+    this.catalogFollower = this.createFollower('catalog', CATALOG_PACE, () => {
+      return catalog.version === undefined || (isOpen() && this.role.mustRead(catalog.getAgeMs()));
+    });
+    this.membersFollower = this.createFollower('members', MEMBERS_PACE, () => {
+      return members.version === undefined || (isOpen() && this.role.mustRead(members.getAgeMs()));
+    });
+  }
+
+  /** Ends when `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([
+      this.stayRegistered(signal),
+      this.targetsFollower.run(signal),
+      this.catalogFollower.run(signal),
+      this.membersFollower.run(signal),
+    ]);
+  }
+
+  handleUpdate(sender: string, update: Update): void {
+    this.role.recordUpdate(sender);
+    this.relay.handleUpdate(sender, update);
+  }
+
+  handleUpdateReceived(sender: string): void {
+    this.relay.handleUpdateReceived(sender);
+  }
+
+  /** Takes the node off the list, so that nobody asks it any more. */
+  async leave(signal: AbortSignal): Promise<void> {
+    const { authority, channel, directory, log, self } = this.options;
+    for (const { address } of directory.members.listValues()) {
+      if (address !== self.address) channel.send(address, { case: 'leaving', value: LEAVING });
+    }
+    try {
+      await authority.removeMember(self.address, signal);
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      log.warn('registration not removed; peers will find this node silent', { reason });
+    }
+  }
+
+  dispose(): void {
+    this.relay.clear();
+  }
+
+  private createFollower(
+    name: 'catalog' | 'targets' | 'members',
+    pace: IFollowPace,
+    mustRead: () => boolean,
+  ): StoreFollower<unknown> {
+    const { authority, clock, directory, log, random } = this.options;
+    return new StoreFollower<unknown>({
+      table: directory[name] as FollowedTable<unknown>,
+      source: authority[name],
+      pace,
+      clock,
+      log,
+      mustRead,
+      jitter: (delayMs) => random.getJittered(delayMs, 0.4),
+      isFirst: () => this.role.isFirst(),
+      onDidRead: () => {
+        this.publish();
+      },
+    });
+  }
+
+  private publish(): void {
+    if (!this.role.isFollower()) return;
+    const { clock, directory } = this.options;
+    const nowMs = clock.getMonotonicTime();
+    // The store holds these reads until something changes; while it answers others, silence is news.
+    if (this.catalogFollower.isWaitingQuietly()) directory.catalog.freshMs = nowMs;
+    if (this.membersFollower.isWaitingQuietly()) directory.members.freshMs = nowMs;
+    this.relay.publish();
+    this.removeSilentPeers();
+  }
+
+  private removeSilentPeers(): void {
+    for (const peer of this.relay.listSilent(SILENT_PEER_MS)) {
+      if (this.removing.has(peer)) continue;
+      this.removing.add(peer);
+      this.removePeer(peer).finally(() => this.removing.delete(peer));
+    }
+  }
+
+  private async removePeer(peer: string): Promise<void> {
+    const { authority, log } = this.options;
+    log.warn('peer is silent; removing its registration', { peer, limitMs: SILENT_PEER_MS });
+    try {
+      await authority.removeMember(peer, AbortSignal.timeout(SILENT_PEER_MS));
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      log.warn('registration of a silent peer not removed', { peer, reason });
+    }
+  }
+
+  private async stayRegistered(signal: AbortSignal): Promise<void> {
+    const { clock, directory, self } = this.options;
+    let isDue = true;
+    while (!signal.aborted) {
+      const isRegistered: boolean = !isDue || (await this.register(signal));
+      const delayMs = isRegistered ? REGISTERED_CHECK_MS : REGISTER_RETRY_MS;
+      await clock.sleep(delayMs, signal).catch(() => undefined);
+      // Another node may have taken this one for gone while it was cut off or suspended.
+      const isListed = directory.members.get(self.address)?.incarnation === self.incarnation;
+      isDue = !isRegistered || (directory.members.version !== undefined && !isListed);
+    }
+  }
+
+  private async register(signal: AbortSignal): Promise<boolean> {
+    const { authority, log, self } = this.options;
+    try {
+      await authority.putMember(self, signal);
+      log.info('registered', { address: self.address, incarnation: self.incarnation });
+      return true;
+    } catch (error) {
+      if (signal.aborted) return false;
+      if (!(error instanceof StoreCallError)) throw error;
+      log.warn('not registered yet', { failure: error.failure, reason: error.message });
+      return false;
+    }
+  }
+
+  private listPeers(): readonly string[] {
+    const { directory, self } = this.options;
+    return directory.members
+      .listValues()
+      .filter(({ failureDomain }) => failureDomain === self.failureDomain)
+      .map(({ address }) => address)
+      .filter((address) => address !== self.address);
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/entry/common/attemptOutcome.ts
@@ -0,0 +1,60 @@
+/** Judges what came of sending a request to a target. */
+import type { ITargetAnswer } from '@parsleymux/routing';
+import { TransportError, TransportFailure } from '@parsleymux/routing';
+import { GrantOutcome } from '../../grants/common/grant.js';
+
+const FIRST_SERVER_ERROR = 500;
+const MISDIRECTED = 421;
+
+/** Tells whether an answer with a good status really comes whole from a target. */
+export type AnswerCheck = (answer: ITargetAnswer) => boolean;
+
+/** The judgement. */
+export interface IAttemptResult {
+  readonly outcome: GrantOutcome;
+  /** Whether the target may have run the request. */
+  readonly mayHaveRun: boolean;
+  /** The answer, if it may be handed to the caller. */
+  readonly answer: ITargetAnswer | undefined;
+}
+
+/**
+ * Judges an answer.
+ *
+ * @example
+ * const { outcome } = judgeAnswer(answer, isAuthentic);
+ */
+export function judgeAnswer(answer: ITargetAnswer, isAuthentic: AnswerCheck): IAttemptResult {
+  if (answer.notRun) {
+    const outcome =
+      answer.status === MISDIRECTED ? GrantOutcome.Misdirected : GrantOutcome.Shed;
+    return { outcome, mayHaveRun: false, answer: undefined };
+  }
+  if (answer.status >= FIRST_SERVER_ERROR) {
+    return { outcome: GrantOutcome.Failed, mayHaveRun: true, answer };
+  }
+  if (!isAuthentic(answer)) {
+    return { outcome: GrantOutcome.Broken, mayHaveRun: true, answer: undefined };
+  }
+  return { outcome: GrantOutcome.Succeeded, mayHaveRun: true, answer };
+}
+
+const FAILURE_OUTCOMES: Readonly<Record<TransportFailure, GrantOutcome>> = {
+  [TransportFailure.Connect]: GrantOutcome.Unreachable,
+  [TransportFailure.NoConnection]: GrantOutcome.Abandoned,
+  [TransportFailure.Broken]: GrantOutcome.Broken,
+  [TransportFailure.Truncated]: GrantOutcome.Broken,
+  [TransportFailure.TooLarge]: GrantOutcome.Abandoned,
+  [TransportFailure.Timeout]: GrantOutcome.TimedOut,
+  [TransportFailure.Cancelled]: GrantOutcome.Abandoned,
+};
+
+/** Judges an exchange that brought no whole answer. */
+export function judgeFailure(error: unknown): IAttemptResult {
+  if (!(error instanceof TransportError)) throw error;
+  return {
+    outcome: FAILURE_OUTCOMES[error.failure],
+    mayHaveRun: error.mayHaveRun,
+    answer: undefined,
+  };
+}
--- /dev/null
+++ b/packages/dispatch/src/entry/common/entryRequest.ts
@@ -0,0 +1,39 @@
+/** Requests and answers as the entry handles them. */
+import type { ResultCode, RunState } from '@parsleymux/base';
+import type { Header } from '@parsleymux/routing';
+import type { IRouteRule } from '../../catalog/common/catalog.js';
+
+/** A whole request whose route is known. */
+export interface IEntryRequest {
+  /** The caller's identifier of the request, for logs. */
+  readonly id: string;
+  readonly route: IRouteRule;
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly Header[];
+  readonly body: Uint8Array;
+  /** When it arrived, in ms of the monotonic clock. */
+  readonly arrivedMs: number;
+  /** When nobody waits for its answer any more. */
+  readonly deadlineMs: number;
+}
+
+/** What became of one attempt, for the request's log line. */
+export interface IAttemptRecord {
+  readonly target: string;
+  readonly home: string;
+  readonly suspicion: number;
+  readonly outcome: string;
+  readonly latencyMs: number;
+}
+
+/** The final answer to a request. */
+export interface IEntryAnswer {
+  readonly status: number;
+  readonly headers: readonly Header[];
+  readonly body: Uint8Array;
+  readonly code: ResultCode;
+  readonly runState: RunState;
+  readonly attempts: readonly IAttemptRecord[];
+}
--- /dev/null
+++ b/packages/dispatch/src/entry/common/requestRun.ts
@@ -0,0 +1,230 @@
+/** One request from its first attempt to its final answer. */
+import type { Clock } from '@parsleymux/base';
+import { ResultCode, RunState, getResultInfo } from '@parsleymux/base';
+import type { Header, ITargetAnswer, TargetTransport } from '@parsleymux/routing';
+import { GrantOutcome } from '../../grants/common/grant.js';
+import type { IGrant, Selection, TargetSelector } from '../../grants/common/targetSelector.js';
+import type { AnswerCheck, IAttemptResult } from './attemptOutcome.js';
+import { judgeAnswer, judgeFailure } from './attemptOutcome.js';
+import type { IAttemptRecord, IEntryAnswer, IEntryRequest } from './entryRequest.js';
+import type { PathHealth } from './pathHealth.js';
+
+/** Grants that may come to nothing before a byte was sent, per request: each costs one connect time. */
+const MAX_UNSENT = 4;
+/** Answers above this size are not taken, in bytes: half of what a small VM can spare. */
+const MAX_ANSWER_BYTES = 67_108_864;
+/** The target is told to stop this much sooner, in ms, so that its own last word still arrives. */
+const TARGET_MARGIN_MS = 20;
+
+/** Options of a {@link RequestRunner}. */
+export interface IRequestRunnerOptions {
+  readonly clock: Clock;
+  readonly selector: TargetSelector;
+  readonly transport: TargetTransport;
+  readonly paths: PathHealth;
+  readonly failureDomain: string;
+  readonly isAuthentic: AnswerCheck;
+  /** Headers that are added for one target. */
+  readonly listTargetHeaders: (targetId: string) => readonly Header[];
+}
+
+type Refusal = Extract<Selection, { kind: 'refused' }>;
+
+interface IRunState {
+  readonly attempts: IAttemptRecord[];
+  readonly tried: string[];
+  sent: number;
+  unsent: number;
+  mayHaveRun: boolean;
+  /** The last failure that a target itself answered with. */
+  lastAnswer: ITargetAnswer | undefined;
+  lastOutcome: GrantOutcome | undefined;
+}
+
+/**
+ * Runs requests, one attempt after the other. A request that can't be repeated goes on only while
+ * it is certain that no target has run it.
+ *
+ * @example
+ * const answer = await runner.run(request, signal);
+ */
+export class RequestRunner {
+  constructor(private readonly options: IRequestRunnerOptions) {}
+
+  /** Rejects only when `signal` aborts: the caller left. */
+  async run(request: IEntryRequest, signal: AbortSignal): Promise<IEntryAnswer> {
+    const state: IRunState = {
+      attempts: [],
+      tried: [],
+      sent: 0,
+      unsent: 0,
+      mayHaveRun: false,
+      lastAnswer: undefined,
+      lastOutcome: undefined,
+    };
+    while (this.mayGoOn(request, state)) {
+      const selection = await this.select(request, state, signal);
+      if (selection.kind === 'refused') return this.makeRefusal(state, selection);
+      const result = await this.attempt(request, selection.grant, state, signal);
+      signal.throwIfAborted();
+      if (result.outcome === GrantOutcome.Succeeded && result.answer !== undefined) {
+        return makeAnswer(result.answer, state);
+      }
+    }
+    return this.makeFailure(request, state);
+  }
+
+  private mayGoOn(request: IEntryRequest, state: IRunState): boolean {
+    if (this.getRemainingMs(request) <= 0) return false;
+    if (state.sent >= request.route.maxAttempts || state.unsent >= MAX_UNSENT) return false;
+    return request.route.isIdempotent || !state.mayHaveRun;
+  }
+
+  private getRemainingMs(request: IEntryRequest): number {
+    return request.deadlineMs - this.options.clock.getMonotonicTime();
+  }
+
+  private async select(
+    request: IEntryRequest,
+    state: IRunState,
+    signal: AbortSignal,
+  ): Promise<Selection> {
+    const { route, service } = request;
+    return this.options.selector.select(
+      {
+        service,
+        failureDomain: this.options.failureDomain,
+        attempt: state.sent + 1,
+        isIdempotent: route.isIdempotent,
+        priority: route.priority,
+        remainingMs: this.getRemainingMs(request),
+        objectiveMs: route.objectiveMs,
+        excluded: [...state.tried, ...this.options.paths.listBroken()],
+      },
+      signal,
+    );
+  }
+
+  private async attempt(
+    request: IEntryRequest,
+    grant: IGrant,
+    state: IRunState,
+    signal: AbortSignal,
+  ): Promise<IAttemptResult> {
+    const { clock } = this.options;
+    const startMs = clock.getMonotonicTime();
+    const result = await this.send(request, grant, signal);
+    const latencyMs = clock.getMonotonicTime() - startMs;
+    grant.report(result.outcome, latencyMs);
+    this.recordPath(grant, result);
+    state.tried.push(grant.target.id);
+    // A shed request reached the target: it counts as sent, though it has not run.
+    if (result.mayHaveRun || result.outcome === GrantOutcome.Shed) state.sent += 1;
+    else state.unsent += 1;
+    state.mayHaveRun ||= result.mayHaveRun;
+    state.lastAnswer = result.answer ?? state.lastAnswer;
+    state.lastOutcome = result.outcome;
+    state.attempts.push({
+      target: grant.target.id,
+      home: grant.home,
+      suspicion: grant.suspicion,
+      outcome: result.outcome,
+      latencyMs: Math.round(latencyMs),
+    });
+    return result;
+  }
+
+  private async send(
+    request: IEntryRequest,
+    grant: IGrant,
+    signal: AbortSignal,
+  ): Promise<IAttemptResult> {
+    const { target } = grant;
+    const remainingMs = this.getRemainingMs(request);
+    try {
+      const answer = await this.options.transport.send(
+        {
+          target: target.address,
+          member: target.id,
+          method: request.method,
+          path: request.path,
+          headers: [...request.headers, ...this.options.listTargetHeaders(target.id)],
+          body: request.body,
+          timeoutMs: remainingMs,
+          targetTimeoutMs: Math.max(1, remainingMs - TARGET_MARGIN_MS),
+        },
+        { signal, maxAnswerBytes: MAX_ANSWER_BYTES },
+      );
+      return judgeAnswer(answer, this.options.isAuthentic);
+    } catch (error) {
+      return judgeFailure(error);
+    }
+  }
+
+  private recordPath(grant: IGrant, result: IAttemptResult): void {
+    const { paths } = this.options;
+    if (result.outcome === GrantOutcome.Unreachable) paths.recordBroken(grant.target.id);
+    if (result.answer !== undefined) paths.recordWorking(grant.target.id);
+  }
+
+  private makeRefusal(state: IRunState, refusal: Refusal): IEntryAnswer {
+    if (state.lastAnswer !== undefined) return makeAnswer(state.lastAnswer, state);
+    if (state.mayHaveRun) return makeOwn(ResultCode.TargetFailed, RunState.MayHaveRun, state);
+    return makeOwn(refusal.code, RunState.NotRun, state, refusal.retryAfterMs);
+  }
+
+  private makeFailure(request: IEntryRequest, state: IRunState): IEntryAnswer {
+    if (state.lastAnswer !== undefined) return makeAnswer(state.lastAnswer, state);
+    if (!state.mayHaveRun) {
+      return makeOwn(ResultCode.TargetShed, RunState.NotRun, state, DEFAULT_RETRY_MS);
+    }
+    const isLate = this.getRemainingMs(request) <= 0 || state.lastOutcome === GrantOutcome.TimedOut;
+    const code = isLate ? ResultCode.TargetTimeout : ResultCode.TargetFailed;
+    return makeOwn(code, RunState.MayHaveRun, state);
+  }
+}
+
+/** When to come back after a request that no target took, in ms: about one request's work. */
+const DEFAULT_RETRY_MS = 250;
+const NO_BODY = new Uint8Array();
+
+function makeAnswer(answer: ITargetAnswer, state: IRunState): IEntryAnswer {
+  if (!(answer.body instanceof Uint8Array)) throw new TypeError('answers are held until whole');
+  return {
+    status: answer.status,
+    headers: answer.headers,
+    body: answer.body,
+    code: ResultCode.Ok,
+    runState: RunState.Ran,
+    attempts: state.attempts,
+  };
+}
+
+function makeOwn(
+  code: ResultCode,
+  runState: RunState,
+  state: Pick<IRunState, 'attempts'>,
+  retryAfterMs?: number,
+): IEntryAnswer {
+  const headers: Header[] = [['parsleymux-result', String(code)]];
+  headers.push(['parsleymux-run-state', runState]);
+  if (retryAfterMs !== undefined) headers.push(['retry-after', (retryAfterMs / 1000).toFixed(2)]);
+  return {
+    status: getResultInfo(code).httpStatus,
+    headers,
+    body: NO_BODY,
+    code,
+    runState,
+    attempts: state.attempts,
+  };
+}
+
+/**
+ * The answer to a request that is refused before any target was asked for.
+ *
+ * @example
+ * const answer = makeEntryRefusal(ResultCode.UnknownRoute);
+ */
+export function makeEntryRefusal(code: ResultCode, retryAfterMs?: number): IEntryAnswer {
+  return makeOwn(code, RunState.NotRun, { attempts: [] }, retryAfterMs);
+}
--- /dev/null
+++ b/packages/dispatch/src/entry/node/frontServer.ts
@@ -0,0 +1,251 @@
+/** The port of the callers: reads requests, finds their routes, and writes their answers. */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Clock, IDisposable, Logger } from '@parsleymux/base';
+import { ResultCode, RunState } from '@parsleymux/base';
+import type { Header } from '@parsleymux/routing';
+import { removeHopByHopHeaders } from '@parsleymux/routing';
+import type { DestinationPicker } from '../../catalog/common/destinationPicker.js';
+import type { ICatalog, IRouteRule } from '../../catalog/common/catalog.js';
+import type { NodeDirectory } from '../../directory/common/nodeDirectory.js';
+import type { CallerProtocol } from '../common/callerProtocol.js';
+import type { IEntryAnswer, IEntryRequest } from '../common/entryRequest.js';
+import type { RequestRunner } from '../common/requestRun.js';
+import { makeEntryRefusal } from '../common/requestRun.js';
+import { CallerConnections } from './callerConnections.js';
+import type { RequestLog } from './requestLog.js';
+import { readBody } from './requestBody.js';
+
+/** Largest header section that the parser takes, in bytes; the configured limit is checked besides. */
+const PARSER_HEADER_BYTES = 131_072;
+/** Callers may wait this long at most when they say nothing, in ms. */
+const DEFAULT_CALLER_TIMEOUT_MS = 60_000;
+/** A node that knows no configuration yet expects one within about this time, in ms. */
+const NOT_READY_RETRY_MS = 300;
+/** A connection is kept this much longer than callers may leave it idle, in ms: clocks and links differ. */
+const IDLE_MARGIN_MS = 2000;
+/** Until a configuration sets it, in ms. */
+const INITIAL_IDLE_MS = 15_000;
+const MIN_HTTP_MESSAGE_STATUS = 400;
+
+/** Options of a {@link FrontServer}. */
+export interface IFrontServerOptions {
+  readonly clock: Clock;
+  readonly directory: NodeDirectory;
+  readonly runner: RequestRunner;
+  readonly picker: DestinationPicker;
+  readonly callers: CallerProtocol;
+  readonly log: Logger;
+  readonly requestLog: RequestLog;
+}
+
+type Routed =
+  | { readonly kind: 'routed'; readonly route: IRouteRule; readonly catalog: ICatalog }
+  | { readonly kind: 'refused'; readonly answer: IEntryAnswer };
+
+/**
+ * Serves callers until it is stopped.
+ *
+ * @example
+ * const front = new FrontServer(options);
+ * await listenOn(front.server, '10.1.0.4:8080');
+ */
+export class FrontServer implements IDisposable {
+  readonly server: Server;
+  readonly connections = new CallerConnections();
+
+  constructor(private readonly options: IFrontServerOptions) {
+    this.server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES }, (request, response) => {
+      void this.handle(request, response);
+    });
+    this.server.keepAliveTimeout = INITIAL_IDLE_MS + IDLE_MARGIN_MS;
+    this.server.requestTimeout = 0;
+    this.server.on('connection', (socket: Socket) => {
+      socket.setNoDelay(true);
+      this.connections.add(socket);
+    });
+    this.server.on('clientError', (error, socket) => {
+      this.refuseMalformed(error, socket as Socket);
+    });
+    options.directory.onDidChangeCatalog(({ limits }) => {
+      this.server.headersTimeout = limits.headerTimeoutMs;
+      this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+    });
+  }
+
+  /** Stops listening. Connections that are open go on. */
+  closePort(): void {
+    this.server.close();
+  }
+
+  dispose(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (!this.connections.startRequest(request)) return;
+    const left = new AbortController();
+    response.once('close', () => {
+      this.connections.endRequest(request);
+      if (!response.writableFinished) left.abort(new Error('the caller left'));
+    });
+    try {
+      await this.serve(request, response, left.signal);
+    } catch (error) {
+      this.handleFault(request, response, error, left.signal);
+    }
+  }
+
+  private async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock, requestLog, runner } = this.options;
+    const arrivedMs = clock.getMonotonicTime();
+    const routed = this.route(request);
+    if (routed.kind === 'refused') {
+      requestLog.recordUnrouted(this.describe(request), routed.answer, arrivedMs);
+      this.write(request, response, routed.answer, hasBody(request));
+      return;
+    }
+    const entryRequest = await this.read(request, routed, arrivedMs);
+    if ('status' in entryRequest) {
+      requestLog.recordUnrouted(this.describe(request), entryRequest, arrivedMs);
+      this.write(request, response, entryRequest, true);
+      return;
+    }
+    try {
+      const answer = await runner.run(entryRequest, signal);
+      requestLog.recordAnswer(entryRequest, answer);
+      this.write(request, response, answer, false);
+    } catch (error) {
+      if (!signal.aborted) throw error;
+      requestLog.recordLeft(entryRequest);
+    }
+  }
+
+  private route(request: IncomingMessage): Routed {
+    const { directory } = this.options;
+    const catalog = directory.getCatalog();
+    const match = directory.getRoutes()?.match(request.headers.host ?? '', request.url ?? '/');
+    if (catalog === undefined || match === undefined) {
+      return refuse(ResultCode.NotReady, NOT_READY_RETRY_MS);
+    }
+    switch (match.kind) {
+      case 'unknown-host':
+        return refuse(ResultCode.UnknownHost);
+      case 'unknown-path':
+        return refuse(ResultCode.UnknownRoute);
+      case 'found':
+        break;
+    }
+    const headerBytes = countHeaderBytes(request);
+    if (headerBytes > catalog.limits.maxHeaderBytes) return refuse(ResultCode.HeadersTooLarge);
+    return { kind: 'routed', route: match.route, catalog };
+  }
+
+  /** The request with its body, or the refusal of it. */
+  private async read(
+    request: IncomingMessage,
+    routed: Extract<Routed, { kind: 'routed' }>,
+    arrivedMs: number,
+  ): Promise<IEntryRequest | IEntryAnswer> {
+    const { callers, picker } = this.options;
+    const { catalog, route } = routed;
+    const timeoutMs = callers.getTimeoutMs(request.headers) ?? DEFAULT_CALLER_TIMEOUT_MS;
+    if (Number.isNaN(timeoutMs)) return makeEntryRefusal(ResultCode.MalformedDeadline);
+    const result = await readBody(request, catalog.limits.maxBodyBytes);
+    if (result.kind === 'too-large') return makeEntryRefusal(ResultCode.BodyTooLarge);
+    if (result.kind === 'broken') return makeEntryRefusal(ResultCode.MalformedRequest);
+    const service = picker.pick(route);
+    if (service === undefined) return makeEntryRefusal(ResultCode.NoTarget, NOT_READY_RETRY_MS);
+    return {
+      id: callers.getRequestId(request.headers) ?? '',
+      route,
+      service,
+      method: request.method ?? 'GET',
+      path: request.url ?? '/',
+      headers: listHeaders(request),
+      body: result.body,
+      arrivedMs,
+      deadlineMs: arrivedMs + Math.min(timeoutMs, route.timeoutMs),
+    };
+  }
+
+  private write(
+    request: IncomingMessage,
+    response: ServerResponse,
+    answer: IEntryAnswer,
+    mustEnd: boolean,
+  ): void {
+    if (response.destroyed) return;
+    this.connections.prepareAnswer(request, response, mustEnd);
+    const headers = answer.headers.filter(([name]) => name !== 'content-length');
+    for (const [name, value] of headers) response.appendHeader(name, value);
+    if (answer.runState !== RunState.Ran) {
+      const own = this.options.callers.listAnswerHeaders(request.headers);
+      for (const [name, value] of own) response.setHeader(name, value);
+    }
+    const isHead = request.method === 'HEAD';
+    if (!isHead) response.setHeader('content-length', String(answer.body.byteLength));
+    response.writeHead(answer.status);
+    response.end(isHead ? undefined : answer.body);
+  }
+
+  private handleFault(
+    request: IncomingMessage,
+    response: ServerResponse,
+    error: unknown,
+    signal: AbortSignal,
+  ): void {
+    const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    this.options.log.error('request failed by a fault of the program', {
+      request: this.describe(request).id,
+      reason,
+    });
+    if (signal.aborted || response.headersSent) {
+      response.destroy();
+      return;
+    }
+    response.writeHead(500, { 'content-length': '0' }).end();
+  }
+
+  private describe(request: IncomingMessage): { readonly id: string; readonly path: string } {
+    const id = this.options.callers.getRequestId(request.headers) ?? '';
+    return { id, path: `${request.headers.host ?? ''}${request.url ?? ''}` };
+  }
+
+  private refuseMalformed(error: Error, socket: Socket): void {
+    const { code } = error as { readonly code?: string };
+    this.options.log.warn('malformed request', { code, reason: error.message });
+    const status = code === 'HPE_HEADER_OVERFLOW' ? 431 : code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : MIN_HTTP_MESSAGE_STATUS;
+    // While a request of this connection waits for its answer, this one would be taken for it.
+    const isQuiet = this.connections.isIdle(socket) && socket.writable && code !== 'ECONNRESET';
+    if (isQuiet) socket.end(`HTTP/1.1 ${status} Refused\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
+    else socket.destroy();
+  }
+}
+
+function refuse(code: ResultCode, retryAfterMs?: number): Routed {
+  return { kind: 'refused', answer: makeEntryRefusal(code, retryAfterMs) };
+}
+
+function hasBody(request: IncomingMessage): boolean {
+  const { 'content-length': length, 'transfer-encoding': encoding } = request.headers;
+  return encoding !== undefined || (length !== undefined && length !== '0');
+}
+
+function countHeaderBytes(request: IncomingMessage): number {
+  return request.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+}
+
+function listHeaders(request: IncomingMessage): readonly Header[] {
+  const headers: Header[] = [];
+  for (let index = 0; index + 1 < request.rawHeaders.length; index += 2) {
+    headers.push([(request.rawHeaders[index] ?? '').toLowerCase(), request.rawHeaders[index + 1] ?? '']);
+  }
+  return removeHopByHopHeaders(headers).filter(([name]) => name !== 'content-length');
+}
--- /dev/null
+++ b/packages/dispatch/src/entry/node/requestLog.ts
@@ -0,0 +1,114 @@
+/** One log line and the counters for each request. */
+import type { Clock, Logger } from '@parsleymux/base';
+import { ResultCode, getResultInfo } from '@parsleymux/base';
+import type { Registry } from 'prom-client';
+import { Counter, Histogram } from 'prom-client';
+import type { NodeDirectory } from '../../directory/common/nodeDirectory.js';
+import type { IEntryAnswer, IEntryRequest } from '../common/entryRequest.js';
+
+/** Buckets around the objectives that services usually have, in seconds. */
+const LATENCY_BUCKETS = [0.01, 0.03, 0.1, 0.2, 0.4, 0.7, 1, 1.5, 2.5, 4, 6];
+const FIRST_FAILURE_STATUS = 400;
+
+/** Options of a {@link RequestLog}. */
+export interface IRequestLogOptions {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly directory: NodeDirectory;
+  readonly registry: Registry;
+}
+
+/** Writes what an operator needs to get from a request's id to its cause. */
+export class RequestLog {
+  private readonly requests: Counter<'route' | 'code' | 'status'>;
+  private readonly latency: Histogram<'route'>;
+  private readonly attempts: Counter<'service' | 'outcome'>;
+
+  constructor(private readonly options: IRequestLogOptions) {
+    const registers = [options.registry];
+    this.requests = new Counter({
+      name: 'parsleymux_requests_total',
+      help: 'Requests of callers, by route, result code and status.',
+      labelNames: ['route', 'code', 'status'],
+      registers,
+    });
+    this.latency = new Histogram({
+      name: 'parsleymux_request_seconds',
+      help: 'Time from the arrival of a request to its answer.',
+      labelNames: ['route'],
+      buckets: LATENCY_BUCKETS,
+      registers,
+    });
+    this.attempts = new Counter({
+      name: 'parsleymux_attempts_total',
+      help: 'Attempts to have a request run by a target, by outcome.',
+      labelNames: ['service', 'outcome'],
+      registers,
+    });
+  }
+
+  recordAnswer(request: IEntryRequest, answer: IEntryAnswer): void {
+    const ms = this.measure(request.arrivedMs);
+    const route = request.route.name;
+    this.requests.inc({ route, code: String(answer.code), status: String(answer.status) });
+    this.latency.observe({ route }, ms / 1000);
+    for (const { outcome } of answer.attempts) {
+      this.attempts.inc({ service: request.service, outcome });
+    }
+    const isFailure = answer.status >= FIRST_FAILURE_STATUS;
+    this.options.log[isFailure ? 'warn' : 'info']('request', {
+      request: request.id,
+      route,
+      service: request.service,
+      status: answer.status,
+      result: getResultInfo(answer.code).name,
+      runState: answer.runState,
+      ms,
+      attempts: answer.attempts,
+      ...this.describeBeliefs(),
+    });
+  }
+
+  /** A request that came to no route. */
+  recordUnrouted(
+    request: { readonly id: string; readonly path: string },
+    answer: IEntryAnswer,
+    arrivedMs: number,
+  ): void {
+    const code = getResultInfo(answer.code).name;
+    this.requests.inc({ route: '', code: String(answer.code), status: String(answer.status) });
+    this.options.log.warn('request refused', {
+      request: request.id,
+      path: request.path,
+      status: answer.status,
+      result: code,
+      ms: this.measure(arrivedMs),
+      ...this.describeBeliefs(),
+    });
+  }
+
+  /** The caller closed its connection before the answer. */
+  recordLeft(request: IEntryRequest): void {
+    const route = request.route.name;
+    this.requests.inc({ route, code: String(ResultCode.CallerGone), status: '' });
+    this.options.log.warn('caller left', {
+      request: request.id,
+      route,
+      service: request.service,
+      ms: this.measure(request.arrivedMs),
+    });
+  }
+
+  private measure(sinceMs: number): number {
+    return Math.round(this.options.clock.getMonotonicTime() - sinceMs);
+  }
+
+  private describeBeliefs(): Readonly<Record<string, number | undefined>> {
+    const { directory } = this.options;
+    return {
+      catalog: directory.getCatalog()?.version,
+      catalogAgeMs: Math.round(directory.catalog.getAgeMs()),
+      targetsAgeMs: Math.round(directory.targets.getAgeMs()),
+    };
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/grants/common/grant.ts
@@ -0,0 +1,55 @@
+/** Asking for targets: what an entry says, and what it gets. */
+import type { ResultCode } from '@parsleymux/base';
+import type { ITargetRecord } from '../../catalog/common/catalog.js';
+
+/** How a request that was granted a target fared. */
+export const GrantOutcome = {
+  Succeeded: 'succeeded',
+  /** The target answered with a failure of its own. */
+  Failed: 'failed',
+  /** The target said that it did not run the request. */
+  Shed: 'shed',
+  /** No connection could be made. */
+  Unreachable: 'unreachable',
+  /** The connection broke, or the answer was not whole. */
+  Broken: 'broken',
+  /** Nothing came in time. */
+  TimedOut: 'timed-out',
+  /** The caller left, or the grant was not used. */
+  Abandoned: 'abandoned',
+  /** The address belongs to another target now. */
+  Misdirected: 'misdirected',
+} as const;
+
+export type GrantOutcome = (typeof GrantOutcome)[keyof typeof GrantOutcome];
+
+/** What is asked for. */
+export interface IGrantRequest {
+  readonly service: string;
+  /** Failure domain of the entry. */
+  readonly failureDomain: string;
+  /** 1 for the first time that the request is sent. */
+  readonly attempt: number;
+  readonly isIdempotent: boolean;
+  readonly priority: number;
+  /** Time that is left to the request, in ms. */
+  readonly remainingMs: number;
+  /** Time within which an answer is worth most, in ms. */
+  readonly objectiveMs: number;
+  /** Identifiers of targets that it must not be sent to. */
+  readonly excluded: readonly string[];
+}
+
+/** The decision on a request. */
+export type GrantDecision =
+  | {
+      readonly kind: 'granted';
+      readonly target: ITargetRecord;
+      /** Probability that the target is failing, as decided upon. */
+      readonly suspicion: number;
+    }
+  | {
+      readonly kind: 'refused';
+      readonly code: ResultCode;
+      readonly retryAfterMs: number;
+    };
--- /dev/null
+++ b/packages/dispatch/src/grants/common/grantMessages.ts
@@ -0,0 +1,95 @@
+/** Translation between grants and the messages that carry them. */
+import { create } from '@bufbuild/protobuf';
+import type { Ask, Decision } from '@parsleymux/schema';
+import { AskSchema, DecisionKind, DecisionSchema, Outcome } from '@parsleymux/schema';
+import type { GrantDecision, IGrantRequest } from './grant.js';
+import { GrantOutcome } from './grant.js';
+
+const PERMILLE = 1000;
+
+const OUTCOMES: Readonly<Record<GrantOutcome, Outcome>> = {
+  [GrantOutcome.Succeeded]: Outcome.SUCCEEDED,
+  [GrantOutcome.Failed]: Outcome.FAILED,
+  [GrantOutcome.Shed]: Outcome.SHED,
+  [GrantOutcome.Unreachable]: Outcome.UNREACHABLE,
+  [GrantOutcome.Broken]: Outcome.BROKEN,
+  [GrantOutcome.TimedOut]: Outcome.TIMED_OUT,
+  [GrantOutcome.Abandoned]: Outcome.ABANDONED,
+  [GrantOutcome.Misdirected]: Outcome.MISDIRECTED,
+};
+
+const OUTCOME_NAMES = new Map(
+  Object.entries(OUTCOMES).map(([name, outcome]) => [outcome, name as GrantOutcome]),
+);
+
+/**
+ * @example
+ * encodeOutcome(GrantOutcome.Failed); // Outcome.FAILED
+ */
+export function encodeOutcome(outcome: GrantOutcome): Outcome {
+  return OUTCOMES[outcome];
+}
+
+/** An outcome of a newer version says nothing that this one could use. */
+export function decodeOutcome(outcome: Outcome): GrantOutcome {
+  return OUTCOME_NAMES.get(outcome) ?? GrantOutcome.Abandoned;
+}
+
+/**
+ * @example
+ * channel.send(home, { case: 'ask', value: encodeAsk(request, 7n, incarnation) });
+ */
+export function encodeAsk(request: IGrantRequest, id: bigint, incarnation: number): Ask {
+  return create(AskSchema, {
+    id,
+    incarnation,
+    service: request.service,
+    failureDomain: request.failureDomain,
+    attempt: request.attempt,
+    idempotent: request.isIdempotent,
+    priority: request.priority,
+    remainingMs: Math.max(0, Math.floor(request.remainingMs)),
+    objectiveMs: Math.floor(request.objectiveMs),
+    excluded: [...request.excluded],
+  });
+}
+
+/** The request that an entry asks for. */
+export function decodeAsk(ask: Ask): IGrantRequest {
+  return {
+    service: ask.service,
+    failureDomain: ask.failureDomain,
+    attempt: ask.attempt,
+    isIdempotent: ask.idempotent,
+    priority: ask.priority,
+    remainingMs: ask.remainingMs,
+    objectiveMs: ask.objectiveMs,
+    excluded: ask.excluded,
+  };
+}
+
+/** What a home answers; undefined stands for a place in its queue. */
+export function encodeDecision(askId: bigint, decision: GrantDecision | undefined): Decision {
+  if (decision === undefined) {
+    return create(DecisionSchema, { askId, kind: DecisionKind.QUEUED });
+  }
+  if (decision.kind === 'refused') {
+    return create(DecisionSchema, {
+      askId,
+      kind: DecisionKind.REFUSED,
+      retryAfterMs: decision.retryAfterMs,
+      resultCode: decision.code,
+    });
+  }
+  return create(DecisionSchema, {
+    askId,
+    kind: DecisionKind.GRANTED,
+    targetId: decision.target.id,
+    suspicionPermille: Math.round(decision.suspicion * PERMILLE),
+  });
+}
+
+/** Probability from 0 to 1. */
+export function decodeSuspicion(decision: Decision): number {
+  return decision.suspicionPermille / PERMILLE;
+}
--- /dev/null
+++ b/packages/dispatch/src/grants/common/grantServer.ts
@@ -0,0 +1,98 @@
+/** The home's side of asking: answers questions of other nodes, once each however often they arrive. */
+import { create } from '@bufbuild/protobuf';
+import type { Clock, Logger } from '@parsleymux/base';
+import type { Ask, Report } from '@parsleymux/schema';
+import { ReportReceivedSchema } from '@parsleymux/schema';
+import type { HomeService } from '../../home/common/homeService.js';
+import type { ITicket, ServiceBook } from '../../home/common/serviceBook.js';
+import type { DatagramChannel } from './datagramChannel.js';
+import type { GrantDecision } from './grant.js';
+import { decodeAsk, decodeOutcome, encodeDecision } from './grantMessages.js';
+
+/** Answers are kept this long for repeated questions, in ms: longer than entries go on asking. */
+const REMEMBER_MS = 10_000;
+/** Tickets are looked through for old ones after this many new ones. */
+const PURGE_EVERY = 256;
+
+/** Options of a {@link GrantServer}. */
+export interface IGrantServerOptions {
+  readonly channel: DatagramChannel;
+  readonly homes: HomeService;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+interface IRemembered {
+  readonly book: ServiceBook;
+  ticket: ITicket;
+  isReported: boolean;
+}
+
+/**
+ * Serves the questions that arrive on a channel.
+ *
+ * @example
+ * server.handleAsk(sender, ask);
+ */
+export class GrantServer {
+  private readonly remembered = new Map<string, IRemembered>();
+  private asked = 0;
+
+  constructor(private readonly options: IGrantServerOptions) {}
+
+  handleAsk(sender: string, ask: Ask): void {
+    const key = formatKey(sender, ask.incarnation, ask.id);
+    const known = this.remembered.get(key);
+    if (known !== undefined) {
+      this.respond(sender, ask.id, known.ticket.decision);
+      return;
+    }
+    this.purge();
+    const book = this.options.homes.getBook(ask.service);
+    const ticket = book.ask(decodeAsk(ask), sender, (decision) => {
+      this.respond(sender, ask.id, decision);
+      this.logDecision(sender, ask, decision);
+    });
+    this.remembered.set(key, { book, ticket, isReported: false });
+    if (ticket.decision === undefined) this.respond(sender, ask.id, undefined);
+  }
+
+  handleReport(sender: string, report: Report): void {
+    const { askId } = report;
+    const received = create(ReportReceivedSchema, { askId });
+    this.options.channel.send(sender, { case: 'reportReceived', value: received });
+    const known = this.remembered.get(formatKey(sender, report.incarnation, askId));
+    if (known === undefined || known.isReported) return;
+    known.isReported = true;
+    known.book.report(known.ticket, decodeOutcome(report.outcome), report.latencyMs);
+  }
+
+  private respond(sender: string, askId: bigint, decision: GrantDecision | undefined): void {
+    const value = encodeDecision(askId, decision);
+    this.options.channel.send(sender, { case: 'decision', value });
+  }
+
+  private logDecision(sender: string, ask: Ask, decision: GrantDecision): void {
+    if (decision.kind === 'granted') return;
+    this.options.log.info('grant refused', {
+      entry: sender,
+      ask: String(ask.id),
+      service: ask.service,
+      result: decision.code,
+    });
+  }
+
+  private purge(): void {
+    this.asked += 1;
+    if (this.asked % PURGE_EVERY !== 0) return;
+    const oldestMs = this.options.clock.getMonotonicTime() - REMEMBER_MS;
+    for (const [key, { ticket }] of this.remembered) {
+      const endMs = ticket.askedMs + ticket.request.remainingMs;
+      if (endMs < oldestMs) this.remembered.delete(key);
+    }
+  }
+}
+
+function formatKey(sender: string, incarnation: number, id: bigint): string {
+  return `${sender}/${incarnation}/${id}`;
+}
--- /dev/null
+++ b/packages/dispatch/src/grants/common/homeSelector.ts
@@ -0,0 +1,260 @@
+/** Gets targets from the homes of services, and decides alone when none can be asked. */
+import { create } from '@bufbuild/protobuf';
+import type { Clock, IDisposable, Logger } from '@parsleymux/base';
+import type { ResultCode } from '@parsleymux/base';
+import type { Decision } from '@parsleymux/schema';
+import { DecisionKind, ReportSchema } from '@parsleymux/schema';
+import type { ITargetRecord } from '../../catalog/common/catalog.js';
+import type { HomeService } from '../../home/common/homeService.js';
+import type { DatagramChannel } from './datagramChannel.js';
+import type { GrantOutcome, IGrantRequest } from './grant.js';
+import { decodeSuspicion, encodeAsk, encodeOutcome } from './grantMessages.js';
+import { HomeHealth } from './homeHealth.js';
+import type { IGrant, Selection } from './targetSelector.js';
+import { TargetSelector } from './targetSelector.js';
+
+/**
+ * A question is repeated when no answer came in this time, in ms: about ten round trips between
+ * failure domains of a region, and more than a busy home needs to get to it.
+ */
+const REPEAT_MS = 25;
+/** Times that a question is sent to one home before it counts as silent. */
+const SENDS_PER_HOME = 2;
+/** A question that a home has queued is repeated this often, in case the decision was lost, in ms. */
+const QUEUED_REPEAT_MS = 150;
+/** Homes that are asked before this node decides alone. */
+const HOMES_ASKED = 2;
+/** Waits between the sends of a report that nobody confirmed, in ms. */
+const REPORT_REPEATS_MS = [40, 150, 600];
+
+/** Options of a {@link HomeSelector}. */
+export interface IHomeSelectorOptions {
+  readonly channel: DatagramChannel;
+  readonly homes: HomeService;
+  readonly clock: Clock;
+  readonly log: Logger;
+  /** Tells this start of the process from earlier ones. */
+  readonly incarnation: number;
+  /** Homes of a service, best first; this node's own address may be among them. */
+  readonly rankHomes: (service: string) => readonly string[];
+  readonly findTarget: (id: string) => ITargetRecord | undefined;
+}
+
+interface IPendingAsk {
+  readonly home: string;
+  readonly onDecision: (decision: Decision) => void;
+}
+
+/** What one home said; undefined when it stayed silent. */
+type HomeAnswer = Selection | { readonly kind: 'unknown-target'; readonly id: string } | undefined;
+
+/**
+ * Asks the homes of a service in their order. The wait for silent homes is bounded, so the loss of
+ * a home costs precision and some tens of ms, never a request.
+ *
+ * @example
+ * const selection = await selector.select(request, signal);
+ */
+export class HomeSelector extends TargetSelector {
+  private readonly pending = new Map<bigint, IPendingAsk>();
+  private readonly unconfirmed = new Map<bigint, IDisposable>();
+  private readonly health: HomeHealth;
+  private nextId = 1n;
+
+  constructor(private readonly options: IHomeSelectorOptions) {
+    super();
+    this.health = new HomeHealth(options.clock);
+  }
+
+  override async select(request: IGrantRequest, signal: AbortSignal): Promise<Selection> {
+    const { channel, log } = this.options;
+    const homes = this.options.rankHomes(request.service);
+    const audible = homes.filter((home) => !this.health.isSilent(home)).slice(0, HOMES_ASKED);
+    for (const home of audible) {
+      if (home === channel.address) return this.decideAlone(request, signal);
+      const answer = await this.askHome(home, request, signal);
+      if (answer?.kind === 'unknown-target') {
+        // The home has heard of a target that this node has not: news travel for some 100 ms.
+        const excluded = [...request.excluded, answer.id];
+        return this.select({ ...request, excluded }, signal);
+      }
+      if (answer !== undefined) return answer;
+      this.health.recordSilence(home);
+      log.warn('home is silent', { home, service: request.service });
+    }
+    return this.decideAlone(request, signal);
+  }
+
+  /** Takes a decision that arrived. */
+  handleDecision(sender: string, decision: Decision): void {
+    const pending = this.pending.get(decision.askId);
+    if (pending?.home === sender) pending.onDecision(decision);
+  }
+
+  handleReportReceived(askId: bigint): void {
+    void this.unconfirmed.get(askId)?.dispose();
+    this.unconfirmed.delete(askId);
+  }
+
+  /** A node said that it stops: it is not asked any more. */
+  handleLeaving(sender: string): void {
+    this.health.recordSilence(sender);
+  }
+
+  /** Resolves with undefined when the home stays silent; rejects when `signal` aborts. */
+  private askHome(home: string, request: IGrantRequest, signal: AbortSignal): Promise<HomeAnswer> {
+    const { clock } = this.options;
+    const id = this.nextId++;
+    const startMs = clock.getMonotonicTime();
+    return new Promise((resolve, reject) => {
+      let timer: IDisposable | undefined;
+      let sends = 0;
+      let isQueued = false;
+      const finish = () => {
+        void timer?.dispose();
+        this.pending.delete(id);
+        signal.removeEventListener('abort', onAbort);
+      };
+      const onAbort = () => {
+        finish();
+        // The home may have granted already, or will when a slot gets free.
+        this.sendReport(home, id, request, undefined, 'abandoned', 0);
+        reject(toError(signal.reason));
+      };
+      const send = () => {
+        if (sends >= SENDS_PER_HOME && !isQueued) {
+          finish();
+          this.sendReport(home, id, request, undefined, 'abandoned', 0);
+          resolve(undefined);
+          return;
+        }
+        sends += 1;
+        const elapsedMs = clock.getMonotonicTime() - startMs;
+        const remaining = { ...request, remainingMs: request.remainingMs - elapsedMs };
+        const value = encodeAsk(remaining, id, this.options.incarnation);
+        this.options.channel.send(home, { case: 'ask', value });
+        // A queued question that gets no word twice in a row belongs to a home that has died.
+        isQueued = false;
+        timer = clock.startTimer(sends > 2 ? QUEUED_REPEAT_MS : REPEAT_MS, send);
+      };
+      const onDecision = (decision: Decision) => {
+        this.health.recordAnswer(home);
+        if (decision.kind === DecisionKind.QUEUED) {
+          isQueued = true;
+          sends = Math.max(sends, SENDS_PER_HOME);
+          void timer?.dispose();
+          timer = clock.startTimer(QUEUED_REPEAT_MS, send);
+          return;
+        }
+        finish();
+        resolve(this.toSelection(home, id, request, decision));
+      };
+      if (signal.aborted) {
+        reject(toError(signal.reason));
+        return;
+      }
+      signal.addEventListener('abort', onAbort, { once: true });
+      this.pending.set(id, { home, onDecision });
+      send();
+    });
+  }
+
+  private toSelection(
+    home: string,
+    id: bigint,
+    request: IGrantRequest,
+    decision: Decision,
+  ): HomeAnswer {
+    if (decision.kind !== DecisionKind.GRANTED) {
+      const code = decision.resultCode as ResultCode;
+      return { kind: 'refused', code, retryAfterMs: decision.retryAfterMs, home };
+    }
+    const target = this.options.findTarget(decision.targetId);
+    if (target === undefined) {
+      this.sendReport(home, id, request, undefined, 'abandoned', 0);
+      return { kind: 'unknown-target', id: decision.targetId };
+    }
+    return { kind: 'granted', grant: this.createGrant(home, id, request, target, decision) };
+  }
+
+  private createGrant(
+    home: string,
+    id: bigint,
+    request: IGrantRequest,
+    target: ITargetRecord,
+    decision: Decision,
+  ): IGrant {
+    return {
+      target,
+      home,
+      suspicion: decodeSuspicion(decision),
+      report: (outcome, latencyMs) => {
+        this.sendReport(home, id, request, target.id, outcome, latencyMs);
+      },
+    };
+  }
+
+  private sendReport(
+    home: string,
+    askId: bigint,
+    request: IGrantRequest,
+    targetId: string | undefined,
+    outcome: GrantOutcome,
+    latencyMs: number,
+  ): void {
+    const value = create(ReportSchema, {
+      askId,
+      service: request.service,
+      targetId: targetId ?? '',
+      outcome: encodeOutcome(outcome),
+      latencyMs: Math.max(0, Math.round(latencyMs)),
+      incarnation: this.options.incarnation,
+      failureDomain: request.failureDomain,
+    });
+    const send = (repeat: number) => {
+      this.options.channel.send(home, { case: 'report', value });
+      const delayMs = REPORT_REPEATS_MS[repeat];
+      if (delayMs === undefined) {
+        this.unconfirmed.delete(askId);
+        return;
+      }
+      const timer = this.options.clock.startTimer(delayMs, () => {
+        send(repeat + 1);
+      });
+      this.unconfirmed.set(askId, timer);
+    };
+    send(0);
+  }
+
+  private decideAlone(request: IGrantRequest, signal: AbortSignal): Promise<Selection> {
+    const book = this.options.homes.getBook(request.service);
+    const home = this.options.channel.address;
+    return new Promise((resolve, reject) => {
+      if (signal.aborted) {
+        reject(toError(signal.reason));
+        return;
+      }
+      const onAbort = () => {
+        book.report(ticket, 'abandoned', 0);
+        reject(toError(signal.reason));
+      };
+      signal.addEventListener('abort', onAbort, { once: true });
+      const ticket = book.ask(request, home, (decision) => {
+        signal.removeEventListener('abort', onAbort);
+        if (decision.kind === 'refused') {
+          resolve({ ...decision, home });
+          return;
+        }
+        const { target, suspicion } = decision;
+        const report = (outcome: GrantOutcome, latencyMs: number) => {
+          book.report(ticket, outcome, latencyMs);
+        };
+        resolve({ kind: 'granted', grant: { target, home, suspicion, report } });
+      });
+    });
+  }
+}
+
+function toError(reason: unknown): Error {
+  return reason instanceof Error ? reason : new Error(String(reason));
+}
--- /dev/null
+++ b/packages/dispatch/src/grants/node/udpChannel.ts
@@ -0,0 +1,86 @@
+/** Datagrams over UDP, in protobuf. */
+import { once } from 'node:events';
+import type { RemoteInfo, Socket } from 'node:dgram';
+import { createSocket } from 'node:dgram';
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import type { Logger } from '@parsleymux/base';
+import { parseTargetAddress } from '@parsleymux/routing';
+import { DatagramSchema } from '@parsleymux/schema';
+import type { DatagramBody } from '../common/datagramChannel.js';
+import { DatagramChannel } from '../common/datagramChannel.js';
+
+/** Malformed datagrams are logged this often at most, in ms. */
+const MALFORMED_LOG_MS = 1000;
+
+/** A socket that is bound. */
+export class UdpChannel extends DatagramChannel {
+  private handler: (sender: string, body: DatagramBody) => void = () => undefined;
+  private lastMalformedMs = -Infinity;
+  /** Datagrams that could not be sent, and that could not be read. */
+  readonly counts = { unsent: 0, malformed: 0 };
+
+  private constructor(
+    private readonly socket: Socket,
+    override readonly address: string,
+    private readonly log: Logger,
+  ) {
+    super();
+    socket.on('message', (bytes, sender) => {
+      this.receive(bytes, sender);
+    });
+    // Errors of earlier sends are raised on the socket; each datagram may be lost anyway.
+    socket.on('error', (error) => {
+      this.counts.unsent += 1;
+      this.log.warn('datagram socket error', { reason: error.message });
+    });
+  }
+
+  /** Binds to an IP number and port; port 0 lets the system choose. */
+  static async open(address: string, log: Logger): Promise<UdpChannel> {
+    const { host, port } = parseTargetAddress(address);
+    const socket = createSocket('udp4');
+    socket.bind(port, host);
+    await once(socket, 'listening');
+    return new UdpChannel(socket, `${host}:${socket.address().port}`, log);
+  }
+
+  override send(address: string, body: DatagramBody): void {
+    const bytes = toBinary(DatagramSchema, create(DatagramSchema, { body }));
+    const { host, port } = parseTargetAddress(address);
+    this.socket.send(bytes, port, host, (error) => {
+      if (error !== null) this.counts.unsent += 1;
+    });
+  }
+
+  override setHandler(handler: (sender: string, body: DatagramBody) => void): void {
+    this.handler = handler;
+  }
+
+  override dispose(): void {
+    this.socket.close();
+  }
+
+  private receive(bytes: Uint8Array, sender: RemoteInfo): void {
+    const body = this.decode(bytes);
+    if (body !== undefined) this.handler(`${sender.address}:${sender.port}`, body);
+  }
+
+  private decode(bytes: Uint8Array): DatagramBody | undefined {
+    try {
+      const { body } = fromBinary(DatagramSchema, bytes);
+      return body.case === undefined ? undefined : body;
+    } catch (error) {
+      this.counts.malformed += 1;
+      this.logMalformed(error);
+      return undefined;
+    }
+  }
+
+  private logMalformed(error: unknown): void {
+    const nowMs = performance.now();
+    if (nowMs - this.lastMalformedMs < MALFORMED_LOG_MS) return;
+    this.lastMalformedMs = nowMs;
+    const reason = error instanceof Error ? error.message : String(error);
+    this.log.warn('malformed datagram dropped', { reason, total: this.counts.malformed });
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/home/common/homeService.ts
@@ -0,0 +1,67 @@
+/** The books of all services that this node is asked for. */
+import type { Clock, IDisposable } from '@parsleymux/base';
+import type { ITargetRecord } from '../../catalog/common/catalog.js';
+import type { IRetryWindowOptions } from './retryWindow.js';
+import { ServiceBook } from './serviceBook.js';
+
+/** Grants that are overdue and requests that can't make it any more are looked for this often, in ms. */
+const TICK_MS = 100;
+
+/** Options of a {@link HomeService}. */
+export interface IHomeServiceOptions {
+  readonly clock: Clock;
+  readonly retries: IRetryWindowOptions;
+  readonly floorShare: number;
+}
+
+/**
+ * Makes a book when a service is first asked for. Nobody is appointed home: a node is one because
+ * others ask it, so nothing has to be agreed on when the fleet changes.
+ *
+ * @example
+ * const book = homes.getBook('booking');
+ */
+export class HomeService implements IDisposable {
+  private readonly books = new Map<string, ServiceBook>();
+  private targetsByService = new Map<string, ITargetRecord[]>();
+  private timer: IDisposable | undefined;
+
+  constructor(private readonly options: IHomeServiceOptions) {}
+
+  start(): void {
+    this.timer = this.options.clock.startTimer(TICK_MS, () => {
+      for (const book of this.books.values()) book.tick();
+      this.start();
+    });
+  }
+
+  /** Takes all targets that are registered now. */
+  setTargets(targets: readonly ITargetRecord[]): void {
+    this.targetsByService = new Map();
+    for (const target of targets) {
+      const ofService = this.targetsByService.get(target.service) ?? [];
+      ofService.push(target);
+      this.targetsByService.set(target.service, ofService);
+    }
+    for (const [service, book] of this.books) {
+      book.setTargets(this.targetsByService.get(service) ?? []);
+    }
+  }
+
+  getBook(service: string): ServiceBook {
+    const known = this.books.get(service);
+    if (known !== undefined) return known;
+    const book = new ServiceBook({ ...this.options, service });
+    book.setTargets(this.targetsByService.get(service) ?? []);
+    this.books.set(service, book);
+    return book;
+  }
+
+  listBooks(): readonly (readonly [service: string, book: ServiceBook])[] {
+    return [...this.books];
+  }
+
+  dispose(): void {
+    void this.timer?.dispose();
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/home/common/retryWindow.ts
@@ -0,0 +1,50 @@
+/** The fleet's retries of one service, kept within a share of its requests. */
+import { SlidingCount } from './slidingCount.js';
+
+/** Options of a {@link RetryWindow}. */
+export interface IRetryWindowOptions {
+  /** Length of the window, in ms. */
+  readonly windowMs: number;
+  /** Retries allowed for each request in the window. */
+  readonly ratio: number;
+  /** Retries allowed besides. */
+  readonly burst: number;
+}
+
+/**
+ * Part of the allowance that one home uses. Two nodes can take themselves for the home of one
+ * service while the fleet changes; together they must stay inside. Half each is safe for two.
+ */
+const BURST_SHARE = 0.5;
+/** The rest covers arrivals that the window of the observer counts and ours no longer does. */
+const RATIO_SHARE = 0.8;
+
+/**
+ * Decides whether another retry may be sent.
+ *
+ * @example
+ * if (window.allows(now)) window.recordRetry(now);
+ */
+export class RetryWindow {
+  private readonly requests: SlidingCount;
+  private readonly retries: SlidingCount;
+
+  constructor(private readonly options: IRetryWindowOptions) {
+    this.requests = new SlidingCount(options.windowMs);
+    this.retries = new SlidingCount(options.windowMs);
+  }
+
+  recordRequest(nowMs: number): void {
+    this.requests.add(nowMs);
+  }
+
+  recordRetry(nowMs: number): void {
+    this.retries.add(nowMs);
+  }
+
+  isOpen(nowMs: number): boolean {
+    const { ratio, burst } = this.options;
+    const allowance = RATIO_SHARE * ratio * this.requests.count(nowMs) + BURST_SHARE * burst;
+    return this.retries.count(nowMs) + 1 <= allowance;
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/home/common/serviceBook.ts
@@ -0,0 +1,286 @@
+/** The home of one service: grants targets, queues requests while none is free, learns from reports. */
+import type { Clock } from '@parsleymux/base';
+import { ResultCode } from '@parsleymux/base';
+import type { ITargetRecord } from '../../catalog/common/catalog.js';
+import type { GrantDecision, IGrantRequest } from '../../grants/common/grant.js';
+import { GrantOutcome } from '../../grants/common/grant.js';
+import { BookedTarget } from './bookedTarget.js';
+import { FailureModel } from './failureModel.js';
+import { GrantQueue } from './grantQueue.js';
+import type { IRetryWindowOptions } from './retryWindow.js';
+import { RetryWindow } from './retryWindow.js';
+import { ServedWindow } from './servedWindow.js';
+import { TargetPicker } from './targetPicker.js';
+
+/** A target that said it was full is left alone this long, in ms: less than most requests take. */
+const BUSY_MS = 100;
+/** Slots whose report never came are freed this long after their request has ended, in ms. */
+const REPORT_SLACK_MS = 500;
+/** Targets that become known within this time of the home's start were there before, in ms. */
+const SETTLING_MS = 2000;
+/** Weight of one more latency in the running mean. */
+const LATENCY_WEIGHT = 0.05;
+/** Share of its objective that a request is expected to take before anything was measured. */
+const INITIAL_LATENCY_SHARE = 0.35;
+/** When no target is known at all: the time in which one may register, in ms. */
+const NO_TARGET_RETRY_MS = 500;
+const MIN_RETRY_MS = 100;
+const MAX_RETRY_MS = 5000;
+
+/** Options of a {@link ServiceBook}. */
+export interface IServiceBookOptions {
+  readonly service: string;
+  readonly clock: Clock;
+  readonly retries: IRetryWindowOptions;
+  /** Share of the sound targets that must get requests while many requests fail, from 0 to 1. */
+  readonly floorShare: number;
+  readonly picker?: TargetPicker;
+}
+
+/** One request at the home, from its question to its report. */
+export interface ITicket {
+  readonly request: IGrantRequest;
+  /** Node that asked. */
+  readonly node: string;
+  /** The decision once there is one; undefined in the queue. */
+  readonly decision: GrantDecision | undefined;
+  readonly askedMs: number;
+}
+
+class Ticket implements ITicket {
+  decision: GrantDecision | undefined;
+  target: BookedTarget | undefined;
+  grantedMs = 0;
+  isOverdue = false;
+
+  constructor(
+    readonly request: IGrantRequest,
+    readonly node: string,
+    readonly askedMs: number,
+    readonly respond: (decision: GrantDecision) => void,
+  ) {}
+
+  get endMs(): number {
+    return this.askedMs + this.request.remainingMs;
+  }
+}
+
+/**
+ * Decides for one service. All decisions of a service are made in one place while its home lives,
+ * so slots are never granted twice and one node's failure warns all others at once.
+ *
+ * @example
+ * const ticket = book.ask(request, node, (decision) => send(decision));
+ * book.report(ticket, GrantOutcome.Succeeded, 240);
+ */
+export class ServiceBook {
+  private readonly options: IServiceBookOptions;
+  private readonly clock: Clock;
+  private readonly model = new FailureModel();
+  private readonly targets = new Map<string, BookedTarget>();
+  private readonly queue = new GrantQueue<Ticket>();
+  private readonly open = new Set<Ticket>();
+  private readonly retryWindow: RetryWindow;
+  private readonly served: ServedWindow;
+  private readonly picker: TargetPicker;
+  private readonly startMs: number;
+  private meanLatencyMs: number | undefined;
+
+  constructor(options: IServiceBookOptions) {
+    this.options = options;
+    this.clock = options.clock;
+    this.startMs = options.clock.getMonotonicTime();
+    this.retryWindow = new RetryWindow(options.retries);
+    this.served = new ServedWindow();
+    this.picker = options.picker ?? new TargetPicker();
+  }
+
+  /** Takes the current targets; those that stay keep what is known of them. */
+  setTargets(records: readonly ITargetRecord[]): void {
+    const ids = new Set(records.map(({ id }) => id));
+    for (const id of this.targets.keys()) if (!ids.has(id)) this.targets.delete(id);
+    const nowMs = this.clock.getMonotonicTime();
+    for (const record of records) {
+      const known = this.targets.get(record.id);
+      if (known !== undefined) known.record = record;
+      else this.targets.set(record.id, this.createTarget(record, nowMs));
+    }
+    this.grantQueued();
+  }
+
+  /** Decides at once, or puts the request in the queue and calls `respond` later, exactly once. */
+  ask(
+    request: IGrantRequest,
+    node: string,
+    respond: (decision: GrantDecision) => void,
+  ): ITicket {
+    const nowMs = this.clock.getMonotonicTime();
+    const ticket = new Ticket(request, node, nowMs, respond);
+    if (request.attempt === 1) this.retryWindow.recordRequest(nowMs);
+    const refusal = this.findRefusal(ticket, nowMs);
+    if (refusal !== undefined) this.refuse(ticket, refusal);
+    else if (this.queue.size > 0 || !this.tryGrant(ticket, nowMs)) this.queue.push(ticket);
+    return ticket;
+  }
+
+  /** Takes the outcome of a grant, or withdraws a question from the queue. */
+  report(ticket: ITicket, outcome: GrantOutcome, latencyMs: number): void {
+    if (!(ticket instanceof Ticket)) return;
+    this.queue.remove(ticket);
+    if (!this.open.delete(ticket) || ticket.target === undefined) return;
+    ticket.target.inUse -= 1;
+    this.learn(ticket, ticket.target, outcome, latencyMs);
+    this.grantQueued();
+  }
+
+  /** Looks after what time alone changes; to be called several times a second. */
+  tick(): void {
+    const nowMs = this.clock.getMonotonicTime();
+    for (const ticket of this.open) this.checkOpen(ticket, nowMs);
+    for (const ticket of this.queue.list()) {
+      if (!this.isHopeless(ticket, nowMs)) continue;
+      this.queue.remove(ticket);
+      this.refuse(ticket, ResultCode.QueueTimeout);
+    }
+    this.grantQueued();
+  }
+
+  /** Targets with what is believed of them, for status pages and logs. */
+  listTargets(): readonly BookedTarget[] {
+    return [...this.targets.values()];
+  }
+
+  get queueLength(): number {
+    return this.queue.size;
+  }
+
+  /** Targets that were there before this home are not new: trying each would cost requests. */
+  private createTarget(record: ITargetRecord, nowMs: number): BookedTarget {
+    const isNew = nowMs > this.startMs + SETTLING_MS;
+    return new BookedTarget(record, this.model, nowMs, isNew);
+  }
+
+  private findRefusal(ticket: Ticket, nowMs: number): ResultCode | undefined {
+    if (![...this.targets.values()].some(({ isReady }) => isReady)) return ResultCode.NoTarget;
+    if (ticket.request.attempt > 1 && !this.retryWindow.isOpen(nowMs)) {
+      return ResultCode.RetryBudgetSpent;
+    }
+    const { remainingMs } = ticket.request;
+    const neededMs = this.estimateWaitMs(ticket.request) + this.getLatencyMs(ticket.request) / 2;
+    return this.queue.size > 0 && neededMs > remainingMs ? ResultCode.QueueFull : undefined;
+  }
+
+  /** How long a request that is queued now will wait, in ms. */
+  private estimateWaitMs(request: IGrantRequest): number {
+    const slots = [...this.targets.values()]
+      .filter(({ isReady }) => isReady)
+      .reduce((sum, { record }) => sum + record.slots, 0);
+    const ahead = this.queue.countAhead(request.priority);
+    return (ahead * this.getLatencyMs(request)) / Math.max(1, slots);
+  }
+
+  private getLatencyMs(request: IGrantRequest): number {
+    return this.meanLatencyMs ?? request.objectiveMs * INITIAL_LATENCY_SHARE;
+  }
+
+  private isHopeless(ticket: Ticket, nowMs: number): boolean {
+    return ticket.endMs - nowMs < this.getLatencyMs(ticket.request) / 2;
+  }
+
+  private refuse(ticket: Ticket, code: ResultCode): void {
+    const waitMs =
+      code === ResultCode.NoTarget ? NO_TARGET_RETRY_MS : this.estimateWaitMs(ticket.request);
+    const retryAfterMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, Math.ceil(waitMs)));
+    this.served.record(false, this.clock.getMonotonicTime());
+    ticket.decision = { kind: 'refused', code, retryAfterMs };
+    ticket.respond(ticket.decision);
+  }
+
+  private tryGrant(ticket: Ticket, nowMs: number): boolean {
+    const { request } = ticket;
+    const target = this.picker.pick({
+      targets: [...this.targets.values()],
+      request,
+      failingFailureRate: this.model.failingFailureRate,
+      mustSpread: this.mustSpread(nowMs),
+      nowMs,
+    });
+    if (target === undefined) return false;
+    const suspicion = target.belief.getSuspicion(nowMs);
+    if (request.attempt > 1) this.retryWindow.recordRetry(nowMs);
+    target.inUse += 1;
+    target.granted += 1;
+    target.lastGrantMs = nowMs;
+    ticket.target = target;
+    ticket.grantedMs = nowMs;
+    this.open.add(ticket);
+    ticket.decision = { kind: 'granted', target: target.record, suspicion };
+    ticket.respond(ticket.decision);
+    return true;
+  }
+
+  private grantQueued(): void {
+    const nowMs = this.clock.getMonotonicTime();
+    for (const ticket of this.queue.list()) {
+      if (this.tryGrant(ticket, nowMs)) this.queue.remove(ticket);
+    }
+  }
+
+  private mustSpread(nowMs: number): boolean {
+    return this.served.isBelowFloor([...this.targets.values()], this.options.floorShare, nowMs);
+  }
+
+  private learn(
+    ticket: Ticket,
+    target: BookedTarget,
+    outcome: GrantOutcome,
+    latencyMs: number,
+  ): void {
+    const nowMs = this.clock.getMonotonicTime();
+    switch (outcome) {
+      case GrantOutcome.Succeeded:
+        this.recordSuccess(ticket, target, latencyMs);
+        break;
+      case GrantOutcome.Unreachable:
+        target.recordUnreachable(ticket.node, nowMs);
+        break;
+      case GrantOutcome.Shed:
+        // A target that is full for others' work, or for slots that ended late, isn't failing.
+        if (target.inUse + 1 < target.record.slots) target.belief.recordFailure(nowMs);
+        target.busyUntilMs = nowMs + BUSY_MS;
+        break;
+      case GrantOutcome.Misdirected:
+        target.isReplaced = true;
+        break;
+      case GrantOutcome.Abandoned:
+        break;
+      case GrantOutcome.Failed:
+      case GrantOutcome.Broken:
+      case GrantOutcome.TimedOut:
+        if (!ticket.isOverdue) target.belief.recordFailure(nowMs);
+        if (!ticket.request.isIdempotent) this.served.record(false, nowMs);
+        break;
+    }
+  }
+
+  private recordSuccess(ticket: Ticket, target: BookedTarget, latencyMs: number): void {
+    const nowMs = this.clock.getMonotonicTime();
+    this.served.record(true, nowMs);
+    const mean = this.getLatencyMs(ticket.request);
+    this.meanLatencyMs = mean + LATENCY_WEIGHT * (latencyMs - mean);
+    // A late success is no proof of a sound target: it was noted as overdue before.
+    if (!ticket.isOverdue) target.belief.recordSuccess(nowMs);
+  }
+
+  private checkOpen(ticket: Ticket, nowMs: number): void {
+    if (nowMs > ticket.endMs + REPORT_SLACK_MS) {
+      this.report(ticket, GrantOutcome.Abandoned, nowMs - ticket.grantedMs);
+      return;
+    }
+    const isOverdue = nowMs - ticket.grantedMs > ticket.request.objectiveMs;
+    if (!isOverdue || ticket.isOverdue) return;
+    // Targets that hang tell nothing until the deadline; by then many more requests hang there.
+    ticket.isOverdue = true;
+    ticket.target?.belief.recordFailure(nowMs);
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/home/common/slidingCount.ts
@@ -0,0 +1,40 @@
+/** Counts of events in a window that slides. */
+
+/** Parts of a window; the count is late by one part at most. */
+const PARTS = 20;
+
+/**
+ * Counts in the last `windowMs`.
+ *
+ * @example
+ * const arrivals = new SlidingCount(10_000);
+ * arrivals.add(now);
+ * arrivals.count(now);
+ */
+export class SlidingCount {
+  private readonly parts = new Array<number>(PARTS).fill(0);
+  private readonly partMs: number;
+  private newestPart = 0;
+
+  constructor(windowMs: number) {
+    this.partMs = windowMs / PARTS;
+  }
+
+  add(nowMs: number): void {
+    this.advance(nowMs);
+    const index = this.newestPart % PARTS;
+    this.parts[index] = (this.parts[index] ?? 0) + 1;
+  }
+
+  count(nowMs: number): number {
+    this.advance(nowMs);
+    return this.parts.reduce((sum, part) => sum + part, 0);
+  }
+
+  private advance(nowMs: number): void {
+    const part = Math.floor(nowMs / this.partMs);
+    const steps = Math.min(PARTS, part - this.newestPart);
+    for (let step = 1; step <= steps; step += 1) this.parts[(part - steps + step) % PARTS] = 0;
+    if (part > this.newestPart) this.newestPart = part;
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/home/common/targetCost.ts
@@ -0,0 +1,67 @@
+/**
+ * What granting a target is expected to cost, as a share of what the request is worth. The home
+ * grants the target with the lowest cost, so detection, load and distance weigh against each other
+ * in one unit, and no threshold decides alone.
+ */
+import type { IGrantRequest } from '../../grants/common/grant.js';
+import type { BookedTarget } from './bookedTarget.js';
+
+/** Weights of the parts of a cost, each as a share of a request's worth. */
+export interface ITargetCostWeights {
+  /** Losing a request that can't be repeated loses all of its worth. Default 1. */
+  readonly lostRequest: number;
+  /** Losing an attempt that can be repeated costs time and some of the retry budget. Default 0.2. */
+  readonly lostAttempt: number;
+  /** Carrying request and answer between failure domains. Default 0.12. */
+  readonly crossDomain: number;
+  /** A target whose slots are all but used. Some slow down when nearly full. Default 0.06. */
+  readonly fullTarget: number;
+  /** A target that is slow after its start. Default 0.1. */
+  readonly coldTarget: number;
+  /**
+   * A second request to a target of which it isn't known whether it fails: when it does, both are
+   * lost, though one would have told. Default 0.3.
+   */
+  readonly parallelProbe: number;
+}
+
+/** See the comment of each weight; the defaults were chosen by reasoning, then compared by runs. */
+export const DEFAULT_COST_WEIGHTS: ITargetCostWeights = {
+  lostRequest: 1,
+  lostAttempt: 0.2,
+  crossDomain: 0.12,
+  fullTarget: 0.06,
+  coldTarget: 0.1,
+  parallelProbe: 0.3,
+};
+
+/** Above this probability a target counts as not known to be sound. */
+const UNPROVED_ABOVE = 0.2;
+
+/** What the cost depends on besides the target. */
+export interface ICostContext {
+  readonly request: IGrantRequest;
+  readonly weights: ITargetCostWeights;
+  readonly failingFailureRate: number;
+  readonly nowMs: number;
+}
+
+/**
+ * The expected cost of granting `target`.
+ *
+ * @example
+ * const cost = computeTargetCost(target, { request, weights, failingFailureRate: 0.7, nowMs });
+ */
+export function computeTargetCost(target: BookedTarget, context: ICostContext): number {
+  const { request, weights, failingFailureRate, nowMs } = context;
+  const suspicion = target.belief.getSuspicion(nowMs);
+  const isRepeatable = request.isIdempotent && request.attempt === 1;
+  const loss = isRepeatable ? weights.lostAttempt : weights.lostRequest;
+  const load = (target.inUse + 1) / Math.max(1, target.record.slots);
+  let cost = suspicion * failingFailureRate * loss;
+  cost += weights.fullTarget * load * load;
+  if (target.record.failureDomain !== request.failureDomain) cost += weights.crossDomain;
+  if (target.isCold(nowMs)) cost += weights.coldTarget;
+  if (suspicion > UNPROVED_ABOVE && target.inUse > 0) cost += weights.parallelProbe * loss;
+  return cost;
+}
--- a/packages/routing/src/transport/common/targetTransport.ts
+++ b/packages/routing/src/transport/common/targetTransport.ts
@@ -12,8 +12,10 @@
   readonly path: string;
   readonly headers: readonly Header[];
   readonly body: Uint8Array;
-  /** Time that the target is told it has, and after which the attempt fails, in ms. */
+  /** Time after which the attempt fails, in ms; the target is told the same. */
   readonly timeoutMs: number;
+  /** Told to the target instead of `timeoutMs`, so that its last word can still arrive. */
+  readonly targetTimeoutMs?: number;
 }
 
 /** How a request is to be sent. */
--- a/packages/routing/src/transport/node/exchange.ts
+++ b/packages/routing/src/transport/node/exchange.ts
@@ -5,12 +5,8 @@
 import { errors } from 'undici';
 import VError from 'verror';
 import type { AnswerBody, Header } from '../../request/common/request.js';
-import {
-  MuxHeader,
-  findHeader,
-  removeHopByHopHeaders,
-  removeOwnHeaders,
-} from '../common/hopHeaders.js';
+import { findHeader, removeHopByHopHeaders, removeOwnHeaders } from '../common/hopHeaders.js';
+import type { TargetProtocol } from '../common/targetProtocol.js';
 import type { ITargetAnswer } from '../common/targetTransport.js';
 import { TransportError, TransportFailure } from '../common/targetTransport.js';
 import { AnswerStream } from './answerStream.js';
@@ -18,7 +14,6 @@
 import type { TargetConnection } from './targetConnection.js';
 
 const FIRST_FINAL_STATUS = 200;
-const NOT_RUN = 'not-run';
 /** Statuses whose answers have no body, whatever their headers say. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -26,7 +21,9 @@
 export interface IExchangeOptions {
   readonly connection: TargetConnection;
   readonly request: Dispatcher.DispatchOptions;
-  readonly attemptId: string;
+  readonly protocol: TargetProtocol;
+  /** What the target echoes in the protocol's correlation header. */
+  readonly correlation: string;
   readonly attempt: AttemptSignal;
   readonly clock: Clock;
   readonly invariants: InvariantRegistry;
@@ -208,8 +205,8 @@
       status,
       headers: removeOwnHeaders(removeHopByHopHeaders(headers)),
       body,
-      notRun: findHeader(headers, MuxHeader.RunState) === NOT_RUN,
-      draining: findHeader(headers, MuxHeader.Draining) === 'true',
+      notRun: this.options.protocol.isNotRun(status, headers),
+      draining: this.options.protocol.isDraining(headers),
       latencyMs,
     };
   }
@@ -228,12 +225,14 @@
   private findHeadFault(
     head: IAnswerHead,
   ): { readonly failure: TransportFailure; readonly reason: string } | undefined {
-    const echoed = findHeader(head.headers, MuxHeader.AttemptId);
-    if (echoed !== undefined && echoed !== this.options.attemptId) {
+    const { correlation, protocol } = this.options;
+    const echoed = findHeader(head.headers, protocol.correlationHeader);
+    if (echoed !== undefined && echoed !== correlation) {
       return { failure: TransportFailure.Broken, reason: 'answer belongs to another attempt' };
     }
     // A body that ends where the connection ends looks whole wherever it is cut.
     if (this.isBodiless(head.status) || isFramed(head)) return undefined;
+    if (protocol.acceptsUnframed && !hasEncoding(head)) return undefined;
     return { failure: TransportFailure.Truncated, reason: 'answer has no framing of its own' };
   }
 }
@@ -245,6 +244,10 @@
   return /(^|,)\s*chunked\s*$/i.test(encodings.map(([, value]) => value).join(','));
 }
 
+function hasEncoding(head: IAnswerHead): boolean {
+  return findHeader(head.headers, 'transfer-encoding') !== undefined;
+}
+
 function isFramingError(error: Error): boolean {
   return (
     error instanceof errors.HTTPParserError ||
--- a/packages/routing/src/transport/node/httpTargetTransport.ts
+++ b/packages/routing/src/transport/node/httpTargetTransport.ts
@@ -4,7 +4,9 @@
 import { InvariantRegistry, SystemClock } from '@parsleymux/base';
 import type { Dispatcher } from 'undici';
 import type { Registry } from 'prom-client';
-import { MuxHeader, removeHopByHopHeaders } from '../common/hopHeaders.js';
+import { removeHopByHopHeaders } from '../common/hopHeaders.js';
+import type { TargetProtocol } from '../common/targetProtocol.js';
+import { MuxTargetProtocol } from '../common/targetProtocol.js';
 import type { ISendOptions, ITargetAnswer, ITargetRequest } from '../common/targetTransport.js';
 import { TargetTransport, TransportError, TransportFailure } from '../common/targetTransport.js';
 import { AttemptSignal } from './attemptSignal.js';
@@ -23,6 +25,8 @@
   /** Default: the machine's. */
   readonly clock?: Clock;
   readonly invariants?: InvariantRegistry;
+  /** How targets are spoken to. Default: by the fleet's own headers. */
+  readonly protocol?: TargetProtocol;
   /** Where the transport's metrics are registered. Default: nowhere. */
   readonly registry?: Registry;
   /** Connections that this node may hold to a target: its share of the target's limit. Default 64. */
@@ -44,6 +48,7 @@
   private readonly clock: Clock;
   private readonly invariants: InvariantRegistry;
   private readonly options: IHttpTargetTransportOptions;
+  private readonly protocol: TargetProtocol;
   private readonly metrics: TransportMetrics;
   /** By member, then target, so that no name can be confused with another. */
   private readonly pools = new Map<string, Map<string, ConnectionPool>>();
@@ -55,6 +60,7 @@
     this.options = options;
     this.clock = options.clock ?? new SystemClock();
     this.invariants = options.invariants ?? new InvariantRegistry();
+    this.protocol = options.protocol ?? new MuxTargetProtocol();
     this.metrics = new TransportMetrics(options.registry, () => this.listPools());
   }
 
@@ -100,11 +106,14 @@
       pool.release(connection);
       throw makeUnsentError(TransportFailure.Timeout);
     }
-    const attemptId = `${this.attemptPrefix}-${this.attempts++}`;
+    const { protocol } = this;
+    const ownId = `${this.attemptPrefix}-${this.attempts++}`;
+    const correlation = protocol.getCorrelation(request.headers, ownId);
     const exchange = new Exchange({
       connection,
-      request: makeDispatchOptions(request, attemptId, attempt.remainingMs),
-      attemptId,
+      request: makeDispatchOptions(request, protocol, correlation, computeTargetMs(request, attempt)),
+      protocol,
+      correlation,
       attempt,
       clock: this.clock,
       invariants: this.invariants,
@@ -187,20 +196,28 @@
   }
 }
 
+/** What is left of the time that the target is told. */
+function computeTargetMs(request: ITargetRequest, attempt: AttemptSignal): number {
+  const marginMs = request.timeoutMs - (request.targetTimeoutMs ?? request.timeoutMs);
+  return Math.max(1, Math.floor(attempt.remainingMs - marginMs));
+}
+
 function makeUnsentError(failure: TransportFailure, cause?: unknown): TransportError {
   return new TransportError({ failure, mayHaveRun: false, reusedConnection: false, cause });
 }
 
 function makeDispatchOptions(
   request: ITargetRequest,
-  attemptId: string,
+  protocol: TargetProtocol,
+  correlation: string,
   remainingMs: number,
 ): Dispatcher.DispatchOptions {
-  const own: ReadonlySet<string> = new Set([MuxHeader.TimeoutMs, MuxHeader.AttemptId]);
+  const { timeoutHeader, correlationHeader } = protocol;
+  const own: ReadonlySet<string> = new Set([timeoutHeader, correlationHeader]);
   const headers = removeHopByHopHeaders(request.headers)
     .filter(([name]) => name !== 'content-length' && !own.has(name))
     .flat();
-  headers.push(MuxHeader.TimeoutMs, String(remainingMs), MuxHeader.AttemptId, attemptId);
+  headers.push(timeoutHeader, String(remainingMs), correlationHeader, correlation);
   return {
     method: request.method,
     path: request.path,
