--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -38,14 +38,41 @@
 
 const VERB_RULE = { regex: `^(${VERBS})([A-Z0-9].*)?$`, match: true };
 
+/** The adapter to the users' platform lies beside the packages, above these layers. */
+const ADAPTER_LAYERS = new Set(['base', 'schema', 'routing', 'dispatch']);
+
 /** A pattern that matches every package at or above `index`, and the stand-ins for all but the lab. */
 function formatForbiddenPattern(layer, index) {
   const forbidden = new Set(LAYERS.slice(index));
   if (layer !== 'lab') forbidden.add('standins');
+  forbidden.add('platform');
   const names = [...forbidden].map((name) => PACKAGE_NAMES.get(name) ?? `@parsleymux/${name}`);
   return `^(${names.join('|')})(/|$)`;
 }
 
+/** The adapter composes the product; nothing of the product knows of the adapter. */
+function makeAdapterRule() {
+  const forbidden = LAYERS.filter((layer) => !ADAPTER_LAYERS.has(layer));
+  const names = forbidden.map((name) => PACKAGE_NAMES.get(name) ?? `@parsleymux/${name}`);
+  return {
+    files: ['platform/src/**/*.ts'],
+    ignores: ['**/*.test.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              regex: `^(${names.join('|')})(/|$)`,
+              message: 'The adapter translates; see docs/ARCHITECTURE.md.',
+            },
+          ],
+        },
+      ],
+    },
+  };
+}
+
 function makeLayerRules() {
   return LAYERS.map((layer, index) => ({
     files: [`packages/${layer}/src/**/*.ts`],
@@ -66,7 +93,15 @@
 }
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'packages/schema/src/gen/**', 'out/**', 'target/**'] },
+  {
+    ignores: [
+      '**/dist/**',
+      '**/node_modules/**',
+      'packages/schema/src/gen/**',
+      'out/**',
+      'target/**',
+    ],
+  },
   eslint.configs.recommended,
   {
     files: ['**/*.ts'],
@@ -113,6 +148,7 @@
     },
   },
   ...makeLayerRules(),
+  makeAdapterRule(),
   {
     files: ['packages/*/src/**/common/**/*.ts'],
     ignores: ['**/*.test.ts'],
--- a/packages/config/src/plans/common/confirmTransaction.ts
+++ b/packages/config/src/plans/common/confirmTransaction.ts
@@ -1,10 +1,5 @@
 /** The one transaction that confirms a plan. */
-import type {
-  ITableCondition,
-  ITableRow,
-  ITableTransaction,
-  ITableWrite,
-} from '@parsleymux/store';
+import type { ITableCondition, ITableRow, ITableTransaction, ITableWrite } from '@parsleymux/store';
 import type { Intent, Service } from '@parsleymux/schema';
 import { MemberPointerSchema, PlanState } from '@parsleymux/schema';
 import { create } from '@bufbuild/protobuf';
--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -96,6 +96,7 @@
   private readonly incarnation = randomInt(1, MAX_INCARNATION);
   private front: FrontServer | undefined;
   private directoryService: DirectoryService | undefined;
+  private loops: Promise<void> = Promise.resolve();
   private isStopping = false;
 
   constructor(private readonly options: IDirectNodeOptions) {
@@ -144,7 +145,7 @@
     });
     this.front = await this.openFront(selector, registry);
     homes.start();
-    void service.run(this.background.signal).catch((error: unknown) => {
+    this.loops = service.run(this.background.signal).catch((error: unknown) => {
       log.error('directory stopped by a fault of the program', { reason: String(error) });
     });
     log.info('started', { ...settings, incarnation: this.incarnation });
@@ -160,7 +161,7 @@
     this.isStopping = true;
     log.info('stopping', { openRequests: this.front?.connections.openRequests ?? 0 });
     this.front?.connections.stop();
-    const left = this.directoryService?.leave(this.background.signal);
+    const left = this.directoryService?.retire(this.background.signal);
     await clock.sleep(Math.min(NOTICE_MS, settings.graceMs / 2));
     this.front?.closePort();
     const limitMs = settings.graceMs - STOP_MARGIN_MS;
@@ -177,6 +178,7 @@
 
   async dispose(): Promise<void> {
     this.background.abort(new Error('the node stops'));
+    await this.loops;
     await this.store.dispose();
   }
 
--- /dev/null
+++ b/packages/dispatch/src/directory/common/followedTable.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ManualClock } from '@parsleymux/base';
+import { makeCatalog, makeRoute } from '../../test/builders.js';
+import { FollowedTable } from './followedTable.js';
+import { FollowerRole } from './followerRole.js';
+import { NodeDirectory } from './nodeDirectory.js';
+
+function makeTable(clock = new ManualClock()): FollowedTable<string> {
+  return new FollowedTable<string>({ name: 't', clock, isSame: (left, right) => left === right });
+}
+
+test('changes apply only where none is missing, and never move backwards', () => {
+  // Symptom: a target that left is granted again. Sequence: a whole copy that was read before the
+  // change arrives after it. Cause: the order of arrival was taken for the order of versions.
+  const table = makeTable();
+  assert.equal(table.apply(0, { version: 5, changes: [] }, 0), false);
+  table.setAll({ version: 5, changes: [{ key: 'a', value: '1' }] }, 0);
+  assert.equal(table.apply(7, { version: 8, changes: [] }, 0), false);
+  assert.equal(table.apply(5, { version: 8, changes: [{ key: 'a', value: undefined }] }, 0), true);
+  table.setAll({ version: 6, changes: [{ key: 'a', value: '1' }] }, 0);
+  assert.equal(table.apply(4, { version: 7, changes: [{ key: 'a', value: '1' }] }, 0), true);
+  assert.deepEqual(table.listValues(), []);
+  assert.equal(table.version, 8);
+});
+
+test('recent changes bring a peer up to date that missed some updates, and no other', async () => {
+  const clock = new ManualClock();
+  const table = makeTable(clock);
+  table.setAll({ version: 1, changes: [{ key: 'a', value: '1' }] }, 0);
+  const behind = makeTable(clock);
+  behind.setAll({ version: 1, changes: [{ key: 'a', value: '1' }] }, 0);
+  table.apply(1, { version: 4, changes: [{ key: 'b', value: '2' }] }, 0);
+  const early = table.listRecent();
+  assert.equal(behind.apply(early.after, early.content, 0), true);
+  assert.equal(behind.get('b'), '2');
+  await clock.advanceBy(60_000);
+  table.apply(4, { version: 9, changes: [{ key: 'c', value: '3' }] }, 0);
+  const tooFar = makeTable(clock);
+  tooFar.setAll({ version: 1, changes: [] }, 0);
+  const late = table.listRecent();
+  assert.equal(tooFar.apply(late.after, late.content, 0), false);
+});
+
+test('a configuration in force is never replaced by an older one', () => {
+  const directory = new NodeDirectory(new ManualClock());
+  const newer = makeCatalog(9, [makeRoute()]);
+  directory.catalog.setAll({ version: 4, changes: [{ key: 'config', value: newer }] }, 0);
+  const older = makeCatalog(7, []);
+  directory.catalog.setAll({ version: 5, changes: [{ key: 'config', value: older }] }, 0);
+  assert.equal(directory.getCatalog()?.version, 9);
+});
+
+test('silence of the first follower makes the second take over, its return makes that one step back', () => {
+  // Symptom: nodes send work to a target that drained seconds ago. Sequence: the node that reads
+  // the store for its failure domain dies. Cause: nobody notices that updates have stopped.
+  const clock = new ManualClock();
+  const rankFollowers = (): readonly string[] => ['a', 'b', 'c'];
+  const second = new FollowerRole({ clock, self: 'b', rankFollowers });
+  const third = new FollowerRole({ clock, self: 'c', rankFollowers });
+  assert.equal(second.hasToRead(900), false);
+  assert.equal(second.hasToRead(1100), true);
+  assert.equal(third.hasToRead(1100), false);
+  assert.equal(third.hasToRead(1300), true);
+  assert.equal(second.isFollower(), true);
+  second.recordUpdate('c');
+  assert.equal(second.isFollower(), true);
+  second.recordUpdate('a');
+  assert.equal(second.isFollower(), false);
+});
--- a/packages/dispatch/src/directory/common/followedTable.ts
+++ b/packages/dispatch/src/directory/common/followedTable.ts
@@ -24,11 +24,11 @@
  * Only ever moves to newer versions: an answer or update that arrives late changes nothing.
  *
  * @example
- * table.replaceAll(await authority.targets.readAll(signal), clock.getMonotonicTime());
+ * table.setAll(await authority.targets.readAll(signal), clock.getMonotonicTime());
  */
 export class FollowedTable<T> {
-  private entries = new Map<string, T>();
-  private kept: IKeptChange<T>[] = [];
+  private readonly entries = new Map<string, T>();
+  private readonly kept: IKeptChange<T>[] = [];
   /** Changes after this version are all in `kept`. */
   private keptAfter = 0;
   private currentVersion: number | undefined;
@@ -67,7 +67,7 @@
   }
 
   /** Takes a copy of the whole table that was read at `readMs`. */
-  replaceAll(content: ITableChanges<T>, readMs: number): void {
+  setAll(content: ITableChanges<T>, readMs: number): void {
     if (this.currentVersion !== undefined && content.version < this.currentVersion) return;
     const keys = new Set(content.changes.map(({ key }) => key));
     const dropped = [...this.entries.keys()]
@@ -97,11 +97,7 @@
     };
   }
 
-  private takeChanges(
-    changes: readonly ITableChange<T>[],
-    version: number,
-    readMs: number,
-  ): void {
+  private takeChanges(changes: readonly ITableChange<T>[], version: number, readMs: number): void {
     const atMs = this.options.clock.getMonotonicTime();
     if (this.currentVersion === undefined) this.keptAfter = version;
     this.currentVersion = version;
--- a/packages/dispatch/src/directory/common/followerRole.ts
+++ b/packages/dispatch/src/directory/common/followerRole.ts
@@ -22,7 +22,7 @@
  * domain on old news, so silence decides and nothing is agreed on.
  *
  * @example
- * if (role.mustRead(table.getAgeMs())) await read();
+ * if (role.hasToRead(table.getAgeMs())) await read();
  */
 export class FollowerRole {
   private isActing = false;
@@ -40,7 +40,7 @@
   }
 
   /** Whether a copy of this age has to be read by this node. */
-  mustRead(ageMs: number): boolean {
+  hasToRead(ageMs: number): boolean {
     if (this.isFollower()) return true;
     const waitMs = TAKE_OVER_MS + TAKE_OVER_STEP_MS * Math.max(0, this.getRank() - 1);
     if (ageMs <= Math.min(OLDEST_MS, waitMs)) return false;
--- a/packages/dispatch/src/directory/common/storeFollower.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.ts
@@ -28,7 +28,7 @@
   readonly log: Logger;
   readonly jitter: (delayMs: number) => number;
   /** Whether the table has to be read by this node now. */
-  readonly mustRead: () => boolean;
+  readonly hasToRead: () => boolean;
   /** Whether this node is among the first to read. */
   readonly isFirst: () => boolean;
   /** Called after every successful read. */
@@ -51,9 +51,9 @@
 
   /** Ends when `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, mustRead, pace } = this.options;
+    const { clock, hasToRead, pace } = this.options;
     while (!signal.aborted) {
-      if (!mustRead()) {
+      if (!hasToRead()) {
         await clock.sleep(IDLE_CHECK_MS, signal).catch(() => undefined);
         continue;
       }
@@ -75,7 +75,7 @@
     try {
       await this.readOnce(this.readStartMs, signal);
       this.counts.succeeded += 1;
-      this.noteRegained();
+      this.recordRegained();
       this.options.onDidRead();
       return true;
     } catch (error) {
@@ -83,7 +83,7 @@
       if (!(error instanceof StoreCallError)) throw error;
       const { failure } = error;
       this.counts.failed.set(failure, (this.counts.failed.get(failure) ?? 0) + 1);
-      this.noteLost(error, table.name);
+      this.recordLost(error, table.name);
       return false;
     } finally {
       this.readStartMs = undefined;
@@ -94,7 +94,7 @@
     const { clock, pace, source, table } = this.options;
     const after = table.version;
     if (after === undefined) {
-      table.replaceAll(await source.readAll(signal), startMs);
+      table.setAll(await source.readAll(signal), startMs);
       return;
     }
     try {
@@ -106,7 +106,7 @@
       const isLost = error instanceof StoreCallError && error.failure === StoreFailure.HistoryLost;
       if (!isLost) throw error;
       this.options.log.warn('history of a table is lost; reading it whole', { table: table.name });
-      table.replaceAll(await source.readAll(signal), clock.getMonotonicTime());
+      table.setAll(await source.readAll(signal), clock.getMonotonicTime());
     }
   }
 
@@ -115,13 +115,13 @@
     return jitter(isFirst() ? FOLLOWER_RETRY_MS : OTHER_RETRY_MS);
   }
 
-  private noteLost(error: StoreCallError, table: string): void {
+  private recordLost(error: StoreCallError, table: string): void {
     if (this.isStoreLost) return;
     this.isStoreLost = true;
     this.options.log.warn('store lost', { table, failure: error.failure, reason: error.message });
   }
 
-  private noteRegained(): void {
+  private recordRegained(): void {
     if (!this.isStoreLost) return;
     this.isStoreLost = false;
     const { table } = this.options;
--- a/packages/dispatch/src/directory/common/updateRelay.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.ts
@@ -27,7 +27,7 @@
  * Sends and takes updates.
  *
  * @example
- * relay.publish(); // after a read of the store
+ * relay.announce(); // after a read of the store
  */
 export class UpdateRelay {
   private sequence = 0n;
@@ -38,7 +38,7 @@
   constructor(private readonly options: IUpdateRelayOptions) {}
 
   /** Tells all peers the present state of the tables. */
-  publish(): void {
+  announce(): void {
     const { channel, clock, listPeers, statePort } = this.options;
     this.sequence += 1n;
     const changes = this.options.tables
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -74,22 +74,23 @@
       fetchTable: (table, address) => fetchTable(table, address, clock),
     });
     this.targetsFollower = this.createFollower('targets', TARGETS_PACE, () => {
-      return this.role.mustRead(targets.getAgeMs());
+      return this.role.hasToRead(targets.getAgeMs());
     });
     // While the targets can't be read, asking for more would only add to the calls.
-    const isOpen = () => targets.version === undefined || targets.getAgeMs() < TARGETS_PACE.pauseMs * 2;
+    const isOpen = () =>
+      targets.version === undefined || targets.getAgeMs() < TARGETS_PACE.pauseMs * 2;
     this.catalogFollower = this.createFollower('catalog', CATALOG_PACE, () => {
-      return catalog.version === undefined || (isOpen() && this.role.mustRead(catalog.getAgeMs()));
+      return catalog.version === undefined || (isOpen() && this.role.hasToRead(catalog.getAgeMs()));
     });
     this.membersFollower = this.createFollower('members', MEMBERS_PACE, () => {
-      return members.version === undefined || (isOpen() && this.role.mustRead(members.getAgeMs()));
+      return members.version === undefined || (isOpen() && this.role.hasToRead(members.getAgeMs()));
     });
   }
 
   /** Ends when `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     await Promise.all([
-      this.stayRegistered(signal),
+      this.ensureRegistered(signal),
       this.targetsFollower.run(signal),
       this.catalogFollower.run(signal),
       this.membersFollower.run(signal),
@@ -106,7 +107,7 @@
   }
 
   /** Takes the node off the list, so that nobody asks it any more. */
-  async leave(signal: AbortSignal): Promise<void> {
+  async retire(signal: AbortSignal): Promise<void> {
     const { authority, channel, directory, log, self } = this.options;
     for (const { address } of directory.members.listValues()) {
       if (address !== self.address) channel.send(address, { case: 'leaving', value: LEAVING });
@@ -126,7 +127,7 @@
   private createFollower(
     name: 'catalog' | 'targets' | 'members',
     pace: IFollowPace,
-    mustRead: () => boolean,
+    hasToRead: () => boolean,
   ): StoreFollower<unknown> {
     const { authority, clock, directory, log, random } = this.options;
     return new StoreFollower<unknown>({
@@ -135,23 +136,23 @@
       pace,
       clock,
       log,
-      mustRead,
+      hasToRead,
       jitter: (delayMs) => random.getJittered(delayMs, 0.4),
       isFirst: () => this.role.isFirst(),
       onDidRead: () => {
-        this.publish();
+        this.announce();
       },
     });
   }
 
-  private publish(): void {
+  private announce(): void {
     if (!this.role.isFollower()) return;
     const { clock, directory } = this.options;
     const nowMs = clock.getMonotonicTime();
     // The store holds these reads until something changes; while it answers others, silence is news.
     if (this.catalogFollower.isWaitingQuietly()) directory.catalog.freshMs = nowMs;
     if (this.membersFollower.isWaitingQuietly()) directory.members.freshMs = nowMs;
-    this.relay.publish();
+    this.relay.announce();
     this.removeSilentPeers();
   }
 
@@ -159,7 +160,7 @@
     for (const peer of this.relay.listSilent(SILENT_PEER_MS)) {
       if (this.removing.has(peer)) continue;
       this.removing.add(peer);
-      this.removePeer(peer).finally(() => this.removing.delete(peer));
+      void this.removePeer(peer).finally(() => this.removing.delete(peer));
     }
   }
 
@@ -174,7 +175,7 @@
     }
   }
 
-  private async stayRegistered(signal: AbortSignal): Promise<void> {
+  private async ensureRegistered(signal: AbortSignal): Promise<void> {
     const { clock, directory, self } = this.options;
     let isDue = true;
     while (!signal.aborted) {
--- a/packages/dispatch/src/directory/node/stateServer.ts
+++ b/packages/dispatch/src/directory/node/stateServer.ts
@@ -53,5 +53,5 @@
   const bytes = await body.bytes();
   if (statusCode !== OK) throw new VError('peer answered %d', statusCode);
   const message = fromBinary(FollowedChangesSchema, bytes);
-  table.replaceAll(decodeChanges(message).content, clock.getMonotonicTime() - message.ageMs);
+  table.setAll(decodeChanges(message).content, clock.getMonotonicTime() - message.ageMs);
 }
--- a/packages/dispatch/src/entry/common/attemptOutcome.ts
+++ b/packages/dispatch/src/entry/common/attemptOutcome.ts
@@ -22,12 +22,14 @@
  * Judges an answer.
  *
  * @example
- * const { outcome } = judgeAnswer(answer, isAuthentic);
+ * const { outcome } = decideAnswerOutcome(answer, isAuthentic);
  */
-export function judgeAnswer(answer: ITargetAnswer, isAuthentic: AnswerCheck): IAttemptResult {
+export function decideAnswerOutcome(
+  answer: ITargetAnswer,
+  isAuthentic: AnswerCheck,
+): IAttemptResult {
   if (answer.notRun) {
-    const outcome =
-      answer.status === MISDIRECTED ? GrantOutcome.Misdirected : GrantOutcome.Shed;
+    const outcome = answer.status === MISDIRECTED ? GrantOutcome.Misdirected : GrantOutcome.Shed;
     return { outcome, mayHaveRun: false, answer: undefined };
   }
   if (answer.status >= FIRST_SERVER_ERROR) {
@@ -50,7 +52,7 @@
 };
 
 /** Judges an exchange that brought no whole answer. */
-export function judgeFailure(error: unknown): IAttemptResult {
+export function decideFailureOutcome(error: unknown): IAttemptResult {
   if (!(error instanceof TransportError)) throw error;
   return {
     outcome: FAILURE_OUTCOMES[error.failure],
--- a/packages/dispatch/src/entry/common/callerProtocol.ts
+++ b/packages/dispatch/src/entry/common/callerProtocol.ts
@@ -1,15 +1,17 @@
 /** What callers say in headers, beyond HTTP: varies with the deployment. */
-import type { IncomingHttpHeaders } from 'node:http';
 import type { Header } from '@parsleymux/routing';
 
+/** Headers of a request by their names in lower case. */
+export type CallerHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
 /** The convention by which callers name their requests and say how long they wait. */
 export abstract class CallerProtocol {
   /** The caller's identifier of the request; undefined when it gave none. */
-  abstract getRequestId(headers: IncomingHttpHeaders): string | undefined;
+  abstract getRequestId(headers: CallerHeaders): string | undefined;
 
   /** How long the caller waits, in ms; undefined when it doesn't say, NaN when it makes no sense. */
-  abstract getTimeoutMs(headers: IncomingHttpHeaders): number | undefined;
+  abstract getTimeoutMs(headers: CallerHeaders): number | undefined;
 
   /** Headers that an answer of the node's own carries, so that the caller knows what it answers. */
-  abstract listAnswerHeaders(headers: IncomingHttpHeaders): readonly Header[];
+  abstract listAnswerHeaders(headers: CallerHeaders): readonly Header[];
 }
--- /dev/null
+++ b/packages/dispatch/src/entry/common/requestRun.test.ts
@@ -0,0 +1,173 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ManualClock, ResultCode, RunState } from '@parsleymux/base';
+import type { ITargetAnswer, ITargetRequest } from '@parsleymux/routing';
+import { TargetTransport, TransportError, TransportFailure } from '@parsleymux/routing';
+import type { IGrantRequest } from '../../grants/common/grant.js';
+import type { GrantOutcome } from '../../grants/common/grant.js';
+import type { Selection } from '../../grants/common/targetSelector.js';
+import { TargetSelector } from '../../grants/common/targetSelector.js';
+import { makeRoute, makeTarget } from '../../test/builders.js';
+import type { IEntryAnswer, IEntryRequest } from './entryRequest.js';
+import { PathHealth } from './pathHealth.js';
+import { RequestRunner } from './requestRun.js';
+
+type Reply = ITargetAnswer | TransportError | (() => Promise<ITargetAnswer>);
+
+/** Replies in turn, and remembers what it was sent. */
+class ScriptedTransport extends TargetTransport {
+  readonly sent: ITargetRequest[] = [];
+
+  constructor(private readonly replies: readonly Reply[]) {
+    super();
+  }
+
+  override async send(request: ITargetRequest): Promise<ITargetAnswer> {
+    const reply = this.replies[this.sent.length];
+    this.sent.push(request);
+    if (reply === undefined) throw new Error('one request too many');
+    if (reply instanceof TransportError) throw reply;
+    return typeof reply === 'function' ? reply() : Promise.resolve(reply);
+  }
+
+  override retireConnections(): void {
+    // None are kept.
+  }
+
+  override getConnectionCount(): number {
+    return 0;
+  }
+}
+
+/** Grants another target each time. */
+class CountingSelector extends TargetSelector {
+  readonly asked: IGrantRequest[] = [];
+  readonly outcomes: GrantOutcome[] = [];
+
+  override choose(request: IGrantRequest): Promise<Selection> {
+    this.asked.push(request);
+    const target = makeTarget(`t${this.asked.length}`);
+    const report = (outcome: GrantOutcome): void => {
+      this.outcomes.push(outcome);
+    };
+    return Promise.resolve({ kind: 'granted', grant: { target, home: 'h', suspicion: 0, report } });
+  }
+}
+
+class RefusingSelector extends TargetSelector {
+  override choose(): Promise<Selection> {
+    return Promise.resolve({
+      kind: 'refused',
+      code: ResultCode.QueueFull,
+      retryAfterMs: 700,
+      home: 'h',
+    });
+  }
+}
+
+function makeAnswer(status: number, fields: Partial<ITargetAnswer> = {}): ITargetAnswer {
+  const body = Buffer.from('body');
+  return { status, headers: [], body, notRun: false, draining: false, latencyMs: 1, ...fields };
+}
+
+function makeError(failure: TransportFailure, mayHaveRun: boolean): TransportError {
+  return new TransportError({ failure, mayHaveRun, reusedConnection: false });
+}
+
+interface IBench {
+  readonly answer: IEntryAnswer;
+  readonly transport: ScriptedTransport;
+  readonly selector: CountingSelector;
+}
+
+async function run(
+  replies: readonly Reply[],
+  isIdempotent: boolean,
+  refusing?: TargetSelector,
+): Promise<IBench> {
+  const selector = new CountingSelector();
+  const clock = new ManualClock();
+  const transport = new ScriptedTransport(replies);
+  const runner = new RequestRunner({
+    clock,
+    selector: refusing ?? selector,
+    transport,
+    paths: new PathHealth(clock),
+    failureDomain: 'north',
+    isAuthentic: ({ headers }) => !headers.some(([name]) => name === 'forged'),
+    listTargetHeaders: (id) => [['expected', id]],
+  });
+  const request: IEntryRequest = {
+    id: 'q1',
+    route: makeRoute({ isIdempotent }),
+    service: 'booking',
+    method: 'POST',
+    path: '/orders/1',
+    headers: [],
+    body: new Uint8Array(),
+    arrivedMs: 0,
+    deadlineMs: 2000,
+  };
+  const answer = await runner.run(request, new AbortController().signal);
+  return { answer, transport, selector };
+}
+
+for (const [name, reply] of [
+  ['a failure of the target', makeAnswer(500)],
+  ['a broken connection', makeError(TransportFailure.Broken, true)],
+  ['a time-out', makeError(TransportFailure.Timeout, true)],
+  ['a success that no target vouches for', makeAnswer(200, { headers: [['forged', '1']] })],
+] as const) {
+  test(`a booking is sent once: ${name}`, async () => {
+    // Symptom: a booking runs twice. Sequence: a target runs it and its answer is lost; the node
+    // sends it to another. Cause: no answer was taken for not run.
+    const { answer, transport } = await run([reply], false);
+    assert.equal(transport.sent.length, 1);
+    assert.ok(answer.status >= 500);
+    assert.notEqual(answer.status, 503);
+    assert.notEqual(answer.runState, RunState.NotRun);
+  });
+
+  test(`an idempotent request goes to another target: ${name}`, async () => {
+    const { answer, selector, transport } = await run([reply, makeAnswer(200)], true);
+    assert.equal(answer.status, 200);
+    assert.equal(transport.sent.length, 2);
+    assert.deepEqual(selector.asked[1]?.excluded, ['t1']);
+    assert.equal(selector.asked[1].attempt, 2);
+  });
+}
+
+for (const [name, reply] of [
+  ['the target says so', makeAnswer(503, { notRun: true })],
+  ['another target has the address', makeAnswer(421, { notRun: true })],
+  ['no connection was made', makeError(TransportFailure.Connect, false)],
+] as const) {
+  test(`a booking that has certainly not run is sent again: ${name}`, async () => {
+    const { answer, transport } = await run([reply, makeAnswer(200)], false);
+    assert.equal(answer.status, 200);
+    assert.equal(transport.sent.length, 2);
+  });
+}
+
+test('a refusal by all targets is a refusal with when to come back, for nothing has run', async () => {
+  const shed = makeAnswer(503, { notRun: true });
+  const { answer } = await run([shed, shed], false);
+  assert.equal(answer.status, 503);
+  assert.equal(answer.runState, RunState.NotRun);
+  assert.ok(answer.headers.some(([name]) => name === 'retry-after'));
+});
+
+test('the last failure that a target gave is handed on as it came', async () => {
+  const { answer } = await run([makeAnswer(500), makeAnswer(502)], true);
+  assert.equal(answer.status, 502);
+  assert.equal(Buffer.from(answer.body).toString(), 'body');
+});
+
+test('a refusal of the home is answered at once, its wait in seconds', async () => {
+  const { answer } = await run([], false, new RefusingSelector());
+  assert.equal(answer.status, 503);
+  assert.deepEqual(
+    answer.headers.find(([name]) => name === 'retry-after'),
+    ['retry-after', '0.70'],
+  );
+});
--- a/packages/dispatch/src/entry/common/requestRun.ts
+++ b/packages/dispatch/src/entry/common/requestRun.ts
@@ -5,7 +5,7 @@
 import { GrantOutcome } from '../../grants/common/grant.js';
 import type { IGrant, Selection, TargetSelector } from '../../grants/common/targetSelector.js';
 import type { AnswerCheck, IAttemptResult } from './attemptOutcome.js';
-import { judgeAnswer, judgeFailure } from './attemptOutcome.js';
+import { decideAnswerOutcome, decideFailureOutcome } from './attemptOutcome.js';
 import type { IAttemptRecord, IEntryAnswer, IEntryRequest } from './entryRequest.js';
 import type { PathHealth } from './pathHealth.js';
 
@@ -62,10 +62,10 @@
       lastAnswer: undefined,
       lastOutcome: undefined,
     };
-    while (this.mayGoOn(request, state)) {
-      const selection = await this.select(request, state, signal);
+    while (this.hasNextAttempt(request, state)) {
+      const selection = await this.choose(request, state, signal);
       if (selection.kind === 'refused') return this.makeRefusal(state, selection);
-      const result = await this.attempt(request, selection.grant, state, signal);
+      const result = await this.tryTarget(request, selection.grant, state, signal);
       signal.throwIfAborted();
       if (result.outcome === GrantOutcome.Succeeded && result.answer !== undefined) {
         return makeAnswer(result.answer, state);
@@ -74,7 +74,7 @@
     return this.makeFailure(request, state);
   }
 
-  private mayGoOn(request: IEntryRequest, state: IRunState): boolean {
+  private hasNextAttempt(request: IEntryRequest, state: IRunState): boolean {
     if (this.getRemainingMs(request) <= 0) return false;
     if (state.sent >= request.route.maxAttempts || state.unsent >= MAX_UNSENT) return false;
     return request.route.isIdempotent || !state.mayHaveRun;
@@ -84,13 +84,13 @@
     return request.deadlineMs - this.options.clock.getMonotonicTime();
   }
 
-  private async select(
+  private async choose(
     request: IEntryRequest,
     state: IRunState,
     signal: AbortSignal,
   ): Promise<Selection> {
     const { route, service } = request;
-    return this.options.selector.select(
+    return this.options.selector.choose(
       {
         service,
         failureDomain: this.options.failureDomain,
@@ -105,7 +105,7 @@
     );
   }
 
-  private async attempt(
+  private async tryTarget(
     request: IEntryRequest,
     grant: IGrant,
     state: IRunState,
@@ -155,9 +155,9 @@
         },
         { signal, maxAnswerBytes: MAX_ANSWER_BYTES },
       );
-      return judgeAnswer(answer, this.options.isAuthentic);
+      return decideAnswerOutcome(answer, this.options.isAuthentic);
     } catch (error) {
-      return judgeFailure(error);
+      return decideFailureOutcome(error);
     }
   }
 
--- a/packages/dispatch/src/entry/node/callerConnections.ts
+++ b/packages/dispatch/src/entry/node/callerConnections.ts
@@ -57,7 +57,7 @@
   }
 
   /** Announces the end of the connection with this answer if the node stops and nothing is behind. */
-  prepareAnswer(request: IncomingMessage, response: ServerResponse, mustEnd: boolean): void {
+  announceEnd(request: IncomingMessage, response: ServerResponse, mustEnd: boolean): void {
     const connection = this.connections.get(request.socket);
     if (connection === undefined) return;
     const isLast = connection.open[connection.open.length - 1] === request;
--- a/packages/dispatch/src/entry/node/frontServer.ts
+++ b/packages/dispatch/src/entry/node/frontServer.ts
@@ -1,7 +1,7 @@
 /** The port of the callers: reads requests, finds their routes, and writes their answers. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { Socket } from 'node:net';
+import { Socket } from 'node:net';
 import type { Clock, IDisposable, Logger } from '@parsleymux/base';
 import { ResultCode, RunState } from '@parsleymux/base';
 import type { Header } from '@parsleymux/routing';
@@ -66,7 +66,7 @@
       this.connections.add(socket);
     });
     this.server.on('clientError', (error, socket) => {
-      this.refuseMalformed(error, socket as Socket);
+      if (socket instanceof Socket) this.refuseMalformed(error, socket);
     });
     options.directory.onDidChangeCatalog(({ limits }) => {
       this.server.headersTimeout = limits.headerTimeoutMs;
@@ -105,7 +105,7 @@
   ): Promise<void> {
     const { clock, requestLog, runner } = this.options;
     const arrivedMs = clock.getMonotonicTime();
-    const routed = this.route(request);
+    const routed = this.findRoute(request);
     if (routed.kind === 'refused') {
       requestLog.recordUnrouted(this.describe(request), routed.answer, arrivedMs);
       this.write(request, response, routed.answer, hasBody(request));
@@ -127,7 +127,7 @@
     }
   }
 
-  private route(request: IncomingMessage): Routed {
+  private findRoute(request: IncomingMessage): Routed {
     const { directory } = this.options;
     const catalog = directory.getCatalog();
     const match = directory.getRoutes()?.match(request.headers.host ?? '', request.url ?? '/');
@@ -182,7 +182,7 @@
     mustEnd: boolean,
   ): void {
     if (response.destroyed) return;
-    this.connections.prepareAnswer(request, response, mustEnd);
+    this.connections.announceEnd(request, response, mustEnd);
     const headers = answer.headers.filter(([name]) => name !== 'content-length');
     for (const [name, value] of headers) response.appendHeader(name, value);
     if (answer.runState !== RunState.Ran) {
@@ -221,10 +221,16 @@
   private refuseMalformed(error: Error, socket: Socket): void {
     const { code } = error as { readonly code?: string };
     this.options.log.warn('malformed request', { code, reason: error.message });
-    const status = code === 'HPE_HEADER_OVERFLOW' ? 431 : code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : MIN_HTTP_MESSAGE_STATUS;
+    const status =
+      code === 'HPE_HEADER_OVERFLOW'
+        ? 431
+        : code === 'ERR_HTTP_REQUEST_TIMEOUT'
+          ? 408
+          : MIN_HTTP_MESSAGE_STATUS;
     // While a request of this connection waits for its answer, this one would be taken for it.
     const isQuiet = this.connections.isIdle(socket) && socket.writable && code !== 'ECONNRESET';
-    if (isQuiet) socket.end(`HTTP/1.1 ${status} Refused\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
+    if (isQuiet)
+      socket.end(`HTTP/1.1 ${status} Refused\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
     else socket.destroy();
   }
 }
@@ -245,7 +251,10 @@
 function listHeaders(request: IncomingMessage): readonly Header[] {
   const headers: Header[] = [];
   for (let index = 0; index + 1 < request.rawHeaders.length; index += 2) {
-    headers.push([(request.rawHeaders[index] ?? '').toLowerCase(), request.rawHeaders[index + 1] ?? '']);
+    headers.push([
+      (request.rawHeaders[index] ?? '').toLowerCase(),
+      request.rawHeaders[index + 1] ?? '',
+    ]);
   }
   return removeHopByHopHeaders(headers).filter(([name]) => name !== 'content-length');
 }
--- a/packages/dispatch/src/entry/node/requestLog.ts
+++ b/packages/dispatch/src/entry/node/requestLog.ts
@@ -27,20 +27,20 @@
   constructor(private readonly options: IRequestLogOptions) {
     const registers = [options.registry];
     this.requests = new Counter({
-      name: 'parsleymux_requests_total',
+      name: 'parsleymux_entry_requests_total',
       help: 'Requests of callers, by route, result code and status.',
       labelNames: ['route', 'code', 'status'],
       registers,
     });
     this.latency = new Histogram({
-      name: 'parsleymux_request_seconds',
+      name: 'parsleymux_entry_request_seconds',
       help: 'Time from the arrival of a request to its answer.',
       labelNames: ['route'],
       buckets: LATENCY_BUCKETS,
       registers,
     });
     this.attempts = new Counter({
-      name: 'parsleymux_attempts_total',
+      name: 'parsleymux_entry_attempts_total',
       help: 'Attempts to have a request run by a target, by outcome.',
       labelNames: ['service', 'outcome'],
       registers,
--- a/packages/dispatch/src/grants/common/grantServer.ts
+++ b/packages/dispatch/src/grants/common/grantServer.ts
@@ -44,17 +44,17 @@
     const key = formatKey(sender, ask.incarnation, ask.id);
     const known = this.remembered.get(key);
     if (known !== undefined) {
-      this.respond(sender, ask.id, known.ticket.decision);
+      this.sendDecision(sender, ask.id, known.ticket.decision);
       return;
     }
-    this.purge();
+    this.clearOld();
     const book = this.options.homes.getBook(ask.service);
-    const ticket = book.ask(decodeAsk(ask), sender, (decision) => {
-      this.respond(sender, ask.id, decision);
+    const ticket = book.requestGrant(decodeAsk(ask), sender, (decision) => {
+      this.sendDecision(sender, ask.id, decision);
       this.logDecision(sender, ask, decision);
     });
     this.remembered.set(key, { book, ticket, isReported: false });
-    if (ticket.decision === undefined) this.respond(sender, ask.id, undefined);
+    if (ticket.decision === undefined) this.sendDecision(sender, ask.id, undefined);
   }
 
   handleReport(sender: string, report: Report): void {
@@ -64,10 +64,10 @@
     const known = this.remembered.get(formatKey(sender, report.incarnation, askId));
     if (known === undefined || known.isReported) return;
     known.isReported = true;
-    known.book.report(known.ticket, decodeOutcome(report.outcome), report.latencyMs);
+    known.book.recordOutcome(known.ticket, decodeOutcome(report.outcome), report.latencyMs);
   }
 
-  private respond(sender: string, askId: bigint, decision: GrantDecision | undefined): void {
+  private sendDecision(sender: string, askId: bigint, decision: GrantDecision | undefined): void {
     const value = encodeDecision(askId, decision);
     this.options.channel.send(sender, { case: 'decision', value });
   }
@@ -82,7 +82,7 @@
     });
   }
 
-  private purge(): void {
+  private clearOld(): void {
     this.asked += 1;
     if (this.asked % PURGE_EVERY !== 0) return;
     const oldestMs = this.options.clock.getMonotonicTime() - REMEMBER_MS;
--- a/packages/dispatch/src/grants/common/homeSelector.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.ts
@@ -53,7 +53,7 @@
  * a home costs precision and some tens of ms, never a request.
  *
  * @example
- * const selection = await selector.select(request, signal);
+ * const selection = await selector.choose(request, signal);
  */
 export class HomeSelector extends TargetSelector {
   private readonly pending = new Map<bigint, IPendingAsk>();
@@ -66,17 +66,17 @@
     this.health = new HomeHealth(options.clock);
   }
 
-  override async select(request: IGrantRequest, signal: AbortSignal): Promise<Selection> {
+  override async choose(request: IGrantRequest, signal: AbortSignal): Promise<Selection> {
     const { channel, log } = this.options;
     const homes = this.options.rankHomes(request.service);
     const audible = homes.filter((home) => !this.health.isSilent(home)).slice(0, HOMES_ASKED);
     for (const home of audible) {
       if (home === channel.address) return this.decideAlone(request, signal);
-      const answer = await this.askHome(home, request, signal);
+      const answer = await this.requestGrant(home, request, signal);
       if (answer?.kind === 'unknown-target') {
         // The home has heard of a target that this node has not: news travel for some 100 ms.
         const excluded = [...request.excluded, answer.id];
-        return this.select({ ...request, excluded }, signal);
+        return this.choose({ ...request, excluded }, signal);
       }
       if (answer !== undefined) return answer;
       this.health.recordSilence(home);
@@ -102,7 +102,11 @@
   }
 
   /** Resolves with undefined when the home stays silent; rejects when `signal` aborts. */
-  private askHome(home: string, request: IGrantRequest, signal: AbortSignal): Promise<HomeAnswer> {
+  private requestGrant(
+    home: string,
+    request: IGrantRequest,
+    signal: AbortSignal,
+  ): Promise<HomeAnswer> {
     const { clock } = this.options;
     const id = this.nextId++;
     const startMs = clock.getMonotonicTime();
@@ -235,11 +239,11 @@
         return;
       }
       const onAbort = () => {
-        book.report(ticket, 'abandoned', 0);
+        book.recordOutcome(ticket, 'abandoned', 0);
         reject(toError(signal.reason));
       };
       signal.addEventListener('abort', onAbort, { once: true });
-      const ticket = book.ask(request, home, (decision) => {
+      const ticket = book.requestGrant(request, home, (decision) => {
         signal.removeEventListener('abort', onAbort);
         if (decision.kind === 'refused') {
           resolve({ ...decision, home });
@@ -247,7 +251,7 @@
         }
         const { target, suspicion } = decision;
         const report = (outcome: GrantOutcome, latencyMs: number) => {
-          book.report(ticket, outcome, latencyMs);
+          book.recordOutcome(ticket, outcome, latencyMs);
         };
         resolve({ kind: 'granted', grant: { target, home, suspicion, report } });
       });
--- a/packages/dispatch/src/grants/common/targetSelector.ts
+++ b/packages/dispatch/src/grants/common/targetSelector.ts
@@ -20,5 +20,5 @@
 /** Gets targets for requests. */
 export abstract class TargetSelector {
   /** Resolves with a grant or a refusal; rejects only when `signal` aborts. */
-  abstract select(request: IGrantRequest, signal: AbortSignal): Promise<Selection>;
+  abstract choose(request: IGrantRequest, signal: AbortSignal): Promise<Selection>;
 }
--- a/packages/dispatch/src/grants/node/udpChannel.ts
+++ b/packages/dispatch/src/grants/node/udpChannel.ts
@@ -14,7 +14,8 @@
 
 /** A socket that is bound. */
 export class UdpChannel extends DatagramChannel {
-  private handler: (sender: string, body: DatagramBody) => void = () => undefined;
+  private onDatagram: (sender: string, body: DatagramBody) => void = () => undefined;
+  private isClosed = false;
   private lastMalformedMs = -Infinity;
   /** Datagrams that could not be sent, and that could not be read. */
   readonly counts = { unsent: 0, malformed: 0 };
@@ -45,6 +46,8 @@
   }
 
   override send(address: string, body: DatagramBody): void {
+    // Repeats of reports may still be due when the node stops; writing to a closed socket throws.
+    if (this.isClosed) return;
     const bytes = toBinary(DatagramSchema, create(DatagramSchema, { body }));
     const { host, port } = parseTargetAddress(address);
     this.socket.send(bytes, port, host, (error) => {
@@ -53,16 +56,18 @@
   }
 
   override setHandler(handler: (sender: string, body: DatagramBody) => void): void {
-    this.handler = handler;
+    this.onDatagram = handler;
   }
 
   override dispose(): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
     this.socket.close();
   }
 
   private receive(bytes: Uint8Array, sender: RemoteInfo): void {
     const body = this.decode(bytes);
-    if (body !== undefined) this.handler(`${sender.address}:${sender.port}`, body);
+    if (body !== undefined) this.onDatagram(`${sender.address}:${sender.port}`, body);
   }
 
   private decode(bytes: Uint8Array): DatagramBody | undefined {
--- a/packages/dispatch/src/home/common/failureModel.ts
+++ b/packages/dispatch/src/home/common/failureModel.ts
@@ -37,13 +37,13 @@
 
   /** Share of requests that a sound target fails. */
   get soundFailureRate(): number {
-    return clampTo(this.soundFailures / this.soundRequests, MIN_RATE, MAX_SOUND_FAILURE_RATE);
+    return toBounded(this.soundFailures / this.soundRequests, MIN_RATE, MAX_SOUND_FAILURE_RATE);
   }
 
   /** Share of requests that a failing target fails. */
   get failingFailureRate(): number {
     const rate = this.failingFailures / this.failingRequests;
-    return clampTo(rate, MIN_FAILING_FAILURE_RATE, MAX_FAILING_FAILURE_RATE);
+    return toBounded(rate, MIN_FAILING_FAILURE_RATE, MAX_FAILING_FAILURE_RATE);
   }
 
   /** Turns from sound to failing, per ms of a sound target. */
@@ -77,6 +77,6 @@
   }
 }
 
-function clampTo(value: number, low: number, high: number): number {
+function toBounded(value: number, low: number, high: number): number {
   return Math.min(high, Math.max(low, value));
 }
--- a/packages/dispatch/src/home/common/homeService.ts
+++ b/packages/dispatch/src/home/common/homeService.ts
@@ -30,7 +30,7 @@
 
   start(): void {
     this.timer = this.options.clock.startTimer(TICK_MS, () => {
-      for (const book of this.books.values()) book.tick();
+      for (const book of this.books.values()) book.advance();
       this.start();
     });
   }
--- /dev/null
+++ b/packages/dispatch/src/home/common/serviceBook.test.ts
@@ -0,0 +1,173 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ManualClock, ResultCode } from '@parsleymux/base';
+import type { GrantDecision, IGrantRequest } from '../../grants/common/grant.js';
+import { GrantOutcome } from '../../grants/common/grant.js';
+import { makeGrantRequest, makeTarget } from '../../test/builders.js';
+import type { ITicket } from './serviceBook.js';
+import { ServiceBook } from './serviceBook.js';
+
+const LATENCY_MS = 200;
+
+class Bench {
+  readonly clock = new ManualClock();
+  readonly book = new ServiceBook({
+    service: 'booking',
+    clock: this.clock,
+    floorShare: 0.7,
+    retries: { windowMs: 10_000, ratio: 0.2, burst: 10 },
+  });
+
+  ask(fields: Partial<IGrantRequest> = {}, node = 'n1'): ITicket {
+    return this.book.requestGrant(makeGrantRequest(fields), node, () => undefined);
+  }
+
+  finish(ticket: ITicket, outcome: GrantOutcome): void {
+    this.book.recordOutcome(ticket, outcome, LATENCY_MS);
+  }
+}
+
+function getTargetId(decision: GrantDecision | undefined): string {
+  assert.equal(decision?.kind, 'granted');
+  return decision.target.id;
+}
+
+function isGranted({ decision }: ITicket): boolean {
+  return decision?.kind === 'granted';
+}
+
+test('no target is granted more often than it has slots, the rest waits and is served in order', () => {
+  const bench = new Bench();
+  bench.book.setTargets([makeTarget('t1', { slots: 2 }), makeTarget('t2', { slots: 2 })]);
+  const tickets = Array.from({ length: 4 }, () => bench.ask());
+  const counts = new Map<string, number>();
+  for (const { decision } of tickets) {
+    const id = getTargetId(decision);
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  assert.deepEqual([...counts.values()], [2, 2]);
+  const later = bench.ask({ priority: 2 });
+  const urgent = bench.ask({ priority: 0 });
+  assert.equal(later.decision, undefined);
+  bench.finish(tickets[0]!, GrantOutcome.Succeeded);
+  assert.equal(urgent.decision?.kind, 'granted');
+  assert.equal(later.decision, undefined);
+});
+
+test('one failure of a target that just succeeded sends the next bookings elsewhere', () => {
+  // Symptom: several bookings in a row are lost at one target. Sequence: a target turns gray; it
+  // fails most of its work at once, so it always has free slots. Cause: a detector that waits for
+  // several failures, or a picker that prefers free slots, goes on sending there.
+  const bench = new Bench();
+  bench.book.setTargets([makeTarget('t1'), makeTarget('t2')]);
+  for (let round = 0; round < 4; round += 1) {
+    const tickets = [bench.ask(), bench.ask()];
+    for (const ticket of tickets) bench.finish(ticket, GrantOutcome.Succeeded);
+  }
+  const failing = bench.ask();
+  const grayId = getTargetId(failing.decision);
+  bench.finish(failing, GrantOutcome.Failed);
+  for (let round = 0; round < 3; round += 1) {
+    const ticket = bench.ask();
+    assert.notEqual(getTargetId(ticket.decision), grayId);
+    bench.finish(ticket, GrantOutcome.Succeeded);
+  }
+});
+
+test('a target that hangs is left out before its first request has timed out', async () => {
+  // Symptom: bookings pile up at a target that never answers. Sequence: it accepts work and is
+  // silent; its slots free up only at the deadline. Cause: outcomes alone come too late.
+  const bench = new Bench();
+  bench.book.setTargets([makeTarget('t1'), makeTarget('t2')]);
+  const hanging = bench.ask({ objectiveMs: 500 });
+  const hangingId = getTargetId(hanging.decision);
+  await bench.clock.advanceBy(600);
+  bench.book.advance();
+  assert.notEqual(getTargetId(bench.ask().decision), hangingId);
+});
+
+test('one node that cannot connect does not blame the target, two do', () => {
+  // Symptom: a healthy target is left out by all nodes. Sequence: one node loses its path to it.
+  // Cause: a failed connection was taken for a failure of the target.
+  const bench = new Bench();
+  bench.book.setTargets([makeTarget('t1'), makeTarget('t2', { failureDomain: 'south' })]);
+  bench.finish(bench.ask({}, 'n1'), GrantOutcome.Unreachable);
+  bench.finish(bench.ask({}, 'n1'), GrantOutcome.Unreachable);
+  assert.equal(getTargetId(bench.ask({}, 'n2').decision), 't1');
+  bench.finish(bench.ask({}, 'n2'), GrantOutcome.Unreachable);
+  assert.equal(getTargetId(bench.ask({}, 'n3').decision), 't2');
+});
+
+test('retries stop at the allowance of the service, first attempts go on', () => {
+  // Symptom: retries multiply the load on a service that fails. Sequence: every request fails and
+  // is sent again. Cause: nobody adds up the retries of all nodes.
+  const bench = new Bench();
+  bench.book.setTargets([makeTarget('t1', { slots: 100 })]);
+  for (let index = 0; index < 50; index += 1) bench.finish(bench.ask(), GrantOutcome.Succeeded);
+  const retries = Array.from({ length: 60 }, () => bench.ask({ attempt: 2, isIdempotent: true }));
+  const granted = retries.filter(({ decision }) => decision?.kind === 'granted').length;
+  assert.ok(granted >= 5 && granted <= 0.2 * 50 + 10, `${granted} retries were granted`);
+  const refused = retries.find(({ decision }) => decision?.kind === 'refused')?.decision;
+  assert.ok(refused?.kind === 'refused' && refused.code === ResultCode.RetryBudgetSpent);
+  assert.ok(refused.retryAfterMs > 0);
+  assert.equal(bench.ask().decision?.kind, 'granted');
+});
+
+test('while many requests fail, all targets are used rather than ever fewer', async () => {
+  // Symptom: a service serves from two of ten targets while half its requests fail. Sequence: a
+  // wrong belief ejects targets, the rest are overloaded and fail, and are ejected too. Cause: no
+  // floor under the share of targets in use.
+  const bench = new Bench();
+  const targets = Array.from({ length: 10 }, (_, index) => makeTarget(`t${index}`));
+  bench.book.setTargets(targets);
+  await bench.clock.advanceBy(10_000);
+  const used = new Set<string>();
+  for (let round = 0; round < 60; round += 1) {
+    const ticket = bench.ask();
+    used.add(getTargetId(ticket.decision));
+    bench.finish(ticket, round % 4 === 0 ? GrantOutcome.Failed : GrantOutcome.Succeeded);
+    await bench.clock.advanceBy(20);
+  }
+  assert.ok(used.size >= 8, `only ${used.size} of 10 targets were used`);
+});
+
+test('a target that joins gets its first request soon', async () => {
+  const bench = new Bench();
+  bench.book.setTargets([makeTarget('t1'), makeTarget('t2')]);
+  await bench.clock.advanceBy(5000);
+  bench.book.setTargets([makeTarget('t1'), makeTarget('t2'), makeTarget('t3')]);
+  await bench.clock.advanceBy(2500);
+  assert.equal(getTargetId(bench.ask().decision), 't3');
+});
+
+test('draining targets and replaced ones get nothing', () => {
+  const bench = new Bench();
+  bench.book.setTargets([makeTarget('t1', { isDraining: true }), makeTarget('t2')]);
+  const ticket = bench.ask();
+  assert.equal(getTargetId(ticket.decision), 't2');
+  bench.finish(ticket, GrantOutcome.Misdirected);
+  const refused = bench.ask().decision;
+  assert.ok(refused?.kind === 'refused' && refused.code === ResultCode.NoTarget);
+});
+
+test('a report that never comes does not hold its slot for ever', async () => {
+  const bench = new Bench();
+  bench.book.setTargets([makeTarget('t1', { slots: 1 })]);
+  bench.ask({ remainingMs: 1000 });
+  const waiting = bench.ask({ remainingMs: 5000 });
+  assert.ok(!isGranted(waiting));
+  await bench.clock.advanceBy(1600);
+  bench.book.advance();
+  assert.ok(isGranted(waiting));
+});
+
+test('a request that cannot be served in time is refused while it waits, with when to come back', async () => {
+  const bench = new Bench();
+  bench.book.setTargets([makeTarget('t1', { slots: 1 })]);
+  bench.ask({ remainingMs: 10_000 });
+  const waiting = bench.ask({ remainingMs: 400 });
+  await bench.clock.advanceBy(350);
+  bench.book.advance();
+  assert.ok(waiting.decision?.kind === 'refused');
+  assert.ok(waiting.decision.retryAfterMs > 0);
+});
--- a/packages/dispatch/src/home/common/serviceBook.ts
+++ b/packages/dispatch/src/home/common/serviceBook.ts
@@ -70,8 +70,8 @@
  * so slots are never granted twice and one node's failure warns all others at once.
  *
  * @example
- * const ticket = book.ask(request, node, (decision) => send(decision));
- * book.report(ticket, GrantOutcome.Succeeded, 240);
+ * const ticket = book.requestGrant(request, node, (decision) => send(decision));
+ * book.recordOutcome(ticket, GrantOutcome.Succeeded, 240);
  */
 export class ServiceBook {
   private readonly options: IServiceBookOptions;
@@ -105,11 +105,11 @@
       if (known !== undefined) known.record = record;
       else this.targets.set(record.id, this.createTarget(record, nowMs));
     }
-    this.grantQueued();
+    this.serveQueue();
   }
 
   /** Decides at once, or puts the request in the queue and calls `respond` later, exactly once. */
-  ask(
+  requestGrant(
     request: IGrantRequest,
     node: string,
     respond: (decision: GrantDecision) => void,
@@ -124,17 +124,17 @@
   }
 
   /** Takes the outcome of a grant, or withdraws a question from the queue. */
-  report(ticket: ITicket, outcome: GrantOutcome, latencyMs: number): void {
+  recordOutcome(ticket: ITicket, outcome: GrantOutcome, latencyMs: number): void {
     if (!(ticket instanceof Ticket)) return;
     this.queue.remove(ticket);
     if (!this.open.delete(ticket) || ticket.target === undefined) return;
     ticket.target.inUse -= 1;
-    this.learn(ticket, ticket.target, outcome, latencyMs);
-    this.grantQueued();
+    this.updateBelief(ticket, ticket.target, outcome, latencyMs);
+    this.serveQueue();
   }
 
   /** Looks after what time alone changes; to be called several times a second. */
-  tick(): void {
+  advance(): void {
     const nowMs = this.clock.getMonotonicTime();
     for (const ticket of this.open) this.checkOpen(ticket, nowMs);
     for (const ticket of this.queue.list()) {
@@ -142,7 +142,7 @@
       this.queue.remove(ticket);
       this.refuse(ticket, ResultCode.QueueTimeout);
     }
-    this.grantQueued();
+    this.serveQueue();
   }
 
   /** Targets with what is believed of them, for status pages and logs. */
@@ -202,7 +202,7 @@
       targets: [...this.targets.values()],
       request,
       failingFailureRate: this.model.failingFailureRate,
-      mustSpread: this.mustSpread(nowMs),
+      hasToSpread: this.hasToSpread(nowMs),
       nowMs,
     });
     if (target === undefined) return false;
@@ -219,18 +219,18 @@
     return true;
   }
 
-  private grantQueued(): void {
+  private serveQueue(): void {
     const nowMs = this.clock.getMonotonicTime();
     for (const ticket of this.queue.list()) {
       if (this.tryGrant(ticket, nowMs)) this.queue.remove(ticket);
     }
   }
 
-  private mustSpread(nowMs: number): boolean {
+  private hasToSpread(nowMs: number): boolean {
     return this.served.isBelowFloor([...this.targets.values()], this.options.floorShare, nowMs);
   }
 
-  private learn(
+  private updateBelief(
     ticket: Ticket,
     target: BookedTarget,
     outcome: GrantOutcome,
@@ -274,7 +274,7 @@
 
   private checkOpen(ticket: Ticket, nowMs: number): void {
     if (nowMs > ticket.endMs + REPORT_SLACK_MS) {
-      this.report(ticket, GrantOutcome.Abandoned, nowMs - ticket.grantedMs);
+      this.recordOutcome(ticket, GrantOutcome.Abandoned, nowMs - ticket.grantedMs);
       return;
     }
     const isOverdue = nowMs - ticket.grantedMs > ticket.request.objectiveMs;
--- a/packages/dispatch/src/home/common/targetPicker.ts
+++ b/packages/dispatch/src/home/common/targetPicker.ts
@@ -15,7 +15,7 @@
   readonly request: IGrantRequest;
   readonly failingFailureRate: number;
   /** Whether targets that get no requests must be used too. */
-  readonly mustSpread: boolean;
+  readonly hasToSpread: boolean;
   readonly nowMs: number;
 }
 
@@ -23,7 +23,7 @@
  * Picks the lowest cost, but sees to it that new targets are tried and floors kept.
  *
  * @example
- * const target = new TargetPicker().pick({ targets, request, failingFailureRate, mustSpread, nowMs });
+ * const target = new TargetPicker().pick({ targets, request, failingFailureRate, hasToSpread, nowMs });
  */
 export class TargetPicker {
   private readonly weights: ITargetCostWeights;
@@ -41,7 +41,7 @@
     });
     const untried = free.find((target) => this.isFirstDue(target, request, nowMs));
     if (untried !== undefined) return untried;
-    if (options.mustSpread) return findLeastRecent(free);
+    if (options.hasToSpread) return findLeastRecent(free);
     return this.findCheapest(free, options);
   }
 
--- /dev/null
+++ b/packages/dispatch/src/test/builders.ts
@@ -0,0 +1,59 @@
+/** Values for tests, with everything filled in that a test doesn't care about. */
+import type { ICatalog, IRouteRule, ITargetRecord } from '../catalog/common/catalog.js';
+import type { IGrantRequest } from '../grants/common/grant.js';
+
+export function makeTarget(id: string, fields: Partial<ITargetRecord> = {}): ITargetRecord {
+  return {
+    id,
+    service: 'booking',
+    address: `127.0.0.1:${9000 + Number(id.replace(/\D/g, '') || 0)}`,
+    failureDomain: 'north',
+    slots: 4,
+    isDraining: false,
+    coldMs: 0,
+    ...fields,
+  };
+}
+
+export function makeGrantRequest(fields: Partial<IGrantRequest> = {}): IGrantRequest {
+  return {
+    service: 'booking',
+    failureDomain: 'north',
+    attempt: 1,
+    isIdempotent: false,
+    priority: 1,
+    remainingMs: 2000,
+    objectiveMs: 1000,
+    excluded: [],
+    ...fields,
+  };
+}
+
+export function makeRoute(fields: Partial<IRouteRule> = {}): IRouteRule {
+  return {
+    name: 'orders',
+    host: 'booking.example',
+    prefix: '/orders/',
+    isIdempotent: false,
+    timeoutMs: 2000,
+    objectiveMs: 1000,
+    priority: 1,
+    maxAttempts: 2,
+    destinations: [{ service: 'booking', weight: 1 }],
+    ...fields,
+  };
+}
+
+export function makeCatalog(version: number, routes: readonly IRouteRule[]): ICatalog {
+  return {
+    version,
+    routes,
+    services: [{ name: 'booking', healthPath: '/health', maxConnections: 100 }],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_048_576,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
--- a/packages/routing/src/transport/node/httpTargetTransport.ts
+++ b/packages/routing/src/transport/node/httpTargetTransport.ts
@@ -111,7 +111,12 @@
     const correlation = protocol.getCorrelation(request.headers, ownId);
     const exchange = new Exchange({
       connection,
-      request: makeDispatchOptions(request, protocol, correlation, computeTargetMs(request, attempt)),
+      request: makeDispatchOptions(
+        request,
+        protocol,
+        correlation,
+        computeTargetMs(request, attempt),
+      ),
       protocol,
       correlation,
       attempt,
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,6 +1,8 @@
 /** Stand-ins for the platform, the targets and the network between, for tests and the lab. */
 export * from './control/common/faultSettings.js';
 export * from './link/node/faultyLink.js';
+export * from './metadata/common/metadataRows.js';
+export * from './metadata/node/metadataStandIn.js';
 export * from './platform/common/platformFaults.js';
 export * from './platform/common/versionedTable.js';
 export * from './platform/node/platformStandIn.js';
--- /dev/null
+++ b/packages/standins/src/metadata/node/metadataStandIn.ts
@@ -0,0 +1,187 @@
+/** A metadata store on loopback that speaks the published protocol and misbehaves on demand. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IDisposable } from '@parsleymux/base';
+import { readJson, sendJson } from '../../server/node/httpBody.js';
+import { LoopbackServer } from '../../server/node/loopbackServer.js';
+import type { IMetadataTransaction } from '../common/metadataRows.js';
+import { MetadataRows } from '../common/metadataRows.js';
+
+/** How every call is answered. */
+export const MetadataFault = {
+  None: 'none',
+  /** 503: nothing was done. */
+  Busy: 'busy',
+  /** 429. */
+  Limited: 'limited',
+  Reset: 'reset',
+  /** Nothing is done and nothing answered. */
+  Silent: 'silent',
+  /** Calls are done, and their answers lost. */
+  LostAnswers: 'lost-answers',
+  /** Bytes that are no JSON. */
+  Garbled: 'garbled',
+} as const;
+
+export type MetadataFault = (typeof MetadataFault)[keyof typeof MetadataFault];
+
+const MAX_ROWS = 500;
+const OK = 200;
+const CONFLICT = 412;
+const HISTORY_LOST = 410;
+const BUSY = 503;
+const LIMITED = 429;
+const NOT_FOUND = 404;
+const MS_PER_S = 1000;
+
+/**
+ * A store with its listener.
+ *
+ * @example
+ * const store = await MetadataStandIn.open();
+ * store.put('op', 'config', text);
+ */
+export class MetadataStandIn implements IDisposable {
+  readonly rows = new MetadataRows();
+  fault: MetadataFault = MetadataFault.None;
+  /** Rows in one answer, at most. */
+  pageRows = MAX_ROWS;
+  /** Calls by path. */
+  readonly calls = new Map<string, number>();
+  private waiters: (() => void)[] = [];
+  private readonly server = new LoopbackServer({
+    handle: (request, response) => this.handle(request, response),
+  });
+
+  static async open(): Promise<MetadataStandIn> {
+    const store = new MetadataStandIn();
+    await store.server.open();
+    return store;
+  }
+
+  get address(): string {
+    return this.server.getAddress();
+  }
+
+  /** Writes a row as the operator or a target would. */
+  put(table: string, key: string, text: string): void {
+    const value = Buffer.from(text).toString('base64');
+    this.transact({ expect_rev: [], puts: [{ table, part: '', key, value }], remove: [] });
+  }
+
+  remove(table: string, key: string): void {
+    this.transact({ expect_rev: [], puts: [], remove: [{ table, part: '', key }] });
+  }
+
+  countCalls(): number {
+    return [...this.calls.values()].reduce((sum, count) => sum + count, 0);
+  }
+
+  async dispose(): Promise<void> {
+    this.notifyWaiters();
+    await this.server.close();
+  }
+
+  private transact(transaction: IMetadataTransaction): boolean {
+    const isDone = this.rows.transact(transaction);
+    this.notifyWaiters();
+    return isDone;
+  }
+
+  private notifyWaiters(): void {
+    const { waiters } = this;
+    this.waiters = [];
+    for (const wake of waiters) wake();
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://store');
+    this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
+    if (this.isSpoilt(request, response)) return;
+    switch (url.pathname) {
+      case '/rows-tx':
+        this.handleTransaction((await readJson(request)) as IMetadataTransaction, response);
+        break;
+      case '/rows-get':
+        this.sendRows(url.searchParams, response);
+        break;
+      case '/rows-feed':
+        await this.sendChanges(url.searchParams, response);
+        break;
+      default:
+        sendJson(response, NOT_FOUND, {});
+    }
+  }
+
+  /** Whether the fault in force is the whole answer. */
+  private isSpoilt(request: IncomingMessage, response: ServerResponse): boolean {
+    switch (this.fault) {
+      case MetadataFault.Busy:
+        sendJson(response, BUSY, {});
+        return true;
+      case MetadataFault.Limited:
+        sendJson(response, LIMITED, {});
+        return true;
+      case MetadataFault.Reset:
+        request.socket.resetAndDestroy();
+        return true;
+      case MetadataFault.Silent:
+        return true;
+      case MetadataFault.Garbled:
+        response.writeHead(OK).end('{"rows":[{"key":');
+        return true;
+      case MetadataFault.LostAnswers:
+      case MetadataFault.None:
+        return false;
+    }
+  }
+
+  private handleTransaction(transaction: IMetadataTransaction, response: ServerResponse): void {
+    const isDone = this.transact(transaction);
+    this.send(response, isDone ? OK : CONFLICT, {});
+  }
+
+  private sendRows(query: URLSearchParams, response: ServerResponse): void {
+    const table = query.get('table') ?? '';
+    const rows = this.rows.list(table, query.get('part') ?? '', query.get('from') ?? '');
+    const page = rows.slice(0, this.pageRows);
+    this.send(response, OK, { rows: page, has_more: rows.length > page.length });
+  }
+
+  private async sendChanges(query: URLSearchParams, response: ServerResponse): Promise<void> {
+    const table = query.get('table') ?? '';
+    const after = Number(query.get('after'));
+    const endMs = performance.now() + Number(query.get('wait_ms'));
+    for (;;) {
+      const changes = this.rows.listChanges(table, after);
+      if (changes === undefined) {
+        this.send(response, HISTORY_LOST, {});
+        return;
+      }
+      const leftMs = endMs - performance.now();
+      if (changes.length > 0 || leftMs <= 0) {
+        const rows = changes.map((row) =>
+          row.value === undefined ? { ...row, tombstone: true } : row,
+        );
+        this.send(response, OK, { rows });
+        return;
+      }
+      await this.waitForChange(leftMs);
+    }
+  }
+
+  private waitForChange(limitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, limitMs);
+      this.waiters.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
+  private send(response: ServerResponse, status: number, body: object): void {
+    if (this.fault === MetadataFault.LostAnswers) return;
+    const now_s = performance.now() / MS_PER_S;
+    sendJson(response, status, { ...body, ver: this.rows.version, now_s });
+  }
+}
--- a/packages/standins/src/platform/common/platformState.ts
+++ b/packages/standins/src/platform/common/platformState.ts
@@ -1,11 +1,5 @@
 /** The platform's table, objects and VM list, and the operations on them, apart from any faults. */
-import type {
-  IReadBody,
-  IScanOptions,
-  ITableRow,
-  ITableTransaction,
-  IVm,
-} from '@parsleymux/store';
+import type { IReadBody, IScanOptions, ITableRow, ITableTransaction, IVm } from '@parsleymux/store';
 import { PlatformPath } from '@parsleymux/store';
 import type { IPlatformCounters, IPlatformFaults } from './platformFaults.js';
 import { LaggedValue } from './laggedValue.js';
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -37,8 +37,8 @@
   );
   process.exit(1);
 }
-const files = readdirSync('packages')
-  .map((name) => join('packages', name, 'dist'))
+const files = [...readdirSync('packages').map((name) => join('packages', name)), 'platform']
+  .map((path) => join(path, 'dist'))
   .filter((path) => existsSync(path))
   .flatMap(listTestFiles)
   .filter((path) => filters.length === 0 || filters.some((filter) => path.includes(filter)))
