Take an answer that its connection frames for whole only when that connection ended in order

Cause: two layers hide a reset: undici takes ECONNRESET for the end of a close-delimited answer, and libuv reports an orderly end when a reset arrives together with data. Ruled out: answers with a length or in chunks (the tests that cut them at every byte pass before and after). Before: the new test fails at the first byte behind the head. After: passes, 67 of 67 in the transport.

--- a/packages/routing/src/transport/common/targetProtocol.ts
+++ b/packages/routing/src/transport/common/targetProtocol.ts
@@ -33,7 +33,7 @@
 export class MuxTargetProtocol extends TargetProtocol {
   override readonly timeoutHeader = MuxHeader.TimeoutMs;
   override readonly correlationHeader = MuxHeader.AttemptId;
-  override readonly acceptsUnframed = false;
+  override readonly acceptsUnframed: boolean = false;
 
   override getCorrelation(_headers: readonly Header[], ownId: string): string {
     return ownId;
--- a/packages/routing/src/transport/node/exchange.ts
+++ b/packages/routing/src/transport/node/exchange.ts
@@ -103,6 +103,7 @@
       this.end(fault.failure, new VError(fault.reason));
       return;
     }
+    if (this.isEndedByConnection(this.head)) this.options.connection.startEndCheck();
     const isLarge = (this.head.contentLength ?? 0) > this.options.maxAnswerBytes;
     if (isLarge) this.startStream();
   }
@@ -124,7 +125,7 @@
       contentLength === undefined || contentLength === this.receivedBytes,
       () => `answer of ${this.receivedBytes} bytes, content-length ${contentLength ?? -1}`,
     );
-    if (!isWhole) {
+    if (!isWhole || !this.isEndGenuine(this.head)) {
       this.end(TransportFailure.Truncated);
       return;
     }
@@ -218,6 +219,18 @@
     return text === undefined ? undefined : Number(text);
   }
 
+  /**
+   * undici takes a reset for the end of an answer that only its connection frames. Half an answer
+   * would reach the caller as a whole one; only an orderly end of the connection ends it.
+   */
+  private isEndGenuine(head: IAnswerHead): boolean {
+    return !this.isEndedByConnection(head) || this.options.connection.hasEndedInOrder;
+  }
+
+  private isEndedByConnection(head: IAnswerHead): boolean {
+    return !this.isBodiless(head.status) && !isFramed(head);
+  }
+
   private isBodiless(status: number): boolean {
     return this.options.request.method === 'HEAD' || BODILESS_STATUSES.has(status);
   }
--- a/packages/routing/src/transport/node/pausableSocket.ts
+++ b/packages/routing/src/transport/node/pausableSocket.ts
@@ -1,6 +1,9 @@
 /** A socket whose reader can be kept waiting. */
 import { Socket } from 'node:net';
 
+/** Empty lines before a request are skipped by every server that still reads. */
+const END_CHECK = '\r\n';
+
 /**
  * Gives its reader nothing while it is paused; what arrives fills the socket's own buffer and then
  * stays with the sender.
@@ -16,11 +19,34 @@
  */
 export class PausableSocket extends Socket {
   private isHeld = false;
+  private isEndChecked = false;
 
   override read(size?: number): unknown {
     return this.isHeld ? null : (super.read(size) as unknown);
   }
 
+  /**
+   * Has the next end of the stream checked before anybody hears of it.
+   *
+   * When a reset arrives together with data, libuv reports an orderly end. An answer that only the
+   * end of its connection frames would then look whole though its target crashed midway. Writing
+   * tells the two apart: a connection that was reset takes no byte, one that ended in order does,
+   * and the other side has stopped to read requests by then.
+   */
+  startEndCheck(): void {
+    this.isEndChecked = true;
+  }
+
+  override push(chunk: unknown, encoding?: BufferEncoding): boolean {
+    if (chunk !== null || !this.isEndChecked) return super.push(chunk, encoding);
+    this.isEndChecked = false;
+    this.write(END_CHECK, (error) => {
+      if (error) this.destroy(error);
+      else super.push(null);
+    });
+    return false;
+  }
+
   /** Keeps the reader waiting. */
   stopReading(): void {
     this.isHeld = true;
--- a/packages/routing/src/transport/node/targetConnection.ts
+++ b/packages/routing/src/transport/node/targetConnection.ts
@@ -109,6 +109,16 @@
     return this.socket.bytesWritten;
   }
 
+  /** The answer that arrives now ends with the connection; see PausableSocket. */
+  startEndCheck(): void {
+    this.socket.startEndCheck();
+  }
+
+  /** Whether the target ended its side, and all that it sent was read. */
+  get hasEndedInOrder(): boolean {
+    return this.socket.readableEnded;
+  }
+
   /** Sends a request; the handler hears of everything that follows. */
   dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
     this.dispatched += 1;
--- a/packages/routing/src/transport/node/wholeAnswers.test.ts
+++ b/packages/routing/src/transport/node/wholeAnswers.test.ts
@@ -2,9 +2,11 @@
 import { once } from 'node:events';
 import type { Socket } from 'node:net';
 import { test } from 'node:test';
+import { MuxTargetProtocol } from '../common/targetProtocol.js';
 import type { ITargetAnswer } from '../common/targetTransport.js';
 import { TransportError, TransportFailure } from '../common/targetTransport.js';
 import type { IRawRequest } from '../test/rawTarget.js';
+import { resetSocket } from '../test/rawTarget.js';
 import { MAX_ANSWER_BYTES, openBench } from '../test/transportBench.js';
 
 const BODY = 'a whole answer';
@@ -98,6 +100,40 @@
   });
 }
 
+class UnframedProtocol extends MuxTargetProtocol {
+  override readonly acceptsUnframed = true;
+}
+
+for (const connection of ['', 'connection: close\r\n']) {
+  test(`an answer that its connection ends is whole only when that ended in order (${connection.trim() || 'no header'})`, async (t) => {
+    // Symptom: a caller gets half an answer with status 200 and a length that fits the half.
+    // Sequence: a target that frames its answers by the end of the connection crashes on the way.
+    // Cause: the HTTP client takes a reset of such a connection for its end.
+    const whole = `HTTP/1.1 200 OK\r\n${connection}\r\n${BODY}`;
+    const bench = await openBench(
+      t,
+      ({ socket, index }) => {
+        const isWhole = index >= whole.length;
+        socket.write(whole.slice(0, isWhole ? whole.length : index));
+        if (isWhole) {
+          socket.end();
+          return;
+        }
+        // The written bytes must arrive ahead of the reset.
+        setImmediate(() => {
+          resetSocket(socket);
+        });
+      },
+      { protocol: new UnframedProtocol() },
+    );
+    for (let cut = 0; cut < whole.length; cut += 1) {
+      const outcome = await bench.send().catch((error: unknown) => error);
+      assert.ok(outcome instanceof TransportError, `reset at byte ${cut} looked whole`);
+    }
+    assert.equal(await readText((await bench.send()).body), BODY);
+  });
+}
+
 test('answers that have no body need no framing', async (t) => {
   const bench = await openBench(t, ({ socket, index }) => {
     const status = ['204 No Content', '304 Not Modified', '200 OK'][index]!;
--- a/packages/routing/src/transport/test/rawTarget.ts
+++ b/packages/routing/src/transport/test/rawTarget.ts
@@ -103,3 +103,12 @@
   if (text.length < start + length) return undefined;
   return { head, body: text.slice(start, start + length), rest: text.slice(start + length) };
 }
+
+/**
+ * Resets a connection without ending it in order first. Node's own `resetAndDestroy` shuts the
+ * writing side down before, and the other side then reads an orderly end.
+ */
+export function resetSocket(socket: Socket): void {
+  Object.assign(socket, { resetAndClosing: true });
+  socket.destroy();
+}
