Sort outcomes by what follows, share beliefs with the next homes, hedge slow requests that may be repeated

The estimate of the sound failure rate was fed by the belief of the moment and grew with every failure.

--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -24,6 +24,7 @@
 import { GrantServer } from '../../grants/common/grantServer.js';
 import { HomeSelector } from '../../grants/common/homeSelector.js';
 import { UdpChannel } from '../../grants/node/udpChannel.js';
+import { BeliefSharing } from '../../grants/common/beliefSharing.js';
 import { HomeService } from '../../home/common/homeService.js';
 
 const MAX_INCARNATION = 0x7fff_ffff;
@@ -127,6 +128,14 @@
       rankHomes: (service) => this.directory.rankHomes(service),
       findTarget: (id) => this.directory.targets.get(id),
     });
+    const sharing = this.store.add(
+      new BeliefSharing({
+        channel,
+        homes,
+        clock,
+        rankHomes: (service) => this.directory.rankHomes(service),
+      }),
+    );
     const server = new GrantServer({ channel, homes, clock, log });
     const self = this.makeMember(channel.address);
     const { authority } = this.options;
@@ -141,10 +150,11 @@
     });
     this.directoryService = this.store.add(service);
     channel.setHandler((sender, body) => {
-      handleDatagram({ selector, server, service }, sender, body);
+      handleDatagram({ selector, server, service, sharing }, sender, body);
     });
     this.front = await this.openFront(selector, registry);
     homes.start();
+    sharing.start();
     this.loops = service.run(this.background.signal).catch((error: unknown) => {
       log.error('directory stopped by a fault of the program', { reason: String(error) });
     });
@@ -260,10 +270,11 @@
   readonly selector: HomeSelector;
   readonly server: GrantServer;
   readonly service: DirectoryService;
+  readonly sharing: BeliefSharing;
 }
 
 function handleDatagram(handlers: IDatagramHandlers, sender: string, body: DatagramBody): void {
-  const { selector, server, service } = handlers;
+  const { selector, server, service, sharing } = handlers;
   switch (body.case) {
     case 'ask':
       server.handleAsk(sender, body.value);
@@ -286,6 +297,9 @@
     case 'leaving':
       selector.handleLeaving(sender);
       break;
+    case 'beliefs':
+      sharing.handleBeliefs(body.value);
+      break;
   }
 }
 
--- a/packages/dispatch/src/entry/common/requestRun.test.ts
+++ b/packages/dispatch/src/entry/common/requestRun.test.ts
@@ -84,9 +84,9 @@
   replies: readonly Reply[],
   isIdempotent: boolean,
   refusing?: TargetSelector,
+  clock = new ManualClock(),
 ): Promise<IBench> {
   const selector = new CountingSelector();
-  const clock = new ManualClock();
   const transport = new ScriptedTransport(replies);
   const runner = new RequestRunner({
     clock,
@@ -171,3 +171,26 @@
     ['retry-after', '0.70'],
   );
 });
+
+test('a request that may be repeated does not wait for a target that hangs', async () => {
+  // Symptom: reads time out while most targets answer at once. Sequence: a target accepts a request
+  // and never answers. Cause: the second target was asked only after the first had failed.
+  const clock = new ManualClock();
+  const hang = (): Promise<ITargetAnswer> => new Promise(() => undefined);
+  const running = run([hang, makeAnswer(200)], true, undefined, clock);
+  await clock.advanceBy(700);
+  const { answer, transport } = await running;
+  assert.equal(answer.status, 200);
+  assert.equal(transport.sent.length, 2);
+});
+
+test('a booking waits for the one target that it was sent to', async () => {
+  const clock = new ManualClock();
+  const late = async (): Promise<ITargetAnswer> => {
+    await clock.sleep(1500);
+    return makeAnswer(200);
+  };
+  const running = run([late], false, undefined, clock);
+  await clock.advanceBy(1600);
+  assert.equal((await running).transport.sent.length, 1);
+});
--- a/packages/dispatch/src/entry/common/requestRun.ts
+++ b/packages/dispatch/src/entry/common/requestRun.ts
@@ -1,6 +1,6 @@
 /** One request from its first attempt to its final answer. */
 import type { Clock } from '@parsleymux/base';
-import { ResultCode, RunState, getResultInfo } from '@parsleymux/base';
+import { JoinedSignal, ResultCode, RunState, getResultInfo } from '@parsleymux/base';
 import type { Header, ITargetAnswer, TargetTransport } from '@parsleymux/routing';
 import { GrantOutcome } from '../../grants/common/grant.js';
 import type { IGrant, Selection, TargetSelector } from '../../grants/common/targetSelector.js';
@@ -13,6 +13,11 @@
 const MAX_UNSENT = 4;
 /** Answers above this size are not taken, in bytes: half of what a small VM can spare. */
 const MAX_ANSWER_BYTES = 67_108_864;
+/**
+ * Share of its objective after which a request that may be repeated is sent to a second target too:
+ * an answer within the objective is then still likely, and few requests usually take so long.
+ */
+const PATIENCE_SHARE = 0.6;
 /** The target is told to stop this much sooner, in ms, so that its own last word still arrives. */
 const TARGET_MARGIN_MS = 20;
 
@@ -28,6 +33,38 @@
   readonly listTargetHeaders: (targetId: string) => readonly Header[];
 }
 
+/** One attempt that can be given up while the request goes on. */
+class CancellableAttempt {
+  private isDone = false;
+  /** What the home is told when the attempt was cancelled. */
+  cancelOutcome: GrantOutcome | undefined;
+  private readonly controller = new AbortController();
+  private readonly joined: JoinedSignal;
+
+  constructor(requestSignal: AbortSignal) {
+    this.joined = new JoinedSignal([requestSignal, this.controller.signal]);
+  }
+
+  get signal(): AbortSignal {
+    return this.joined.signal;
+  }
+
+  hasEnded(): boolean {
+    return this.isDone;
+  }
+
+  end(): void {
+    this.isDone = true;
+    this.joined.dispose();
+  }
+
+  cancel(outcome: GrantOutcome): void {
+    if (this.isDone) return;
+    this.cancelOutcome = outcome;
+    this.controller.abort();
+  }
+}
+
 type Refusal = Extract<Selection, { kind: 'refused' }>;
 
 interface IRunState {
@@ -63,9 +100,9 @@
       lastOutcome: undefined,
     };
     while (this.hasNextAttempt(request, state)) {
-      const selection = await this.choose(request, state, signal);
+      const selection = await this.choose(request, state, [], signal);
       if (selection.kind === 'refused') return this.makeRefusal(state, selection);
-      const result = await this.tryTarget(request, selection.grant, state, signal);
+      const result = await this.tryWithHedge(request, selection.grant, state, signal);
       signal.throwIfAborted();
       if (result.outcome === GrantOutcome.Succeeded && result.answer !== undefined) {
         return makeAnswer(result.answer, state);
@@ -84,9 +121,45 @@
     return request.deadlineMs - this.options.clock.getMonotonicTime();
   }
 
+  /**
+   * Sends to one target, and to a second one if the first is slow and the request may be repeated.
+   * A target that hangs would otherwise keep the request until nobody waits for it any more.
+   */
+  private async tryWithHedge(
+    request: IEntryRequest,
+    grant: IGrant,
+    state: IRunState,
+    signal: AbortSignal,
+  ): Promise<IAttemptResult> {
+    const first = new CancellableAttempt(signal);
+    const firstResult = this.tryTarget(request, grant, state, first);
+    const { isIdempotent, maxAttempts, objectiveMs } = request.route;
+    if (!isIdempotent || state.sent + 2 > maxAttempts) return firstResult;
+    const patienceMs = objectiveMs * PATIENCE_SHARE;
+    const early = await waitAtMost(this.options.clock, firstResult, patienceMs);
+    if (early !== undefined || signal.aborted) return firstResult;
+    const selection = await this.choose(request, state, [grant.target.id], signal);
+    if (selection.kind === 'refused') return firstResult;
+    if (first.hasEnded()) {
+      selection.grant.report(GrantOutcome.Abandoned, 0);
+      return firstResult;
+    }
+    const second = new CancellableAttempt(signal);
+    const secondResult = this.tryTarget(request, selection.grant, state, second);
+    const winner = await Promise.race([firstResult, secondResult]);
+    if (winner.outcome !== GrantOutcome.Succeeded) {
+      return first.hasEnded() ? secondResult : firstResult;
+    }
+    // The target of the first one was too slow: that is evidence, though it was not waited for.
+    first.cancel(GrantOutcome.TimedOut);
+    second.cancel(GrantOutcome.Abandoned);
+    return winner;
+  }
+
   private async choose(
     request: IEntryRequest,
     state: IRunState,
+    running: readonly string[],
     signal: AbortSignal,
   ): Promise<Selection> {
     const { route, service } = request;
@@ -94,12 +167,12 @@
       {
         service,
         failureDomain: this.options.failureDomain,
-        attempt: state.sent + 1,
+        attempt: state.sent + running.length + 1,
         isIdempotent: route.isIdempotent,
         priority: route.priority,
         remainingMs: this.getRemainingMs(request),
         objectiveMs: route.objectiveMs,
-        excluded: [...state.tried, ...this.options.paths.listBroken()],
+        excluded: [...state.tried, ...running, ...this.options.paths.listBroken()],
       },
       signal,
     );
@@ -109,13 +182,15 @@
     request: IEntryRequest,
     grant: IGrant,
     state: IRunState,
-    signal: AbortSignal,
+    attempt: CancellableAttempt,
   ): Promise<IAttemptResult> {
     const { clock } = this.options;
     const startMs = clock.getMonotonicTime();
-    const result = await this.send(request, grant, signal);
+    const result = await this.send(request, grant, attempt.signal);
     const latencyMs = clock.getMonotonicTime() - startMs;
-    grant.report(result.outcome, latencyMs);
+    attempt.end();
+    grant.report(attempt.cancelOutcome ?? result.outcome, latencyMs);
+    if (attempt.cancelOutcome !== undefined) return result;
     this.recordPath(grant, result);
     state.tried.push(grant.target.id);
     // A shed request reached the target: it counts as sent, though it has not run.
@@ -184,6 +259,20 @@
   }
 }
 
+/** The result if it comes within `limitMs`, else undefined. */
+function waitAtMost<T>(clock: Clock, result: Promise<T>, limitMs: number): Promise<T | undefined> {
+  return new Promise((resolve, reject) => {
+    const timer = clock.startTimer(limitMs, () => {
+      resolve(undefined);
+    });
+    result
+      .finally(() => {
+        void timer.dispose();
+      })
+      .then(resolve, reject);
+  });
+}
+
 /** When to come back after a request that no target took, in ms: about one request's work. */
 const DEFAULT_RETRY_MS = 250;
 const NO_BODY = new Uint8Array();
--- a/packages/dispatch/src/home/common/failureModel.ts
+++ b/packages/dispatch/src/home/common/failureModel.ts
@@ -6,54 +6,97 @@
  * each of them; how much one failure says depends on how often targets turn, so that is learnt.
  */
 
-/** Starting values; each counts as much as `PRIOR_OBSERVATIONS` observations. */
+/** Starting values, until outcomes outweigh them. */
 const PRIOR_SOUND_FAILURE_RATE = 0.01;
-const PRIOR_FAILING_FAILURE_RATE = 0.7;
-/** Mean time for which a target stays sound, in ms. A guess that a few minutes of traffic replace. */
-const PRIOR_SOUND_MS = 25_000;
-/** Mean time for which a target keeps failing, in ms. A guess, like the one above. */
+const PRIOR_SOUND_REQUESTS = 200;
+const PRIOR_FAILING_FAILURE_RATE = 0.75;
+const PRIOR_FAILING_REQUESTS = 8;
+/** Mean time for which a target stays sound, in ms: a guess that some minutes of traffic replace. */
+const PRIOR_SOUND_MS = 40_000;
+/** Mean time for which a target keeps failing, in ms: a guess like the one above. */
 const PRIOR_FAILING_MS = 8000;
-const PRIOR_OBSERVATIONS = 6;
+/** Turns that the guesses of times count for. */
+const PRIOR_TURNS = 6;
 /** Estimates stay inside these bounds, so that no run of luck makes the model certain. */
-const MIN_RATE = 0.002;
-const MAX_SOUND_FAILURE_RATE = 0.2;
+const MIN_SOUND_FAILURE_RATE = 0.002;
+const MAX_SOUND_FAILURE_RATE = 0.1;
 const MIN_FAILING_FAILURE_RATE = 0.4;
 const MAX_FAILING_FAILURE_RATE = 0.95;
 
+/** A share that is estimated by counting. */
+class EstimatedRate {
+  private failures: number;
+
+  constructor(
+    rate: number,
+    private requests: number,
+  ) {
+    this.failures = rate * requests;
+  }
+
+  get value(): number {
+    return this.failures / this.requests;
+  }
+
+  record(isFailure: boolean): void {
+    this.requests += 1;
+    if (isFailure) this.failures += 1;
+  }
+}
+
+/** A mean time until something happens, estimated from the times seen and how often it happened. */
+class EstimatedTime {
+  private turns = PRIOR_TURNS;
+  private totalMs: number;
+
+  constructor(meanMs: number) {
+    this.totalMs = meanMs * PRIOR_TURNS;
+  }
+
+  get perMs(): number {
+    return this.turns / this.totalMs;
+  }
+
+  recordTime(durationMs: number): void {
+    this.totalMs += durationMs;
+  }
+
+  recordTurn(): void {
+    this.turns += 1;
+  }
+}
+
 /**
  * Rates of one service.
  *
  * @example
  * const model = new FailureModel();
- * model.recordEpisode(6000);
+ * model.recordOnset();
  */
 export class FailureModel {
-  private soundFailures = PRIOR_SOUND_FAILURE_RATE * 100;
-  private soundRequests = 100;
-  private failingFailures = PRIOR_FAILING_FAILURE_RATE * PRIOR_OBSERVATIONS;
-  private failingRequests = PRIOR_OBSERVATIONS;
-  private failingMs = PRIOR_FAILING_MS * PRIOR_OBSERVATIONS;
-  private episodes = PRIOR_OBSERVATIONS;
+  private readonly sound = new EstimatedRate(PRIOR_SOUND_FAILURE_RATE, PRIOR_SOUND_REQUESTS);
+  private readonly failing = new EstimatedRate(PRIOR_FAILING_FAILURE_RATE, PRIOR_FAILING_REQUESTS);
+  private readonly soundTime = new EstimatedTime(PRIOR_SOUND_MS);
+  private readonly failingTime = new EstimatedTime(PRIOR_FAILING_MS);
 
   /** Share of requests that a sound target fails. */
   get soundFailureRate(): number {
-    return toBounded(this.soundFailures / this.soundRequests, MIN_RATE, MAX_SOUND_FAILURE_RATE);
+    return toBounded(this.sound.value, MIN_SOUND_FAILURE_RATE, MAX_SOUND_FAILURE_RATE);
   }
 
   /** Share of requests that a failing target fails. */
   get failingFailureRate(): number {
-    const rate = this.failingFailures / this.failingRequests;
-    return toBounded(rate, MIN_FAILING_FAILURE_RATE, MAX_FAILING_FAILURE_RATE);
+    return toBounded(this.failing.value, MIN_FAILING_FAILURE_RATE, MAX_FAILING_FAILURE_RATE);
   }
 
   /** Turns from sound to failing, per ms of a sound target. */
   get onsetPerMs(): number {
-    return 1 / PRIOR_SOUND_MS;
+    return this.soundTime.perMs;
   }
 
   /** Turns from failing to sound, per ms of a failing target. */
   get recoveryPerMs(): number {
-    return this.episodes / this.failingMs;
+    return this.failingTime.perMs;
   }
 
   /** Probability that a target of which nothing is known is failing. */
@@ -61,19 +104,26 @@
     return this.onsetPerMs / (this.onsetPerMs + this.recoveryPerMs);
   }
 
-  /** An outcome of a target whose probability of failing was `suspicion` after the outcome. */
-  recordOutcome(isFailure: boolean, suspicion: number): void {
-    const failure = isFailure ? 1 : 0;
-    this.failingFailures += failure * suspicion;
-    this.failingRequests += suspicion;
-    this.soundFailures += failure * (1 - suspicion);
-    this.soundRequests += 1 - suspicion;
+  /** A target that is taken for sound answered; `sinceMs` after its last answer. */
+  recordSound(isFailure: boolean, sinceMs: number): void {
+    this.sound.record(isFailure);
+    this.soundTime.recordTime(sinceMs);
+  }
+
+  /** A target that is taken for failing answered. */
+  recordFailing(isFailure: boolean): void {
+    this.failing.record(isFailure);
+  }
+
+  /** A sound target began to fail. */
+  recordOnset(): void {
+    this.soundTime.recordTurn();
   }
 
   /** A target failed for about `durationMs` and then succeeded again. */
   recordEpisode(durationMs: number): void {
-    this.failingMs += durationMs;
-    this.episodes += 1;
+    this.failingTime.recordTime(durationMs);
+    this.failingTime.recordTurn();
   }
 }
 
--- a/packages/dispatch/src/home/common/serviceBook.test.ts
+++ b/packages/dispatch/src/home/common/serviceBook.test.ts
@@ -4,6 +4,7 @@
 import type { GrantDecision, IGrantRequest } from '../../grants/common/grant.js';
 import { GrantOutcome } from '../../grants/common/grant.js';
 import { makeGrantRequest, makeTarget } from '../../test/builders.js';
+import { BOOKING_FLEET, GrayFleet } from '../../test/grayFleet.js';
 import type { ITicket } from './serviceBook.js';
 import { ServiceBook } from './serviceBook.js';
 
@@ -171,3 +172,31 @@
   assert.ok(waiting.decision?.kind === 'refused');
   assert.ok(waiting.decision.retryAfterMs > 0);
 });
+
+test('a home that takes over knows which targets fail', () => {
+  // Symptom: bookings fail in a burst whenever a node is restarted. Sequence: the home of a service
+  // stops, the next begins with no beliefs. Cause: beliefs lived in one process only.
+  const former = new Bench();
+  const targets = [makeTarget('t1'), makeTarget('t2')];
+  former.book.setTargets(targets);
+  const failing = former.ask();
+  former.finish(failing, GrantOutcome.Failed);
+  former.finish(former.ask(), GrantOutcome.Succeeded);
+  const next = new Bench();
+  next.book.setTargets(targets);
+  for (const { belief, record } of former.book.listTargets()) {
+    next.book.applyEvidence(record.id, belief.getEvidence()!);
+  }
+  assert.notEqual(getTargetId(next.ask().decision), getTargetId(failing.decision));
+});
+
+test('few bookings are lost to targets that turn gray a third of the time', async () => {
+  // Lost of 32 s over ten seeds: 3.8% when the model sorted outcomes by the belief of the moment,
+  // 3.1% now; 1.2% are lost whatever is done, about 1.3% tell that a target has turned.
+  let failed = 0;
+  for (let seed = 1; seed <= 10; seed += 1) {
+    const fleet = new GrayFleet({ ...BOOKING_FLEET, seed, durationMs: 32_000 });
+    failed += (await fleet.run()).failed / 10;
+  }
+  assert.ok(failed < 0.034, `${(failed * 100).toFixed(2)}% of the bookings failed`);
+});
--- a/packages/dispatch/src/home/common/serviceBook.ts
+++ b/packages/dispatch/src/home/common/serviceBook.ts
@@ -10,6 +10,7 @@
 import type { IRetryWindowOptions } from './retryWindow.js';
 import { RetryWindow } from './retryWindow.js';
 import { ServedWindow } from './servedWindow.js';
+import type { ITargetEvidence } from './targetBelief.js';
 import { TargetPicker } from './targetPicker.js';
 
 /** A target that said it was full is left alone this long, in ms: less than most requests take. */
@@ -84,6 +85,7 @@
   private readonly served: ServedWindow;
   private readonly picker: TargetPicker;
   private readonly startMs: number;
+  private lastAskedMs = -Infinity;
   private meanLatencyMs: number | undefined;
 
   constructor(options: IServiceBookOptions) {
@@ -116,6 +118,7 @@
   ): ITicket {
     const nowMs = this.clock.getMonotonicTime();
     const ticket = new Ticket(request, node, nowMs, respond);
+    this.lastAskedMs = nowMs;
     if (request.attempt === 1) this.retryWindow.recordRequest(nowMs);
     const refusal = this.findRefusal(ticket, nowMs);
     if (refusal !== undefined) this.refuse(ticket, refusal);
@@ -145,6 +148,16 @@
     this.serveQueue();
   }
 
+  /** Takes what another home of the service believes of a target. */
+  applyEvidence(targetId: string, evidence: ITargetEvidence): void {
+    this.targets.get(targetId)?.belief.applyEvidence(evidence);
+  }
+
+  /** Whether this node was asked for a grant within the last `windowMs`. */
+  isAtWork(windowMs: number): boolean {
+    return this.clock.getMonotonicTime() - this.lastAskedMs < windowMs;
+  }
+
   /** Targets with what is believed of them, for status pages and logs. */
   listTargets(): readonly BookedTarget[] {
     return [...this.targets.values()];
--- a/packages/dispatch/src/home/common/targetBelief.ts
+++ b/packages/dispatch/src/home/common/targetBelief.ts
@@ -1,8 +1,19 @@
 /** The probability that one target is failing, kept up to date by Bayes' rule. */
 import type { FailureModel } from './failureModel.js';
 
-/** Above this probability a target counts as ejected, for episodes and logs. */
-const EJECTED_ABOVE = 0.5;
+/** Above this probability a target counts as failing, for episodes and estimates. */
+const FAILING_ABOVE = 0.5;
+/** Outcomes further apart than this tell nothing of what the target did between, in ms. */
+const CONNECTED_MS = 3000;
+/** A target that succeeds this long after a failure may have recovered meanwhile, in ms. */
+const RECOVERED_MS = 2000;
+
+/** What a belief rests on. */
+export interface ITargetEvidence {
+  /** Probability of failing right after the last outcome. */
+  readonly suspicion: number;
+  readonly updatedMs: number;
+}
 
 /**
  * One target's belief. Without outcomes it drifts back to what is true of any target.
@@ -14,8 +25,13 @@
  */
 export class TargetBelief {
   private suspicion: number;
+  /** When the last outcome came, here or at another home, in ms of the monotonic clock. */
   private updatedMs: number;
+  /** Whether any outcome is known. */
+  private isInformed = false;
   private episodeStartMs: number | undefined;
+  /** The last outcome was a failure of a target taken for sound: the next one tells what it was. */
+  private isUnexplained = false;
   /** When a request last succeeded, in ms of the monotonic clock. */
   lastSuccessMs: number | undefined;
   /** When a request last failed. */
@@ -37,37 +53,82 @@
     return stationary + (this.suspicion - stationary) * kept;
   }
 
-  isEjected(nowMs: number): boolean {
-    return this.getSuspicion(nowMs) > EJECTED_ABOVE;
+  isFailing(nowMs: number): boolean {
+    return this.getSuspicion(nowMs) > FAILING_ABOVE;
   }
 
   recordSuccess(nowMs: number): void {
-    this.lastSuccessMs = nowMs;
+    this.recordForModel(nowMs, false);
     this.update(nowMs, false);
+    this.lastSuccessMs = nowMs;
+    this.endEpisode(nowMs);
+  }
+
+  recordFailure(nowMs: number): void {
+    this.recordForModel(nowMs, true);
+    this.update(nowMs, true);
+    this.lastFailureMs = nowMs;
+    if (this.suspicion > FAILING_ABOVE) this.episodeStartMs ??= nowMs;
+  }
+
+  /** The belief right after the last outcome; undefined when there was none. */
+  getEvidence(): ITargetEvidence | undefined {
+    if (!this.isInformed) return undefined;
+    return { suspicion: this.suspicion, updatedMs: this.updatedMs };
+  }
+
+  /** Takes what another home knows, if that is newer. */
+  applyEvidence({ suspicion, updatedMs }: ITargetEvidence): void {
+    if (this.isInformed && updatedMs <= this.updatedMs) return;
+    this.suspicion = suspicion;
+    this.updatedMs = updatedMs;
+    this.isInformed = true;
+  }
+
+  private endEpisode(nowMs: number): void {
     const startMs = this.episodeStartMs;
-    if (startMs === undefined || this.suspicion > EJECTED_ABOVE) return;
+    if (startMs === undefined || this.suspicion > FAILING_ABOVE) return;
     this.episodeStartMs = undefined;
     // The last failure is the last moment at which the target is known to have failed.
     const endMs = ((this.lastFailureMs ?? startMs) + nowMs) / 2;
     this.model.recordEpisode(endMs - startMs);
   }
 
-  recordFailure(nowMs: number): void {
-    this.lastFailureMs = nowMs;
-    this.update(nowMs, true);
-    if (this.suspicion > EJECTED_ABOVE) this.episodeStartMs ??= nowMs;
-  }
-
   private update(nowMs: number, isFailure: boolean): void {
     const prior = this.getSuspicion(nowMs);
-    const failing = this.getLikelihood(this.model.failingFailureRate, isFailure);
-    const sound = this.getLikelihood(this.model.soundFailureRate, isFailure);
+    const failing = getLikelihood(this.model.failingFailureRate, isFailure);
+    const sound = getLikelihood(this.model.soundFailureRate, isFailure);
     this.suspicion = (prior * failing) / (prior * failing + (1 - prior) * sound);
     this.updatedMs = nowMs;
-    this.model.recordOutcome(isFailure, this.suspicion);
+    this.isInformed = true;
+  }
+
+  /**
+   * Sorts an outcome into the estimates. A single failure of a sound target may be chance or the
+   * begin of an episode; sorted by the belief of the moment, chance would get most of both, its
+   * estimate would grow, and each further failure would say less. So the next outcome decides.
+   */
+  private recordForModel(nowMs: number, isFailure: boolean): void {
+    const sinceMs = nowMs - this.updatedMs;
+    if (this.isUnexplained) {
+      this.isUnexplained = false;
+      if (isFailure || sinceMs > RECOVERED_MS) this.recordOnset();
+      else this.model.recordSound(true, 0);
+      if (isFailure) return;
+    } else if (this.isFailing(nowMs)) {
+      if (sinceMs < RECOVERED_MS) this.model.recordFailing(isFailure);
+      return;
+    }
+    if (isFailure) this.isUnexplained = true;
+    else this.model.recordSound(false, Math.min(sinceMs, CONNECTED_MS));
   }
 
-  private getLikelihood(failureRate: number, isFailure: boolean): number {
-    return isFailure ? failureRate : 1 - failureRate;
+  private recordOnset(): void {
+    this.model.recordOnset();
+    this.model.recordFailing(true);
   }
 }
+
+function getLikelihood(failureRate: number, isFailure: boolean): number {
+  return isFailure ? failureRate : 1 - failureRate;
+}
--- a/packages/dispatch/src/home/common/targetCost.ts
+++ b/packages/dispatch/src/home/common/targetCost.ts
@@ -18,11 +18,6 @@
   readonly fullTarget: number;
   /** A target that is slow after its start. Default 0.1. */
   readonly coldTarget: number;
-  /**
-   * A second request to a target of which it isn't known whether it fails: when it does, both are
-   * lost, though one would have told. Default 0.3.
-   */
-  readonly parallelProbe: number;
 }
 
 /** See the comment of each weight; the defaults were chosen by reasoning, then compared by runs. */
@@ -32,12 +27,8 @@
   crossDomain: 0.12,
   fullTarget: 0.06,
   coldTarget: 0.1,
-  parallelProbe: 0.3,
 };
 
-/** Above this probability a target counts as not known to be sound. */
-const UNPROVED_ABOVE = 0.2;
-
 /** What the cost depends on besides the target. */
 export interface ICostContext {
   readonly request: IGrantRequest;
@@ -62,6 +53,5 @@
   cost += weights.fullTarget * load * load;
   if (target.record.failureDomain !== request.failureDomain) cost += weights.crossDomain;
   if (target.isCold(nowMs)) cost += weights.coldTarget;
-  if (suspicion > UNPROVED_ABOVE && target.inUse > 0) cost += weights.parallelProbe * loss;
   return cost;
 }
