--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -54,6 +54,8 @@
   readonly datagramAddress: string;
   readonly stateAddress: string;
   readonly metricsAddress: string;
+  /** Datagram addresses of nodes that may be alive when this one starts. */
+  readonly seeds: readonly string[];
   /** Retries of one service that all nodes together may send. */
   readonly retryWindowMs: number;
   readonly retryRatio: number;
@@ -147,6 +149,7 @@
       log,
       random,
       self,
+      seeds: settings.seeds,
     });
     this.directoryService = this.store.add(service);
     channel.setHandler((sender, body) => {
@@ -297,6 +300,9 @@
     case 'leaving':
       selector.handleLeaving(sender);
       break;
+    case 'hello':
+      service.handleHello(sender);
+      break;
     case 'beliefs':
       sharing.handleBeliefs(body.value);
       break;
--- a/packages/dispatch/src/directory/common/followerRole.ts
+++ b/packages/dispatch/src/directory/common/followerRole.ts
@@ -1,10 +1,10 @@
 /** Decides which nodes of a failure domain read the store, and when others take over. */
 import type { Clock } from '@parsleymux/base';
 
-/** The second follower takes over when its copy is this old, in ms: one update may be lost. */
-const TAKE_OVER_MS = 1000;
+/** The second follower takes over when its copy is this old, in ms: an update is 0.3 s late by then. */
+const TAKE_OVER_MS = 1150;
 /** Each further node waits this much longer, in ms, so that one alone takes over. */
-const TAKE_OVER_STEP_MS = 200;
+const TAKE_OVER_STEP_MS = 150;
 /** No node's copy gets older than this without a read of its own, in ms. */
 const OLDEST_MS = 1600;
 
--- a/packages/dispatch/src/directory/common/storeFollower.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.ts
@@ -6,6 +6,8 @@
 
 /** When this node looks again whether it has to read, in ms. */
 const IDLE_CHECK_MS = 150;
+/** The same while the table was never read, in ms: the node can't serve before. */
+const FIRST_CHECK_MS = 20;
 /** Wait after a failed read by the first followers, in ms: short, for all nodes wait for them. */
 const FOLLOWER_RETRY_MS = 400;
 /** Wait after a failed read by any other node, in ms; spread, so that a store is not stormed. */
@@ -54,7 +56,8 @@
     const { clock, hasToRead, pace } = this.options;
     while (!signal.aborted) {
       if (!hasToRead()) {
-        await clock.sleep(IDLE_CHECK_MS, signal).catch(() => undefined);
+        const isNew = this.options.table.version === undefined;
+        await clock.sleep(isNew ? FIRST_CHECK_MS : IDLE_CHECK_MS, signal).catch(() => undefined);
         continue;
       }
       const isRead = await this.read(signal);
--- a/packages/dispatch/src/directory/common/updateRelay.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.ts
@@ -39,12 +39,8 @@
 
   /** Tells all peers the present state of the tables. */
   announce(): void {
-    const { channel, clock, listPeers, statePort } = this.options;
-    this.sequence += 1n;
-    const changes = this.options.tables
-      .filter(({ version }) => version !== undefined)
-      .map((table) => this.encodeTable(table));
-    const value = create(UpdateSchema, { sequence: this.sequence, changes, statePort });
+    const { channel, clock, listPeers } = this.options;
+    const value = this.makeUpdate();
     const nowMs = clock.getMonotonicTime();
     for (const peer of listPeers()) {
       if (!this.firstSentMs.has(peer)) this.firstSentMs.set(peer, nowMs);
@@ -52,6 +48,11 @@
     }
   }
 
+  /** A node that has just started asks for what this one knows. */
+  handleHello(sender: string): void {
+    this.options.channel.send(sender, { case: 'update', value: this.makeUpdate() });
+  }
+
   handleUpdate(sender: string, update: Update): void {
     const value = create(UpdateReceivedSchema, { sequence: update.sequence });
     this.options.channel.send(sender, { case: 'updateReceived', value });
@@ -83,6 +84,15 @@
     this.firstSentMs.clear();
   }
 
+  private makeUpdate(): Update {
+    const { statePort, tables } = this.options;
+    this.sequence += 1n;
+    const changes = tables
+      .filter(({ version }) => version !== undefined)
+      .map((table) => this.encodeTable(table));
+    return create(UpdateSchema, { sequence: this.sequence, changes, statePort });
+  }
+
   private encodeTable(table: FollowedTable<unknown>): FollowedChanges {
     const { after, content } = table.listRecent();
     const encoded = encodeChanges(table.name, after, content);
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -2,7 +2,7 @@
 import type { Clock, IDisposable, Logger, RandomSource } from '@parsleymux/base';
 import { create } from '@bufbuild/protobuf';
 import type { Update } from '@parsleymux/schema';
-import { LeavingSchema } from '@parsleymux/schema';
+import { HelloSchema, LeavingSchema } from '@parsleymux/schema';
 import type { DatagramChannel } from '../../grants/common/datagramChannel.js';
 import type { Authority, IMember } from '../common/authority.js';
 import { StoreCallError } from '../common/authority.js';
@@ -16,20 +16,27 @@
 
 /**
  * Pause between reads of the targets, in ms. Each read is paid for; a target that drains has to be
- * known everywhere within 2 s, of which the take-over from a dead follower needs 1.2 s.
+ * known everywhere within 2 s, of which the take-over from a dead follower needs 1.3 s.
  */
-const TARGETS_PACE: IFollowPace = { pauseMs: 700, waitMs: 0 };
+const TARGETS_PACE: IFollowPace = { pauseMs: 850, waitMs: 0 };
 /** The store holds these reads until there is news; the wait bounds how long a dead connection hides it. */
 const CATALOG_PACE: IFollowPace = { pauseMs: 10, waitMs: 2500 };
-const MEMBERS_PACE: IFollowPace = { pauseMs: 300, waitMs: 5000 };
-/** A peer that confirmed no update for this long is taken for gone, in ms: six updates. */
+const MEMBERS_PACE: IFollowPace = { pauseMs: 300, waitMs: 10_000 };
+/** A peer that confirmed no update for this long is taken for gone, in ms: five updates. */
 const SILENT_PEER_MS = 4500;
 /** Pause between attempts to register, in ms. */
 const REGISTER_RETRY_MS = 500;
 /** How often the node looks whether it is still registered, in ms. */
 const REGISTERED_CHECK_MS = 1000;
 
+/** Followers that a starting node asks: the first, and the one that would take over from it. */
+const HELLOS = 2;
+/** A starting node reads for itself after this wait, in ms: some hundred round trips in its domain. */
+const HELLO_WAIT_MS = 200;
+/** Pause between questions to the seeds of a node that knows nothing, in ms: the store goes first. */
+const SEED_PAUSE_MS = 400;
 const LEAVING = create(LeavingSchema);
+const HELLO = create(HelloSchema);
 
 /** Options of a {@link DirectoryService}. */
 export interface IDirectoryServiceOptions {
@@ -40,6 +47,8 @@
   readonly random: RandomSource;
   readonly log: Logger;
   readonly self: IMember;
+  /** Datagram addresses of nodes that may be alive. */
+  readonly seeds: readonly string[];
 }
 
 /**
@@ -54,6 +63,7 @@
   private readonly targetsFollower: StoreFollower<unknown>;
   private readonly catalogFollower: StoreFollower<unknown>;
   private readonly membersFollower: StoreFollower<unknown>;
+  private helloMs: number | undefined;
   private readonly removing = new Set<string>();
 
   constructor(private readonly options: IDirectoryServiceOptions) {
@@ -74,13 +84,15 @@
       fetchTable: (table, address) => fetchTable(table, address, clock),
     });
     this.targetsFollower = this.createFollower('targets', TARGETS_PACE, () => {
+      if (targets.version === undefined) return this.isFirstReadDue();
       return this.role.hasToRead(targets.getAgeMs());
     });
     // While the targets can't be read, asking for more would only add to the calls.
     const isOpen = () =>
       targets.version === undefined || targets.getAgeMs() < TARGETS_PACE.pauseMs * 2;
     this.catalogFollower = this.createFollower('catalog', CATALOG_PACE, () => {
-      return catalog.version === undefined || (isOpen() && this.role.hasToRead(catalog.getAgeMs()));
+      if (catalog.version === undefined) return this.isFirstReadDue();
+      return isOpen() && this.role.hasToRead(catalog.getAgeMs());
     });
     this.membersFollower = this.createFollower('members', MEMBERS_PACE, () => {
       return members.version === undefined || (isOpen() && this.role.hasToRead(members.getAgeMs()));
@@ -91,6 +103,7 @@
   async run(signal: AbortSignal): Promise<void> {
     await Promise.all([
       this.ensureRegistered(signal),
+      this.requestFromSeeds(signal),
       this.targetsFollower.run(signal),
       this.catalogFollower.run(signal),
       this.membersFollower.run(signal),
@@ -102,6 +115,10 @@
     this.relay.handleUpdate(sender, update);
   }
 
+  handleHello(sender: string): void {
+    this.relay.handleHello(sender);
+  }
+
   handleUpdateReceived(sender: string): void {
     this.relay.handleUpdateReceived(sender);
   }
@@ -145,6 +162,24 @@
     });
   }
 
+  /**
+   * A node that starts takes configuration and targets from a follower if one answers soon. Calls
+   * to the store are paid for, and when a whole fleet starts they all come at once.
+   */
+  private isFirstReadDue(): boolean {
+    const { channel, clock, directory, self } = this.options;
+    if (directory.members.version === undefined) return false;
+    const nowMs = clock.getMonotonicTime();
+    if (this.helloMs === undefined) {
+      this.helloMs = nowMs;
+      const followers = directory.rankFollowers(self.failureDomain).slice(0, HELLOS);
+      for (const follower of followers) {
+        if (follower !== self.address) channel.send(follower, { case: 'hello', value: HELLO });
+      }
+    }
+    return this.role.isFirst() || nowMs - this.helloMs > HELLO_WAIT_MS;
+  }
+
   private announce(): void {
     if (!this.role.isFollower()) return;
     const { clock, directory } = this.options;
@@ -175,6 +210,19 @@
     }
   }
 
+  /** The store may refuse this node while it serves others: then the seeds can tell what they know. */
+  private async requestFromSeeds(signal: AbortSignal): Promise<void> {
+    const { channel, clock, directory, seeds, self } = this.options;
+    while (!signal.aborted) {
+      await clock.sleep(SEED_PAUSE_MS, signal).catch(() => undefined);
+      const isKnown = directory.catalog.version !== undefined;
+      if (isKnown && directory.members.version !== undefined) return;
+      for (const seed of seeds) {
+        if (seed !== self.address) channel.send(seed, { case: 'hello', value: HELLO });
+      }
+    }
+  }
+
   private async ensureRegistered(signal: AbortSignal): Promise<void> {
     const { clock, directory, self } = this.options;
     let isDue = true;
--- a/packages/routing/src/transport/node/targetConnection.ts
+++ b/packages/routing/src/transport/node/targetConnection.ts
@@ -10,6 +10,10 @@
 const MAX_ANSWER_HEADER_BYTES = 65_536;
 /** Many servers close idle connections after 5 s; closing first avoids sending into a close. */
 const KEEP_ALIVE_MS = 4000;
+/** Servers that say how long they keep idle connections are taken at their word up to this, in ms. */
+const MAX_KEEP_ALIVE_MS = 30_000;
+/** Their word less this, in ms: their clock runs from their last byte, and a request takes its way. */
+const KEEP_ALIVE_MARGIN_MS = 1500;
 
 /** Options of {@link openConnection}. */
 export interface IOpenConnectionOptions {
@@ -80,7 +84,8 @@
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveMaxTimeout: KEEP_ALIVE_MS,
+      keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       maxHeaderSize: MAX_ANSWER_HEADER_BYTES,
       connect: (_options, callback) => {
         const isUsable = !this.isTaken && !socket.destroyed;
