Count a request once for the retry allowance, however often it asks

Cause: by reading: a request whose grant ends in a failed connection asks again as a first attempt, and each question raised the allowance of its service. Symptom it would have: more retries than the allowance while targets are cut off. Ruled out: counting sent requests only, since an unreachable service must still be allowed its first attempts. Before: the new test is granted 37 retries where the allowance is 10. After: passes.

--- a/packages/dispatch/src/entry/common/requestRun.ts
+++ b/packages/dispatch/src/entry/common/requestRun.ts
@@ -168,6 +168,7 @@
         service,
         failureDomain: this.options.failureDomain,
         attempt: state.sent + running.length + 1,
+        isRepeated: state.unsent > 0,
         isIdempotent: route.isIdempotent,
         priority: route.priority,
         remainingMs: this.getRemainingMs(request),
--- a/packages/dispatch/src/grants/common/grant.ts
+++ b/packages/dispatch/src/grants/common/grant.ts
@@ -30,6 +30,8 @@
   readonly failureDomain: string;
   /** 1 for the first time that the request is sent. */
   readonly attempt: number;
+  /** Whether the request asked before, and that grant came to nothing before it was sent. */
+  readonly isRepeated: boolean;
   readonly isIdempotent: boolean;
   readonly priority: number;
   /** Time that is left to the request, in ms. */
--- a/packages/dispatch/src/home/common/serviceBook.test.ts
+++ b/packages/dispatch/src/home/common/serviceBook.test.ts
@@ -114,6 +114,20 @@
   assert.equal(bench.ask().decision?.kind, 'granted');
 });
 
+test('asking again after a failed connection earns the service no retries', () => {
+  // Symptom: a service gets more retries than its allowance during an outage. Sequence: targets
+  // can't be reached, and each request asks several times before it is sent. Cause: the allowance
+  // grew with the questions instead of the requests.
+  const bench = new Bench();
+  bench.book.setTargets([makeTarget('t1', { slots: 500 })]);
+  for (let index = 0; index < 200; index += 1) {
+    bench.finish(bench.ask({ isRepeated: true }), GrantOutcome.Succeeded);
+  }
+  const retries = Array.from({ length: 60 }, () => bench.ask({ attempt: 2, isIdempotent: true }));
+  const granted = retries.filter((ticket) => isGranted(ticket)).length;
+  assert.ok(granted <= 10, `${granted} retries were granted`);
+});
+
 test('while many requests fail, all targets are used rather than ever fewer', async () => {
   // Symptom: a service serves from two of ten targets while half its requests fail. Sequence: a
   // wrong belief ejects targets, the rest are overloaded and fail, and are ejected too. Cause: no
--- a/packages/dispatch/src/home/common/serviceBook.ts
+++ b/packages/dispatch/src/home/common/serviceBook.ts
@@ -119,7 +119,7 @@
     const nowMs = this.clock.getMonotonicTime();
     const ticket = new Ticket(request, node, nowMs, respond);
     this.lastAskedMs = nowMs;
-    if (request.attempt === 1) this.retryWindow.recordRequest(nowMs);
+    if (request.attempt === 1 && !request.isRepeated) this.retryWindow.recordRequest(nowMs);
     const refusal = this.findRefusal(ticket, nowMs);
     if (refusal !== undefined) this.refuse(ticket, refusal);
     else if (this.queue.size > 0 || !this.tryGrant(ticket, nowMs)) this.queue.push(ticket);
--- a/packages/dispatch/src/test/builders.ts
+++ b/packages/dispatch/src/test/builders.ts
@@ -20,6 +20,7 @@
     service: 'booking',
     failureDomain: 'north',
     attempt: 1,
+    isRepeated: false,
     isIdempotent: false,
     priority: 1,
     remainingMs: 2000,
