Weigh lost attempts by the retries that are left, follow the settings file, stop well before the end of the grace time

Two processes were killed at the end of their grace time, 0.4 s being too little to close on half a core. Ruled out: too few sound targets (6 to 8 with 4 slots each, at most half in use).

--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -26,6 +26,7 @@
 import { UdpChannel } from '../../grants/node/udpChannel.js';
 import { BeliefSharing } from '../../grants/common/beliefSharing.js';
 import { HomeService } from '../../home/common/homeService.js';
+import type { IServiceBounds } from '../../home/common/serviceBook.js';
 
 const MAX_INCARNATION = 0x7fff_ffff;
 const OK = 200;
@@ -35,8 +36,11 @@
  * second and takes a node out after two misses.
  */
 const NOTICE_MS = 2600;
-/** Kept back from the time to stop, in ms, for closing what is left. */
-const STOP_MARGIN_MS = 400;
+/**
+ * Kept back from the time to stop, in ms: a busy half of a core takes some 100 ms to close what is
+ * left, and a process that is still there at the end is killed with all that it has not written.
+ */
+const STOP_MARGIN_MS = 900;
 const STOP_CHECK_MS = 50;
 /**
  * Longest wait for a connection to a target, in ms: some fifty round trips between failure domains.
@@ -97,15 +101,24 @@
   private readonly background = new AbortController();
   private readonly directory: NodeDirectory;
   private readonly incarnation = randomInt(1, MAX_INCARNATION);
+  private settings: IDirectNodeSettings;
+  private homes: HomeService | undefined;
   private front: FrontServer | undefined;
   private directoryService: DirectoryService | undefined;
   private loops: Promise<void> = Promise.resolve();
   private isStopping = false;
 
   constructor(private readonly options: IDirectNodeOptions) {
+    this.settings = options.settings;
     this.directory = new NodeDirectory(options.clock);
   }
 
+  /** Takes changed settings. Addresses and the failure domain stay those of the start. */
+  updateSettings(settings: IDirectNodeSettings): void {
+    this.settings = settings;
+    this.homes?.setBounds(toBounds(settings));
+  }
+
   /** Opens the ports and starts the loops; the node is ready once it knows a configuration. */
   async start(): Promise<void> {
     const { clock, log, random, settings } = this.options;
@@ -169,15 +182,16 @@
    * port closes, and what is in flight is finished as far as the grace time allows.
    */
   async stopGracefully(): Promise<void> {
-    const { clock, log, settings } = this.options;
+    const { clock, log } = this.options;
+    const { graceMs } = this.settings;
     const startMs = clock.getMonotonicTime();
     this.isStopping = true;
     log.info('stopping', { openRequests: this.front?.connections.openRequests ?? 0 });
     this.front?.connections.stop();
     const left = this.directoryService?.retire(this.background.signal);
-    await clock.sleep(Math.min(NOTICE_MS, settings.graceMs / 2));
+    await clock.sleep(Math.min(NOTICE_MS, graceMs / 2));
     this.front?.closePort();
-    const limitMs = settings.graceMs - STOP_MARGIN_MS;
+    const limitMs = graceMs - STOP_MARGIN_MS;
     while (clock.getMonotonicTime() - startMs < limitMs) {
       this.front?.connections.closeIdle();
       if ((this.front?.connections.size ?? 0) === 0) break;
@@ -185,8 +199,8 @@
     }
     const cut = this.front?.connections.openRequests ?? 0;
     log.info('stopped', { cut, ms: Math.round(clock.getMonotonicTime() - startMs) });
-    await Promise.race([left, clock.sleep(STOP_MARGIN_MS / 2)]);
-    await this.dispose();
+    const closed = Promise.allSettled([left, this.dispose()]);
+    await Promise.race([closed, clock.sleep(STOP_MARGIN_MS / 3)]);
   }
 
   async dispose(): Promise<void> {
@@ -196,16 +210,8 @@
   }
 
   private createHomes(): HomeService {
-    const { clock, settings } = this.options;
-    const homes = new HomeService({
-      clock,
-      floorShare: settings.floorShare,
-      retries: {
-        windowMs: settings.retryWindowMs,
-        ratio: settings.retryRatio,
-        burst: settings.retryBurst,
-      },
-    });
+    const homes = new HomeService({ clock: this.options.clock, ...toBounds(this.settings) });
+    this.homes = homes;
     const { targets } = this.directory;
     targets.onDidChange(() => {
       homes.setTargets(targets.listValues());
@@ -269,6 +275,14 @@
   }
 }
 
+function toBounds(settings: IDirectNodeSettings): IServiceBounds {
+  const { floorShare, retryBurst, retryRatio, retryWindowMs } = settings;
+  return {
+    floorShare,
+    retries: { windowMs: retryWindowMs, ratio: retryRatio, burst: retryBurst },
+  };
+}
+
 interface IDatagramHandlers {
   readonly selector: HomeSelector;
   readonly server: GrantServer;
--- a/packages/dispatch/src/home/common/homeService.ts
+++ b/packages/dispatch/src/home/common/homeService.ts
@@ -1,17 +1,15 @@
 /** The books of all services that this node is asked for. */
 import type { Clock, IDisposable } from '@parsleymux/base';
 import type { ITargetRecord } from '../../catalog/common/catalog.js';
-import type { IRetryWindowOptions } from './retryWindow.js';
+import type { IServiceBounds } from './serviceBook.js';
 import { ServiceBook } from './serviceBook.js';
 
 /** Grants that are overdue and requests that can't make it any more are looked for this often, in ms. */
 const TICK_MS = 100;
 
 /** Options of a {@link HomeService}. */
-export interface IHomeServiceOptions {
+export interface IHomeServiceOptions extends IServiceBounds {
   readonly clock: Clock;
-  readonly retries: IRetryWindowOptions;
-  readonly floorShare: number;
 }
 
 /**
@@ -26,7 +24,7 @@
   private targetsByService = new Map<string, ITargetRecord[]>();
   private timer: IDisposable | undefined;
 
-  constructor(private readonly options: IHomeServiceOptions) {}
+  constructor(private options: IHomeServiceOptions) {}
 
   start(): void {
     this.timer = this.options.clock.startTimer(TICK_MS, () => {
@@ -35,6 +33,12 @@
     });
   }
 
+  /** Takes changed bounds for all services. */
+  setBounds(bounds: IServiceBounds): void {
+    this.options = { ...this.options, ...bounds };
+    for (const book of this.books.values()) book.setBounds(bounds);
+  }
+
   /** Takes all targets that are registered now. */
   setTargets(targets: readonly ITargetRecord[]): void {
     this.targetsByService = new Map();
--- a/packages/dispatch/src/home/common/retryWindow.ts
+++ b/packages/dispatch/src/home/common/retryWindow.ts
@@ -29,11 +29,16 @@
   private readonly requests: SlidingCount;
   private readonly retries: SlidingCount;
 
-  constructor(private readonly options: IRetryWindowOptions) {
+  constructor(private options: IRetryWindowOptions) {
     this.requests = new SlidingCount(options.windowMs);
     this.retries = new SlidingCount(options.windowMs);
   }
 
+  /** Changes the allowance; the window keeps its length, for its counts belong to it. */
+  setAllowance({ burst, ratio }: Pick<IRetryWindowOptions, 'burst' | 'ratio'>): void {
+    this.options = { ...this.options, burst, ratio };
+  }
+
   recordRequest(nowMs: number): void {
     this.requests.add(nowMs);
   }
@@ -43,8 +48,16 @@
   }
 
   isOpen(nowMs: number): boolean {
+    return this.retries.count(nowMs) + 1 <= this.getAllowance(nowMs);
+  }
+
+  /** Share of the allowance that is used up, from 0 to 1. */
+  getUsedShare(nowMs: number): number {
+    return Math.min(1, this.retries.count(nowMs) / Math.max(1, this.getAllowance(nowMs)));
+  }
+
+  private getAllowance(nowMs: number): number {
     const { ratio, burst } = this.options;
-    const allowance = RATIO_SHARE * ratio * this.requests.count(nowMs) + BURST_SHARE * burst;
-    return this.retries.count(nowMs) + 1 <= allowance;
+    return RATIO_SHARE * ratio * this.requests.count(nowMs) + BURST_SHARE * burst;
   }
 }
--- a/packages/dispatch/src/home/common/serviceBook.test.ts
+++ b/packages/dispatch/src/home/common/serviceBook.test.ts
@@ -114,6 +114,22 @@
   assert.equal(bench.ask().decision?.kind, 'granted');
 });
 
+test('requests that may be repeated stop trying doubtful targets when retries run short', () => {
+  // Symptom: reads fail though sound targets are free. Sequence: reads try gray targets of their own
+  // failure domain, each failure takes a retry, the allowance is used up, and further failures are
+  // final. Cause: a failed attempt was taken for cheap however many retries were left.
+  const bench = new Bench();
+  const near = makeTarget('t1', { slots: 500 });
+  bench.book.setTargets([near, makeTarget('t2', { slots: 500, failureDomain: 'south' })]);
+  const ask = (attempt: number): ITicket => bench.ask({ attempt, isIdempotent: true });
+  for (let index = 0; index < 20; index += 1) bench.finish(ask(1), GrantOutcome.Succeeded);
+  for (let index = 0; index < 20; index += 1) bench.finish(ask(2), GrantOutcome.Abandoned);
+  const failing = bench.ask({ excluded: ['t2'] });
+  bench.finish(failing, GrantOutcome.Failed);
+  bench.finish(bench.ask({ excluded: ['t1'] }), GrantOutcome.Succeeded);
+  assert.equal(getTargetId(ask(1).decision), 't2');
+});
+
 test('asking again after a failed connection earns the service no retries', () => {
   // Symptom: a service gets more retries than its allowance during an outage. Sequence: targets
   // can't be reached, and each request asks several times before it is sent. Cause: the allowance
--- a/packages/dispatch/src/home/common/serviceBook.ts
+++ b/packages/dispatch/src/home/common/serviceBook.ts
@@ -28,13 +28,17 @@
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 5000;
 
-/** Options of a {@link ServiceBook}. */
-export interface IServiceBookOptions {
-  readonly service: string;
-  readonly clock: Clock;
+/** Bounds of every service, from the settings. */
+export interface IServiceBounds {
   readonly retries: IRetryWindowOptions;
   /** Share of the sound targets that must get requests while many requests fail, from 0 to 1. */
   readonly floorShare: number;
+}
+
+/** Options of a {@link ServiceBook}. */
+export interface IServiceBookOptions extends IServiceBounds {
+  readonly service: string;
+  readonly clock: Clock;
   readonly picker?: TargetPicker;
 }
 
@@ -75,7 +79,7 @@
  * book.recordOutcome(ticket, GrantOutcome.Succeeded, 240);
  */
 export class ServiceBook {
-  private readonly options: IServiceBookOptions;
+  private bounds: IServiceBounds;
   private readonly clock: Clock;
   private readonly model = new FailureModel();
   private readonly targets = new Map<string, BookedTarget>();
@@ -89,7 +93,7 @@
   private meanLatencyMs: number | undefined;
 
   constructor(options: IServiceBookOptions) {
-    this.options = options;
+    this.bounds = options;
     this.clock = options.clock;
     this.startMs = options.clock.getMonotonicTime();
     this.retryWindow = new RetryWindow(options.retries);
@@ -110,6 +114,12 @@
     this.serveQueue();
   }
 
+  /** Takes changed bounds; what was counted under the former ones stays counted. */
+  setBounds(bounds: IServiceBounds): void {
+    this.bounds = bounds;
+    this.retryWindow.setAllowance(bounds.retries);
+  }
+
   /** Decides at once, or puts the request in the queue and calls `respond` later, exactly once. */
   requestGrant(
     request: IGrantRequest,
@@ -215,6 +225,7 @@
       targets: [...this.targets.values()],
       request,
       failingFailureRate: this.model.failingFailureRate,
+      retriesUsed: this.retryWindow.getUsedShare(nowMs),
       hasToSpread: this.hasToSpread(nowMs),
       nowMs,
     });
@@ -240,7 +251,7 @@
   }
 
   private hasToSpread(nowMs: number): boolean {
-    return this.served.isBelowFloor([...this.targets.values()], this.options.floorShare, nowMs);
+    return this.served.isBelowFloor([...this.targets.values()], this.bounds.floorShare, nowMs);
   }
 
   private updateBelief(
--- a/packages/dispatch/src/home/common/targetCost.ts
+++ b/packages/dispatch/src/home/common/targetCost.ts
@@ -10,7 +10,7 @@
 export interface ITargetCostWeights {
   /** Losing a request that can't be repeated loses all of its worth. Default 1. */
   readonly lostRequest: number;
-  /** Losing an attempt that can be repeated costs time and some of the retry budget. Default 0.2. */
+  /** Losing an attempt that can be repeated costs time and some of the retry budget. Default 0.25. */
   readonly lostAttempt: number;
   /** Carrying request and answer between failure domains. Default 0.12. */
   readonly crossDomain: number;
@@ -23,7 +23,7 @@
 /** See the comment of each weight; the defaults were chosen by reasoning, then compared by runs. */
 export const DEFAULT_COST_WEIGHTS: ITargetCostWeights = {
   lostRequest: 1,
-  lostAttempt: 0.2,
+  lostAttempt: 0.25,
   crossDomain: 0.12,
   fullTarget: 0.06,
   coldTarget: 0.1,
@@ -34,20 +34,32 @@
   readonly request: IGrantRequest;
   readonly weights: ITargetCostWeights;
   readonly failingFailureRate: number;
+  /** Share of the service's retry allowance that is used up, from 0 to 1. */
+  readonly retriesUsed: number;
   readonly nowMs: number;
 }
 
+/**
+ * What a failed attempt loses. A request that could be repeated is lost all the same once the
+ * service's retries are used up, so trying doubtful targets gets dearer on the way there.
+ */
+function computeLoss({ request, retriesUsed, weights }: ICostContext): number {
+  const isRepeatable = request.isIdempotent && request.attempt === 1;
+  if (!isRepeatable) return weights.lostRequest;
+  const { lostAttempt, lostRequest } = weights;
+  return lostAttempt + (lostRequest - lostAttempt) * retriesUsed * retriesUsed;
+}
+
 /**
  * The expected cost of granting `target`.
  *
  * @example
- * const cost = computeTargetCost(target, { request, weights, failingFailureRate: 0.7, nowMs });
+ * const cost = computeTargetCost(target, { request, weights, failingFailureRate: 0.7, retriesUsed: 0, nowMs });
  */
 export function computeTargetCost(target: BookedTarget, context: ICostContext): number {
   const { request, weights, failingFailureRate, nowMs } = context;
   const suspicion = target.belief.getSuspicion(nowMs);
-  const isRepeatable = request.isIdempotent && request.attempt === 1;
-  const loss = isRepeatable ? weights.lostAttempt : weights.lostRequest;
+  const loss = computeLoss(context);
   const load = (target.inUse + 1) / Math.max(1, target.record.slots);
   let cost = suspicion * failingFailureRate * loss;
   cost += weights.fullTarget * load * load;
--- a/packages/dispatch/src/home/common/targetPicker.ts
+++ b/packages/dispatch/src/home/common/targetPicker.ts
@@ -14,6 +14,8 @@
   readonly targets: readonly BookedTarget[];
   readonly request: IGrantRequest;
   readonly failingFailureRate: number;
+  /** Share of the service's retry allowance that is used up, from 0 to 1. */
+  readonly retriesUsed: number;
   /** Whether targets that get no requests must be used too. */
   readonly hasToSpread: boolean;
   readonly nowMs: number;
