Let time pass in the test of scarce retries

Cause: with the clock standing still, twenty successes at one moment leave no room for a failure to count. Before: the test failed for that reason. After: passes, and fails with the weight of used retries taken out.

--- a/packages/dispatch/src/home/common/serviceBook.test.ts
+++ b/packages/dispatch/src/home/common/serviceBook.test.ts
@@ -114,7 +114,7 @@
   assert.equal(bench.ask().decision?.kind, 'granted');
 });
 
-test('requests that may be repeated stop trying doubtful targets when retries run short', () => {
+test('requests that may be repeated stop trying doubtful targets when retries run short', async () => {
   // Symptom: reads fail though sound targets are free. Sequence: reads try gray targets of their own
   // failure domain, each failure takes a retry, the allowance is used up, and further failures are
   // final. Cause: a failed attempt was taken for cheap however many retries were left.
@@ -124,6 +124,7 @@
   const ask = (attempt: number): ITicket => bench.ask({ attempt, isIdempotent: true });
   for (let index = 0; index < 20; index += 1) bench.finish(ask(1), GrantOutcome.Succeeded);
   for (let index = 0; index < 20; index += 1) bench.finish(ask(2), GrantOutcome.Abandoned);
+  await bench.clock.advanceBy(500);
   const failing = bench.ask({ excluded: ['t2'] });
   bench.finish(failing, GrantOutcome.Failed);
   bench.finish(bench.ask({ excluded: ['t1'] }), GrantOutcome.Succeeded);
