Give held reads of the store up when the way to it was cut

Cause, by reading and by the figure (13.2 s + 2.5 s of a held read = 15.7 s): the follower of the domain kept a read that the cut had swallowed, read targets again after the cut, and told its domain that the configuration was fresh.

--- a/packages/dispatch/src/directory/common/storeFollower.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.ts
@@ -1,5 +1,6 @@
 /** Reads the authority's tables while this node is a follower, or while nobody tells it the news. */
 import type { Clock, Logger } from '@parsleymux/base';
+import { JoinedSignal } from '@parsleymux/base';
 import type { AuthorityTable } from './authority.js';
 import { StoreCallError, StoreFailure } from './authority.js';
 import type { FollowedTable } from './followedTable.js';
@@ -35,6 +36,8 @@
   readonly isFirst: () => boolean;
   /** Called after every successful read. */
   readonly onDidRead: () => void;
+  /** Called after every failed read. */
+  readonly onDidFail?: () => void;
 }
 
 /**
@@ -46,6 +49,7 @@
 export class StoreFollower<T> {
   private isStoreLost = false;
   private readStartMs: number | undefined;
+  private cancelled = new AbortController();
   /** Reads that failed, by kind, and that went well. */
   readonly counts = { succeeded: 0, failed: new Map<StoreFailure, number>() };
 
@@ -72,23 +76,36 @@
     return this.options.clock.getMonotonicTime() - this.readStartMs <= this.options.pace.waitMs;
   }
 
+  /**
+   * Gives up the read that the store may be holding; the next one follows at once. After a cut the
+   * question or its answer may be lost, and the read would look quiet while everything changes.
+   */
+  cancelRead(): void {
+    this.cancelled.abort(new Error('the way to the store was cut'));
+  }
+
   private async read(signal: AbortSignal): Promise<boolean> {
     const { clock, table } = this.options;
     this.readStartMs = clock.getMonotonicTime();
+    this.cancelled = new AbortController();
+    const joined = new JoinedSignal([signal, this.cancelled.signal]);
     try {
-      await this.readOnce(this.readStartMs, signal);
+      await this.readOnce(this.readStartMs, joined.signal);
       this.counts.succeeded += 1;
       this.recordRegained();
       this.options.onDidRead();
       return true;
     } catch (error) {
       if (signal.aborted) return false;
+      if (this.cancelled.signal.aborted) return true;
       if (!(error instanceof StoreCallError)) throw error;
       const { failure } = error;
       this.counts.failed.set(failure, (this.counts.failed.get(failure) ?? 0) + 1);
       this.recordLost(error, table.name);
+      this.options.onDidFail?.();
       return false;
     } finally {
+      joined.dispose();
       this.readStartMs = undefined;
     }
   }
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -20,7 +20,7 @@
  */
 const TARGETS_PACE: IFollowPace = { pauseMs: 850, waitMs: 0 };
 /** The store holds these reads until there is news; the wait bounds how long a dead connection hides it. */
-const CATALOG_PACE: IFollowPace = { pauseMs: 10, waitMs: 2500 };
+const CATALOG_PACE: IFollowPace = { pauseMs: 10, waitMs: 1500 };
 const MEMBERS_PACE: IFollowPace = { pauseMs: 300, waitMs: 10_000 };
 /** A peer that confirmed no update for this long is taken for gone, in ms: five updates. */
 const SILENT_PEER_MS = 4500;
@@ -159,6 +159,11 @@
       onDidRead: () => {
         this.announce();
       },
+      onDidFail: () => {
+        if (name !== 'targets') return;
+        this.catalogFollower.cancelRead();
+        this.membersFollower.cancelRead();
+      },
     });
   }
 
