Blame this node's own way when most peers are silent

Ruled out: the peers being dead (they served all the while, and registered again a second later). Before: the new test reports all four peers.

--- /dev/null
+++ b/packages/dispatch/src/directory/common/updateRelay.test.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ManualClock, createSilentLogger } from '@parsleymux/base';
+import type { DatagramBody } from '../../grants/common/datagramChannel.js';
+import { DatagramChannel } from '../../grants/common/datagramChannel.js';
+import { FollowedTable } from './followedTable.js';
+import { UpdateRelay } from './updateRelay.js';
+
+const LIMIT_MS = 4500;
+const PEERS = ['127.0.0.2:1', '127.0.0.3:1', '127.0.0.4:1', '127.0.0.5:1'];
+
+class RecordingChannel extends DatagramChannel {
+  override readonly address = '127.0.0.1:1';
+  readonly sent: { readonly address: string; readonly body: DatagramBody }[] = [];
+
+  override send(address: string, body: DatagramBody): void {
+    this.sent.push({ address, body });
+  }
+
+  override setHandler(): void {
+    // Tests hand messages over themselves.
+  }
+
+  override dispose(): void {
+    // Nothing is open.
+  }
+}
+
+interface IBench {
+  readonly clock: ManualClock;
+  readonly channel: RecordingChannel;
+  readonly relay: UpdateRelay;
+  readonly table: FollowedTable<unknown>;
+}
+
+function openBench(): IBench {
+  const clock = new ManualClock();
+  const channel = new RecordingChannel();
+  const table = new FollowedTable<unknown>({ name: 't', clock, isSame: () => false });
+  const relay = new UpdateRelay({
+    channel,
+    clock,
+    log: createSilentLogger(),
+    statePort: 7201,
+    tables: [table],
+    listPeers: () => PEERS,
+    fetchTable: () => Promise.resolve(),
+  });
+  return { clock, channel, relay, table };
+}
+
+test('a peer that confirms nothing is silent, the others are not', async () => {
+  const { clock, relay } = openBench();
+  relay.announce();
+  await clock.advanceBy(LIMIT_MS + 1);
+  for (const peer of PEERS.slice(1)) relay.handleUpdateReceived(peer);
+  assert.deepEqual(relay.listSilent(LIMIT_MS), [PEERS[0]]);
+});
+
+test('a node that hears nobody takes itself for cut off, not the others for gone', async () => {
+  // Symptom: all nodes of a failure domain lose their registration at once, and their services
+  // change homes. Sequence: one node is cut off from its peers but reaches the store; its copy gets
+  // old, it takes over as follower, nobody confirms its updates. Cause: silence of all was taken for
+  // the death of each.
+  const { clock, relay } = openBench();
+  relay.announce();
+  await clock.advanceBy(LIMIT_MS + 1);
+  assert.deepEqual(relay.listSilent(LIMIT_MS), []);
+});
+
+test('changes reach a peer in one datagram, and those too large for it are only announced', () => {
+  const { channel, relay, table } = openBench();
+  table.setAll({ version: 1, changes: [] }, 0);
+  table.apply(1, { version: 2, changes: [{ key: 'a', value: 'small' }] }, 0);
+  relay.announce();
+  table.apply(2, { version: 3, changes: [{ key: 'b', value: 'x'.repeat(5000) }] }, 0);
+  relay.announce();
+  const updates = channel.sent.flatMap(({ body }) => (body.case === 'update' ? [body.value] : []));
+  assert.equal(updates[0]?.changes[0]?.rows.length, 1);
+  const last = updates[updates.length - 1]?.changes[0];
+  assert.equal(last?.rows.length, 0);
+  assert.equal(last.after, 3n);
+});
--- a/packages/dispatch/src/directory/common/updateRelay.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.ts
@@ -10,6 +10,9 @@
 /** Rows that fit into one datagram with room to spare, in bytes; more are fetched as a whole. */
 const MAX_ROW_BYTES = 1000;
 
+/** Above this share of silent peers, the way of this node is to blame rather than the peers. */
+const MAX_SILENT_SHARE = 0.5;
+
 /** Options of an {@link UpdateRelay}. */
 export interface IUpdateRelayOptions {
   readonly channel: DatagramChannel;
@@ -66,16 +69,22 @@
     this.heardMs.set(sender, this.options.clock.getMonotonicTime());
   }
 
-  /** Peers that were sent updates for `limitMs` and confirmed none. */
+  /**
+   * Peers that were sent updates for `limitMs` and confirmed none. None at all when most are silent:
+   * then this node is the one that is cut off, and to report them would take a whole failure domain
+   * off the list while it is at work.
+   */
   listSilent(limitMs: number): readonly string[] {
     const nowMs = this.options.clock.getMonotonicTime();
-    return this.options.listPeers().filter((peer) => {
+    const peers = this.options.listPeers();
+    const silent = peers.filter((peer) => {
       const sinceMs = Math.max(
         this.firstSentMs.get(peer) ?? nowMs,
         this.heardMs.get(peer) ?? -Infinity,
       );
       return nowMs - sinceMs > limitMs;
     });
+    return silent.length > peers.length * MAX_SILENT_SHARE ? [] : silent;
   }
 
   /** Forgets what was heard, when this node stops being a follower. */
