Log each change of belief and each refusal with its request, and split the long modules

Cause: the home's lines had no request id and none told when a target was doubted; nodes said nothing of a new configuration, of targets and members that come and go. directNode, requestRun and homeSelector had grown long. The listener's functions stood twice; they are in base now. Ruled out: a line for each grant at the home, since the entry's line of the request already has target and belief. Before: 22 tests of these parts; after: 27, with a network that loses a third of its datagrams. No change in what is decided.

--- a/packages/node/src/http/node/listener.ts
+++ b/packages/base/src/http/node/listener.ts
@@ -1,7 +1,8 @@
 /** Opening and closing of HTTP servers on addresses from the settings. */
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { MuxError } from '../../error/common/muxError.js';
+import { ResultCode, RunState } from '../../result/common/resultCode.js';
 
 /** An IP number and a port. */
 export interface IEndpoint {
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -6,6 +6,7 @@
 export * from './error/common/muxError.js';
 export * from './event/common/event.js';
 export * from './hash/common/hasher.js';
+export * from './http/node/listener.js';
 export * from './invariant/common/invariantRegistry.js';
 export * from './lifecycle/common/disposable.js';
 export * from './lifecycle/common/joinedSignal.js';
--- /dev/null
+++ b/packages/dispatch/src/app/node/datagramRouter.ts
@@ -0,0 +1,57 @@
+/** Hands the messages of other nodes to the parts of this one. */
+import type { DirectoryService } from '../../directory/node/directoryService.js';
+import type { BeliefSharing } from '../../grants/common/beliefSharing.js';
+import type { DatagramBody } from '../../grants/common/datagramChannel.js';
+import type { GrantServer } from '../../grants/common/grantServer.js';
+import type { HomeSelector } from '../../grants/common/homeSelector.js';
+
+/** Parts of a node that take messages. */
+export interface IDatagramHandlers {
+  readonly selector: HomeSelector;
+  readonly server: GrantServer;
+  readonly service: DirectoryService;
+  readonly sharing: BeliefSharing;
+}
+
+/**
+ * Hands a message to the part that it is for.
+ *
+ * @example
+ * channel.setHandler((sender, body) => handleDatagram(handlers, sender, body));
+ */
+export function handleDatagram(
+  handlers: IDatagramHandlers,
+  sender: string,
+  body: DatagramBody,
+): void {
+  const { selector, server, service, sharing } = handlers;
+  switch (body.case) {
+    case 'ask':
+      server.handleAsk(sender, body.value);
+      break;
+    case 'decision':
+      selector.handleDecision(sender, body.value);
+      break;
+    case 'report':
+      server.handleReport(sender, body.value);
+      break;
+    case 'reportReceived':
+      selector.handleReportReceived(body.value.askId);
+      break;
+    case 'update':
+      service.handleUpdate(sender, body.value);
+      break;
+    case 'updateReceived':
+      service.handleUpdateReceived(sender);
+      break;
+    case 'leaving':
+      selector.handleLeaving(sender);
+      break;
+    case 'hello':
+      service.handleHello(sender);
+      break;
+    case 'beliefs':
+      sharing.handleBeliefs(body.value);
+      break;
+  }
+}
--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -1,12 +1,10 @@
 /** A node that dispatches directly: from start to exit. */
 import { randomInt } from 'node:crypto';
 import type { Server } from 'node:http';
-import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import type { Clock, Logger, RandomSource } from '@parsleymux/base';
-import { DisposableStore, toDisposable } from '@parsleymux/base';
+import { DisposableStore, endServer, listenOn, toDisposable } from '@parsleymux/base';
 import type { Header, TargetProtocol } from '@parsleymux/routing';
-import { HttpTargetTransport, parseTargetAddress } from '@parsleymux/routing';
+import { HttpTargetTransport } from '@parsleymux/routing';
 import { Registry, collectDefaultMetrics } from 'prom-client';
 import { DestinationPicker } from '../../catalog/common/destinationPicker.js';
 import type { Authority, IMember } from '../../directory/common/authority.js';
@@ -20,17 +18,17 @@
 import { RequestRunner } from '../../entry/common/requestRun.js';
 import { FrontServer } from '../../entry/node/frontServer.js';
 import { RequestLog } from '../../entry/node/requestLog.js';
-import type { DatagramBody } from '../../grants/common/datagramChannel.js';
 import { GrantServer } from '../../grants/common/grantServer.js';
 import { HomeSelector } from '../../grants/common/homeSelector.js';
 import { UdpChannel } from '../../grants/node/udpChannel.js';
 import { BeliefSharing } from '../../grants/common/beliefSharing.js';
 import { HomeService } from '../../home/common/homeService.js';
 import type { IServiceBounds } from '../../home/common/serviceBook.js';
+import { handleDatagram } from './datagramRouter.js';
+import { logDirectoryChanges } from './directoryLog.js';
+import { createMetricsServer, createReadyServer } from './statusServers.js';
 
 const MAX_INCARNATION = 0x7fff_ffff;
-const OK = 200;
-const UNAVAILABLE = 503;
 /**
  * From the signal on new connections still come for this long, in ms: the balancer asks every
  * second and takes a node out after two misses.
@@ -122,6 +120,7 @@
   /** Opens the ports and starts the loops; the node is ready once it knows a configuration. */
   async start(): Promise<void> {
     const { clock, log, random, settings } = this.options;
+    logDirectoryChanges(this.directory, log);
     const registry = new Registry();
     collectDefaultMetrics({ register: registry });
     const channel = this.store.add(await UdpChannel.open(settings.datagramAddress, log));
@@ -132,7 +131,10 @@
       this.directory.members,
     ] as unknown as FollowedTable<unknown>[];
     await this.listen(createStateServer(tables), settings.stateAddress);
-    await this.listen(this.createReadyServer(), settings.readyAddress);
+    await this.listen(
+      createReadyServer(() => this.isReady()),
+      settings.readyAddress,
+    );
     await this.listen(createMetricsServer(registry), settings.metricsAddress);
     const selector = new HomeSelector({
       channel,
@@ -151,7 +153,7 @@
         rankHomes: (service) => this.directory.rankHomes(service),
       }),
     );
-    const server = new GrantServer({ channel, homes, clock, log });
+    const server = new GrantServer({ channel, homes, clock });
     const self = this.makeMember(channel.address);
     const { authority } = this.options;
     const service = new DirectoryService({
@@ -210,7 +212,8 @@
   }
 
   private createHomes(): HomeService {
-    const homes = new HomeService({ clock: this.options.clock, ...toBounds(this.settings) });
+    const { clock, log } = this.options;
+    const homes = new HomeService({ clock, log, ...toBounds(this.settings) });
     this.homes = homes;
     const { targets } = this.directory;
     targets.onDidChange(() => {
@@ -252,11 +255,8 @@
     return front;
   }
 
-  private createReadyServer(): Server {
-    return createServer((_, response) => {
-      const isReady = !this.isStopping && this.directory.getCatalog() !== undefined;
-      response.writeHead(isReady ? OK : UNAVAILABLE, { 'content-length': '0' }).end();
-    });
+  private isReady(): boolean {
+    return !this.isStopping && this.directory.getCatalog() !== undefined;
   }
 
   private makeMember(address: string): IMember {
@@ -266,12 +266,7 @@
 
   private async listen(server: Server, address: string): Promise<void> {
     await listenOn(server, address);
-    this.store.add(
-      toDisposable(() => {
-        server.close();
-        server.closeAllConnections();
-      }),
-    );
+    this.store.add(toDisposable(() => endServer(server)));
   }
 }
 
@@ -282,66 +277,3 @@
     retries: { windowMs: retryWindowMs, ratio: retryRatio, burst: retryBurst },
   };
 }
-
-interface IDatagramHandlers {
-  readonly selector: HomeSelector;
-  readonly server: GrantServer;
-  readonly service: DirectoryService;
-  readonly sharing: BeliefSharing;
-}
-
-function handleDatagram(handlers: IDatagramHandlers, sender: string, body: DatagramBody): void {
-  const { selector, server, service, sharing } = handlers;
-  switch (body.case) {
-    case 'ask':
-      server.handleAsk(sender, body.value);
-      break;
-    case 'decision':
-      selector.handleDecision(sender, body.value);
-      break;
-    case 'report':
-      server.handleReport(sender, body.value);
-      break;
-    case 'reportReceived':
-      selector.handleReportReceived(body.value.askId);
-      break;
-    case 'update':
-      service.handleUpdate(sender, body.value);
-      break;
-    case 'updateReceived':
-      service.handleUpdateReceived(sender);
-      break;
-    case 'leaving':
-      selector.handleLeaving(sender);
-      break;
-    case 'hello':
-      service.handleHello(sender);
-      break;
-    case 'beliefs':
-      sharing.handleBeliefs(body.value);
-      break;
-  }
-}
-
-function createMetricsServer(registry: Registry): Server {
-  return createServer((_, response) => {
-    registry.metrics().then(
-      (text) => {
-        response.writeHead(OK, { 'content-type': registry.contentType }).end(text);
-      },
-      (error: unknown) => {
-        response.writeHead(UNAVAILABLE).end(String(error));
-      },
-    );
-  });
-}
-
-function listenOn(server: Server, address: string): Promise<AddressInfo> {
-  const { host, port } = parseTargetAddress(address);
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, () => {
-      resolve(server.address() as AddressInfo);
-    });
-  });
-}
--- /dev/null
+++ b/packages/dispatch/src/app/node/directoryLog.ts
@@ -0,0 +1,34 @@
+/** One line for each change of what a node believes of configuration, targets and members. */
+import type { Logger } from '@parsleymux/base';
+import type { ITargetRecord } from '../../catalog/common/catalog.js';
+import type { ITableChange } from '../../directory/common/authority.js';
+import type { NodeDirectory } from '../../directory/common/nodeDirectory.js';
+
+/**
+ * Writes the lines from now on.
+ *
+ * @example
+ * logDirectoryChanges(directory, log);
+ */
+export function logDirectoryChanges(directory: NodeDirectory, log: Logger): void {
+  const { catalog, members, targets } = directory;
+  directory.onDidChangeCatalog(({ routes, version }) => {
+    const ageMs = Math.round(catalog.getAgeMs());
+    log.info('configuration in force', { catalog: version, routes: routes.length, ageMs });
+  });
+  targets.onDidChange((changes) => {
+    const { version } = targets;
+    const ageMs = Math.round(targets.getAgeMs());
+    log.info('targets changed', { version, ageMs, targets: changes.map(formatTarget) });
+  });
+  members.onDidChange((changes) => {
+    const joined = changes.filter(({ value }) => value !== undefined).map(({ key }) => key);
+    const left = changes.filter(({ value }) => value === undefined).map(({ key }) => key);
+    log.info('members changed', { version: members.version, joined, left });
+  });
+}
+
+function formatTarget({ key, value }: ITableChange<ITargetRecord>): string {
+  if (value === undefined) return `${key} gone`;
+  return `${key} ${value.service} ${value.isDraining ? 'draining' : 'ready'}`;
+}
--- a/packages/dispatch/src/directory/common/followedTable.ts
+++ b/packages/dispatch/src/directory/common/followedTable.ts
@@ -32,12 +32,12 @@
   /** Changes after this version are all in `kept`. */
   private keptAfter = 0;
   private currentVersion: number | undefined;
-  private readonly changed = new Emitter<undefined>();
+  private readonly changed = new Emitter<readonly ITableChange<T>[]>();
   /** The copy is as of this moment or later, in ms of the monotonic clock. */
   freshMs = -Infinity;
 
-  /** Fires after any change of an entry. */
-  readonly onDidChange: Event<undefined> = this.changed.onDidFire;
+  /** Fires with the entries that changed. */
+  readonly onDidChange: Event<readonly ITableChange<T>[]> = this.changed.onDidFire;
 
   constructor(private readonly options: IFollowedTableOptions<T>) {}
 
@@ -107,7 +107,7 @@
       this.setEntry(change);
       this.kept.push({ ...change, version, atMs });
     }
-    if (real.length > 0) this.changed.fire(undefined);
+    if (real.length > 0) this.changed.fire(real);
   }
 
   private isChange({ key, value }: ITableChange<T>): boolean {
--- /dev/null
+++ b/packages/dispatch/src/entry/common/cancellableAttempt.ts
@@ -0,0 +1,41 @@
+/** One attempt of a request that may have several at a time. */
+import { JoinedSignal } from '@parsleymux/base';
+import type { GrantOutcome } from '../../grants/common/grant.js';
+
+/**
+ * Can be given up while the request goes on.
+ *
+ * @example
+ * const attempt = new CancellableAttempt(requestSignal);
+ * attempt.cancel(GrantOutcome.Abandoned);
+ */
+export class CancellableAttempt {
+  private isDone = false;
+  /** What the home is told when the attempt was cancelled. */
+  cancelOutcome: GrantOutcome | undefined;
+  private readonly controller = new AbortController();
+  private readonly joined: JoinedSignal;
+
+  constructor(requestSignal: AbortSignal) {
+    this.joined = new JoinedSignal([requestSignal, this.controller.signal]);
+  }
+
+  get signal(): AbortSignal {
+    return this.joined.signal;
+  }
+
+  hasEnded(): boolean {
+    return this.isDone;
+  }
+
+  end(): void {
+    this.isDone = true;
+    this.joined.dispose();
+  }
+
+  cancel(outcome: GrantOutcome): void {
+    if (this.isDone) return;
+    this.cancelOutcome = outcome;
+    this.controller.abort();
+  }
+}
--- a/packages/dispatch/src/entry/common/requestRun.ts
+++ b/packages/dispatch/src/entry/common/requestRun.ts
@@ -1,11 +1,13 @@
 /** One request from its first attempt to its final answer. */
 import type { Clock } from '@parsleymux/base';
-import { JoinedSignal, ResultCode, RunState, getResultInfo } from '@parsleymux/base';
+import { ResultCode, RunState } from '@parsleymux/base';
 import type { Header, ITargetAnswer, TargetTransport } from '@parsleymux/routing';
 import { GrantOutcome } from '../../grants/common/grant.js';
 import type { IGrant, Selection, TargetSelector } from '../../grants/common/targetSelector.js';
 import type { AnswerCheck, IAttemptResult } from './attemptOutcome.js';
 import { decideAnswerOutcome, decideFailureOutcome } from './attemptOutcome.js';
+import { CancellableAttempt } from './cancellableAttempt.js';
+import { makeOwnAnswer, makeTargetAnswer } from './entryAnswer.js';
 import type { IAttemptRecord, IEntryAnswer, IEntryRequest } from './entryRequest.js';
 import type { PathHealth } from './pathHealth.js';
 
@@ -18,6 +20,8 @@
  * an answer within the objective is then still likely, and few requests usually take so long.
  */
 const PATIENCE_SHARE = 0.6;
+/** When to come back after a request that no target took, in ms: about one request's work. */
+const DEFAULT_RETRY_MS = 250;
 /** The target is told to stop this much sooner, in ms, so that its own last word still arrives. */
 const TARGET_MARGIN_MS = 20;
 
@@ -33,38 +37,6 @@
   readonly listTargetHeaders: (targetId: string) => readonly Header[];
 }
 
-/** One attempt that can be given up while the request goes on. */
-class CancellableAttempt {
-  private isDone = false;
-  /** What the home is told when the attempt was cancelled. */
-  cancelOutcome: GrantOutcome | undefined;
-  private readonly controller = new AbortController();
-  private readonly joined: JoinedSignal;
-
-  constructor(requestSignal: AbortSignal) {
-    this.joined = new JoinedSignal([requestSignal, this.controller.signal]);
-  }
-
-  get signal(): AbortSignal {
-    return this.joined.signal;
-  }
-
-  hasEnded(): boolean {
-    return this.isDone;
-  }
-
-  end(): void {
-    this.isDone = true;
-    this.joined.dispose();
-  }
-
-  cancel(outcome: GrantOutcome): void {
-    if (this.isDone) return;
-    this.cancelOutcome = outcome;
-    this.controller.abort();
-  }
-}
-
 type Refusal = Extract<Selection, { kind: 'refused' }>;
 
 interface IRunState {
@@ -105,7 +77,7 @@
       const result = await this.tryWithHedge(request, selection.grant, state, signal);
       signal.throwIfAborted();
       if (result.outcome === GrantOutcome.Succeeded && result.answer !== undefined) {
-        return makeAnswer(result.answer, state);
+        return makeTargetAnswer(result.answer, state.attempts);
       }
     }
     return this.makeFailure(request, state);
@@ -165,6 +137,7 @@
     const { route, service } = request;
     return this.options.selector.choose(
       {
+        requestId: request.id,
         service,
         failureDomain: this.options.failureDomain,
         attempt: state.sent + running.length + 1,
@@ -244,19 +217,27 @@
   }
 
   private makeRefusal(state: IRunState, refusal: Refusal): IEntryAnswer {
-    if (state.lastAnswer !== undefined) return makeAnswer(state.lastAnswer, state);
-    if (state.mayHaveRun) return makeOwn(ResultCode.TargetFailed, RunState.MayHaveRun, state);
-    return makeOwn(refusal.code, RunState.NotRun, state, refusal.retryAfterMs);
+    if (state.lastAnswer !== undefined) return makeTargetAnswer(state.lastAnswer, state.attempts);
+    const { attempts } = state;
+    if (state.mayHaveRun) {
+      const code = ResultCode.TargetFailed;
+      return makeOwnAnswer({ code, runState: RunState.MayHaveRun, attempts });
+    }
+    const { code, retryAfterMs } = refusal;
+    return makeOwnAnswer({ code, runState: RunState.NotRun, attempts, retryAfterMs });
   }
 
   private makeFailure(request: IEntryRequest, state: IRunState): IEntryAnswer {
-    if (state.lastAnswer !== undefined) return makeAnswer(state.lastAnswer, state);
+    const { attempts } = state;
+    if (state.lastAnswer !== undefined) return makeTargetAnswer(state.lastAnswer, state.attempts);
     if (!state.mayHaveRun) {
-      return makeOwn(ResultCode.TargetShed, RunState.NotRun, state, DEFAULT_RETRY_MS);
+      const retryAfterMs = DEFAULT_RETRY_MS;
+      const code = ResultCode.TargetShed;
+      return makeOwnAnswer({ code, runState: RunState.NotRun, attempts, retryAfterMs });
     }
     const isLate = this.getRemainingMs(request) <= 0 || state.lastOutcome === GrantOutcome.TimedOut;
     const code = isLate ? ResultCode.TargetTimeout : ResultCode.TargetFailed;
-    return makeOwn(code, RunState.MayHaveRun, state);
+    return makeOwnAnswer({ code, runState: RunState.MayHaveRun, attempts });
   }
 }
 
@@ -273,48 +254,3 @@
       .then(resolve, reject);
   });
 }
-
-/** When to come back after a request that no target took, in ms: about one request's work. */
-const DEFAULT_RETRY_MS = 250;
-const NO_BODY = new Uint8Array();
-
-function makeAnswer(answer: ITargetAnswer, state: IRunState): IEntryAnswer {
-  if (!(answer.body instanceof Uint8Array)) throw new TypeError('answers are held until whole');
-  return {
-    status: answer.status,
-    headers: answer.headers,
-    body: answer.body,
-    code: ResultCode.Ok,
-    runState: RunState.Ran,
-    attempts: state.attempts,
-  };
-}
-
-function makeOwn(
-  code: ResultCode,
-  runState: RunState,
-  state: Pick<IRunState, 'attempts'>,
-  retryAfterMs?: number,
-): IEntryAnswer {
-  const headers: Header[] = [['parsleymux-result', String(code)]];
-  headers.push(['parsleymux-run-state', runState]);
-  if (retryAfterMs !== undefined) headers.push(['retry-after', (retryAfterMs / 1000).toFixed(2)]);
-  return {
-    status: getResultInfo(code).httpStatus,
-    headers,
-    body: NO_BODY,
-    code,
-    runState,
-    attempts: state.attempts,
-  };
-}
-
-/**
- * The answer to a request that is refused before any target was asked for.
- *
- * @example
- * const answer = makeEntryRefusal(ResultCode.UnknownRoute);
- */
-export function makeEntryRefusal(code: ResultCode, retryAfterMs?: number): IEntryAnswer {
-  return makeOwn(code, RunState.NotRun, { attempts: [] }, retryAfterMs);
-}
--- a/packages/dispatch/src/entry/node/frontServer.ts
+++ b/packages/dispatch/src/entry/node/frontServer.ts
@@ -12,8 +12,9 @@
 import type { CallerProtocol } from '../common/callerProtocol.js';
 import type { IEntryAnswer, IEntryRequest } from '../common/entryRequest.js';
 import type { RequestRunner } from '../common/requestRun.js';
-import { makeEntryRefusal } from '../common/requestRun.js';
+import { makeEntryRefusal } from '../common/entryAnswer.js';
 import { CallerConnections } from './callerConnections.js';
+import { refuseMalformed } from './malformedRequest.js';
 import type { RequestLog } from './requestLog.js';
 import { readBody } from './requestBody.js';
 
@@ -27,7 +28,7 @@
 const IDLE_MARGIN_MS = 2000;
 /** Until a configuration sets it, in ms. */
 const INITIAL_IDLE_MS = 15_000;
-const MIN_HTTP_MESSAGE_STATUS = 400;
+const INTERNAL_ERROR = 500;
 
 /** Options of a {@link FrontServer}. */
 export interface IFrontServerOptions {
@@ -66,7 +67,8 @@
       this.connections.add(socket);
     });
     this.server.on('clientError', (error, socket) => {
-      if (socket instanceof Socket) this.refuseMalformed(error, socket);
+      options.log.warn('malformed request', { reason: error.message });
+      if (socket instanceof Socket) refuseMalformed(error, socket, this.connections);
     });
     options.directory.onDidChangeCatalog(({ limits }) => {
       this.server.headersTimeout = limits.headerTimeoutMs;
@@ -210,29 +212,13 @@
       response.destroy();
       return;
     }
-    response.writeHead(500, { 'content-length': '0' }).end();
+    response.writeHead(INTERNAL_ERROR, { 'content-length': '0' }).end();
   }
 
   private describe(request: IncomingMessage): { readonly id: string; readonly path: string } {
     const id = this.options.callers.getRequestId(request.headers) ?? '';
     return { id, path: `${request.headers.host ?? ''}${request.url ?? ''}` };
   }
-
-  private refuseMalformed(error: Error, socket: Socket): void {
-    const { code } = error as { readonly code?: string };
-    this.options.log.warn('malformed request', { code, reason: error.message });
-    const status =
-      code === 'HPE_HEADER_OVERFLOW'
-        ? 431
-        : code === 'ERR_HTTP_REQUEST_TIMEOUT'
-          ? 408
-          : MIN_HTTP_MESSAGE_STATUS;
-    // While a request of this connection waits for its answer, this one would be taken for it.
-    const isQuiet = this.connections.isIdle(socket) && socket.writable && code !== 'ECONNRESET';
-    if (isQuiet)
-      socket.end(`HTTP/1.1 ${status} Refused\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
-    else socket.destroy();
-  }
 }
 
 function refuse(code: ResultCode, retryAfterMs?: number): Routed {
--- a/packages/dispatch/src/grants/common/grant.ts
+++ b/packages/dispatch/src/grants/common/grant.ts
@@ -25,6 +25,8 @@
 
 /** What is asked for. */
 export interface IGrantRequest {
+  /** The caller's identifier of the request, for logs. */
+  readonly requestId: string;
   readonly service: string;
   /** Failure domain of the entry. */
   readonly failureDomain: string;
--- a/packages/dispatch/src/grants/common/grantMessages.ts
+++ b/packages/dispatch/src/grants/common/grantMessages.ts
@@ -43,6 +43,7 @@
   return create(AskSchema, {
     id,
     incarnation,
+    requestId: request.requestId,
     service: request.service,
     failureDomain: request.failureDomain,
     attempt: request.attempt,
@@ -58,6 +59,7 @@
 /** The request that an entry asks for. */
 export function decodeAsk(ask: Ask): IGrantRequest {
   return {
+    requestId: ask.requestId,
     service: ask.service,
     failureDomain: ask.failureDomain,
     attempt: ask.attempt,
--- a/packages/dispatch/src/grants/common/grantServer.ts
+++ b/packages/dispatch/src/grants/common/grantServer.ts
@@ -1,6 +1,6 @@
 /** The home's side of asking: answers questions of other nodes, once each however often they arrive. */
 import { create } from '@bufbuild/protobuf';
-import type { Clock, Logger } from '@parsleymux/base';
+import type { Clock } from '@parsleymux/base';
 import type { Ask, Report } from '@parsleymux/schema';
 import { ReportReceivedSchema } from '@parsleymux/schema';
 import type { HomeService } from '../../home/common/homeService.js';
@@ -19,7 +19,6 @@
   readonly channel: DatagramChannel;
   readonly homes: HomeService;
   readonly clock: Clock;
-  readonly log: Logger;
 }
 
 interface IRemembered {
@@ -51,7 +50,6 @@
     const book = this.options.homes.getBook(ask.service);
     const ticket = book.requestGrant(decodeAsk(ask), sender, (decision) => {
       this.sendDecision(sender, ask.id, decision);
-      this.logDecision(sender, ask, decision);
     });
     this.remembered.set(key, { book, ticket, isReported: false });
     if (ticket.decision === undefined) this.sendDecision(sender, ask.id, undefined);
@@ -72,16 +70,6 @@
     this.options.channel.send(sender, { case: 'decision', value });
   }
 
-  private logDecision(sender: string, ask: Ask, decision: GrantDecision): void {
-    if (decision.kind === 'granted') return;
-    this.options.log.info('grant refused', {
-      entry: sender,
-      ask: String(ask.id),
-      service: ask.service,
-      result: decision.code,
-    });
-  }
-
   private clearOld(): void {
     this.asked += 1;
     if (this.asked % PURGE_EVERY !== 0) return;
--- /dev/null
+++ b/packages/dispatch/src/grants/common/homeSelector.test.ts
@@ -0,0 +1,170 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ManualClock, SeededRandom, createSilentLogger } from '@parsleymux/base';
+import { HomeService } from '../../home/common/homeService.js';
+import { makeGrantRequest, makeTarget } from '../../test/builders.js';
+import type { DatagramBody } from './datagramChannel.js';
+import { DatagramChannel } from './datagramChannel.js';
+import { GrantOutcome } from './grant.js';
+import { GrantServer } from './grantServer.js';
+import { HomeSelector } from './homeSelector.js';
+import type { Selection } from './targetSelector.js';
+
+const DELAY_MS = 1;
+const TARGET = makeTarget('t1', { slots: 2 });
+
+/** Carries datagrams between nodes in memory, and loses some. */
+class LossyNetwork {
+  readonly handlers = new Map<string, (sender: string, body: DatagramBody) => void>();
+  readonly random = new SeededRandom(3);
+  lossShare = 0;
+
+  constructor(readonly clock: ManualClock) {}
+
+  open(address: string): DatagramChannel {
+    return new MemoryChannel(address, this);
+  }
+}
+
+class MemoryChannel extends DatagramChannel {
+  constructor(
+    override readonly address: string,
+    private readonly network: LossyNetwork,
+  ) {
+    super();
+  }
+
+  override send(address: string, body: DatagramBody): void {
+    if (this.network.random.getFloat() < this.network.lossShare) return;
+    this.network.clock.startTimer(DELAY_MS, () => {
+      this.network.handlers.get(address)?.(this.address, body);
+    });
+  }
+
+  override setHandler(handler: (sender: string, body: DatagramBody) => void): void {
+    this.network.handlers.set(this.address, handler);
+  }
+
+  override dispose(): void {
+    this.network.handlers.delete(this.address);
+  }
+}
+
+class Node {
+  readonly homes: HomeService;
+  readonly selector: HomeSelector;
+  readonly channel: DatagramChannel;
+
+  constructor(network: LossyNetwork, address: string, ranking: readonly string[]) {
+    const { clock } = network;
+    const log = createSilentLogger();
+    const retries = { windowMs: 10_000, ratio: 0.2, burst: 50 };
+    this.homes = new HomeService({ clock, log, retries, floorShare: 0.7 });
+    this.homes.setTargets([TARGET]);
+    this.channel = network.open(address);
+    this.selector = new HomeSelector({
+      channel: this.channel,
+      homes: this.homes,
+      clock,
+      log,
+      incarnation: 1,
+      rankHomes: () => ranking,
+      findTarget: (id) => (id === TARGET.id ? TARGET : undefined),
+    });
+    const server = new GrantServer({ channel: this.channel, homes: this.homes, clock });
+    this.channel.setHandler((sender, body) => {
+      if (body.case === 'ask') server.handleAsk(sender, body.value);
+      if (body.case === 'report') server.handleReport(sender, body.value);
+      if (body.case === 'decision') this.selector.handleDecision(sender, body.value);
+      if (body.case === 'reportReceived') this.selector.handleReportReceived(body.value.askId);
+    });
+  }
+
+  getInUse(): number {
+    return this.homes.getBook('booking').listTargets()[0]?.inUse ?? 0;
+  }
+}
+
+const RANKING = ['home', 'second', 'third'];
+const { signal } = new AbortController();
+
+function openNodes(): { network: LossyNetwork; entry: Node; home: Node; second: Node } {
+  const network = new LossyNetwork(new ManualClock());
+  const home = new Node(network, 'home', RANKING);
+  const second = new Node(network, 'second', RANKING);
+  const entry = new Node(network, 'entry', RANKING);
+  return { network, entry, home, second };
+}
+
+function getHome(selection: Selection): string {
+  return selection.kind === 'granted' ? selection.grant.home : selection.home;
+}
+
+test('the home grants, and its slot is free again after the report', async () => {
+  const { entry, home, network } = openNodes();
+  const asked = entry.selector.choose(makeGrantRequest(), signal);
+  await network.clock.advanceBy(10);
+  const selection = await asked;
+  assert.ok(selection.kind === 'granted');
+  assert.equal(home.getInUse(), 1);
+  selection.grant.report(GrantOutcome.Succeeded, 5);
+  await network.clock.advanceBy(10);
+  assert.equal(home.getInUse(), 0);
+});
+
+test('a lost third of all datagrams loses no request and no slot', async () => {
+  const { entry, home, network } = openNodes();
+  network.lossShare = 0.33;
+  for (let index = 0; index < 30; index += 1) {
+    const asked = entry.selector.choose(makeGrantRequest(), signal);
+    await network.clock.advanceBy(400);
+    const selection = await asked;
+    assert.ok(selection.kind === 'granted');
+    selection.grant.report(GrantOutcome.Succeeded, 5);
+    await network.clock.advanceBy(1500);
+  }
+  await network.clock.advanceBy(5000);
+  home.homes.getBook('booking').advance();
+  assert.equal(home.getInUse(), 0);
+});
+
+test('a silent home is passed over, then asked again', async () => {
+  // Symptom: every request waits for a node that has died. Sequence: the home of a service loses
+  // power. Cause: each question waited for it anew.
+  const { entry, home, network } = openNodes();
+  void home.channel.dispose();
+  const first = entry.selector.choose(makeGrantRequest(), signal);
+  await network.clock.advanceBy(60);
+  assert.equal(getHome(await first), 'second');
+  const next = entry.selector.choose(makeGrantRequest(), signal);
+  await network.clock.advanceBy(10);
+  assert.equal(getHome(await next), 'second');
+});
+
+test('with no home to be heard, the entry decides alone', async () => {
+  const { entry, home, network, second } = openNodes();
+  void home.channel.dispose();
+  void second.channel.dispose();
+  const asked = entry.selector.choose(makeGrantRequest(), signal);
+  await network.clock.advanceBy(200);
+  assert.equal(getHome(await asked), 'entry');
+});
+
+test('a request that waits in the queue is granted when a slot gets free, or withdrawn', async () => {
+  const { entry, home, network } = openNodes();
+  const held = [1, 2].map(() => entry.selector.choose(makeGrantRequest(), signal));
+  await network.clock.advanceBy(10);
+  const leaving = new AbortController();
+  const withdrawn = entry.selector.choose(makeGrantRequest(), leaving.signal);
+  const waiting = entry.selector.choose(makeGrantRequest(), signal);
+  await network.clock.advanceBy(400);
+  assert.equal(home.homes.getBook('booking').queueLength, 2);
+  leaving.abort(new Error('the caller left'));
+  await assert.rejects(withdrawn, /the caller left/);
+  const first = await held[0]!;
+  assert.ok(first.kind === 'granted');
+  first.grant.report(GrantOutcome.Succeeded, 5);
+  await network.clock.advanceBy(50);
+  assert.equal((await waiting).kind, 'granted');
+  assert.equal(home.homes.getBook('booking').queueLength, 0);
+});
--- a/packages/dispatch/src/grants/common/homeSelector.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.ts
@@ -10,18 +10,10 @@
 import type { GrantOutcome, IGrantRequest } from './grant.js';
 import { decodeSuspicion, encodeAsk, encodeOutcome } from './grantMessages.js';
 import { HomeHealth } from './homeHealth.js';
+import { HomeQuestion } from './homeQuestion.js';
 import type { IGrant, Selection } from './targetSelector.js';
 import { TargetSelector } from './targetSelector.js';
 
-/**
- * A question is repeated when no answer came in this time, in ms: about ten round trips between
- * failure domains of a region, and more than a busy home needs to get to it.
- */
-const REPEAT_MS = 25;
-/** Times that a question is sent to one home before it counts as silent. */
-const SENDS_PER_HOME = 2;
-/** A question that a home has queued is repeated this often, in case the decision was lost, in ms. */
-const QUEUED_REPEAT_MS = 150;
 /** Homes that are asked before this node decides alone. */
 const HOMES_ASKED = 2;
 /** Waits between the sends of a report that nobody confirmed, in ms. */
@@ -40,9 +32,9 @@
   readonly findTarget: (id: string) => ITargetRecord | undefined;
 }
 
-interface IPendingAsk {
+interface IPendingQuestion {
   readonly home: string;
-  readonly onDecision: (decision: Decision) => void;
+  readonly question: HomeQuestion;
 }
 
 /** What one home said; undefined when it stayed silent. */
@@ -56,7 +48,7 @@
  * const selection = await selector.choose(request, signal);
  */
 export class HomeSelector extends TargetSelector {
-  private readonly pending = new Map<bigint, IPendingAsk>();
+  private readonly pending = new Map<bigint, IPendingQuestion>();
   private readonly unconfirmed = new Map<bigint, IDisposable>();
   private readonly health: HomeHealth;
   private nextId = 1n;
@@ -88,7 +80,9 @@
   /** Takes a decision that arrived. */
   handleDecision(sender: string, decision: Decision): void {
     const pending = this.pending.get(decision.askId);
-    if (pending?.home === sender) pending.onDecision(decision);
+    if (pending?.home !== sender) return;
+    this.health.recordAnswer(sender);
+    pending.question.handleDecision(decision);
   }
 
   handleReportReceived(askId: bigint): void {
@@ -102,65 +96,30 @@
   }
 
   /** Resolves with undefined when the home stays silent; rejects when `signal` aborts. */
-  private requestGrant(
+  private async requestGrant(
     home: string,
     request: IGrantRequest,
     signal: AbortSignal,
   ): Promise<HomeAnswer> {
-    const { clock } = this.options;
+    const { channel, clock, incarnation } = this.options;
     const id = this.nextId++;
-    const startMs = clock.getMonotonicTime();
-    return new Promise((resolve, reject) => {
-      let timer: IDisposable | undefined;
-      let sends = 0;
-      let isQueued = false;
-      const finish = () => {
-        void timer?.dispose();
-        this.pending.delete(id);
-        signal.removeEventListener('abort', onAbort);
-      };
-      const onAbort = () => {
-        finish();
-        // The home may have granted already, or will when a slot gets free.
-        this.sendReport(home, id, request, undefined, 'abandoned', 0);
-        reject(toError(signal.reason));
-      };
-      const send = () => {
-        if (sends >= SENDS_PER_HOME && !isQueued) {
-          finish();
-          this.sendReport(home, id, request, undefined, 'abandoned', 0);
-          resolve(undefined);
-          return;
-        }
-        sends += 1;
-        const elapsedMs = clock.getMonotonicTime() - startMs;
+    const question = new HomeQuestion({
+      clock,
+      signal,
+      send: (elapsedMs) => {
         const remaining = { ...request, remainingMs: request.remainingMs - elapsedMs };
-        const value = encodeAsk(remaining, id, this.options.incarnation);
-        this.options.channel.send(home, { case: 'ask', value });
-        // A queued question that gets no word twice in a row belongs to a home that has died.
-        isQueued = false;
-        timer = clock.startTimer(sends > 2 ? QUEUED_REPEAT_MS : REPEAT_MS, send);
-      };
-      const onDecision = (decision: Decision) => {
-        this.health.recordAnswer(home);
-        if (decision.kind === DecisionKind.QUEUED) {
-          isQueued = true;
-          sends = Math.max(sends, SENDS_PER_HOME);
-          void timer?.dispose();
-          timer = clock.startTimer(QUEUED_REPEAT_MS, send);
-          return;
-        }
-        finish();
-        resolve(this.toSelection(home, id, request, decision));
-      };
-      if (signal.aborted) {
-        reject(toError(signal.reason));
-        return;
-      }
-      signal.addEventListener('abort', onAbort, { once: true });
-      this.pending.set(id, { home, onDecision });
-      send();
+        channel.send(home, { case: 'ask', value: encodeAsk(remaining, id, incarnation) });
+      },
     });
+    this.pending.set(id, { home, question });
+    const decision = await question.run().finally(() => this.pending.delete(id));
+    if (decision === undefined) {
+      // The home may have granted already, or will when a slot gets free.
+      this.sendReport(home, id, request, undefined, 'abandoned', 0);
+      signal.throwIfAborted();
+      return undefined;
+    }
+    return this.toSelection(home, id, request, decision);
   }
 
   private toSelection(
--- a/packages/dispatch/src/home/common/homeService.ts
+++ b/packages/dispatch/src/home/common/homeService.ts
@@ -1,5 +1,5 @@
 /** The books of all services that this node is asked for. */
-import type { Clock, IDisposable } from '@parsleymux/base';
+import type { Clock, IDisposable, Logger } from '@parsleymux/base';
 import type { ITargetRecord } from '../../catalog/common/catalog.js';
 import type { IServiceBounds } from './serviceBook.js';
 import { ServiceBook } from './serviceBook.js';
@@ -10,6 +10,7 @@
 /** Options of a {@link HomeService}. */
 export interface IHomeServiceOptions extends IServiceBounds {
   readonly clock: Clock;
+  readonly log: Logger;
 }
 
 /**
--- a/packages/dispatch/src/home/common/serviceBook.test.ts
+++ b/packages/dispatch/src/home/common/serviceBook.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ManualClock, ResultCode } from '@parsleymux/base';
+import { ManualClock, ResultCode, createSilentLogger } from '@parsleymux/base';
 import type { GrantDecision, IGrantRequest } from '../../grants/common/grant.js';
 import { GrantOutcome } from '../../grants/common/grant.js';
 import { makeGrantRequest, makeTarget } from '../../test/builders.js';
@@ -15,6 +15,7 @@
   readonly book = new ServiceBook({
     service: 'booking',
     clock: this.clock,
+    log: createSilentLogger(),
     floorShare: 0.7,
     retries: { windowMs: 10_000, ratio: 0.2, burst: 10 },
   });
--- a/packages/dispatch/src/home/common/serviceBook.ts
+++ b/packages/dispatch/src/home/common/serviceBook.ts
@@ -1,5 +1,5 @@
 /** The home of one service: grants targets, queues requests while none is free, learns from reports. */
-import type { Clock } from '@parsleymux/base';
+import type { Clock, Logger } from '@parsleymux/base';
 import { ResultCode } from '@parsleymux/base';
 import type { ITargetRecord } from '../../catalog/common/catalog.js';
 import type { GrantDecision, IGrantRequest } from '../../grants/common/grant.js';
@@ -9,6 +9,7 @@
 import { GrantQueue } from './grantQueue.js';
 import type { IRetryWindowOptions } from './retryWindow.js';
 import { RetryWindow } from './retryWindow.js';
+import { ServiceLog } from './serviceLog.js';
 import { ServedWindow } from './servedWindow.js';
 import type { ITargetEvidence } from './targetBelief.js';
 import { TargetPicker } from './targetPicker.js';
@@ -39,6 +40,7 @@
 export interface IServiceBookOptions extends IServiceBounds {
   readonly service: string;
   readonly clock: Clock;
+  readonly log: Logger;
   readonly picker?: TargetPicker;
 }
 
@@ -79,6 +81,7 @@
  * book.recordOutcome(ticket, GrantOutcome.Succeeded, 240);
  */
 export class ServiceBook {
+  private readonly serviceLog: ServiceLog;
   private bounds: IServiceBounds;
   private readonly clock: Clock;
   private readonly model = new FailureModel();
@@ -93,6 +96,7 @@
   private meanLatencyMs: number | undefined;
 
   constructor(options: IServiceBookOptions) {
+    this.serviceLog = new ServiceLog(options);
     this.bounds = options;
     this.clock = options.clock;
     this.startMs = options.clock.getMonotonicTime();
@@ -140,9 +144,12 @@
   recordOutcome(ticket: ITicket, outcome: GrantOutcome, latencyMs: number): void {
     if (!(ticket instanceof Ticket)) return;
     this.queue.remove(ticket);
-    if (!this.open.delete(ticket) || ticket.target === undefined) return;
-    ticket.target.inUse -= 1;
-    this.updateBelief(ticket, ticket.target, outcome, latencyMs);
+    const { target } = ticket;
+    if (!this.open.delete(ticket) || target === undefined) return;
+    target.inUse -= 1;
+    this.serviceLog.watchBelief(ticket, target, outcome, () => {
+      this.updateBelief(ticket, target, outcome, latencyMs);
+    });
     this.serveQueue();
   }
 
@@ -215,6 +222,12 @@
       code === ResultCode.NoTarget ? NO_TARGET_RETRY_MS : this.estimateWaitMs(ticket.request);
     const retryAfterMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, Math.ceil(waitMs)));
     this.served.record(false, this.clock.getMonotonicTime());
+    this.serviceLog.logRefusal(ticket, [...this.targets.values()], {
+      code,
+      retryAfterMs,
+      queue: this.queue.size,
+      retriesUsed: this.retryWindow.getUsedShare(this.clock.getMonotonicTime()),
+    });
     ticket.decision = { kind: 'refused', code, retryAfterMs };
     ticket.respond(ticket.decision);
   }
@@ -305,6 +318,10 @@
     if (!isOverdue || ticket.isOverdue) return;
     // Targets that hang tell nothing until the deadline; by then many more requests hang there.
     ticket.isOverdue = true;
-    ticket.target?.belief.recordFailure(nowMs);
+    const { target } = ticket;
+    if (target === undefined) return;
+    this.serviceLog.watchBelief(ticket, target, 'overdue', () => {
+      target.belief.recordFailure(nowMs);
+    });
   }
 }
--- /dev/null
+++ b/packages/dispatch/src/home/common/serviceLog.ts
@@ -0,0 +1,98 @@
+/** The home's log lines: refusals, and changes of what it believes of a target. */
+import type { Clock, Logger, ResultCode } from '@parsleymux/base';
+import { getResultInfo } from '@parsleymux/base';
+import type { IGrantRequest } from '../../grants/common/grant.js';
+import type { BookedTarget } from './bookedTarget.js';
+
+const SHARE_PLACES = 1000;
+
+/** Options of a {@link ServiceLog}. */
+export interface IServiceLogOptions {
+  readonly service: string;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+/** The request that a line speaks of. */
+export interface ILoggedTicket {
+  readonly request: IGrantRequest;
+  /** Node that asked. */
+  readonly node: string;
+  readonly askedMs: number;
+}
+
+/** What a refusal rests on. */
+export interface IRefusalFacts {
+  readonly code: ResultCode;
+  readonly retryAfterMs: number;
+  readonly queue: number;
+  /** Share of the retry allowance that is used up. */
+  readonly retriesUsed: number;
+}
+
+/**
+ * Writes lines that carry the request's identifier, so that they can be found from a complaint.
+ *
+ * @example
+ * serviceLog.watchBelief(ticket, target, 'failed', () => target.belief.recordFailure(now));
+ */
+export class ServiceLog {
+  constructor(private readonly options: IServiceLogOptions) {}
+
+  /** Makes a change and writes a line if the target is doubted, or trusted again, because of it. */
+  watchBelief(
+    ticket: ILoggedTicket,
+    target: BookedTarget,
+    cause: string,
+    change: () => void,
+  ): void {
+    const { belief } = target;
+    const nowMs = this.options.clock.getMonotonicTime();
+    const before = belief.getSuspicion(nowMs);
+    const wasFailing = belief.isFailing(nowMs);
+    const { lastSuccessMs } = belief;
+    change();
+    if (belief.isFailing(nowMs) === wasFailing) return;
+    this.options.log.info(wasFailing ? 'target trusted' : 'target doubted', {
+      request: ticket.request.requestId,
+      entry: ticket.node,
+      service: this.options.service,
+      target: target.record.id,
+      cause,
+      suspicionBefore: toPlaces(before),
+      suspicion: toPlaces(belief.getSuspicion(nowMs)),
+      lastSuccessAgeMs: lastSuccessMs === undefined ? null : Math.round(nowMs - lastSuccessMs),
+    });
+  }
+
+  logRefusal(
+    ticket: ILoggedTicket,
+    targets: readonly BookedTarget[],
+    { code, queue, retriesUsed, retryAfterMs }: IRefusalFacts,
+  ): void {
+    const { request } = ticket;
+    const nowMs = this.options.clock.getMonotonicTime();
+    const waitedMs = nowMs - ticket.askedMs;
+    const ready = targets.filter(({ isReady }) => isReady);
+    this.options.log.warn('grant refused', {
+      request: request.requestId,
+      entry: ticket.node,
+      service: this.options.service,
+      result: getResultInfo(code).name,
+      attempt: request.attempt,
+      waitedMs: Math.round(waitedMs),
+      remainingMs: Math.round(request.remainingMs - waitedMs),
+      retryAfterMs,
+      queue,
+      targets: targets.length,
+      ready: ready.length,
+      free: ready.filter((target) => target.hasFreeSlot(nowMs)).length,
+      retriesUsed: toPlaces(retriesUsed),
+    });
+  }
+}
+
+/** Shares in logs, to three places. */
+function toPlaces(share: number): number {
+  return Math.round(share * SHARE_PLACES) / SHARE_PLACES;
+}
--- a/packages/dispatch/src/test/builders.ts
+++ b/packages/dispatch/src/test/builders.ts
@@ -17,6 +17,7 @@
 
 export function makeGrantRequest(fields: Partial<IGrantRequest> = {}): IGrantRequest {
   return {
+    requestId: 'q1',
     service: 'booking',
     failureDomain: 'north',
     attempt: 1,
--- a/packages/dispatch/src/test/grayFleet.ts
+++ b/packages/dispatch/src/test/grayFleet.ts
@@ -1,5 +1,5 @@
 /** A service whose targets turn gray and recover, on simulated time, before one home. */
-import { ManualClock, SeededRandom } from '@parsleymux/base';
+import { ManualClock, SeededRandom, createSilentLogger } from '@parsleymux/base';
 import type { RandomSource } from '@parsleymux/base';
 import type { GrantDecision } from '../grants/common/grant.js';
 import { GrantOutcome } from '../grants/common/grant.js';
@@ -60,6 +60,7 @@
     this.book = new ServiceBook({
       service: 'booking',
       clock: this.clock,
+      log: createSilentLogger(),
       floorShare: 0.7,
       retries: { windowMs: 10_000, ratio: 0.2, burst: 60 },
       ...(options.picker === undefined ? {} : { picker: options.picker }),
--- a/packages/node/src/admin/node/adminServer.ts
+++ b/packages/node/src/admin/node/adminServer.ts
@@ -1,4 +1,5 @@
 /** The port of the administration API. */
+import { endServer, listenOn } from '@parsleymux/base';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { IDisposable } from '@parsleymux/base';
 import type { AdminApi } from '@parsleymux/operators';
@@ -7,7 +8,6 @@
 import { CallerConnections } from '../../entry/node/callerConnections.js';
 import { writeRefusal } from '../../entry/node/refusalWriter.js';
 import { toMuxError } from '../../http/common/refusal.js';
-import { endServer, listenOn } from '../../http/node/listener.js';
 
 /** Operators are few; the file descriptors of the node are for callers. */
 const MAX_CONNECTIONS = 256;
--- a/packages/node/src/entry/node/callerConnections.test.ts
+++ b/packages/node/src/entry/node/callerConnections.test.ts
@@ -8,9 +8,8 @@
 import { test } from 'node:test';
 import { connect as connectTls } from 'node:tls';
 import type { ResultCode as Code } from '@parsleymux/base';
-import { MuxError, ResultCode } from '@parsleymux/base';
+import { listenOn, MuxError, parseEndpoint, ResultCode } from '@parsleymux/base';
 import { generate } from 'selfsigned';
-import { listenOn, parseEndpoint } from '../../http/node/listener.js';
 import { CallerConnections } from './callerConnections.js';
 
 interface IBench {
--- a/packages/node/src/entry/node/callerServer.test.ts
+++ b/packages/node/src/entry/node/callerServer.test.ts
@@ -6,19 +6,19 @@
 import { test } from 'node:test';
 import { create } from '@bufbuild/protobuf';
 import {
+  createSilentLogger,
   Emitter,
   InvariantRegistry,
+  parseEndpoint,
   ResultCode,
   RunState,
   SystemClock,
-  createSilentLogger,
 } from '@parsleymux/base';
 import type { IFleetConfigChange } from '@parsleymux/config';
 import { ConfigService } from '@parsleymux/config';
 import type { AnswerBody, IAnswer } from '@parsleymux/routing';
 import { LimitsSchema, MemberConfigSchema, TimingSchema } from '@parsleymux/schema';
 import { NodeStage, NodeState } from '../../app/common/nodeState.js';
-import { parseEndpoint } from '../../http/node/listener.js';
 import { NodeMetrics } from '../../metrics/node/nodeMetrics.js';
 import type { HomeRouter } from '../common/homeRouter.js';
 import { CallerServer } from './callerServer.js';
--- a/packages/node/src/entry/node/callerServer.ts
+++ b/packages/node/src/entry/node/callerServer.ts
@@ -1,7 +1,7 @@
 /** The port on which callers are served. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Clock, IDisposable } from '@parsleymux/base';
-import { MuxError, ResultCode, RunState } from '@parsleymux/base';
+import { closeServer, listenOn, MuxError, ResultCode, RunState } from '@parsleymux/base';
 import type { ConfigService, IRouteMatch } from '@parsleymux/config';
 import { RouteTable } from '@parsleymux/config';
 import type { Header, IAnswer, IRoutedRequest } from '@parsleymux/routing';
@@ -13,7 +13,6 @@
 import { createRefusal, toMuxError } from '../../http/common/refusal.js';
 import { waitForEnd, writeAnswer } from '../../http/node/bodyWriter.js';
 import { createHangUpSignal } from '../../http/node/hangUpSignal.js';
-import { closeServer, listenOn } from '../../http/node/listener.js';
 import type { NodeMetrics } from '../../metrics/node/nodeMetrics.js';
 import { createHttpServer } from '../../tls/node/httpServerFactory.js';
 import type { TlsFilesWatcher } from '../../tls/node/tlsFilesWatcher.js';
--- a/packages/node/src/peer/node/peerServer.ts
+++ b/packages/node/src/peer/node/peerServer.ts
@@ -1,9 +1,9 @@
 /** The port on which other nodes of the fleet are served: the request hop and control traffic. */
+import { endServer, listenOn } from '@parsleymux/base';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { IDisposable } from '@parsleymux/base';
 import type { HttpHandler, PeerAuthenticator } from '@parsleymux/fleet';
 import { PROOF_HEADER } from '@parsleymux/fleet';
-import { endServer, listenOn } from '../../http/node/listener.js';
 import { HOP_PATH } from '../../hop/common/hopProtocol.js';
 import { createHttpServer } from '../../tls/node/httpServerFactory.js';
 import type { TlsFilesWatcher } from '../../tls/node/tlsFilesWatcher.js';
--- a/packages/node/src/status/node/statusServer.ts
+++ b/packages/node/src/status/node/statusServer.ts
@@ -1,9 +1,9 @@
 /** Liveness and readiness for the platform's balancer, and metrics for the fleet's operators. */
+import { closeServer, listenOn } from '@parsleymux/base';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { IDisposable } from '@parsleymux/base';
 import type { Registry } from 'prom-client';
-import { closeServer, listenOn } from '../../http/node/listener.js';
 
 const OK = 200;
 const NOT_FOUND = 404;
