Tell the story of a request or a target from logs: parsleyctl explain

Cause: on-call engineers have only logs and metrics, and a request's lines lie on several nodes. Ruled out: a service that collects logs (nothing of the sort is ours to run); one node answering for others. Before: grep and reading JSON.

--- a/packages/ctl/src/cli/node/cli.test.ts
+++ b/packages/ctl/src/cli/node/cli.test.ts
@@ -106,3 +106,20 @@
     assert.equal(revoked.status, ExitStatus.Denied);
   });
 });
+
+test('a request is explained from log files, and an unknown one is said to be', async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'parsleyctl-'));
+  const file = join(folder, 'node.log');
+  const line = { time: '2026-01-01T00:00:00.000Z', node: 'n1', message: 'request', request: 'q1' };
+  writeFileSync(file, `${JSON.stringify({ ...line, status: 503 })}\n`);
+  const found = await run(['explain', 'request', 'q1', file]);
+  assert.equal(found.status, ExitStatus.Ok, found.error);
+  assert.match(found.out, /n1 {2}request {2}request=q1 status=503/);
+  const missing = await run(['explain', 'request', 'q2', file]);
+  assert.equal(missing.status, ExitStatus.Refused);
+  assert.equal(
+    (await run(['explain', 'target', 't', join(folder, 'none')])).status,
+    ExitStatus.Usage,
+  );
+  rmSync(folder, { recursive: true });
+});
--- a/packages/ctl/src/cli/node/cli.ts
+++ b/packages/ctl/src/cli/node/cli.ts
@@ -2,6 +2,10 @@
 import type { BaseContext, CommandClass } from 'clipanion';
 import { Cli } from 'clipanion';
 import { ClaimSettleCommand, ClaimShowCommand } from '../../commands/node/claimCommands.js';
+import {
+  ExplainRequestCommand,
+  ExplainTargetCommand,
+} from '../../commands/node/explainCommands.js';
 import { IntentShowCommand, IntentSubmitCommand } from '../../commands/node/intentCommands.js';
 import {
   AuditCommand,
@@ -31,6 +35,8 @@
   PlanConfirmCommand,
   PlanDiscardCommand,
   StatusCommand,
+  ExplainRequestCommand,
+  ExplainTargetCommand,
   ReportBurnCommand,
   TargetDrainCommand,
   TargetReturnCommand,
--- /dev/null
+++ b/packages/ctl/src/commands/node/explainCommands.ts
@@ -0,0 +1,77 @@
+/** `parsleyctl explain`: from the logs of the nodes to the cause of a complaint. */
+import type { Readable } from 'node:stream';
+import { Command, Option } from 'clipanion';
+import { ExitStatus } from '../../cli/common/exitStatus.js';
+import type { ILogLine } from '../../explain/common/logLine.js';
+import { findRequestStory, findTargetStory } from '../../explain/common/story.js';
+import { readLogs } from '../../explain/node/logReader.js';
+import { formatStory } from '../../output/common/storyText.js';
+
+/** What both commands have in common: they read logs and need no node. */
+abstract class ExplainCommand extends Command {
+  readonly json = Option.Boolean('--json', false, { description: 'write the lines as JSON' });
+
+  readonly id = Option.String({ name: 'ID' });
+
+  readonly files = Option.Rest({ name: 'FILES' });
+
+  override async execute(): Promise<number> {
+    const { stderr, stdin, stdout } = this.context;
+    const lines = await this.readLines(stdin);
+    if (lines === undefined) return ExitStatus.Usage;
+    const story = this.findStory(lines);
+    if (story.length === 0) {
+      stderr.write(`none of ${lines.length} lines tells of ${this.id}\n`);
+      return ExitStatus.Refused;
+    }
+    const text = this.json
+      ? story.map(({ fields }) => JSON.stringify(fields)).join('\n')
+      : formatStory(story);
+    stdout.write(`${text}\n`);
+    return ExitStatus.Ok;
+  }
+
+  protected abstract findStory(lines: readonly ILogLine[]): readonly ILogLine[];
+
+  private async readLines(stdin: Readable): Promise<readonly ILogLine[] | undefined> {
+    try {
+      return await readLogs(this.files, stdin);
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      this.context.stderr.write(`logs can't be read: ${reason}\n`);
+      return undefined;
+    }
+  }
+}
+
+/** Tells one request's story across nodes. */
+export class ExplainRequestCommand extends ExplainCommand {
+  static override readonly paths = [['explain', 'request']];
+
+  static override readonly usage = Command.Usage({
+    category: 'State',
+    description: 'tell from logs what became of one request, and what was believed before',
+    details: 'Reads the files named, or standard input. Needs no node and no key.',
+    examples: [['From collected logs', 'parsleyctl explain request 9c41d07be2a35f68 logs/*.log']],
+  });
+
+  protected override findStory(lines: readonly ILogLine[]): readonly ILogLine[] {
+    return findRequestStory(lines, this.id);
+  }
+}
+
+/** Tells what was believed of one target, and why. */
+export class ExplainTargetCommand extends ExplainCommand {
+  static override readonly paths = [['explain', 'target']];
+
+  static override readonly usage = Command.Usage({
+    category: 'State',
+    description: 'tell from logs who believed what of one target, when and why',
+    details: 'Reads the files named, or standard input. Needs no node and no key.',
+    examples: [['From collected logs', 'parsleyctl explain target i-7f3a91c2 logs/*.log']],
+  });
+
+  protected override findStory(lines: readonly ILogLine[]): readonly ILogLine[] {
+    return findTargetStory(lines, this.id);
+  }
+}
