Leave requests to the next home until targets are known, and be ready only then

A home was asked before it knew any target and refused; waiting for a follower's news made that time longer. Before: the new test is refused. After: granted by the next home. Besides: the table of counters is compared with what both programs offer.

--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -256,7 +256,8 @@
   }
 
   private isReady(): boolean {
-    return !this.isStopping && this.directory.getCatalog() !== undefined;
+    const isInformed = this.directory.getCatalog() !== undefined && this.homes?.isInformed === true;
+    return isInformed && !this.isStopping;
   }
 
   private makeMember(address: string): IMember {
--- a/packages/dispatch/src/grants/common/grantServer.ts
+++ b/packages/dispatch/src/grants/common/grantServer.ts
@@ -46,6 +46,8 @@
       this.sendDecision(sender, ask.id, known.ticket.decision);
       return;
     }
+    // Silence makes the entry go on to the next home; see HomeService.isInformed.
+    if (!this.options.homes.isInformed) return;
     this.clearOld();
     const book = this.options.homes.getBook(ask.service);
     const ticket = book.requestGrant(decodeAsk(ask), sender, (decision) => {
--- a/packages/dispatch/src/grants/common/homeSelector.test.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.test.ts
@@ -55,12 +55,17 @@
   readonly selector: HomeSelector;
   readonly channel: DatagramChannel;
 
-  constructor(network: LossyNetwork, address: string, ranking: readonly string[]) {
+  constructor(
+    network: LossyNetwork,
+    address: string,
+    ranking: readonly string[],
+    isInformed = true,
+  ) {
     const { clock } = network;
     const log = createSilentLogger();
     const retries = { windowMs: 10_000, ratio: 0.2, burst: 50 };
     this.homes = new HomeService({ clock, log, retries, floorShare: 0.7 });
-    this.homes.setTargets([TARGET]);
+    if (isInformed) this.homes.setTargets([TARGET]);
     this.channel = network.open(address);
     this.selector = new HomeSelector({
       channel: this.channel,
@@ -141,6 +146,23 @@
   assert.equal(getHome(await next), 'second');
 });
 
+test('a home that knows no targets yet leaves its requests to the next', async () => {
+  // Symptom: a burst of refusals for want of targets whenever nodes are restarted. Sequence: a home
+  // starts again and is asked before it has read or been told the targets. Cause: it took "none
+  // known" for "none there".
+  const network = new LossyNetwork(new ManualClock());
+  const home = new Node(network, 'home', RANKING, false);
+  new Node(network, 'second', RANKING);
+  const entry = new Node(network, 'entry', RANKING);
+  const asked = entry.selector.choose(makeGrantRequest(), signal);
+  const askedAtHome = home.selector.choose(makeGrantRequest(), signal);
+  await network.clock.advanceBy(100);
+  for (const selection of [await asked, await askedAtHome]) {
+    assert.equal(selection.kind, 'granted');
+    assert.equal(getHome(selection), 'second');
+  }
+});
+
 test('with no home to be heard, the entry decides alone', async () => {
   const { entry, home, network, second } = openNodes();
   void home.channel.dispose();
--- a/packages/dispatch/src/grants/common/homeSelector.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.ts
@@ -63,7 +63,10 @@
     const homes = this.options.rankHomes(request.service);
     const audible = homes.filter((home) => !this.health.isSilent(home)).slice(0, HOMES_ASKED);
     for (const home of audible) {
-      if (home === channel.address) return this.decideAlone(request, signal);
+      if (home === channel.address) {
+        if (!this.options.homes.isInformed) continue;
+        return this.decideAlone(request, signal);
+      }
       const answer = await this.requestGrant(home, request, signal);
       if (answer?.kind === 'unknown-target') {
         // The home has heard of a target that this node has not: news travel for some 100 ms.
--- a/packages/dispatch/src/home/common/homeService.ts
+++ b/packages/dispatch/src/home/common/homeService.ts
@@ -23,6 +23,7 @@
 export class HomeService implements IDisposable {
   private readonly books = new Map<string, ServiceBook>();
   private targetsByService = new Map<string, ITargetRecord[]>();
+  private hasTargets = false;
   private timer: IDisposable | undefined;
 
   constructor(private options: IHomeServiceOptions) {}
@@ -40,8 +41,17 @@
     for (const book of this.books.values()) book.setBounds(bounds);
   }
 
+  /**
+   * Whether targets are known at all. A home that has just started would otherwise refuse every
+   * request of its services for want of targets, though the next home knows them.
+   */
+  get isInformed(): boolean {
+    return this.hasTargets;
+  }
+
   /** Takes all targets that are registered now. */
   setTargets(targets: readonly ITargetRecord[]): void {
+    this.hasTargets = true;
     this.targetsByService = new Map();
     for (const target of targets) {
       const ofService = this.targetsByService.get(target.service) ?? [];
--- a/packages/lab/src/docs/node/operationsMetrics.test.ts
+++ b/packages/lab/src/docs/node/operationsMetrics.test.ts
@@ -1,6 +1,21 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
 import { readdirSync, readFileSync } from 'node:fs';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
+import type { IDirectNodeSettings } from '@parsleymux/dispatch';
+import {
+  Authority,
+  AuthorityTable,
+  CallerProtocol,
+  DirectNode,
+  StoreCallError,
+  StoreFailure,
+} from '@parsleymux/dispatch';
+import { MuxTargetProtocol } from '@parsleymux/routing';
+import { SeededRandom, SystemClock, createSilentLogger } from '@parsleymux/base';
+import { request } from 'undici';
 import { LabWorld } from '../../processes/node/labWorld.js';
 import { getRepositoryUrl } from './repository.js';
 
@@ -18,6 +33,96 @@
   return [...new Set([...text.matchAll(pattern)].map((match) => match[1] ?? match[0]))].sort();
 }
 
+/** Knows nothing: every call waits until it is given up. */
+class EmptyTable extends AuthorityTable<never> {
+  override readAll(signal: AbortSignal): Promise<never> {
+    return new Promise((_, reject) => {
+      signal.addEventListener('abort', () => {
+        reject(new StoreCallError(StoreFailure.Reset, 'given up'));
+      });
+    });
+  }
+
+  override readChanges(_after: number, _waitMs: number, signal: AbortSignal): Promise<never> {
+    return this.readAll(signal);
+  }
+}
+
+class EmptyAuthority extends Authority {
+  override readonly catalog = new EmptyTable();
+  override readonly targets = new EmptyTable();
+  override readonly members = new EmptyTable();
+
+  override putMember(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  override removeMember(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+/** Callers that say nothing beyond HTTP. */
+class SilentCallers extends CallerProtocol {
+  override getRequestId(): undefined {
+    return undefined;
+  }
+
+  override getTimeoutMs(): undefined {
+    return undefined;
+  }
+
+  override listAnswerHeaders(): readonly [] {
+    return [];
+  }
+}
+
+async function makeSettings(): Promise<IDirectNodeSettings> {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  await once(server.close(), 'close');
+  const any = '127.0.0.1:0';
+  return {
+    name: 'n',
+    failureDomain: 'north',
+    frontAddress: any,
+    readyAddress: any,
+    datagramAddress: any,
+    stateAddress: any,
+    metricsAddress: `127.0.0.1:${port}`,
+    seeds: [],
+    retryWindowMs: 10_000,
+    retryRatio: 0.2,
+    retryBurst: 5,
+    floorShare: 0.7,
+    graceMs: 1000,
+  };
+}
+
+/** Metrics of a node that dispatches directly. */
+async function fetchDirectMetrics(): Promise<string> {
+  const settings = await makeSettings();
+  const node = new DirectNode({
+    settings,
+    authority: new EmptyAuthority(),
+    protocol: {
+      callers: new SilentCallers(),
+      targets: new MuxTargetProtocol(),
+      isAuthentic: () => true,
+      listTargetHeaders: () => [],
+    },
+    clock: new SystemClock(),
+    random: new SeededRandom(1),
+    log: createSilentLogger(),
+  });
+  await node.start();
+  const { body } = await request(`http://${settings.metricsAddress}/metrics`);
+  const text = await body.text();
+  await node.dispose();
+  return text;
+}
+
 test('the table of counters has exactly what a node offers, and no page names another', async () => {
   // Symptom: whoever is on call finds a counter on a node that no page explains. Sequence: the
   // counters of homes are added by a function that puts their names together. Cause: the search
@@ -25,7 +130,12 @@
   const world = new LabWorld({ seed: 1, nodeCount: 1 });
   try {
     await world.start();
-    const offered = listMatches((await world.getNodes()[0]?.fetchMetrics()) ?? '', TYPE_LINE);
+    const fleetMetrics = (await world.getNodes()[0]?.fetchMetrics()) ?? '';
+    const offered = listMatches(
+      `${fleetMetrics}
+${await fetchDirectMetrics()}`,
+      TYPE_LINE,
+    );
     const pages = readOperatorPages();
     assert.deepEqual(listMatches(pages, TABLE_ROW), offered);
     const named = listMatches(pages, NAME);
