Ask followers first only when the whole fleet starts for the first time

Cause: every node asked followers for their news and waited 0.2 s, and all of them had only just started too. After: the test shows two reads at once and no question at a later start.

--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -58,6 +58,8 @@
   readonly metricsAddress: string;
   /** Datagram addresses of nodes that may be alive when this one starts. */
   readonly seeds: readonly string[];
+  /** Whether the whole fleet starts for the first time. */
+  readonly isFirstStart: boolean;
   /** Retries of one service that all nodes together may send. */
   readonly retryWindowMs: number;
   readonly retryRatio: number;
@@ -164,6 +166,7 @@
       log,
       random,
       self,
+      isFirstStart: settings.isFirstStart,
       seeds: settings.seeds,
     });
     this.directoryService = this.store.add(service);
--- /dev/null
+++ b/packages/dispatch/src/directory/node/directoryService.test.ts
@@ -0,0 +1,124 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ManualClock, SeededRandom, createSilentLogger } from '@parsleymux/base';
+import type { DatagramBody } from '../../grants/common/datagramChannel.js';
+import { DatagramChannel } from '../../grants/common/datagramChannel.js';
+import type { IMember, ITableChanges } from '../common/authority.js';
+import { Authority, AuthorityTable, StoreCallError, StoreFailure } from '../common/authority.js';
+import { NodeDirectory } from '../common/nodeDirectory.js';
+import { DirectoryService } from './directoryService.js';
+
+const SELF: IMember = {
+  address: '127.0.0.1:1',
+  failureDomain: 'north',
+  stateAddress: '127.0.0.1:2',
+  incarnation: 1,
+};
+
+/** Counts reads of the whole table; holds reads of changes until they are given up. */
+class CountingTable<T> extends AuthorityTable<T> {
+  reads = 0;
+
+  constructor(private readonly content: ITableChanges<T>) {
+    super();
+  }
+
+  override readAll(): Promise<ITableChanges<T>> {
+    this.reads += 1;
+    return Promise.resolve(this.content);
+  }
+
+  override readChanges(
+    _after: number,
+    _waitMs: number,
+    signal: AbortSignal,
+  ): Promise<ITableChanges<T>> {
+    return new Promise((_, reject) => {
+      signal.addEventListener('abort', () => {
+        reject(new StoreCallError(StoreFailure.Reset, 'given up'));
+      });
+    });
+  }
+}
+
+function makeMembers(): ITableChanges<IMember> {
+  const others = Array.from({ length: 9 }, (_, index) => `127.0.0.1:${index + 10}`);
+  const changes = [SELF.address, ...others].map((address) => ({
+    key: address,
+    value: { ...SELF, address },
+  }));
+  return { version: 1, changes };
+}
+
+class CountingAuthority extends Authority {
+  override readonly catalog = new CountingTable<never>({ version: 1, changes: [] });
+  override readonly targets = new CountingTable<never>({ version: 1, changes: [] });
+  override readonly members = new CountingTable<IMember>(makeMembers());
+
+  override putMember(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  override removeMember(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+class RecordingChannel extends DatagramChannel {
+  override readonly address = SELF.address;
+  readonly sent: DatagramBody[] = [];
+
+  override send(_address: string, body: DatagramBody): void {
+    this.sent.push(body);
+  }
+
+  override setHandler(): void {
+    // Nothing arrives.
+  }
+
+  override dispose(): void {
+    // Nothing is open.
+  }
+}
+
+async function countEarlyReads(isFirstStart: boolean): Promise<{ reads: number; hellos: number }> {
+  const clock = new ManualClock();
+  const authority = new CountingAuthority();
+  const channel = new RecordingChannel();
+  const directory = new NodeDirectory(clock);
+  const stop = new AbortController();
+  const service = new DirectoryService({
+    directory,
+    authority,
+    channel,
+    clock,
+    random: new SeededRandom(1),
+    log: createSilentLogger(),
+    self: SELF,
+    isFirstStart,
+    seeds: [],
+  });
+  assert.notEqual(makeRank(directory), 0);
+  const running = service.run(stop.signal);
+  await clock.advanceBy(100);
+  stop.abort();
+  await running;
+  const hellos = channel.sent.filter((body) => body.case === 'hello').length;
+  return { reads: authority.catalog.reads + authority.targets.reads, hellos };
+}
+
+/** The test says nothing if this node were the first follower, which always reads. */
+function makeRank(directory: NodeDirectory): number {
+  directory.members.setAll(makeMembers(), 0);
+  const rank = directory.rankFollowers(SELF.failureDomain).indexOf(SELF.address);
+  directory.members.setAll({ version: 0, changes: [] }, 0);
+  return rank;
+}
+
+test('a node that starts again reads at once, the nodes of a new fleet ask a follower first', async () => {
+  // Symptom: callers are refused for some 0.2 s after all nodes were restarted. Sequence: every
+  // node asks followers first, which have only just started too. Cause: the wait for their news was
+  // the same at the first start of a fleet, when no caller waits, and at any later one.
+  assert.deepEqual(await countEarlyReads(false), { reads: 2, hellos: 0 });
+  assert.deepEqual(await countEarlyReads(true), { reads: 0, hellos: 2 });
+});
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -31,8 +31,8 @@
 
 /** Followers that a starting node asks: the first, and the one that would take over from it. */
 const HELLOS = 2;
-/** A starting node reads for itself after this wait, in ms: some hundred round trips in its domain. */
-const HELLO_WAIT_MS = 200;
+/** A starting node reads for itself after this wait, in ms: two announcements of a follower. */
+const HELLO_WAIT_MS = 1500;
 /** Pause between questions to the seeds of a node that knows nothing, in ms: the store goes first. */
 const SEED_PAUSE_MS = 400;
 const LEAVING = create(LeavingSchema);
@@ -47,6 +47,8 @@
   readonly random: RandomSource;
   readonly log: Logger;
   readonly self: IMember;
+  /** Whether the whole fleet starts for the first time; no caller is waiting then. */
+  readonly isFirstStart: boolean;
   /** Datagram addresses of nodes that may be alive. */
   readonly seeds: readonly string[];
 }
@@ -168,11 +170,13 @@
   }
 
   /**
-   * A node that starts takes configuration and targets from a follower if one answers soon. Calls
-   * to the store are paid for, and when a whole fleet starts they all come at once.
+   * When a whole fleet starts for the first time, its nodes take configuration and targets from a
+   * follower if one answers soon: calls to the store are paid for, and all would come at once. A
+   * node that starts later reads at once, for callers may wait for it already.
    */
   private isFirstReadDue(): boolean {
-    const { channel, clock, directory, self } = this.options;
+    const { channel, clock, directory, isFirstStart, self } = this.options;
+    if (!isFirstStart) return true;
     if (directory.members.version === undefined) return false;
     const nowMs = clock.getMonotonicTime();
     if (this.helloMs === undefined) {
--- a/packages/lab/src/docs/node/operationsMetrics.test.ts
+++ b/packages/lab/src/docs/node/operationsMetrics.test.ts
@@ -92,6 +92,7 @@
     stateAddress: any,
     metricsAddress: `127.0.0.1:${port}`,
     seeds: [],
+    isFirstStart: false,
     retryWindowMs: 10_000,
     retryRatio: 0.2,
     retryBurst: 5,
