Let no answer wait for a second target

Cause: found by reading: a slow read asks for a second target; when all slots are taken the question waits in the home's queue, and the first target's answer waited with it. Ruled out: bounding the queue for such questions only, since any wait of a ready answer is too long. Before: the new test fails. After: passes, and the question is withdrawn.

--- a/packages/dispatch/src/entry/common/requestRun.test.ts
+++ b/packages/dispatch/src/entry/common/requestRun.test.ts
@@ -184,6 +184,41 @@
   assert.equal(transport.sent.length, 2);
 });
 
+/** Grants the first question, and leaves the second in a queue until it is withdrawn. */
+class QueueingSelector extends CountingSelector {
+  isWithdrawn = false;
+
+  override choose(request: IGrantRequest, signal?: AbortSignal): Promise<Selection> {
+    if (request.attempt === 1) return super.choose(request);
+    return new Promise((_, reject) => {
+      signal?.addEventListener('abort', () => {
+        this.isWithdrawn = true;
+        reject(new Error('withdrawn'));
+      });
+    });
+  }
+}
+
+test('an answer that is ready does not wait for a second target', async () => {
+  // Symptom: answers arrive late under load. Sequence: a read is slow, a second target is asked for,
+  // all slots are taken and the question is queued; the first target answers. Cause: the answer
+  // waited for the question.
+  const clock = new ManualClock();
+  const selector = new QueueingSelector();
+  const late = async (): Promise<ITargetAnswer> => {
+    await clock.sleep(800);
+    return makeAnswer(200);
+  };
+  const running = run([late], true, selector, clock);
+  let isAnswered = false;
+  void running.then(() => {
+    isAnswered = true;
+  });
+  await clock.advanceBy(900);
+  assert.equal(isAnswered, true);
+  assert.equal(selector.isWithdrawn, true);
+});
+
 test('a booking waits for the one target that it was sent to', async () => {
   const clock = new ManualClock();
   const late = async (): Promise<ITargetAnswer> => {
--- a/packages/dispatch/src/entry/common/requestRun.ts
+++ b/packages/dispatch/src/entry/common/requestRun.ts
@@ -110,8 +110,8 @@
     const patienceMs = objectiveMs * PATIENCE_SHARE;
     const early = await waitAtMost(this.options.clock, firstResult, patienceMs);
     if (early !== undefined || signal.aborted) return firstResult;
-    const selection = await this.choose(request, state, [grant.target.id], signal);
-    if (selection.kind === 'refused') return firstResult;
+    const selection = await this.chooseBeside(request, grant, state, firstResult, signal);
+    if (selection?.kind !== 'granted') return firstResult;
     if (first.hasEnded()) {
       selection.grant.report(GrantOutcome.Abandoned, 0);
       return firstResult;
@@ -128,6 +128,28 @@
     return winner;
   }
 
+  /**
+   * Asks for a second target until the first answers; undefined then. The question may wait in a
+   * queue, and an answer that is ready must not wait with it.
+   */
+  private async chooseBeside(
+    request: IEntryRequest,
+    running: IGrant,
+    state: IRunState,
+    runningResult: Promise<IAttemptResult>,
+    signal: AbortSignal,
+  ): Promise<Selection | undefined> {
+    const question = new CancellableAttempt(signal);
+    const asked = this.choose(request, state, [running.target.id], question.signal);
+    // Withdrawn questions reject, here and when the caller leaves.
+    const selected = asked.catch(() => undefined);
+    const selection = await Promise.race([selected, runningResult.then(() => undefined)]);
+    question.cancel(GrantOutcome.Abandoned);
+    question.end();
+    if (selection === undefined) void selected.then(discardSelection);
+    return selection;
+  }
+
   private async choose(
     request: IEntryRequest,
     state: IRunState,
@@ -241,6 +263,11 @@
   }
 }
 
+/** Gives back a grant that came too late to be used. */
+function discardSelection(selection: Selection | undefined): void {
+  if (selection?.kind === 'granted') selection.grant.report(GrantOutcome.Abandoned, 0);
+}
+
 /** The result if it comes within `limitMs`, else undefined. */
 function waitAtMost<T>(clock: Clock, result: Promise<T>, limitMs: number): Promise<T | undefined> {
   return new Promise((resolve, reject) => {
