Pass a reset on as a reset through the faulty link

Cause: libuv reports a reset that arrives together with data as an orderly end, and the relay of the stand-ins passed on what was reported. An answer without a length that its target broke off then ended in order for the node behind the link, and looked whole. Ruled out: the node's own check of the end; it writes an empty line and sees the error when it holds the reset connection itself, which wholeAnswers.test.ts shows; here the relay's side was open and took it. Before: the new test fails in round 0. After: 30 of 30 rounds reset.

--- a/packages/standins/src/link/node/faultyLink.test.ts
+++ b/packages/standins/src/link/node/faultyLink.test.ts
@@ -111,3 +111,32 @@
     await waitUntil(() => link.getConnectionCount() === 0);
   });
 });
+
+test('a reset that arrives together with data stays a reset behind the link', async () => {
+  // Symptom: an answer without a length that its target broke off looks whole. Sequence: the target
+  // writes half of it and resets the connection at once. Cause: libuv reports such a reset as an
+  // orderly end, and the link passed on what was reported.
+  await withLink(async ({ accepted, link }) => {
+    for (let round = 0; round < 30; round += 1) {
+      const port = Number(link.getAddress().split(':')[1]);
+      const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true });
+      await waitUntil(() => accepted.length > round);
+      const server = accepted[round]!;
+      const outcome = new Promise<string>((resolve) => {
+        socket.once('error', () => {
+          resolve('reset');
+        });
+        // The test's own end of the connection is told the same way: only a write shows it.
+        socket.once('end', () => {
+          socket.write('\r\n', (error) => {
+            resolve(error ? 'reset' : 'ended');
+          });
+        });
+      });
+      socket.resume();
+      server.write('half an answer', () => server.resetAndDestroy());
+      assert.equal(await outcome, 'reset', `round ${round}`);
+      socket.destroy();
+    }
+  });
+});
--- a/packages/standins/src/link/node/faultyLink.ts
+++ b/packages/standins/src/link/node/faultyLink.ts
@@ -9,6 +9,7 @@
 import { mergeFaults } from '../../control/common/faultSettings.js';
 
 const DEFAULT_HOST = '127.0.0.1';
+const END_CHECK = '\r\n';
 
 /** Faults in force, on connections that are open and those to come. */
 export interface ILinkFaults {
@@ -144,27 +145,30 @@
     this.pairs.add(pair);
     this.forwardBytes(pair, near, far, () => this.faults.cutForward);
     this.forwardBytes(pair, far, near, () => this.faults.cutBackward);
+    near.on('end', () => {
+      this.forwardEnd(pair, far, () => this.faults.cutForward);
+    });
+    far.on('end', () => {
+      // libuv reports a reset that arrives together with data as an orderly end. Passed on as one,
+      // it would make an answer that broke off look whole. A reset connection takes no byte; one
+      // that ended in order does, and servers skip an empty line.
+      far.write(END_CHECK, (error) => {
+        if (error) this.forwardReset(pair, near, () => this.faults.cutBackward);
+        else this.forwardEnd(pair, near, () => this.faults.cutBackward);
+      });
+    });
   }
 
-  /** Copies one direction. A cut is asked for anew with each piece, so that it acts at once. */
+  /** Copies one direction. */
   private forwardBytes(pair: IPair, from: Socket, to: Socket, isCut: () => boolean): void {
-    const deliver = (byteCount: number, act: () => void) => {
-      this.runAfterDelay(() => {
-        if (pair.isSilent || isCut()) this.bytesSwallowed += byteCount;
-        else if (!to.destroyed) act();
-      });
-    };
     from.setNoDelay(true);
     from.on('data', (chunk) => {
-      deliver(chunk.length, () => {
+      this.forwardLater(pair, to, isCut, chunk.length, () => {
         writeWithBackPressure(from, to, chunk);
       });
     });
-    from.on('end', () => {
-      deliver(0, () => to.end());
-    });
     from.on('error', () => {
-      deliver(0, () => to.resetAndDestroy());
+      this.forwardReset(pair, to, isCut);
     });
     from.on('close', () => {
       // A cut hides the end of one side from the other, which then waits as on a real network.
@@ -173,6 +177,28 @@
     });
   }
 
+  private forwardEnd(pair: IPair, to: Socket, isCut: () => boolean): void {
+    this.forwardLater(pair, to, isCut, 0, () => to.end());
+  }
+
+  private forwardReset(pair: IPair, to: Socket, isCut: () => boolean): void {
+    this.forwardLater(pair, to, isCut, 0, () => to.resetAndDestroy());
+  }
+
+  /** A cut is asked for anew with each piece, so that it acts at once. */
+  private forwardLater(
+    pair: IPair,
+    to: Socket,
+    isCut: () => boolean,
+    byteCount: number,
+    act: () => void,
+  ): void {
+    this.runAfterDelay(() => {
+      if (pair.isSilent || isCut()) this.bytesSwallowed += byteCount;
+      else if (!to.destroyed) act();
+    });
+  }
+
   private runAfterDelay(act: () => void): void {
     if (this.faults.delayMs === 0) act();
     else setTimeout(act, this.faults.delayMs);
