--- a/packages/lab/src/processes/node/programs.ts
+++ b/packages/lab/src/processes/node/programs.ts
@@ -13,4 +13,6 @@
   Target: toPath('standins/dist/target/node/main.js'),
   Node: toPath('node/bin/parsleymux.js'),
   Ctl: toPath('ctl/bin/parsleyctl.js'),
+  /** The node on the users' platform. */
+  PlatformNode: toPath('../platform/dist/app/main.js'),
 } as const;
