Take no target that this node knows to be leaving

Cause: an entry used whatever target the home granted, also when its own copy of the targets already said that it leaves. A home that stood still and wakes answers the questions that waited for it with what it knew before. Ruled out: silencing a home whose copy is old: while the store is away all copies age, and somebody has to grant. Before: the new test gets the leaving target. After: the other one, and the home's slot is free again. Conclusion: the entry's copy is a second line; the home's is the first.

--- a/packages/dispatch/src/grants/common/homeSelector.test.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.test.ts
@@ -51,6 +51,8 @@
 }
 
 class Node {
+  /** What this node's own copy says of targets. */
+  readonly known = new Map([[TARGET.id, TARGET]]);
   readonly homes: HomeService;
   readonly selector: HomeSelector;
   readonly channel: DatagramChannel;
@@ -74,7 +76,7 @@
       log,
       incarnation: 1,
       rankHomes: () => ranking,
-      findTarget: (id) => (id === TARGET.id ? TARGET : undefined),
+      findTarget: (id) => this.known.get(id),
     });
     const server = new GrantServer({ channel: this.channel, homes: this.homes, clock });
     this.channel.setHandler((sender, body) => {
@@ -190,3 +192,22 @@
   assert.equal((await waiting).kind, 'granted');
   assert.equal(home.homes.getBook('booking').queueLength, 0);
 });
+
+test('a target that the entry knows to be leaving is not taken from a home that does not', async () => {
+  // Symptom: a leaving target gets requests long after all nodes knew. Sequence: the home of its
+  // service stands still, the target reports that it leaves, the home wakes and answers the
+  // questions that waited. Cause: the entry trusted the home's grant over its own newer copy.
+  const { entry, home, network } = openNodes();
+  const staying = makeTarget('t2', { failureDomain: 'far' });
+  home.homes.setTargets([TARGET, staying]);
+  entry.known.set(TARGET.id, { ...TARGET, isDraining: true }).set(staying.id, staying);
+  for (let index = 0; index < 4; index += 1) {
+    const asked = entry.selector.choose(makeGrantRequest(), signal);
+    await network.clock.advanceBy(50);
+    const selection = await asked;
+    assert.equal(selection.kind === 'granted' && selection.grant.target.id, 't2');
+    if (selection.kind === 'granted') selection.grant.report(GrantOutcome.Succeeded, 5);
+    await network.clock.advanceBy(50);
+  }
+  assert.equal(home.getInUse(), 0);
+});
--- a/packages/dispatch/src/grants/common/homeSelector.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.ts
@@ -38,7 +38,7 @@
 }
 
 /** What one home said; undefined when it stayed silent. */
-type HomeAnswer = Selection | { readonly kind: 'unknown-target'; readonly id: string } | undefined;
+type HomeAnswer = Selection | { readonly kind: 'unusable-target'; readonly id: string } | undefined;
 
 /**
  * Asks the homes of a service in their order. The wait for silent homes is bounded, so the loss of
@@ -68,8 +68,7 @@
         return this.decideAlone(request, signal);
       }
       const answer = await this.requestGrant(home, request, signal);
-      if (answer?.kind === 'unknown-target') {
-        // The home has heard of a target that this node has not: news travel for some 100 ms.
+      if (answer?.kind === 'unusable-target') {
         const excluded = [...request.excluded, answer.id];
         return this.choose({ ...request, excluded }, signal);
       }
@@ -136,9 +135,17 @@
       return { kind: 'refused', code, retryAfterMs: decision.retryAfterMs, home };
     }
     const target = this.options.findTarget(decision.targetId);
-    if (target === undefined) {
+    // Either side may have older news: the home knows a target that this node has not heard of, or a
+    // home that stood still for a while grants one that this node knows to be leaving.
+    if (target === undefined || target.isDraining) {
       this.sendReport(home, id, request, undefined, 'abandoned', 0);
-      return { kind: 'unknown-target', id: decision.targetId };
+      this.options.log.info('granted target is not usable', {
+        request: request.requestId,
+        home,
+        target: decision.targetId,
+        isKnown: target !== undefined,
+      });
+      return { kind: 'unusable-target', id: decision.targetId };
     }
     return { kind: 'granted', grant: this.createGrant(home, id, request, target, decision) };
   }
