--- a/packages/lab/src/shutdown/node/shutdownUnderLoad.test.ts
+++ b/packages/lab/src/shutdown/node/shutdownUnderLoad.test.ts
@@ -6,7 +6,7 @@
 import { makeWorkloads } from '../../processes/common/worldLayout.js';
 import { LabWorld } from '../../processes/node/labWorld.js';
 import type { NodeProcess } from '../../processes/node/nodeProcess.js';
-import { Findings } from '../../prove/node/findings.js';
+import { Findings } from '../../prove/common/findings.js';
 import { GracefulShutdowns } from '../../prove/node/gracefulShutdowns.js';
 
 const UNDER_LOAD_MS = 1500;
