--- a/packages/dispatch/src/directory/common/followedTable.ts
+++ b/packages/dispatch/src/directory/common/followedTable.ts
@@ -93,7 +93,7 @@
     if (newestRemoved !== undefined) this.keptAfter = newestRemoved.version;
     return {
       after: this.keptAfter,
-      content: { version: this.currentVersion ?? 0, changes: keepNewest(this.kept) },
+      content: { version: this.currentVersion ?? 0, changes: listNewest(this.kept) },
     };
   }
 
@@ -102,7 +102,7 @@
     if (this.currentVersion === undefined) this.keptAfter = version;
     this.currentVersion = version;
     this.freshMs = Math.max(this.freshMs, readMs);
-    const real = keepNewest(changes).filter((change) => this.isChange(change));
+    const real = listNewest(changes).filter((change) => this.isChange(change));
     for (const change of real) {
       this.setEntry(change);
       this.kept.push({ ...change, version, atMs });
@@ -127,6 +127,6 @@
  * older one differs from what is known by now and the newer one does not: taken one by one, the
  * older one alone would be applied.
  */
-function keepNewest<T extends ITableChange<unknown>>(changes: readonly T[]): readonly T[] {
+function listNewest<T extends ITableChange<unknown>>(changes: readonly T[]): readonly T[] {
   return [...new Map(changes.map((change) => [change.key, change])).values()];
 }
--- a/packages/lab/src/prove/common/faultSchedule.test.ts
+++ b/packages/lab/src/prove/common/faultSchedule.test.ts
@@ -3,9 +3,9 @@
 import { FAULT_KINDS, makeSchedule } from './faultSchedule.js';
 
 test('a seed gives the same schedule each time, in order, and another seed another', () => {
-  const schedule = makeSchedule({ seed: 7, seconds: 60 });
-  assert.deepEqual(makeSchedule({ seed: 7, seconds: 60 }), schedule);
-  assert.notDeepEqual(makeSchedule({ seed: 8, seconds: 60 }), schedule);
+  const schedule = makeSchedule({ seed: 7, seconds: 60, kinds: FAULT_KINDS });
+  assert.deepEqual(makeSchedule({ seed: 7, seconds: 60, kinds: FAULT_KINDS }), schedule);
+  assert.notDeepEqual(makeSchedule({ seed: 8, seconds: 60, kinds: FAULT_KINDS }), schedule);
   assert.equal(schedule.length, 40);
   const times = schedule.map(({ atMs }) => atMs);
   assert.deepEqual(
@@ -15,8 +15,10 @@
 });
 
 test('long schedules contain every kind, and a choice of kinds only those', () => {
-  const kinds = new Set(makeSchedule({ seed: 1, seconds: 600 }).map(({ kind }) => kind));
+  const kinds = new Set(
+    makeSchedule({ seed: 1, seconds: 600, kinds: FAULT_KINDS }).map(({ kind }) => kind),
+  );
   assert.deepEqual([...kinds].sort(), [...FAULT_KINDS].sort());
   const chosen = makeSchedule({ seed: 1, seconds: 60, kinds: ['node-kill'] });
-  assert.ok(chosen.every(({ kind }) => kind === 'node-kill'));
+  assert.deepEqual([...new Set(chosen.map(({ kind }) => kind))], ['node-kill']);
 });
--- a/packages/lab/src/prove/common/faultSchedule.ts
+++ b/packages/lab/src/prove/common/faultSchedule.ts
@@ -29,8 +29,8 @@
 export const FAULT_KINDS: readonly FaultKind[] = Object.values(FaultKind);
 
 /** One fault. What `pick` and `size` choose depends on the kind and on what runs at the time. */
-export interface IFaultStep {
-  readonly kind: FaultKind;
+export interface IFaultStep<K extends string = FaultKind> {
+  readonly kind: K;
   /** From the start of the traffic. */
   readonly atMs: number;
   readonly durationMs: number;
@@ -41,13 +41,12 @@
 }
 
 /** Options of {@link makeSchedule}. */
-export interface IScheduleOptions {
+export interface IScheduleOptions<K extends string = FaultKind> {
   readonly seed: number;
   readonly seconds: number;
   /** Mean time between two faults, in ms. Default 1500. */
   readonly spacingMs?: number;
-  /** Default: every kind. */
-  readonly kinds?: readonly FaultKind[];
+  readonly kinds: readonly K[];
 }
 
 const DEFAULT_SPACING_MS = 1500;
@@ -59,13 +58,15 @@
  * The faults of one run in the order of time. The same options give the same schedule.
  *
  * @example
- * const steps = makeSchedule({ seed: 7, seconds: 60 });
+ * const steps = makeSchedule({ seed: 7, seconds: 60, kinds: FAULT_KINDS });
  */
-export function makeSchedule(options: IScheduleOptions): readonly IFaultStep[] {
+export function makeSchedule<K extends string>(
+  options: IScheduleOptions<K>,
+): readonly IFaultStep<K>[] {
   const lengthMs = options.seconds * 1000;
   const count = Math.ceil(lengthMs / (options.spacingMs ?? DEFAULT_SPACING_MS));
   const step = fc.record({
-    kind: fc.constantFrom(...(options.kinds ?? FAULT_KINDS)),
+    kind: fc.constantFrom(...options.kinds),
     atMs: fc.integer({ min: 0, max: lengthMs - 1 }),
     durationMs: fc.integer({ min: LEAST_DURATION_MS, max: LONGEST_DURATION_MS }),
     pick: fc.nat({ max: 1_000_000 }),
--- a/packages/lab/src/prove/node/breakModules.ts
+++ b/packages/lab/src/prove/node/breakModules.ts
@@ -1,13 +1,14 @@
 /** Modules that break one mechanism in the nodes that load them. */
 import { readdirSync } from 'node:fs';
 
-const DIRECTORY = new URL('../breaks/node/', import.meta.url);
+/** Where the breaks of `prove` are. */
+const DEFAULT_DIRECTORY = new URL('../breaks/node/', import.meta.url);
 const HELPER = 'wrapMethod';
 const EXTENSION = '.js';
 
-/** Names of the breaks, sorted. */
-export function listBreakModules(): readonly string[] {
-  return readdirSync(DIRECTORY)
+/** Names of the breaks in a directory, sorted. */
+export function listBreakModules(directory: URL = DEFAULT_DIRECTORY): readonly string[] {
+  return readdirSync(directory)
     .filter((file) => file.endsWith(EXTENSION) && !file.endsWith(`.test${EXTENSION}`))
     .map((file) => file.slice(0, -EXTENSION.length))
     .filter((name) => name !== HELPER)
@@ -15,6 +16,6 @@
 }
 
 /** What Node's `--import` takes. */
-export function formatBreakModule(name: string): string {
-  return new URL(`${name}${EXTENSION}`, DIRECTORY).href;
+export function formatBreakModule(name: string, directory: URL = DEFAULT_DIRECTORY): string {
+  return new URL(`${name}${EXTENSION}`, directory).href;
 }
--- a/packages/lab/src/prove/node/faultRunner.ts
+++ b/packages/lab/src/prove/node/faultRunner.ts
@@ -1,19 +1,7 @@
 /** Injects the faults of a schedule at their times, and ends them. */
 import type { IDisposable } from '@parsleymux/base';
-import type { IFaultStep } from '../common/faultSchedule.js';
-import type { FaultInjector } from './faultInjector.js';
-import { NODE_FAULTS } from './nodeFaults.js';
-import { OPERATOR_FAULTS } from './operatorFaults.js';
-import { PLATFORM_FAULTS } from './platformFaults.js';
-import type { ProveWorld } from './proveWorld.js';
-import { TARGET_FAULTS } from './targetFaults.js';
-
-const INJECTORS: readonly FaultInjector[] = [
-  ...NODE_FAULTS,
-  ...PLATFORM_FAULTS,
-  ...TARGET_FAULTS,
-  ...OPERATOR_FAULTS,
-];
+import type { FaultKind, IFaultStep } from '../common/faultSchedule.js';
+import type { Injection } from './faultInjector.js';
 
 /** What became of the steps of one kind. */
 export interface IFaultCount {
@@ -28,11 +16,11 @@
  * Runs a schedule.
  *
  * @example
- * const runner = new FaultRunner(world);
+ * const runner = new FaultRunner((step) => startFault(step, world));
  * runner.start(schedule);
  * await runner.finish();
  */
-export class FaultRunner implements IDisposable {
+export class FaultRunner<K extends string = FaultKind> implements IDisposable {
   private readonly timers = new Set<NodeJS.Timeout>();
   private readonly pending = new Set<Promise<void>>();
   private readonly open = new Set<() => Promise<void>>();
@@ -42,9 +30,9 @@
   >();
   private readonly errors: string[] = [];
 
-  constructor(private readonly world: ProveWorld) {}
+  constructor(private readonly inject: (step: IFaultStep<K>) => Promise<Injection>) {}
 
-  start(schedule: readonly IFaultStep[]): void {
+  start(schedule: readonly IFaultStep<K>[]): void {
     for (const step of schedule) this.startTimer(step.atMs, () => this.startStep(step));
   }
 
@@ -78,12 +66,9 @@
     this.timers.add(timer);
   }
 
-  private async startStep(step: IFaultStep): Promise<void> {
+  private async startStep(step: IFaultStep<K>): Promise<void> {
     const count = this.ensureCount(step.kind);
-    const injector = INJECTORS.find(({ kind }) => kind === step.kind);
-    const injection = await this.tryRun(step, () => {
-      return injector?.start(step, this.world) ?? Promise.resolve('skipped' as const);
-    });
+    const injection = await this.tryRun(step, () => this.inject(step));
     if (injection === undefined) return;
     if (injection === 'skipped') {
       count.skipped += 1;
@@ -97,7 +82,7 @@
     this.startTimer(step.durationMs, end);
   }
 
-  private async tryRun<T>(step: IFaultStep, act: () => Promise<T>): Promise<T | undefined> {
+  private async tryRun<T>(step: IFaultStep<K>, act: () => Promise<T>): Promise<T | undefined> {
     try {
       return await act();
     } catch (error) {
--- a/packages/lab/src/prove/node/gracefulShutdowns.ts
+++ b/packages/lab/src/prove/node/gracefulShutdowns.ts
@@ -2,7 +2,7 @@
 import type { IProcessEnd } from '../../processes/node/managedProcess.js';
 import type { IRequestRecord } from '../../load/common/requestRecord.js';
 import { AttemptOutcome } from '../../load/common/requestRecord.js';
-import type { Findings } from './findings.js';
+import type { Findings } from '../common/findings.js';
 
 /**
  * Remembers when nodes were asked to leave. A node that was also paused or killed is left out:
--- a/packages/lab/src/prove/node/leavingTargets.test.ts
+++ b/packages/lab/src/prove/node/leavingTargets.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { ITargetPlace } from '../../processes/common/worldLayout.js';
-import { Findings } from './findings.js';
+import { Findings } from '../common/findings.js';
 import { LeavingTargets } from './leavingTargets.js';
 
 const PLACE: ITargetPlace = {
--- a/packages/lab/src/prove/node/leavingTargets.ts
+++ b/packages/lab/src/prove/node/leavingTargets.ts
@@ -1,7 +1,7 @@
 /** Times during which targets were to see no new work. */
 import type { IExecution } from '@parsleymux/standins';
 import type { ITargetPlace } from '../../processes/common/worldLayout.js';
-import type { Findings } from './findings.js';
+import type { Findings } from '../common/findings.js';
 
 /**
  * The promise is "after a few seconds". A node that hears from neither store nor peers works on
--- a/packages/lab/src/prove/node/proveReport.ts
+++ b/packages/lab/src/prove/node/proveReport.ts
@@ -3,7 +3,7 @@
 import type { IOutcomeSummary } from '../../load/node/loadGenerator.js';
 import type { NodeProcess } from '../../processes/node/nodeProcess.js';
 import type { IFaultCount } from './faultRunner.js';
-import type { ICheckCount } from './findings.js';
+import type { ICheckCount } from '../common/findings.js';
 import type { MetricsWatcher } from './metricsWatcher.js';
 
 const NAME_WIDTH = 44;
--- a/packages/lab/src/prove/node/proveRun.ts
+++ b/packages/lab/src/prove/node/proveRun.ts
@@ -12,6 +12,7 @@
 import type { OutsideBreak } from './brokenWorld.js';
 import { applyOutsideBreak } from './brokenWorld.js';
 import { FaultRunner } from './faultRunner.js';
+import { startProveFault } from './proveFaults.js';
 import { MetricsWatcher } from './metricsWatcher.js';
 import {
   printChecks,
@@ -58,7 +59,7 @@
   if (options.outsideBreak !== undefined) await applyOutsideBreak(world, options.outsideBreak);
   const balancer = store.add(new ReadyBalancer(() => world.lab.getNodes()));
   const watcher = store.add(new MetricsWatcher(() => world.lab.getNodes()));
-  const runner = store.add(new FaultRunner(world));
+  const runner = store.add(new FaultRunner((step) => startProveFault(step, world)));
   await sleep(REST_MS);
   const load = store.add(
     new LoadGenerator({
--- a/packages/lab/src/prove/node/proveWorld.ts
+++ b/packages/lab/src/prove/node/proveWorld.ts
@@ -3,7 +3,7 @@
 import { DisposableStore } from '@parsleymux/base';
 import { FaultyLink } from '@parsleymux/standins';
 import { LabWorld } from '../../processes/node/labWorld.js';
-import { Findings } from './findings.js';
+import { Findings } from '../common/findings.js';
 import { GracefulShutdowns } from './gracefulShutdowns.js';
 import { LeavingTargets } from './leavingTargets.js';
 
--- /dev/null
+++ b/packages/lab/src/soak/breaks/node/deafToCallers.ts
@@ -0,0 +1,10 @@
+/** Requests of callers that left go on, and are sent again and again. */
+import { wrapMethod } from '../../../prove/breaks/node/wrapMethod.js';
+
+const MODULE = 'dispatch/dist/entry/common/requestRun.js';
+
+await wrapMethod(MODULE, 'RequestRunner', 'run', (original) => {
+  return function (request) {
+    return original.call(this, request, new AbortController().signal);
+  };
+});
--- /dev/null
+++ b/packages/lab/src/soak/breaks/node/deafToDrains.ts
@@ -0,0 +1,14 @@
+/** Targets that leave are taken for targets that stay. */
+import type { LooseObject } from '../../../prove/breaks/node/wrapMethod.js';
+import { wrapMethod } from '../../../prove/breaks/node/wrapMethod.js';
+
+const MODULE = 'dispatch/dist/home/common/serviceBook.js';
+
+await wrapMethod(MODULE, 'ServiceBook', 'setTargets', (original) => {
+  return function (records) {
+    const staying = (records as readonly LooseObject[]).map((record) => {
+      return { ...record, isDraining: false };
+    });
+    return original.call(this, staying);
+  };
+});
--- /dev/null
+++ b/packages/lab/src/soak/breaks/node/endlessRequests.ts
@@ -0,0 +1,14 @@
+/** Requests are given half a minute, whatever their route says. */
+import type { LooseObject } from '../../../prove/breaks/node/wrapMethod.js';
+import { wrapMethod } from '../../../prove/breaks/node/wrapMethod.js';
+
+const MODULE = 'dispatch/dist/entry/common/requestRun.js';
+const EXTRA_MS = 30_000;
+
+await wrapMethod(MODULE, 'RequestRunner', 'run', (original) => {
+  return function (request, signal) {
+    const { deadlineMs } = request as { readonly deadlineMs: number };
+    const patient = { ...(request as LooseObject), deadlineMs: deadlineMs + EXTRA_MS };
+    return original.call(this, patient, signal);
+  };
+});
--- /dev/null
+++ b/packages/lab/src/soak/breaks/node/repeatBookings.ts
@@ -0,0 +1,11 @@
+/** A request that may have run is sent again, though it can't be repeated. */
+import type { LooseObject } from '../../../prove/breaks/node/wrapMethod.js';
+import { wrapMethod } from '../../../prove/breaks/node/wrapMethod.js';
+
+const MODULE = 'dispatch/dist/entry/common/requestRun.js';
+
+await wrapMethod(MODULE, 'RequestRunner', 'hasNextAttempt', (original) => {
+  return function (request, state) {
+    return original.call(this, request, { ...(state as LooseObject), mayHaveRun: false });
+  };
+});
--- /dev/null
+++ b/packages/lab/src/soak/common/promiseChecks.test.ts
@@ -0,0 +1,165 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Findings } from '../../prove/common/findings.js';
+import { DisturbanceLog } from './disturbanceLog.js';
+import type { ISoakEvidence } from './promiseChecks.js';
+import { checkBounds, checkSafety, formatAnswerBody } from './promiseChecks.js';
+import type { ISoakArrival, ISoakReply, ISoakRequest } from './soakLedger.js';
+import { SoakLedger } from './soakLedger.js';
+
+const REQUEST: ISoakRequest = {
+  id: 'q1',
+  kind: 'booking',
+  method: 'POST',
+  path: '/bookings/q1',
+  body: 'order',
+  node: 'node-0',
+  life: 1,
+  sentMs: 10_000,
+};
+const ARRIVAL: ISoakArrival = {
+  id: 'q1',
+  target: 'booking-1',
+  service: 'booking',
+  method: 'POST',
+  path: '/bookings/q1',
+  body: 'order',
+  atMs: 10_010,
+  hasRun: true,
+  status: 200,
+};
+const REPLY: ISoakReply = {
+  status: 200,
+  body: formatAnswerBody('q1', 'booking-1'),
+  stamp: 'booking-1.q1',
+  retryAfter: undefined,
+  endMs: 10_100,
+  hasLeft: false,
+  isUnread: false,
+};
+
+interface ICase {
+  readonly request?: Partial<ISoakRequest>;
+  readonly reply?: Partial<ISoakReply>;
+  readonly arrivals?: readonly Partial<ISoakArrival>[];
+  readonly workEndMs?: number;
+  readonly evidence?: Partial<ISoakEvidence>;
+}
+
+/** Names of the checks that fail on one request. */
+function listBroken(given: ICase): readonly string[] {
+  const ledger = new SoakLedger();
+  ledger.recordRequest({ ...REQUEST, ...given.request });
+  ledger.recordReply('q1', { ...REPLY, ...given.reply });
+  for (const arrival of given.arrivals ?? [{}]) {
+    ledger.recordArrival({ ...ARRIVAL, ...arrival })(given.workEndMs ?? ARRIVAL.atMs);
+  }
+  const evidence: ISoakEvidence = {
+    ledger,
+    disturbances: new DisturbanceLog(),
+    drains: [],
+    plannedStops: [],
+    probes: [],
+    versions: [],
+    ...given.evidence,
+  };
+  const findings = new Findings();
+  checkSafety(evidence, findings);
+  checkBounds(evidence, findings);
+  return findings
+    .list()
+    .filter(({ violations }) => violations > 0)
+    .map(({ name }) => name);
+}
+
+test('a request that is served breaks nothing', () => {
+  assert.deepEqual(listBroken({}), []);
+});
+
+test('each promise is seen to be broken', () => {
+  // Symptom: a run that should fail passes. Sequence: a check compares the wrong sides. Cause: it
+  // was never shown a story that breaks its promise.
+  const cases: readonly (readonly [string, ICase])[] = [
+    ['at most once', { arrivals: [{}, {}] }],
+    ['refused means not run', { reply: { status: 429, stamp: undefined } }],
+    [
+      'refusals say when to come back',
+      { reply: { status: 503, stamp: undefined }, arrivals: [{ hasRun: false }] },
+    ],
+    ['successes are whole and the target’s own', { reply: { body: 'q1 done by' } }],
+    ['successes are whole and the target’s own', { reply: { stamp: undefined } }],
+    ['failures keep the status of their target', { reply: { status: 500 } }],
+    ['targets get requests unchanged', { arrivals: [{ body: 'ord' }] }],
+    ['requests run where their route says', { arrivals: [{ service: 'listing' }] }],
+    ['attempts stay within the route', { arrivals: [{}, { target: 'b' }, { target: 'c' }] }],
+    ['targets get only what callers sent', { arrivals: [{}, { id: 'q2' }] }],
+    ['allowed requests are not denied', { reply: { status: 404, stamp: undefined } }],
+    ['answers come by the route’s timeout', { reply: { endMs: 12_600 } }],
+    [
+      'requests of callers that left go no further',
+      { reply: { hasLeft: true, endMs: 10_020 }, arrivals: [{ atMs: 10_600 }] },
+    ],
+    [
+      'targets drop the work of callers that left',
+      { reply: { hasLeft: true, endMs: 10_020 }, workEndMs: 10_600 },
+    ],
+    [
+      'stops lose no request',
+      {
+        reply: { status: undefined },
+        evidence: { plannedStops: [{ node: 'node-0', life: 1, askedMs: 10_050 }] },
+      },
+    ],
+    [
+      'leaving targets get nothing new',
+      { evidence: { drains: [{ target: 'booking-1', acceptedMs: 8000 }] } },
+    ],
+  ];
+  for (const [name, given] of cases) assert.ok(listBroken(given).includes(name), name);
+});
+
+test('what a fault explains is no broken bound', () => {
+  const disturbances = new DisturbanceLog();
+  disturbances.record('node-0', 9000);
+  const drains = [{ target: 'booking-1', acceptedMs: 8000 }];
+  assert.deepEqual(listBroken({ evidence: { disturbances, drains } }), []);
+});
+
+test('a process that goes back to an older configuration is found, a new process not', () => {
+  const probe = { node: 'node-0', life: 1, sentMs: 1, isFound: true };
+  const probes = [
+    { ...probe, version: 2 },
+    { ...probe, version: 1, sentMs: 2 },
+  ];
+  assert.deepEqual(listBroken({ evidence: { probes } }), ['configurations never go back']);
+  const [first, second] = probes;
+  const restarted = [first!, { ...second!, life: 2 }];
+  assert.deepEqual(listBroken({ evidence: { probes: restarted } }), []);
+});
+
+test('a configuration that is not in force in time is found', () => {
+  const versions = [{ version: 3, acceptedMs: 1000 }];
+  const probe = { node: 'node-0', life: 1, version: 3, isFound: false };
+  const early = [{ ...probe, sentMs: 2900 }];
+  assert.deepEqual(listBroken({ evidence: { versions, probes: early } }), []);
+  const late = [{ ...probe, sentMs: 3100 }];
+  assert.deepEqual(listBroken({ evidence: { versions, probes: late } }), [
+    'configurations are in force in time',
+  ]);
+});
+
+test('repeats beyond the budget are found', () => {
+  const ledger = new SoakLedger();
+  for (let index = 0; index < 30; index += 1) {
+    const id = `r${index}`;
+    ledger.recordRequest({ ...REQUEST, id, kind: 'list' });
+    ledger.recordArrival({ ...ARRIVAL, id, service: 'listing', target: 'a' });
+    ledger.recordArrival({ ...ARRIVAL, id, service: 'listing', target: 'b', atMs: 10_020 });
+  }
+  const findings = new Findings();
+  const disturbances = new DisturbanceLog();
+  const rest = { drains: [], plannedStops: [], probes: [], versions: [] };
+  checkSafety({ ledger, disturbances, ...rest }, findings);
+  const broken = findings.list().find(({ name }) => name === 'repeats stay within the budget');
+  assert.ok((broken?.violations ?? 0) > 0);
+});
--- /dev/null
+++ b/packages/lab/src/soak/common/soakLayout.ts
@@ -0,0 +1,71 @@
+/** The deployment that the soak runs: services, routes, and what they allow. */
+import type { IMetadataRoute } from '@parsleymux/standins';
+import { makeConfigText } from '@parsleymux/standins';
+
+export const SOAK_HOST = 'soak.example';
+export const BOOKING_SERVICE = 'booking';
+export const LISTING_SERVICE = 'listing';
+export const SOAK_SERVICES = [BOOKING_SERVICE, LISTING_SERVICE] as const;
+export const SOAK_FAILURE_DOMAINS = ['north', 'south', 'west'] as const;
+export const BOOKING_PREFIX = '/bookings/';
+export const LISTING_PREFIX = '/lists/';
+/** Targets that one request may be sent to, at most. */
+export const MAX_ATTEMPTS = 2;
+/** Longest that a request may take, in s. */
+export const ROUTE_TIMEOUT_S = 2;
+
+/** Bounds of the deployment, with the names that the settings file gives them. */
+export const SOAK_BOUNDS = {
+  drain_s: 2,
+  grace_s: 6,
+  config_apply_s: 2,
+  retry_ratio: 0.2,
+  retry_window_s: 10,
+  retry_burst: 20,
+  floor_share: 0.7,
+} as const;
+
+/**
+ * Only the configuration of this version has this prefix, so that one request tells whether a node
+ * has it in force.
+ */
+export function formatVersionPrefix(version: number): string {
+  return `/at-${version}/`;
+}
+
+/**
+ * The configuration of one version.
+ *
+ * @example
+ * store.put('op', 'config', makeSoakConfig(4));
+ */
+export function makeSoakConfig(version: number): string {
+  const common = { host: SOAK_HOST, timeoutS: ROUTE_TIMEOUT_S, objectiveS: 0.6 };
+  const routes: readonly IMetadataRoute[] = [
+    {
+      ...common,
+      name: 'bookings',
+      prefix: BOOKING_PREFIX,
+      kind: 'unsafe',
+      maxAttempts: MAX_ATTEMPTS,
+      service: BOOKING_SERVICE,
+    },
+    {
+      ...common,
+      name: 'lists',
+      prefix: LISTING_PREFIX,
+      kind: 'safe',
+      maxAttempts: MAX_ATTEMPTS,
+      service: LISTING_SERVICE,
+    },
+    {
+      ...common,
+      name: `at-${version}`,
+      prefix: formatVersionPrefix(version),
+      kind: 'safe',
+      maxAttempts: 1,
+      service: LISTING_SERVICE,
+    },
+  ];
+  return makeConfigText(version, routes, SOAK_SERVICES);
+}
--- /dev/null
+++ b/packages/lab/src/soak/node/main.ts
@@ -0,0 +1,100 @@
+/**
+ * `npm run soak -- --seed N --seconds S`: nodes of the users' platform as processes, with faults
+ * from outside, against the promises of the users' pages. Exits 1 on any violation.
+ */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { parseArgs } from 'node:util';
+import { makeSchedule } from '../../prove/common/faultSchedule.js';
+import { formatBreakModule, listBreakModules } from '../../prove/node/breakModules.js';
+import type { SoakFaultKind } from '../common/soakFaultKind.js';
+import { SOAK_FAULT_KINDS } from '../common/soakFaultKind.js';
+import { runSoak } from './soakRun.js';
+
+const BREAKS = new URL('../breaks/node/', import.meta.url);
+/** The break that is not inside the nodes. */
+const LAX_TARGETS = 'laxTargets';
+const USAGE = `npm run soak -- [--seed N] [--runs COUNT] [--seconds S] [--spacing MS] [--nodes COUNT]
+  [--targets COUNT] [--only KIND,KIND] [--break NAME] [--logs DIRECTORY]
+kinds: ${SOAK_FAULT_KINDS.join(', ')}
+breaks: ${[LAX_TARGETS, ...listBreakModules(BREAKS)].join(', ')}`;
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: 'string', default: '1' },
+    runs: { type: 'string', default: '1' },
+    seconds: { type: 'string', default: '20' },
+    spacing: { type: 'string', default: '700' },
+    nodes: { type: 'string', default: '6' },
+    targets: { type: 'string', default: '5' },
+    only: { type: 'string', default: '' },
+    break: { type: 'string', default: '' },
+    logs: { type: 'string', default: 'out/soak' },
+    help: { type: 'boolean', default: false },
+  },
+});
+
+function parseKinds(text: string): readonly SoakFaultKind[] {
+  const names = text.split(',').filter((name) => name !== '');
+  const unknown = names.find((name) => !SOAK_FAULT_KINDS.some((kind) => kind === name));
+  if (unknown !== undefined) throw new Error(`there is no kind of fault "${unknown}"\n${USAGE}`);
+  return SOAK_FAULT_KINDS.filter((kind) => names.length === 0 || names.includes(kind));
+}
+
+function makeBreakOptions(name: string): { breakModule?: string; hasLaxTargets?: boolean } {
+  if (name === '') return {};
+  if (name === LAX_TARGETS) return { hasLaxTargets: true };
+  if (!listBreakModules(BREAKS).includes(name))
+    throw new Error(`there is no break "${name}"\n${USAGE}`);
+  return { breakModule: formatBreakModule(name, BREAKS) };
+}
+
+function storeLogs(seed: number, logs: ReadonlyMap<string, readonly string[]>): void {
+  const directory = join(values.logs, `seed-${seed}`);
+  mkdirSync(directory, { recursive: true });
+  for (const [node, lines] of logs) writeFileSync(join(directory, `${node}.log`), lines.join('\n'));
+  console.log(`logs are in ${directory}`);
+}
+
+async function runSeed(seed: number): Promise<boolean> {
+  const seconds = Number(values.seconds);
+  const kinds = parseKinds(values.only);
+  const schedule = makeSchedule({ seed, seconds, spacingMs: Number(values.spacing), kinds });
+  console.log(`\nseed ${seed}, ${seconds} s, ${schedule.length} faults`);
+  const { findings, requests, served } = await runSoak({
+    seed,
+    seconds,
+    schedule,
+    nodeCount: Number(values.nodes),
+    targetsPerService: Number(values.targets),
+    checksBounds: true,
+    storeLogs: (logs) => {
+      storeLogs(seed, logs);
+    },
+    ...makeBreakOptions(values.break),
+  });
+  const verdict = findings.hasViolations() ? 'VIOLATIONS' : 'no violations';
+  console.log(`seed ${seed}: ${requests} requests, ${served} served, ${verdict}`);
+  return !findings.hasViolations();
+}
+
+async function runCommand(): Promise<number> {
+  const first = Number(values.seed);
+  const failed: number[] = [];
+  for (let seed = first; seed < first + Number(values.runs); seed += 1) {
+    if (!(await runSeed(seed))) failed.push(seed);
+  }
+  if (failed.length > 0) console.log(`\nseeds with violations: ${failed.join(', ')}`);
+  return failed.length > 0 ? 1 : 0;
+}
+
+if (values.help) {
+  console.log(USAGE);
+} else {
+  process.exit(
+    await runCommand().catch((error: unknown) => {
+      console.error(error);
+      return 1;
+    }),
+  );
+}
--- /dev/null
+++ b/packages/lab/src/soak/node/soakCaller.ts
@@ -0,0 +1,200 @@
+/** A caller that keeps its connection to a node for as long as the node keeps it. */
+import type { IncomingMessage } from 'node:http';
+import { Agent, request as openRequest } from 'node:http';
+import type { Socket } from 'node:net';
+import type { RandomSource } from '@parsleymux/base';
+import {
+  BOOKING_PREFIX,
+  LISTING_PREFIX,
+  SOAK_HOST,
+  formatVersionPrefix,
+} from '../common/soakLayout.js';
+import type { ISoakReply, ISoakRequest, SoakLedger } from '../common/soakLedger.js';
+import type { SoakNode } from './soakNode.js';
+
+/** The caller's deadline, in ms: beyond the route's timeout, which has to end the request. */
+const CALLER_TIMEOUT_MS = 4000;
+/** After this nothing is waited for any more, in ms. */
+const GIVE_UP_MS = 8000;
+const BOOKING_SHARE = 0.6;
+/** Share of the callers that leave before they have an answer. */
+const LEAVING_SHARE = 0.06;
+/** Callers that leave do so within this time, in ms: most requests take less. */
+const LONGEST_PATIENCE_MS = 150;
+
+/** Options of a {@link SoakCaller}. */
+export interface ISoakCallerOptions {
+  readonly name: string;
+  readonly random: RandomSource;
+  readonly ledger: SoakLedger;
+  /** A node that takes new connections; undefined when none does. */
+  readonly pickNode: () => SoakNode | undefined;
+  /** Mean pause between an answer and the next request, in ms. */
+  readonly pauseMs: number;
+}
+
+/** Sends one request after the other until it is stopped. */
+export class SoakCaller {
+  private agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  private node: SoakNode | undefined;
+  private count = 0;
+
+  constructor(private readonly options: ISoakCallerOptions) {}
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { pauseMs, random } = this.options;
+    while (!signal.aborted) {
+      const node = this.chooseNode();
+      if (node !== undefined) await this.sendNext(node);
+      await sleep(pauseMs * 2 * random.getFloat());
+    }
+    this.agent.destroy();
+  }
+
+  /** Stays with the node while the connection is open, whatever the node says of itself. */
+  private chooseNode(): SoakNode | undefined {
+    const isOpen = Object.keys(this.agent.freeSockets).length > 0;
+    if (!isOpen) {
+      this.agent.destroy();
+      this.agent = new Agent({ keepAlive: true, maxSockets: 1 });
+      this.node = this.options.pickNode();
+    }
+    return this.node;
+  }
+
+  private async sendNext(node: SoakNode): Promise<void> {
+    const { ledger, name, random } = this.options;
+    this.count += 1;
+    const isBooking = random.getFloat() < BOOKING_SHARE;
+    const id = `${name}-${this.count}`;
+    const sent: ISoakRequest = {
+      id,
+      kind: isBooking ? 'booking' : 'list',
+      method: isBooking ? 'POST' : 'GET',
+      path: `${isBooking ? BOOKING_PREFIX : LISTING_PREFIX}${id}`,
+      body: isBooking ? `order of ${id}` : '',
+      node: node.name,
+      life: node.life,
+      sentMs: performance.now(),
+    };
+    ledger.recordRequest(sent);
+    const leavesAfterMs =
+      random.getFloat() < LEAVING_SHARE ? random.getFloat() * LONGEST_PATIENCE_MS : Infinity;
+    const agent = this.agent;
+    ledger.recordReply(id, await sendRequest(node.front, sent, { agent, leavesAfterMs }));
+  }
+}
+
+/** Asks a node whether it has a version in force; undefined when it does not answer that. */
+export async function probeVersion(
+  node: SoakNode,
+  version: number,
+  id: string,
+  ledger: SoakLedger,
+): Promise<boolean | undefined> {
+  const sent: ISoakRequest = {
+    id,
+    kind: 'probe',
+    method: 'GET',
+    path: `${formatVersionPrefix(version)}${id}`,
+    body: '',
+    node: node.name,
+    life: node.life,
+    sentMs: performance.now(),
+  };
+  ledger.recordRequest(sent);
+  const agent = new Agent({ keepAlive: false });
+  const reply = await sendRequest(node.front, sent, { agent, leavesAfterMs: Infinity });
+  ledger.recordReply(id, reply);
+  if (reply.status === undefined) return undefined;
+  if (reply.status === 404) return false;
+  // A refusal of a node that knows no configuration yet says nothing of any version.
+  return reply.stamp === undefined ? undefined : true;
+}
+
+interface ISendOptions {
+  readonly agent: Agent;
+  readonly leavesAfterMs: number;
+}
+
+/** Never rejects: every way to end is a reply. */
+function sendRequest(
+  address: string,
+  sent: ISoakRequest,
+  options: ISendOptions,
+): Promise<ISoakReply> {
+  const { agent, leavesAfterMs } = options;
+  const [host = '', port = '0'] = address.split(':');
+  return new Promise((resolve) => {
+    let hasLeft = false;
+    let socket: Socket | undefined;
+    const end = (part: Partial<ISoakReply>) => {
+      clearTimeout(timer);
+      resolve({
+        status: undefined,
+        body: '',
+        stamp: undefined,
+        retryAfter: undefined,
+        isUnread: socket === undefined || socket.bytesWritten === 0,
+        ...part,
+        hasLeft,
+        endMs: performance.now(),
+      });
+    };
+    const outgoing = openRequest({
+      agent,
+      host,
+      port,
+      method: sent.method,
+      path: sent.path,
+      headers: {
+        host: SOAK_HOST,
+        'request-id': sent.id,
+        'deadline-ms': String(CALLER_TIMEOUT_MS),
+        'content-length': String(sent.body.length),
+      },
+    });
+    const timer = setTimeout(
+      () => {
+        hasLeft = leavesAfterMs !== Infinity;
+        outgoing.destroy();
+      },
+      Math.min(leavesAfterMs, GIVE_UP_MS),
+    );
+    outgoing.once('socket', (taken) => {
+      socket = taken;
+    });
+    outgoing.once('error', () => {
+      // On a reused connection the node may have closed it before it read anything.
+      end({ isUnread: outgoing.reusedSocket || socket?.bytesWritten === 0 });
+    });
+    outgoing.once('response', (response) => {
+      void readAnswer(response).then(end);
+    });
+    outgoing.end(sent.body);
+  });
+}
+
+async function readAnswer(response: IncomingMessage): Promise<Partial<ISoakReply>> {
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of response) chunks.push(chunk as Buffer);
+  } catch {
+    // Broken off in the middle: no whole answer, which is a way to end like others.
+    return { isUnread: false };
+  }
+  const { headers, statusCode } = response;
+  return {
+    status: statusCode,
+    body: Buffer.concat(chunks).toString('utf8'),
+    stamp: headers['server-stamp'] as string | undefined,
+    retryAfter: headers['retry-after'],
+    isUnread: false,
+  };
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+}
--- /dev/null
+++ b/packages/lab/src/soak/node/soakFaults.ts
@@ -0,0 +1,267 @@
+/** Brings the soak's faults about, and ends them. */
+import { MetadataFault } from '@parsleymux/standins';
+import type { IFaultStep } from '../../prove/common/faultSchedule.js';
+import type { EndFault, Injection } from '../../prove/node/faultInjector.js';
+import { endNothing, pickElement } from '../../prove/node/faultInjector.js';
+import { STORE_SCOPE } from '../common/disturbanceLog.js';
+import { formatLinkScope } from '../common/promiseChecks.js';
+import { SOAK_BOUNDS } from '../common/soakLayout.js';
+import { SoakFaultKind } from '../common/soakFaultKind.js';
+import type { SoakNode } from './soakNode.js';
+import type { SoakTarget } from './soakTarget.js';
+import { TARGET_MODES, TargetMode } from './soakTarget.js';
+import type { SoakWorld } from './soakWorld.js';
+
+const MS_PER_S = 1000;
+/** Fewer usable nodes or targets of a service than this are left alone. */
+const LEAST_NODES = 2;
+const LEAST_TARGETS = 2;
+/** Longest delay of a link in one direction, in ms. */
+const LONGEST_DELAY_MS = 400;
+const STORM_PAUSE_MS = 150;
+/** A process that was killed is started again after this, in ms. */
+const RESTART_MS = 300;
+/** An address goes to another target this long after the former one's entry went, in ms. */
+const REUSE_MS = 1500;
+/** A leaving target serves a little longer than nodes may send to it, in ms. */
+const LEAVE_MS = SOAK_BOUNDS.drain_s * MS_PER_S + 1000;
+
+type Step = IFaultStep<SoakFaultKind>;
+
+const STORE_FAULTS: readonly MetadataFault[] = Object.values(MetadataFault).filter((fault) => {
+  return fault !== MetadataFault.None;
+});
+
+/** Injects a step; the result ends it. */
+export function startSoakFault(step: Step, world: SoakWorld): Promise<Injection> {
+  switch (step.kind) {
+    case SoakFaultKind.NodeKill:
+      return withNode(step, world, (node) => startKill(node, world));
+    case SoakFaultKind.NodePause:
+      return withNode(step, world, (node) => startPause(node, world));
+    case SoakFaultKind.NodeTerminate:
+      return withNode(step, world, (node) => startTermination(node, world));
+    case SoakFaultKind.NodeReload:
+      return withNode(step, world, (node) => startReload(node, step, world));
+    case SoakFaultKind.NodeBadSettings:
+      return withNode(step, world, (node) => startBadSettings(node, world));
+    case SoakFaultKind.StoreFault:
+      return Promise.resolve(startStoreFault(step, world));
+    case SoakFaultKind.StoreCompaction:
+      world.store.rows.clearHistory();
+      return Promise.resolve(endNothing);
+    case SoakFaultKind.StoreLink:
+      return withNode(step, world, (node) => startLinkFault(node.link, node.name, step, world));
+    case SoakFaultKind.TargetFault:
+      return withTarget(step, world, (target) => startTargetFault(target, step, world));
+    case SoakFaultKind.TargetLink:
+      return withTarget(step, world, (target) => {
+        return startLinkFault(target.link, formatLinkScope(target.options.id), step, world);
+      });
+    case SoakFaultKind.TargetDrain:
+      return withTarget(step, world, (target) => startDrain(target, world));
+    case SoakFaultKind.TargetCrash:
+      return withTarget(step, world, (target) => startCrash(target, world));
+    case SoakFaultKind.TargetReuse:
+      return withTarget(step, world, (target) => startReuse(target, step, world));
+    case SoakFaultKind.ConfigChange:
+      world.putConfig();
+      return Promise.resolve(endNothing);
+    case SoakFaultKind.ConfigStorm:
+      return Promise.resolve(startStorm(world));
+  }
+}
+
+function withNode(
+  step: Step,
+  world: SoakWorld,
+  act: (node: SoakNode) => Promise<Injection>,
+): Promise<Injection> {
+  const usable = world.nodes.filter((node) => node.isUsable());
+  const node = usable.length > LEAST_NODES ? pickElement(usable, step.pick) : undefined;
+  return node === undefined ? Promise.resolve('skipped') : act(node);
+}
+
+function withTarget(
+  step: Step,
+  world: SoakWorld,
+  act: (target: SoakTarget) => Promise<EndFault>,
+): Promise<Injection> {
+  const target = pickElement(world.targets, step.pick);
+  const siblings = world.targets.filter(({ options }) => {
+    return options.service === target?.options.service;
+  });
+  if (target === undefined || siblings.length <= LEAST_TARGETS) return Promise.resolve('skipped');
+  return act(target);
+}
+
+function markDisturbed(scope: string, world: SoakWorld): () => void {
+  const end = world.disturbances.start(scope, performance.now());
+  return () => {
+    end(performance.now());
+  };
+}
+
+async function startKill(node: SoakNode, world: SoakWorld): Promise<EndFault> {
+  const endDisturbance = markDisturbed(node.name, world);
+  node.sendSignal('SIGKILL');
+  await node.waitForEnd();
+  return async () => {
+    await world.ensureRunning(node);
+    endDisturbance();
+  };
+}
+
+function startPause(node: SoakNode, world: SoakWorld): Promise<EndFault> {
+  const endDisturbance = markDisturbed(node.name, world);
+  node.sendSignal('SIGSTOP');
+  return Promise.resolve(() => {
+    node.sendSignal('SIGCONT');
+    endDisturbance();
+    return Promise.resolve();
+  });
+}
+
+function startTermination(node: SoakNode, world: SoakWorld): Promise<EndFault> {
+  const askedMs = performance.now();
+  world.plannedStops.push({ node: node.name, life: node.life, askedMs });
+  node.sendSignal('SIGTERM');
+  const graceMs = SOAK_BOUNDS.grace_s * MS_PER_S;
+  const killer = setTimeout(() => {
+    node.sendSignal('SIGKILL');
+  }, graceMs);
+  void node.waitForEnd().then(() => {
+    clearTimeout(killer);
+    const tookMs = performance.now() - askedMs;
+    const wasCalm = world.disturbances.isCalm([node.name], askedMs, askedMs + tookMs);
+    world.findings.check('stops end within the grace time', !wasCalm || tookMs < graceMs, () => {
+      return `${node.name} took ${Math.round(tookMs)} ms`;
+    });
+    setTimeout(() => void world.ensureRunning(node), RESTART_MS);
+  });
+  return Promise.resolve(endNothing);
+}
+
+async function startReload(node: SoakNode, step: Step, world: SoakWorld): Promise<Injection> {
+  if (!node.isReloadCaught()) return 'skipped';
+  // Fewer repeats than the deployment allows: the checks know only the greater number.
+  const retryBurst = Math.floor(SOAK_BOUNDS.retry_burst * step.size);
+  await node.writeSettings(world.listSeeds(), false, { retryBurst });
+  node.sendSignal('SIGHUP');
+  return async () => {
+    await node.writeSettings(world.listSeeds(), false, {});
+    if (node.isReloadCaught()) node.sendSignal('SIGHUP');
+  };
+}
+
+async function startBadSettings(node: SoakNode, world: SoakWorld): Promise<Injection> {
+  if (!node.isReloadCaught()) return 'skipped';
+  await node.writeSettings(world.listSeeds(), false, { isBroken: true });
+  node.sendSignal('SIGHUP');
+  return () => node.writeSettings(world.listSeeds(), false, {});
+}
+
+function startStoreFault(step: Step, world: SoakWorld): Injection {
+  if (world.store.fault !== MetadataFault.None) return 'skipped';
+  const endDisturbance = markDisturbed(STORE_SCOPE, world);
+  world.store.fault = pickElement(STORE_FAULTS, step.pick) ?? MetadataFault.Busy;
+  return () => {
+    world.store.fault = MetadataFault.None;
+    endDisturbance();
+    return Promise.resolve();
+  };
+}
+
+async function startLinkFault(
+  link: SoakNode['link'],
+  scope: string,
+  step: Step,
+  world: SoakWorld,
+): Promise<EndFault> {
+  const endDisturbance = markDisturbed(scope, world);
+  const ways = ['forward', 'backward', 'both', 'delay', 'reset', 'silent', 'refuse'] as const;
+  switch (pickElement(ways, step.pick)) {
+    case 'forward':
+      await link.setFaults({ cutForward: true });
+      break;
+    case 'backward':
+      await link.setFaults({ cutBackward: true });
+      break;
+    case 'both':
+      await link.setFaults({ cutForward: true, cutBackward: true });
+      break;
+    case 'delay':
+      await link.setFaults({ delayMs: LONGEST_DELAY_MS * step.size });
+      break;
+    case 'reset':
+      link.resetConnections();
+      break;
+    case 'silent':
+      link.markConnectionsSilent();
+      break;
+    case 'refuse':
+      await link.setFaults({ refuse: true });
+      link.resetConnections();
+      break;
+    case undefined:
+      break;
+  }
+  return async () => {
+    await link.setFaults({ cutForward: false, cutBackward: false, refuse: false, delayMs: 0 });
+    endDisturbance();
+  };
+}
+
+function startTargetFault(target: SoakTarget, step: Step, world: SoakWorld): Promise<EndFault> {
+  const endDisturbance = markDisturbed(target.options.id, world);
+  const modes = TARGET_MODES.filter((mode) => mode !== TargetMode.Well);
+  target.mode = pickElement(modes, step.pick) ?? TargetMode.Failing;
+  target.share = step.size;
+  return Promise.resolve(() => {
+    target.mode = TargetMode.Well;
+    endDisturbance();
+    return Promise.resolve();
+  });
+}
+
+async function startDrain(target: SoakTarget, world: SoakWorld): Promise<EndFault> {
+  await world.openTarget(target.options.service);
+  world.retireTarget(target);
+  const leave = async () => {
+    world.removeTarget(target);
+    markDisturbed(target.options.id, world);
+    await target.dispose();
+  };
+  setTimeout(() => void leave(), LEAVE_MS);
+  return endNothing;
+}
+
+async function startCrash(target: SoakTarget, world: SoakWorld): Promise<EndFault> {
+  markDisturbed(target.options.id, world);
+  await target.dispose();
+  return async () => {
+    world.removeTarget(target);
+    await world.openTarget(target.options.service);
+  };
+}
+
+async function startReuse(target: SoakTarget, step: Step, world: SoakWorld): Promise<EndFault> {
+  const services = [...new Set(world.targets.map(({ options }) => options.service))];
+  const service = pickElement(services, Math.floor(step.pick / 7)) ?? target.options.service;
+  markDisturbed(target.options.id, world);
+  const place = await target.releasePlace();
+  world.removeTarget(target);
+  await new Promise((resolve) => setTimeout(resolve, REUSE_MS));
+  await world.openTarget(service, place);
+  return endNothing;
+}
+
+function startStorm(world: SoakWorld): EndFault {
+  const timer = setInterval(() => {
+    world.putConfig();
+  }, STORM_PAUSE_MS);
+  return () => {
+    clearInterval(timer);
+    return Promise.resolve();
+  };
+}
--- /dev/null
+++ b/packages/lab/src/soak/node/soakNode.ts
@@ -0,0 +1,189 @@
+/** One VM of the soak: its addresses, its settings file, its way to the store, and its process. */
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { once } from 'node:events';
+import { writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import type { IDisposable } from '@parsleymux/base';
+import { FaultyLink } from '@parsleymux/standins';
+import { request } from 'undici';
+import { isReloadCaught } from '../../processes/node/caughtSignals.js';
+import type { IProcessEnd, ManagedProcess } from '../../processes/node/managedProcess.js';
+import type { ProcessFleet } from '../../processes/node/processFleet.js';
+import { Program } from '../../processes/node/programs.js';
+import { SOAK_BOUNDS, SOAK_FAILURE_DOMAINS } from '../common/soakLayout.js';
+
+/** Ports that a node may use besides those that callers know. */
+const FREE_PORTS = 16;
+const READY_TIMEOUT_MS = 900;
+/** Hosts of one run begin here, within 127.0.0.0/8; the run's process id keeps two runs apart. */
+const FIRST_HOST = 11;
+const NETWORKS = 200;
+
+/** Options of a {@link SoakNode}. */
+export interface ISoakNodeOptions {
+  readonly index: number;
+  readonly fleet: ProcessFleet;
+  readonly directory: string;
+  readonly storeAddress: string;
+  /** Options of Node itself. */
+  readonly nodeOptions: readonly string[];
+  /** Called when a process ends; `isAsked` tells whether the soak had ended it. */
+  readonly onDidEnd: (node: SoakNode, end: IProcessEnd, isAsked: boolean) => void;
+}
+
+/** How a settings file is to be written. */
+export interface ISettingsChange {
+  readonly retryBurst?: number;
+  /** Write only half of the text. */
+  readonly isBroken?: boolean;
+}
+
+/** A VM; its process may end and start again at the same addresses. */
+export class SoakNode implements IDisposable {
+  readonly name: string;
+  readonly host: string;
+  /** Processes started so far. */
+  life = 0;
+  private child: ManagedProcess | undefined;
+  private readonly formerLines: string[] = [];
+  private isEndAsked = false;
+  private ports: readonly number[] = [];
+  private storeLink: FaultyLink | undefined;
+
+  constructor(private readonly options: ISoakNodeOptions) {
+    this.name = `node-${options.index}`;
+    const network = process.pid % NETWORKS;
+    this.host = `127.${1 + (Math.floor(process.pid / NETWORKS) % NETWORKS)}.${network}.${FIRST_HOST + options.index}`;
+  }
+
+  get front(): string {
+    return `${this.host}:${this.ports[0] ?? 0}`;
+  }
+
+  get link(): FaultyLink {
+    if (this.storeLink === undefined) throw new Error(`${this.name} is not open`);
+    return this.storeLink;
+  }
+
+  isRunning(): boolean {
+    return this.child?.isRunning() === true;
+  }
+
+  /** Whether it runs, is not stopped by a signal and was not asked to end. */
+  isUsable(): boolean {
+    return this.isRunning() && this.child?.isStopped() !== true && !this.isEndAsked;
+  }
+
+  /** Whether SIGHUP would be handled: the runtime itself takes some time until it can be. */
+  isReloadCaught(): boolean {
+    return this.isRunning() && isReloadCaught(this.child?.pid ?? -1);
+  }
+
+  /** Chooses the addresses. */
+  async open(): Promise<void> {
+    this.ports = await listFreePorts(this.host, 3);
+    this.storeLink = new FaultyLink({ to: this.options.storeAddress });
+    await this.storeLink.start();
+  }
+
+  /** Starts the process; it is not yet ready. */
+  async start(seeds: readonly SoakNode[], isFirstStart: boolean): Promise<void> {
+    await this.writeSettings(seeds, isFirstStart, {});
+    this.formerLines.push(...this.getOwnLines(), `end of life ${this.life}`);
+    this.life += 1;
+    this.isEndAsked = false;
+    const child = this.options.fleet.start({
+      name: this.name,
+      script: Program.PlatformNode,
+      env: { PARSLEYMUX_SETTINGS: this.settingsPath },
+      nodeOptions: this.options.nodeOptions,
+    });
+    this.child = child;
+    void child.waitForEnd().then((end) => {
+      this.options.onDidEnd(this, end, this.isEndAsked);
+    });
+  }
+
+  /** Sends a signal; SIGTERM and SIGKILL count as asked. */
+  sendSignal(signal: NodeJS.Signals): void {
+    if (signal === 'SIGTERM' || signal === 'SIGKILL') this.isEndAsked = true;
+    this.child?.sendSignal(signal);
+  }
+
+  waitForEnd(): Promise<IProcessEnd | undefined> {
+    return this.child?.waitForEnd() ?? Promise.resolve(undefined);
+  }
+
+  /** What all its processes wrote, oldest first. */
+  getLogLines(): readonly string[] {
+    return [...this.formerLines, ...this.getOwnLines()];
+  }
+
+  async isReady(): Promise<boolean> {
+    if (!this.isRunning()) return false;
+    try {
+      const url = `http://${this.host}:${this.ports[1] ?? 0}/readyz`;
+      const answer = await request(url, { signal: AbortSignal.timeout(READY_TIMEOUT_MS) });
+      await answer.body.dump();
+      return answer.statusCode === 200;
+    } catch {
+      // Refused or silent: not ready, which is all that the balancer wants to know.
+      return false;
+    }
+  }
+
+  async writeSettings(
+    seeds: readonly SoakNode[],
+    isFirstStart: boolean,
+    change: ISettingsChange,
+  ): Promise<void> {
+    const text = JSON.stringify(this.makeSettings(seeds, isFirstStart, change));
+    await writeFile(this.settingsPath, change.isBroken === true ? text.slice(0, 99) : text);
+  }
+
+  dispose(): void {
+    this.storeLink?.dispose();
+  }
+
+  private getOwnLines(): readonly string[] {
+    return [...(this.child?.getOutputLines() ?? []), ...(this.child?.getErrorLines() ?? [])];
+  }
+
+  private get settingsPath(): string {
+    return join(this.options.directory, `${this.name}.json`);
+  }
+
+  private makeSettings(
+    seeds: readonly SoakNode[],
+    isFirstStart: boolean,
+    change: ISettingsChange,
+  ): object {
+    const [front, ready, first] = this.ports;
+    const { index } = this.options;
+    const retry_burst = change.retryBurst ?? SOAK_BOUNDS.retry_burst;
+    return {
+      node: this.name,
+      zone: SOAK_FAILURE_DOMAINS[index % SOAK_FAILURE_DOMAINS.length],
+      ip: this.host,
+      listen: { front: `${this.host}:${front}`, ready: `${this.host}:${ready}` },
+      port_range: [first, (first ?? 0) + FREE_PORTS - 1],
+      seeds: seeds.map(({ host }) => `${host}:1`),
+      bootstrap: isFirstStart,
+      bounds: { ...SOAK_BOUNDS, retry_burst },
+      platform: { address: this.link.getAddress() },
+    };
+  }
+}
+
+/** The last one begins a range of free ports: nothing else listens on a host of the run's own. */
+async function listFreePorts(host: string, count: number): Promise<readonly number[]> {
+  const servers = Array.from({ length: count }, () => createServer().listen(0, host));
+  await Promise.all(servers.map((server) => once(server, 'listening')));
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  await Promise.all(servers.map((server) => once(server.close(), 'close')));
+  const [front = 0, ready = 0, first = 0] = ports;
+  const isApart = [front, ready].every((port) => port < first || port >= first + FREE_PORTS);
+  const fits = first + FREE_PORTS < 65_536;
+  return isApart && fits ? ports : listFreePorts(host, count);
+}
--- /dev/null
+++ b/packages/lab/src/soak/node/soakRun.ts
@@ -0,0 +1,186 @@
+/** One soak from start to verdict. */
+import { DisposableStore, SeededRandom } from '@parsleymux/base';
+import { disposeOnInterrupt } from '../../processes/node/interrupt.js';
+import type { IFaultStep } from '../../prove/common/faultSchedule.js';
+import { FaultRunner } from '../../prove/node/faultRunner.js';
+import type { Findings } from '../../prove/common/findings.js';
+import { printChecks, printFaults } from '../../prove/node/proveReport.js';
+import type { IVersionProbe } from '../common/promiseChecks.js';
+import { checkBounds, checkSafety } from '../common/promiseChecks.js';
+import type { SoakFaultKind } from '../common/soakFaultKind.js';
+import { SoakCaller, probeVersion } from './soakCaller.js';
+import { startSoakFault } from './soakFaults.js';
+import type { SoakNode } from './soakNode.js';
+import type { ISoakWorldOptions } from './soakWorld.js';
+import { SoakWorld } from './soakWorld.js';
+
+/** After the last fault the fleet may still suffer from it for this long, in ms. */
+const RECOVERY_MS = 6000;
+/** Then it is watched for this long, in ms. */
+const WATCH_MS = 3000;
+/** Late work of targets comes to its end, in ms. */
+const REST_MS = 2500;
+const READY_POLL_MS = 500;
+const PROBE_EVERY_MS = 250;
+const CALLERS_PER_NODE = 8;
+const PAUSE_MS = 150;
+/** Share of the requests that has to be served when nothing is wrong any more. */
+const LEAST_SHARE_RECOVERED = 0.95;
+/** The callers' random numbers are apart from those of the world. */
+const CALLER_SEED = 1000;
+
+/** Options of {@link runSoak}. */
+export interface ISoakOptions extends ISoakWorldOptions {
+  readonly seconds: number;
+  readonly schedule: readonly IFaultStep<SoakFaultKind>[];
+  /** Check bounds of time too; a computer that is busy with other work breaks them by itself. */
+  readonly checksBounds: boolean;
+  /** Called when a check fails, with the logs of all nodes. */
+  readonly storeLogs?: (logs: ReadonlyMap<string, readonly string[]>) => void;
+}
+
+/** What a run came to. */
+export interface ISoakResult {
+  readonly findings: Findings;
+  readonly requests: number;
+  readonly served: number;
+}
+
+/**
+ * Runs, prints a report, and returns what was found.
+ *
+ * @example
+ * const { findings } = await runSoak(options);
+ * process.exitCode = findings.hasViolations() ? 1 : 0;
+ */
+export async function runSoak(options: ISoakOptions): Promise<ISoakResult> {
+  const owner = new DisposableStore();
+  disposeOnInterrupt(owner);
+  const world = new SoakWorld(options);
+  owner.add(world);
+  try {
+    await world.start();
+    return await runInWorld(options, world);
+  } finally {
+    await owner.dispose();
+  }
+}
+
+async function runInWorld(options: ISoakOptions, world: SoakWorld): Promise<ISoakResult> {
+  const stopped = new AbortController();
+  const ready = new Set<SoakNode>(world.nodes);
+  const probes: IVersionProbe[] = [];
+  const background = [
+    runEvery(READY_POLL_MS, stopped.signal, () => {
+      pollReady(world, ready);
+    }),
+    runEvery(PROBE_EVERY_MS, stopped.signal, () => {
+      probeNodes(world, ready, probes);
+    }),
+    ...makeCallers(options, world, ready).map((caller) => caller.run(stopped.signal)),
+  ];
+  const runner = new FaultRunner((step: IFaultStep<SoakFaultKind>) => startSoakFault(step, world));
+  runner.start(options.schedule);
+  await sleep(options.seconds * 1000);
+  await runner.finish();
+  await world.clearFaults();
+  await sleep(RECOVERY_MS);
+  const recoveredMs = performance.now();
+  await sleep(WATCH_MS);
+  stopped.abort();
+  await Promise.all(background);
+  await sleep(REST_MS);
+  checkRecovery(world, recoveredMs);
+  const { disturbances, drains, ledger, plannedStops, versions } = world;
+  const evidence = { disturbances, drains, ledger, plannedStops, probes, versions };
+  checkSafety(evidence, world.findings);
+  if (options.checksBounds) checkBounds(evidence, world.findings);
+  printFaults(runner.getCounts(), runner.getErrors());
+  return summarizeRun(options, world);
+}
+
+function summarizeRun(options: ISoakOptions, world: SoakWorld): ISoakResult {
+  const stories = world.ledger.listStories();
+  const statuses = new Map<string, number>();
+  for (const { reply, request } of stories) {
+    const outcome = reply?.hasLeft === true ? 'left' : String(reply?.status ?? 'no answer');
+    const key = `${request.kind} ${outcome}`;
+    statuses.set(key, (statuses.get(key) ?? 0) + 1);
+  }
+  console.log('\nrequests');
+  for (const [key, count] of [...statuses].sort()) console.log(`  ${key.padEnd(20)} ${count}`);
+  printChecks(world.findings.list());
+  if (world.findings.hasViolations()) {
+    options.storeLogs?.(new Map(world.nodes.map((node) => [node.name, node.getLogLines()])));
+  }
+  const served = stories.filter(({ reply }) => reply?.status === 200).length;
+  return { findings: world.findings, requests: stories.length, served };
+}
+
+function makeCallers(
+  options: ISoakOptions,
+  world: SoakWorld,
+  ready: ReadonlySet<SoakNode>,
+): readonly SoakCaller[] {
+  const count = CALLERS_PER_NODE * options.nodeCount;
+  return Array.from({ length: count }, (_, index) => {
+    const random = new SeededRandom(options.seed * CALLER_SEED + index);
+    return new SoakCaller({
+      name: `c${index}`,
+      random,
+      ledger: world.ledger,
+      pauseMs: PAUSE_MS,
+      pickNode: () => [...ready][Math.floor(random.getFloat() * ready.size)],
+    });
+  });
+}
+
+/** Each node by itself: waiting for a paused one must not keep the others' state stale. */
+function pollReady(world: SoakWorld, ready: Set<SoakNode>): void {
+  for (const node of world.nodes) {
+    void node.isReady().then((isReady) => {
+      if (isReady) ready.add(node);
+      else ready.delete(node);
+    });
+  }
+}
+
+/** Asks every node for the newest version and for the one before it. */
+function probeNodes(world: SoakWorld, ready: ReadonlySet<SoakNode>, probes: IVersionProbe[]): void {
+  const newest = world.versions[world.versions.length - 1]?.version ?? 1;
+  for (const node of ready) {
+    for (const version of [newest, Math.max(1, newest - 1)]) {
+      const { life } = node;
+      const sentMs = performance.now();
+      const id = `probe-${node.name}-${version}-${Math.round(sentMs * 10)}`;
+      void probeVersion(node, version, id, world.ledger).then((isFound) => {
+        if (isFound === undefined) return;
+        probes.push({ node: node.name, life, version, sentMs, isFound });
+      });
+    }
+  }
+}
+
+function checkRecovery(world: SoakWorld, sinceMs: number): void {
+  const late = world.ledger.listStories().filter(({ reply, request }) => {
+    return request.kind !== 'probe' && request.sentMs >= sinceMs && reply?.hasLeft !== true;
+  });
+  const served = late.filter(({ reply }) => reply?.status === 200).length;
+  const isServed = late.length > 0 && served >= late.length * LEAST_SHARE_RECOVERED;
+  world.findings.check('all is served again after the faults', isServed, () => {
+    return `${served} of ${late.length} requests`;
+  });
+}
+
+async function runEvery(pauseMs: number, signal: AbortSignal, act: () => void): Promise<void> {
+  while (!signal.aborted) {
+    act();
+    await sleep(pauseMs);
+  }
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+}
--- /dev/null
+++ b/packages/lab/src/soak/node/soakTarget.ts
@@ -0,0 +1,232 @@
+/** A target on loopback that speaks the users' published protocol and misbehaves on demand. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IDisposable, RandomSource } from '@parsleymux/base';
+import { FaultyLink, LoopbackServer } from '@parsleymux/standins';
+import { formatAnswerBody } from '../common/promiseChecks.js';
+import type { ISoakArrival } from '../common/soakLedger.js';
+
+/** What a target does wrong with part of its requests. */
+export const TargetMode = {
+  Well: 'well',
+  /** Runs the request and answers 500. */
+  Failing: 'failing',
+  /** Runs the request and never answers. */
+  Hanging: 'hanging',
+  /** Runs the request and resets the connection. */
+  Resetting: 'resetting',
+  /** Runs the request and breaks its answer off in the middle. */
+  Truncating: 'truncating',
+  /** Answers, and sends a second answer behind. */
+  Doubling: 'doubling',
+  /** Answers without a length, and resets the connection in the middle. */
+  Unframed: 'unframed',
+  /** Says that it is full, truthfully. */
+  Shedding: 'shedding',
+  Slow: 'slow',
+  /** Resets idle connections when the next request arrives on them. */
+  Forgetful: 'forgetful',
+} as const;
+
+export type TargetMode = (typeof TargetMode)[keyof typeof TargetMode];
+
+export const TARGET_MODES: readonly TargetMode[] = Object.values(TargetMode);
+
+const OK = 200;
+const FAILED = 500;
+const NOT_RUN = 503;
+const MISDIRECTED = 421;
+const MEAN_WORK_MS = 60;
+const SLOW_FACTOR = 8;
+/** A connection that was idle for longer is forgotten, in ms. */
+const FORGOTTEN_AFTER_MS = 100;
+
+/** Options of a {@link SoakTarget}. */
+export interface ISoakTargetOptions {
+  readonly id: string;
+  readonly service: string;
+  readonly slots: number;
+  readonly random: RandomSource;
+  /** The result is called when the work on it has ended. */
+  readonly recordArrival: (arrival: ISoakArrival) => (endMs: number) => void;
+  /** Turned off, it runs what is meant for another target. */
+  readonly isStrict: boolean;
+  /** What a former target left at its address. Default: an address of its own. */
+  readonly place?: ITargetPlace;
+}
+
+/** Where a target listens. */
+export interface ITargetPlace {
+  readonly link: FaultyLink;
+  readonly port: number;
+}
+
+/** One incarnation. */
+export class SoakTarget implements IDisposable {
+  mode: TargetMode = TargetMode.Well;
+  /** Share of the requests that the mode touches, from 0 to 1. */
+  share = 1;
+  private running = 0;
+  private readonly idleSinceMs = new WeakMap<object, number>();
+  private readonly server: LoopbackServer;
+  private openedLink: FaultyLink | undefined;
+
+  constructor(readonly options: ISoakTargetOptions) {
+    this.server = new LoopbackServer({
+      port: options.place?.port ?? 0,
+      handle: (request, response) => this.handle(request, response),
+    });
+    this.openedLink = options.place?.link;
+  }
+
+  async open(): Promise<void> {
+    await this.server.open();
+    if (this.openedLink !== undefined) return;
+    this.openedLink = new FaultyLink({ to: this.server.getAddress() });
+    await this.openedLink.start();
+  }
+
+  /** Crashes, and leaves the address to another target. */
+  async releasePlace(): Promise<ITargetPlace> {
+    const port = Number(this.server.getAddress().split(':')[1]);
+    await this.server.close();
+    return { link: this.link, port };
+  }
+
+  get link(): FaultyLink {
+    if (this.openedLink === undefined) throw new Error('the target is not open');
+    return this.openedLink;
+  }
+
+  async dispose(): Promise<void> {
+    this.openedLink?.dispose();
+    await this.server.close();
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readText(request);
+    const id = String(request.headers['request-id'] ?? '');
+    const isMeant = request.headers['expect-instance'] === this.options.id;
+    if (this.options.isStrict && !isMeant) {
+      this.refuse(request, response, { id, body, status: MISDIRECTED });
+      return;
+    }
+    const isTouched = this.options.random.getFloat() < this.share;
+    const mode = isTouched ? this.mode : TargetMode.Well;
+    if (mode === TargetMode.Forgetful && this.isForgotten(request)) {
+      request.socket.resetAndDestroy();
+      return;
+    }
+    if (mode === TargetMode.Shedding || this.running >= this.options.slots) {
+      this.refuse(request, response, { id, body, status: NOT_RUN });
+      return;
+    }
+    await this.run(request, response, { id, body, mode });
+    this.idleSinceMs.set(request.socket, performance.now());
+  }
+
+  private isForgotten(request: IncomingMessage): boolean {
+    const sinceMs = this.idleSinceMs.get(request.socket);
+    return sinceMs !== undefined && performance.now() - sinceMs > FORGOTTEN_AFTER_MS;
+  }
+
+  private async run(
+    request: IncomingMessage,
+    response: ServerResponse,
+    work: { readonly id: string; readonly body: string; readonly mode: TargetMode },
+  ): Promise<void> {
+    const { body, id, mode } = work;
+    const status = mode === TargetMode.Failing ? FAILED : OK;
+    const recordEnd = this.record(request, { id, body, status, hasRun: true });
+    this.running += 1;
+    const factor = mode === TargetMode.Slow ? SLOW_FACTOR : 1;
+    const workMs = MEAN_WORK_MS * factor * (0.5 + this.options.random.getFloat());
+    await waitOrClose(request, workMs);
+    this.running -= 1;
+    if (mode === TargetMode.Hanging && !request.socket.destroyed) {
+      request.socket.once('close', () => {
+        recordEnd(performance.now());
+      });
+    } else recordEnd(performance.now());
+    if (request.socket.destroyed) return;
+    this.sendAnswer(request, response, { id, status, mode });
+  }
+
+  private sendAnswer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    answer: { readonly id: string; readonly status: number; readonly mode: TargetMode },
+  ): void {
+    const { id, mode, status } = answer;
+    const text = formatAnswerBody(id, this.options.id);
+    const stamp = `${this.options.id}.${id}`;
+    const headers = { 'request-id': id, 'server-stamp': stamp };
+    const raw = `HTTP/1.1 ${status} OK\r\nrequest-id: ${id}\r\nserver-stamp: ${stamp}\r\n`;
+    const half = text.slice(0, text.length / 2);
+    switch (mode) {
+      case TargetMode.Hanging:
+        return;
+      case TargetMode.Resetting:
+        request.socket.resetAndDestroy();
+        return;
+      case TargetMode.Truncating:
+        request.socket.write(`${raw}content-length: ${text.length}\r\n\r\n${half}`, () => {
+          request.socket.destroy();
+        });
+        return;
+      case TargetMode.Unframed:
+        request.socket.write(`${raw}connection: close\r\n\r\n${half}`, () => {
+          request.socket.resetAndDestroy();
+        });
+        return;
+      case TargetMode.Doubling: {
+        const one = `${raw}content-length: ${text.length}\r\n\r\n${text}`;
+        request.socket.write(one + one);
+        return;
+      }
+      default:
+        response.writeHead(status, { ...headers, 'content-length': text.length }).end(text);
+    }
+  }
+
+  private refuse(
+    request: IncomingMessage,
+    response: ServerResponse,
+    refusal: { readonly id: string; readonly body: string; readonly status: number },
+  ): void {
+    this.record(request, { ...refusal, hasRun: false })(performance.now());
+    response.writeHead(refusal.status, { 'not-run': '1', 'request-id': refusal.id }).end();
+  }
+
+  private record(
+    request: IncomingMessage,
+    seen: Pick<ISoakArrival, 'id' | 'body' | 'status' | 'hasRun'>,
+  ): (endMs: number) => void {
+    return this.options.recordArrival({
+      ...seen,
+      target: this.options.id,
+      service: this.options.service,
+      method: request.method ?? '',
+      path: request.url ?? '',
+      atMs: performance.now(),
+    });
+  }
+}
+
+async function readText(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+/** Ends sooner when the connection closes: work whose caller is gone is dropped. */
+function waitOrClose(request: IncomingMessage, delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    const end = () => {
+      clearTimeout(timer);
+      request.socket.off('close', end);
+      resolve();
+    };
+    const timer = setTimeout(end, delayMs);
+    request.socket.once('close', end);
+  });
+}
--- /dev/null
+++ b/packages/lab/src/soak/node/soakWorld.ts
@@ -0,0 +1,219 @@
+/** Store, targets and nodes of one run, and what the run has seen of them. */
+import { rmSync } from 'node:fs';
+import { mkdtemp } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { IDisposable } from '@parsleymux/base';
+import { SeededRandom } from '@parsleymux/base';
+import { MetadataFault, MetadataStandIn, makeTargetText } from '@parsleymux/standins';
+import { ProcessFleet } from '../../processes/node/processFleet.js';
+import { Findings } from '../../prove/common/findings.js';
+import { DisturbanceLog } from '../common/disturbanceLog.js';
+import type { IAcceptedVersion, IDrain, IPlannedStop } from '../common/promiseChecks.js';
+import { SoakLedger } from '../common/soakLedger.js';
+import {
+  SOAK_BOUNDS,
+  SOAK_FAILURE_DOMAINS,
+  SOAK_SERVICES,
+  makeSoakConfig,
+} from '../common/soakLayout.js';
+import { SoakNode } from './soakNode.js';
+import type { ITargetPlace } from './soakTarget.js';
+import { SoakTarget, TargetMode } from './soakTarget.js';
+
+const CONFIG_TABLE = 'op';
+const TARGET_TABLE = 'servers';
+const SLOTS = 4;
+const MS_PER_S = 1000;
+/** The run's own end of processes: what is left then is killed. */
+const GRACE_MS = SOAK_BOUNDS.grace_s * MS_PER_S;
+const READY_CHECK_MS = 50;
+const READY_LIMIT_MS = 60_000;
+const MAX_SEEDS = 3;
+
+/** Options of a {@link SoakWorld}. */
+export interface ISoakWorldOptions {
+  readonly seed: number;
+  readonly nodeCount: number;
+  readonly targetsPerService: number;
+  /** Module that nodes load first, and that turns a mechanism off in them. */
+  readonly breakModule?: string;
+  /** Targets that run what is meant for others. Default false. */
+  readonly hasLaxTargets?: boolean;
+}
+
+/** What faults act on. */
+export class SoakWorld implements IDisposable {
+  readonly ledger = new SoakLedger();
+  readonly disturbances = new DisturbanceLog();
+  readonly findings = new Findings();
+  readonly drains: IDrain[] = [];
+  readonly plannedStops: IPlannedStop[] = [];
+  readonly versions: IAcceptedVersion[] = [];
+  readonly random: SeededRandom;
+  readonly nodes: SoakNode[] = [];
+  readonly targets: SoakTarget[] = [];
+  private readonly fleet = new ProcessFleet({ graceMs: GRACE_MS, handleSignals: false });
+  private readonly gone: SoakTarget[] = [];
+  private openedStore: MetadataStandIn | undefined;
+  private targetCount = 0;
+  private isEnding = false;
+  private directory = '';
+
+  constructor(private readonly options: ISoakWorldOptions) {
+    this.random = new SeededRandom(options.seed);
+  }
+
+  get store(): MetadataStandIn {
+    if (this.openedStore === undefined) throw new Error('the world has not started');
+    return this.openedStore;
+  }
+
+  /** Processes of nodes that run now. */
+  get processCount(): number {
+    return this.fleet.getRunning().length;
+  }
+
+  /** Resolves when every node is ready. */
+  async start(): Promise<void> {
+    this.directory = await mkdtemp(join(tmpdir(), 'parsleymux-soak-'));
+    this.openedStore = await MetadataStandIn.open();
+    this.putConfig();
+    for (const service of SOAK_SERVICES) {
+      for (let index = 0; index < this.options.targetsPerService; index += 1) {
+        await this.openTarget(service);
+      }
+    }
+    await this.openNodes();
+    await Promise.all(this.nodes.map((node) => node.start(this.listSeeds(), true)));
+    await this.waitForReady(this.nodes);
+  }
+
+  /** Writes the next configuration. */
+  putConfig(): void {
+    const version = (this.versions[this.versions.length - 1]?.version ?? 0) + 1;
+    this.store.put(CONFIG_TABLE, 'config', makeSoakConfig(version));
+    this.versions.push({ version, acceptedMs: performance.now() });
+  }
+
+  /** Opens and registers a target, at a former one's place or at its own. */
+  async openTarget(service: string, place?: ITargetPlace): Promise<void> {
+    if (this.isEnding) return;
+    this.targetCount += 1;
+    const target = new SoakTarget({
+      id: `${service}-${this.targetCount}`,
+      service,
+      slots: SLOTS,
+      random: this.random,
+      isStrict: this.options.hasLaxTargets !== true,
+      recordArrival: (arrival) => this.ledger.recordArrival(arrival),
+      ...(place === undefined ? {} : { place }),
+    });
+    await target.open();
+    this.targets.push(target);
+    this.register(target, false);
+  }
+
+  /** Writes that a target leaves; it goes on serving. */
+  retireTarget(target: SoakTarget): void {
+    this.targets.splice(this.targets.indexOf(target), 1);
+    this.gone.push(target);
+    this.register(target, true);
+    this.drains.push({ target: target.options.id, acceptedMs: performance.now() });
+  }
+
+  /** Removes a target's entry. */
+  removeTarget(target: SoakTarget): void {
+    const index = this.targets.indexOf(target);
+    if (index !== -1) this.targets.splice(index, 1);
+    if (!this.gone.includes(target)) this.gone.push(target);
+    this.store.remove(TARGET_TABLE, target.options.id);
+  }
+
+  /** Starts a node's process again, unless the run is ending. */
+  async ensureRunning(node: SoakNode): Promise<void> {
+    if (!this.isEnding && !node.isRunning()) await node.start(this.listSeeds(), false);
+  }
+
+  listSeeds(): readonly SoakNode[] {
+    return this.nodes.slice(0, MAX_SEEDS);
+  }
+
+  /** Ends every fault and brings every node back. */
+  async clearFaults(): Promise<void> {
+    this.store.fault = MetadataFault.None;
+    const noFaults = { cutForward: false, cutBackward: false, refuse: false, delayMs: 0 };
+    for (const target of this.targets) {
+      target.mode = TargetMode.Well;
+      await target.link.setFaults(noFaults);
+      // What a cut has swallowed never comes: such connections are dead, as after a real one.
+      target.link.resetConnections();
+    }
+    for (const node of this.nodes) {
+      node.sendSignal('SIGCONT');
+      await node.link.setFaults(noFaults);
+      node.link.resetConnections();
+      await this.ensureRunning(node);
+    }
+    await this.waitForReady(this.nodes);
+  }
+
+  async waitForReady(nodes: readonly SoakNode[]): Promise<void> {
+    const endMs = performance.now() + READY_LIMIT_MS;
+    for (const node of nodes) {
+      while (!(await node.isReady())) {
+        if (performance.now() > endMs) {
+          throw new Error(
+            `${node.name} is not ready:\n${node.getLogLines().slice(-20).join('\n')}`,
+          );
+        }
+        await this.ensureRunning(node);
+        await new Promise((resolve) => setTimeout(resolve, READY_CHECK_MS));
+      }
+    }
+  }
+
+  async dispose(): Promise<void> {
+    this.isEnding = true;
+    for (const node of this.nodes) node.sendSignal('SIGTERM');
+    await this.fleet.dispose();
+    for (const node of this.nodes) node.dispose();
+    await Promise.all([...this.targets, ...this.gone].map((target) => target.dispose()));
+    await this.openedStore?.dispose();
+    rmSync(this.directory, { recursive: true, force: true });
+  }
+
+  private async openNodes(): Promise<void> {
+    const { breakModule, nodeCount } = this.options;
+    for (let index = 0; index < nodeCount; index += 1) {
+      const node = new SoakNode({
+        index,
+        fleet: this.fleet,
+        directory: this.directory,
+        storeAddress: this.store.address,
+        nodeOptions: breakModule === undefined ? [] : ['--import', breakModule],
+        onDidEnd: (ended, end, isAsked) => {
+          this.findings.check('processes end only when asked', isAsked || this.isEnding, () => {
+            const lines = ended.getLogLines().slice(-5).join('\n');
+            return `${ended.name} ended with ${end.code ?? end.signal ?? '?'}:\n${lines}`;
+          });
+        },
+      });
+      await node.open();
+      this.nodes.push(node);
+    }
+  }
+
+  private register(target: SoakTarget, isDraining: boolean): void {
+    const { id, service } = target.options;
+    const domain = SOAK_FAILURE_DOMAINS[this.targetCount % SOAK_FAILURE_DOMAINS.length];
+    const text = makeTargetText({
+      address: target.link.getAddress(),
+      service,
+      failureDomain: domain ?? SOAK_FAILURE_DOMAINS[0],
+      slots: SLOTS,
+      isDraining,
+    });
+    this.store.put(TARGET_TABLE, id, text);
+  }
+}
--- /dev/null
+++ b/packages/standins/src/metadata/common/metadataTexts.ts
@@ -0,0 +1,96 @@
+/** What an operator and targets write into the metadata store, in the published form. */
+
+/** A route as an operator writes it. */
+export interface IMetadataRoute {
+  readonly name: string;
+  readonly host: string;
+  readonly prefix: string;
+  readonly kind: 'safe' | 'unsafe';
+  readonly timeoutS: number;
+  readonly objectiveS: number;
+  readonly maxAttempts: number;
+  readonly service: string;
+}
+
+/** A target's entry. */
+export interface IMetadataTarget {
+  readonly address: string;
+  readonly service: string;
+  readonly failureDomain: string;
+  readonly slots: number;
+  /** Default false. */
+  readonly isDraining?: boolean;
+}
+
+const LIMITS = {
+  max_header_bytes: 16_384,
+  max_body_bytes: 65_536,
+  header_timeout_s: 3,
+  idle_timeout_s: 15,
+};
+
+/**
+ * The newest configuration, whole.
+ *
+ * @example
+ * store.put('op', 'config', makeConfigText(3, routes, ['booking']));
+ */
+export function makeConfigText(
+  version: number,
+  routes: readonly IMetadataRoute[],
+  services: readonly string[],
+): string {
+  return JSON.stringify({
+    version: `r${version}`,
+    limits: LIMITS,
+    routes: {
+      columns: [
+        'name',
+        'host',
+        'prefix',
+        'kind',
+        'timeout_s',
+        'target_latency_s',
+        'max_attempts',
+        'service',
+      ],
+      rows: routes.map((route) => [
+        route.name,
+        route.host,
+        route.prefix,
+        route.kind,
+        route.timeoutS,
+        route.objectiveS,
+        route.maxAttempts,
+        route.service,
+      ]),
+    },
+    services: {
+      columns: ['name', 'health_path', 'max_conns'],
+      rows: services.map((name) => [name, '/healthz', 99]),
+    },
+  });
+}
+
+/**
+ * The entry that a target keeps of itself.
+ *
+ * @example
+ * store.put('servers', 'i-1', makeTargetText({ address, service: 'booking', failureDomain: 'north', slots: 4 }));
+ */
+export function makeTargetText(target: IMetadataTarget): string {
+  return JSON.stringify({
+    address: target.address,
+    info: {
+      service: target.service,
+      zone: target.failureDomain,
+      slots: target.slots,
+      version: 'v1',
+    },
+    status: {
+      state: target.isDraining === true ? 'draining' : 'ready',
+      seq: 1,
+      cold_left_s: 0,
+    },
+  });
+}
