Send an update once more to peers that did not confirm it

Cause: a lost datagram left a peer's copy older than 1.6 s before the next update came; it then read the store itself, three tables at once. Ruled out: the followers' own paces (7.7 calls a second by arithmetic). Before: the new test, no second update. After: one, to that peer only.

--- a/packages/dispatch/src/directory/common/updateRelay.test.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.test.ts
@@ -81,3 +81,15 @@
   assert.equal(last?.rows.length, 0);
   assert.equal(last.after, 3n);
 });
+
+test('an update that a peer did not confirm is sent to it once more', async () => {
+  // Symptom: with a hundred nodes, several times the calls of the followers reach the store.
+  // Sequence: a datagram with an update is lost; before the next one comes, its receiver's copy is
+  // older than it bears, and it reads the store itself. Cause: nothing repeated a lost update.
+  const { channel, clock, relay } = openBench();
+  relay.announce();
+  for (const peer of PEERS.slice(1)) relay.handleUpdateReceived(peer);
+  await clock.advanceBy(400);
+  const sent = channel.sent.map(({ address }) => address);
+  assert.deepEqual(sent, [...PEERS, PEERS[0]]);
+});
--- a/packages/dispatch/src/directory/common/updateRelay.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.ts
@@ -1,6 +1,6 @@
 /** Followers tell the nodes of their failure domain what they have read, and who of them is alive. */
 import { create } from '@bufbuild/protobuf';
-import type { Clock, Logger } from '@parsleymux/base';
+import type { Clock, IDisposable, Logger } from '@parsleymux/base';
 import type { FollowedChanges, Update } from '@parsleymux/schema';
 import { FollowedChangesSchema, UpdateReceivedSchema, UpdateSchema } from '@parsleymux/schema';
 import type { DatagramChannel } from '../../grants/common/datagramChannel.js';
@@ -10,6 +10,12 @@
 /** Rows that fit into one datagram with room to spare, in bytes; more are fetched as a whole. */
 const MAX_ROW_BYTES = 1000;
 
+/**
+ * A peer that has not confirmed an update after this gets it again, in ms: a few round trips of a
+ * busy node, and early enough that a lost datagram leaves no copy older than its node bears.
+ */
+const REPEAT_MS = 200;
+
 /** Above this share of silent peers, the way of this node is to blame rather than the peers. */
 const MAX_SILENT_SHARE = 0.5;
 
@@ -37,6 +43,7 @@
   private readonly heardMs = new Map<string, number>();
   private readonly firstSentMs = new Map<string, number>();
   private readonly fetching = new Set<string>();
+  private repeatTimer: IDisposable | undefined;
 
   constructor(private readonly options: IUpdateRelayOptions) {}
 
@@ -49,6 +56,10 @@
       if (!this.firstSentMs.has(peer)) this.firstSentMs.set(peer, nowMs);
       channel.send(peer, { case: 'update', value });
     }
+    void this.repeatTimer?.dispose();
+    this.repeatTimer = clock.startTimer(REPEAT_MS, () => {
+      this.sendAgain(nowMs);
+    });
   }
 
   /** A node that has just started asks for what this one knows. */
@@ -89,10 +100,25 @@
 
   /** Forgets what was heard, when this node stops being a follower. */
   clear(): void {
+    void this.repeatTimer?.dispose();
     this.heardMs.clear();
     this.firstSentMs.clear();
   }
 
+  /**
+   * One lost datagram would make the copy of a peer so old that it reads the store itself: with a
+   * hundred nodes, more calls came from lost updates than from the followers.
+   */
+  private sendAgain(announcedMs: number): void {
+    const { channel, listPeers } = this.options;
+    const missing = listPeers().filter((peer) => {
+      return (this.heardMs.get(peer) ?? -Infinity) < announcedMs;
+    });
+    if (missing.length === 0) return;
+    const value = this.makeUpdate();
+    for (const peer of missing) channel.send(peer, { case: 'update', value });
+  }
+
   private makeUpdate(): Update {
     const { statePort, tables } = this.options;
     this.sequence += 1n;
