Let weak VMs follow last and be home to nothing

Cause: followers and homes were chosen by hash alone. With links of 7 to 140 Mbit/s, a follower on the thinnest needs 1.4 s to send thirty peers a table of 210 targets (some 42 KB each, by arithmetic), three times the peers' limit. A node registers what its VM can carry; nodes below the median come last. Ruled out: weights in proportion to capacity: they still give a tenth of the services to nodes that can't serve them. Before: the new test fails. After: it passes.

--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -68,6 +68,8 @@
   readonly floorShare: number;
   /** From the signal to stop until the process is ended by force, in ms. */
   readonly graceMs: number;
+  /** Work for others that the VM can carry, relative to other VMs. */
+  readonly capacity: number;
 }
 
 /** How the deployment's callers and targets speak. */
@@ -264,8 +266,8 @@
   }
 
   private makeMember(address: string): IMember {
-    const { failureDomain, stateAddress } = this.options.settings;
-    return { address, failureDomain, stateAddress, incarnation: this.incarnation };
+    const { capacity, failureDomain, stateAddress } = this.options.settings;
+    return { address, capacity, failureDomain, stateAddress, incarnation: this.incarnation };
   }
 
   private async listen(server: Server, address: string): Promise<void> {
--- a/packages/dispatch/src/directory/common/authority.ts
+++ b/packages/dispatch/src/directory/common/authority.ts
@@ -14,6 +14,8 @@
   readonly stateAddress: string;
   /** Differs between starts of the node's process. */
   readonly incarnation: number;
+  /** Work for others that its VM can carry, relative to other VMs. */
+  readonly capacity: number;
 }
 
 /** One entry that is new, changed or, with no value, dropped. */
--- a/packages/dispatch/src/directory/common/followedTable.test.ts
+++ b/packages/dispatch/src/directory/common/followedTable.test.ts
@@ -101,3 +101,30 @@
   assert.equal(events, 1);
   assert.equal(table.freshMs, 20);
 });
+
+test('weak VMs follow last and are home to nothing', () => {
+  // Symptom: the nodes of a failure domain read the store one by one. Sequence: its follower has a
+  // link of 7 Mbit/s and is late with its updates. Cause: followers and homes were chosen without
+  // regard to what their VM can carry.
+  const directory = new NodeDirectory(new ManualClock());
+  const changes = Array.from({ length: 9 }, (_, index) => {
+    const address = `10.0.0.${index}:1`;
+    const capacity = index < 4 ? 0.1 : 1;
+    const value = {
+      address,
+      capacity,
+      failureDomain: 'north',
+      stateAddress: address,
+      incarnation: 1,
+    };
+    return { key: address, value };
+  });
+  directory.members.setAll({ version: 1, changes }, 0);
+  const weak = changes.slice(0, 4).map(({ key }) => key);
+  const followers = directory.rankFollowers('north');
+  assert.equal(followers.length, 9);
+  assert.deepEqual([...followers.slice(-4)].sort(), weak);
+  for (const service of ['a', 'b', 'c', 'd', 'e', 'f']) {
+    assert.ok(directory.rankHomes(service).every((home) => !weak.includes(home)));
+  }
+});
--- a/packages/dispatch/src/directory/common/nodeDirectory.ts
+++ b/packages/dispatch/src/directory/common/nodeDirectory.ts
@@ -23,7 +23,9 @@
   readonly members: FollowedTable<IMember>;
   private currentCatalog: ICatalog | undefined;
   private currentRoutes: RouteTable | undefined;
-  private readonly placement = new RendezvousPlacement();
+  private homes = new RendezvousPlacement();
+  /** Followers of each failure domain in their order, computed when asked for first. */
+  private readonly followers = new Map<string, readonly string[]>();
   private readonly catalogChanged = new Emitter<ICatalog>();
 
   /** Fires when a newer configuration is in force. */
@@ -41,7 +43,8 @@
       this.takeCatalog();
     });
     this.members.onDidChange(() => {
-      this.placement.setNodes(this.members.listValues().map(toNode));
+      this.homes = makePlacement(listStrong(this.members.listValues()));
+      this.followers.clear();
     });
   }
 
@@ -54,23 +57,28 @@
     return this.currentRoutes;
   }
 
-  /** Addresses of the homes of a service, best first. */
+  /** Addresses of the homes of a service, best first; only VMs of at least usual capacity. */
   rankHomes(service: string): readonly string[] {
-    return this.placement
+    return this.homes
       .rank({ id: service, failureDomains: [] }, RANKED_HOMES)
       .map(({ address }) => address);
   }
 
-  /** Followers of a failure domain in their order, of its members that are registered. */
+  /**
+   * Followers of a failure domain in their order, of its members that are registered: a weak VM
+   * with a thin link comes after all others, for it would be late with its updates to each.
+   */
   rankFollowers(failureDomain: string): readonly string[] {
+    const known = this.followers.get(failureDomain);
+    if (known !== undefined) return known;
     const inDomain = this.members.listValues().filter((member) => {
       return member.failureDomain === failureDomain;
     });
-    const placement = new RendezvousPlacement();
-    placement.setNodes(inDomain.map(toNode));
-    return placement
-      .rank({ id: 'followers', failureDomains: [] }, inDomain.length)
-      .map(({ address }) => address);
+    const strong = new Set(listStrong(inDomain));
+    const weak = inDomain.filter((member) => !strong.has(member));
+    const ranking = [...rankAll([...strong]), ...rankAll(weak)];
+    this.followers.set(failureDomain, ranking);
+    return ranking;
   }
 
   /**
@@ -87,6 +95,25 @@
   }
 }
 
+/** Members of at least the median capacity: never less than half of them. */
+function listStrong(members: readonly IMember[]): readonly IMember[] {
+  const capacities = members.map(({ capacity }) => capacity).sort((left, right) => left - right);
+  const median = capacities[Math.floor(capacities.length / 2)] ?? 0;
+  return members.filter(({ capacity }) => capacity >= median);
+}
+
+function makePlacement(members: readonly IMember[]): RendezvousPlacement {
+  const placement = new RendezvousPlacement();
+  placement.setNodes(members.map(toNode));
+  return placement;
+}
+
+function rankAll(members: readonly IMember[]): readonly string[] {
+  return makePlacement(members)
+    .rank({ id: 'followers', failureDomains: [] }, members.length)
+    .map(({ address }) => address);
+}
+
 function toNode(member: IMember): INode {
   return { address: member.address, failureDomain: member.failureDomain };
 }
--- a/packages/dispatch/src/directory/node/directoryService.test.ts
+++ b/packages/dispatch/src/directory/node/directoryService.test.ts
@@ -9,6 +9,7 @@
 import { DirectoryService } from './directoryService.js';
 
 const SELF: IMember = {
+  capacity: 1,
   address: '127.0.0.1:1',
   failureDomain: 'north',
   stateAddress: '127.0.0.1:2',
--- a/packages/lab/src/docs/node/operationsMetrics.test.ts
+++ b/packages/lab/src/docs/node/operationsMetrics.test.ts
@@ -98,6 +98,7 @@
     retryBurst: 5,
     floorShare: 0.7,
     graceMs: 1000,
+    capacity: 1,
   };
 }
 
