Open new connections while kept ones break

Cause: a target that forgets idle connections resets whatever is sent on them next; a booking sent so may have run, and is lost. Each node had to find that out for itself, request by request. Now the outcome is told apart (stale), and the home tells all entries to take new connections for the service for 5 s. Also: the fleet's retries use 0.95 of the ratio's part instead of 0.8: it grows with the home's own requests, so two homes stay within it together. Before: the new tests fail to compile, there was no such outcome. After: they pass.

--- a/packages/dispatch/src/entry/common/attemptOutcome.ts
+++ b/packages/dispatch/src/entry/common/attemptOutcome.ts
@@ -54,8 +54,9 @@
 /** Judges an exchange that brought no whole answer. */
 export function decideFailureOutcome(error: unknown): IAttemptResult {
   if (!(error instanceof TransportError)) throw error;
+  const isStale = error.failure === TransportFailure.Broken && error.reusedConnection;
   return {
-    outcome: FAILURE_OUTCOMES[error.failure],
+    outcome: isStale ? GrantOutcome.Stale : FAILURE_OUTCOMES[error.failure],
     mayHaveRun: error.mayHaveRun,
     answer: undefined,
   };
--- a/packages/dispatch/src/entry/common/requestRun.ts
+++ b/packages/dispatch/src/entry/common/requestRun.ts
@@ -224,7 +224,11 @@
           timeoutMs: remainingMs,
           targetTimeoutMs: Math.max(1, remainingMs - TARGET_MARGIN_MS),
         },
-        { signal, maxAnswerBytes: MAX_ANSWER_BYTES },
+        {
+          signal,
+          maxAnswerBytes: MAX_ANSWER_BYTES,
+          freshConnection: grant.needsFreshConnection,
+        },
       );
       return decideAnswerOutcome(answer, this.options.isAuthentic);
     } catch (error) {
--- a/packages/dispatch/src/grants/common/grant.ts
+++ b/packages/dispatch/src/grants/common/grant.ts
@@ -19,6 +19,8 @@
   Abandoned: 'abandoned',
   /** The address belongs to another target now. */
   Misdirected: 'misdirected',
+  /** A kept connection broke when it was used again, before any byte of an answer. */
+  Stale: 'stale',
 } as const;
 
 export type GrantOutcome = (typeof GrantOutcome)[keyof typeof GrantOutcome];
@@ -51,6 +53,8 @@
       readonly target: ITargetRecord;
       /** Probability that the target is failing, as decided upon. */
       readonly suspicion: number;
+      /** Whether a kept connection must not be used: those of the service break lately. */
+      readonly needsFreshConnection: boolean;
     }
   | {
       readonly kind: 'refused';
--- a/packages/dispatch/src/grants/common/grantMessages.ts
+++ b/packages/dispatch/src/grants/common/grantMessages.ts
@@ -16,6 +16,7 @@
   [GrantOutcome.TimedOut]: Outcome.TIMED_OUT,
   [GrantOutcome.Abandoned]: Outcome.ABANDONED,
   [GrantOutcome.Misdirected]: Outcome.MISDIRECTED,
+  [GrantOutcome.Stale]: Outcome.STALE,
 };
 
 const OUTCOME_NAMES = new Map(
@@ -90,6 +91,7 @@
     kind: DecisionKind.GRANTED,
     targetId: decision.target.id,
     suspicionPermille: Math.round(decision.suspicion * PERMILLE),
+    freshConnection: decision.needsFreshConnection,
   });
 }
 
--- a/packages/dispatch/src/grants/common/homeSelector.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.ts
@@ -161,6 +161,7 @@
       target,
       home,
       suspicion: decodeSuspicion(decision),
+      needsFreshConnection: decision.freshConnection,
       report: (outcome, latencyMs) => {
         this.sendReport(home, id, request, target.id, outcome, latencyMs);
       },
@@ -218,11 +219,12 @@
           resolve({ ...decision, home });
           return;
         }
-        const { target, suspicion } = decision;
+        const { needsFreshConnection, suspicion, target } = decision;
         const report = (outcome: GrantOutcome, latencyMs: number) => {
           book.recordOutcome(ticket, outcome, latencyMs);
         };
-        resolve({ kind: 'granted', grant: { target, home, suspicion, report } });
+        const grant = { target, home, suspicion, needsFreshConnection, report };
+        resolve({ kind: 'granted', grant });
       });
     });
   }
--- a/packages/dispatch/src/grants/common/targetSelector.ts
+++ b/packages/dispatch/src/grants/common/targetSelector.ts
@@ -8,6 +8,8 @@
   /** Node that decided, for logs. */
   readonly home: string;
   readonly suspicion: number;
+  /** Whether a kept connection must not be used: those of the service break lately. */
+  readonly needsFreshConnection: boolean;
   /** Tells the home how it went; to be called exactly once. */
   report(outcome: GrantOutcome, latencyMs: number): void;
 }
--- a/packages/dispatch/src/home/common/retryWindow.ts
+++ b/packages/dispatch/src/home/common/retryWindow.ts
@@ -17,7 +17,7 @@
  */
 const BURST_SHARE = 0.5;
 /** The rest covers arrivals that the window of the observer counts and ours no longer does. */
-const RATIO_SHARE = 0.8;
+const RATIO_SHARE = 0.95;
 
 /**
  * Decides whether another retry may be sent.
--- a/packages/dispatch/src/home/common/serviceBook.test.ts
+++ b/packages/dispatch/src/home/common/serviceBook.test.ts
@@ -232,3 +232,20 @@
   }
   assert.ok(failed < 0.034, `${(failed * 100).toFixed(2)}% of the bookings failed`);
 });
+
+test('after a kept connection broke, the requests of the service take new ones for a while', async () => {
+  const bench = new Bench();
+  bench.book.setTargets([makeTarget('t1'), makeTarget('t2'), makeTarget('t3')]);
+  const needsFresh = () => {
+    const ticket = bench.ask();
+    const { decision } = ticket;
+    assert.equal(decision?.kind, 'granted');
+    bench.finish(ticket, GrantOutcome.Succeeded);
+    return decision.needsFreshConnection;
+  };
+  assert.equal(needsFresh(), false);
+  bench.finish(bench.ask(), GrantOutcome.Stale);
+  assert.equal(needsFresh(), true);
+  await bench.clock.advanceBy(6000);
+  assert.equal(needsFresh(), false);
+});
--- a/packages/dispatch/src/home/common/serviceBook.ts
+++ b/packages/dispatch/src/home/common/serviceBook.ts
@@ -26,6 +26,11 @@
 const INITIAL_LATENCY_SHARE = 0.35;
 /** When no target is known at all: the time in which one may register, in ms. */
 const NO_TARGET_RETRY_MS = 500;
+/**
+ * After a kept connection broke, all requests of the service use new ones for this long, in ms: one
+ * costs a round trip, and a request that can't be repeated is lost with every kept one that breaks.
+ */
+const AVOID_REUSE_MS = 5000;
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 5000;
 
@@ -93,6 +98,7 @@
   private readonly picker: TargetPicker;
   private readonly startMs: number;
   private lastAskedMs = -Infinity;
+  private lastStaleMs = -Infinity;
   private meanLatencyMs: number | undefined;
 
   constructor(options: IServiceBookOptions) {
@@ -251,7 +257,8 @@
     ticket.target = target;
     ticket.grantedMs = nowMs;
     this.open.add(ticket);
-    ticket.decision = { kind: 'granted', target: target.record, suspicion };
+    const needsFreshConnection = nowMs - this.lastStaleMs < AVOID_REUSE_MS;
+    ticket.decision = { kind: 'granted', target: target.record, suspicion, needsFreshConnection };
     ticket.respond(ticket.decision);
     return true;
   }
@@ -291,15 +298,23 @@
         break;
       case GrantOutcome.Abandoned:
         break;
+      case GrantOutcome.Stale:
+        this.lastStaleMs = nowMs;
+        this.recordFailure(ticket, target, nowMs);
+        break;
       case GrantOutcome.Failed:
       case GrantOutcome.Broken:
       case GrantOutcome.TimedOut:
-        if (!ticket.isOverdue) target.belief.recordFailure(nowMs);
-        if (!ticket.request.isIdempotent) this.served.record(false, nowMs);
+        this.recordFailure(ticket, target, nowMs);
         break;
     }
   }
 
+  private recordFailure(ticket: Ticket, target: BookedTarget, nowMs: number): void {
+    if (!ticket.isOverdue) target.belief.recordFailure(nowMs);
+    if (!ticket.request.isIdempotent) this.served.record(false, nowMs);
+  }
+
   private recordSuccess(ticket: Ticket, target: BookedTarget, latencyMs: number): void {
     const nowMs = this.clock.getMonotonicTime();
     this.served.record(true, nowMs);
