--- a/packages/lab/src/processes/node/programs.ts
+++ b/packages/lab/src/processes/node/programs.ts
@@ -13,6 +13,8 @@
   Target: toPath('standins/dist/target/node/main.js'),
   Node: toPath('node/bin/parsleymux.js'),
   Ctl: toPath('ctl/bin/parsleyctl.js'),
-  /** The node on the users' platform. */
-  PlatformNode: toPath('../platform/dist/app/main.js'),
+  /** The node on the users' platform, joined in one file as it is deployed. */
+  PlatformNode: toPath('../target/parsleymux-platform.mjs'),
+  /** The same in modules, of which single ones can be replaced. */
+  PlatformModules: toPath('../platform/dist/app/main.js'),
 } as const;
--- a/packages/lab/src/soak/node/soakNode.ts
+++ b/packages/lab/src/soak/node/soakNode.ts
@@ -26,8 +26,8 @@
   readonly fleet: ProcessFleet;
   readonly directory: string;
   readonly storeAddress: string;
-  /** Options of Node itself. */
-  readonly nodeOptions: readonly string[];
+  /** Module that the node loads first, and that turns a mechanism off in it. */
+  readonly breakModule: string | undefined;
   /** Called when a process ends; `isAsked` tells whether the soak had ended it. */
   readonly onDidEnd: (node: SoakNode, end: IProcessEnd, isAsked: boolean) => void;
 }
@@ -93,11 +93,12 @@
     this.formerLines.push(...this.getOwnLines(), `end of life ${this.life}`);
     this.life += 1;
     this.isEndAsked = false;
-    const child = this.options.fleet.start({
+    const { breakModule, fleet } = this.options;
+    const child = fleet.start({
       name: this.name,
-      script: Program.PlatformNode,
+      script: breakModule === undefined ? Program.PlatformNode : Program.PlatformModules,
       env: { PARSLEYMUX_SETTINGS: this.settingsPath },
-      nodeOptions: this.options.nodeOptions,
+      nodeOptions: breakModule === undefined ? [] : ['--import', breakModule],
     });
     this.child = child;
     void child.waitForEnd().then((end) => {
--- a/packages/lab/src/soak/node/soakWorld.ts
+++ b/packages/lab/src/soak/node/soakWorld.ts
@@ -191,7 +191,7 @@
         fleet: this.fleet,
         directory: this.directory,
         storeAddress: this.store.address,
-        nodeOptions: breakModule === undefined ? [] : ['--import', breakModule],
+        breakModule,
         onDidEnd: (ended, end, isAsked) => {
           this.findings.check('processes end only when asked', isAsked || this.isEnding, () => {
             const lines = ended.getLogLines().slice(-5).join('\n');
