--- a/packages/lab/src/soak/node/main.ts
+++ b/packages/lab/src/soak/node/main.ts
@@ -9,13 +9,14 @@
 import { formatBreakModule, listBreakModules } from '../../prove/node/breakModules.js';
 import type { SoakFaultKind } from '../common/soakFaultKind.js';
 import { SOAK_FAULT_KINDS } from '../common/soakFaultKind.js';
+import { REGRESSION_SEEDS } from '../common/regressionSeeds.js';
 import { runSoak } from './soakRun.js';
 
 const BREAKS = new URL('../breaks/node/', import.meta.url);
 /** The break that is not inside the nodes. */
 const LAX_TARGETS = 'laxTargets';
 const USAGE = `npm run soak -- [--seed N] [--runs COUNT] [--seconds S] [--spacing MS] [--nodes COUNT]
-  [--targets COUNT] [--only KIND,KIND] [--break NAME] [--logs DIRECTORY]
+  [--targets COUNT] [--only KIND,KIND] [--break NAME] [--logs DIRECTORY] [--regressions]
 kinds: ${SOAK_FAULT_KINDS.join(', ')}
 breaks: ${[LAX_TARGETS, ...listBreakModules(BREAKS)].join(', ')}`;
 
@@ -30,6 +31,7 @@
     only: { type: 'string', default: '' },
     break: { type: 'string', default: '' },
     logs: { type: 'string', default: 'out/soak' },
+    regressions: { type: 'boolean', default: false },
     help: { type: 'boolean', default: false },
   },
 });
@@ -56,8 +58,7 @@
   console.log(`logs are in ${directory}`);
 }
 
-async function runSeed(seed: number): Promise<boolean> {
-  const seconds = Number(values.seconds);
+async function runSeed(seed: number, seconds: number): Promise<boolean> {
   const kinds = parseKinds(values.only);
   const schedule = makeSchedule({ seed, seconds, spacingMs: Number(values.spacing), kinds });
   console.log(`\nseed ${seed}, ${seconds} s, ${schedule.length} faults`);
@@ -78,11 +79,20 @@
   return !findings.hasViolations();
 }
 
-async function runCommand(): Promise<number> {
+function listRuns(): readonly { readonly seed: number; readonly seconds: number }[] {
+  if (values.regressions) return REGRESSION_SEEDS;
   const first = Number(values.seed);
+  const seconds = Number(values.seconds);
+  return Array.from({ length: Number(values.runs) }, (_, index) => ({
+    seed: first + index,
+    seconds,
+  }));
+}
+
+async function runCommand(): Promise<number> {
   const failed: number[] = [];
-  for (let seed = first; seed < first + Number(values.runs); seed += 1) {
-    if (!(await runSeed(seed))) failed.push(seed);
+  for (const { seed, seconds } of listRuns()) {
+    if (!(await runSeed(seed, seconds))) failed.push(seed);
   }
   if (failed.length > 0) console.log(`\nseeds with violations: ${failed.join(', ')}`);
   return failed.length > 0 ? 1 : 0;
