Tell each peer only what is new since its last confirmation

Cause: every update carried the changes of the last five seconds; above 1,000 bytes (five targets) each peer had to fetch the whole table instead, again with every update, for as long as the changes were kept. Ruled out: more rows in a datagram alone: peers would still take each change six times.

--- a/packages/dispatch/src/app/node/datagramRouter.ts
+++ b/packages/dispatch/src/app/node/datagramRouter.ts
@@ -42,7 +42,7 @@
       service.handleUpdate(sender, body.value);
       break;
     case 'updateReceived':
-      service.handleUpdateReceived(sender);
+      service.handleUpdateReceived(sender, body.value.sequence);
       break;
     case 'leaving':
       selector.handleLeaving(sender);
--- a/packages/dispatch/src/directory/common/followedTable.ts
+++ b/packages/dispatch/src/directory/common/followedTable.ts
@@ -84,17 +84,21 @@
     return true;
   }
 
-  /** Recent changes, and the version after which they are complete. */
-  listRecent(): { readonly after: number; readonly content: ITableChanges<T> } {
+  /**
+   * Recent changes after `known`, and the version after which they are complete.
+   *
+   * @example
+   * const { after, content } = table.listRecent(peerVersion);
+   */
+  listRecent(known = 0): { readonly after: number; readonly content: ITableChanges<T> } {
     const oldestMs = this.options.clock.getMonotonicTime() - KEPT_MS;
     const firstKept = this.kept.findIndex(({ atMs }) => atMs >= oldestMs);
     const removed = this.kept.splice(0, firstKept === -1 ? this.kept.length : firstKept);
     const newestRemoved = removed[removed.length - 1];
     if (newestRemoved !== undefined) this.keptAfter = newestRemoved.version;
-    return {
-      after: this.keptAfter,
-      content: { version: this.currentVersion ?? 0, changes: listNewest(this.kept) },
-    };
+    const after = Math.max(known, this.keptAfter);
+    const changes = listNewest(this.kept.filter(({ version }) => version > after));
+    return { after, content: { version: this.currentVersion ?? 0, changes } };
   }
 
   private takeChanges(changes: readonly ITableChange<T>[], version: number, readMs: number): void {
--- a/packages/dispatch/src/directory/common/updateRelay.test.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.test.ts
@@ -53,7 +53,7 @@
   const { clock, relay } = openBench();
   relay.announce();
   await clock.advanceBy(LIMIT_MS + 1);
-  for (const peer of PEERS.slice(1)) relay.handleUpdateReceived(peer);
+  for (const peer of PEERS.slice(1)) relay.handleUpdateReceived(peer, 1n);
   assert.deepEqual(relay.listSilent(LIMIT_MS), [PEERS[0]]);
 });
 
@@ -73,7 +73,7 @@
   table.setAll({ version: 1, changes: [] }, 0);
   table.apply(1, { version: 2, changes: [{ key: 'a', value: 'small' }] }, 0);
   relay.announce();
-  table.apply(2, { version: 3, changes: [{ key: 'b', value: 'x'.repeat(5000) }] }, 0);
+  table.apply(2, { version: 3, changes: [{ key: 'b', value: 'x'.repeat(20_000) }] }, 0);
   relay.announce();
   const updates = channel.sent.flatMap(({ body }) => (body.case === 'update' ? [body.value] : []));
   assert.equal(updates[0]?.changes[0]?.rows.length, 1);
@@ -88,8 +88,27 @@
   // older than it bears, and it reads the store itself. Cause: nothing repeated a lost update.
   const { channel, clock, relay } = openBench();
   relay.announce();
-  for (const peer of PEERS.slice(1)) relay.handleUpdateReceived(peer);
+  for (const peer of PEERS.slice(1)) relay.handleUpdateReceived(peer, 1n);
   await clock.advanceBy(400);
   const sent = channel.sent.map(({ address }) => address);
   assert.deepEqual(sent, [...PEERS, PEERS[0]]);
 });
+
+test('a peer gets only what is new since the update that it confirmed', () => {
+  // Symptom: peers fetch whole tables several times a second, and read the store themselves when
+  // their follower is too busy to serve them. Sequence: a few dozen targets register within seconds.
+  // Cause: each update carried the changes of the last five seconds, and soon too many of them.
+  const { channel, relay, table } = openBench();
+  table.setAll({ version: 1, changes: [] }, 0);
+  table.apply(1, { version: 2, changes: [{ key: 'a', value: '1' }] }, 0);
+  relay.announce();
+  relay.handleUpdateReceived(PEERS[0]!, 1n);
+  table.apply(2, { version: 3, changes: [{ key: 'b', value: '2' }] }, 0);
+  relay.announce();
+  const told = channel.sent.slice(PEERS.length).map(({ address, body }) => {
+    const changes = body.case === 'update' ? body.value.changes[0] : undefined;
+    return { address, after: changes?.after, keys: changes?.rows.map(({ key }) => key) };
+  });
+  assert.deepEqual(told[0], { address: PEERS[0], after: 2n, keys: ['b'] });
+  assert.deepEqual(told[1], { address: PEERS[1], after: 1n, keys: ['a', 'b'] });
+});
--- a/packages/dispatch/src/directory/common/updateRelay.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.ts
@@ -7,8 +7,13 @@
 import type { FollowedTable } from './followedTable.js';
 import { decodeChanges, encodeChanges } from './tableMessages.js';
 
-/** Rows that fit into one datagram with room to spare, in bytes; more are fetched as a whole. */
-const MAX_ROW_BYTES = 1000;
+/**
+ * Rows in one datagram, in bytes: some forty targets. What is more is fetched as a whole table,
+ * which is several times the work for both sides.
+ */
+const MAX_ROW_BYTES = 8000;
+/** Updates whose confirmation may still come: those of some ten seconds. */
+const MAX_REMEMBERED = 256;
 
 /**
  * A peer that has not confirmed an update after this gets it again, in ms: a few round trips of a
@@ -19,6 +24,9 @@
 /** Above this share of silent peers, the way of this node is to blame rather than the peers. */
 const MAX_SILENT_SHARE = 0.5;
 
+/** Versions of tables, by name. */
+type TableVersions = ReadonlyMap<string, number>;
+
 /** Options of an {@link UpdateRelay}. */
 export interface IUpdateRelayOptions {
   readonly channel: DatagramChannel;
@@ -33,7 +41,9 @@
 }
 
 /**
- * Sends and takes updates.
+ * Sends and takes updates. A peer gets what is new since the update that it confirmed last: with
+ * all recent changes in each, a few dozen targets that come or go would make every peer fetch the
+ * whole table again and again.
  *
  * @example
  * relay.announce(); // after a read of the store
@@ -43,19 +53,23 @@
   private readonly heardMs = new Map<string, number>();
   private readonly firstSentMs = new Map<string, number>();
   private readonly fetching = new Set<string>();
+  /** What each update told, by its sequence. */
+  private readonly told = new Map<bigint, TableVersions>();
+  /** What each peer has confirmed. */
+  private readonly confirmed = new Map<string, TableVersions>();
   private repeatTimer: IDisposable | undefined;
 
   constructor(private readonly options: IUpdateRelayOptions) {}
 
   /** Tells all peers the present state of the tables. */
   announce(): void {
-    const { channel, clock, listPeers } = this.options;
-    const value = this.makeUpdate();
+    const { clock, listPeers } = this.options;
     const nowMs = clock.getMonotonicTime();
-    for (const peer of listPeers()) {
+    const peers = listPeers();
+    for (const peer of peers) {
       if (!this.firstSentMs.has(peer)) this.firstSentMs.set(peer, nowMs);
-      channel.send(peer, { case: 'update', value });
     }
+    this.sendUpdates(peers);
     void this.repeatTimer?.dispose();
     this.repeatTimer = clock.startTimer(REPEAT_MS, () => {
       this.sendAgain(nowMs);
@@ -64,7 +78,8 @@
 
   /** A node that has just started asks for what this one knows. */
   handleHello(sender: string): void {
-    this.options.channel.send(sender, { case: 'update', value: this.makeUpdate() });
+    this.confirmed.delete(sender);
+    this.sendUpdates([sender]);
   }
 
   handleUpdate(sender: string, update: Update): void {
@@ -76,8 +91,10 @@
     }
   }
 
-  handleUpdateReceived(sender: string): void {
+  handleUpdateReceived(sender: string, sequence: bigint): void {
     this.heardMs.set(sender, this.options.clock.getMonotonicTime());
+    const versions = this.told.get(sequence);
+    if (versions !== undefined) this.confirmed.set(sender, versions);
   }
 
   /**
@@ -102,6 +119,7 @@
   clear(): void {
     void this.repeatTimer?.dispose();
     this.heardMs.clear();
+    this.confirmed.clear();
     this.firstSentMs.clear();
   }
 
@@ -110,26 +128,41 @@
    * hundred nodes, more calls came from lost updates than from the followers.
    */
   private sendAgain(announcedMs: number): void {
-    const { channel, listPeers } = this.options;
-    const missing = listPeers().filter((peer) => {
+    const missing = this.options.listPeers().filter((peer) => {
       return (this.heardMs.get(peer) ?? -Infinity) < announcedMs;
     });
-    if (missing.length === 0) return;
-    const value = this.makeUpdate();
-    for (const peer of missing) channel.send(peer, { case: 'update', value });
+    this.sendUpdates(missing);
+  }
+
+  /** Peers that have confirmed the same get the same update, encoded once. */
+  private sendUpdates(peers: readonly string[]): void {
+    const updates = new Map<string, Update>();
+    for (const peer of peers) {
+      const known = this.confirmed.get(peer) ?? new Map<string, number>();
+      const key = [...known.values()].join(' ');
+      const value = updates.get(key) ?? this.makeUpdate(known);
+      updates.set(key, value);
+      this.options.channel.send(peer, { case: 'update', value });
+    }
   }
 
-  private makeUpdate(): Update {
-    const { statePort, tables } = this.options;
+  private makeUpdate(known: TableVersions): Update {
+    const { statePort } = this.options;
+    const tables = this.options.tables.filter(({ version }) => version !== undefined);
     this.sequence += 1n;
-    const changes = tables
-      .filter(({ version }) => version !== undefined)
-      .map((table) => this.encodeTable(table));
+    this.recordTold(new Map(tables.map(({ name, version }) => [name, version ?? 0])));
+    const changes = tables.map((table) => this.encodeTable(table, known.get(table.name)));
     return create(UpdateSchema, { sequence: this.sequence, changes, statePort });
   }
 
-  private encodeTable(table: FollowedTable<unknown>): FollowedChanges {
-    const { after, content } = table.listRecent();
+  private recordTold(versions: TableVersions): void {
+    this.told.set(this.sequence, versions);
+    const [oldest] = this.told.keys();
+    if (this.told.size > MAX_REMEMBERED && oldest !== undefined) this.told.delete(oldest);
+  }
+
+  private encodeTable(table: FollowedTable<unknown>, known: number | undefined): FollowedChanges {
+    const { after, content } = table.listRecent(known);
     const encoded = encodeChanges(table.name, after, content);
     const bytes = encoded.rows.reduce((sum, { value }) => sum + (value?.byteLength ?? 0), 0);
     const ageMs = Math.max(0, Math.round(table.getAgeMs()));
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -121,8 +121,8 @@
     this.relay.handleHello(sender);
   }
 
-  handleUpdateReceived(sender: string): void {
-    this.relay.handleUpdateReceived(sender);
+  handleUpdateReceived(sender: string, sequence: bigint): void {
+    this.relay.handleUpdateReceived(sender, sequence);
   }
 
   /** Takes the node off the list, so that nobody asks it any more. */
