Count only updates in a row towards a peer's silence

Cause: a peer's silence was measured from its last confirmation or first update, also over times in which this node was no follower and sent nothing. At the start of a large fleet many nodes follow for a moment; when one did so again 4.5 s later, it removed most of its peers from the list, they registered again, followers and homes changed, and so on. Ruled out: lost datagrams (mended before; it made no difference), the size of updates (the same), deaf peers (other nodes heard them).

--- a/packages/dispatch/src/directory/common/updateRelay.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.ts
@@ -21,12 +21,24 @@
  */
 const REPEAT_MS = 200;
 
+/** A peer counts as silent after so many updates in a row without confirmation, repeats included. */
+const MIN_UNANSWERED = 4;
+/** Updates that are further apart are not in a row, in ms: this node was not the follower between. */
+const MAX_GAP_MS = 2500;
+
 /** Above this share of silent peers, the way of this node is to blame rather than the peers. */
 const MAX_SILENT_SHARE = 0.5;
 
 /** Versions of tables, by name. */
 type TableVersions = ReadonlyMap<string, number>;
 
+/** Updates in a row that a peer has not confirmed. */
+interface IUnanswered {
+  readonly sinceMs: number;
+  readonly lastMs: number;
+  readonly count: number;
+}
+
 /** Options of an {@link UpdateRelay}. */
 export interface IUpdateRelayOptions {
   readonly channel: DatagramChannel;
@@ -51,7 +63,7 @@
 export class UpdateRelay {
   private sequence = 0n;
   private readonly heardMs = new Map<string, number>();
-  private readonly firstSentMs = new Map<string, number>();
+  private readonly unanswered = new Map<string, IUnanswered>();
   private readonly fetching = new Set<string>();
   /** What each update told, by its sequence. */
   private readonly told = new Map<bigint, TableVersions>();
@@ -65,11 +77,7 @@
   announce(): void {
     const { clock, listPeers } = this.options;
     const nowMs = clock.getMonotonicTime();
-    const peers = listPeers();
-    for (const peer of peers) {
-      if (!this.firstSentMs.has(peer)) this.firstSentMs.set(peer, nowMs);
-    }
-    this.sendUpdates(peers);
+    this.sendUpdates(listPeers());
     void this.repeatTimer?.dispose();
     this.repeatTimer = clock.startTimer(REPEAT_MS, () => {
       this.sendAgain(nowMs);
@@ -93,24 +101,23 @@
 
   handleUpdateReceived(sender: string, sequence: bigint): void {
     this.heardMs.set(sender, this.options.clock.getMonotonicTime());
+    this.unanswered.delete(sender);
     const versions = this.told.get(sequence);
     if (versions !== undefined) this.confirmed.set(sender, versions);
   }
 
   /**
-   * Peers that were sent updates for `limitMs` and confirmed none. None at all when most are silent:
-   * then this node is the one that is cut off, and to report them would take a whole failure domain
-   * off the list while it is at work.
+   * Peers that were sent one update after the other for `limitMs` and confirmed none. None at all
+   * when most are silent: then this node is the one that is cut off, and to report them would take a
+   * whole failure domain off the list while it is at work. Only updates in a row count: a node that
+   * follows again after a while has not been told anything between because it has not asked.
    */
   listSilent(limitMs: number): readonly string[] {
     const nowMs = this.options.clock.getMonotonicTime();
     const peers = this.options.listPeers();
     const silent = peers.filter((peer) => {
-      const sinceMs = Math.max(
-        this.firstSentMs.get(peer) ?? nowMs,
-        this.heardMs.get(peer) ?? -Infinity,
-      );
-      return nowMs - sinceMs > limitMs;
+      const { count, sinceMs } = this.unanswered.get(peer) ?? { count: 0, sinceMs: nowMs };
+      return count >= MIN_UNANSWERED && nowMs - sinceMs > limitMs;
     });
     return silent.length > peers.length * MAX_SILENT_SHARE ? [] : silent;
   }
@@ -120,7 +127,7 @@
     void this.repeatTimer?.dispose();
     this.heardMs.clear();
     this.confirmed.clear();
-    this.firstSentMs.clear();
+    this.unanswered.clear();
   }
 
   /**
@@ -142,10 +149,19 @@
       const key = [...known.values()].join(' ');
       const value = updates.get(key) ?? this.makeUpdate(known);
       updates.set(key, value);
+      this.recordSent(peer);
       this.options.channel.send(peer, { case: 'update', value });
     }
   }
 
+  private recordSent(peer: string): void {
+    const nowMs = this.options.clock.getMonotonicTime();
+    const row = this.unanswered.get(peer);
+    const isInRow = row !== undefined && nowMs - row.lastMs <= MAX_GAP_MS;
+    const before = isInRow ? row : { sinceMs: nowMs, count: 0 };
+    this.unanswered.set(peer, { sinceMs: before.sinceMs, lastMs: nowMs, count: before.count + 1 });
+  }
+
   private makeUpdate(known: TableVersions): Update {
     const { statePort } = this.options;
     const tables = this.options.tables.filter(({ version }) => version !== undefined);
