--- /dev/null
+++ b/packages/lab/src/prove/common/faultKindList.ts
@@ -0,0 +1,16 @@
+/** The kinds of fault that a command line names. */
+
+/**
+ * Kinds from a list with commas; all of them for an empty text. Throws on a name that is none.
+ *
+ * @example
+ * const kinds = parseFaultKinds('node-kill,node-pause', FAULT_KINDS);
+ */
+export function parseFaultKinds<K extends string>(text: string, known: readonly K[]): readonly K[] {
+  const names = text.split(',').filter((name) => name !== '');
+  const unknown = names.find((name) => !known.some((kind) => kind === name));
+  if (unknown !== undefined) {
+    throw new Error(`there is no kind of fault "${unknown}"; there are ${known.join(', ')}`);
+  }
+  return known.filter((kind) => names.length === 0 || names.includes(kind));
+}
--- a/packages/lab/src/prove/common/faultSchedule.test.ts
+++ b/packages/lab/src/prove/common/faultSchedule.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { parseFaultKinds } from './faultKindList.js';
 import { FAULT_KINDS, makeSchedule } from './faultSchedule.js';
 
 test('a seed gives the same schedule each time, in order, and another seed another', () => {
@@ -22,3 +23,15 @@
   const chosen = makeSchedule({ seed: 1, seconds: 60, kinds: ['node-kill'] });
   assert.deepEqual([...new Set(chosen.map(({ kind }) => kind))], ['node-kill']);
 });
+
+test('a command line names kinds, or all with nothing, and none that do not exist', () => {
+  assert.deepEqual(parseFaultKinds('node-pause,node-kill', FAULT_KINDS), [
+    'node-kill',
+    'node-pause',
+  ]);
+  assert.deepEqual(parseFaultKinds('', FAULT_KINDS), FAULT_KINDS);
+  assert.throws(
+    () => parseFaultKinds('node-kil', FAULT_KINDS),
+    /there is no kind of fault "node-kil"/,
+  );
+});
--- a/packages/lab/src/prove/node/main.ts
+++ b/packages/lab/src/prove/node/main.ts
@@ -3,7 +3,7 @@
  * any violation, with the command that makes the same schedule again.
  */
 import { parseArgs } from 'node:util';
-import type { FaultKind } from '../common/faultSchedule.js';
+import { parseFaultKinds } from '../common/faultKindList.js';
 import { FAULT_KINDS, makeSchedule } from '../common/faultSchedule.js';
 import { formatBreakModule, listBreakModules } from './breakModules.js';
 import { OUTSIDE_BREAKS, parseOutsideBreak } from './brokenWorld.js';
@@ -28,13 +28,6 @@
   },
 });
 
-function parseKinds(text: string): readonly FaultKind[] {
-  const names = text.split(',').filter((name) => name !== '');
-  const unknown = names.find((name) => !FAULT_KINDS.some((kind) => kind === name));
-  if (unknown !== undefined) throw new Error(`there is no kind of fault "${unknown}"\n${USAGE}`);
-  return FAULT_KINDS.filter((kind) => names.length === 0 || names.includes(kind));
-}
-
 function makeBreakOptions(name: string): Partial<IProveRunOptions> {
   if (name === '') return {};
   const outsideBreak = parseOutsideBreak(name);
@@ -46,7 +39,7 @@
 async function runCommand(): Promise<number> {
   const seed = Number(values.seed);
   const seconds = Number(values.seconds);
-  const kinds = parseKinds(values.only);
+  const kinds = parseFaultKinds(values.only, FAULT_KINDS);
   const schedule = makeSchedule({ seed, seconds, spacingMs: Number(values.spacing), kinds });
   console.log(`seed ${seed}, ${seconds} s, ${schedule.length} faults`);
   for (const { atMs, kind, durationMs, pick, size } of schedule) {
--- a/packages/lab/src/soak/node/main.ts
+++ b/packages/lab/src/soak/node/main.ts
@@ -5,9 +5,9 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
+import { parseFaultKinds } from '../../prove/common/faultKindList.js';
 import { makeSchedule } from '../../prove/common/faultSchedule.js';
 import { formatBreakModule, listBreakModules } from '../../prove/node/breakModules.js';
-import type { SoakFaultKind } from '../common/soakFaultKind.js';
 import { SOAK_FAULT_KINDS } from '../common/soakFaultKind.js';
 import { REGRESSION_SEEDS } from '../common/regressionSeeds.js';
 import { runSoak } from './soakRun.js';
@@ -36,13 +36,6 @@
   },
 });
 
-function parseKinds(text: string): readonly SoakFaultKind[] {
-  const names = text.split(',').filter((name) => name !== '');
-  const unknown = names.find((name) => !SOAK_FAULT_KINDS.some((kind) => kind === name));
-  if (unknown !== undefined) throw new Error(`there is no kind of fault "${unknown}"\n${USAGE}`);
-  return SOAK_FAULT_KINDS.filter((kind) => names.length === 0 || names.includes(kind));
-}
-
 function makeBreakOptions(name: string): { breakModule?: string; hasLaxTargets?: boolean } {
   if (name === '') return {};
   if (name === LAX_TARGETS) return { hasLaxTargets: true };
@@ -59,7 +52,7 @@
 }
 
 async function runSeed(seed: number, seconds: number): Promise<boolean> {
-  const kinds = parseKinds(values.only);
+  const kinds = parseFaultKinds(values.only, SOAK_FAULT_KINDS);
   const schedule = makeSchedule({ seed, seconds, spacingMs: Number(values.spacing), kinds });
   console.log(`\nseed ${seed}, ${seconds} s, ${schedule.length} faults`);
   const { findings, requests, served } = await runSoak({
