--- a/packages/lab/src/soak/common/regressionSeeds.ts
+++ b/packages/lab/src/soak/common/regressionSeeds.ts
@@ -25,6 +25,12 @@
     cause:
       'SIGHUP during the start ended the process; so did a settings file that was half written then',
   },
+  {
+    seed: 1010,
+    seconds: 12,
+    cause:
+      'the soak itself started two processes of one node at once, and one found its port taken',
+  },
   {
     seed: 204,
     seconds: 20,
--- a/packages/lab/src/soak/node/soakNode.ts
+++ b/packages/lab/src/soak/node/soakNode.ts
@@ -48,6 +48,7 @@
   private child: ManagedProcess | undefined;
   private readonly formerLines: string[] = [];
   private isEndAsked = false;
+  private isStarting = false;
   private ports: readonly number[] = [];
   private storeLink: FaultyLink | undefined;
 
@@ -89,7 +90,19 @@
 
   /** Starts the process; it is not yet ready. */
   async start(seeds: readonly SoakNode[], isFirstStart: boolean): Promise<void> {
-    await this.writeSettings(seeds, isFirstStart, {});
+    // The end of a fault and the end of a run may both bring a node back; two processes of one node
+    // would fight for its addresses, and one of them would end.
+    if (this.isStarting) return;
+    this.isStarting = true;
+    try {
+      await this.writeSettings(seeds, isFirstStart, {});
+      this.startProcess();
+    } finally {
+      this.isStarting = false;
+    }
+  }
+
+  private startProcess(): void {
     this.formerLines.push(...this.getOwnLines(), `end of life ${this.life}`);
     this.life += 1;
     this.isEndAsked = false;
