Name the settings file to the program by an argument

Cause: the soak and the test of early reloads set the variable by which the users' platform names the settings file; only platform/ may know it. Ruled out: exporting the variable's name to the lab: it would still use it. Before: two places outside platform/ with the users' name. After: none; the variable works as before where no argument is given.

--- a/packages/lab/src/shutdown/node/earlyReload.test.ts
+++ b/packages/lab/src/shutdown/node/earlyReload.test.ts
@@ -9,9 +9,8 @@
   // Symptom: a process that was just started is gone, killed by SIGHUP. Sequence: the settings file
   // changes while the process still loads its program and settings. Cause: the handler was
   // installed only after the settings were read.
-  const child = spawn(process.execPath, [Program.PlatformNode], {
+  const child = spawn(process.execPath, [Program.PlatformNode, '/dev/stdin'], {
     stdio: ['pipe', 'ignore', 'ignore'],
-    env: { ...process.env, PARSLEYMUX_SETTINGS: '/dev/stdin' },
   });
   const ended = once(child, 'exit') as Promise<[number | null, NodeJS.Signals | null]>;
   await once(child, 'spawn');
--- a/packages/lab/src/soak/node/soakNode.ts
+++ b/packages/lab/src/soak/node/soakNode.ts
@@ -110,7 +110,7 @@
     const child = fleet.start({
       name: this.name,
       script: breakModule === undefined ? Program.PlatformNode : Program.PlatformModules,
-      env: { PARSLEYMUX_SETTINGS: this.settingsPath },
+      args: [this.settingsPath],
       nodeOptions: breakModule === undefined ? [] : ['--import', breakModule],
     });
     this.child = child;
