Let an entry that another writer spoilt name no target

Cause: a row that could not be decoded kept its last good value, an unknown state counted as ready, fields that are not used were not looked at, and bytes that are no text were read as text with other signs. Ruled out: keeping the last good value for targets too: requests would go to an address that nobody vouches for. The configuration keeps it: routing by none would refuse everything. A missing start (born) is accepted: no target of the deployments at hand writes one yet. Before, by reading: a row kept its last good value. Each fault of a key is logged once; parsleymux_malformed_rows_total counts them all.

--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -26,6 +26,7 @@
 import type { IServiceBounds } from '../../home/common/serviceBook.js';
 import { handleDatagram } from './datagramRouter.js';
 import { logDirectoryChanges } from './directoryLog.js';
+import { countMalformedRows } from './malformedRows.js';
 import { createMetricsServer, createReadyServer } from './statusServers.js';
 
 const MAX_INCARNATION = 0x7fff_ffff;
@@ -127,6 +128,7 @@
     logDirectoryChanges(this.directory, log);
     const registry = new Registry();
     collectDefaultMetrics({ register: registry });
+    countMalformedRows(this.options.authority, registry);
     const channel = this.store.add(await UdpChannel.open(settings.datagramAddress, log));
     const homes = this.store.add(this.createHomes());
     const tables = [
@@ -241,7 +243,7 @@
       clock,
       selector,
       transport,
-      paths: new PathHealth(clock),
+      paths: new PathHealth(clock, (id) => this.directory.targets.get(id)),
       failureDomain: settings.failureDomain,
       isAuthentic: protocol.isAuthentic,
       listTargetHeaders: protocol.listTargetHeaders,
--- a/packages/dispatch/src/directory/common/authority.ts
+++ b/packages/dispatch/src/directory/common/authority.ts
@@ -64,6 +64,9 @@
 
 /** One table of the authority. Every call rejects with a {@link StoreCallError} without an answer. */
 export abstract class AuthorityTable<T> {
+  /** Entries read since the start that could not be understood and so name nothing to use. */
+  abstract readonly malformedRows: number;
+
   /** Reads the whole table. */
   abstract readAll(signal: AbortSignal): Promise<ITableChanges<T>>;
 
--- a/packages/dispatch/src/directory/common/storeFollower.test.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.test.ts
@@ -10,6 +10,7 @@
 
 /** Replies in turn; 'none' stays unanswered until the call is given up. */
 class ScriptedTable extends AuthorityTable<string> {
+  override readonly malformedRows = 0;
   readonly calls: string[] = [];
 
   constructor(private readonly replies: Reply[]) {
--- a/packages/dispatch/src/directory/node/directoryService.test.ts
+++ b/packages/dispatch/src/directory/node/directoryService.test.ts
@@ -18,6 +18,7 @@
 
 /** Counts reads of the whole table; holds reads of changes until they are given up. */
 class CountingTable<T> extends AuthorityTable<T> {
+  override readonly malformedRows = 0;
   reads = 0;
 
   constructor(private readonly content: ITableChanges<T>) {
--- a/packages/lab/src/docs/node/operationsMetrics.test.ts
+++ b/packages/lab/src/docs/node/operationsMetrics.test.ts
@@ -35,6 +35,7 @@
 
 /** Knows nothing: every call waits until it is given up. */
 class EmptyTable extends AuthorityTable<never> {
+  override readonly malformedRows = 0;
   override readAll(signal: AbortSignal): Promise<never> {
     return new Promise((_, reject) => {
       signal.addEventListener('abort', () => {
--- a/packages/standins/src/metadata/common/metadataTexts.ts
+++ b/packages/standins/src/metadata/common/metadataTexts.ts
@@ -20,6 +20,8 @@
   readonly slots: number;
   /** Default false. */
   readonly isDraining?: boolean;
+  /** When it started, in ms of Unix time. Default: it doesn't say. */
+  readonly bornMs?: number;
 }
 
 const LIMITS = {
@@ -80,6 +82,7 @@
  */
 export function makeTargetText(target: IMetadataTarget): string {
   return JSON.stringify({
+    ...(target.bornMs === undefined ? {} : { born: target.bornMs }),
     address: target.address,
     info: {
       service: target.service,
