--- a/packages/dispatch/src/entry/common/requestRun.ts
+++ b/packages/dispatch/src/entry/common/requestRun.ts
@@ -161,11 +161,13 @@
     return this.options.selector.choose(
       {
         requestId: request.id,
+        route: route.name,
         service,
         failureDomain: this.options.failureDomain,
         attempt: state.sent + running.length + 1,
         isRepeated: state.unsent > 0,
         isIdempotent: route.isIdempotent,
+        isHedge: running.length > 0,
         priority: route.priority,
         remainingMs: this.getRemainingMs(request),
         objectiveMs: route.objectiveMs,
--- a/packages/dispatch/src/grants/common/grant.ts
+++ b/packages/dispatch/src/grants/common/grant.ts
@@ -29,6 +29,8 @@
 export interface IGrantRequest {
   /** The caller's identifier of the request, for logs. */
   readonly requestId: string;
+  /** Name of the request's route: requests of one route take similar work. */
+  readonly route: string;
   readonly service: string;
   /** Failure domain of the entry. */
   readonly failureDomain: string;
@@ -37,6 +39,8 @@
   /** Whether the request asked before, and that grant came to nothing before it was sent. */
   readonly isRepeated: boolean;
   readonly isIdempotent: boolean;
+  /** Whether an attempt of the request is still under way, and this one would run beside it. */
+  readonly isHedge: boolean;
   readonly priority: number;
   /** Time that is left to the request, in ms. */
   readonly remainingMs: number;
--- /dev/null
+++ b/packages/dispatch/src/home/common/expectedCreditPolicy.ts
@@ -0,0 +1,247 @@
+/**
+ * Weighs granting a slot now against waiting for a better one, in credit that the caller can expect.
+ *
+ * A failing target answers at once, so its slots are always free while those of sound targets are
+ * busy: whoever grants any free slot sends it all that comes at the busiest moments. Work takes a
+ * fraction of the objective, so a request loses nothing by waiting for a sound target's slot, and
+ * nearly everything by not waiting.
+ */
+import { ResultCode } from '@parsleymux/base';
+import type { IGrantRequest } from '../../grants/common/grant.js';
+import type { BookedTarget } from './bookedTarget.js';
+import { CreditForecast } from './creditForecast.js';
+import type { IServiceState, IWaitingRequest, PolicyDecision } from './grantPolicy.js';
+import { GrantPolicy, isFirstDue, listFree } from './grantPolicy.js';
+import type { IPlacingWeights } from './placingCost.js';
+import { DEFAULT_PLACING_WEIGHTS, computePlacingCost } from './placingCost.js';
+
+/** Slots that count as there although every target is believed failing. */
+const LEAST_SLOTS = 0.5;
+/** A request whose time ends within so many times the usual work is late no longer, but last. */
+const LAST_CALL_FACTOR = 2;
+
+const REFUSAL: PolicyDecision = { kind: 'refuse', code: ResultCode.QueueFull };
+
+/** Order of the waiting requests of one priority. */
+const Rank = { Retry: 0, InTime: 1, Late: 2 } as const;
+
+/**
+ * Settings of an {@link ExpectedCreditPolicy}, in credit of one request answered in time. None of
+ * them is a threshold on load or belief: these are learnt.
+ */
+export interface IExpectedCreditSettings {
+  readonly weights: IPlacingWeights;
+  /**
+   * Credit of a late answer. Callers agreed on a third to a half of a whole credit for it, and
+   * count the share that is served at all besides, by orders of magnitude; together that makes an
+   * answer at all worth about twice as much as its being in time. Default 0.7.
+   */
+  readonly lateCredit: number;
+  /**
+   * A slot now is taken if it is worse than waiting by no more than this: a slot that stays idle
+   * while requests wait for better ones helps nobody. Default 0.15.
+   */
+  readonly waitMargin: number;
+  /**
+   * What a retry costs besides its time: part of an allowance that all requests of the service
+   * share, and often a new connection. Default 0.2.
+   */
+  readonly retryCost: number;
+  /**
+   * What a refusal is worth: its caller knows at once that nothing has run, and comes back once or
+   * more in the time that it has. Default 0.4.
+   */
+  readonly refusalCredit: number;
+  /** Whether what a probe tells the waiting requests counts for it. Default true. */
+  readonly valuesProbes: boolean;
+  /** Whether targets without requests are used while many requests fail. Default true. */
+  readonly keepsFloor: boolean;
+  /** Whether requests that can still be in time go before those that can't. Default true. */
+  readonly servesInTimeFirst: boolean;
+  /** Whether second attempts go before first ones: refusing them loses the request. Default true. */
+  readonly servesRetriesFirst: boolean;
+  /** Whether hedges are kept to slots that nobody waits for. Default true. */
+  readonly boundsHedges: boolean;
+}
+
+export const DEFAULT_CREDIT_SETTINGS: IExpectedCreditSettings = {
+  weights: DEFAULT_PLACING_WEIGHTS,
+  lateCredit: 0.7,
+  waitMargin: 0.15,
+  retryCost: 0.2,
+  refusalCredit: 0.4,
+  valuesProbes: true,
+  keepsFloor: true,
+  servesInTimeFirst: true,
+  servesRetriesFirst: true,
+  boundsHedges: true,
+};
+
+/** What a decision on one request rests on. */
+interface IOutlook {
+  readonly waiting: IWaitingRequest;
+  readonly state: IServiceState;
+  readonly forecast: CreditForecast;
+  /** Slots of targets that the request may go to, each by the probability that it is sound. */
+  readonly soundSlots: number;
+  /** Until a sound slot is free for it, in ms. */
+  readonly waitMs: number;
+  /** Expected credit of waiting. */
+  readonly waitCredit: number;
+}
+
+/**
+ * @example
+ * const decision = new ExpectedCreditPolicy().decide(waiting, state);
+ */
+export class ExpectedCreditPolicy extends GrantPolicy {
+  private readonly settings: IExpectedCreditSettings;
+
+  constructor(settings: Partial<IExpectedCreditSettings> = {}) {
+    super();
+    this.settings = { ...DEFAULT_CREDIT_SETTINGS, ...settings };
+  }
+
+  override decide(waiting: IWaitingRequest, state: IServiceState): PolicyDecision {
+    const { request } = waiting;
+    const { boundsHedges, refusalCredit } = this.settings;
+    const isBoundHedge = boundsHedges && request.isHedge;
+    // Its request has a slot already; a second one would be taken from a request that has none.
+    if (isBoundHedge && state.queued > 0) return REFUSAL;
+    const target = this.choose(waiting, state);
+    if (target !== undefined) return { kind: 'grant', target };
+    if (isBoundHedge) return REFUSAL;
+    // A second attempt can't be refused truthfully any more: its request may have run.
+    if (request.attempt > 1) return { kind: 'wait' };
+    return this.computeOutlook(waiting, state).waitCredit > refusalCredit
+      ? { kind: 'wait' }
+      : REFUSAL;
+  }
+
+  /**
+   * A request that is late already loses nothing by waiting on, up to its deadline, and its place
+   * lets another one be in time. Served in the order of arrival, a burst makes all of them late
+   * until the queue is empty again.
+   */
+  override getRank(waiting: Omit<IWaitingRequest, 'ahead'>, { workTimes }: IServiceState): number {
+    const { request, waitedMs } = waiting;
+    const { servesInTimeFirst, servesRetriesFirst } = this.settings;
+    if (request.attempt > 1 && servesRetriesFirst) return Rank.Retry;
+    if (!servesInTimeFirst) return Rank.InTime;
+    const workMs = workTimes.getMeanMs(request.route, request.objectiveMs);
+    const isLate = waitedMs + workMs > request.objectiveMs;
+    const hasTime = request.remainingMs - waitedMs > workMs * LAST_CALL_FACTOR;
+    return isLate && hasTime ? Rank.Late : Rank.InTime;
+  }
+
+  override estimateWaitMs(request: IGrantRequest, ahead: number, state: IServiceState): number {
+    return computeWaitMs(request, ahead, countSoundSlots(request, state), state);
+  }
+
+  private choose(waiting: IWaitingRequest, state: IServiceState): BookedTarget | undefined {
+    const { request } = waiting;
+    const free = listFree(request, state);
+    const due = free.find((target) => isFirstDue(target, request, state.nowMs));
+    if (due !== undefined) return due;
+    const hasToSpread = this.settings.keepsFloor && state.hasToSpread;
+    const unused = hasToSpread ? findUnused(free, state) : undefined;
+    return unused ?? this.findBest(free, this.computeOutlook(waiting, state));
+  }
+
+  private computeOutlook(waiting: IWaitingRequest, state: IServiceState): IOutlook {
+    const { ahead, request } = waiting;
+    const forecast = new CreditForecast(waiting, state.workTimes, this.settings.lateCredit);
+    const soundSlots = countSoundSlots(request, state);
+    const waitMs = computeWaitMs(request, ahead, soundSlots, state);
+    const waitCredit = forecast.getCredit(waitMs) * (1 - state.model.soundFailureRate);
+    return { waiting, state, forecast, soundSlots, waitMs, waitCredit };
+  }
+
+  /** The best target that is worth taking now; undefined when waiting or refusing is better. */
+  private findBest(free: readonly BookedTarget[], outlook: IOutlook): BookedTarget | undefined {
+    const { state, waiting } = outlook;
+    const { refusalCredit, waitMargin, weights } = this.settings;
+    const isFirst = waiting.request.attempt === 1;
+    const least = Math.max(outlook.waitCredit - waitMargin, isFirst ? refusalCredit : 0);
+    let best: BookedTarget | undefined;
+    let bestCredit = -Infinity;
+    for (const target of free) {
+      const credit = this.computeCredit(target, outlook);
+      if (credit < least) continue;
+      const placed = credit - computePlacingCost(target, waiting.request, weights, state.nowMs);
+      if (placed <= bestCredit) continue;
+      best = target;
+      bestCredit = placed;
+    }
+    return best;
+  }
+
+  /** Expected credit of granting `target` now. */
+  private computeCredit(target: BookedTarget, outlook: IOutlook): number {
+    const { forecast, state } = outlook;
+    const { failingFailureRate, soundFailureRate } = state.model;
+    const suspicion = target.belief.getSuspicion(state.nowMs);
+    const failure = suspicion * failingFailureRate + (1 - suspicion) * soundFailureRate;
+    const credit = (1 - failure) * forecast.getCredit(0);
+    const probe = this.settings.valuesProbes ? computeProbeCredit(target, suspicion, outlook) : 0;
+    return credit + failure * this.computeRetryCredit(outlook) + probe;
+  }
+
+  /**
+   * Credit that is left after a failed attempt: none where the request can't be repeated; else that
+   * of a second attempt, which waits for a sound slot like any other, as far as there are retries.
+   */
+  private computeRetryCredit({ state, waitCredit, waiting }: IOutlook): number {
+    const { attempt, isIdempotent } = waiting.request;
+    if (!isIdempotent || attempt > 1) return 0;
+    const left = 1 - state.retriesUsed * state.retriesUsed;
+    return left * Math.max(0, waitCredit - this.settings.retryCost);
+  }
+}
+
+/**
+ * What the waiting requests gain if this target turns out sound: all get a slot sooner. A target
+ * that is being tried already tells no more by a second request.
+ */
+function computeProbeCredit(target: BookedTarget, suspicion: number, outlook: IOutlook): number {
+  const { forecast, soundSlots, state, waiting } = outlook;
+  if (target.inUse > 0 || state.queued === 0) return 0;
+  const { request } = waiting;
+  const wait = (slots: number) => computeWaitMs(request, state.queued / 2, slots, state);
+  const now = forecast.getCredit(wait(soundSlots));
+  const then = forecast.getCredit(wait(soundSlots + target.record.slots * suspicion));
+  return (1 - suspicion) * state.queued * Math.max(0, then - now);
+}
+
+function countSoundSlots({ excluded }: IGrantRequest, { nowMs, targets }: IServiceState): number {
+  let slots = 0;
+  for (const { belief, isReady, record } of targets) {
+    if (!isReady || excluded.includes(record.id)) continue;
+    slots += record.slots * (1 - belief.getSuspicion(nowMs));
+  }
+  return Math.max(LEAST_SLOTS, slots);
+}
+
+/** While every sound slot is in use, one gets free each time one piece of work is done. */
+function computeWaitMs(
+  request: IGrantRequest,
+  ahead: number,
+  soundSlots: number,
+  { workTimes }: IServiceState,
+): number {
+  return ((ahead + 1) * workTimes.getMeanMs(request.route, request.objectiveMs)) / soundSlots;
+}
+
+/** Of the sound targets that got nothing lately, the least doubtful one. */
+function findUnused(
+  free: readonly BookedTarget[],
+  { nowMs, unused }: IServiceState,
+): BookedTarget | undefined {
+  let least: BookedTarget | undefined;
+  for (const target of free) {
+    if (!unused.includes(target)) continue;
+    const suspicion = target.belief.getSuspicion(nowMs);
+    if (least === undefined || suspicion < least.belief.getSuspicion(nowMs)) least = target;
+  }
+  return least;
+}
--- a/packages/dispatch/src/home/common/homeService.ts
+++ b/packages/dispatch/src/home/common/homeService.ts
@@ -1,6 +1,7 @@
 /** The books of all services that this node is asked for. */
 import type { Clock, IDisposable, Logger } from '@parsleymux/base';
 import type { ITargetRecord } from '../../catalog/common/catalog.js';
+import type { GrantPolicy } from './grantPolicy.js';
 import type { IServiceBounds } from './serviceBook.js';
 import { ServiceBook } from './serviceBook.js';
 
@@ -11,6 +12,8 @@
 export interface IHomeServiceOptions extends IServiceBounds {
   readonly clock: Clock;
   readonly log: Logger;
+  /** Makes the policy of each service. Default: that of {@link ServiceBook}. */
+  readonly createPolicy?: () => GrantPolicy;
 }
 
 /**
@@ -66,7 +69,9 @@
   getBook(service: string): ServiceBook {
     const known = this.books.get(service);
     if (known !== undefined) return known;
-    const book = new ServiceBook({ ...this.options, service });
+    const { createPolicy } = this.options;
+    const policy = createPolicy === undefined ? {} : { policy: createPolicy() };
+    const book = new ServiceBook({ ...this.options, ...policy, service });
     book.setTargets(this.targetsByService.get(service) ?? []);
     this.books.set(service, book);
     return book;
--- a/packages/dispatch/src/home/common/servedWindow.ts
+++ b/packages/dispatch/src/home/common/servedWindow.ts
@@ -7,7 +7,7 @@
 /** A new target counts from this age on, in ms. */
 const SETTLED_MS = 6000;
 /** The floor binds when a tenth of the requests fail; spreading begins a little sooner. */
-const FAILED_SHARE = 0.07;
+const FAILED_SHARE = 0.085;
 /** Fewer failures than this say nothing about a share. */
 const MIN_FAILED = 2;
 /** Headroom above the floor, since the share moves with every target that comes or goes. */
@@ -34,8 +34,15 @@
     const total = failed + this.succeeded.count(nowMs);
     if (failed < MIN_FAILED || failed < FAILED_SHARE * total) return false;
     const sound = targets.filter((target) => isSound(target, nowMs));
-    const used = sound.filter(({ lastGrantMs }) => isRecent(lastGrantMs, nowMs));
-    return used.length < (floorShare + FLOOR_MARGIN) * sound.length;
+    const used = sound.length - this.listUnused(targets, nowMs).length;
+    return used < (floorShare + FLOOR_MARGIN) * sound.length;
+  }
+
+  /** Sound targets that got no request within the window. */
+  listUnused(targets: readonly BookedTarget[], nowMs: number): readonly BookedTarget[] {
+    return targets.filter((target) => {
+      return isSound(target, nowMs) && !isRecent(target.lastGrantMs, nowMs);
+    });
   }
 }
 
--- a/packages/dispatch/src/home/common/serviceBook.ts
+++ b/packages/dispatch/src/home/common/serviceBook.ts
@@ -7,13 +7,15 @@
 import { GrantOutcome } from '../../grants/common/grant.js';
 import { BookedTarget } from './bookedTarget.js';
 import { FailureModel } from './failureModel.js';
+import { ExpectedCreditPolicy } from './expectedCreditPolicy.js';
+import type { GrantPolicy, IServiceState } from './grantPolicy.js';
 import { GrantQueue } from './grantQueue.js';
 import type { IRetryWindowOptions } from './retryWindow.js';
 import { RetryWindow } from './retryWindow.js';
 import { ServiceLog } from './serviceLog.js';
 import { ServedWindow } from './servedWindow.js';
 import type { ITargetEvidence } from './targetBelief.js';
-import { TargetPicker } from './targetPicker.js';
+import { WorkTimes } from './workTimes.js';
 
 /** A target that said it was full is left alone this long, in ms: less than most requests take. */
 const BUSY_MS = 100;
@@ -21,10 +23,6 @@
 const REPORT_SLACK_MS = 500;
 /** Targets that become known within this time of the home's start were there before, in ms. */
 const SETTLING_MS = 2000;
-/** Weight of one more latency in the running mean. */
-const LATENCY_WEIGHT = 0.05;
-/** Share of its objective that a request is expected to take before anything was measured. */
-const INITIAL_LATENCY_SHARE = 0.35;
 /** When no target is known at all: the time in which one may register, in ms. */
 const NO_TARGET_RETRY_MS = 500;
 /**
@@ -47,7 +45,8 @@
   readonly service: string;
   readonly clock: Clock;
   readonly log: Logger;
-  readonly picker?: TargetPicker;
+  /** Default: an {@link ExpectedCreditPolicy}. */
+  readonly policy?: GrantPolicy;
 }
 
 /** One request at the home, from its question to its report. */
@@ -96,11 +95,11 @@
   private readonly open = new Set<Ticket>();
   private readonly retryWindow: RetryWindow;
   private readonly served: ServedWindow;
-  private readonly picker: TargetPicker;
+  private readonly policy: GrantPolicy;
+  private readonly workTimes = new WorkTimes();
   private readonly startMs: number;
   private lastAskedMs = -Infinity;
   private lastStaleMs = -Infinity;
-  private meanLatencyMs: number | undefined;
 
   constructor(options: IServiceBookOptions) {
     this.serviceLog = new ServiceLog(options);
@@ -109,7 +108,7 @@
     this.startMs = options.clock.getMonotonicTime();
     this.retryWindow = new RetryWindow(options.retries);
     this.served = new ServedWindow();
-    this.picker = options.picker ?? new TargetPicker();
+    this.policy = options.policy ?? new ExpectedCreditPolicy();
   }
 
   /**
@@ -147,7 +146,8 @@
     if (request.attempt === 1 && !request.isRepeated) this.retryWindow.recordRequest(nowMs);
     const refusal = this.findRefusal(ticket, nowMs);
     if (refusal !== undefined) this.refuse(ticket, refusal);
-    else if (this.queue.size > 0 || !this.tryGrant(ticket, nowMs)) this.queue.push(ticket);
+    else if (!this.settle(ticket, this.countAhead(ticket), this.getState()))
+      this.queue.push(ticket);
     return ticket;
   }
 
@@ -207,9 +207,7 @@
     if (ticket.request.attempt > 1 && !this.retryWindow.isOpen(nowMs)) {
       return ResultCode.RetryBudgetSpent;
     }
-    const { remainingMs } = ticket.request;
-    const neededMs = this.estimateWaitMs(ticket.request) + this.getLatencyMs(ticket.request) / 2;
-    return this.queue.size > 0 && neededMs > remainingMs ? ResultCode.QueueFull : undefined;
+    return undefined;
   }
 
   /** Without one, waiting for a slot would only end the request's time. */
@@ -219,27 +217,31 @@
     });
   }
 
-  /** How long a request that is queued now will wait, in ms. */
-  private estimateWaitMs(request: IGrantRequest): number {
-    const slots = [...this.targets.values()]
-      .filter(({ isReady }) => isReady)
-      .reduce((sum, { record }) => sum + record.slots, 0);
-    const ahead = this.queue.countAhead(request.priority);
-    return (ahead * this.getLatencyMs(request)) / Math.max(1, slots);
+  private getState(): IServiceState {
+    const nowMs = this.clock.getMonotonicTime();
+    const targets = [...this.targets.values()];
+    return {
+      targets,
+      model: this.model,
+      workTimes: this.workTimes,
+      retriesUsed: this.retryWindow.getUsedShare(nowMs),
+      hasToSpread: this.served.isBelowFloor(targets, this.bounds.floorShare, nowMs),
+      unused: this.served.listUnused(targets, nowMs),
+      queued: this.queue.size,
+      nowMs,
+    };
   }
 
-  private getLatencyMs(request: IGrantRequest): number {
-    return this.meanLatencyMs ?? request.objectiveMs * INITIAL_LATENCY_SHARE;
+  private getMeanWorkMs({ objectiveMs, route }: IGrantRequest): number {
+    return this.workTimes.getMeanMs(route, objectiveMs);
   }
 
   private isHopeless(ticket: Ticket, nowMs: number): boolean {
-    return ticket.endMs - nowMs < this.getLatencyMs(ticket.request) / 2;
+    return ticket.endMs - nowMs < this.getMeanWorkMs(ticket.request) / 2;
   }
 
   private refuse(ticket: Ticket, code: ResultCode): void {
-    const waitMs =
-      code === ResultCode.NoTarget ? NO_TARGET_RETRY_MS : this.estimateWaitMs(ticket.request);
-    const retryAfterMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, Math.ceil(waitMs)));
+    const retryAfterMs = this.computeRetryAfterMs(ticket.request, code);
     this.served.record(false, this.clock.getMonotonicTime());
     this.serviceLog.logRefusal(ticket, [...this.targets.values()], {
       code,
@@ -251,19 +253,25 @@
     ticket.respond(ticket.decision);
   }
 
-  private tryGrant(ticket: Ticket, nowMs: number): boolean {
-    const { request } = ticket;
-    const target = this.picker.pick({
-      targets: [...this.targets.values()],
-      request,
-      failingFailureRate: this.model.failingFailureRate,
-      retriesUsed: this.retryWindow.getUsedShare(nowMs),
-      hasToSpread: this.hasToSpread(nowMs),
-      nowMs,
-    });
-    if (target === undefined) return false;
+  private computeRetryAfterMs(request: IGrantRequest, code: ResultCode): number {
+    if (code === ResultCode.NoTarget) return NO_TARGET_RETRY_MS;
+    const ahead = this.queue.countAhead(request.priority);
+    const waitMs = this.policy.estimateWaitMs(request, ahead, this.getState());
+    return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, Math.ceil(waitMs)));
+  }
+
+  /** Grants or refuses; false when the request has to wait. */
+  private settle(ticket: Ticket, ahead: number, state: IServiceState): boolean {
+    const waitedMs = state.nowMs - ticket.askedMs;
+    const decision = this.policy.decide({ request: ticket.request, waitedMs, ahead }, state);
+    if (decision.kind === 'grant') this.settleWith(ticket, decision.target, state.nowMs);
+    if (decision.kind === 'refuse') this.refuse(ticket, decision.code);
+    return decision.kind !== 'wait';
+  }
+
+  private settleWith(ticket: Ticket, target: BookedTarget, nowMs: number): void {
     const suspicion = target.belief.getSuspicion(nowMs);
-    if (request.attempt > 1) this.retryWindow.recordRetry(nowMs);
+    if (ticket.request.attempt > 1) this.retryWindow.recordRetry(nowMs);
     target.inUse += 1;
     target.granted += 1;
     target.lastGrantMs = nowMs;
@@ -273,18 +281,45 @@
     const needsFreshConnection = nowMs - this.lastStaleMs < AVOID_REUSE_MS;
     ticket.decision = { kind: 'granted', target: target.record, suspicion, needsFreshConnection };
     ticket.respond(ticket.decision);
-    return true;
   }
 
   private serveQueue(): void {
-    const nowMs = this.clock.getMonotonicTime();
-    for (const ticket of this.queue.list()) {
-      if (this.tryGrant(ticket, nowMs)) this.queue.remove(ticket);
+    let ahead = 0;
+    for (const ticket of this.listWaiting()) {
+      if (this.settle(ticket, ahead, this.getState())) this.queue.remove(ticket);
+      else ahead += 1;
     }
   }
 
-  private hasToSpread(nowMs: number): boolean {
-    return this.served.isBelowFloor([...this.targets.values()], this.bounds.floorShare, nowMs);
+  /** Waiting requests that get a slot before a new one. */
+  private countAhead(ticket: Ticket): number {
+    if (this.queue.size === 0) return 0;
+    const state = this.getState();
+    const { priority } = ticket.request;
+    const getRank = ({ askedMs, request }: Ticket) => {
+      return this.policy.getRank({ request, waitedMs: state.nowMs - askedMs }, state);
+    };
+    const rank = getRank(ticket);
+    return this.queue.list().filter((other) => {
+      if (other.request.priority !== priority) return other.request.priority < priority;
+      return getRank(other) <= rank;
+    }).length;
+  }
+
+  /** The queue in the order in which slots are given. */
+  private listWaiting(): readonly Ticket[] {
+    const waiting = this.queue.list();
+    if (waiting.length < 2) return waiting;
+    const state = this.getState();
+    const ranked = waiting.map((ticket) => {
+      const { askedMs, request } = ticket;
+      const rank = this.policy.getRank({ request, waitedMs: state.nowMs - askedMs }, state);
+      return { ticket, rank };
+    });
+    ranked.sort((left, right) => {
+      return left.ticket.request.priority - right.ticket.request.priority || left.rank - right.rank;
+    });
+    return ranked.map(({ ticket }) => ticket);
   }
 
   private updateBelief(
@@ -331,8 +366,7 @@
   private recordSuccess(ticket: Ticket, target: BookedTarget, latencyMs: number): void {
     const nowMs = this.clock.getMonotonicTime();
     this.served.record(true, nowMs);
-    const mean = this.getLatencyMs(ticket.request);
-    this.meanLatencyMs = mean + LATENCY_WEIGHT * (latencyMs - mean);
+    this.workTimes.record(ticket.request.route, ticket.request.objectiveMs, latencyMs);
     // A late success is no proof of a sound target: it was noted as overdue before.
     if (!ticket.isOverdue) target.belief.recordSuccess(nowMs);
   }
--- a/packages/dispatch/src/test/builders.ts
+++ b/packages/dispatch/src/test/builders.ts
@@ -18,11 +18,13 @@
 export function makeGrantRequest(fields: Partial<IGrantRequest> = {}): IGrantRequest {
   return {
     requestId: 'q1',
+    route: 'orders',
     service: 'booking',
     failureDomain: 'north',
     attempt: 1,
     isRepeated: false,
     isIdempotent: false,
+    isHedge: false,
     priority: 1,
     remainingMs: 2000,
     objectiveMs: 1000,
--- /dev/null
+++ b/packages/lab/src/experiment/common/comparison.ts
@@ -0,0 +1,76 @@
+/** Means of many runs, and of the differences of runs that share a seed. */
+import tQuantile from '@stdlib/stats-base-dists-t-quantile';
+import { mean, sampleStandardDeviation } from 'simple-statistics';
+import type { IRunFigures } from './figures.js';
+
+/** Intervals cover this much: half of the rest lies above. */
+const CONFIDENCE = 0.95;
+
+/** Figures that are compared. */
+export const FIGURE_NAMES = [
+  'credit',
+  'worstCredit',
+  'worstKindCredit',
+  'inTime',
+  'late',
+  'refused',
+  'failed',
+  'failedRuns',
+  'connections',
+  'crossed',
+] as const;
+
+export type FigureName = (typeof FIGURE_NAMES)[number];
+
+/** A mean with half the width of its confidence interval. */
+export interface IEstimate {
+  readonly mean: number;
+  readonly halfWidth: number;
+}
+
+/** One policy's figures, and how they differ from those of the first policy, seed by seed. */
+export interface IComparedPolicy {
+  readonly policy: string;
+  readonly figures: Readonly<Record<FigureName, IEstimate>>;
+  readonly differences: Readonly<Record<FigureName, IEstimate>> | undefined;
+}
+
+/**
+ * The interval of Student's t distribution.
+ *
+ * @example
+ * estimateMean([0.1, 0.12, 0.11]); // { mean: 0.11, halfWidth: 0.025 }
+ */
+export function estimateMean(values: readonly number[]): IEstimate {
+  const list = [...values];
+  if (list.length < 2) return { mean: list[0] ?? NaN, halfWidth: Infinity };
+  const quantile = tQuantile((1 + CONFIDENCE) / 2, list.length - 1);
+  const error = sampleStandardDeviation(list) / Math.sqrt(list.length);
+  return { mean: mean(list), halfWidth: quantile * error };
+}
+
+/** Compares runs of policies; each list has one run a seed, in the same order of seeds. */
+export function comparePolicies(
+  runs: readonly { readonly policy: string; readonly figures: readonly IRunFigures[] }[],
+): readonly IComparedPolicy[] {
+  const [baseline] = runs;
+  return runs.map((run) => ({
+    policy: run.policy,
+    figures: estimateAll((name) => run.figures.map((figures) => figures[name])),
+    differences:
+      run === baseline || baseline === undefined
+        ? undefined
+        : estimateAll((name) => {
+            return run.figures.map((figures, seed) => {
+              return figures[name] - (baseline.figures[seed]?.[name] ?? NaN);
+            });
+          }),
+  }));
+}
+
+function estimateAll(
+  getValues: (name: FigureName) => readonly number[],
+): Readonly<Record<FigureName, IEstimate>> {
+  const entries = FIGURE_NAMES.map((name) => [name, estimateMean(getValues(name))] as const);
+  return Object.fromEntries(entries) as Record<FigureName, IEstimate>;
+}
--- /dev/null
+++ b/packages/lab/src/experiment/common/experimentRun.ts
@@ -0,0 +1,183 @@
+/** Plays a scenario once: real homes and entries before modelled targets, on simulated time. */
+import type { RandomSource } from '@parsleymux/base';
+import { ManualClock, SeededRandom, createSilentLogger } from '@parsleymux/base';
+import type { GrantPolicy, ITargetRecord } from '@parsleymux/dispatch';
+import quantile from '@stdlib/stats-base-dists-lognormal-quantile';
+import type { IRunFigures } from './figures.js';
+import { FigureLedger } from './figures.js';
+import { sendRequest } from './modelledCaller.js';
+import { ModelledNetwork } from './modelledNetwork.js';
+import { ModelledNode } from './modelledNode.js';
+import { ModelledTarget } from './modelledTarget.js';
+import type { IRequestKind, IScenario, IWorkDistribution } from './scenario.js';
+import { listEvents } from './scenario.js';
+
+/** Targets and homes are looked after this often, in ms. */
+const STEP_MS = 100;
+/** What an entry learns of a target's drain or loss reaches it this late, in ms. */
+const NEWS_DELAY_MS = 800;
+/** Homes that are ranked for a service. */
+const RANKED = 3;
+const MS_PER_S = 1000;
+/** What is under way at the end of the load still ends. */
+const TAIL_MS = 10_000;
+
+/**
+ * Draws of callers, targets and the network come from generators of their own: a policy that sends
+ * one request more changes no other request's luck, so runs of one seed make a pair.
+ *
+ * @example
+ * const figures = await new ExperimentRun(scenario, () => new FreeSlotPolicy(), 7).run();
+ */
+export class ExperimentRun {
+  private readonly clock = new ManualClock();
+  private readonly ledger = new FigureLedger();
+  private readonly callers: RandomSource;
+  private readonly paths: RandomSource;
+  private readonly network: ModelledNetwork;
+  private readonly targets: readonly ModelledTarget[];
+  private readonly nodes: readonly ModelledNode[];
+  private readonly open: Promise<void>[] = [];
+
+  constructor(
+    private readonly scenario: IScenario,
+    createPolicy: () => GrantPolicy,
+    seed: number,
+  ) {
+    const source = new SeededRandom(seed);
+    const fork = () => new SeededRandom(source.getInteger(0x7fff_ffff));
+    this.callers = fork();
+    this.paths = fork();
+    const { clock } = this;
+    const { datagramLoss: lossShare, datagramMs: delayMs } = scenario;
+    this.network = new ModelledNetwork({ clock, random: fork(), delayMs, lossShare });
+    this.targets = scenario.services.flatMap((service) => {
+      return Array.from({ length: service.targets }, (_, index) => {
+        const id = `${service.name}-${index}`;
+        return new ModelledTarget({ id, index, scenario, service, clock, random: fork() });
+      });
+    });
+    const byId = new Map(this.targets.map((target) => [target.options.id, target]));
+    const log = createSilentLogger();
+    this.nodes = Array.from({ length: scenario.nodes }, (_, index) => {
+      return new ModelledNode({
+        scenario,
+        clock,
+        log,
+        createPolicy,
+        channel: this.network.open(formatNode(index)),
+        failureDomain: this.formatDomain(index),
+        random: fork(),
+        targets: byId,
+        rankHomes: (service) => this.rankHomes(service),
+      });
+    });
+  }
+
+  async run(): Promise<IRunFigures> {
+    const { durationMs } = this.scenario;
+    const arrivals = this.scenario.kinds.map((kind) => ({ kind, atMs: this.sampleGap(kind, 0) }));
+    let index = 0;
+    for (let stepMs = 0; stepMs < durationMs; stepMs += STEP_MS) {
+      this.updateWorld();
+      for (;;) {
+        const next = arrivals.reduce((left, right) => (right.atMs < left.atMs ? right : left));
+        if (next.atMs >= stepMs + STEP_MS) break;
+        await this.clock.advanceTo(next.atMs);
+        this.send(next.kind, index++);
+        next.atMs += this.sampleGap(next.kind, next.atMs);
+      }
+      await this.clock.advanceTo(stepMs + STEP_MS);
+    }
+    await this.clock.advanceBy(TAIL_MS);
+    await Promise.all(this.open);
+    for (const node of this.nodes) node.dispose();
+    return this.summarize();
+  }
+
+  private summarize(): IRunFigures {
+    const sum = (values: readonly number[]) => values.reduce((total, value) => total + value, 0);
+    return this.ledger.summarize({
+      connections: sum(this.nodes.map(({ transport }) => transport.opened)),
+      attempts: sum(this.targets.map(({ arrivals }) => arrivals)),
+      crossed: sum(this.nodes.map(({ transport }) => transport.crossed)),
+      failedRuns: sum(this.targets.map(({ failures }) => failures)),
+    });
+  }
+
+  private send(kind: IRequestKind, index: number): void {
+    const nowMs = this.clock.getMonotonicTime();
+    const [abuse] = listEvents(this.scenario, 'retry-abuse', kind.service, nowMs);
+    const isHasty = this.callers.getFloat() < (abuse?.share ?? 0);
+    const request = sendRequest({
+      kind,
+      id: `q${index}`,
+      workMs: sampleWork(kind.work, this.callers),
+      hastyAttempts: isHasty ? (abuse?.factor ?? 1) : 0,
+      clock: this.clock,
+      random: this.paths,
+      nodes: this.nodes.filter((_, node) => !this.network.isLost(formatNode(node))),
+      ledger: this.ledger,
+    });
+    this.open.push(request);
+  }
+
+  private sampleGap(kind: IRequestKind, nowMs: number): number {
+    const factor = listEvents(this.scenario, 'burst', kind.service, nowMs).reduce(
+      (product, event) => product * (event.factor ?? 1),
+      1,
+    );
+    return this.callers.getExponential(MS_PER_S / (kind.perS * factor));
+  }
+
+  /** Tells nodes of targets, and takes lost homes off the network. */
+  private updateWorld(): void {
+    const nowMs = this.clock.getMonotonicTime();
+    const records = this.targets
+      .filter((target) => !target.isDown())
+      .map((target) => this.makeRecord(target));
+    this.clock.startTimer(nowMs === 0 ? 0 : NEWS_DELAY_MS, () => {
+      for (const node of this.nodes) node.setTargets(records);
+    });
+    for (const service of this.scenario.services) {
+      const isLost = listEvents(this.scenario, 'home-loss', service.name, nowMs).length > 0;
+      const [home] = this.rankHomes(service.name);
+      if (home !== undefined) this.network.setLost(home, isLost);
+    }
+  }
+
+  private makeRecord(target: ModelledTarget): ITargetRecord {
+    const { id, index, service } = target.options;
+    return {
+      id,
+      service: service.name,
+      address: id,
+      failureDomain: this.formatDomain(index),
+      slots: service.slots,
+      isDraining: target.isDraining(),
+      coldMs: 0,
+    };
+  }
+
+  private rankHomes(service: string): readonly string[] {
+    const first = this.scenario.services.findIndex(({ name }) => name === service);
+    const { nodes } = this.scenario;
+    return Array.from({ length: RANKED }, (_, rank) => formatNode((first * RANKED + rank) % nodes));
+  }
+
+  private formatDomain(index: number): string {
+    return `d${index % this.scenario.failureDomains}`;
+  }
+}
+
+function formatNode(index: number): string {
+  return `node-${index}`;
+}
+
+function sampleWork(work: IWorkDistribution, random: RandomSource): number {
+  const { maxMs, meanMs, spread, tailFactor, tailShare } = work;
+  // The mean of a lognormal distribution is exp(mu + sigma^2 / 2).
+  const mu = Math.log(meanMs) - (spread * spread) / 2;
+  const ms = quantile(random.getFloat(), mu, spread);
+  return Math.min(maxMs, random.getFloat() < tailShare ? ms * tailFactor : ms);
+}
--- /dev/null
+++ b/packages/lab/src/experiment/common/figures.ts
@@ -0,0 +1,128 @@
+/** What callers got in one run, and what it cost. */
+import type { IRequestKind } from './scenario.js';
+
+/** Windows in which the worst moments are looked for, in ms. */
+const WINDOW_MS = 2000;
+/** Windows that count as the worst. */
+const WORST_WINDOWS = 2;
+
+/** How a request ended for its caller. */
+export const Ending = {
+  /** Answered within its objective. */
+  InTime: 'inTime',
+  Late: 'late',
+  /** Told that it has not run, until its caller gave up. */
+  Refused: 'refused',
+  Failed: 'failed',
+} as const;
+
+export type Ending = (typeof Ending)[keyof typeof Ending];
+
+/** Figures of one run; shares are of all requests. */
+export interface IRunFigures {
+  readonly inTime: number;
+  readonly late: number;
+  readonly refused: number;
+  readonly failed: number;
+  /** Worth earned as a share of the worth asked for. */
+  readonly credit: number;
+  /** The same over the worst two windows of 2 s. */
+  readonly worstCredit: number;
+  /** The same for the kind that fares worst. */
+  readonly worstKindCredit: number;
+  /** New connections for each request. */
+  readonly connections: number;
+  /** Share of the attempts that went to another failure domain. */
+  readonly crossed: number;
+  /** Failed runs at targets for each request. */
+  readonly failedRuns: number;
+  /** Share of the requests of each kind that ended so. */
+  readonly kinds: Readonly<Record<string, Readonly<Record<Ending, number>>>>;
+}
+
+interface IRecord {
+  readonly kind: IRequestKind;
+  readonly atMs: number;
+  readonly ending: Ending;
+}
+
+/** Costs that are counted besides the endings. */
+export interface IRunCosts {
+  readonly connections: number;
+  readonly attempts: number;
+  readonly crossed: number;
+  readonly failedRuns: number;
+}
+
+/**
+ * Collects endings.
+ *
+ * @example
+ * ledger.record(kind, atMs, Ending.InTime);
+ */
+export class FigureLedger {
+  private readonly records: IRecord[] = [];
+
+  record(kind: IRequestKind, atMs: number, ending: Ending): void {
+    this.records.push({ kind, atMs, ending });
+  }
+
+  summarize(costs: IRunCosts): IRunFigures {
+    const { records } = this;
+    const asked = Math.max(1, records.length);
+    const windows = toGroups(records, ({ atMs }) => String(Math.floor(atMs / WINDOW_MS)));
+    const kinds = toGroups(records, ({ kind }) => kind.name);
+    const worst = windows.map(computeCredit).sort((left, right) => left - right);
+    const worstWindows = worst.slice(0, WORST_WINDOWS);
+    return {
+      ...computeShares(records),
+      credit: computeCredit(records),
+      worstCredit:
+        worstWindows.reduce((sum, credit) => sum + credit, 0) / Math.max(1, worstWindows.length),
+      worstKindCredit: Math.min(...kinds.map(computeCredit)),
+      connections: costs.connections / asked,
+      crossed: costs.crossed / Math.max(1, costs.attempts),
+      failedRuns: costs.failedRuns / asked,
+      kinds: Object.fromEntries(
+        kinds.map((group) => [group[0]?.kind.name ?? '', computeShares(group)]),
+      ),
+    };
+  }
+}
+
+function computeShares(records: readonly IRecord[]): Readonly<Record<Ending, number>> {
+  const getShare = (ending: Ending) => {
+    return records.filter((record) => record.ending === ending).length / records.length;
+  };
+  return {
+    inTime: getShare(Ending.InTime),
+    late: getShare(Ending.Late),
+    refused: getShare(Ending.Refused),
+    failed: getShare(Ending.Failed),
+  };
+}
+
+function computeCredit(records: readonly IRecord[]): number {
+  let earned = 0;
+  let owed = 0;
+  for (const { ending, kind } of records) {
+    owed += kind.worth;
+    if (ending === Ending.InTime) earned += kind.worth;
+    if (ending === Ending.Late) earned += kind.lateWorth;
+  }
+  return owed === 0 ? 1 : earned / owed;
+}
+
+function toGroups(
+  records: readonly IRecord[],
+  getKey: (record: IRecord) => string,
+): readonly (readonly IRecord[])[] {
+  const groups = new Map<string, IRecord[]>();
+  for (const record of records) {
+    const key = getKey(record);
+    const group = groups.get(key) ?? [];
+    group.push(record);
+    groups.set(key, group);
+  }
+  return [...groups.values()];
+}
--- /dev/null
+++ b/packages/lab/src/experiment/common/modelledCaller.ts
@@ -0,0 +1,99 @@
+/** A caller: sends a request, comes back after refusals, and notes how it ended. */
+import type { Clock, RandomSource } from '@parsleymux/base';
+import type { IEntryAnswer, IRouteRule } from '@parsleymux/dispatch';
+import type { FigureLedger } from './figures.js';
+import { Ending } from './figures.js';
+import type { ModelledNode } from './modelledNode.js';
+import { WORK_HEADER } from './modelledTransport.js';
+import type { IRequestKind } from './scenario.js';
+
+const OK = 200;
+const NOT_RUN_STATUSES: readonly number[] = [429, 503];
+/** Times that a caller comes back after a refusal. */
+const RETURNS = 3;
+/** Callers wait as they are told, up to this share of the time that they have left. */
+const LONGEST_WAIT_SHARE = 1 / 3;
+const MS_PER_S = 1000;
+
+/** Options of {@link sendRequest}. */
+export interface ISendRequestOptions {
+  readonly kind: IRequestKind;
+  readonly id: string;
+  readonly workMs: number;
+  /** Attempts that the caller makes at once instead of waiting; 0 for one that behaves. */
+  readonly hastyAttempts: number;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly nodes: readonly ModelledNode[];
+  readonly ledger: FigureLedger;
+}
+
+/** Resolves when the caller has its answer or has given up. */
+export async function sendRequest(options: ISendRequestOptions): Promise<void> {
+  const { clock, kind, ledger } = options;
+  const startMs = clock.getMonotonicTime();
+  const endMs = startMs + kind.deadlineMs;
+  const tries = Math.max(1 + RETURNS, options.hastyAttempts);
+  for (let attempt = 0; attempt < tries; attempt += 1) {
+    const answer = await runAttempt(options, endMs, attempt);
+    const nowMs = clock.getMonotonicTime();
+    if (answer.status === OK) {
+      const isInTime = nowMs - startMs <= kind.objectiveMs;
+      ledger.record(kind, startMs, isInTime ? Ending.InTime : Ending.Late);
+      return;
+    }
+    const isRefused = NOT_RUN_STATUSES.includes(answer.status);
+    const isLast = attempt === tries - 1 || nowMs >= endMs;
+    const mayTryAgain = isRefused || (kind.isIdempotent && attempt + 1 < options.hastyAttempts);
+    if (isLast || !mayTryAgain) {
+      ledger.record(kind, startMs, isRefused ? Ending.Refused : Ending.Failed);
+      return;
+    }
+    if (attempt + 1 >= options.hastyAttempts) {
+      const toldMs = getRetryAfterMs(answer);
+      await clock.sleep(Math.min(toldMs, (endMs - nowMs) * LONGEST_WAIT_SHARE));
+    }
+  }
+}
+
+function runAttempt(
+  options: ISendRequestOptions,
+  endMs: number,
+  attempt: number,
+): Promise<IEntryAnswer> {
+  const { clock, id, kind, nodes, random, workMs } = options;
+  const node = nodes[random.getInteger(nodes.length)];
+  if (node === undefined) throw new Error('an experiment needs a node');
+  const nowMs = clock.getMonotonicTime();
+  const request = {
+    id: `${id}.${attempt}`,
+    route: makeRouteRule(kind),
+    service: kind.service,
+    method: 'GET',
+    path: '/',
+    headers: [[WORK_HEADER, String(workMs)] as const],
+    body: new Uint8Array(),
+    arrivedMs: nowMs,
+    deadlineMs: Math.min(endMs, nowMs + kind.timeoutMs),
+  };
+  return node.runner.run(request, new AbortController().signal);
+}
+
+function getRetryAfterMs({ headers }: IEntryAnswer): number {
+  const text = headers.find(([name]) => name === 'retry-after')?.[1];
+  return Number(text ?? 0) * MS_PER_S;
+}
+
+function makeRouteRule(kind: IRequestKind): IRouteRule {
+  return {
+    name: kind.name,
+    host: '',
+    prefix: '/',
+    isIdempotent: kind.isIdempotent,
+    timeoutMs: kind.timeoutMs,
+    objectiveMs: kind.objectiveMs,
+    priority: kind.priority,
+    maxAttempts: kind.maxAttempts,
+    destinations: [{ service: kind.service, weight: 1 }],
+  };
+}
--- /dev/null
+++ b/packages/lab/src/experiment/common/modelledNetwork.ts
@@ -0,0 +1,72 @@
+/** Datagrams between the nodes of an experiment: delayed, and some of them lost. */
+import type { Clock, RandomSource } from '@parsleymux/base';
+import type { DatagramBody } from '@parsleymux/dispatch';
+import { DatagramChannel } from '@parsleymux/dispatch';
+
+/** Options of a {@link ModelledNetwork}. */
+export interface IModelledNetworkOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly delayMs: number;
+  readonly lossShare: number;
+}
+
+type Handler = (sender: string, body: DatagramBody) => void;
+
+/**
+ * @example
+ * const channel = network.open('node-1');
+ */
+export class ModelledNetwork {
+  private readonly handlers = new Map<string, Handler>();
+  private readonly lost = new Set<string>();
+
+  constructor(private readonly options: IModelledNetworkOptions) {}
+
+  open(address: string): DatagramChannel {
+    return new ModelledChannel(address, this);
+  }
+
+  /** Takes a node off the network, or back on. */
+  setLost(address: string, isLost: boolean): void {
+    if (isLost) this.lost.add(address);
+    else this.lost.delete(address);
+  }
+
+  isLost(address: string): boolean {
+    return this.lost.has(address);
+  }
+
+  setHandler(address: string, handler: Handler): void {
+    this.handlers.set(address, handler);
+  }
+
+  forward(sender: string, address: string, body: DatagramBody): void {
+    const { clock, delayMs, lossShare, random } = this.options;
+    if (random.getFloat() < lossShare || this.isLost(sender)) return;
+    clock.startTimer(delayMs, () => {
+      if (!this.isLost(address)) this.handlers.get(address)?.(sender, body);
+    });
+  }
+}
+
+class ModelledChannel extends DatagramChannel {
+  constructor(
+    override readonly address: string,
+    private readonly network: ModelledNetwork,
+  ) {
+    super();
+  }
+
+  override send(address: string, body: DatagramBody): void {
+    this.network.forward(this.address, address, body);
+  }
+
+  override setHandler(handler: Handler): void {
+    this.network.setHandler(this.address, handler);
+  }
+
+  override dispose(): void {
+    this.network.setLost(this.address, true);
+  }
+}
--- /dev/null
+++ b/packages/lab/src/experiment/common/modelledTransport.ts
@@ -0,0 +1,116 @@
+/** The connections of one node to modelled targets. */
+import type { Clock, IDisposable, RandomSource } from '@parsleymux/base';
+import type { ISendOptions, ITargetAnswer, ITargetRequest } from '@parsleymux/routing';
+import { TargetTransport, TransportError, TransportFailure } from '@parsleymux/routing';
+import type { ModelledTarget } from './modelledTarget.js';
+
+/** Header that carries how long work on the request takes at a target of usual speed, in ms. */
+export const WORK_HEADER = 'x-work-ms';
+
+const CONNECT_MS = 1;
+const WAY_MS = 0.5;
+/** A kept connection is used again within this time, in ms: targets close idle ones a little later. */
+const IDLE_MS = 8500;
+
+/** Options of a {@link ModelledTransport}. */
+export interface IModelledTransportOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly targets: ReadonlyMap<string, ModelledTarget>;
+  /** Whether a target stands in another failure domain than the node. */
+  readonly isFar: (target: ModelledTarget) => boolean;
+}
+
+/** Counts connections as a node does, and drops them as its pools do. */
+export class ModelledTransport extends TargetTransport {
+  opened = 0;
+  /** Requests to targets of other failure domains. */
+  crossed = 0;
+  private readonly idle = new Map<string, number[]>();
+
+  constructor(private readonly options: IModelledTransportOptions) {
+    super();
+  }
+
+  override async send(request: ITargetRequest, options: ISendOptions): Promise<ITargetAnswer> {
+    const { clock, targets } = this.options;
+    const target = targets.get(request.target);
+    if (target === undefined) throw new Error(`there is no target ${request.target}`);
+    if (target.isDown()) {
+      this.idle.delete(request.target);
+      throw makeError(TransportFailure.Connect, false);
+    }
+    if (options.freshConnection === true || !this.takeIdle(request.target)) {
+      this.opened += 1;
+      await clock.sleep(CONNECT_MS);
+    }
+    if (this.options.isFar(target)) this.crossed += 1;
+    const startMs = clock.getMonotonicTime();
+    const { notRun, status } = await this.runExchange(target, request, options.signal);
+    this.storeIdle(request.target);
+    const latencyMs = clock.getMonotonicTime() - startMs;
+    const body = new Uint8Array();
+    return { status, notRun, latencyMs, body, headers: [], draining: false };
+  }
+
+  override retireConnections(_member: string, target: string): void {
+    this.idle.delete(target);
+  }
+
+  override getConnectionCount(_member: string, target: string): number {
+    return this.idle.get(target)?.length ?? 0;
+  }
+
+  private runExchange(
+    target: ModelledTarget,
+    request: ITargetRequest,
+    signal: AbortSignal,
+  ): Promise<{ readonly status: number; readonly notRun: boolean }> {
+    const { clock, random } = this.options;
+    const work = request.headers.find(([name]) => name === WORK_HEADER)?.[1];
+    return new Promise((resolve, reject) => {
+      let job: IDisposable | undefined;
+      const fail = (failure: TransportFailure): void => {
+        void job?.dispose();
+        void timeout.dispose();
+        signal.removeEventListener('abort', onAbort);
+        reject(makeError(failure, true));
+      };
+      const onAbort = (): void => {
+        fail(TransportFailure.Cancelled);
+      };
+      const timeout = clock.startTimer(request.timeoutMs, () => {
+        fail(TransportFailure.Timeout);
+      });
+      signal.addEventListener('abort', onAbort, { once: true });
+      clock.startTimer(WAY_MS, () => {
+        if (signal.aborted) return;
+        job = target.accept(Number(work), random.getFloat(), (answer) => {
+          clock.startTimer(WAY_MS, () => {
+            void timeout.dispose();
+            signal.removeEventListener('abort', onAbort);
+            resolve(answer);
+          });
+        });
+      });
+    });
+  }
+
+  private takeIdle(target: string): boolean {
+    const nowMs = this.options.clock.getMonotonicTime();
+    const fresh = (this.idle.get(target) ?? []).filter((atMs) => nowMs - atMs < IDLE_MS);
+    const isThere = fresh.pop() !== undefined;
+    this.idle.set(target, fresh);
+    return isThere;
+  }
+
+  private storeIdle(target: string): void {
+    const idle = this.idle.get(target) ?? [];
+    idle.push(this.options.clock.getMonotonicTime());
+    this.idle.set(target, idle);
+  }
+}
+
+function makeError(failure: TransportFailure, mayHaveRun: boolean): TransportError {
+  return new TransportError({ failure, mayHaveRun, reusedConnection: false });
+}
--- /dev/null
+++ b/packages/lab/src/experiment/common/scenario.ts
@@ -0,0 +1,104 @@
+/** What an experiment plays: services, kinds of requests, and what goes wrong when. */
+
+/** How long work on a request takes: lognormal with a heavier tail, cut off at `maxMs`. */
+export interface IWorkDistribution {
+  readonly meanMs: number;
+  /** Standard deviation of the logarithm. */
+  readonly spread: number;
+  /** Share of the requests that take `tailFactor` times as long. */
+  readonly tailShare: number;
+  readonly tailFactor: number;
+  readonly maxMs: number;
+}
+
+/** One kind of requests, all on one route. */
+export interface IRequestKind {
+  readonly name: string;
+  readonly service: string;
+  readonly perS: number;
+  readonly isIdempotent: boolean;
+  readonly objectiveMs: number;
+  /** How long a caller waits, over all of its attempts. */
+  readonly deadlineMs: number;
+  readonly timeoutMs: number;
+  readonly maxAttempts: number;
+  readonly priority: number;
+  /** Worth of an answer within the objective, and of a later one. */
+  readonly worth: number;
+  readonly lateWorth: number;
+  readonly work: IWorkDistribution;
+}
+
+/** How targets of a service fail by themselves. */
+export interface IGrayEpochs {
+  /** Probability that a target is failing during one epoch. */
+  readonly share: number;
+  /** Each target draws anew after this time. */
+  readonly everyMs: number;
+  /** Share of its requests that a failing target fails. */
+  readonly failShare: number;
+  /** How long a failing target takes to fail: short, or until the caller gives up. */
+  readonly failMs: number;
+}
+
+/** One service. */
+export interface ISimulatedService {
+  readonly name: string;
+  readonly targets: number;
+  readonly slots: number;
+  /** Requests that wait at a target before it sheds. */
+  readonly queue: number;
+  /** Share of requests that a sound target fails. */
+  readonly errorShare: number;
+  readonly gray: IGrayEpochs;
+}
+
+/** What happens for a while. */
+export interface IScenarioEvent {
+  readonly kind: 'burst' | 'retry-abuse' | 'slow' | 'fail' | 'crash' | 'drain' | 'home-loss';
+  readonly atMs: number;
+  readonly forMs: number;
+  /** Share of the targets or callers concerned, from 0 to 1. Default 0. */
+  readonly share?: number;
+  /** Times as much load, work, or attempts. Default 1. */
+  readonly factor?: number;
+  /** Default: all. */
+  readonly service?: string;
+}
+
+/** A whole scenario, as its file holds it. */
+export interface IScenario {
+  readonly name: string;
+  readonly durationMs: number;
+  readonly nodes: number;
+  readonly failureDomains: number;
+  /** One way of a datagram between nodes, and the share of datagrams that is lost. */
+  readonly datagramMs: number;
+  readonly datagramLoss: number;
+  readonly services: readonly ISimulatedService[];
+  readonly kinds: readonly IRequestKind[];
+  readonly events: readonly IScenarioEvent[];
+  /** The fleet's retries. */
+  readonly retryRatio: number;
+  readonly retryBurst: number;
+  readonly retryWindowMs: number;
+  readonly floorShare: number;
+}
+
+/**
+ * Events that concern a service now.
+ *
+ * @example
+ * const slow = listEvents(scenario, 'slow', 'booking', nowMs);
+ */
+export function listEvents(
+  scenario: IScenario,
+  kind: IScenarioEvent['kind'],
+  service: string,
+  nowMs: number,
+): readonly IScenarioEvent[] {
+  return scenario.events.filter((event) => {
+    const isNow = nowMs >= event.atMs && nowMs < event.atMs + event.forMs;
+    return event.kind === kind && isNow && (event.service ?? service) === service;
+  });
+}
--- /dev/null
+++ b/packages/lab/src/experiment/node/experimentPool.ts
@@ -0,0 +1,50 @@
+/** Plays many runs on a few threads. */
+import { Worker } from 'node:worker_threads';
+import type { IRunFigures } from '../common/figures.js';
+import type { IScenario } from '../common/scenario.js';
+
+const WORKER_MODULE = new URL('./experimentWorker.js', import.meta.url);
+
+/** One run to play. */
+export interface IExperimentJob {
+  readonly scenario: IScenario;
+  readonly policy: string;
+  readonly seed: number;
+}
+
+/**
+ * Resolves with the figures in the order of the jobs.
+ *
+ * @example
+ * const figures = await runExperiments(jobs, 4);
+ */
+export async function runExperiments(
+  jobs: readonly IExperimentJob[],
+  threads: number,
+): Promise<readonly IRunFigures[]> {
+  const results: IRunFigures[] = [];
+  let next = 0;
+  const runThread = async () => {
+    const worker = new Worker(WORKER_MODULE);
+    try {
+      for (let index = next++; index < jobs.length; index = next++) {
+        results[index] = await runOn(worker, jobs[index]);
+      }
+    } finally {
+      await worker.terminate();
+    }
+  };
+  await Promise.all(Array.from({ length: threads }, runThread));
+  return results;
+}
+
+function runOn(worker: Worker, job: IExperimentJob | undefined): Promise<IRunFigures> {
+  return new Promise((resolve, reject) => {
+    worker.once('error', reject);
+    worker.once('message', (figures: IRunFigures) => {
+      worker.off('error', reject);
+      resolve(figures);
+    });
+    worker.postMessage(job);
+  });
+}
--- /dev/null
+++ b/packages/lab/src/experiment/node/main.ts
@@ -0,0 +1,87 @@
+/** `npm run experiment -- SCENARIO --policy A --policy B --seeds N`; see docs/EXPERIMENTS.md. */
+import { existsSync, readFileSync } from 'node:fs';
+import { Builtins, Cli, Command, Option, UsageError } from 'clipanion';
+import type { IComparedPolicy, IEstimate } from '../common/comparison.js';
+import { FIGURE_NAMES, comparePolicies } from '../common/comparison.js';
+import type { IScenario } from '../common/scenario.js';
+import { POLICY_SPECS, parsePolicy } from '../policies/policySpec.js';
+import { runExperiments } from './experimentPool.js';
+
+const SCENARIOS = new URL('../../../scenarios/', import.meta.url);
+const DEFAULT_SEEDS = '20';
+const DEFAULT_THREADS = '2';
+const NAME_WIDTH = 44;
+const CELL_WIDTH = 17;
+const PLACES = 4;
+
+class ExperimentCommand extends Command {
+  static override readonly paths = [Command.Default];
+  static override readonly usage = Command.Usage({
+    description: 'Plays a scenario under several policies, on the same seeds, and compares them.',
+    details: `A policy is ${POLICY_SPECS}. The first one is what the others are compared with.`,
+    examples: [
+      [
+        'What the value of probes is worth',
+        '$0 three-services --policy expected-credit --policy expected-credit,valuesProbes=false',
+      ],
+    ],
+  });
+
+  readonly scenario = Option.String({ name: 'scenario' });
+  readonly policies = Option.Array('--policy', ['free-slot', 'expected-credit'], {
+    description: 'A policy; to be given once for each.',
+  });
+  readonly seeds = Option.String('--seeds', DEFAULT_SEEDS, { description: 'Runs of each policy.' });
+  readonly threads = Option.String('--threads', DEFAULT_THREADS, { description: 'Runs at once.' });
+  readonly json = Option.Boolean('--json', false, { description: 'Print one JSON object.' });
+
+  override async execute(): Promise<number> {
+    for (const policy of this.policies) parsePolicy(policy);
+    const scenario = loadScenario(this.scenario);
+    const count = Number(this.seeds);
+    const seeds = Array.from({ length: count }, (_, index) => index + 1);
+    const jobs = this.policies.flatMap((policy) => {
+      return seeds.map((seed) => ({ scenario, policy, seed }));
+    });
+    const figures = await runExperiments(jobs, Number(this.threads));
+    const runs = this.policies.map((policy, index) => {
+      return { policy, figures: figures.slice(index * count, (index + 1) * count) };
+    });
+    const compared = comparePolicies(runs);
+    const report = { scenario: scenario.name, seeds: count, policies: compared };
+    this.context.stdout.write(
+      this.json ? `${JSON.stringify(report)}\n` : formatTable(scenario.name, compared),
+    );
+    return 0;
+  }
+}
+
+function loadScenario(name: string): IScenario {
+  const own = new URL(`${name}.json`, SCENARIOS);
+  const path = existsSync(name) ? name : own;
+  if (!existsSync(path)) throw new UsageError(`there is no scenario "${name}"`);
+  return JSON.parse(readFileSync(path, 'utf8')) as IScenario;
+}
+
+function formatTable(name: string, policies: readonly IComparedPolicy[]): string {
+  const head = FIGURE_NAMES.map((figure) => figure.padStart(CELL_WIDTH)).join('');
+  const lines = policies.flatMap(({ differences, figures, policy }) => {
+    const formatRow = (title: string, row: typeof figures) => {
+      const cells = FIGURE_NAMES.map((figure) => formatEstimate(row[figure]));
+      return title.padEnd(NAME_WIDTH) + cells.map((cell) => cell.padStart(CELL_WIDTH)).join('');
+    };
+    const rows = [formatRow(policy, figures)];
+    if (differences !== undefined) rows.push(formatRow('  difference', differences));
+    return rows;
+  });
+  return `${[name.padEnd(NAME_WIDTH) + head, ...lines].join('\n')}\n`;
+}
+
+function formatEstimate({ halfWidth, mean }: IEstimate): string {
+  return `${mean.toFixed(PLACES)} ±${halfWidth.toFixed(PLACES)}`;
+}
+
+const cli = new Cli({ binaryLabel: 'Experiments', binaryName: 'npm run experiment --' });
+cli.register(ExperimentCommand);
+cli.register(Builtins.HelpCommand);
+process.exitCode = await cli.run(process.argv.slice(2));
--- a/packages/dispatch/src/home/common/targetCost.ts
+++ b/packages/lab/src/experiment/policies/freeSlotCost.ts
@@ -3,8 +3,7 @@
  * grants the target with the lowest cost, so detection, load and distance weigh against each other
  * in one unit, and no threshold decides alone.
  */
-import type { IGrantRequest } from '../../grants/common/grant.js';
-import type { BookedTarget } from './bookedTarget.js';
+import type { BookedTarget, IGrantRequest } from '@parsleymux/dispatch';
 
 /** Weights of the parts of a cost, each as a share of a request's worth. */
 export interface ITargetCostWeights {
--- /dev/null
+++ b/packages/lab/src/experiment/policies/freeSlotPolicy.ts
@@ -0,0 +1,86 @@
+/** Grants whatever slot is free, the least doubtful first; requests wait only while none is. */
+import { ResultCode } from '@parsleymux/base';
+import type {
+  BookedTarget,
+  IGrantRequest,
+  IServiceState,
+  IWaitingRequest,
+  PolicyDecision,
+} from '@parsleymux/dispatch';
+import { GrantPolicy, isFirstDue, listFree } from '@parsleymux/dispatch';
+import type { ITargetCostWeights } from './freeSlotCost.js';
+import { computeTargetCost, DEFAULT_COST_WEIGHTS } from './freeSlotCost.js';
+
+/**
+ * The policy before expected credit, kept to compare with. Picks the lowest cost, but sees to it that new targets are tried and floors kept.
+ *
+ * @example
+ * const decision = new FreeSlotPolicy().decide(waiting, state);
+ */
+export class FreeSlotPolicy extends GrantPolicy {
+  private readonly weights: ITargetCostWeights;
+
+  constructor(weights: Partial<ITargetCostWeights> = {}) {
+    super();
+    this.weights = { ...DEFAULT_COST_WEIGHTS, ...weights };
+  }
+
+  override decide(waiting: IWaitingRequest, state: IServiceState): PolicyDecision {
+    const { ahead, request, waitedMs } = waiting;
+    const target = ahead > 0 && waitedMs === 0 ? undefined : this.pick(request, state);
+    if (target !== undefined) return { kind: 'grant', target };
+    if (waitedMs > 0 || ahead === 0) return { kind: 'wait' };
+    const meanMs = state.workTimes.getMeanMs(request.route, request.objectiveMs);
+    const neededMs = this.estimateWaitMs(request, ahead, state) + meanMs / 2;
+    if (neededMs > request.remainingMs) return { kind: 'refuse', code: ResultCode.QueueFull };
+    return { kind: 'wait' };
+  }
+
+  override getRank(): number {
+    return 0;
+  }
+
+  override estimateWaitMs(request: IGrantRequest, ahead: number, state: IServiceState): number {
+    const slots = state.targets
+      .filter(({ isReady }) => isReady)
+      .reduce((sum, { record }) => sum + record.slots, 0);
+    const meanMs = state.workTimes.getMeanMs(request.route, request.objectiveMs);
+    return (ahead * meanMs) / Math.max(1, slots);
+  }
+
+  private pick(request: IGrantRequest, state: IServiceState): BookedTarget | undefined {
+    const free = listFree(request, state);
+    const untried = free.find((target) => isFirstDue(target, request, state.nowMs));
+    if (untried !== undefined) return untried;
+    if (state.hasToSpread) return findLeastRecent(free);
+    return this.findCheapest(free, request, state);
+  }
+
+  private findCheapest(
+    free: readonly BookedTarget[],
+    request: IGrantRequest,
+    state: IServiceState,
+  ): BookedTarget | undefined {
+    const { model, nowMs, retriesUsed } = state;
+    const { failingFailureRate } = model;
+    const context = { request, weights: this.weights, failingFailureRate, retriesUsed, nowMs };
+    let best: BookedTarget | undefined;
+    let bestCost = Infinity;
+    for (const target of free) {
+      const cost = computeTargetCost(target, context);
+      if (cost >= bestCost) continue;
+      best = target;
+      bestCost = cost;
+    }
+    return best;
+  }
+}
+
+function findLeastRecent(free: readonly BookedTarget[]): BookedTarget | undefined {
+  let least: BookedTarget | undefined;
+  for (const target of free) {
+    const isLess = (target.lastGrantMs ?? 0) < (least?.lastGrantMs ?? 0);
+    if (least === undefined || isLess) least = target;
+  }
+  return least;
+}
--- /dev/null
+++ b/packages/lab/src/experiment/policies/policySpec.ts
@@ -0,0 +1,45 @@
+/** Names of policies, with settings, as a command line gives them. */
+import type { GrantPolicy, IExpectedCreditSettings } from '@parsleymux/dispatch';
+import { DEFAULT_CREDIT_SETTINGS, ExpectedCreditPolicy } from '@parsleymux/dispatch';
+import VError from 'verror';
+import { FreeSlotPolicy } from './freeSlotPolicy.js';
+
+const FREE_SLOT = 'free-slot';
+const EXPECTED_CREDIT = 'expected-credit';
+
+export const POLICY_SPECS = `${FREE_SLOT}, or ${EXPECTED_CREDIT}[,SETTING=VALUE]... with ${Object.keys(
+  DEFAULT_CREDIT_SETTINGS,
+)
+  .filter((name) => name !== 'weights')
+  .join(', ')} and the weights ${Object.keys(DEFAULT_CREDIT_SETTINGS.weights).join(', ')}`;
+
+/**
+ * Makes the policies that a text names, one for each service.
+ *
+ * @example
+ * const createPolicy = parsePolicy('expected-credit,valuesProbes=false');
+ */
+export function parsePolicy(text: string): () => GrantPolicy {
+  const [name, ...parts] = text.split(',');
+  if (name === FREE_SLOT && parts.length === 0) return () => new FreeSlotPolicy();
+  if (name !== EXPECTED_CREDIT) throw new VError('no policy "%s": %s', text, POLICY_SPECS);
+  const settings = parts.reduce(applySetting, DEFAULT_CREDIT_SETTINGS);
+  return () => new ExpectedCreditPolicy(settings);
+}
+
+function applySetting(settings: IExpectedCreditSettings, part: string): IExpectedCreditSettings {
+  const [name = '', value = ''] = part.split('=');
+  if (name in settings.weights) {
+    return { ...settings, weights: { ...settings.weights, [name]: parseNumber(name, value) } };
+  }
+  const known: unknown = settings[name as keyof IExpectedCreditSettings];
+  if (typeof known === 'number') return { ...settings, [name]: parseNumber(name, value) };
+  if (typeof known === 'boolean') return { ...settings, [name]: value === 'true' };
+  throw new VError('no setting "%s": %s', name, POLICY_SPECS);
+}
+
+function parseNumber(name: string, value: string): number {
+  const number = Number(value);
+  if (value === '' || !Number.isFinite(number)) throw new VError('%s is not a number', name);
+  return number;
+}
