Account for every lost request from logs: parsleyctl explain losses

Cause: where worth goes was counted by hand from logs, each time anew. Each request is in time or lost for one reason, so the table adds up; the request line now carries the route's objective. Ruled out: reasons from metrics alone: counters do not join an attempt with its belief.

--- a/packages/ctl/src/cli/node/cli.ts
+++ b/packages/ctl/src/cli/node/cli.ts
@@ -3,6 +3,7 @@
 import { Cli } from 'clipanion';
 import { ClaimSettleCommand, ClaimShowCommand } from '../../commands/node/claimCommands.js';
 import {
+  ExplainLossesCommand,
   ExplainRequestCommand,
   ExplainTargetCommand,
 } from '../../commands/node/explainCommands.js';
@@ -37,6 +38,7 @@
   StatusCommand,
   ExplainRequestCommand,
   ExplainTargetCommand,
+  ExplainLossesCommand,
   ReportBurnCommand,
   TargetDrainCommand,
   TargetReturnCommand,
--- a/packages/ctl/src/commands/node/explainCommands.ts
+++ b/packages/ctl/src/commands/node/explainCommands.ts
@@ -3,22 +3,46 @@
 import { Command, Option } from 'clipanion';
 import { ExitStatus } from '../../cli/common/exitStatus.js';
 import type { ILogLine } from '../../explain/common/logLine.js';
+import { countLosses } from '../../explain/common/lossAccount.js';
 import { findRequestStory, findTargetStory } from '../../explain/common/story.js';
 import { readLogs } from '../../explain/node/logReader.js';
+import { formatLosses } from '../../output/common/lossText.js';
 import { formatStory } from '../../output/common/storyText.js';
 
-/** What both commands have in common: they read logs and need no node. */
-abstract class ExplainCommand extends Command {
-  readonly json = Option.Boolean('--json', false, { description: 'write the lines as JSON' });
+/** What the commands have in common: they read logs and need no node. */
+abstract class LogCommand extends Command {
+  readonly json = Option.Boolean('--json', false, { description: 'write JSON' });
 
+  /** Declared by each command: the order of declarations is that of the words. */
+  abstract readonly files: string[];
+
+  override async execute(): Promise<number> {
+    const lines = await this.readLines(this.context.stdin);
+    return lines === undefined ? ExitStatus.Usage : this.printLines(lines);
+  }
+
+  /** Writes what the lines say; returns the exit status. */
+  protected abstract printLines(lines: readonly ILogLine[]): number;
+
+  private async readLines(stdin: Readable): Promise<readonly ILogLine[] | undefined> {
+    try {
+      return await readLogs(this.files, stdin);
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      this.context.stderr.write(`logs can't be read: ${reason}\n`);
+      return undefined;
+    }
+  }
+}
+
+/** Tells the story of one thing. */
+abstract class StoryCommand extends LogCommand {
   readonly id = Option.String({ name: 'ID' });
 
-  readonly files = Option.Rest({ name: 'FILES' });
+  override readonly files = Option.Rest({ name: 'FILES' });
 
-  override async execute(): Promise<number> {
-    const { stderr, stdin, stdout } = this.context;
-    const lines = await this.readLines(stdin);
-    if (lines === undefined) return ExitStatus.Usage;
+  protected override printLines(lines: readonly ILogLine[]): number {
+    const { stderr, stdout } = this.context;
     const story = this.findStory(lines);
     if (story.length === 0) {
       stderr.write(`none of ${lines.length} lines tells of ${this.id}\n`);
@@ -32,20 +56,10 @@
   }
 
   protected abstract findStory(lines: readonly ILogLine[]): readonly ILogLine[];
-
-  private async readLines(stdin: Readable): Promise<readonly ILogLine[] | undefined> {
-    try {
-      return await readLogs(this.files, stdin);
-    } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error);
-      this.context.stderr.write(`logs can't be read: ${reason}\n`);
-      return undefined;
-    }
-  }
 }
 
 /** Tells one request's story across nodes. */
-export class ExplainRequestCommand extends ExplainCommand {
+export class ExplainRequestCommand extends StoryCommand {
   static override readonly paths = [['explain', 'request']];
 
   static override readonly usage = Command.Usage({
@@ -61,7 +75,7 @@
 }
 
 /** Tells what was believed of one target, and why. */
-export class ExplainTargetCommand extends ExplainCommand {
+export class ExplainTargetCommand extends StoryCommand {
   static override readonly paths = [['explain', 'target']];
 
   static override readonly usage = Command.Usage({
@@ -75,3 +89,24 @@
     return findTargetStory(lines, this.id);
   }
 }
+
+/** Accounts for all requests that were not answered in time. */
+export class ExplainLossesCommand extends LogCommand {
+  static override readonly paths = [['explain', 'losses']];
+
+  static override readonly usage = Command.Usage({
+    category: 'State',
+    description: 'count from logs which requests were refused, failed or late, and why',
+    details: 'Each lost request has one reason. Reads the files named, or standard input.',
+    examples: [['From collected logs', 'parsleyctl explain losses logs/*.log']],
+  });
+
+  override readonly files = Option.Rest({ name: 'FILES' });
+
+  protected override printLines(lines: readonly ILogLine[]): number {
+    const account = countLosses(lines);
+    const text = this.json ? JSON.stringify(account) : formatLosses(account);
+    this.context.stdout.write(`${text}\n`);
+    return account.requests > 0 ? ExitStatus.Ok : ExitStatus.Refused;
+  }
+}
--- a/packages/dispatch/src/entry/node/requestLog.ts
+++ b/packages/dispatch/src/entry/node/requestLog.ts
@@ -64,6 +64,7 @@
       result: getResultInfo(answer.code).name,
       runState: answer.runState,
       ms,
+      objectiveMs: request.route.objectiveMs,
       attempts: answer.attempts,
       ...this.describeBeliefs(),
     });
