Bound the work of a pass over the queue, and say whether an attempt may be retried

Cause: a pass after each outcome looked at every waiting request and built the state of the service anew for each; with 61 targets and a hundred waiting that is most of a small core. A pass for one free slot now ends where none is free or 16 would rather wait; the pass ten times a second sees all. The policy took any idempotent request for one that can be retried; routes with one attempt can't. Ruled out: ending at the first that waits: those behind it may have other exclusions. Its cost was not measured.

--- a/packages/dispatch/src/entry/common/requestRun.ts
+++ b/packages/dispatch/src/entry/common/requestRun.ts
@@ -160,15 +160,17 @@
     signal: AbortSignal,
   ): Promise<Selection> {
     const { route, service } = request;
+    const attempt = state.sent + running.length + 1;
     return this.options.selector.choose(
       {
         requestId: request.id,
         route: route.name,
         service,
         failureDomain: this.options.failureDomain,
-        attempt: state.sent + running.length + 1,
+        attempt,
         isRepeated: state.unsent > 0,
         isIdempotent: route.isIdempotent,
+        mayRetry: route.isIdempotent && attempt < route.maxAttempts,
         isHedge: running.length > 0,
         priority: route.priority,
         remainingMs: this.getRemainingMs(request),
--- a/packages/dispatch/src/grants/common/grant.ts
+++ b/packages/dispatch/src/grants/common/grant.ts
@@ -39,6 +39,8 @@
   /** Whether the request asked before, and that grant came to nothing before it was sent. */
   readonly isRepeated: boolean;
   readonly isIdempotent: boolean;
+  /** Whether it may be sent once more if this attempt fails. */
+  readonly mayRetry: boolean;
   /** Whether an attempt of the request is still under way, and this one would run beside it. */
   readonly isHedge: boolean;
   readonly priority: number;
--- a/packages/dispatch/src/home/common/expectedCreditPolicy.ts
+++ b/packages/dispatch/src/home/common/expectedCreditPolicy.ts
@@ -202,8 +202,7 @@
    * of a second attempt, which waits for a sound slot like any other, as far as there are retries.
    */
   private computeRetryCredit({ state, waitCredit, waiting }: IOutlook): number {
-    const { attempt, isIdempotent } = waiting.request;
-    if (!isIdempotent || attempt > 1) return 0;
+    if (!waiting.request.mayRetry) return 0;
     const left = 1 - state.retriesUsed * state.retriesUsed;
     return left * Math.max(0, waitCredit - this.settings.retryCost);
   }
--- a/packages/dispatch/src/home/common/serviceBook.ts
+++ b/packages/dispatch/src/home/common/serviceBook.ts
@@ -31,6 +31,8 @@
  * costs a round trip, and a request that can't be repeated is lost with every kept one that breaks.
  */
 const AVOID_REUSE_MS = 5000;
+/** Waiting requests that a pass for one free slot looks at, at most. */
+const MOST_PASSED_OVER = 16;
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 5000;
 
@@ -176,7 +178,7 @@
       this.queue.remove(ticket);
       this.refuse(ticket, ResultCode.QueueTimeout);
     }
-    this.serveQueue();
+    this.serveWaiting(Infinity);
   }
 
   /** Takes what another home of the service believes of a target. */
@@ -287,11 +289,28 @@
     ticket.respond(ticket.decision);
   }
 
+  /** Gives out slots that have got free. */
   private serveQueue(): void {
+    if (this.queue.size > 0) this.serveWaiting(MOST_PASSED_OVER);
+  }
+
+  /**
+   * Settles what can be settled. Outcomes come hundreds of times a second, so a pass for one of them
+   * ends where no slot is free, or where `mostPassedOver` requests would rather wait: those behind
+   * them see the same targets.
+   */
+  private serveWaiting(mostPassedOver: number): void {
+    let state = this.getState();
     let ahead = 0;
-    for (const ticket of this.listWaiting()) {
-      if (this.settle(ticket, ahead, this.getState())) this.queue.remove(ticket);
-      else ahead += 1;
+    for (const ticket of this.listWaiting(state)) {
+      const isBounded = mostPassedOver < Infinity;
+      if (isBounded && (ahead >= mostPassedOver || !hasFreeTarget(state))) return;
+      if (!this.settle(ticket, ahead, state)) {
+        ahead += 1;
+        continue;
+      }
+      this.queue.remove(ticket);
+      state = this.getState();
     }
   }
 
@@ -311,10 +330,9 @@
   }
 
   /** The queue in the order in which slots are given. */
-  private listWaiting(): readonly Ticket[] {
+  private listWaiting(state: IServiceState): readonly Ticket[] {
     const waiting = this.queue.list();
     if (waiting.length < 2) return waiting;
-    const state = this.getState();
     const ranked = waiting.map((ticket) => {
       const { askedMs, request } = ticket;
       const rank = this.policy.getRank({ request, waitedMs: state.nowMs - askedMs }, state);
@@ -391,3 +409,7 @@
     });
   }
 }
+
+function hasFreeTarget({ nowMs, targets }: IServiceState): boolean {
+  return targets.some((target) => target.isReady && target.hasFreeSlot(nowMs));
+}
--- a/packages/dispatch/src/test/builders.ts
+++ b/packages/dispatch/src/test/builders.ts
@@ -24,6 +24,7 @@
     attempt: 1,
     isRepeated: false,
     isIdempotent: false,
+    mayRetry: false,
     isHedge: false,
     priority: 1,
     remainingMs: 2000,
--- a/packages/lab/src/experiment/node/main.ts
+++ b/packages/lab/src/experiment/node/main.ts
@@ -8,6 +8,7 @@
 import { runExperiments } from './experimentPool.js';
 
 const SCENARIOS = new URL('../../../scenarios/', import.meta.url);
+const DEFAULT_POLICIES: readonly string[] = ['free-slot', 'expected-credit'];
 const DEFAULT_SEEDS = '20';
 const DEFAULT_THREADS = '2';
 const NAME_WIDTH = 44;
@@ -28,23 +29,24 @@
   });
 
   readonly scenario = Option.String({ name: 'scenario' });
-  readonly policies = Option.Array('--policy', ['free-slot', 'expected-credit'], {
-    description: 'A policy; to be given once for each.',
+  readonly policies = Option.Array('--policy', {
+    description: `A policy; to be given once for each. Default: ${DEFAULT_POLICIES.join(', ')}.`,
   });
   readonly seeds = Option.String('--seeds', DEFAULT_SEEDS, { description: 'Runs of each policy.' });
   readonly threads = Option.String('--threads', DEFAULT_THREADS, { description: 'Runs at once.' });
   readonly json = Option.Boolean('--json', false, { description: 'Print one JSON object.' });
 
   override async execute(): Promise<number> {
-    for (const policy of this.policies) parsePolicy(policy);
+    const policies = this.policies ?? DEFAULT_POLICIES;
+    for (const policy of policies) parsePolicy(policy);
     const scenario = loadScenario(this.scenario);
     const count = Number(this.seeds);
     const seeds = Array.from({ length: count }, (_, index) => index + 1);
-    const jobs = this.policies.flatMap((policy) => {
+    const jobs = policies.flatMap((policy) => {
       return seeds.map((seed) => ({ scenario, policy, seed }));
     });
     const figures = await runExperiments(jobs, Number(this.threads));
-    const runs = this.policies.map((policy, index) => {
+    const runs = policies.map((policy, index) => {
       return { policy, figures: figures.slice(index * count, (index + 1) * count) };
     });
     const compared = comparePolicies(runs);
