Soak restarts of targets under their identifiers, and entries of other writers

Two kinds of fault more: target-restart-same-id (another address, a later start) and foreign-entry (six spoilt entries; the check of leaving targets covers the time until the entry is good again). Regression seeds are drawn from the former kinds, so their schedules stay what they were. The soak's new faults were not run yet when this was written.

--- a/packages/lab/src/soak/common/soakEvidence.ts
+++ b/packages/lab/src/soak/common/soakEvidence.ts
@@ -2,10 +2,12 @@
 import type { DisturbanceLog } from './disturbanceLog.js';
 import type { SoakLedger } from './soakLedger.js';
 
-/** A target that told the store that it leaves. */
+/** A target that the store no longer names as one to use. */
 export interface IDrain {
   readonly target: string;
   readonly acceptedMs: number;
+  /** When it was named again; undefined while it is not. */
+  endMs?: number;
 }
 
 /** A node that was asked to stop. */
--- a/packages/lab/src/soak/common/soakFaultKind.ts
+++ b/packages/lab/src/soak/common/soakFaultKind.ts
@@ -13,6 +13,10 @@
   TargetDrain: 'target-drain',
   TargetCrash: 'target-crash',
   TargetReuse: 'target-reuse',
+  /** A target crashes and starts again under its identifier, at another address. */
+  TargetRestart: 'target-restart-same-id',
+  /** Another writer spoils a target's entry. */
+  ForeignEntry: 'foreign-entry',
   ConfigChange: 'config-change',
   ConfigStorm: 'config-storm',
 } as const;
@@ -20,3 +24,11 @@
 export type SoakFaultKind = (typeof SoakFaultKind)[keyof typeof SoakFaultKind];
 
 export const SOAK_FAULT_KINDS: readonly SoakFaultKind[] = Object.values(SoakFaultKind);
+
+/**
+ * Kinds that schedules were drawn from when the regression seeds were found: a kind more would make
+ * other schedules of the same seeds.
+ */
+export const FIRST_FAULT_KINDS: readonly SoakFaultKind[] = SOAK_FAULT_KINDS.filter((kind) => {
+  return kind !== SoakFaultKind.TargetRestart && kind !== SoakFaultKind.ForeignEntry;
+});
--- a/packages/lab/src/soak/node/main.ts
+++ b/packages/lab/src/soak/node/main.ts
@@ -8,7 +8,7 @@
 import { parseFaultKinds } from '../../prove/common/faultKindList.js';
 import { makeSchedule } from '../../prove/common/faultSchedule.js';
 import { formatBreakModule, listBreakModules } from '../../prove/node/breakModules.js';
-import { SOAK_FAULT_KINDS } from '../common/soakFaultKind.js';
+import { FIRST_FAULT_KINDS, SOAK_FAULT_KINDS } from '../common/soakFaultKind.js';
 import { REGRESSION_SEEDS } from '../common/regressionSeeds.js';
 import { runSoak } from './soakRun.js';
 
@@ -52,7 +52,8 @@
 }
 
 async function runSeed(seed: number, seconds: number): Promise<boolean> {
-  const kinds = parseFaultKinds(values.only, SOAK_FAULT_KINDS);
+  const known = values.regressions ? FIRST_FAULT_KINDS : SOAK_FAULT_KINDS;
+  const kinds = parseFaultKinds(values.only, known);
   const schedule = makeSchedule({ seed, seconds, spacingMs: Number(values.spacing), kinds });
   console.log(`\nseed ${seed}, ${seconds} s, ${schedule.length} faults`);
   const { findings, requests, served } = await runSoak({
--- a/packages/lab/src/soak/node/soakFaults.ts
+++ b/packages/lab/src/soak/node/soakFaults.ts
@@ -25,6 +25,16 @@
 /** A leaving target serves a little longer than nodes may send to it, in ms. */
 const LEAVE_MS = SOAK_BOUNDS.drain_s * MS_PER_S + 1000;
 
+/** Entries as other writers might leave them: no JSON, no object, fields missing or of other types. */
+const FOREIGN_ENTRIES: readonly string[] = [
+  '',
+  '{"address":',
+  '[]',
+  '{"address":"127.0.0.1:1"}',
+  '{"address":"127.0.0.1:1","info":{"service":7,"version":"v1","zone":"z","slots":4},"status":{"state":"ready","seq":1,"cold_left_s":0}}',
+  '{"address":"127.0.0.1:1","info":{"service":"book","version":"v1","zone":"z","slots":4},"status":{"state":"asleep","seq":1,"cold_left_s":0}}',
+];
+
 type Step = IFaultStep<SoakFaultKind>;
 
 const STORE_FAULTS: readonly MetadataFault[] = Object.values(MetadataFault).filter((fault) => {
@@ -63,6 +73,10 @@
       return withTarget(step, world, (target) => startCrash(target, world));
     case SoakFaultKind.TargetReuse:
       return withTarget(step, world, (target) => startReuse(target, step, world));
+    case SoakFaultKind.TargetRestart:
+      return withTarget(step, world, (target) => startRestart(target, world));
+    case SoakFaultKind.ForeignEntry:
+      return withTarget(step, world, (target) => startForeignEntry(target, step, world));
     case SoakFaultKind.ConfigChange:
       world.putConfig();
       return Promise.resolve(endNothing);
@@ -255,6 +269,25 @@
   return endNothing;
 }
 
+async function startRestart(target: SoakTarget, world: SoakWorld): Promise<EndFault> {
+  const endDisturbance = markDisturbed(target.options.id, world);
+  await target.dispose();
+  world.releaseTarget(target);
+  await world.startTargetAgain(target);
+  return () => {
+    endDisturbance();
+    return Promise.resolve();
+  };
+}
+
+function startForeignEntry(target: SoakTarget, step: Step, world: SoakWorld): Promise<EndFault> {
+  const restore = world.putForeignEntry(target, pickElement(FOREIGN_ENTRIES, step.pick) ?? '');
+  return Promise.resolve(() => {
+    restore();
+    return Promise.resolve();
+  });
+}
+
 function startStorm(world: SoakWorld): EndFault {
   const timer = setInterval(() => {
     world.putConfig();
--- a/packages/lab/src/soak/node/soakTarget.ts
+++ b/packages/lab/src/soak/node/soakTarget.ts
@@ -50,6 +50,8 @@
   readonly recordArrival: (arrival: ISoakArrival) => (endMs: number) => void;
   /** Turned off, it runs what is meant for another target. */
   readonly isStrict: boolean;
+  /** When it started, in ms of Unix time. */
+  readonly bornMs: number;
   /** What a former target left at its address. Default: an address of its own. */
   readonly place?: ITargetPlace;
 }
--- a/packages/lab/src/soak/node/soakWorld.ts
+++ b/packages/lab/src/soak/node/soakWorld.ts
@@ -98,11 +98,31 @@
 
   /** Opens and registers a target, at a former one's place or at its own. */
   async openTarget(service: string, place?: ITargetPlace): Promise<void> {
-    if (this.isEnding) return;
     this.targetCount += 1;
+    await this.openAs(`${service}-${this.targetCount}`, service, place);
+  }
+
+  /** Starts a target that has crashed again under its identifier, at an address of its own. */
+  async startTargetAgain({ options: { id, service } }: SoakTarget): Promise<void> {
+    await this.openAs(id, service);
+  }
+
+  /** Overwrites a target's entry as another writer might; the result makes it good again. */
+  putForeignEntry(target: SoakTarget, text: string): () => void {
+    const { id } = target.options;
+    this.store.put(TARGET_TABLE, id, text);
+    this.drains.push({ target: id, acceptedMs: performance.now() });
+    return () => {
+      if (this.targets.includes(target)) this.register(target, false);
+    };
+  }
+
+  private async openAs(id: string, service: string, place?: ITargetPlace): Promise<void> {
+    if (this.isEnding) return;
     const target = new SoakTarget({
-      id: `${service}-${this.targetCount}`,
+      id,
       service,
+      bornMs: Date.now(),
       slots: SLOTS,
       random: this.random,
       isStrict: this.options.hasLaxTargets !== true,
@@ -122,6 +142,12 @@
     this.drains.push({ target: target.options.id, acceptedMs: performance.now() });
   }
 
+  /** Takes a target that has crashed from the list; its entry stays. */
+  releaseTarget(target: SoakTarget): void {
+    this.targets.splice(this.targets.indexOf(target), 1);
+    this.gone.push(target);
+  }
+
   /** Removes a target's entry. */
   removeTarget(target: SoakTarget): void {
     const index = this.targets.indexOf(target);
@@ -205,15 +231,24 @@
   }
 
   private register(target: SoakTarget, isDraining: boolean): void {
-    const { id, service } = target.options;
+    const { bornMs, id, service } = target.options;
     const domain = SOAK_FAILURE_DOMAINS[this.targetCount % SOAK_FAILURE_DOMAINS.length];
     const text = makeTargetText({
       address: target.link.getAddress(),
       service,
       failureDomain: domain ?? SOAK_FAILURE_DOMAINS[0],
       slots: SLOTS,
+      bornMs,
       isDraining,
     });
     this.store.put(TARGET_TABLE, id, text);
+    if (!isDraining) this.endDrains(id);
+  }
+
+  /** A target whose entry is good again is one to use, whatever its entry was before. */
+  private endDrains(id: string): void {
+    for (const drain of this.drains) {
+      if (drain.target === id) drain.endMs ??= performance.now();
+    }
   }
 }
