--- a/packages/dispatch/src/home/common/grantQueue.ts
+++ b/packages/dispatch/src/home/common/grantQueue.ts
@@ -1,18 +1,22 @@
-/** Requests that wait for a slot: the most urgent first, then in the order of arrival. */
+/** Requests that wait for a slot: by priority, then by the rank that a policy gives them. */
 import type { IGrantRequest } from '../../grants/common/grant.js';
 
 interface IQueued {
   readonly request: IGrantRequest;
 }
 
+/** Lower ranks first; the same request may have another rank later. */
+export type RankOf<T> = (item: T) => number;
+
 /**
- * A short sorted list; a home refuses requests long before it grows.
+ * A short list; a home refuses requests long before it grows.
  *
  * @example
  * queue.push(ticket);
- * for (const waiting of queue.list()) tryGrant(waiting);
+ * for (const waiting of queue.list(getRank)) settle(waiting);
  */
 export class GrantQueue<T extends IQueued> {
+  /** In the order of arrival. */
   private items: T[] = [];
 
   get size(): number {
@@ -20,23 +24,32 @@
   }
 
   push(item: T): void {
-    const { priority } = item.request;
-    const index = this.items.findIndex(({ request }) => request.priority > priority);
-    if (index === -1) this.items.push(item);
-    else this.items.splice(index, 0, item);
+    this.items.push(item);
   }
 
   remove(item: T): void {
     this.items = this.items.filter((candidate) => candidate !== item);
   }
 
-  /** The items at this moment, in their order. */
-  list(): readonly T[] {
-    return [...this.items];
+  /** The items at this moment: by priority, rank and arrival. */
+  list(getRank: RankOf<T>): readonly T[] {
+    if (this.items.length < 2) return [...this.items];
+    const ranked = this.items.map((item) => ({ item, rank: getRank(item) }));
+    ranked.sort((left, right) => {
+      const byPriority = left.item.request.priority - right.item.request.priority;
+      return byPriority === 0 ? left.rank - right.rank : byPriority;
+    });
+    return ranked.map(({ item }) => item);
   }
 
-  /** Items that would be granted before a new one of this priority. */
-  countAhead(priority: number): number {
-    return this.items.filter(({ request }) => request.priority <= priority).length;
+  /** Items that get a slot before a new one. */
+  countAhead(item: T, getRank: RankOf<T>): number {
+    if (this.items.length === 0) return 0;
+    const { priority } = item.request;
+    const rank = getRank(item);
+    return this.items.filter((other) => {
+      if (other.request.priority !== priority) return other.request.priority < priority;
+      return getRank(other) <= rank;
+    }).length;
   }
 }
--- a/packages/dispatch/src/home/common/serviceBook.test.ts
+++ b/packages/dispatch/src/home/common/serviceBook.test.ts
@@ -4,8 +4,8 @@
 import type { GrantDecision, IGrantRequest } from '../../grants/common/grant.js';
 import { GrantOutcome } from '../../grants/common/grant.js';
 import { makeGrantRequest, makeTarget } from '../../test/builders.js';
-import type { ITicket } from './serviceBook.js';
 import { ServiceBook } from './serviceBook.js';
+import type { ITicket } from './ticket.js';
 
 const LATENCY_MS = 200;
 
--- a/packages/dispatch/src/home/common/serviceBook.ts
+++ b/packages/dispatch/src/home/common/serviceBook.ts
@@ -16,6 +16,8 @@
 import { ServiceLog } from './serviceLog.js';
 import { ServedWindow } from './servedWindow.js';
 import type { ITargetEvidence } from './targetBelief.js';
+import type { ITicket } from './ticket.js';
+import { Ticket } from './ticket.js';
 import { WorkTimes } from './workTimes.js';
 
 /** A target that said it was full is left alone this long, in ms: less than most requests take. */
@@ -31,10 +33,11 @@
  * costs a round trip, and a request that can't be repeated is lost with every kept one that breaks.
  */
 const AVOID_REUSE_MS = 5000;
+/** Shortest and longest time that a refused caller is told to stay away, in ms. */
+const LEAST_RETRY_MS = 100;
+const MOST_RETRY_MS = 5000;
 /** Waiting requests that a pass for one free slot looks at, at most. */
 const MOST_PASSED_OVER = 16;
-const MIN_RETRY_MS = 100;
-const MAX_RETRY_MS = 5000;
 
 /** Bounds of every service, from the settings. */
 export interface IServiceBounds {
@@ -52,34 +55,6 @@
   readonly policy?: GrantPolicy;
 }
 
-/** One request at the home, from its question to its report. */
-export interface ITicket {
-  readonly request: IGrantRequest;
-  /** Node that asked. */
-  readonly node: string;
-  /** The decision once there is one; undefined in the queue. */
-  readonly decision: GrantDecision | undefined;
-  readonly askedMs: number;
-}
-
-class Ticket implements ITicket {
-  decision: GrantDecision | undefined;
-  target: BookedTarget | undefined;
-  grantedMs = 0;
-  isOverdue = false;
-
-  constructor(
-    readonly request: IGrantRequest,
-    readonly node: string,
-    readonly askedMs: number,
-    readonly respond: (decision: GrantDecision) => void,
-  ) {}
-
-  get endMs(): number {
-    return this.askedMs + this.request.remainingMs;
-  }
-}
-
 /**
  * Decides for one service. All decisions of a service are made in one place while its home lives,
  * so slots are never granted twice and one node's failure warns all others at once.
@@ -150,11 +125,16 @@
     if (request.attempt === 1 && !request.isRepeated) this.retryWindow.recordRequest(nowMs);
     const refusal = this.findRefusal(ticket, nowMs);
     if (refusal !== undefined) this.refuse(ticket, refusal);
-    else if (!this.settle(ticket, this.countAhead(ticket), this.getState()))
-      this.queue.push(ticket);
+    else this.takeNew(ticket);
     return ticket;
   }
 
+  private takeNew(ticket: Ticket): void {
+    const state = this.getState();
+    const ahead = this.queue.countAhead(ticket, this.makeRanking(state));
+    if (!this.settle(ticket, ahead, state)) this.queue.push(ticket);
+  }
+
   /** Takes the outcome of a grant, or withdraws a question from the queue. */
   recordOutcome(ticket: ITicket, outcome: GrantOutcome, latencyMs: number, answerBytes = 0): void {
     if (!(ticket instanceof Ticket)) return;
@@ -173,7 +153,7 @@
   advance(): void {
     const nowMs = this.clock.getMonotonicTime();
     for (const ticket of this.open) this.checkOpen(ticket, nowMs);
-    for (const ticket of this.queue.list()) {
+    for (const ticket of this.queue.list(() => 0)) {
       if (!this.isHopeless(ticket, nowMs)) continue;
       this.queue.remove(ticket);
       this.refuse(ticket, ResultCode.QueueTimeout);
@@ -247,7 +227,7 @@
   }
 
   private refuse(ticket: Ticket, code: ResultCode): void {
-    const retryAfterMs = this.computeRetryAfterMs(ticket.request, code);
+    const retryAfterMs = this.computeRetryAfterMs(ticket, code);
     this.served.record(false, this.clock.getMonotonicTime());
     this.serviceLog.logRefusal(ticket, [...this.targets.values()], {
       code,
@@ -255,20 +235,22 @@
       queue: this.queue.size,
       retriesUsed: this.retryWindow.getUsedShare(this.clock.getMonotonicTime()),
     });
-    ticket.decision = { kind: 'refused', code, retryAfterMs };
-    ticket.respond(ticket.decision);
+    ticket.settle({ kind: 'refused', code, retryAfterMs });
   }
 
-  private computeRetryAfterMs(request: IGrantRequest, code: ResultCode): number {
+  /** When a refused caller should come back, in ms. */
+  private computeRetryAfterMs(ticket: Ticket, code: ResultCode): number {
     if (code === ResultCode.NoTarget) return NO_TARGET_RETRY_MS;
-    const ahead = this.queue.countAhead(request.priority);
-    const waitMs = this.policy.estimateWaitMs(request, ahead, this.getState());
-    return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, Math.ceil(waitMs)));
+    const { request } = ticket;
+    const state = this.getState();
+    const ahead = this.queue.countAhead(ticket, this.makeRanking(state));
+    const waitMs = this.policy.estimateWaitMs(request, ahead, state);
+    return Math.min(MOST_RETRY_MS, Math.max(LEAST_RETRY_MS, Math.ceil(waitMs)));
   }
 
   /** Grants or refuses; false when the request has to wait. */
   private settle(ticket: Ticket, ahead: number, state: IServiceState): boolean {
-    const waitedMs = state.nowMs - ticket.askedMs;
+    const waitedMs = ticket.getWaitedMs(state.nowMs);
     const decision = this.policy.decide({ request: ticket.request, waitedMs, ahead }, state);
     if (decision.kind === 'grant') this.settleWith(ticket, decision.target, state.nowMs);
     if (decision.kind === 'refuse') this.refuse(ticket, decision.code);
@@ -285,8 +267,7 @@
     ticket.grantedMs = nowMs;
     this.open.add(ticket);
     const needsFreshConnection = nowMs - this.lastStaleMs < AVOID_REUSE_MS;
-    ticket.decision = { kind: 'granted', target: target.record, suspicion, needsFreshConnection };
-    ticket.respond(ticket.decision);
+    ticket.settle({ kind: 'granted', target: target.record, suspicion, needsFreshConnection });
   }
 
   /** Gives out slots that have got free. */
@@ -302,7 +283,7 @@
   private serveWaiting(mostPassedOver: number): void {
     let state = this.getState();
     let ahead = 0;
-    for (const ticket of this.listWaiting(state)) {
+    for (const ticket of this.queue.list(this.makeRanking(state))) {
       const isBounded = mostPassedOver < Infinity;
       if (isBounded && (ahead >= mostPassedOver || !hasFreeTarget(state))) return;
       if (!this.settle(ticket, ahead, state)) {
@@ -314,34 +295,11 @@
     }
   }
 
-  /** Waiting requests that get a slot before a new one. */
-  private countAhead(ticket: Ticket): number {
-    if (this.queue.size === 0) return 0;
-    const state = this.getState();
-    const { priority } = ticket.request;
-    const getRank = ({ askedMs, request }: Ticket) => {
-      return this.policy.getRank({ request, waitedMs: state.nowMs - askedMs }, state);
+  private makeRanking(state: IServiceState): (ticket: Ticket) => number {
+    return (ticket) => {
+      const waitedMs = ticket.getWaitedMs(state.nowMs);
+      return this.policy.getRank({ request: ticket.request, waitedMs }, state);
     };
-    const rank = getRank(ticket);
-    return this.queue.list().filter((other) => {
-      if (other.request.priority !== priority) return other.request.priority < priority;
-      return getRank(other) <= rank;
-    }).length;
-  }
-
-  /** The queue in the order in which slots are given. */
-  private listWaiting(state: IServiceState): readonly Ticket[] {
-    const waiting = this.queue.list();
-    if (waiting.length < 2) return waiting;
-    const ranked = waiting.map((ticket) => {
-      const { askedMs, request } = ticket;
-      const rank = this.policy.getRank({ request, waitedMs: state.nowMs - askedMs }, state);
-      return { ticket, rank };
-    });
-    ranked.sort((left, right) => {
-      return left.ticket.request.priority - right.ticket.request.priority || left.rank - right.rank;
-    });
-    return ranked.map(({ ticket }) => ticket);
   }
 
   private updateBelief(
