--- a/packages/dispatch/src/home/common/expectedCreditPolicy.ts
+++ b/packages/dispatch/src/home/common/expectedCreditPolicy.ts
@@ -10,10 +10,11 @@
 import type { IGrantRequest } from '../../grants/common/grant.js';
 import type { BookedTarget } from './bookedTarget.js';
 import { CreditForecast } from './creditForecast.js';
+import type { IExpectedCreditSettings } from './creditSettings.js';
+import { DEFAULT_CREDIT_SETTINGS } from './creditSettings.js';
 import type { IServiceState, IWaitingRequest, PolicyDecision } from './grantPolicy.js';
 import { GrantPolicy, isFirstDue, listFree } from './grantPolicy.js';
-import type { IPlacingWeights } from './placingCost.js';
-import { DEFAULT_PLACING_WEIGHTS, computePlacingCost } from './placingCost.js';
+import { computePlacingCost } from './placingCost.js';
 
 /** Slots that count as there although every target is believed failing. */
 const LEAST_SLOTS = 0.5;
@@ -25,67 +26,6 @@
 /** Order of the waiting requests of one priority. */
 const Rank = { Retry: 0, InTime: 1, Late: 2 } as const;
 
-/**
- * Settings of an {@link ExpectedCreditPolicy}, in credit of one request answered in time. None of
- * them is a threshold on load or belief: these are learnt.
- */
-export interface IExpectedCreditSettings {
-  readonly weights: IPlacingWeights;
-  /**
-   * Credit of a late answer. Callers agreed on a third to a half of a whole credit for it, and
-   * count the share that is served at all besides, by orders of magnitude; together that makes an
-   * answer at all worth about twice as much as its being in time. Default 0.7.
-   */
-  readonly lateCredit: number;
-  /**
-   * A slot now is taken if it is worse than waiting by no more than this: a slot that stays idle
-   * while requests wait for better ones helps nobody. Default 0.15.
-   */
-  readonly waitMargin: number;
-  /**
-   * What a retry costs besides its time: part of an allowance that all requests of the service
-   * share, and often a new connection. Default 0.2.
-   */
-  readonly retryCost: number;
-  /**
-   * What a refusal is worth: its caller knows that nothing has run, and some come back in the time
-   * that they have. Default 0.15.
-   */
-  readonly refusalCredit: number;
-  /**
-   * Likely wait up to which a new request joins the queue, as a share of its objective. Sound slots
-   * may get fewer while it waits; refused only then, it would have been held for nothing. Refusals
-   * after more than an eighth of the objective: 3.1% of the requests of the heaviest simulated
-   * load without it and with refusals worth 0.4, 0.75% with both; lost in all 5.2% and 4.7%.
-   * Default 1.5.
-   */
-  readonly longestWait: number;
-  /** Whether what a probe tells the waiting requests counts for it. Default true. */
-  readonly valuesProbes: boolean;
-  /** Whether targets without requests are used while many requests fail. Default true. */
-  readonly keepsFloor: boolean;
-  /** Whether requests that can still be in time go before those that can't. Default true. */
-  readonly servesInTimeFirst: boolean;
-  /** Whether second attempts go before first ones: refusing them loses the request. Default true. */
-  readonly servesRetriesFirst: boolean;
-  /** Whether hedges are kept to slots that nobody waits for. Default true. */
-  readonly boundsHedges: boolean;
-}
-
-export const DEFAULT_CREDIT_SETTINGS: IExpectedCreditSettings = {
-  weights: DEFAULT_PLACING_WEIGHTS,
-  lateCredit: 0.7,
-  waitMargin: 0.15,
-  retryCost: 0.2,
-  refusalCredit: 0.15,
-  longestWait: 1.5,
-  valuesProbes: true,
-  keepsFloor: true,
-  servesInTimeFirst: true,
-  servesRetriesFirst: true,
-  boundsHedges: true,
-};
-
 /** What a decision on one request rests on. */
 interface IOutlook {
   readonly waiting: IWaitingRequest;
