Count waiting retries towards the allowance, and no refused hedge as unserved

Cause, found by reading: a second attempt was let in by the allowance when it asked, and counted when it was sent; since second attempts wait for sound slots, all that asked meanwhile came in by the last part of it. A refused hedge counted as a request not served, and so turned spreading on. Ruled out: counting retries when they ask: most that ask are never sent where slots are short.

--- a/packages/dispatch/src/home/common/grantQueue.ts
+++ b/packages/dispatch/src/home/common/grantQueue.ts
@@ -42,6 +42,10 @@
     return ranked.map(({ item }) => item);
   }
 
+  count(isCounted: (item: T) => boolean): number {
+    return this.items.filter(isCounted).length;
+  }
+
   /** Items that get a slot before a new one. */
   countAhead(item: T, getRank: RankOf<T>): number {
     if (this.items.length === 0) return 0;
--- a/packages/dispatch/src/home/common/retryWindow.ts
+++ b/packages/dispatch/src/home/common/retryWindow.ts
@@ -23,7 +23,7 @@
  * Decides whether another retry may be sent.
  *
  * @example
- * if (window.allows(now)) window.recordRetry(now);
+ * if (window.isOpen(now)) window.recordRetry(now);
  */
 export class RetryWindow {
   private readonly requests: SlidingCount;
@@ -47,8 +47,9 @@
     this.retries.add(nowMs);
   }
 
-  isOpen(nowMs: number): boolean {
-    return this.retries.count(nowMs) + 1 <= this.getAllowance(nowMs);
+  /** Whether one more may be sent besides `pending` that were let in and not sent yet. */
+  isOpen(nowMs: number, pending = 0): boolean {
+    return this.retries.count(nowMs) + pending + 1 <= this.getAllowance(nowMs);
   }
 
   /** Share of the allowance that is used up, from 0 to 1. */
--- a/packages/dispatch/src/home/common/serviceBook.test.ts
+++ b/packages/dispatch/src/home/common/serviceBook.test.ts
@@ -114,6 +114,36 @@
   assert.equal(bench.ask().decision?.kind, 'granted');
 });
 
+test('retries that wait for a slot count towards the allowance', () => {
+  // Symptom: a service gets more retries than its allowance when slots are short. Sequence: many
+  // second attempts wait for a slot; each was let in while none of them had been sent. Cause: only
+  // those that were granted were counted.
+  const bench = new Bench();
+  bench.book.setTargets([makeTarget('t1', { slots: 1 })]);
+  const running = bench.ask({ remainingMs: 60_000 });
+  const retries = Array.from({ length: 40 }, () => {
+    return bench.ask({ attempt: 2, isIdempotent: true, remainingMs: 60_000, objectiveMs: 30_000 });
+  });
+  const waiting = retries.filter(({ decision }) => decision === undefined).length;
+  assert.ok(isGranted(running));
+  assert.ok(waiting > 0 && waiting <= 0.2 * 1 + 5, `${waiting} retries wait`);
+});
+
+test('a refused hedge does not count as a request that was not served', async () => {
+  // Symptom: doubtful targets get requests though nobody fails. Sequence: under load, hedges are
+  // refused one after the other. Cause: each counted as a failure, and failures turn spreading on.
+  const bench = new Bench();
+  bench.book.setTargets(['t1', 't2', 't3'].map((id) => makeTarget(id, { slots: 1 })));
+  await bench.clock.advanceBy(10_000);
+  const excluded = ['t3'];
+  const hedge = { attempt: 2, isIdempotent: true, isHedge: true, excluded } as const;
+  const [, , waiting] = [bench.ask({ excluded }), bench.ask({ excluded }), bench.ask({ excluded })];
+  assert.equal(waiting.decision, undefined, 'slots are short');
+  const refused = Array.from({ length: 5 }, () => bench.ask(hedge).decision?.kind);
+  assert.ok(refused.every((kind) => kind === 'refused'));
+  assert.equal(bench.book.isBelowFloor(), false);
+});
+
 test('requests that may be repeated stop trying doubtful targets when retries run short', async () => {
   // Symptom: reads fail though sound targets are free. Sequence: reads try gray targets of their own
   // failure domain, each failure takes a retry, the allowance is used up, and further failures are
--- a/packages/dispatch/src/home/common/serviceBook.ts
+++ b/packages/dispatch/src/home/common/serviceBook.ts
@@ -177,6 +177,12 @@
     return [...this.targets.values()];
   }
 
+  /** Whether targets without requests have to be used too; see ServedWindow. */
+  isBelowFloor(): boolean {
+    const nowMs = this.clock.getMonotonicTime();
+    return this.served.isBelowFloor(this.listTargets(), this.bounds.floorShare, nowMs);
+  }
+
   get queueLength(): number {
     return this.queue.size;
   }
@@ -189,7 +195,11 @@
 
   private findRefusal(ticket: Ticket, nowMs: number): ResultCode | undefined {
     if (!this.hasUsableTarget(ticket.request)) return ResultCode.NoTarget;
-    if (ticket.request.attempt > 1 && !this.retryWindow.isOpen(nowMs)) {
+    const { attempt } = ticket.request;
+    // Second attempts that wait will be sent too: without them, all that ask while one slot is awaited
+    // would be let in by the last part of the allowance.
+    const pending = this.queue.count(({ request }) => request.attempt > 1);
+    if (attempt > 1 && !this.retryWindow.isOpen(nowMs, pending)) {
       return ResultCode.RetryBudgetSpent;
     }
     return undefined;
@@ -211,7 +221,7 @@
       workTimes: this.workTimes,
       answerSizes: this.answerSizes,
       retriesUsed: this.retryWindow.getUsedShare(nowMs),
-      hasToSpread: this.served.isBelowFloor(targets, this.bounds.floorShare, nowMs),
+      hasToSpread: this.isBelowFloor(),
       unused: this.served.listUnused(targets, nowMs),
       queued: this.queue.size,
       nowMs,
@@ -228,7 +238,8 @@
 
   private refuse(ticket: Ticket, code: ResultCode): void {
     const retryAfterMs = this.computeRetryAfterMs(ticket, code);
-    this.served.record(false, this.clock.getMonotonicTime());
+    // The request of a refused hedge goes on: counted as unserved, hedges would turn spreading on.
+    if (!ticket.request.isHedge) this.served.record(false, this.clock.getMonotonicTime());
     this.serviceLog.logRefusal(ticket, [...this.targets.values()], {
       code,
       retryAfterMs,
--- a/packages/dispatch/src/home/common/serviceLog.ts
+++ b/packages/dispatch/src/home/common/serviceLog.ts
@@ -80,6 +80,7 @@
       service: this.options.service,
       result: getResultInfo(code).name,
       attempt: request.attempt,
+      isHedge: request.isHedge,
       waitedMs: Math.round(waitedMs),
       remainingMs: Math.round(request.remainingMs - waitedMs),
       retryAfterMs,
