--- a/packages/dispatch/src/home/common/creditSettings.ts
+++ b/packages/dispatch/src/home/common/creditSettings.ts
@@ -49,8 +49,6 @@
   readonly keepsFloor: boolean;
   /** Whether requests that can still be in time go before those that can't. Default true. */
   readonly servesInTimeFirst: boolean;
-  /** Whether second attempts go before first ones: refusing them loses the request. Default true. */
-  readonly servesRetriesFirst: boolean;
   /** Whether hedges are kept to slots that nobody waits for. Default true. */
   readonly boundsHedges: boolean;
 }
@@ -66,6 +64,5 @@
   valuesProbes: true,
   keepsFloor: true,
   servesInTimeFirst: true,
-  servesRetriesFirst: true,
   boundsHedges: true,
 };
--- a/packages/dispatch/src/home/common/expectedCreditPolicy.ts
+++ b/packages/dispatch/src/home/common/expectedCreditPolicy.ts
@@ -24,7 +24,7 @@
 const REFUSAL: PolicyDecision = { kind: 'refuse', code: ResultCode.QueueFull };
 
 /** Order of the waiting requests of one priority. */
-const Rank = { Retry: 0, InTime: 1, Late: 2 } as const;
+const Rank = { InTime: 0, Late: 1 } as const;
 
 /** What a decision on one request rests on. */
 interface IOutlook {
@@ -75,9 +75,7 @@
    */
   override getRank(waiting: Omit<IWaitingRequest, 'ahead'>, { workTimes }: IServiceState): number {
     const { request, waitedMs } = waiting;
-    const { servesInTimeFirst, servesRetriesFirst } = this.settings;
-    if (request.attempt > 1 && servesRetriesFirst) return Rank.Retry;
-    if (!servesInTimeFirst) return Rank.InTime;
+    if (!this.settings.servesInTimeFirst) return Rank.InTime;
     const workMs = workTimes.getMeanMs(request.route, request.objectiveMs);
     const isLate = waitedMs + workMs > request.objectiveMs;
     const hasTime = request.remainingMs - waitedMs > workMs * LAST_CALL_FACTOR;
