Reckon the wait for a slot by the work of all routes of a service

Where routes with 96 and 310 ms share a service, long requests were refused behind short ones, and short ones let in behind long ones. Ruled out as the cause of the refusals: hedges (none refused), retries (half of the allowance left). From 30 s on two of nine targets are left, one of them failing: three slots for what needs seven.

--- a/packages/dispatch/src/home/common/expectedCreditPolicy.test.ts
+++ b/packages/dispatch/src/home/common/expectedCreditPolicy.test.ts
@@ -170,3 +170,21 @@
   const waiting = { request: makeRequest(), waitedMs: 0, ahead: 0 };
   assert.equal(getGranted(blind.decide(waiting, makeState(targets, { answerSizes }))), 't2');
 });
+
+test('the wait follows from the work of all routes of the service, not from that of its own', () => {
+  // Symptom: half of the long reads of a service are refused, while short ones are served. Sequence:
+  // a route with short work is moved to the service; both queue for the same slots. Cause: a long
+  // request took those ahead of it for as long as itself, and a short one for as short.
+  const mixed = new WorkTimes();
+  for (let index = 0; index < 64; index += 1) {
+    mixed.record('long', 1000, 300);
+    mixed.record('short', 400, 100);
+  }
+  const policy = new ExpectedCreditPolicy();
+  const state = makeState([makeBooked('t1', 'sound', 2)], { workTimes: mixed });
+  const waits = ['long', 'short'].map((route) => {
+    return policy.estimateWaitMs(makeRequest({ route }), 3, state);
+  });
+  assert.equal(waits[0], waits[1]);
+  assert.ok(Math.abs((waits[0] ?? 0) - (4 * 200) / (2 * 0.98)) < 10);
+});
--- a/packages/dispatch/src/home/common/expectedCreditPolicy.ts
+++ b/packages/dispatch/src/home/common/expectedCreditPolicy.ts
@@ -182,14 +182,18 @@
   return Math.max(LEAST_SLOTS, slots);
 }
 
-/** While every sound slot is in use, one gets free each time one piece of work is done. */
+/**
+ * While every sound slot is in use, one gets free each time one piece of work is done. That is work of
+ * all routes of the service: by its own route's, a long request would be refused while short ones
+ * are ahead of it, and a short one let in behind long ones.
+ */
 function computeWaitMs(
   request: IGrantRequest,
   ahead: number,
   soundSlots: number,
   { workTimes }: IServiceState,
 ): number {
-  return ((ahead + 1) * workTimes.getMeanMs(request.route, request.objectiveMs)) / soundSlots;
+  return ((ahead + 1) * workTimes.getServiceMeanMs(request.objectiveMs)) / soundSlots;
 }
 
 /** Of the sound targets that got nothing lately, the least doubtful one. */
--- a/packages/dispatch/src/home/common/workTimes.ts
+++ b/packages/dispatch/src/home/common/workTimes.ts
@@ -52,10 +52,22 @@
  */
 export class WorkTimes {
   private readonly byRoute = new Map<string, RecentTimes>();
+  /** Of all routes together: what a slot is busy with as a rule. */
+  private ofService: RecentTimes | undefined;
 
   /** An answer took `ms`; `objectiveMs` gives the guess for a route that is new. */
   record(route: string, objectiveMs: number, ms: number): void {
     this.getTimes(route, objectiveMs).record(ms);
+    this.ofService ??= new RecentTimes(objectiveMs * INITIAL_SHARE);
+    this.ofService.record(ms);
+  }
+
+  /**
+   * Mean over all routes of the service, in ms: how long those take that are ahead of a request.
+   * `objectiveMs` gives the guess before anything was measured.
+   */
+  getServiceMeanMs(objectiveMs: number): number {
+    return this.ofService?.meanMs ?? objectiveMs * INITIAL_SHARE;
   }
 
   getMeanMs(route: string, objectiveMs: number): number {
