--- a/packages/lab/src/soak/node/soakFaults.ts
+++ b/packages/lab/src/soak/node/soakFaults.ts
@@ -1,5 +1,5 @@
 /** Brings the soak's faults about, and ends them. */
-import { MetadataFault } from '@parsleymux/standins';
+import { FOREIGN_TARGET_TEXTS, MetadataFault } from '@parsleymux/standins';
 import type { IFaultStep } from '../../prove/common/faultSchedule.js';
 import type { EndFault, Injection } from '../../prove/node/faultInjector.js';
 import { endNothing, pickElement } from '../../prove/node/faultInjector.js';
@@ -25,16 +25,6 @@
 /** A leaving target serves a little longer than nodes may send to it, in ms. */
 const LEAVE_MS = SOAK_BOUNDS.drain_s * MS_PER_S + 1000;
 
-/** Entries as other writers might leave them: no JSON, no object, fields missing or of other types. */
-const FOREIGN_ENTRIES: readonly string[] = [
-  '',
-  '{"address":',
-  '[]',
-  '{"address":"127.0.0.1:1"}',
-  '{"address":"127.0.0.1:1","info":{"service":7,"version":"v1","zone":"z","slots":4},"status":{"state":"ready","seq":1,"cold_left_s":0}}',
-  '{"address":"127.0.0.1:1","info":{"service":"book","version":"v1","zone":"z","slots":4},"status":{"state":"asleep","seq":1,"cold_left_s":0}}',
-];
-
 type Step = IFaultStep<SoakFaultKind>;
 
 const STORE_FAULTS: readonly MetadataFault[] = Object.values(MetadataFault).filter((fault) => {
@@ -281,7 +271,7 @@
 }
 
 function startForeignEntry(target: SoakTarget, step: Step, world: SoakWorld): Promise<EndFault> {
-  const restore = world.putForeignEntry(target, pickElement(FOREIGN_ENTRIES, step.pick) ?? '');
+  const restore = world.putForeignEntry(target, pickElement(FOREIGN_TARGET_TEXTS, step.pick) ?? '');
   return Promise.resolve(() => {
     restore();
     return Promise.resolve();
--- a/packages/standins/src/metadata/common/metadataTexts.ts
+++ b/packages/standins/src/metadata/common/metadataTexts.ts
@@ -97,3 +97,16 @@
     },
   });
 }
+
+/**
+ * Entries as other writers might leave them: no JSON, no object, fields missing, of another type or
+ * with a value that nobody knows. None of them names a target to use.
+ */
+export const FOREIGN_TARGET_TEXTS: readonly string[] = [
+  '',
+  '{"address":',
+  '[]',
+  '{"address":"127.0.0.1:1"}',
+  '{"address":"127.0.0.1:1","info":{"service":7,"version":"v1","zone":"z","slots":4},"status":{"state":"ready","seq":1,"cold_left_s":0}}',
+  '{"address":"127.0.0.1:1","info":{"service":"book","version":"v1","zone":"z","slots":4},"status":{"state":"asleep","seq":1,"cold_left_s":0}}',
+];
