Hold a request back under which one target after the other was lost

Cause: nothing remembered a request beyond its answer. Targets alone were judged by outcomes; each copy of a request that crashes targets was a new request, granted the target believed soundest, and an idempotent one a second. The class: evidence kept of one party to a failure only.

Now a home notes under which request a target was lost, known by a hash of caller, method, host, path and body. Three lost targets with no success between convict it; others hear of the second at once and go on hearing by gossip, so that the verdict stands on every node before it asks, for every service, and after the home is gone. It is answered 503 (not run, true of that copy) with the hold as Retry-After.

Told apart from targets that crash by themselves: a target that answers later was not lost, a success clears the request, and copies that ran side by side and went together count once.

--- a/packages/base/src/result/common/resultCode.ts
+++ b/packages/base/src/result/common/resultCode.ts
@@ -40,6 +40,7 @@
   TooManyConnections: 2007,
   MemberLimit: 2008,
   RetryBudgetSpent: 2009,
+  RequestQuarantined: 2010,
   TargetUnreachable: 3001,
   TargetFailed: 3002,
   TargetTimeout: 3003,
--- a/packages/base/src/result/common/resultTable.ts
+++ b/packages/base/src/result/common/resultTable.ts
@@ -77,6 +77,12 @@
     'The retries that the service allows are used up.',
     'Come back after Retry-After.',
   ],
+  RequestQuarantined: [
+    503,
+    NotRun,
+    'Targets crashed one after the other while they ran this same request.',
+    'Mend the request or the target, or come back after Retry-After.',
+  ],
   TargetUnreachable: [502, NotRun, 'No connection to a target could be made.', 'Ask again.'],
   TargetFailed: [
     502,
--- a/packages/dispatch/src/app/node/datagramRouter.ts
+++ b/packages/dispatch/src/app/node/datagramRouter.ts
@@ -5,10 +5,12 @@
 import type { GrantServer } from '../../grants/common/grantServer.js';
 import type { HomeSelector } from '../../grants/common/homeSelector.js';
 import type { RetrySharing } from '../../grants/common/retrySharing.js';
+import type { QuarantineSharing } from '../../quarantine/common/quarantineSharing.js';
 
 /** Parts of a node that take messages. */
 export interface IDatagramHandlers {
   readonly beliefs: BeliefSharing;
+  readonly quarantine: QuarantineSharing;
   readonly retries: RetrySharing;
   readonly selector: HomeSelector;
   readonly server: GrantServer;
@@ -26,7 +28,7 @@
   sender: string,
   body: DatagramBody,
 ): void {
-  const { beliefs, retries, selector, server, service } = handlers;
+  const { beliefs, quarantine, retries, selector, server, service } = handlers;
   switch (body.case) {
     case 'ask':
       server.handleAsk(sender, body.value);
@@ -58,5 +60,8 @@
     case 'retryUse':
       retries.handleRetryUse(body.value);
       break;
+    case 'quarantine':
+      quarantine.handleQuarantine(body.value);
+      break;
   }
 }
--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -23,6 +23,8 @@
 import { UdpChannel } from '../../grants/node/udpChannel.js';
 import { BeliefSharing } from '../../grants/common/beliefSharing.js';
 import { RetrySharing } from '../../grants/common/retrySharing.js';
+import { QuarantineSharing } from '../../quarantine/common/quarantineSharing.js';
+import { RequestQuarantine } from '../../quarantine/common/requestQuarantine.js';
 import { HomeService } from '../../home/common/homeService.js';
 import type { IServiceBounds } from '../../home/common/serviceBook.js';
 import { handleDatagram } from './datagramRouter.js';
@@ -104,6 +106,7 @@
   private readonly store = new DisposableStore();
   private readonly background = new AbortController();
   private readonly directory: NodeDirectory;
+  private readonly quarantine: RequestQuarantine;
   private readonly incarnation = randomInt(1, MAX_INCARNATION);
   private settings: IDirectNodeSettings;
   private homes: HomeService | undefined;
@@ -116,6 +119,7 @@
   constructor(private readonly options: IDirectNodeOptions) {
     this.settings = options.settings;
     this.directory = new NodeDirectory(options.clock);
+    this.quarantine = new RequestQuarantine(options);
   }
 
   /** Takes changed settings. Addresses and the failure domain stay those of the start. */
@@ -160,6 +164,15 @@
       new RetrySharing({ channel, homes, clock, incarnation, rankHomes }),
     );
     this.retrySharing = retries;
+    const quarantine = this.store.add(
+      new QuarantineSharing({
+        channel,
+        clock,
+        random,
+        quarantine: this.quarantine,
+        listMembers: () => this.directory.members.listValues().map(({ address }) => address),
+      }),
+    );
     const server = new GrantServer({ channel, homes, clock });
     const self = this.makeMember(channel.address);
     const { authority } = this.options;
@@ -177,12 +190,13 @@
     });
     this.directoryService = this.store.add(service);
     channel.setHandler((sender, body) => {
-      handleDatagram({ beliefs, retries, selector, server, service }, sender, body);
+      handleDatagram({ beliefs, quarantine, retries, selector, server, service }, sender, body);
     });
     this.front = await this.openFront(selector, homes, registry);
     homes.start();
     beliefs.start();
     retries.start();
+    quarantine.start();
     this.loops = service.run(this.background.signal).catch((error: unknown) => {
       log.error('directory stopped by a fault of the program', { reason: String(error) });
     });
@@ -224,7 +238,8 @@
 
   private createHomes(): HomeService {
     const { clock, log } = this.options;
-    const homes = new HomeService({ clock, log, ...toBounds(this.settings) });
+    const { quarantine } = this;
+    const homes = new HomeService({ clock, log, quarantine, ...toBounds(this.settings) });
     this.homes = homes;
     const { targets } = this.directory;
     targets.onDidChange(() => {
@@ -251,6 +266,7 @@
       clock,
       selector,
       transport,
+      quarantine: this.quarantine,
       paths: new PathHealth(clock, (id) => this.directory.targets.get(id)),
       failureDomain: settings.failureDomain,
       listTargets: (service) => homes.listTargets(service),
--- a/packages/dispatch/src/catalog/common/catalog.ts
+++ b/packages/dispatch/src/catalog/common/catalog.ts
@@ -82,6 +82,16 @@
   return left.id === right.id && left.bornMs === right.bornMs;
 }
 
+/**
+ * Names one life of a target, for what holds for that life alone.
+ *
+ * @example
+ * formatLife(target); // 'i-7f3a/1780000000000'
+ */
+export function formatLife({ bornMs, id }: ITargetRecord): string {
+  return bornMs === undefined ? id : `${id}/${bornMs}`;
+}
+
 /**
  * Whether `next` is what an earlier life of the target said of itself. A call to a store that lost
  * its answer may take effect seconds late; a drain of the former life would then be taken for one
--- a/packages/dispatch/src/entry/common/requestRun.test.ts
+++ b/packages/dispatch/src/entry/common/requestRun.test.ts
@@ -7,7 +7,7 @@
 import type { GrantOutcome } from '../../grants/common/grant.js';
 import type { Selection } from '../../grants/common/targetSelector.js';
 import { TargetSelector } from '../../grants/common/targetSelector.js';
-import { makeRoute, makeTarget } from '../../test/builders.js';
+import { makeQuarantine, makeRoute, makeTarget } from '../../test/builders.js';
 import type { IEntryAnswer, IEntryRequest } from './entryRequest.js';
 import { PathHealth } from './pathHealth.js';
 import { RequestRunner } from './requestRun.js';
@@ -100,6 +100,7 @@
     clock,
     selector: refusing ?? selector,
     transport,
+    quarantine: makeQuarantine(clock),
     paths: new PathHealth(clock, () => undefined),
     failureDomain: 'north',
     listTargets: () => [],
--- a/packages/dispatch/src/entry/common/requestRun.ts
+++ b/packages/dispatch/src/entry/common/requestRun.ts
@@ -3,8 +3,10 @@
 import { ResultCode, RunState } from '@parsleymux/base';
 import type { Header, ITargetAnswer, TargetTransport } from '@parsleymux/routing';
 import type { ITargetRecord } from '../../catalog/common/catalog.js';
+import { formatLife } from '../../catalog/common/catalog.js';
 import { GrantOutcome } from '../../grants/common/grant.js';
 import type { IGrant, Selection, TargetSelector } from '../../grants/common/targetSelector.js';
+import type { RequestQuarantine } from '../../quarantine/common/requestQuarantine.js';
 import type { AnswerCheck, IAttemptResult } from './attemptOutcome.js';
 import { decideAnswerOutcome, decideFailureOutcome } from './attemptOutcome.js';
 import { CancellableAttempt } from './cancellableAttempt.js';
@@ -32,6 +34,7 @@
   readonly selector: TargetSelector;
   readonly transport: TargetTransport;
   readonly paths: PathHealth;
+  readonly quarantine: RequestQuarantine;
   readonly failureDomain: string;
   /** The targets of a service, as far as this node knows them. */
   readonly listTargets: (service: string) => readonly ITargetRecord[];
@@ -162,11 +165,14 @@
     running: readonly string[],
     signal: AbortSignal,
   ): Promise<Selection> {
-    const { route, service } = request;
+    const { fingerprint, route, service } = request;
+    const holdMs = this.options.quarantine.getHoldMs(fingerprint);
+    if (holdMs > 0) return refuseHeld(holdMs);
     const attempt = state.sent + running.length + 1;
     return this.options.selector.choose(
       {
         requestId: request.id,
+        fingerprint,
         route: route.name,
         service,
         failureDomain: this.options.failureDomain,
@@ -238,6 +244,7 @@
       const answer = await this.options.transport.send(
         {
           target: target.address,
+          // Connections to a former life lead nowhere, or hang: each life has its own.
           member: formatLife(target),
           method: request.method,
           path: request.path,
@@ -289,6 +296,12 @@
   }
 }
 
+/** No home is asked about a request that this node knows to be held back. */
+function refuseHeld(holdMs: number): Selection {
+  const code = ResultCode.RequestQuarantined;
+  return { kind: 'refused', code, retryAfterMs: Math.ceil(holdMs), home: '' };
+}
+
 /** Whether a target was reached: it may have run the request, or answered that it did not. */
 function hasArrived({ mayHaveRun, outcome }: IAttemptResult): boolean {
   return mayHaveRun || outcome === GrantOutcome.Shed || outcome === GrantOutcome.Misdirected;
@@ -299,11 +312,6 @@
   return answer?.body instanceof Uint8Array ? answer.body.byteLength : 0;
 }
 
-/** Connections to a former life of a target lead nowhere, or hang: each life has its own. */
-function formatLife({ bornMs, id }: ITargetRecord): string {
-  return bornMs === undefined ? id : `${id}/${bornMs}`;
-}
-
 /** Gives back a grant that came too late to be used. */
 function discardSelection(selection: Selection | undefined): void {
   if (selection?.kind === 'granted') selection.grant.report(GrantOutcome.Abandoned, 0);
--- a/packages/dispatch/src/grants/common/grantMessages.ts
+++ b/packages/dispatch/src/grants/common/grantMessages.ts
@@ -2,6 +2,10 @@
 import { create } from '@bufbuild/protobuf';
 import type { Ask, Decision } from '@parsleymux/schema';
 import { AskSchema, DecisionKind, DecisionSchema, Outcome } from '@parsleymux/schema';
+import {
+  decodeFingerprint,
+  encodeFingerprint,
+} from '../../quarantine/common/quarantineMessages.js';
 import type { GrantDecision, IGrantRequest } from './grant.js';
 import { GrantOutcome } from './grant.js';
 
@@ -45,6 +49,7 @@
     id,
     incarnation,
     requestId: request.requestId,
+    fingerprint: encodeFingerprint(request.fingerprint),
     route: request.route,
     service: request.service,
     failureDomain: request.failureDomain,
@@ -66,6 +71,7 @@
 export function decodeAsk(ask: Ask): IGrantRequest {
   return {
     requestId: ask.requestId,
+    fingerprint: decodeFingerprint(ask.fingerprint),
     route: ask.route,
     service: ask.service,
     failureDomain: ask.failureDomain,
--- a/packages/dispatch/src/grants/common/homeSelector.test.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { ManualClock, createSilentLogger } from '@parsleymux/base';
 import { HomeService } from '../../home/common/homeService.js';
-import { makeGrantRequest, makeTarget } from '../../test/builders.js';
+import { makeGrantRequest, makeQuarantine, makeTarget } from '../../test/builders.js';
 import { MemoryNetwork } from '../../test/memoryNetwork.js';
 import type { DatagramChannel } from './datagramChannel.js';
 import { GrantOutcome } from './grant.js';
@@ -28,7 +28,8 @@
     const { clock } = network;
     const log = createSilentLogger();
     const retries = { windowMs: 10_000, ratio: 0.2, burst: 50 };
-    this.homes = new HomeService({ clock, log, retries, floorShare: 0.7 });
+    const quarantine = makeQuarantine(clock);
+    this.homes = new HomeService({ clock, log, quarantine, retries, floorShare: 0.7 });
     if (isInformed) this.homes.setTargets([TARGET]);
     this.channel = network.open(address);
     this.selector = new HomeSelector({
--- a/packages/dispatch/src/grants/common/retrySharing.test.ts
+++ b/packages/dispatch/src/grants/common/retrySharing.test.ts
@@ -3,7 +3,7 @@
 import { ManualClock, createSilentLogger } from '@parsleymux/base';
 import { HomeService } from '../../home/common/homeService.js';
 import type { RetryWindow } from '../../home/common/retryWindow.js';
-import { makeGrantRequest, makeTarget } from '../../test/builders.js';
+import { makeGrantRequest, makeQuarantine, makeTarget } from '../../test/builders.js';
 import { MemoryNetwork } from '../../test/memoryNetwork.js';
 import { RetrySharing } from './retrySharing.js';
 
@@ -18,7 +18,9 @@
   constructor(network: MemoryNetwork, address: string, rankHomes: () => readonly string[]) {
     const { clock } = network;
     const retries = { windowMs: 10_000, ratio: 0.2, burst: BURST };
-    this.homes = new HomeService({ clock, log: createSilentLogger(), retries, floorShare: 0.7 });
+    const log = createSilentLogger();
+    const quarantine = makeQuarantine(clock);
+    this.homes = new HomeService({ clock, log, quarantine, retries, floorShare: 0.7 });
     this.homes.setTargets(TARGETS);
     const channel = network.open(address);
     const { homes } = this;
--- a/packages/dispatch/src/home/common/homeService.ts
+++ b/packages/dispatch/src/home/common/homeService.ts
@@ -2,6 +2,7 @@
 import type { Clock, Event, IDisposable, Logger } from '@parsleymux/base';
 import { Emitter } from '@parsleymux/base';
 import type { ITargetRecord } from '../../catalog/common/catalog.js';
+import type { RequestQuarantine } from '../../quarantine/common/requestQuarantine.js';
 import type { GrantPolicy } from './grantPolicy.js';
 import type { IServiceBounds } from './serviceBook.js';
 import { ServiceBook } from './serviceBook.js';
@@ -13,6 +14,7 @@
 export interface IHomeServiceOptions extends IServiceBounds {
   readonly clock: Clock;
   readonly log: Logger;
+  readonly quarantine: RequestQuarantine;
   /** Makes the policy of each service. Default: that of {@link ServiceBook}. */
   readonly createPolicy?: () => GrantPolicy;
 }
--- a/packages/dispatch/src/home/common/outcomeIntake.ts
+++ b/packages/dispatch/src/home/common/outcomeIntake.ts
@@ -1,6 +1,8 @@
 /** What the outcomes of one service's grants tell of its targets, its requests and its connections. */
 import type { Clock } from '@parsleymux/base';
 import { GrantOutcome } from '../../grants/common/grant.js';
+import { formatLife } from '../../catalog/common/catalog.js';
+import type { RequestQuarantine } from '../../quarantine/common/requestQuarantine.js';
 import type { AnswerSizes } from './answerSizes.js';
 import type { BookedTarget } from './bookedTarget.js';
 import type { ServedWindow } from './servedWindow.js';
@@ -23,6 +25,7 @@
   readonly served: ServedWindow;
   readonly workTimes: WorkTimes;
   readonly answerSizes: AnswerSizes;
+  readonly quarantine: RequestQuarantine;
 }
 
 /** How a grant ended. */
@@ -54,6 +57,7 @@
     serviceLog.watchBelief(ticket, target, end.outcome, () => {
       this.update(ticket, target, end);
     });
+    this.recordForRequest(ticket, target, end.outcome);
     if (end.answerBytes > 0) answerSizes.record(ticket.request.route, end.answerBytes);
   }
 
@@ -102,6 +106,37 @@
     }
   }
 
+  /** What an outcome tells of the request itself: whether targets are lost under it. */
+  private recordForRequest(ticket: Ticket, target: BookedTarget, outcome: GrantOutcome): void {
+    const { quarantine } = this.options;
+    const { fingerprint, requestId } = ticket.request;
+    const life = formatLife(target.record);
+    switch (outcome) {
+      case GrantOutcome.Succeeded:
+        quarantine.recordAnswer(life, ticket.grantedMs);
+        quarantine.recordSuccess(fingerprint);
+        break;
+      case GrantOutcome.Failed:
+      case GrantOutcome.Shed:
+        quarantine.recordAnswer(life, ticket.grantedMs);
+        break;
+      case GrantOutcome.Broken:
+      case GrantOutcome.Stale:
+        quarantine.recordLoss({
+          fingerprint,
+          requestId,
+          target: life,
+          grantedMs: ticket.grantedMs,
+        });
+        break;
+      case GrantOutcome.Abandoned:
+      case GrantOutcome.Misdirected:
+      case GrantOutcome.TimedOut:
+      case GrantOutcome.Unreachable:
+        break;
+    }
+  }
+
   private recordFailure(ticket: Ticket, target: BookedTarget, nowMs: number): void {
     if (!ticket.isOverdue) target.belief.recordFailure(nowMs);
     if (!ticket.request.isIdempotent) this.options.served.record(false, nowMs);
--- a/packages/dispatch/src/home/common/serviceBook.test.ts
+++ b/packages/dispatch/src/home/common/serviceBook.test.ts
@@ -3,7 +3,7 @@
 import { ManualClock, ResultCode, createSilentLogger } from '@parsleymux/base';
 import type { GrantDecision, IGrantRequest } from '../../grants/common/grant.js';
 import { GrantOutcome } from '../../grants/common/grant.js';
-import { makeGrantRequest, makeTarget } from '../../test/builders.js';
+import { makeGrantRequest, makeQuarantine, makeTarget } from '../../test/builders.js';
 import { ServiceBook } from './serviceBook.js';
 import type { ITicket } from './ticket.js';
 
@@ -15,6 +15,7 @@
     service: 'booking',
     clock: this.clock,
     log: createSilentLogger(),
+    quarantine: makeQuarantine(this.clock),
     floorShare: 0.7,
     retries: { windowMs: 10_000, ratio: 0.2, burst: 10 },
   });
--- a/packages/dispatch/src/home/common/serviceBook.ts
+++ b/packages/dispatch/src/home/common/serviceBook.ts
@@ -5,6 +5,7 @@
 import { isSameLife } from '../../catalog/common/catalog.js';
 import type { GrantDecision, IGrantRequest } from '../../grants/common/grant.js';
 import { GrantOutcome } from '../../grants/common/grant.js';
+import type { RequestQuarantine } from '../../quarantine/common/requestQuarantine.js';
 import { AnswerSizes } from './answerSizes.js';
 import { BookedTarget } from './bookedTarget.js';
 import { FailureModel } from './failureModel.js';
@@ -49,6 +50,8 @@
   readonly service: string;
   readonly clock: Clock;
   readonly log: Logger;
+  /** Shared by all services: a request may move from one to the next. */
+  readonly quarantine: RequestQuarantine;
   /** Default: an {@link ExpectedCreditPolicy}. */
   readonly policy?: GrantPolicy;
 }
@@ -74,6 +77,7 @@
   private readonly served = new ServedWindow();
   private readonly intake: OutcomeIntake;
   private readonly policy: GrantPolicy;
+  private readonly quarantine: RequestQuarantine;
   private readonly workTimes = new WorkTimes();
   private readonly answerSizes = new AnswerSizes();
   private readonly startMs: number;
@@ -85,9 +89,17 @@
     this.clock = options.clock;
     this.startMs = options.clock.getMonotonicTime();
     this.retries = new RetryWindow(options.retries);
+    this.quarantine = options.quarantine;
     this.policy = options.policy ?? new ExpectedCreditPolicy();
-    const { answerSizes, clock, served, serviceLog, workTimes } = this;
-    this.intake = new OutcomeIntake({ answerSizes, clock, served, serviceLog, workTimes });
+    const { answerSizes, clock, quarantine, served, serviceLog, workTimes } = this;
+    this.intake = new OutcomeIntake({
+      answerSizes,
+      clock,
+      quarantine,
+      served,
+      serviceLog,
+      workTimes,
+    });
   }
 
   /**
@@ -246,7 +258,9 @@
   private refuse(ticket: Ticket, code: ResultCode): void {
     const retryAfterMs = this.computeRetryAfterMs(ticket, code);
     // The request of a refused hedge goes on: counted as unserved, hedges would turn spreading on.
-    if (!ticket.request.isHedge) this.served.record(false, this.clock.getMonotonicTime());
+    // Neither does a request that is held back tell how the service fares.
+    const isCounted = !ticket.request.isHedge && code !== ResultCode.RequestQuarantined;
+    if (isCounted) this.served.record(false, this.clock.getMonotonicTime());
     this.serviceLog.logRefusal(ticket, [...this.targets.values()], {
       code,
       retryAfterMs,
@@ -261,6 +275,9 @@
   private computeRetryAfterMs(ticket: Ticket, code: ResultCode): number {
     if (code === ResultCode.NoTarget) return NO_TARGET_RETRY_MS;
     const { request } = ticket;
+    if (code === ResultCode.RequestQuarantined) {
+      return Math.ceil(this.quarantine.getHoldMs(request.fingerprint));
+    }
     const state = this.getState();
     const ahead = this.queue.countAhead(ticket, this.makeRanking(state));
     const waitMs = this.policy.estimateWaitMs(request, ahead, state);
@@ -269,6 +286,11 @@
 
   /** Grants or refuses; false when the request has to wait. */
   private settle(ticket: Ticket, ahead: number, state: IServiceState): boolean {
+    // Also what waits already: the verdict may have come meanwhile.
+    if (this.quarantine.getHoldMs(ticket.request.fingerprint) > 0) {
+      this.refuse(ticket, ResultCode.RequestQuarantined);
+      return true;
+    }
     const waitedMs = ticket.getWaitedMs(state.nowMs);
     const decision = this.policy.decide({ request: ticket.request, waitedMs, ahead }, state);
     if (decision.kind === 'grant') this.settleWith(ticket, decision.target, state.nowMs);
@@ -279,6 +301,7 @@
   private settleWith(ticket: Ticket, target: BookedTarget, nowMs: number): void {
     const suspicion = target.belief.getSuspicion(nowMs);
     if (ticket.request.isRetry) this.retries.recordRetry(nowMs);
+    this.quarantine.recordGrant(ticket.request);
     target.inUse += 1;
     target.granted += 1;
     target.lastGrantMs = nowMs;
--- /dev/null
+++ b/packages/dispatch/src/quarantine/common/quarantineSharing.ts
@@ -0,0 +1,93 @@
+/** Nodes tell each other of requests under which targets crash. */
+import { create } from '@bufbuild/protobuf';
+import type { Clock, IDisposable, RandomSource } from '@parsleymux/base';
+import type { Quarantine } from '@parsleymux/schema';
+import { QuarantineSchema } from '@parsleymux/schema';
+import type { DatagramChannel } from '../../grants/common/datagramChannel.js';
+import type { ICaseRecord } from './crashCase.js';
+import { decodeRecord, encodeRecord } from './quarantineMessages.js';
+import type { RequestQuarantine } from './requestQuarantine.js';
+
+/** How often a node that knows of held requests tells some others, in ms. */
+const TELL_EVERY_MS = 1000;
+/** Others that it tells each time: a node hears twice a second on average, however large the fleet is. */
+const TOLD_EACH_TIME = 2;
+/** Records in one datagram: some 250 bytes each at most. */
+const MAX_RECORDS = 4;
+
+/** Options of a {@link QuarantineSharing}. */
+export interface IQuarantineSharingOptions {
+  readonly channel: DatagramChannel;
+  readonly quarantine: RequestQuarantine;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** Addresses of all nodes of the fleet. */
+  readonly listMembers: () => readonly string[];
+}
+
+/**
+ * A request that crashes targets comes again at any node, for any home. So the node that sees a change
+ * tells all others at once; and since datagrams are lost and nodes start later, each node that knows of
+ * held requests goes on telling some others that it picks by chance.
+ *
+ * @example
+ * sharing.start();
+ */
+export class QuarantineSharing implements IDisposable {
+  private readonly changed: IDisposable;
+  private timer: IDisposable | undefined;
+  private turn = 0;
+
+  constructor(private readonly options: IQuarantineSharingOptions) {
+    this.changed = options.quarantine.onDidChange((record) => {
+      this.announce([record], this.listOthers());
+    });
+  }
+
+  start(): void {
+    this.timer = this.options.clock.startTimer(TELL_EVERY_MS, () => {
+      this.announceToSome();
+      this.start();
+    });
+  }
+
+  /** Takes what another node knows. */
+  handleQuarantine({ records }: Quarantine): void {
+    for (const record of records) this.options.quarantine.applyRecord(decodeRecord(record));
+  }
+
+  dispose(): void {
+    void this.changed.dispose();
+    void this.timer?.dispose();
+  }
+
+  private announceToSome(): void {
+    const known = this.options.quarantine.listShared();
+    if (known.length === 0) return;
+    // What doesn't fit has its turn the next times.
+    const first = this.turn % known.length;
+    this.turn = first + MAX_RECORDS;
+    const records = [...known.slice(first), ...known.slice(0, first)].slice(0, MAX_RECORDS);
+    this.announce(records, this.chooseSome());
+  }
+
+  private chooseSome(): readonly string[] {
+    const others = this.listOthers();
+    if (others.length === 0) return [];
+    return Array.from({ length: TOLD_EACH_TIME }, () => {
+      return others[this.options.random.getInteger(others.length)];
+    }).flatMap((address) => address ?? []);
+  }
+
+  private announce(records: readonly ICaseRecord[], addresses: readonly string[]): void {
+    const value = create(QuarantineSchema, { records: records.map(encodeRecord) });
+    for (const address of addresses) {
+      this.options.channel.send(address, { case: 'quarantine', value });
+    }
+  }
+
+  private listOthers(): readonly string[] {
+    const { channel, listMembers } = this.options;
+    return listMembers().filter((address) => address !== channel.address);
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/quarantine/common/requestQuarantine.test.ts
@@ -0,0 +1,158 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ManualClock, createSilentLogger } from '@parsleymux/base';
+import type { ICaseRecord } from './crashCase.js';
+import { RequestQuarantine } from './requestQuarantine.js';
+
+const REQUEST = 'aa01';
+const MINUTE_MS = 60_000;
+
+class Bench {
+  readonly clock = new ManualClock();
+  readonly quarantine: RequestQuarantine;
+  readonly told: ICaseRecord[] = [];
+  readonly decided: ICaseRecord[] = [];
+
+  constructor(maxCases = 16) {
+    this.quarantine = new RequestQuarantine({
+      clock: this.clock,
+      log: createSilentLogger(),
+      maxCases,
+    });
+    this.quarantine.onDidChange((record) => this.told.push(record));
+    this.quarantine.onDidDecide((record) => this.decided.push(record));
+  }
+
+  /** Grants a target and loses it after 100 ms. */
+  async lose(target: string, fingerprint = REQUEST): Promise<void> {
+    const grantedMs = this.clock.getMonotonicTime();
+    this.quarantine.recordGrant({ fingerprint, requestId: 'q' });
+    await this.clock.advanceBy(100);
+    this.quarantine.recordLoss({ fingerprint, requestId: 'q', target, grantedMs });
+  }
+
+  async loseThree(): Promise<void> {
+    for (const target of ['i-1', 'i-2', 'i-3']) await this.lose(target);
+  }
+
+  getHoldMs(fingerprint = REQUEST): number {
+    return this.quarantine.getHoldMs(fingerprint);
+  }
+}
+
+test('a request is held back once three targets were lost under it', async () => {
+  const bench = new Bench();
+  await bench.lose('i-1');
+  await bench.lose('i-2');
+  assert.equal(bench.getHoldMs(), 0);
+  await bench.lose('i-3');
+  assert.equal(bench.getHoldMs(), MINUTE_MS);
+  assert.equal(bench.getHoldMs('bb02'), 0);
+});
+
+test('others hear of the second loss, and a verdict is to be kept', async () => {
+  const bench = new Bench();
+  await bench.loseThree();
+  assert.deepEqual(
+    bench.told.map(({ crashes }) => crashes.length),
+    [2, 3],
+  );
+  assert.equal(bench.decided.length, 1);
+});
+
+test('a request that succeeded between the losses is not held back', async () => {
+  const bench = new Bench();
+  await bench.lose('i-1');
+  await bench.lose('i-2');
+  bench.quarantine.recordSuccess(REQUEST);
+  await bench.lose('i-3');
+  assert.equal(bench.getHoldMs(), 0);
+});
+
+test('a target that answers afterwards was not lost', async () => {
+  // Gray targets reset connections and go on serving: no request is to blame for that.
+  const bench = new Bench();
+  await bench.lose('i-1');
+  await bench.lose('i-2');
+  bench.quarantine.recordAnswer('i-2', bench.clock.getMonotonicTime() + 1);
+  await bench.lose('i-3');
+  assert.equal(bench.getHoldMs(), 0);
+});
+
+test('a verdict that a later answer refutes is withdrawn everywhere', async () => {
+  const bench = new Bench();
+  await bench.loseThree();
+  bench.quarantine.recordAnswer('i-3', bench.clock.getMonotonicTime() + 1);
+  assert.equal(bench.getHoldMs(), 0);
+  const other = new Bench();
+  for (const record of bench.told) other.quarantine.applyRecord(record);
+  assert.equal(other.getHoldMs(), 0);
+});
+
+test('copies that ran side by side when a rack lost power count once', async () => {
+  // Sequence: three callers' copies of one popular request run on three targets; power fails, and all
+  // connections are lost within some ms. Held back, the request would fail for a reason that is not its own.
+  const bench = new Bench();
+  const { clock, quarantine } = bench;
+  const grantedMs = clock.getMonotonicTime();
+  await clock.advanceBy(200);
+  for (const target of ['i-1', 'i-2', 'i-3', 'i-4']) {
+    quarantine.recordLoss({ fingerprint: REQUEST, requestId: 'q', target, grantedMs });
+    await clock.advanceBy(10);
+  }
+  assert.equal(bench.getHoldMs(), 0);
+});
+
+test('after its hold a request is tried once, and held back ten times as long meanwhile', async () => {
+  const bench = new Bench();
+  await bench.loseThree();
+  await bench.clock.advanceBy(MINUTE_MS);
+  assert.equal(bench.getHoldMs(), 0);
+  await bench.lose('i-9');
+  assert.equal(bench.getHoldMs(), 10 * MINUTE_MS);
+  assert.equal(bench.decided.length, 2);
+});
+
+test('a trial that succeeds lets the request go', async () => {
+  const bench = new Bench();
+  await bench.loseThree();
+  await bench.clock.advanceBy(MINUTE_MS);
+  bench.quarantine.recordGrant({ fingerprint: REQUEST, requestId: 'q' });
+  bench.quarantine.recordSuccess(REQUEST);
+  assert.equal(bench.getHoldMs(), 0);
+  assert.deepEqual(bench.quarantine.listConvicted(), []);
+});
+
+test('losses that different nodes saw add up', async () => {
+  // Sequence: the route moves to another service between two losses, so another home sees the rest.
+  const first = new Bench();
+  const second = new Bench();
+  await first.lose('i-1');
+  await first.lose('i-2');
+  await second.lose('i-7');
+  for (const record of first.told) second.quarantine.applyRecord(record);
+  assert.equal(second.quarantine.listConvicted().length, 1);
+});
+
+test('what is told late does not bring a cleared case back', async () => {
+  const bench = new Bench();
+  await bench.loseThree();
+  const old = bench.told.at(-1);
+  await bench.clock.advanceBy(500);
+  bench.quarantine.release(REQUEST, 'an operator said so');
+  assert.ok(old !== undefined);
+  const crashes = old.crashes.map(({ ageMs, target }) => ({ target, ageMs: ageMs + 500 }));
+  bench.quarantine.applyRecord({ ...old, crashes });
+  assert.equal(bench.getHoldMs(), 0);
+});
+
+test('a full table forgets requests with the fewest losses first', async () => {
+  // Sequence: a rack is lost with hundreds of requests while one request is held back.
+  const bench = new Bench(16);
+  await bench.loseThree();
+  for (let index = 0; index < 1000; index += 1) {
+    await bench.lose('rack-1', (0x1000 + index).toString(16));
+  }
+  const held = bench.quarantine.listConvicted().map(({ fingerprint }) => fingerprint);
+  assert.deepEqual(held, [REQUEST]);
+});
--- a/packages/dispatch/src/test/builders.ts
+++ b/packages/dispatch/src/test/builders.ts
@@ -1,6 +1,9 @@
 /** Values for tests, with everything filled in that a test doesn't care about. */
+import type { Clock } from '@parsleymux/base';
+import { createSilentLogger } from '@parsleymux/base';
 import type { ICatalog, IRouteRule, ITargetRecord } from '../catalog/common/catalog.js';
 import type { IGrantRequest } from '../grants/common/grant.js';
+import { RequestQuarantine } from '../quarantine/common/requestQuarantine.js';
 
 export function makeTarget(id: string, fields: Partial<ITargetRecord> = {}): ITargetRecord {
   return {
@@ -18,6 +21,7 @@
 export function makeGrantRequest(fields: Partial<IGrantRequest> = {}): IGrantRequest {
   return {
     requestId: 'q1',
+    fingerprint: 'f1',
     route: 'orders',
     service: 'booking',
     failureDomain: 'north',
@@ -64,3 +68,7 @@
     },
   };
 }
+
+export function makeQuarantine(clock: Clock): RequestQuarantine {
+  return new RequestQuarantine({ clock, log: createSilentLogger() });
+}
--- a/packages/lab/src/experiment/common/experimentRun.ts
+++ b/packages/lab/src/experiment/common/experimentRun.ts
@@ -91,6 +91,7 @@
           targets: byId,
           observer: this.observer,
           rankHomes: (service) => fleet.rankHomes(service, index),
+          listMembers: () => fleet.listMembers(),
         });
       },
     });
--- a/packages/lab/src/experiment/common/modelledCaller.ts
+++ b/packages/lab/src/experiment/common/modelledCaller.ts
@@ -80,7 +80,7 @@
   if (node === undefined) return BROKEN;
   const request = {
     id: `${id}.${attempt}`,
-    fingerprint: crashName ?? id,
+    fingerprint: Buffer.from(crashName ?? id).toString('hex'),
     route: makeRouteRule(kind),
     service: kind.service,
     method: 'GET',
--- a/packages/lab/src/experiment/common/modelledFleet.ts
+++ b/packages/lab/src/experiment/common/modelledFleet.ts
@@ -94,6 +94,10 @@
     return this.places.map(({ node }) => node);
   }
 
+  listMembers(): readonly string[] {
+    return [...this.registered];
+  }
+
   setTargets(records: readonly ITargetRecord[]): void {
     this.records = records;
     for (const { node } of this.places) node.setTargets(records);
--- a/packages/lab/src/experiment/common/modelledNode.ts
+++ b/packages/lab/src/experiment/common/modelledNode.ts
@@ -8,6 +8,8 @@
   HomeSelector,
   HomeService,
   PathHealth,
+  QuarantineSharing,
+  RequestQuarantine,
   RequestRunner,
   RetrySharing,
 } from '@parsleymux/dispatch';
@@ -31,6 +33,7 @@
   readonly targets: ReadonlyMap<string, ModelledTarget>;
   readonly observer: FleetObserver;
   readonly rankHomes: (service: string) => readonly string[];
+  readonly listMembers: () => readonly string[];
 }
 
 /** What a node does with callers' requests. */
@@ -40,6 +43,7 @@
   private readonly homes: HomeService;
   private readonly beliefs: BeliefSharing;
   private readonly retries: RetrySharing;
+  private readonly quarantine: QuarantineSharing;
   private readonly end = new AbortController();
   private known = new Map<string, ITargetRecord>();
 
@@ -49,7 +53,15 @@
     const { retryBurst: burst, retryRatio: ratio, retryWindowMs: windowMs } = scenario;
     const { floorShare } = scenario;
     const limit = { burst, ratio, windowMs };
-    this.homes = new HomeService({ clock, log, createPolicy, floorShare, retries: limit });
+    const quarantine = new RequestQuarantine({ clock, log });
+    this.homes = new HomeService({
+      clock,
+      log,
+      createPolicy,
+      floorShare,
+      quarantine,
+      retries: limit,
+    });
     const findTarget = (id: string) => this.known.get(id);
     this.transport = new ModelledTransport({
       clock,
@@ -73,6 +85,14 @@
     const server = new GrantServer({ channel, homes, clock });
     const beliefs = new BeliefSharing({ channel, homes, clock, rankHomes });
     const retries = new RetrySharing({ channel, homes, clock, incarnation, rankHomes });
+    const sharing = new QuarantineSharing({
+      channel,
+      quarantine,
+      clock,
+      random: options.random,
+      listMembers: options.listMembers,
+    });
+    this.quarantine = sharing;
     this.beliefs = beliefs;
     this.retries = retries;
     channel.setHandler((sender, body) => {
@@ -83,11 +103,13 @@
       if (body.case === 'leaving') selector.handleLeaving(sender);
       if (body.case === 'beliefs') beliefs.handleBeliefs(body.value);
       if (body.case === 'retryUse') retries.handleRetryUse(body.value);
+      if (body.case === 'quarantine') sharing.handleQuarantine(body.value);
     });
     this.runner = new RequestRunner({
       clock,
       selector,
       transport: this.transport,
+      quarantine,
       paths: new PathHealth(clock, findTarget),
       failureDomain,
       listTargets: (service) => homes.listTargets(service),
@@ -97,6 +119,7 @@
     homes.start();
     beliefs.start();
     retries.start();
+    sharing.start();
   }
 
   /** Aborts when the process ends: its callers' connections break. */
@@ -124,6 +147,7 @@
     this.end.abort(new Error('the process has ended'));
     this.beliefs.dispose();
     this.retries.dispose();
+    this.quarantine.dispose();
     this.homes.dispose();
   }
 }
