Keep verdicts on requests in the store, so that a loss of power of all nodes forgets none

Cause: the verdict was in the nodes' memories. Each verdict is written, about one call each; only the first node of a failure domain that reads the store reads them, once after its start, and tells all others; no node of a new fleet does.

--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -23,6 +23,8 @@
 import { UdpChannel } from '../../grants/node/udpChannel.js';
 import { BeliefSharing } from '../../grants/common/beliefSharing.js';
 import { RetrySharing } from '../../grants/common/retrySharing.js';
+import { CaseKeeper } from '../../quarantine/common/caseKeeper.js';
+import type { CaseStore } from '../../quarantine/common/caseStore.js';
 import { QuarantineSharing } from '../../quarantine/common/quarantineSharing.js';
 import { RequestQuarantine } from '../../quarantine/common/requestQuarantine.js';
 import { HomeService } from '../../home/common/homeService.js';
@@ -88,6 +90,7 @@
 export interface IDirectNodeOptions {
   readonly settings: IDirectNodeSettings;
   readonly authority: Authority;
+  readonly cases: CaseStore;
   readonly protocol: IDeploymentProtocol;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -196,10 +199,10 @@
     homes.start();
     beliefs.start();
     retries.start();
-    quarantine.start();
     this.loops = service.run(this.background.signal).catch((error: unknown) => {
       log.error('directory stopped by a fault of the program', { reason: String(error) });
     });
+    this.store.add(this.createKeeper(quarantine, service)).start();
     log.info('started', { ...settings, incarnation: this.incarnation });
   }
 
@@ -248,6 +251,19 @@
     return homes;
   }
 
+  private createKeeper(sharing: QuarantineSharing, service: DirectoryService): CaseKeeper {
+    const { cases, clock, log, settings } = this.options;
+    return new CaseKeeper({
+      clock,
+      log,
+      sharing,
+      quarantine: this.quarantine,
+      store: cases,
+      isReader: () => service.isFirstFollower,
+      isFirstStart: settings.isFirstStart,
+    });
+  }
+
   private async openFront(
     selector: HomeSelector,
     homes: HomeService,
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -122,6 +122,11 @@
     ]);
   }
 
+  /** Whether this node is the first of its failure domain to read the store for the others. */
+  get isFirstFollower(): boolean {
+    return this.role.isFirst();
+  }
+
   handleUpdate(sender: string, update: Update): void {
     this.role.recordUpdate(sender);
     this.relay.handleUpdate(sender, update);
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -22,6 +22,8 @@
 export * from './home/common/homeService.js';
 export * from './home/common/serviceBook.js';
 export * from './log/node/lineSink.js';
+export * from './quarantine/common/caseKeeper.js';
+export * from './quarantine/common/caseStore.js';
 export * from './quarantine/common/crashCase.js';
 export * from './quarantine/common/quarantineSharing.js';
 export * from './quarantine/common/requestQuarantine.js';
--- /dev/null
+++ b/packages/dispatch/src/quarantine/common/caseKeeper.test.ts
@@ -0,0 +1,130 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ManualClock, SeededRandom, createSilentLogger } from '@parsleymux/base';
+import { StoreCallError, StoreFailure } from '../../directory/common/authority.js';
+import { MemoryNetwork } from '../../test/memoryNetwork.js';
+import { CaseKeeper } from './caseKeeper.js';
+import { CaseStore } from './caseStore.js';
+import type { ICaseRecord } from './crashCase.js';
+import { QuarantineSharing } from './quarantineSharing.js';
+import { RequestQuarantine } from './requestQuarantine.js';
+
+const REQUEST = 'aa01';
+
+/** Keeps rows; may be out. */
+class MemoryCaseStore extends CaseStore {
+  readonly rows = new Map<string, ICaseRecord>();
+  isOut = false;
+  reads = 0;
+
+  override readAll(): Promise<readonly ICaseRecord[]> {
+    this.reads += 1;
+    return this.call(() => [...this.rows.values()]);
+  }
+
+  override put(record: ICaseRecord): Promise<void> {
+    return this.call(() => void this.rows.set(record.fingerprint, record));
+  }
+
+  override remove(fingerprint: string): Promise<void> {
+    return this.call(() => void this.rows.delete(fingerprint));
+  }
+
+  private call<T>(run: () => T): Promise<T> {
+    if (this.isOut) return Promise.reject(new StoreCallError(StoreFailure.Busy, 'out'));
+    return Promise.resolve(run());
+  }
+}
+
+class Node {
+  readonly quarantine: RequestQuarantine;
+
+  constructor(network: MemoryNetwork, address: string, store: CaseStore, isReader: boolean) {
+    const { clock } = network;
+    const log = createSilentLogger();
+    const quarantine = new RequestQuarantine({ clock, log });
+    this.quarantine = quarantine;
+    const channel = network.open(address);
+    const random = new SeededRandom(1);
+    const listMembers = () => ['a', 'b', 'c'];
+    const sharing = new QuarantineSharing({ channel, quarantine, clock, random, listMembers });
+    channel.setHandler((_sender, body) => {
+      if (body.case === 'quarantine') sharing.handleQuarantine(body.value);
+    });
+    new CaseKeeper({
+      quarantine,
+      sharing,
+      store,
+      clock,
+      log,
+      isReader: () => isReader,
+      isFirstStart: false,
+    }).start();
+  }
+
+  loseThree(): void {
+    for (const target of ['i-1', 'i-2', 'i-3']) {
+      const attempt = { fingerprint: REQUEST, requestId: 'q', target, grantedMs: Infinity };
+      this.quarantine.recordLoss(attempt);
+    }
+  }
+}
+
+test('a verdict reaches all nodes at once, and the store', async () => {
+  const network = new MemoryNetwork(new ManualClock());
+  const store = new MemoryCaseStore();
+  const nodes = ['a', 'b', 'c'].map((name) => new Node(network, name, store, false));
+  nodes[0]?.loseThree();
+  await network.clock.advanceBy(50);
+  for (const { quarantine } of nodes) assert.ok(quarantine.getHoldMs(REQUEST) > 0);
+  assert.equal(store.rows.size, 1);
+});
+
+test('a verdict that came while the store was out is written when it is back', async () => {
+  const network = new MemoryNetwork(new ManualClock());
+  const store = new MemoryCaseStore();
+  store.isOut = true;
+  const node = new Node(network, 'a', store, false);
+  node.loseThree();
+  await network.clock.advanceBy(5000);
+  assert.equal(store.rows.size, 0);
+  store.isOut = false;
+  await network.clock.advanceBy(2000);
+  assert.equal(store.rows.size, 1);
+});
+
+test('after a loss of power of all nodes, one reads what is held back and tells the others', async () => {
+  // Symptom: a request crashes as many targets again as it took to convict it. Sequence: all nodes lose power;
+  // the request comes again. Cause: the verdict was in the nodes' memories alone.
+  const store = new MemoryCaseStore();
+  const before = new MemoryNetwork(new ManualClock());
+  new Node(before, 'a', store, true).loseThree();
+  await before.clock.advanceBy(50);
+  const network = new MemoryNetwork(new ManualClock());
+  const readsBefore = store.reads;
+  const nodes = ['a', 'b', 'c'].map((name) => new Node(network, name, store, name === 'b'));
+  await network.clock.advanceBy(500);
+  for (const { quarantine } of nodes) assert.ok(quarantine.getHoldMs(REQUEST) > 0);
+  assert.equal(store.reads - readsBefore, 1);
+});
+
+test('a node that starts later hears of held requests from others', async () => {
+  const network = new MemoryNetwork(new ManualClock());
+  const store = new MemoryCaseStore();
+  new Node(network, 'a', store, false).loseThree();
+  await network.clock.advanceBy(1000);
+  const late = new Node(network, 'b', store, false);
+  await network.clock.advanceBy(10_000);
+  assert.ok(late.quarantine.getHoldMs(REQUEST) > 0);
+});
+
+test('a request that an operator lets go is forgotten by the store as well', async () => {
+  const network = new MemoryNetwork(new ManualClock());
+  const store = new MemoryCaseStore();
+  const node = new Node(network, 'a', store, false);
+  node.loseThree();
+  await network.clock.advanceBy(50);
+  node.quarantine.release(REQUEST, 'an operator said so');
+  await network.clock.advanceBy(50);
+  assert.equal(store.rows.size, 0);
+});
--- /dev/null
+++ b/packages/dispatch/src/quarantine/common/caseStore.ts
@@ -0,0 +1,14 @@
+/** Where verdicts on requests outlive the fleet: varies with the deployment. */
+import type { ICaseRecord } from './crashCase.js';
+
+/** Every call rejects with a StoreCallError without an answer. */
+export abstract class CaseStore {
+  /** All requests that were held back when somebody wrote last. */
+  abstract readAll(signal: AbortSignal): Promise<readonly ICaseRecord[]>;
+
+  /** Keeps a case, or its newer state. */
+  abstract put(record: ICaseRecord, signal: AbortSignal): Promise<void>;
+
+  /** Forgets a case; harmless when there is none. */
+  abstract remove(fingerprint: string, signal: AbortSignal): Promise<void>;
+}
--- a/packages/dispatch/src/quarantine/common/quarantineSharing.ts
+++ b/packages/dispatch/src/quarantine/common/quarantineSharing.ts
@@ -31,34 +31,49 @@
  * held requests goes on telling some others that it picks by chance.
  *
  * @example
- * sharing.start();
+ * sharing.handleQuarantine(message);
  */
 export class QuarantineSharing implements IDisposable {
   private readonly changed: IDisposable;
   private timer: IDisposable | undefined;
   private turn = 0;
+  private isDisposed = false;
 
   constructor(private readonly options: IQuarantineSharingOptions) {
     this.changed = options.quarantine.onDidChange((record) => {
       this.announce([record], this.listOthers());
-    });
-  }
-
-  start(): void {
-    this.timer = this.options.clock.startTimer(TELL_EVERY_MS, () => {
-      this.announceToSome();
-      this.start();
+      this.startTimer();
     });
   }
 
   /** Takes what another node knows. */
   handleQuarantine({ records }: Quarantine): void {
     for (const record of records) this.options.quarantine.applyRecord(decodeRecord(record));
+    this.startTimer();
+  }
+
+  /** Takes what the store knows, and tells all others: they have started anew too. */
+  handleStored(records: readonly ICaseRecord[]): void {
+    for (const record of records) this.options.quarantine.applyRecord(record);
+    for (let first = 0; first < records.length; first += MAX_RECORDS) {
+      this.announce(records.slice(first, first + MAX_RECORDS), this.listOthers());
+    }
+    this.startTimer();
   }
 
   dispose(): void {
     void this.changed.dispose();
     void this.timer?.dispose();
+    this.isDisposed = true;
+  }
+
+  /** A node that has nothing to tell is not woken. */
+  private startTimer(): void {
+    if (this.timer !== undefined || this.isDisposed) return;
+    this.timer = this.options.clock.startTimer(TELL_EVERY_MS, () => {
+      this.timer = undefined;
+      this.announceToSome();
+    });
   }
 
   private announceToSome(): void {
@@ -69,6 +84,7 @@
     this.turn = first + MAX_RECORDS;
     const records = [...known.slice(first), ...known.slice(0, first)].slice(0, MAX_RECORDS);
     this.announce(records, this.chooseSome());
+    this.startTimer();
   }
 
   private chooseSome(): readonly string[] {
--- a/packages/lab/src/docs/node/operationsMetrics.test.ts
+++ b/packages/lab/src/docs/node/operationsMetrics.test.ts
@@ -9,6 +9,7 @@
   Authority,
   AuthorityTable,
   CallerProtocol,
+  CaseStore,
   DirectNode,
   StoreCallError,
   StoreFailure,
@@ -49,6 +50,20 @@
   }
 }
 
+class EmptyCaseStore extends CaseStore {
+  override readAll(): Promise<never[]> {
+    return Promise.resolve([]);
+  }
+
+  override put(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  override remove(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
 class EmptyAuthority extends Authority {
   override readonly catalog = new EmptyTable();
   override readonly targets = new EmptyTable();
@@ -109,6 +124,7 @@
   const node = new DirectNode({
     settings,
     authority: new EmptyAuthority(),
+    cases: new EmptyCaseStore(),
     protocol: {
       callers: new SilentCallers(),
       targets: new MuxTargetProtocol(),
--- a/packages/lab/src/experiment/common/experimentRun.ts
+++ b/packages/lab/src/experiment/common/experimentRun.ts
@@ -7,6 +7,7 @@
 import { FigureLedger } from './figures.js';
 import { FleetObserver } from './fleetObserver.js';
 import { sendRequest } from './modelledCaller.js';
+import { ModelledCaseStore } from './modelledCaseStore.js';
 import { ModelledFleet, formatNode } from './modelledFleet.js';
 import { ModelledNetwork } from './modelledNetwork.js';
 import { ModelledNode } from './modelledNode.js';
@@ -73,6 +74,7 @@
     const byId = new Map(this.targets.map((target) => [target.options.id, target]));
     this.observer = new FleetObserver(scenario);
     const log = createSilentLogger();
+    const cases = new ModelledCaseStore(clock);
     this.fleet = new ModelledFleet({
       scenario,
       clock,
@@ -92,6 +94,7 @@
           observer: this.observer,
           rankHomes: (service) => fleet.rankHomes(service, index),
           listMembers: () => fleet.listMembers(),
+          cases,
         });
       },
     });
--- a/packages/lab/src/experiment/common/modelledNode.ts
+++ b/packages/lab/src/experiment/common/modelledNode.ts
@@ -1,9 +1,10 @@
 /** One node of an experiment: the real entry, home and questions on simulated time. */
 import type { Clock, Logger, RandomSource } from '@parsleymux/base';
 import { create } from '@bufbuild/protobuf';
-import type { DatagramChannel, GrantPolicy, ITargetRecord } from '@parsleymux/dispatch';
+import type { CaseStore, DatagramChannel, GrantPolicy, ITargetRecord } from '@parsleymux/dispatch';
 import {
   BeliefSharing,
+  CaseKeeper,
   GrantServer,
   HomeSelector,
   HomeService,
@@ -34,6 +35,7 @@
   readonly observer: FleetObserver;
   readonly rankHomes: (service: string) => readonly string[];
   readonly listMembers: () => readonly string[];
+  readonly cases: CaseStore;
 }
 
 /** What a node does with callers' requests. */
@@ -44,6 +46,7 @@
   private readonly beliefs: BeliefSharing;
   private readonly retries: RetrySharing;
   private readonly quarantine: QuarantineSharing;
+  private readonly keeper: CaseKeeper;
   private readonly end = new AbortController();
   private known = new Map<string, ITargetRecord>();
 
@@ -119,7 +122,17 @@
     homes.start();
     beliefs.start();
     retries.start();
-    sharing.start();
+    const keeper = new CaseKeeper({
+      quarantine,
+      sharing,
+      clock,
+      log,
+      store: options.cases,
+      isReader: () => options.listMembers().at(0) === channel.address,
+      isFirstStart: incarnation === 1,
+    });
+    this.keeper = keeper;
+    keeper.start();
   }
 
   /** Aborts when the process ends: its callers' connections break. */
@@ -148,6 +161,7 @@
     this.beliefs.dispose();
     this.retries.dispose();
     this.quarantine.dispose();
+    this.keeper.dispose();
     this.homes.dispose();
   }
 }
