Let targets that go down together with others speak against no request

A target that a request crashes goes down alone.

New: loads with targets that lose power, and with things that callers ask for again and again.

--- a/packages/dispatch/src/quarantine/common/crashCase.ts
+++ b/packages/dispatch/src/quarantine/common/crashCase.ts
@@ -95,6 +95,11 @@
     return true;
   }
 
+  /** Leaves out crashes that turned out to have another cause. */
+  removeExplained(isExplained: (atMs: number) => boolean): void {
+    for (const [target, atMs] of this.crashes) if (isExplained(atMs)) this.crashes.delete(target);
+  }
+
   /** The target answered after it had been taken for crashed: only the connection was lost. */
   removeCrash(target: string, answeredMs: number): boolean {
     const atMs = this.crashes.get(target);
--- a/packages/dispatch/src/quarantine/common/requestQuarantine.test.ts
+++ b/packages/dispatch/src/quarantine/common/requestQuarantine.test.ts
@@ -103,6 +103,40 @@
   assert.equal(bench.getHoldMs(), 0);
 });
 
+test('targets that went down together with others speak against no request', async () => {
+  // Sequence: racks lose power one second after the other; a slow read that is repeated each time is lost with
+  // three of them. Held back, it would fail for a reason that is not its own.
+  const bench = new Bench();
+  const { clock, quarantine } = bench;
+  for (const rack of ['a', 'b', 'c']) {
+    const grantedMs = clock.getMonotonicTime();
+    await clock.advanceBy(1000);
+    const others = [1, 2, 3].map((index) => ({
+      target: `${rack}-${index}`,
+      fingerprint: `b${index}`,
+    }));
+    for (const loss of [{ target: `${rack}-0`, fingerprint: REQUEST }, ...others]) {
+      quarantine.recordLoss({ ...loss, requestId: 'q', grantedMs });
+      await clock.advanceBy(2);
+    }
+  }
+  assert.equal(bench.getHoldMs(), 0);
+});
+
+test('requests that are lost with the target that another one crashes are not held back', async () => {
+  const bench = new Bench();
+  const { clock, quarantine } = bench;
+  for (const target of ['i-1', 'i-2', 'i-3']) {
+    const grantedMs = clock.getMonotonicTime();
+    await clock.advanceBy(100);
+    for (const fingerprint of [REQUEST, `b${target.slice(-1)}`, `c${target.slice(-1)}`]) {
+      quarantine.recordLoss({ fingerprint, requestId: 'q', target, grantedMs });
+    }
+  }
+  const held = quarantine.listConvicted().map(({ fingerprint }) => fingerprint);
+  assert.deepEqual(held, [REQUEST]);
+});
+
 test('after its hold a request is tried once, and held back ten times as long meanwhile', async () => {
   const bench = new Bench();
   await bench.loseThree();
--- a/packages/dispatch/src/quarantine/common/requestQuarantine.ts
+++ b/packages/dispatch/src/quarantine/common/requestQuarantine.ts
@@ -2,6 +2,7 @@
 import type { Clock, Event, Logger } from '@parsleymux/base';
 import { Emitter } from '@parsleymux/base';
 import type { ICaseRecord } from './crashCase.js';
+import { LossLog } from './lossLog.js';
 import { CRASHES_TO_HOLD, CrashCase } from './crashCase.js';
 
 /** Requests that a node keeps in mind at most: some 500 bytes each. */
@@ -33,8 +34,8 @@
  * A request that makes the targets that run it crash looks like any other: the targets are doubted, and
  * each copy of it is granted the soundest of those that are left. To be noticed, it has to be known by
  * what it asks for. Three targets lost under one request, with no success of it between, convict it;
- * a target that answers afterwards was not lost, and copies that ran side by side when a rack lost power
- * count once. So targets that crash for causes of their own convict nobody.
+ * a target that answers afterwards was not lost, one that went down together with others was lost for
+ * another reason, and copies that ran side by side count once. So targets that crash for causes of their own convict nobody.
  *
  * @example
  * quarantine.recordLoss(attempt);
@@ -44,6 +45,7 @@
   private readonly cases = new Map<string, CrashCase>();
   /** Fingerprints of the requests under which a target was lost, by target. */
   private readonly accusers = new Map<string, Set<string>>();
+  private readonly losses = new LossLog();
   private readonly changed = new Emitter<ICaseRecord>();
   private readonly held = new Emitter<ICaseRecord>();
 
@@ -79,6 +81,11 @@
     const found = this.cases.get(fingerprint) ?? this.open(fingerprint);
     const wasConvicted = found.isConvicted;
     const nowMs = this.now;
+    this.losses.record(target, fingerprint, nowMs);
+    // By now it is known what else was lost at the moments of the earlier ones.
+    if (!wasConvicted) {
+      found.removeExplained((atMs) => this.losses.isCommonCause(fingerprint, atMs));
+    }
     if (!found.recordLoss({ target, grantedMs, atMs: nowMs })) return;
     this.addAccuser(target, fingerprint);
     if (found.crashCount < CRASHES_TO_TELL) return;
--- a/packages/lab/src/experiment/common/experimentRun.ts
+++ b/packages/lab/src/experiment/common/experimentRun.ts
@@ -172,6 +172,7 @@
     const request = sendRequest({
       kind,
       id: `q${index}`,
+      ...(kind.popular === undefined ? {} : { content: `${kind.name}-${index % kind.popular}` }),
       workMs: sampleWork(kind.work, this.callers),
       hastyAttempts: isHasty ? (abuse?.factor ?? 1) : 0,
       clock: this.clock,
--- a/packages/lab/src/experiment/common/figures.ts
+++ b/packages/lab/src/experiment/common/figures.ts
@@ -44,6 +44,8 @@
   readonly failedRuns: number;
   /** Targets that crashed under requests that crash them. */
   readonly crashedTargets: number;
+  /** Answers to harmless requests that were held back for what they were taken to do to targets. */
+  readonly heldBack: number;
   /** Limits that hold over all nodes together, and were broken. */
   readonly violations: readonly ILimitViolation[];
   /** Share of the requests of each kind that ended so. */
@@ -74,6 +76,7 @@
 export class FigureLedger {
   private readonly records: IRecord[] = [];
   private heldRefusals = 0;
+  private heldBack = 0;
 
   record(kind: IRequestKind, atMs: number, ending: Ending): void {
     this.records.push({ kind, atMs, ending });
@@ -84,6 +87,11 @@
     if (heldMs > kind.objectiveMs * HELD_SHARE) this.heldRefusals += 1;
   }
 
+  /** Counts a harmless request that was held back for what it was taken to do to targets. */
+  recordHeldBack(): void {
+    this.heldBack += 1;
+  }
+
   summarize(costs: IRunCosts): IRunFigures {
     const { records } = this;
     const asked = Math.max(1, records.length);
@@ -102,6 +110,7 @@
       crossedKib: costs.crossedBytes / BYTES_PER_KIB / asked,
       failedRuns: costs.failedRuns / asked,
       crashedTargets: costs.crashedTargets,
+      heldBack: this.heldBack,
       violations: costs.violations,
       kinds: Object.fromEntries(
         kinds.map((group) => [group[0]?.kind.name ?? '', computeShares(group)]),
--- a/packages/lab/src/experiment/common/fleetLimits.test.ts
+++ b/packages/lab/src/experiment/common/fleetLimits.test.ts
@@ -80,3 +80,18 @@
   // lose power at once: what is known of the request must outlive each of them.
   assert.deepEqual(await listViolations('crashing-request-restarts', 'crashes', [1, 2]), []);
 });
+
+test('no harmless request is held back while racks lose power again and again', async () => {
+  // Targets of all services are lost every few seconds, all of them once, while callers repeat what
+  // failed and ask for popular things again and again.
+  const text = readFileSync(new URL('crashes-of-their-own.json', SCENARIOS), 'utf8');
+  for (const seed of [1, 2, 3]) {
+    const scenario = JSON.parse(text) as IScenario;
+    const { heldBack } = await new ExperimentRun(
+      scenario,
+      parsePolicy('expected-credit'),
+      seed,
+    ).run();
+    assert.equal(heldBack, 0, `seed ${seed}`);
+  }
+});
--- a/packages/lab/src/experiment/common/modelledCaller.ts
+++ b/packages/lab/src/experiment/common/modelledCaller.ts
@@ -1,5 +1,6 @@
 /** A caller: sends a request, comes back after refusals, and notes how it ended. */
 import type { Clock, RandomSource } from '@parsleymux/base';
+import { ResultCode } from '@parsleymux/base';
 import type { IEntryAnswer, IRouteRule } from '@parsleymux/dispatch';
 import type { FigureLedger } from './figures.js';
 import { Ending } from './figures.js';
@@ -24,6 +25,8 @@
 export interface ISendRequestOptions {
   readonly kind: IRequestKind;
   readonly id: string;
+  /** What is asked for; copies of one thing are the same request. Default: the identifier. */
+  readonly content?: string;
   /** Name of a crashing request, if it is one: all of its copies are the same request. */
   readonly crashName?: string;
   readonly workMs: number;
@@ -52,6 +55,7 @@
       ledger.record(kind, startMs, isInTime ? Ending.InTime : Ending.Late);
       return;
     }
+    if (isHeldBack(answer) && options.crashName === undefined) ledger.recordHeldBack();
     const isRefused = NOT_RUN_STATUSES.includes(answer.status);
     if (isRefused) ledger.recordRefusal(kind, nowMs - sentMs);
     const isLast = attempt === tries - 1 || nowMs >= endMs;
@@ -73,6 +77,7 @@
   attempt: number,
 ): Promise<CallerAnswer> {
   const { clock, crashName, id, kind, listNodes, observer, random, workMs } = options;
+  const { content = id } = options;
   const nodes = listNodes();
   const nowMs = clock.getMonotonicTime();
   observer.recordRequest(kind.service, `${id}.${attempt}`, nowMs);
@@ -80,7 +85,7 @@
   if (node === undefined) return BROKEN;
   const request = {
     id: `${id}.${attempt}`,
-    fingerprint: Buffer.from(crashName ?? id).toString('hex'),
+    fingerprint: Buffer.from(crashName ?? content).toString('hex'),
     route: makeRouteRule(kind),
     service: kind.service,
     method: 'GET',
@@ -105,6 +110,11 @@
   }
 }
 
+function isHeldBack({ headers }: CallerAnswer): boolean {
+  const result = headers.find(([name]) => name === 'parsleymux-result')?.[1];
+  return result === String(ResultCode.RequestQuarantined);
+}
+
 function getRetryAfterMs({ headers }: CallerAnswer): number {
   const text = headers.find(([name]) => name === 'retry-after')?.[1];
   return Number(text ?? 0) * MS_PER_S;
--- a/packages/lab/src/experiment/common/modelledTarget.ts
+++ b/packages/lab/src/experiment/common/modelledTarget.ts
@@ -68,6 +68,17 @@
   constructor(readonly options: IModelledTargetOptions) {
     const { random, service } = options;
     this.offsetMs = random.getFloat() * service.gray.everyMs;
+    for (const event of options.scenario.events) this.planLoss(event);
+  }
+
+  /** Each loss takes targets of its own choice: those that stand in one rack differ from day to day. */
+  private planLoss(event: IScenarioEvent): void {
+    const { clock, random, service } = this.options;
+    if (event.kind !== 'target-loss' || (event.service ?? service.name) !== service.name) return;
+    if (random.getFloat() >= (event.share ?? 0)) return;
+    clock.startTimer(event.atMs, () => {
+      this.end(event.forMs);
+    });
   }
 
   /** Whether nothing listens at its address now. */
--- a/packages/lab/src/experiment/common/scenario.ts
+++ b/packages/lab/src/experiment/common/scenario.ts
@@ -29,6 +29,8 @@
   /** Times that a caller comes back after a refusal. */
   readonly returns: number;
   readonly work: IWorkDistribution;
+  /** Things that callers ask for again and again; absent where each asks for something of its own. */
+  readonly popular?: number;
   /** Size of an answer. */
   readonly answerBytes: number;
 }
@@ -80,6 +82,8 @@
     | 'fail'
     | 'shed'
     | 'crash'
+    /** Targets lose power: what runs there is lost with its connections. */
+    | 'target-loss'
     | 'drain'
     | 'home-loss'
     /** Nodes are told to stop, a batch each `gapMs`, and start anew. */
