Believe targets that say in their answers that they leave, or how long to leave them alone

Cause: that a target leaves was taken from the store's list alone, and a target that shed a request was spared 100 ms whatever it said. While the store was away or slow, the list named leaving targets as ready for up to 13 s. The class: one source of news where the target itself was at hand.

Now the entry that passes such an answer on sends that life of the target nothing more, also where a grant had waited in a queue; the outcome tells the home, which grants it to nobody and tells its successors. A Retry-After of a shed request holds between that target and that node, as the target meant it. Ruled out: an entry that knows while its home does not (the line on granted targets that are not usable never came), and a list that overrides what was said (none came between).

--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -15,6 +15,7 @@
 import type { AnswerCheck } from '../../entry/common/attemptOutcome.js';
 import type { CallerProtocol } from '../../entry/common/callerProtocol.js';
 import { PathHealth } from '../../entry/common/pathHealth.js';
+import { TargetNotices } from '../../entry/common/targetNotices.js';
 import { RequestRunner } from '../../entry/common/requestRun.js';
 import { FrontServer } from '../../entry/node/frontServer.js';
 import { RequestLog } from '../../entry/node/requestLog.js';
@@ -289,6 +290,7 @@
       selector,
       transport,
       quarantine: this.quarantine,
+      notices: new TargetNotices(clock),
       paths: new PathHealth(clock, (id) => this.directory.targets.get(id)),
       failureDomain: settings.failureDomain,
       listTargets: (service) => homes.listTargets(service),
--- a/packages/dispatch/src/entry/common/requestRun.test.ts
+++ b/packages/dispatch/src/entry/common/requestRun.test.ts
@@ -11,6 +11,7 @@
 import type { IEntryAnswer, IEntryRequest } from './entryRequest.js';
 import { PathHealth } from './pathHealth.js';
 import { RequestRunner } from './requestRun.js';
+import { TargetNotices } from './targetNotices.js';
 
 type Reply = ITargetAnswer | TransportError | (() => Promise<ITargetAnswer>);
 
@@ -101,6 +102,7 @@
     selector: refusing ?? selector,
     transport,
     quarantine: makeQuarantine(clock),
+    notices: new TargetNotices(clock),
     paths: new PathHealth(clock, () => undefined),
     failureDomain: 'north',
     listTargets: () => [],
--- a/packages/dispatch/src/entry/common/requestRun.ts
+++ b/packages/dispatch/src/entry/common/requestRun.ts
@@ -13,6 +13,7 @@
 import { makeOwnAnswer, makeTargetAnswer } from './entryAnswer.js';
 import type { IAttemptRecord, IEntryAnswer, IEntryRequest } from './entryRequest.js';
 import type { PathHealth } from './pathHealth.js';
+import type { TargetNotices } from './targetNotices.js';
 
 /** Grants that may come to nothing before a byte was sent, per request: each costs one connect time. */
 const MAX_UNSENT = 4;
@@ -35,6 +36,7 @@
   readonly transport: TargetTransport;
   readonly paths: PathHealth;
   readonly quarantine: RequestQuarantine;
+  readonly notices: TargetNotices;
   readonly failureDomain: string;
   /** The targets of a service, as far as this node knows them. */
   readonly listTargets: (service: string) => readonly ITargetRecord[];
@@ -43,6 +45,13 @@
   readonly listTargetHeaders: (targetId: string) => readonly Header[];
 }
 
+/** A target was granted that nothing may be sent to any more. */
+const NOT_SENT: IAttemptResult = {
+  outcome: GrantOutcome.Abandoned,
+  mayHaveRun: false,
+  answer: undefined,
+};
+
 type Refusal = Extract<Selection, { kind: 'refused' }>;
 
 interface IRunState {
@@ -186,12 +195,19 @@
         remainingMs: this.getRemainingMs(request),
         objectiveMs: route.objectiveMs,
         connected: this.listConnected(service),
-        excluded: [...state.tried, ...running, ...this.options.paths.listBroken()],
+        excluded: [...state.tried, ...running, ...this.listAvoided(service)],
       },
       signal,
     );
   }
 
+  /** Targets that this node can't reach, or that have told it to send them nothing. */
+  private listAvoided(service: string): readonly string[] {
+    const { listTargets, notices, paths } = this.options;
+    const told = listTargets(service).filter((target) => notices.isExcluded(target));
+    return [...paths.listBroken(), ...told.map(({ id }) => id)];
+  }
+
   /** A new connection costs both sides a handshake, so the home prefers targets that need none. */
   private listConnected(service: string): readonly string[] {
     const { listTargets, transport } = this.options;
@@ -212,7 +228,9 @@
     const latencyMs = clock.getMonotonicTime() - startMs;
     attempt.end();
     const answerBytes = countBodyBytes(result.answer);
-    grant.report(attempt.cancelOutcome ?? result.outcome, latencyMs, answerBytes);
+    const isLeaving = this.options.notices.isLeaving(grant.target);
+    const outcome = attempt.cancelOutcome ?? result.outcome;
+    grant.report(outcome, latencyMs, { answerBytes, isLeaving });
     if (attempt.cancelOutcome !== undefined) return result;
     this.recordPath(grant, result);
     state.tried.push(grant.target.id);
@@ -240,6 +258,8 @@
   ): Promise<IAttemptResult> {
     const { target } = grant;
     const remainingMs = this.getRemainingMs(request);
+    // The grant may have waited in a queue; the target may have told this node meanwhile.
+    if (this.options.notices.isExcluded(target)) return NOT_SENT;
     try {
       const answer = await this.options.transport.send(
         {
@@ -259,7 +279,10 @@
           freshConnection: grant.needsFreshConnection,
         },
       );
-      return decideAnswerOutcome(answer, this.options.isAuthentic);
+      const result = decideAnswerOutcome(answer, this.options.isAuthentic);
+      // What is not the target's own answer may bear anything.
+      if (result.outcome !== GrantOutcome.Broken) this.options.notices.record(target, answer);
+      return result;
     } catch (error) {
       return decideFailureOutcome(error);
     }
--- /dev/null
+++ b/packages/dispatch/src/entry/common/targetNotices.ts
@@ -0,0 +1,71 @@
+/** What targets have told this node in their answers about being sent more. */
+import type { Clock } from '@parsleymux/base';
+import type { ITargetAnswer } from '@parsleymux/routing';
+import { findHeader } from '@parsleymux/routing';
+import type { ITargetRecord } from '../../catalog/common/catalog.js';
+import { formatLife } from '../../catalog/common/catalog.js';
+import { parseRetryAfterMs } from './retryAfter.js';
+
+const RETRY_AFTER = 'retry-after';
+/** No target is left alone longer than this on its own word, in ms: a wrong word costs its capacity. */
+const LONGEST_WAIT_MS = 600_000;
+/** Lives of targets that are kept in mind at most, the oldest going first: more than a fleet has. */
+const MAX_LIVES = 4096;
+
+interface INotice {
+  isLeaving: boolean;
+  /** When it may be sent requests again, in ms of the monotonic clock. */
+  waitUntilMs: number;
+}
+
+/**
+ * A target that leaves says so in its answers, seconds before any list does when the store is away; one
+ * that has no room may say for how long. A node that went on sending would have requests cut off, or
+ * shed again, though it had been told. Each holds for one life of the target.
+ *
+ * @example
+ * notices.record(target, answer);
+ * if (notices.isExcluded(target)) choose another one;
+ */
+export class TargetNotices {
+  private readonly notices = new Map<string, INotice>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Takes a whole answer of the target itself. */
+  record(target: ITargetRecord, answer: ITargetAnswer): void {
+    const waitMs = answer.notRun ? this.getWaitMs(answer) : undefined;
+    if (!answer.draining && waitMs === undefined) return;
+    const notice = this.open(formatLife(target));
+    notice.isLeaving ||= answer.draining;
+    if (waitMs !== undefined) notice.waitUntilMs = this.clock.getMonotonicTime() + waitMs;
+  }
+
+  isLeaving(target: ITargetRecord): boolean {
+    return this.notices.get(formatLife(target))?.isLeaving === true;
+  }
+
+  /** Whether nothing is to be sent to the target now. */
+  isExcluded(target: ITargetRecord): boolean {
+    const notice = this.notices.get(formatLife(target));
+    if (notice === undefined) return false;
+    return notice.isLeaving || this.clock.getMonotonicTime() < notice.waitUntilMs;
+  }
+
+  private getWaitMs({ headers }: ITargetAnswer): number | undefined {
+    const text = findHeader(headers, RETRY_AFTER);
+    if (text === undefined) return undefined;
+    const waitMs = parseRetryAfterMs(text, this.clock.getWallTime());
+    return waitMs === undefined ? undefined : Math.min(LONGEST_WAIT_MS, waitMs);
+  }
+
+  private open(life: string): INotice {
+    const known = this.notices.get(life);
+    if (known !== undefined) return known;
+    const notice = { isLeaving: false, waitUntilMs: -Infinity };
+    this.notices.set(life, notice);
+    const [oldest] = this.notices.keys();
+    if (this.notices.size > MAX_LIVES && oldest !== undefined) this.notices.delete(oldest);
+    return notice;
+  }
+}
--- a/packages/dispatch/src/grants/common/beliefSharing.ts
+++ b/packages/dispatch/src/grants/common/beliefSharing.ts
@@ -48,7 +48,8 @@
   handleBeliefs(message: Beliefs): void {
     const nowMs = this.options.clock.getMonotonicTime();
     const book = this.options.homes.getBook(message.service);
-    for (const { ageMs, bornMs, suspicionPermille, targetId } of message.beliefs) {
+    for (const { ageMs, bornMs, leaving, suspicionPermille, targetId } of message.beliefs) {
+      if (leaving) book.applyLeaving(targetId, decodeBornMs(bornMs));
       book.applyEvidence(targetId, decodeBornMs(bornMs), {
         suspicion: suspicionPermille / PERMILLE,
         updatedMs: nowMs - ageMs,
@@ -82,6 +83,7 @@
   return create(BeliefSchema, {
     targetId: target.record.id,
     ...encodeBornMs(target.record.bornMs),
+    leaving: target.isLeaving,
     suspicionPermille: Math.round(evidence.suspicion * PERMILLE),
     ageMs: Math.round(nowMs - evidence.updatedMs),
   });
--- a/packages/dispatch/src/grants/common/grant.ts
+++ b/packages/dispatch/src/grants/common/grant.ts
@@ -25,6 +25,17 @@
 
 export type GrantOutcome = (typeof GrantOutcome)[keyof typeof GrantOutcome];
 
+/** What a home is told of an answer besides how the request fared. */
+export interface IReportedAnswer {
+  /** Size of the body; 0 where there was none. */
+  readonly answerBytes: number;
+  /** Whether the target has told the entry that it leaves. */
+  readonly isLeaving: boolean;
+}
+
+/** No answer came. */
+export const NO_ANSWER: IReportedAnswer = { answerBytes: 0, isLeaving: false };
+
 /** What is asked for. */
 export interface IGrantRequest {
   /** The caller's identifier of the request, for logs. */
--- a/packages/dispatch/src/grants/common/grantServer.ts
+++ b/packages/dispatch/src/grants/common/grantServer.ts
@@ -65,8 +65,9 @@
     const known = this.remembered.get(formatKey(sender, report.incarnation, askId));
     if (known === undefined || known.isReported) return;
     known.isReported = true;
-    const { answerBytes, latencyMs, outcome } = report;
-    known.book.recordOutcome(known.ticket, decodeOutcome(outcome), latencyMs, answerBytes);
+    const { answerBytes, latencyMs, leaving: isLeaving, outcome } = report;
+    const answer = { answerBytes, isLeaving };
+    known.book.recordOutcome(known.ticket, decodeOutcome(outcome), latencyMs, answer);
   }
 
   private sendDecision(sender: string, askId: bigint, decision: GrantDecision | undefined): void {
--- a/packages/dispatch/src/grants/common/homeSelector.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.ts
@@ -7,7 +7,8 @@
 import type { ITargetRecord } from '../../catalog/common/catalog.js';
 import type { HomeService } from '../../home/common/homeService.js';
 import type { DatagramChannel } from './datagramChannel.js';
-import type { GrantOutcome, IGrantRequest } from './grant.js';
+import type { GrantOutcome, IGrantRequest, IReportedAnswer } from './grant.js';
+import { NO_ANSWER } from './grant.js';
 import { decodeBornMs, decodeSuspicion, encodeAsk, encodeOutcome } from './grantMessages.js';
 import { HomeHealth } from './homeHealth.js';
 import { HomeQuestion } from './homeQuestion.js';
@@ -169,8 +170,8 @@
       home,
       suspicion: decodeSuspicion(decision),
       needsFreshConnection: decision.freshConnection,
-      report: (outcome, latencyMs, answerBytes) => {
-        this.sendReport(home, id, request, target.id, outcome, latencyMs, answerBytes);
+      report: (outcome, latencyMs, answer) => {
+        this.sendReport(home, id, request, target.id, outcome, latencyMs, answer);
       },
     };
   }
@@ -182,10 +183,11 @@
     targetId: string | undefined,
     outcome: GrantOutcome,
     latencyMs: number,
-    answerBytes = 0,
+    { answerBytes, isLeaving }: IReportedAnswer = NO_ANSWER,
   ): void {
     const value = create(ReportSchema, {
       answerBytes,
+      leaving: isLeaving,
       askId,
       service: request.service,
       targetId: targetId ?? '',
@@ -229,8 +231,8 @@
           return;
         }
         const { needsFreshConnection, suspicion, target } = decision;
-        const report = (outcome: GrantOutcome, latencyMs: number, answerBytes?: number) => {
-          book.recordOutcome(ticket, outcome, latencyMs, answerBytes);
+        const report = (outcome: GrantOutcome, latencyMs: number, answer?: IReportedAnswer) => {
+          book.recordOutcome(ticket, outcome, latencyMs, answer);
         };
         const grant = { target, home, suspicion, needsFreshConnection, report };
         resolve({ kind: 'granted', grant });
--- a/packages/dispatch/src/home/common/bookedTarget.ts
+++ b/packages/dispatch/src/home/common/bookedTarget.ts
@@ -20,6 +20,8 @@
   busyUntilMs = 0;
   /** Another target answered at its address. */
   isReplaced = false;
+  /** It said in an answer that it leaves, whatever the list of targets says. */
+  isLeaving = false;
   private readonly unreachableFrom = new Map<string, number>();
 
   constructor(
@@ -34,7 +36,7 @@
 
   /** Whether it may be given work at all. */
   get isReady(): boolean {
-    return !this.record.isDraining && !this.isReplaced;
+    return !this.record.isDraining && !this.isReplaced && !this.isLeaving;
   }
 
   hasFreeSlot(nowMs: number): boolean {
--- a/packages/dispatch/src/home/common/serviceBook.test.ts
+++ b/packages/dispatch/src/home/common/serviceBook.test.ts
@@ -314,3 +314,29 @@
   await bench.clock.advanceBy(6000);
   assert.equal(needsFresh(), false);
 });
+
+test('a target that told one entry that it leaves is granted to none', () => {
+  // Symptom: each entry sends a leaving target one request more, until each has been told by itself. Cause:
+  // the home goes by the list of targets, which may be seconds late while the store is away.
+  const bench = new Bench();
+  bench.book.setTargets([makeTarget('t1'), makeTarget('t2')]);
+  const told = bench.ask();
+  const leavingId = getTargetId(told.decision);
+  const answer = { answerBytes: 10, isLeaving: true };
+  bench.book.recordOutcome(told, GrantOutcome.Succeeded, LATENCY_MS, answer);
+  const next = Array.from({ length: 4 }, () => getTargetId(bench.ask({}, 'n2').decision));
+  assert.ok(!next.includes(leavingId));
+  bench.book.setTargets([makeTarget('t1', { bornMs: 5 }), makeTarget('t2', { bornMs: 5 })]);
+  const reborn = Array.from({ length: 8 }, () => getTargetId(bench.ask({}, 'n2').decision));
+  assert.ok(reborn.includes(leavingId));
+});
+
+test('a service whose targets all say that they leave refuses at once', () => {
+  const bench = new Bench();
+  bench.book.setTargets([makeTarget('t1')]);
+  const answer = { answerBytes: 10, isLeaving: true };
+  bench.book.recordOutcome(bench.ask(), GrantOutcome.Succeeded, LATENCY_MS, answer);
+  const { decision } = bench.ask();
+  assert.ok(decision?.kind === 'refused');
+  assert.equal(decision.code, ResultCode.NoTarget);
+});
--- a/packages/dispatch/src/home/common/serviceBook.ts
+++ b/packages/dispatch/src/home/common/serviceBook.ts
@@ -3,8 +3,8 @@
 import { ResultCode } from '@parsleymux/base';
 import type { ITargetRecord } from '../../catalog/common/catalog.js';
 import { isSameLife } from '../../catalog/common/catalog.js';
-import type { GrantDecision, IGrantRequest } from '../../grants/common/grant.js';
-import { GrantOutcome } from '../../grants/common/grant.js';
+import type { GrantDecision, IGrantRequest, IReportedAnswer } from '../../grants/common/grant.js';
+import { GrantOutcome, NO_ANSWER } from '../../grants/common/grant.js';
 import type { RequestQuarantine } from '../../quarantine/common/requestQuarantine.js';
 import { AnswerSizes } from './answerSizes.js';
 import { BookedTarget } from './bookedTarget.js';
@@ -159,10 +159,16 @@
   }
 
   /** Takes the outcome of a grant, or withdraws a question from the queue. */
-  recordOutcome(ticket: ITicket, outcome: GrantOutcome, latencyMs: number, answerBytes = 0): void {
+  recordOutcome(
+    ticket: ITicket,
+    outcome: GrantOutcome,
+    latencyMs: number,
+    { answerBytes, isLeaving }: IReportedAnswer = NO_ANSWER,
+  ): void {
     if (!(ticket instanceof Ticket)) return;
     this.queue.remove(ticket);
     const { target } = ticket;
+    if (isLeaving && target !== undefined) this.recordLeaving(target, ticket);
     if (!this.open.delete(ticket) || target === undefined) return;
     target.inUse -= 1;
     this.intake.record(ticket, target, { outcome, latencyMs, answerBytes });
@@ -187,6 +193,19 @@
     if (target?.record.bornMs === bornMs) target?.belief.applyEvidence(evidence);
   }
 
+  /** Another home was told that a target leaves. */
+  applyLeaving(targetId: string, bornMs: number | undefined): void {
+    const target = this.targets.get(targetId);
+    if (target !== undefined && target.record.bornMs === bornMs) target.isLeaving = true;
+  }
+
+  /** A target told an entry that it leaves: no other entry is to find out by itself. */
+  private recordLeaving(target: BookedTarget, ticket: Ticket): void {
+    if (target.isLeaving) return;
+    target.isLeaving = true;
+    this.serviceLog.logLeaving(ticket, target);
+  }
+
   /** Whether this node was asked for a grant within the last `windowMs`. */
   isAtWork(windowMs: number): boolean {
     return this.clock.getMonotonicTime() - this.lastAskedMs < windowMs;
--- a/packages/dispatch/src/home/common/serviceLog.ts
+++ b/packages/dispatch/src/home/common/serviceLog.ts
@@ -75,6 +75,16 @@
     });
   }
 
+  logLeaving({ node, request }: ILoggedTicket, target: BookedTarget): void {
+    this.options.log.info('target says that it leaves', {
+      request: request.requestId,
+      entry: node,
+      service: this.options.service,
+      target: target.record.id,
+      isListedAsDraining: target.record.isDraining,
+    });
+  }
+
   /** Retries and grants of one moment that several homes gave are found by these lines. */
   logTakeOver(facts: ITakeOverFacts): void {
     this.options.log.info('home takes over', { service: this.options.service, ...facts });
--- a/packages/lab/src/experiment/common/modelledNode.ts
+++ b/packages/lab/src/experiment/common/modelledNode.ts
@@ -13,6 +13,7 @@
   RequestQuarantine,
   RequestRunner,
   RetrySharing,
+  TargetNotices,
 } from '@parsleymux/dispatch';
 import { LeavingSchema } from '@parsleymux/schema';
 import type { FleetObserver } from './fleetObserver.js';
@@ -114,6 +115,7 @@
       selector,
       transport: this.transport,
       quarantine,
+      notices: new TargetNotices(clock),
       paths: new PathHealth(clock, findTarget),
       failureDomain,
       listTargets: (service) => homes.listTargets(service),
