Let the soak send requests that crash targets, and targets tell that they leave

New kinds of fault: a caller repeats a request under which the targets that run it end and come back as others, and a target that says in its answers that it leaves while its entry does not.

--- a/packages/lab/src/soak/common/checks.test.ts
+++ b/packages/lab/src/soak/common/checks.test.ts
@@ -29,6 +29,7 @@
   atMs: 10_010,
   hasRun: true,
   status: 200,
+  tellsDrain: false,
 };
 const REPLY: ISoakReply = {
   status: 200,
@@ -59,6 +60,7 @@
   const evidence: ISoakEvidence = {
     ledger,
     disturbances: new DisturbanceLog(),
+    crashes: [],
     drains: [],
     plannedStops: [],
     probes: [],
@@ -160,7 +162,7 @@
   }
   const findings = new Findings();
   const disturbances = new DisturbanceLog();
-  const rest = { drains: [], plannedStops: [], probes: [], versions: [] };
+  const rest = { crashes: [], drains: [], plannedStops: [], probes: [], versions: [] };
   checkSafety({ ledger, disturbances, ...rest }, findings);
   const broken = findings.list().find(({ name }) => name === 'repeats stay within the budget');
   assert.ok((broken?.violations ?? 0) > 0);
--- a/packages/lab/src/soak/common/soakEvidence.ts
+++ b/packages/lab/src/soak/common/soakEvidence.ts
@@ -32,11 +32,18 @@
   readonly acceptedMs: number;
 }
 
+/** A target that crashed under a request. */
+export interface ISoakCrash {
+  readonly path: string;
+  readonly atMs: number;
+}
+
 /** All that a run has seen. */
 export interface ISoakEvidence {
   readonly ledger: SoakLedger;
   readonly disturbances: DisturbanceLog;
   readonly drains: readonly IDrain[];
+  readonly crashes: readonly ISoakCrash[];
   readonly plannedStops: readonly IPlannedStop[];
   readonly probes: readonly IVersionProbe[];
   readonly versions: readonly IAcceptedVersion[];
--- a/packages/lab/src/soak/common/soakFaultKind.ts
+++ b/packages/lab/src/soak/common/soakFaultKind.ts
@@ -19,6 +19,10 @@
   ForeignEntry: 'foreign-entry',
   ConfigChange: 'config-change',
   ConfigStorm: 'config-storm',
+  /** A caller repeats a request that crashes the targets that run it. */
+  CrashingRequest: 'crashing-request',
+  /** A target says in its answers that it leaves, and its entry does not. */
+  TargetTellsDrain: 'target-tells-drain',
 } as const;
 
 export type SoakFaultKind = (typeof SoakFaultKind)[keyof typeof SoakFaultKind];
@@ -26,9 +30,14 @@
 export const SOAK_FAULT_KINDS: readonly SoakFaultKind[] = Object.values(SoakFaultKind);
 
 /**
- * Kinds that schedules were drawn from when the regression seeds were found: a kind more would make
- * other schedules of the same seeds.
+ * Kinds that schedules were drawn from when earlier seeds failed: a kind more would make other schedules
+ * of the same seeds.
  */
-export const FIRST_FAULT_KINDS: readonly SoakFaultKind[] = SOAK_FAULT_KINDS.filter((kind) => {
+export const SECOND_FAULT_KINDS: readonly SoakFaultKind[] = SOAK_FAULT_KINDS.filter((kind) => {
+  return kind !== SoakFaultKind.CrashingRequest && kind !== SoakFaultKind.TargetTellsDrain;
+});
+
+/** The same for the regression seeds. */
+export const FIRST_FAULT_KINDS: readonly SoakFaultKind[] = SECOND_FAULT_KINDS.filter((kind) => {
   return kind !== SoakFaultKind.TargetRestart && kind !== SoakFaultKind.ForeignEntry;
 });
--- a/packages/lab/src/soak/common/soakLayout.ts
+++ b/packages/lab/src/soak/common/soakLayout.ts
@@ -9,6 +9,8 @@
 export const SOAK_FAILURE_DOMAINS = ['north', 'south', 'west'] as const;
 export const BOOKING_PREFIX = '/bookings/';
 export const LISTING_PREFIX = '/lists/';
+/** Listings below it crash the targets that run them. */
+export const CRASH_PREFIX = `${LISTING_PREFIX}crash-`;
 /** Targets that one request may be sent to, at most. */
 export const MAX_ATTEMPTS = 2;
 /** Longest that a request may take, in s. */
--- a/packages/lab/src/soak/common/soakLedger.ts
+++ b/packages/lab/src/soak/common/soakLedger.ts
@@ -1,7 +1,7 @@
 /** What callers sent and got, and what targets ran: the outside view of one run. */
 
 /** Kinds of request that the soak's callers send. */
-export type SoakRequestKind = 'booking' | 'list' | 'probe';
+export type SoakRequestKind = 'booking' | 'list' | 'probe' | 'crash';
 
 /** One request of a caller. */
 export interface ISoakRequest {
@@ -44,6 +44,8 @@
   readonly hasRun: boolean;
   /** Status that the target answered with, or would have. */
   readonly status: number;
+  /** Whether the answer says that the target leaves. */
+  readonly tellsDrain: boolean;
 }
 
 /** An arrival with the end of its work. */
--- a/packages/lab/src/soak/node/main.ts
+++ b/packages/lab/src/soak/node/main.ts
@@ -8,7 +8,12 @@
 import { parseFaultKinds } from '../../prove/common/faultKindList.js';
 import { makeSchedule } from '../../prove/common/faultSchedule.js';
 import { formatBreakModule, listBreakModules } from '../../prove/node/breakModules.js';
-import { FIRST_FAULT_KINDS, SOAK_FAULT_KINDS } from '../common/soakFaultKind.js';
+import type { SoakFaultKind } from '../common/soakFaultKind.js';
+import {
+  FIRST_FAULT_KINDS,
+  SECOND_FAULT_KINDS,
+  SOAK_FAULT_KINDS,
+} from '../common/soakFaultKind.js';
 import { REGRESSION_SEEDS } from '../common/regressionSeeds.js';
 import { runSoak } from './soakRun.js';
 
@@ -16,7 +21,8 @@
 /** The break that is not inside the nodes. */
 const LAX_TARGETS = 'laxTargets';
 const USAGE = `npm run soak -- [--seed N] [--runs COUNT] [--seconds S] [--spacing MS] [--nodes COUNT]
-  [--targets COUNT] [--only KIND,KIND] [--break NAME] [--logs DIRECTORY] [--regressions]
+  [--targets COUNT] [--only KIND,KIND] [--break NAME] [--logs DIRECTORY] [--regressions] [--second]
+--second: without the kinds that came last, for seeds that failed before there were these
 kinds: ${SOAK_FAULT_KINDS.join(', ')}
 breaks: ${[LAX_TARGETS, ...listBreakModules(BREAKS)].join(', ')}`;
 
@@ -32,6 +38,7 @@
     break: { type: 'string', default: '' },
     logs: { type: 'string', default: 'out/soak' },
     regressions: { type: 'boolean', default: false },
+    second: { type: 'boolean', default: false },
     help: { type: 'boolean', default: false },
   },
 });
@@ -51,8 +58,13 @@
   console.log(`logs are in ${directory}`);
 }
 
+function getKinds(): readonly SoakFaultKind[] {
+  if (values.regressions) return FIRST_FAULT_KINDS;
+  return values.second ? SECOND_FAULT_KINDS : SOAK_FAULT_KINDS;
+}
+
 async function runSeed(seed: number, seconds: number): Promise<boolean> {
-  const known = values.regressions ? FIRST_FAULT_KINDS : SOAK_FAULT_KINDS;
+  const known = getKinds();
   const kinds = parseFaultKinds(values.only, known);
   const schedule = makeSchedule({ seed, seconds, spacingMs: Number(values.spacing), kinds });
   console.log(`\nseed ${seed}, ${seconds} s, ${schedule.length} faults`);
--- a/packages/lab/src/soak/node/soakCaller.ts
+++ b/packages/lab/src/soak/node/soakCaller.ts
@@ -112,6 +112,31 @@
   return reply.stamp === undefined ? undefined : true;
 }
 
+/** Sends one copy of a request that crashes the targets that run it. */
+export async function sendCrashingRequest(
+  node: SoakNode,
+  path: string,
+  ledger: SoakLedger,
+): Promise<void> {
+  const sentMs = performance.now();
+  const sent: ISoakRequest = {
+    id: `crash-${node.name}-${Math.round(sentMs * 10)}`,
+    kind: 'crash',
+    method: 'GET',
+    path,
+    body: '',
+    node: node.name,
+    life: node.life,
+    sentMs,
+  };
+  ledger.recordRequest(sent);
+  const agent = new Agent({ keepAlive: false });
+  ledger.recordReply(
+    sent.id,
+    await sendRequest(node.front, sent, { agent, leavesAfterMs: Infinity }),
+  );
+}
+
 interface ISendOptions {
   readonly agent: Agent;
   readonly leavesAfterMs: number;
--- a/packages/lab/src/soak/node/soakFaults.ts
+++ b/packages/lab/src/soak/node/soakFaults.ts
@@ -4,8 +4,9 @@
 import type { EndFault, Injection } from '../../prove/node/faultInjector.js';
 import { endNothing, pickElement } from '../../prove/node/faultInjector.js';
 import { STORE_SCOPE, formatLinkScope } from '../common/disturbanceLog.js';
-import { SOAK_BOUNDS } from '../common/soakLayout.js';
+import { CRASH_PREFIX, SOAK_BOUNDS } from '../common/soakLayout.js';
 import { SoakFaultKind } from '../common/soakFaultKind.js';
+import { sendCrashingRequest } from './soakCaller.js';
 import type { SoakNode } from './soakNode.js';
 import type { SoakTarget } from './soakTarget.js';
 import { TARGET_MODES, TargetMode } from './soakTarget.js';
@@ -18,6 +19,8 @@
 /** Longest delay of a link in one direction, in ms. */
 const LONGEST_DELAY_MS = 400;
 const STORM_PAUSE_MS = 150;
+/** Pause between two copies of a request that crashes targets, in ms. */
+const CRASHING_PAUSE_MS = 250;
 /** A process that was killed is started again after this, in ms. */
 const RESTART_MS = 300;
 /** An address goes to another target this long after the former one's entry went, in ms. */
@@ -72,6 +75,10 @@
       return Promise.resolve(endNothing);
     case SoakFaultKind.ConfigStorm:
       return Promise.resolve(startStorm(world));
+    case SoakFaultKind.CrashingRequest:
+      return Promise.resolve(startCrashingRequest(step, world));
+    case SoakFaultKind.TargetTellsDrain:
+      return withTarget(step, world, (target) => startToldDrain(target, world));
   }
 }
 
@@ -278,6 +285,34 @@
   });
 }
 
+/** The caller goes on until the run ends: what is held back stays so. */
+function startCrashingRequest(step: Step, world: SoakWorld): Injection {
+  const path = `${CRASH_PREFIX}${step.pick}`;
+  const timer = setInterval(() => {
+    const node = pickElement(
+      world.nodes.filter((one) => one.isUsable()),
+      Math.floor(performance.now()),
+    );
+    if (node !== undefined) void sendCrashingRequest(node, path, world.ledger);
+  }, CRASHING_PAUSE_MS);
+  return () => {
+    clearInterval(timer);
+    return Promise.resolve();
+  };
+}
+
+async function startToldDrain(target: SoakTarget, world: SoakWorld): Promise<EndFault> {
+  await world.openTarget(target.options.service);
+  target.tellsDrain = true;
+  const leave = async () => {
+    world.removeTarget(target);
+    markDisturbed(target.options.id, world);
+    await target.dispose();
+  };
+  setTimeout(() => void leave(), 2 * LEAVE_MS);
+  return endNothing;
+}
+
 function startStorm(world: SoakWorld): EndFault {
   const timer = setInterval(() => {
     world.putConfig();
--- a/packages/lab/src/soak/node/soakRun.ts
+++ b/packages/lab/src/soak/node/soakRun.ts
@@ -6,6 +6,7 @@
 import type { Findings } from '../../prove/common/findings.js';
 import { printChecks, printFaults } from '../../prove/node/proveReport.js';
 import { checkBounds } from '../common/boundChecks.js';
+import { checkNotices } from '../common/noticeChecks.js';
 import { checkSafety } from '../common/safetyChecks.js';
 import type { IVersionProbe } from '../common/soakEvidence.js';
 import type { SoakFaultKind } from '../common/soakFaultKind.js';
@@ -92,10 +93,13 @@
   await Promise.all(background);
   await sleep(REST_MS);
   checkRecovery(world, recoveredMs);
-  const { disturbances, drains, ledger, plannedStops, versions } = world;
-  const evidence = { disturbances, drains, ledger, plannedStops, probes, versions };
+  const { crashes, disturbances, drains, ledger, plannedStops, versions } = world;
+  const evidence = { crashes, disturbances, drains, ledger, plannedStops, probes, versions };
   checkSafety(evidence, world.findings);
-  if (options.checksBounds) checkBounds(evidence, world.findings);
+  if (options.checksBounds) {
+    checkBounds(evidence, world.findings);
+    checkNotices(evidence, world.findings);
+  }
   printFaults(runner.getCounts(), runner.getErrors());
   return summarizeRun(options, world);
 }
@@ -164,7 +168,8 @@
 
 function checkRecovery(world: SoakWorld, sinceMs: number): void {
   const late = world.ledger.listStories().filter(({ reply, request }) => {
-    return request.kind !== 'probe' && request.sentMs >= sinceMs && reply?.hasLeft !== true;
+    const isCounted = request.kind !== 'probe' && request.kind !== 'crash';
+    return isCounted && request.sentMs >= sinceMs && reply?.hasLeft !== true;
   });
   const served = late.filter(({ reply }) => reply?.status === 200).length;
   const isServed = late.length > 0 && served >= late.length * LEAST_SHARE_RECOVERED;
--- a/packages/lab/src/soak/node/soakTarget.ts
+++ b/packages/lab/src/soak/node/soakTarget.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { IDisposable, RandomSource } from '@parsleymux/base';
 import { FaultyLink, LoopbackServer } from '@parsleymux/standins';
+import { CRASH_PREFIX } from '../common/soakLayout.js';
 import { formatAnswerBody } from '../common/storyText.js';
 import type { ISoakArrival } from '../common/soakLedger.js';
 
@@ -52,6 +53,8 @@
   readonly isStrict: boolean;
   /** When it started, in ms of Unix time. */
   readonly bornMs: number;
+  /** A request that crashes it has run. */
+  readonly onCrash: (target: SoakTarget, path: string) => void;
   /** What a former target left at its address. Default: an address of its own. */
   readonly place?: ITargetPlace;
 }
@@ -67,6 +70,8 @@
   mode: TargetMode = TargetMode.Well;
   /** Share of the requests that the mode touches, from 0 to 1. */
   share = 1;
+  /** Whether its answers say that it leaves. */
+  tellsDrain = false;
   private running = 0;
   private readonly idleSinceMs = new WeakMap<object, number>();
   private readonly server: LoopbackServer;
@@ -144,6 +149,11 @@
     const workMs = MEAN_WORK_MS * factor * (0.5 + this.options.random.getFloat());
     await waitOrClose(request, workMs);
     this.running -= 1;
+    if (request.url?.startsWith(CRASH_PREFIX) === true && !request.socket.destroyed) {
+      recordEnd(performance.now());
+      this.options.onCrash(this, request.url);
+      return;
+    }
     if (mode === TargetMode.Hanging && !request.socket.destroyed) {
       request.socket.once('close', () => {
         recordEnd(performance.now());
@@ -161,7 +171,8 @@
     const { id, mode, status } = answer;
     const text = formatAnswerBody(id, this.options.id);
     const stamp = `${this.options.id}.${id}`;
-    const headers = { 'request-id': id, 'server-stamp': stamp };
+    const told = this.tellsDrain ? { 'server-leaving': '1' } : {};
+    const headers = { 'request-id': id, 'server-stamp': stamp, ...told };
     const raw = `HTTP/1.1 ${status} OK\r\nrequest-id: ${id}\r\nserver-stamp: ${stamp}\r\n`;
     const half = text.slice(0, text.length / 2);
     switch (mode) {
@@ -209,6 +220,7 @@
       service: this.options.service,
       method: request.method ?? '',
       path: request.url ?? '',
+      tellsDrain: this.tellsDrain,
       atMs: performance.now(),
     });
   }
--- a/packages/lab/src/soak/node/soakWorld.ts
+++ b/packages/lab/src/soak/node/soakWorld.ts
@@ -9,7 +9,7 @@
 import { ProcessFleet } from '../../processes/node/processFleet.js';
 import { Findings } from '../../prove/common/findings.js';
 import { DisturbanceLog } from '../common/disturbanceLog.js';
-import type { IAcceptedVersion, IDrain, IPlannedStop } from '../common/soakEvidence.js';
+import type { IAcceptedVersion, IDrain, IPlannedStop, ISoakCrash } from '../common/soakEvidence.js';
 import { SoakLedger } from '../common/soakLedger.js';
 import {
   SOAK_BOUNDS,
@@ -31,6 +31,9 @@
 const READY_LIMIT_MS = 60_000;
 const MAX_SEEDS = 3;
 
+/** A target that a request has crashed stays away for this long, in ms. */
+const CRASHED_FOR_MS = 2000;
+
 /** Options of a {@link SoakWorld}. */
 export interface ISoakWorldOptions {
   readonly seed: number;
@@ -47,6 +50,7 @@
   readonly ledger = new SoakLedger();
   readonly disturbances = new DisturbanceLog();
   readonly findings = new Findings();
+  readonly crashes: ISoakCrash[] = [];
   readonly drains: IDrain[] = [];
   readonly plannedStops: IPlannedStop[] = [];
   readonly versions: IAcceptedVersion[] = [];
@@ -127,6 +131,7 @@
       random: this.random,
       isStrict: this.options.hasLaxTargets !== true,
       recordArrival: (arrival) => this.ledger.recordArrival(arrival),
+      onCrash: (crashed, path) => void this.endTarget(crashed, path),
       ...(place === undefined ? {} : { place }),
     });
     await target.open();
@@ -148,6 +153,18 @@
     this.gone.push(target);
   }
 
+  /** A request has crashed a target: it is back some seconds later, as another one. */
+  private async endTarget(target: SoakTarget, path: string): Promise<void> {
+    if (!this.targets.includes(target)) return;
+    this.crashes.push({ path, atMs: performance.now() });
+    this.disturbances.start(target.options.id, performance.now());
+    this.releaseTarget(target);
+    await target.dispose();
+    await new Promise((resolve) => setTimeout(resolve, CRASHED_FOR_MS));
+    this.removeTarget(target);
+    await this.openTarget(target.options.service);
+  }
+
   /** Removes a target's entry. */
   removeTarget(target: SoakTarget): void {
     const index = this.targets.indexOf(target);
