Forget what spoke against a request together with its case

Cause: which requests had been lost with a target was kept by target, and stayed there when a request had succeeded or its case had made room for another; over weeks a node would have kept an entry for each request that was ever lost. Now every change of a case goes one way, which keeps the look-up in step. Test: a thousand lost requests, half of them served, with room for 16: up to 1,000 entries before.

--- a/packages/dispatch/src/entry/common/targetNotices.ts
+++ b/packages/dispatch/src/entry/common/targetNotices.ts
@@ -47,6 +47,7 @@
 
   /** Whether nothing is to be sent to the target now. */
   isExcluded(target: ITargetRecord): boolean {
+    if (this.notices.size === 0) return false;
     const notice = this.notices.get(formatLife(target));
     if (notice === undefined) return false;
     return notice.isLeaving || this.clock.getMonotonicTime() < notice.waitUntilMs;
--- a/packages/dispatch/src/quarantine/common/crashCase.ts
+++ b/packages/dispatch/src/quarantine/common/crashCase.ts
@@ -59,6 +59,11 @@
     return this.crashes.size;
   }
 
+  /** Targets that were lost under it, each with the life that ended. */
+  listTargets(): readonly string[] {
+    return [...this.crashes.keys()];
+  }
+
   get trialCount(): number {
     return this.trials;
   }
--- a/packages/dispatch/src/quarantine/common/requestQuarantine.test.ts
+++ b/packages/dispatch/src/quarantine/common/requestQuarantine.test.ts
@@ -194,6 +194,16 @@
   assert.deepEqual(held, [REQUEST]);
 });
 
+test('what a thousand lost and served requests leave behind is bounded', async () => {
+  const bench = new Bench(16);
+  for (let index = 0; index < 1000; index += 1) {
+    const fingerprint = (0x1000 + index).toString(16);
+    await bench.lose(`i-${index}`, fingerprint);
+    if (index % 2 === 0) bench.quarantine.recordSuccess([fingerprint]);
+  }
+  assert.ok(bench.quarantine.countKept() <= 2 * 16);
+});
+
 test('a request is known by its path too, where copies differ in the query', async () => {
   const bench = new Bench();
   for (const [query, target] of [
--- a/packages/dispatch/src/quarantine/common/requestQuarantine.ts
+++ b/packages/dispatch/src/quarantine/common/requestQuarantine.ts
@@ -39,11 +39,11 @@
  *
  * @example
  * quarantine.recordLoss(attempt);
- * const holdMs = quarantine.getHoldMs(fingerprint);
+ * const holdMs = quarantine.getHoldMs(fingerprints);
  */
 export class RequestQuarantine {
   private readonly cases = new Map<string, CrashCase>();
-  /** Fingerprints of the requests under which a target was lost, by target. */
+  /** Fingerprints of the requests under which a target was lost, by the target's life. */
   private readonly accusers = new Map<string, Set<string>>();
   private readonly losses = new LossLog();
   private readonly changed = new Emitter<ICaseRecord>();
@@ -81,17 +81,16 @@
 
   /** A target answered an attempt that it was granted after it had seemed to be lost. */
   recordAnswer(target: string, grantedMs: number): void {
-    for (const fingerprint of this.accusers.get(target) ?? []) {
+    for (const fingerprint of [...(this.accusers.get(target) ?? [])]) {
       const found = this.cases.get(fingerprint);
-      const crashesBefore = found?.crashCount ?? 0;
-      if (found?.removeCrash(target, grantedMs) !== true) continue;
-      this.accusers.get(target)?.delete(fingerprint);
+      if (found === undefined) continue;
+      const crashesBefore = found.crashCount;
+      if (!this.updateCase(found, () => found.removeCrash(target, grantedMs))) continue;
       // Whoever was told of the verdict has to hear that it does not stand.
       const isRefuted = crashesBefore === CRASHES_TO_HOLD;
       if (isRefuted) this.release(fingerprint, 'a target was not lost');
       else if (found.crashCount === 0) this.cases.delete(fingerprint);
     }
-    if (this.accusers.get(target)?.size === 0) this.accusers.delete(target);
   }
 
   /** Lets a request go. False if nothing is known of it. */
@@ -100,7 +99,9 @@
     if (found === undefined || found.crashCount === 0) return false;
     const wasTold = found.crashCount >= CRASHES_TO_TELL;
     const wasConvicted = found.isConvicted;
-    found.clear(this.now);
+    this.updateCase(found, () => {
+      found.clear(this.now);
+    });
     if (!wasTold) {
       this.cases.delete(fingerprint);
       return true;
@@ -118,8 +119,7 @@
     const found = known ?? this.open(record.fingerprint);
     const wasHeld = found.isHeld(this.now);
     const crashesBefore = found.crashCount;
-    if (!found.merge(record, this.now)) return;
-    for (const { target } of record.crashes) this.addAccuser(target, record.fingerprint);
+    if (!this.updateCase(found, () => found.merge(record, this.now))) return;
     const isHeld = found.isHeld(this.now);
     // The sender did not know enough for the verdict: then it comes from here.
     const isDecidedHere = Math.max(crashesBefore, record.crashes.length) < CRASHES_TO_HOLD;
@@ -145,15 +145,20 @@
     return this.listRecords((found) => found.isConvicted || found.lastClearedMs > oldestMs);
   }
 
-  private listRecords(isListed: (found: CrashCase) => boolean): readonly ICaseRecord[] {
-    const nowMs = this.now;
-    return [...this.cases.values()].filter(isListed).map((found) => found.toRecord(nowMs));
+  /** Cases, and targets by which they are looked up; both are bounded. */
+  countKept(): number {
+    return this.cases.size + this.accusers.size;
   }
 
   private get now(): number {
     return this.options.clock.getMonotonicTime();
   }
 
+  private listRecords(isListed: (found: CrashCase) => boolean): readonly ICaseRecord[] {
+    const nowMs = this.now;
+    return [...this.cases.values()].filter(isListed).map((found) => found.toRecord(nowMs));
+  }
+
   private startTrial(fingerprint: string, requestId: string): void {
     const found = this.cases.get(fingerprint);
     if (found?.isConvicted !== true) return;
@@ -173,12 +178,14 @@
     const wasConvicted = found.isConvicted;
     const nowMs = this.now;
     this.losses.record(target, fingerprint, nowMs);
-    // By now it is known what else was lost at the moments of the earlier ones.
-    if (!wasConvicted) {
-      found.removeExplained((atMs) => this.losses.isCommonCause(fingerprint, atMs));
-    }
-    if (!found.recordLoss({ target, grantedMs, atMs: nowMs })) return;
-    this.addAccuser(target, fingerprint);
+    const isCounted = this.updateCase(found, () => {
+      // By now it is known what else was lost at the moments of the earlier ones.
+      if (!wasConvicted) {
+        found.removeExplained((atMs) => this.losses.isCommonCause(fingerprint, atMs));
+      }
+      return found.recordLoss({ target, grantedMs, atMs: nowMs });
+    });
+    if (!isCounted) return;
     if (found.crashCount < CRASHES_TO_TELL) return;
     this.options.log.warn('targets are lost under one request', {
       request: requestId,
@@ -197,10 +204,23 @@
     if (isDecision) this.held.fire(record);
   }
 
-  private addAccuser(target: string, fingerprint: string): void {
-    const accusers = this.accusers.get(target) ?? new Set();
-    accusers.add(fingerprint);
-    this.accusers.set(target, accusers);
+  /** Changes a case, and keeps the look-up by target in step with it. */
+  private updateCase<T>(found: CrashCase, apply: () => T): T {
+    const before = found.listTargets();
+    const result = apply();
+    const after = found.listTargets();
+    for (const target of before) if (!after.includes(target)) this.removeAccuser(target, found);
+    for (const target of after) {
+      const accusers = this.accusers.get(target) ?? new Set();
+      this.accusers.set(target, accusers.add(found.fingerprint));
+    }
+    return result;
+  }
+
+  private removeAccuser(target: string, { fingerprint }: CrashCase): void {
+    const accusers = this.accusers.get(target);
+    accusers?.delete(fingerprint);
+    if (accusers?.size === 0) this.accusers.delete(target);
   }
 
   private open(fingerprint: string): CrashCase {
@@ -218,21 +238,18 @@
     const { maxCases = MAX_CASES } = this.options;
     if (this.cases.size < maxCases) return;
     const oldestMs = this.now - FORGET_MS;
-    for (const [fingerprint, { isConvicted, lastMs }] of this.cases) {
-      if (!isConvicted && lastMs < oldestMs) this.remove(fingerprint);
+    for (const found of this.cases.values()) {
+      if (!found.isConvicted && found.lastMs < oldestMs) this.remove(found);
     }
     if (this.cases.size < maxCases) return;
     const [weakest] = [...this.cases.values()].sort((left, right) => {
       return left.crashCount - right.crashCount || left.lastMs - right.lastMs;
     });
-    if (weakest !== undefined) this.remove(weakest.fingerprint);
+    if (weakest !== undefined) this.remove(weakest);
   }
 
-  private remove(fingerprint: string): void {
-    this.cases.delete(fingerprint);
-    for (const [target, accusers] of this.accusers) {
-      accusers.delete(fingerprint);
-      if (accusers.size === 0) this.accusers.delete(target);
-    }
+  private remove(found: CrashCase): void {
+    this.cases.delete(found.fingerprint);
+    for (const target of found.listTargets()) this.removeAccuser(target, found);
   }
 }
