--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -26,8 +26,8 @@
 const SILENT_PEER_MS = 4500;
 /**
  * While the nodes of a new fleet appear on the list, those that tell the others change with each that
- * is added, and copies get older than usual, in ms: no caller waits for the news yet. Of 293 nodes 150
- * read three tables for themselves in that time, a third of all calls of their first 20 s.
+ * is added, and copies get older than usual, in ms: no caller waits for the news yet. Half of
+ * a large fleet would read all tables for itself in that time.
  */
 const NEW_FLEET_MS = 5000;
 const NEW_FLEET_PATIENCE_MS = 2500;
--- a/packages/dispatch/src/directory/node/stateServer.ts
+++ b/packages/dispatch/src/directory/node/stateServer.ts
@@ -12,8 +12,7 @@
 const TABLE_PREFIX = '/tables/';
 /**
  * Longest wait for a peer, in ms. When a fleet starts, sixty nodes fetch tables of 70 KB from one: that
- * is 1.7 s of a link of 20 Mbit/s. Given up after 500 ms and begun anew, 904 fetches failed within
- * 5 s of the start of 293 nodes.
+ * is 1.7 s of a link of 20 Mbit/s. Given up sooner and begun anew, most of them would fail.
  */
 const FETCH_TIMEOUT_MS = 2000;
 const OK = 200;
--- a/packages/dispatch/src/entry/common/requestRun.ts
+++ b/packages/dispatch/src/entry/common/requestRun.ts
@@ -1,24 +1,22 @@
 /** One request from its first attempt to its final answer. */
 import type { Clock } from '@parsleymux/base';
 import { ResultCode, RunState } from '@parsleymux/base';
-import type { Header, ITargetAnswer, TargetTransport } from '@parsleymux/routing';
+import type { ITargetAnswer } from '@parsleymux/routing';
 import type { ITargetRecord } from '../../catalog/common/catalog.js';
 import { formatLife } from '../../catalog/common/catalog.js';
 import { GrantOutcome } from '../../grants/common/grant.js';
 import type { IGrant, Selection, TargetSelector } from '../../grants/common/targetSelector.js';
 import type { RequestQuarantine } from '../../quarantine/common/requestQuarantine.js';
-import type { AnswerCheck, IAttemptResult } from './attemptOutcome.js';
-import { decideAnswerOutcome, decideFailureOutcome } from './attemptOutcome.js';
+import type { IAttemptResult } from './attemptOutcome.js';
+import type { IAttemptSenderOptions } from './attemptSender.js';
+import { AttemptSender } from './attemptSender.js';
 import { CancellableAttempt } from './cancellableAttempt.js';
 import { makeOwnAnswer, makeTargetAnswer } from './entryAnswer.js';
 import type { IAttemptRecord, IEntryAnswer, IEntryRequest } from './entryRequest.js';
 import type { PathHealth } from './pathHealth.js';
-import type { TargetNotices } from './targetNotices.js';
 
 /** Grants that may come to nothing before a byte was sent, per request: each costs one connect time. */
 const MAX_UNSENT = 4;
-/** Answers above this size are not taken, in bytes: half of what a small VM can spare. */
-const MAX_ANSWER_BYTES = 67_108_864;
 /**
  * Share of its objective after which a request that may be repeated is sent to a second target too:
  * an answer within the objective is then still likely, and few requests usually take so long.
@@ -26,32 +24,17 @@
 const PATIENCE_SHARE = 0.6;
 /** When to come back after a request that no target took, in ms: about one request's work. */
 const DEFAULT_RETRY_MS = 250;
-/** The target is told to stop this much sooner, in ms, so that its own last word still arrives. */
-const TARGET_MARGIN_MS = 20;
 
 /** Options of a {@link RequestRunner}. */
-export interface IRequestRunnerOptions {
-  readonly clock: Clock;
+export interface IRequestRunnerOptions extends IAttemptSenderOptions {
   readonly selector: TargetSelector;
-  readonly transport: TargetTransport;
   readonly paths: PathHealth;
   readonly quarantine: RequestQuarantine;
-  readonly notices: TargetNotices;
   readonly failureDomain: string;
   /** The targets of a service, as far as this node knows them. */
   readonly listTargets: (service: string) => readonly ITargetRecord[];
-  readonly isAuthentic: AnswerCheck;
-  /** Headers that are added for one target. */
-  readonly listTargetHeaders: (targetId: string) => readonly Header[];
 }
 
-/** A target was granted that nothing may be sent to any more. */
-const NOT_SENT: IAttemptResult = {
-  outcome: GrantOutcome.Abandoned,
-  mayHaveRun: false,
-  answer: undefined,
-};
-
 type Refusal = Extract<Selection, { kind: 'refused' }>;
 
 interface IRunState {
@@ -75,7 +58,11 @@
  * const answer = await runner.run(request, signal);
  */
 export class RequestRunner {
-  constructor(private readonly options: IRequestRunnerOptions) {}
+  private readonly sender: AttemptSender;
+
+  constructor(private readonly options: IRequestRunnerOptions) {
+    this.sender = new AttemptSender(options);
+  }
 
   /** Rejects only when `signal` aborts: the caller left. */
   async run(request: IEntryRequest, signal: AbortSignal): Promise<IEntryAnswer> {
@@ -224,7 +211,10 @@
   ): Promise<IAttemptResult> {
     const { clock } = this.options;
     const startMs = clock.getMonotonicTime();
-    const result = await this.send(request, grant, attempt.signal);
+    const result = await this.sender.send(request, grant.target, {
+      signal: attempt.signal,
+      needsFreshConnection: grant.needsFreshConnection,
+    });
     const latencyMs = clock.getMonotonicTime() - startMs;
     attempt.end();
     const answerBytes = countBodyBytes(result.answer);
@@ -251,43 +241,6 @@
     return result;
   }
 
-  private async send(
-    request: IEntryRequest,
-    grant: IGrant,
-    signal: AbortSignal,
-  ): Promise<IAttemptResult> {
-    const { target } = grant;
-    const remainingMs = this.getRemainingMs(request);
-    // The grant may have waited in a queue; the target may have told this node meanwhile.
-    if (this.options.notices.isExcluded(target)) return NOT_SENT;
-    try {
-      const answer = await this.options.transport.send(
-        {
-          target: target.address,
-          // Connections to a former life lead nowhere, or hang: each life has its own.
-          member: formatLife(target),
-          method: request.method,
-          path: request.path,
-          headers: [...request.headers, ...this.options.listTargetHeaders(target.id)],
-          body: request.body,
-          timeoutMs: remainingMs,
-          targetTimeoutMs: Math.max(1, remainingMs - TARGET_MARGIN_MS),
-        },
-        {
-          signal,
-          maxAnswerBytes: MAX_ANSWER_BYTES,
-          freshConnection: grant.needsFreshConnection,
-        },
-      );
-      const result = decideAnswerOutcome(answer, this.options.isAuthentic);
-      // What is not the target's own answer may bear anything.
-      if (result.outcome !== GrantOutcome.Broken) this.options.notices.record(target, answer);
-      return result;
-    } catch (error) {
-      return decideFailureOutcome(error);
-    }
-  }
-
   private recordPath(grant: IGrant, result: IAttemptResult): void {
     const { paths } = this.options;
     if (result.outcome === GrantOutcome.Unreachable) paths.recordBroken(grant.target);
--- a/packages/dispatch/src/home/common/creditSettings.ts
+++ b/packages/dispatch/src/home/common/creditSettings.ts
@@ -20,9 +20,8 @@
    */
   readonly waitMargin: number;
   /**
-   * How much of the cost of distance is credited to a doubtful target nearby, while nobody waits.
-   * Answers of 5 KB between failure domains: 0.74 to 0.54 KiB a request, failed 2.8% to 3.0% (16
-   * targets, three domains, 8 seeds of 32 s). Default 0.5.
+   * How much of the cost of distance is credited to a doubtful target nearby, while nobody waits:
+   * fewer bytes cross, and a few more requests fail. Default 0.5.
    */
   readonly nearTrials: number;
   /**
@@ -45,8 +44,8 @@
   readonly longestWait: number;
   /**
    * Credit that a request which can't be repeated may lose by trying a doubted target, for each whole
-   * share of the sound targets that is missing in use. With 2 two of 24 simulated losses of power
-   * found a service below its floor (failed 4.8%), with 3 none (4.9%), with 4 none (5.1%). Default 3.
+   * share of the sound targets that is missing in use: less lets services fall below their floor, more
+   * loses bookings for nothing. Default 3.
    */
   readonly trialLoss: number;
   /** Whether what a probe tells the waiting requests counts for it. Default true. */
--- a/packages/dispatch/src/home/common/expectedCreditPolicy.ts
+++ b/packages/dispatch/src/home/common/expectedCreditPolicy.ts
@@ -27,14 +27,12 @@
 const TRIAL_SHARE = 0.86;
 /**
  * Where a target gets fewer requests than this in 2 s, those that can't be repeated try none: each
- * doubted target is tried every few seconds, which is over one in a hundred of so few requests (with
- * 4.5 for each of 11 targets 4.1% failed in place of 2.9%).
+ * doubted target is tried every few seconds, which is over one in a hundred of so few requests.
  */
 const LEAST_REQUESTS_PER_TARGET = 6;
 /**
  * Above this share of the retry allowance, trials leave the rest to requests that failed. Trouble uses
- * up half of it, and trials are needed then: with 0.5 nine windows of five simulated days were below
- * the floor, with 0.8 one; failed 4.8% and 4.7%.
+ * up half of it, and trials are needed then.
  */
 const MOST_RETRIES_USED = 0.8;
 
@@ -115,8 +113,7 @@
   /**
    * Keeps enough targets in use, also while all is well: when much fails at one moment, the time over
    * which targets in use are counted has already begun. Left alone, a calm load keeps to few targets,
-   * and those that recovered stay unused, for no slot is wanted: with 92 targets 41 were in use, and
-   * of the others 19 had failed when asked last, but only 6 failed a few seconds later (one day of 30 s).
+   * and those that recovered stay unused, for no slot is wanted.
    */
   private findDue(free: readonly BookedTarget[], outlook: IOutlook): BookedTarget | undefined {
     const { state, waiting } = outlook;
@@ -138,8 +135,7 @@
    * nothing; of the doubted ones, the one that failed longest ago is tried first, and the sooner the
    * more targets are missing: a failed trial lowers what its target counts for, so the share rises and
    * the next one waits. With a fixed share, or one trial in so many requests, trials go on when none
-   * is needed. Bookings alone at 78 targets that lose power at once, 24 seeds: below the floor all
-   * before, none now; failed 4.05% and 4.95%; new connections for each request 0.25 and 0.22.
+   * is needed.
    */
   private findTrialOfSingle(
     free: readonly BookedTarget[],
--- a/packages/dispatch/src/home/common/homeService.ts
+++ b/packages/dispatch/src/home/common/homeService.ts
@@ -46,9 +46,7 @@
   }
 
   /**
-   * Few nodes are home to anything, and each wake-up of a weak VM finds the processor's caches cold. With
-   * the looks that the follower of a table saves: 0.0132 to 0.0126 of a core for each of 20 nodes in their
-   * first 18 s, three runs.
+   * Few nodes are home to anything, and each wake-up of a weak VM finds the processor's caches cold.
    */
   private startTimer(): void {
     if (!this.isStarted || this.books.size === 0) return;
--- a/packages/dispatch/src/home/common/serviceBook.ts
+++ b/packages/dispatch/src/home/common/serviceBook.ts
@@ -333,8 +333,7 @@
 
   /**
    * While kept connections break, only requests that would be lost with one take new ones; the others
-   * are sent once more. New connections are what a busy fleet pays most for: of 1,063 for 2,462 requests
-   * 234 were reads that had a kept one and could have been repeated (20 nodes, targets that flap).
+   * are sent once more. New connections are what a busy fleet pays most for.
    */
   private isReuseRisky({ mayRetry }: IGrantRequest, nowMs: number): boolean {
     if (!this.intake.isReuseAvoided(nowMs)) return false;
