--- a/packages/dispatch/src/quarantine/common/caseKeeper.test.ts
+++ b/packages/dispatch/src/quarantine/common/caseKeeper.test.ts
@@ -118,6 +118,18 @@
   assert.ok(late.quarantine.getHoldMs([REQUEST]) > 0);
 });
 
+test('a held request that comes no more is forgotten after a day, by the store as well', async () => {
+  const network = new MemoryNetwork(new ManualClock());
+  const store = new MemoryCaseStore();
+  const nodes = ['a', 'b'].map((name) => new Node(network, name, store, name === 'b'));
+  nodes[0]?.loseThree();
+  await network.clock.advanceBy(86_390_000);
+  assert.equal(store.rows.size, 1);
+  await network.clock.advanceBy(30_000);
+  for (const { quarantine } of nodes) assert.deepEqual(quarantine.listConvicted(), []);
+  assert.equal(store.rows.size, 0);
+});
+
 test('a request that an operator lets go is forgotten by the store as well', async () => {
   const network = new MemoryNetwork(new ManualClock());
   const store = new MemoryCaseStore();
--- a/packages/dispatch/src/quarantine/common/caseKeeper.ts
+++ b/packages/dispatch/src/quarantine/common/caseKeeper.ts
@@ -39,6 +39,7 @@
  */
 export class CaseKeeper implements IDisposable {
   private readonly decided: IDisposable;
+  private readonly expired: IDisposable;
   private readonly waiting = new Map<string, ICaseRecord>();
   private readonly background = new AbortController();
   private timer: IDisposable | undefined;
@@ -52,6 +53,9 @@
       this.add(record);
       this.startTimer(0);
     });
+    this.expired = options.quarantine.onDidExpire((fingerprint) => {
+      this.removeExpired(fingerprint);
+    });
   }
 
   start(): void {
@@ -61,6 +65,7 @@
 
   dispose(): void {
     void this.decided.dispose();
+    void this.expired.dispose();
     void this.timer?.dispose();
     this.background.abort(new Error('the node stops'));
   }
@@ -90,6 +95,13 @@
     return !this.hasRead && sinceStartMs < READ_WITHIN_MS;
   }
 
+  /** All nodes forget it at about the same time; one call is enough for a failure domain. */
+  private removeExpired(fingerprint: string): void {
+    if (!this.options.isReader()) return;
+    this.add({ fingerprint, crashes: [], trials: 0, holdMs: 0 });
+    this.startTimer(0);
+  }
+
   private add(record: ICaseRecord): void {
     this.waiting.delete(record.fingerprint);
     this.waiting.set(record.fingerprint, record);
--- a/packages/dispatch/src/quarantine/common/requestQuarantine.ts
+++ b/packages/dispatch/src/quarantine/common/requestQuarantine.ts
@@ -9,6 +9,8 @@
 const MAX_CASES = 1024;
 /** Without another crash, a request that is not held back is forgotten after this time, in ms. */
 const FORGET_MS = 600_000;
+/** One that is held back and comes no more is forgotten after this time, in ms. */
+const FORGET_CONVICTED_MS = 86_400_000;
 /** Others are told of a request from this many crashes on: most crashes are no request's fault. */
 const CRASHES_TO_TELL = 2;
 
@@ -48,11 +50,14 @@
   private readonly losses = new LossLog();
   private readonly changed = new Emitter<ICaseRecord>();
   private readonly held = new Emitter<ICaseRecord>();
+  private readonly expired = new Emitter<string>();
 
   /** Fires with a case that other nodes have to know of, changed by what was seen here. */
   readonly onDidChange: Event<ICaseRecord> = this.changed.onDidFire;
   /** Fires when the verdict on a request changes by what was seen here; it has to outlive the fleet. */
   readonly onDidDecide: Event<ICaseRecord> = this.held.onDidFire;
+  /** Fires with the fingerprint of a held request that is forgotten, since it came no more. */
+  readonly onDidExpire: Event<string> = this.expired.onDidFire;
 
   constructor(private readonly options: IRequestQuarantineOptions) {}
 
@@ -141,6 +146,7 @@
 
   /** What all nodes have to know, also which requests were found harmless lately. */
   listShared(): readonly ICaseRecord[] {
+    this.removeExpired();
     const oldestMs = this.now - FORGET_MS;
     return this.listRecords((found) => found.isConvicted || found.lastClearedMs > oldestMs);
   }
@@ -248,6 +254,17 @@
     if (weakest !== undefined) this.remove(weakest);
   }
 
+  /** Without it, nodes would tell each other for ever of requests that were mended long ago. */
+  private removeExpired(): void {
+    const oldestMs = this.now - FORGET_CONVICTED_MS;
+    for (const found of this.cases.values()) {
+      if (!found.isConvicted || found.lastMs > oldestMs) continue;
+      this.remove(found);
+      this.options.log.info('held request is forgotten', { fingerprint: found.fingerprint });
+      this.expired.fire(found.fingerprint);
+    }
+  }
+
   private remove(found: CrashCase): void {
     this.cases.delete(found.fingerprint);
     for (const target of found.listTargets()) this.removeAccuser(target, found);
