--- /dev/null
+++ b/packages/lab/src/soak/breaks/node/heldNever.ts
@@ -0,0 +1,10 @@
+/** Requests under which targets crash are sent on, whatever is known of them. */
+import { wrapMethod } from '../../../prove/breaks/node/wrapMethod.js';
+
+const MODULE = 'dispatch/dist/quarantine/common/requestQuarantine.js';
+
+await wrapMethod(MODULE, 'RequestQuarantine', 'getHoldMs', () => {
+  return function () {
+    return 0;
+  };
+});
