Tell lives of a target apart in the soak's check of told drains

Traced in the nodes' logs: the target had started again under its identifier 5 s after it had said so (ready again at 31.871 s, told at 26.683 s), and its new life does not leave. The check knew targets by identifier alone.

--- a/packages/lab/src/soak/common/checks.test.ts
+++ b/packages/lab/src/soak/common/checks.test.ts
@@ -30,6 +30,7 @@
   hasRun: true,
   status: 200,
   tellsDrain: false,
+  bornMs: 1,
 };
 const REPLY: ISoakReply = {
   status: 200,
--- a/packages/lab/src/soak/common/noticeChecks.ts
+++ b/packages/lab/src/soak/common/noticeChecks.ts
@@ -74,6 +74,7 @@
   });
 }
 
-function formatKey({ request }: ISoakStory, { target }: ISoakWork): string {
-  return `${request.node}/${request.life} ${target}`;
+/** A target that has started again under its identifier is another one, which does not leave. */
+function formatKey({ request }: ISoakStory, { bornMs, target }: ISoakWork): string {
+  return `${request.node}/${request.life} ${target}/${bornMs}`;
 }
--- a/packages/lab/src/soak/common/soakLedger.ts
+++ b/packages/lab/src/soak/common/soakLedger.ts
@@ -46,6 +46,8 @@
   readonly status: number;
   /** Whether the answer says that the target leaves. */
   readonly tellsDrain: boolean;
+  /** When the target started, in ms of Unix time: it may start again under its identifier. */
+  readonly bornMs: number;
 }
 
 /** An arrival with the end of its work. */
--- a/packages/lab/src/soak/node/soakTarget.ts
+++ b/packages/lab/src/soak/node/soakTarget.ts
@@ -221,6 +221,7 @@
       method: request.method ?? '',
       path: request.url ?? '',
       tellsDrain: this.tellsDrain,
+      bornMs: this.options.bornMs,
       atMs: performance.now(),
     });
   }
