--- /dev/null
+++ b/packages/lab/src/experiment/test/playedLimits.ts
@@ -0,0 +1,31 @@
+/** Plays scenarios for tests, and lists the limits that they broke. */
+import { readFileSync } from 'node:fs';
+import { ExperimentRun } from '../common/experimentRun.js';
+import type { IRunFigures } from '../common/figures.js';
+import type { ILimitViolation } from '../common/fleetObserver.js';
+import type { IScenario } from '../common/scenario.js';
+import { parsePolicy } from '../policies/policySpec.js';
+
+const SCENARIOS = new URL('../../../scenarios/', import.meta.url);
+
+/** Plays a scenario once with what the fleet does. */
+export function runScenario(name: string, seed: number): Promise<IRunFigures> {
+  const text = readFileSync(new URL(`${name}.json`, SCENARIOS), 'utf8');
+  const scenario = JSON.parse(text) as IScenario;
+  return new ExperimentRun(scenario, parsePolicy('expected-credit'), seed).run();
+}
+
+/** What broke one limit, in words, over some seeds. */
+export async function listViolations(
+  name: string,
+  limit: ILimitViolation['limit'],
+  seeds: readonly number[],
+): Promise<readonly string[]> {
+  const found: string[] = [];
+  for (const seed of seeds) {
+    const { violations } = await runScenario(name, seed);
+    const broken = violations.filter((violation) => violation.limit === limit);
+    found.push(...broken.map(({ atMs, service, text }) => `${service}, ${atMs} ms: ${text}`));
+  }
+  return found;
+}
