Ask a home again for the time that is left, not for the time that was

Cause: a request that waited at a home for a target which its entry could not use asked again, naming the time that was left at its first question; the home let it wait for all of it once more. Ruled out: a node that stood still (others on it were answered in 35 to 108 ms all the while). Test first: the second question named 1,500 ms where 700 were left; now what is left.

--- a/packages/dispatch/src/grants/common/homeSelector.test.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.test.ts
@@ -211,3 +211,30 @@
   assert.deepEqual(second.homes.getBook('booking').retries.listOwn(nowMs).requests, []);
   assert.equal(home.getInUse(), 0);
 });
+
+test('a request that has waited for a grant of no use asks again for the time that is left', async () => {
+  // Symptom: a request is refused 0.8 s after its time has ended. Sequence: it waits at the home for a target,
+  // the entry can't use the one that it is granted, and asks again. Cause: each question named the time that
+  // was left at the first one, so the home let the request wait for all of it once more.
+  // Proof: a node's log has one request with four grants of targets that it did not know, over 2.8 s of 2.
+  const { entry, home, network } = openNodes();
+  const held = [1, 2].map(() => entry.selector.choose(makeGrantRequest(), signal));
+  await network.clock.advanceBy(10);
+  const asks: number[] = [];
+  const handle = network.handlers.get('home');
+  network.handlers.set('home', (sender, body) => {
+    if (body.case === 'ask') asks.push(body.value.remainingMs);
+    handle?.(sender, body);
+  });
+  const waiting = entry.selector.choose(makeGrantRequest({ remainingMs: 1500 }), signal);
+  await network.clock.advanceBy(800);
+  entry.known.set(TARGET.id, { ...TARGET, isDraining: true });
+  const first = await held[0]!;
+  assert.ok(first.kind === 'granted');
+  first.grant.report(GrantOutcome.Succeeded, 5);
+  await network.clock.advanceBy(50);
+  assert.equal((await waiting).kind, 'refused');
+  assert.ok(Math.min(...asks) <= 700, `asked with ${asks.join(', ')} ms left`);
+  assert.ok((asks.at(-1) ?? 0) <= 700, `asked last with ${asks.at(-1)} ms left`);
+  assert.equal(home.getInUse(), 1);
+});
--- a/packages/dispatch/src/grants/common/homeSelector.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.ts
@@ -60,7 +60,13 @@
   }
 
   override async choose(request: IGrantRequest, signal: AbortSignal): Promise<Selection> {
-    const { channel, log } = this.options;
+    const { channel, clock, log } = this.options;
+    const endMs = clock.getMonotonicTime() + request.remainingMs;
+    // Each home lets a request wait for as long as it is told, whatever other questions took.
+    const makeRepeat = (): IGrantRequest => {
+      const remainingMs = Math.max(0, endMs - clock.getMonotonicTime());
+      return { ...request, isRepeated: true, remainingMs };
+    };
     const homes = this.options.rankHomes(request.service);
     const audible = homes.filter((home) => !this.health.isSilent(home)).slice(0, HOMES_ASKED);
     let asked = request;
@@ -72,7 +78,7 @@
       const answer = await this.requestGrant(home, asked, signal);
       // Counted by each home that hears of it, one request would earn the service several shares of
       // a retry.
-      asked = { ...request, isRepeated: true };
+      asked = makeRepeat();
       if (answer?.kind === 'unusable-target') {
         const excluded = [...request.excluded, answer.id];
         return this.choose({ ...asked, excluded }, signal);
