--- a/packages/dispatch/src/entry/common/attemptOutcome.ts
+++ b/packages/dispatch/src/entry/common/attemptOutcome.ts
@@ -16,8 +16,16 @@
   readonly mayHaveRun: boolean;
   /** The answer, if it may be handed to the caller. */
   readonly answer: ITargetAnswer | undefined;
+  /** Requests a second that the target takes, if its own answer named a limit. */
+  readonly rateLimit?: number | undefined;
 }
 
+const MISDIRECTED_RESULT: IAttemptResult = {
+  outcome: GrantOutcome.Misdirected,
+  mayHaveRun: false,
+  answer: undefined,
+};
+
 /**
  * Judges an answer.
  *
@@ -28,17 +36,19 @@
   answer: ITargetAnswer,
   isAuthentic: AnswerCheck,
 ): IAttemptResult {
+  const { rateLimit } = answer;
   if (answer.notRun) {
-    const outcome = answer.status === MISDIRECTED ? GrantOutcome.Misdirected : GrantOutcome.Shed;
-    return { outcome, mayHaveRun: false, answer: undefined };
+    // Another target answered: its limit is none of the one that was meant.
+    if (answer.status === MISDIRECTED) return MISDIRECTED_RESULT;
+    return { outcome: GrantOutcome.Shed, mayHaveRun: false, answer: undefined, rateLimit };
   }
   if (answer.status >= FIRST_SERVER_ERROR) {
-    return { outcome: GrantOutcome.Failed, mayHaveRun: true, answer };
+    return { outcome: GrantOutcome.Failed, mayHaveRun: true, answer, rateLimit };
   }
   if (!isAuthentic(answer)) {
     return { outcome: GrantOutcome.Broken, mayHaveRun: true, answer: undefined };
   }
-  return { outcome: GrantOutcome.Succeeded, mayHaveRun: true, answer };
+  return { outcome: GrantOutcome.Succeeded, mayHaveRun: true, answer, rateLimit };
 }
 
 const FAILURE_OUTCOMES: Readonly<Record<TransportFailure, GrantOutcome>> = {
--- a/packages/dispatch/src/entry/common/entryRequest.ts
+++ b/packages/dispatch/src/entry/common/entryRequest.ts
@@ -32,6 +32,8 @@
   readonly suspicion: number;
   readonly outcome: string;
   readonly latencyMs: number;
+  /** Requests a second that the target takes, if its answer named a limit. */
+  readonly rateLimit?: number | undefined;
 }
 
 /** The final answer to a request. */
--- a/packages/dispatch/src/entry/common/requestRun.test.ts
+++ b/packages/dispatch/src/entry/common/requestRun.test.ts
@@ -285,3 +285,12 @@
     [false, false],
   );
 });
+
+test('the record of an attempt says which limit the target named, also where it shed', async () => {
+  const shed = makeAnswer(503, { notRun: true, rateLimit: 0.5 });
+  const { answer } = await run([shed, makeAnswer(200, { rateLimit: 2 })], true);
+  assert.deepEqual(
+    answer.attempts.map(({ rateLimit }) => rateLimit),
+    [0.5, 2],
+  );
+});
--- a/packages/dispatch/src/entry/common/requestRun.ts
+++ b/packages/dispatch/src/entry/common/requestRun.ts
@@ -245,6 +245,7 @@
       suspicion: grant.suspicion,
       outcome: result.outcome,
       latencyMs: Math.round(latencyMs),
+      rateLimit: result.rateLimit,
     });
     return result;
   }
--- a/packages/routing/src/transport/common/targetProtocol.ts
+++ b/packages/routing/src/transport/common/targetProtocol.ts
@@ -27,6 +27,14 @@
 
   /** Whether the answer says that the target is draining. */
   abstract isDraining(headers: readonly Header[]): boolean;
+
+  /**
+   * Requests a second that the target takes from all nodes together, by the answer; undefined when it
+   * names no limit, or one that makes no sense.
+   */
+  readRateLimit(_headers: readonly Header[]): number | undefined {
+    return undefined;
+  }
 }
 
 /** The fleet's own headers. */
--- a/packages/routing/src/transport/common/targetTransport.ts
+++ b/packages/routing/src/transport/common/targetTransport.ts
@@ -41,6 +41,8 @@
   readonly notRun: boolean;
   /** The target's own word that it is draining. */
   readonly draining: boolean;
+  /** Requests a second that the target takes from all nodes together; absent if it names no limit. */
+  readonly rateLimit?: number | undefined;
   /** From the first byte sent to the answer's head, in ms. */
   readonly latencyMs: number;
 }
--- a/packages/routing/src/transport/node/exchange.ts
+++ b/packages/routing/src/transport/node/exchange.ts
@@ -208,6 +208,7 @@
       body,
       notRun: this.options.protocol.isNotRun(status, headers),
       draining: this.options.protocol.isDraining(headers),
+      rateLimit: this.options.protocol.readRateLimit(headers),
       latencyMs,
     };
   }
