Play targets that name a limit of requests, and check what all nodes together send them: red

The simulated fleet has targets that name a limit in their answers, and the observer counts what arrives from nodes that passed one on: above one and a half times the limit and five besides in 4 s, from 3 s after it was first named.

--- a/packages/lab/src/experiment/common/fleetObserver.ts
+++ b/packages/lab/src/experiment/common/fleetObserver.ts
@@ -120,6 +120,11 @@
     this.told.recordToldWait(pair, waitMs);
   }
 
+  /** A node got an answer in which the target names a limit of requests. */
+  recordNamedLimit(pair: IToldPair): void {
+    this.told.recordNamedLimit(pair);
+  }
+
   /**
    * A request that crashes targets reached one, sent by a node that had started at `nodeStartedMs`.
    * What the fleet knows needs its time to reach a node that has just started.
--- a/packages/lab/src/experiment/common/modelledTarget.ts
+++ b/packages/lab/src/experiment/common/modelledTarget.ts
@@ -15,6 +15,7 @@
   'crash',
   'drain',
   'drain-told',
+  'limit',
 ];
 
 /** What a target makes of one request. */
@@ -25,6 +26,8 @@
   readonly draining: boolean;
   /** For how long a target that sheds asks to be left alone, in ms. */
   readonly waitMs?: number | undefined;
+  /** Requests a second that it takes, if it names a limit. */
+  readonly rateLimit?: number | undefined;
 }
 
 /** A request as it reaches a target. */
@@ -122,7 +125,7 @@
       // It does no work, so it takes no slot either.
       const { failMs } = service.gray;
       return clock.startTimer(failMs, () => {
-        answer({ status: FAILED, notRun: false, draining: this.isTellingDrain() });
+        answer(this.makeAnswer(FAILED));
       });
     }
     const workMs = arrival.workMs * this.getSlowness();
@@ -137,6 +140,12 @@
     };
   }
 
+  /** Requests a second that it takes now; undefined while it names no limit. */
+  getRateLimit(): number | undefined {
+    const rates = this.listTouching('limit').flatMap(({ ratePerS }) => ratePerS ?? []);
+    return rates.length === 0 ? undefined : Math.min(...rates);
+  }
+
   /** What an observer who knows the truth sees of it. */
   toObserved(): IObservedTarget {
     return {
@@ -193,8 +202,7 @@
         return;
       }
       this.running.delete(job);
-      const draining = this.isTellingDrain();
-      if (!job.isCancelled) job.answer({ status: OK, notRun: false, draining });
+      if (!job.isCancelled) job.answer(this.makeAnswer(OK));
       this.startNext();
     });
   }
@@ -218,8 +226,12 @@
 
   private makeShed(): IModelledAnswer {
     const [event] = this.listTouching('shed');
+    return { ...this.makeAnswer(SHED), notRun: true, waitMs: event?.waitMs };
+  }
+
+  private makeAnswer(status: number): IModelledAnswer {
     const draining = this.isTellingDrain();
-    return { status: SHED, notRun: true, draining, waitMs: event?.waitMs };
+    return { status, notRun: false, draining, rateLimit: this.getRateLimit() };
   }
 
   private isTellingDrain(): boolean {
--- a/packages/lab/src/experiment/common/modelledTransport.ts
+++ b/packages/lab/src/experiment/common/modelledTransport.ts
@@ -64,7 +64,7 @@
       await clock.sleep(CONNECT_MS);
     }
     const startMs = clock.getMonotonicTime();
-    const { draining, notRun, status, waitMs } = await this.runExchange(
+    const { draining, notRun, rateLimit, status, waitMs } = await this.runExchange(
       target,
       request,
       options.signal,
@@ -75,7 +75,7 @@
     if (this.options.isFar(target)) this.crossedBytes += body.byteLength;
     const headers: Header[] =
       waitMs === undefined ? [] : [['retry-after', String(waitMs / MS_PER_S)]];
-    return { status, notRun, latencyMs, body, headers, draining };
+    return { status, notRun, latencyMs, body, headers, draining, rateLimit };
   }
 
   override retireConnections(_member: string, target: string): void {
@@ -131,6 +131,7 @@
           target: life,
           sentMs,
           atMs: nowMs,
+          ratePerS: target.getRateLimit(),
         });
         if (crash !== undefined) observer.recordCrashingArrival(crash.name, nowMs, startedMs);
         job = target.accept({
@@ -144,6 +145,7 @@
               const told = { node, target: life, atMs: clock.getMonotonicTime() };
               if (answer.draining) observer.recordToldDraining(told);
               if (answer.waitMs !== undefined) observer.recordToldWait(told, answer.waitMs);
+              if (answer.rateLimit !== undefined) observer.recordNamedLimit(told);
               resolve(answer);
             });
           },
--- a/packages/lab/src/experiment/common/requestLimits.test.ts
+++ b/packages/lab/src/experiment/common/requestLimits.test.ts
@@ -40,3 +40,13 @@
   // same node 100 ms later. Cause: how long a shed target is spared is fixed, whatever it says.
   assert.deepEqual(await listViolations('told-to-wait', 'wait', [1, 2]), []);
 });
+
+test('a target that names a limit gets no more from all nodes together', async () => {
+  // Guards against limits in answers that nobody reads, or that each node keeps to by itself.
+  assert.deepEqual(await listViolations('named-limits-calm', 'rate', [1, 2]), []);
+});
+
+test('a named limit holds while homes are lost and nodes start anew', async () => {
+  // Guards against a home that takes over and does not know the limit, or what was sent before it.
+  assert.deepEqual(await listViolations('named-limits', 'rate', [1, 2]), []);
+});
--- a/packages/lab/src/experiment/common/scenario.ts
+++ b/packages/lab/src/experiment/common/scenario.ts
@@ -87,6 +87,8 @@
     | 'drain'
     /** Targets say in their answers that they leave; the list of targets does not say so. */
     | 'drain-told'
+    /** Targets name in their answers how many requests a second they take. */
+    | 'limit'
     | 'home-loss'
     /** Nodes are told to stop, a batch each `gapMs`, and start anew. */
     | 'restart'
@@ -100,6 +102,8 @@
   readonly factor?: number;
   /** Of `shed`: for how long targets ask to be left alone. Default: they don't say. */
   readonly waitMs?: number;
+  /** Of `limit`: requests a second that each target takes from all nodes together. */
+  readonly ratePerS?: number;
   /** Nodes of one batch of restarts. Default 1. */
   readonly batch?: number;
   /** Between two batches, in ms. Default 1,000. */
--- a/packages/lab/src/experiment/common/toldLimits.ts
+++ b/packages/lab/src/experiment/common/toldLimits.ts
@@ -1,4 +1,5 @@
 /** What targets have told single nodes, and whether the nodes kept to it. */
+import { NamedLimits } from './namedLimits.js';
 
 /** A node that was told that a target leaves sends it nothing that came this much later, in ms. */
 const DRAIN_MS = 2000;
@@ -19,11 +20,13 @@
   readonly service: string;
   /** When the caller sent it. */
   readonly sentMs: number;
+  /** Requests a second that the target takes at that moment; undefined while it names no limit. */
+  readonly ratePerS?: number | undefined;
 }
 
 /** One thing that was not kept to. */
 export interface IToldViolation {
-  readonly limit: 'drain' | 'wait';
+  readonly limit: 'drain' | 'wait' | 'rate';
   readonly service: string;
   readonly atMs: number;
   readonly text: string;
@@ -44,6 +47,7 @@
   readonly violations: IToldViolation[] = [];
   private readonly draining = new Map<string, number>();
   private readonly waits = new Map<string, IToldWait[]>();
+  private readonly named = new NamedLimits();
 
   recordToldDraining(pair: IToldPair): void {
     const key = formatKey(pair);
@@ -58,9 +62,15 @@
     this.waits.set(key, waits);
   }
 
+  recordNamedLimit(pair: IToldPair): void {
+    this.named.recordNamed(pair);
+  }
+
   recordArrival(arrival: INodeArrival): void {
     this.checkDraining(arrival);
     this.checkWaits(arrival);
+    const violation = this.named.checkArrival(arrival, arrival.ratePerS);
+    if (violation !== undefined) this.violations.push(violation);
   }
 
   private checkDraining(arrival: INodeArrival): void {
