Keep to the limits of requests that targets name, over all nodes together

Seen: targets that named 1.2 to 2.2 requests a second got 19 to 28 in 4 s, where 12 to 18 are allowed. The class: a word of the target itself that is heard by nobody, as with leaving targets.

An entry reports the limit with the outcome, and the home grants by a token bucket that begins empty. A limit ends with an answer that does not name it, to a request granted after it was named. Homes tell each other limits and grants, entries name the limits that they were told of when they ask, and a node that decides alone keeps off limited targets, for it knows nothing of what others send.

--- a/packages/dispatch/src/app/node/datagramRouter.ts
+++ b/packages/dispatch/src/app/node/datagramRouter.ts
@@ -57,7 +57,7 @@
       service.handleHello(sender);
       break;
     case 'beliefs':
-      beliefs.handleBeliefs(body.value);
+      beliefs.handleBeliefs(sender, body.value);
       break;
     case 'retryUse':
       retries.handleRetryUse(body.value);
--- a/packages/dispatch/src/entry/common/requestRun.ts
+++ b/packages/dispatch/src/entry/common/requestRun.ts
@@ -190,6 +190,7 @@
         remainingMs: this.getRemainingMs(request),
         objectiveMs: route.objectiveMs,
         connected: this.listConnected(service),
+        limits: this.options.notices.listLimits(this.options.listTargets(service)),
         excluded: [...state.tried, ...running, ...this.listAvoided(service)],
       },
       signal,
@@ -228,7 +229,8 @@
     const answerBytes = countBodyBytes(result.answer);
     const isLeaving = this.options.notices.isLeaving(grant.target);
     const outcome = attempt.cancelOutcome ?? result.outcome;
-    grant.report(outcome, latencyMs, { answerBytes, isLeaving });
+    const { rateLimit } = result;
+    grant.report(outcome, latencyMs, { answerBytes, isLeaving, rateLimit });
     if (attempt.cancelOutcome !== undefined) return result;
     this.recordPath(grant, result);
     state.tried.push(grant.target.id);
--- a/packages/dispatch/src/entry/common/targetNotices.test.ts
+++ b/packages/dispatch/src/entry/common/targetNotices.test.ts
@@ -68,6 +68,19 @@
   assert.equal(notices.isExcluded(TARGET), false);
 });
 
+test('a limit is passed on with its age until an answer does not name it, and holds for one life', async () => {
+  const clock = new ManualClock();
+  const notices = new TargetNotices(clock);
+  notices.record(TARGET, makeAnswer({ rateLimit: 1.5 }));
+  await clock.advanceBy(300);
+  const limit = { targetId: TARGET.id, bornMs: TARGET.bornMs, ratePerS: 1.5, ageMs: 300 };
+  assert.deepEqual(notices.listLimits([TARGET]), [limit]);
+  assert.deepEqual(notices.listLimits([makeTarget('i-1', { bornMs: 2000 })]), []);
+  assert.equal(notices.isExcluded(TARGET), false);
+  notices.record(TARGET, makeAnswer());
+  assert.deepEqual(notices.listLimits([TARGET]), []);
+});
+
 test('Retry-After is read as seconds or as a date', () => {
   const wallMs = Date.parse('Fri, 04 Dec 2026 10:00:00 GMT');
   assert.equal(parseRetryAfterMs('3', wallMs), 3000);
--- a/packages/dispatch/src/entry/common/targetNotices.ts
+++ b/packages/dispatch/src/entry/common/targetNotices.ts
@@ -4,6 +4,7 @@
 import { findHeader } from '@parsleymux/routing';
 import type { ITargetRecord } from '../../catalog/common/catalog.js';
 import { formatLife } from '../../catalog/common/catalog.js';
+import type { INamedLimit } from '../../grants/common/grant.js';
 import { parseRetryAfterMs } from './retryAfter.js';
 
 const RETRY_AFTER = 'retry-after';
@@ -11,16 +12,20 @@
 const LONGEST_WAIT_MS = 600_000;
 /** Lives of targets that are kept in mind at most, the oldest going first: more than a fleet has. */
 const MAX_LIVES = 4096;
+/** Limits that go with one question to a home, so that it stays within one packet. */
+const MOST_LIMITS = 8;
 
 interface INotice {
   isLeaving: boolean;
+  /** Requests a second that it takes from all nodes together, and when it said so last. */
+  limit: { readonly ratePerS: number; readonly atMs: number } | undefined;
   /** When it may be sent requests again, in ms of the monotonic clock. */
   waitUntilMs: number;
 }
 
 /**
  * A target that leaves says so in its answers, seconds before any list does when the store is away; one
- * that has no room may say for how long. A node that went on sending would have requests cut off, or
+ * that has no room may say for how long, or name a limit of requests from all nodes together. A node that went on sending would have requests cut off, or
  * shed again, though it had been told. Each holds for one life of the target.
  *
  * @example
@@ -35,9 +40,15 @@
   /** Takes a whole answer of the target itself. */
   record(target: ITargetRecord, answer: ITargetAnswer): void {
     const waitMs = answer.notRun ? this.getWaitMs(answer) : undefined;
-    if (!answer.draining && waitMs === undefined) return;
-    const notice = this.open(formatLife(target));
-    notice.isLeaving ||= answer.draining;
+    const { draining, rateLimit: ratePerS } = answer;
+    const known = this.notices.get(formatLife(target));
+    if (ratePerS === undefined && known !== undefined) known.limit = undefined;
+    if (!draining && waitMs === undefined && ratePerS === undefined) return;
+    const notice = known ?? this.open(formatLife(target));
+    notice.isLeaving ||= draining;
+    if (ratePerS !== undefined) {
+      notice.limit = { ratePerS, atMs: this.clock.getMonotonicTime() };
+    }
     if (waitMs !== undefined) notice.waitUntilMs = this.clock.getMonotonicTime() + waitMs;
   }
 
@@ -45,6 +56,19 @@
     return this.notices.get(formatLife(target))?.isLeaving === true;
   }
 
+  /** Limits that some of the targets have named, the latest first, a few at most. */
+  listLimits(targets: readonly ITargetRecord[]): readonly INamedLimit[] {
+    if (this.notices.size === 0) return [];
+    const nowMs = this.clock.getMonotonicTime();
+    const limits = targets.flatMap((target) => {
+      const limit = this.notices.get(formatLife(target))?.limit;
+      if (limit === undefined) return [];
+      const { bornMs, id: targetId } = target;
+      return { targetId, bornMs, ratePerS: limit.ratePerS, ageMs: nowMs - limit.atMs };
+    });
+    return limits.sort((left, right) => left.ageMs - right.ageMs).slice(0, MOST_LIMITS);
+  }
+
   /** Whether nothing is to be sent to the target now. */
   isExcluded(target: ITargetRecord): boolean {
     if (this.notices.size === 0) return false;
@@ -61,9 +85,7 @@
   }
 
   private open(life: string): INotice {
-    const known = this.notices.get(life);
-    if (known !== undefined) return known;
-    const notice = { isLeaving: false, waitUntilMs: -Infinity };
+    const notice: INotice = { isLeaving: false, limit: undefined, waitUntilMs: -Infinity };
     this.notices.set(life, notice);
     const [oldest] = this.notices.keys();
     if (this.notices.size > MAX_LIVES && oldest !== undefined) this.notices.delete(oldest);
--- a/packages/dispatch/src/grants/common/grant.ts
+++ b/packages/dispatch/src/grants/common/grant.ts
@@ -31,11 +31,41 @@
   readonly answerBytes: number;
   /** Whether the target has told the entry that it leaves. */
   readonly isLeaving: boolean;
+  /** Requests a second that the target takes, if its answer named a limit. */
+  readonly rateLimit?: number | undefined;
 }
 
 /** No answer came. */
 export const NO_ANSWER: IReportedAnswer = { answerBytes: 0, isLeaving: false };
 
+/** A limit of requests that a target has named to an entry. */
+export interface INamedLimit {
+  readonly targetId: string;
+  /** The target's life, see ITargetRecord. */
+  readonly bornMs: number | undefined;
+  /** Requests a second that the target takes from all nodes together. */
+  readonly ratePerS: number;
+  /** Since it was named, in ms. */
+  readonly ageMs: number;
+}
+
+/** Outcomes that rest on a whole answer of the target itself. */
+const ANSWERED: ReadonlySet<GrantOutcome> = new Set([
+  GrantOutcome.Succeeded,
+  GrantOutcome.Failed,
+  GrantOutcome.Shed,
+]);
+
+/**
+ * Whether the target itself has answered, so that what the answer doesn't say is known too.
+ *
+ * @example
+ * isAnswered(GrantOutcome.Shed); // true
+ */
+export function isAnswered(outcome: GrantOutcome): boolean {
+  return ANSWERED.has(outcome);
+}
+
 /** What is asked for. */
 export interface IGrantRequest {
   /** The caller's identifier of the request, for logs. */
@@ -79,6 +109,8 @@
   readonly connected: readonly string[];
   /** Identifiers of targets that it must not be sent to. */
   readonly excluded: readonly string[];
+  /** Limits that targets of the service have named to the entry. */
+  readonly limits: readonly INamedLimit[];
 }
 
 /** The decision on a request. */
--- a/packages/dispatch/src/grants/common/grantMessages.ts
+++ b/packages/dispatch/src/grants/common/grantMessages.ts
@@ -1,7 +1,13 @@
 /** Translation between grants and the messages that carry them. */
 import { create } from '@bufbuild/protobuf';
-import type { Ask, Decision } from '@parsleymux/schema';
-import { AskSchema, DecisionKind, DecisionSchema, Outcome } from '@parsleymux/schema';
+import type { Ask, Decision, TargetLimit } from '@parsleymux/schema';
+import {
+  AskSchema,
+  DecisionKind,
+  DecisionSchema,
+  Outcome,
+  TargetLimitSchema,
+} from '@parsleymux/schema';
 import {
   decodeFingerprint,
   encodeFingerprint,
@@ -10,6 +16,8 @@
 import { GrantOutcome } from './grant.js';
 
 const PERMILLE = 1000;
+const MILLI = 1000;
+const MAX_UINT32 = 0xffff_ffff;
 
 const OUTCOMES: Readonly<Record<GrantOutcome, Outcome>> = {
   [GrantOutcome.Succeeded]: Outcome.SUCCEEDED,
@@ -67,6 +75,7 @@
     objectiveMs: Math.floor(request.objectiveMs),
     excluded: [...request.excluded],
     connected: [...request.connected],
+    limits: request.limits.map((limit) => encodeLimit(limit, limit.ageMs)),
   });
 }
 
@@ -93,6 +102,11 @@
     objectiveMs: ask.objectiveMs,
     excluded: ask.excluded,
     connected: ask.connected,
+    limits: ask.limits.flatMap(({ ageMs, bornMs, rateMilli, targetId }) => {
+      const ratePerS = decodeRate(rateMilli);
+      if (ratePerS === undefined) return [];
+      return { targetId, bornMs: decodeBornMs(bornMs), ratePerS, ageMs };
+    }),
   };
 }
 
@@ -129,6 +143,36 @@
   return bornMs === undefined ? undefined : Number(bornMs);
 }
 
+/** A target's limit; `ageMs` since the answer that it rests on. */
+export function encodeLimit(
+  limit: {
+    readonly targetId: string;
+    readonly bornMs: number | undefined;
+    readonly ratePerS: number | undefined;
+    readonly granted?: number;
+  },
+  ageMs: number,
+): TargetLimit {
+  const rateMilli = encodeRate(limit.ratePerS);
+  return create(TargetLimitSchema, {
+    targetId: limit.targetId,
+    ...encodeBornMs(limit.bornMs),
+    ...(rateMilli === undefined ? {} : { rateMilli }),
+    ageMs: Math.min(MAX_UINT32, Math.max(0, Math.round(ageMs))),
+    granted: BigInt(limit.granted ?? 0),
+  });
+}
+
+/** Thousandths of a request a second; undefined stays undefined: there is no limit. */
+export function encodeRate(ratePerS: number | undefined): number | undefined {
+  return ratePerS === undefined ? undefined : Math.min(MAX_UINT32, Math.floor(ratePerS * MILLI));
+}
+
+/** Requests a second. */
+export function decodeRate(rateMilli: number | undefined): number | undefined {
+  return rateMilli === undefined ? undefined : rateMilli / MILLI;
+}
+
 /** Probability from 0 to 1. */
 export function decodeSuspicion(decision: Decision): number {
   return decision.suspicionPermille / PERMILLE;
--- a/packages/dispatch/src/grants/common/grantServer.ts
+++ b/packages/dispatch/src/grants/common/grantServer.ts
@@ -8,7 +8,7 @@
 import type { ITicket } from '../../home/common/ticket.js';
 import type { DatagramChannel } from './datagramChannel.js';
 import type { GrantDecision } from './grant.js';
-import { decodeAsk, decodeOutcome, encodeDecision } from './grantMessages.js';
+import { decodeAsk, decodeOutcome, decodeRate, encodeDecision } from './grantMessages.js';
 
 /** Answers are kept this long for repeated questions, in ms: longer than entries go on asking. */
 const REMEMBER_MS = 10_000;
@@ -65,8 +65,8 @@
     const known = this.remembered.get(formatKey(sender, report.incarnation, askId));
     if (known === undefined || known.isReported) return;
     known.isReported = true;
-    const { answerBytes, latencyMs, leaving: isLeaving, outcome } = report;
-    const answer = { answerBytes, isLeaving };
+    const { answerBytes, latencyMs, leaving: isLeaving, outcome, rateLimitMilli } = report;
+    const answer = { answerBytes, isLeaving, rateLimit: decodeRate(rateLimitMilli) };
     known.book.recordOutcome(known.ticket, decodeOutcome(outcome), latencyMs, answer);
   }
 
--- a/packages/dispatch/src/grants/common/homeSelector.test.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.test.ts
@@ -238,3 +238,12 @@
   assert.ok((asks.at(-1) ?? 0) <= 700, `asked last with ${asks.at(-1)} ms left`);
   assert.equal(home.getInUse(), 1);
 });
+
+test('a node that decides alone keeps off targets that name a limit', async () => {
+  // Guards against every node of a fleet that has lost its homes granting the whole limit.
+  const network = new MemoryNetwork(new ManualClock());
+  const node = new Node(network, 'entry', []);
+  const limits = [{ targetId: TARGET.id, bornMs: undefined, ratePerS: 2, ageMs: 50 }];
+  const selection = await node.selector.choose(makeGrantRequest({ limits }), signal);
+  assert.equal(selection.kind, 'refused');
+});
--- a/packages/dispatch/src/grants/common/homeSelector.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.ts
@@ -9,7 +9,13 @@
 import type { DatagramChannel } from './datagramChannel.js';
 import type { GrantOutcome, IGrantRequest, IReportedAnswer } from './grant.js';
 import { NO_ANSWER } from './grant.js';
-import { decodeBornMs, decodeSuspicion, encodeAsk, encodeOutcome } from './grantMessages.js';
+import {
+  decodeBornMs,
+  decodeSuspicion,
+  encodeAsk,
+  encodeOutcome,
+  encodeRate,
+} from './grantMessages.js';
 import { HomeHealth } from './homeHealth.js';
 import { HomeQuestion } from './homeQuestion.js';
 import type { IGrant, Selection } from './targetSelector.js';
@@ -87,7 +93,19 @@
       this.health.recordSilence(home);
       log.warn('home is silent', { home, service: request.service });
     }
-    return this.decideAlone(asked, signal);
+    return this.decideAlone(this.removeLimited(asked), signal);
+  }
+
+  /**
+   * A node that decides for itself knows nothing of what others send, so it keeps off targets that
+   * name a limit over all nodes.
+   */
+  private removeLimited(request: IGrantRequest): IGrantRequest {
+    const targets = this.options.homes.findBook(request.service)?.listTargets() ?? [];
+    const known = targets.filter(({ rateLimit }) => rateLimit.ratePerS !== undefined);
+    const named = request.limits.map(({ targetId }) => targetId);
+    const excluded = [...request.excluded, ...named, ...known.map(({ record }) => record.id)];
+    return { ...request, excluded };
   }
 
   /** Takes a decision that arrived. */
@@ -189,9 +207,11 @@
     targetId: string | undefined,
     outcome: GrantOutcome,
     latencyMs: number,
-    { answerBytes, isLeaving }: IReportedAnswer = NO_ANSWER,
+    { answerBytes, isLeaving, rateLimit }: IReportedAnswer = NO_ANSWER,
   ): void {
+    const rateLimitMilli = encodeRate(rateLimit);
     const value = create(ReportSchema, {
+      ...(rateLimitMilli === undefined ? {} : { rateLimitMilli }),
       answerBytes,
       leaving: isLeaving,
       askId,
--- a/packages/dispatch/src/home/common/bookedTarget.ts
+++ b/packages/dispatch/src/home/common/bookedTarget.ts
@@ -1,7 +1,9 @@
 /** One target as the home of its service keeps it: its belief, and who uses its slots. */
+import { MS_PER_SECOND } from '@parsleymux/base';
 import type { ITargetRecord } from '../../catalog/common/catalog.js';
 import type { FailureModel } from './failureModel.js';
 import { TargetBelief } from './targetBelief.js';
+import { TargetRateLimit } from './targetRateLimit.js';
 
 /** Reports of nodes that could not connect are put together over this time, in ms. */
 const UNREACHABLE_WINDOW_MS = 2000;
@@ -11,6 +13,7 @@
 /** A target and its bookkeeping. */
 export class BookedTarget {
   readonly belief: TargetBelief;
+  readonly rateLimit = new TargetRateLimit();
   /** Requests that hold a slot. */
   inUse = 0;
   /** Requests that were ever granted this target. */
@@ -40,7 +43,14 @@
   }
 
   hasFreeSlot(nowMs: number): boolean {
-    return this.inUse < this.record.slots && nowMs >= this.busyUntilMs;
+    const hasSlot = this.inUse < this.record.slots && nowMs >= this.busyUntilMs;
+    return hasSlot && this.rateLimit.isOpen(nowMs);
+  }
+
+  /** Slots that are in use at most, where work takes `workMs`: a named limit leaves some empty. */
+  countUsableSlots(workMs: number): number {
+    const { grantsPerS } = this.rateLimit;
+    return Math.min(this.record.slots, (grantsPerS * workMs) / MS_PER_SECOND);
   }
 
   isCold(nowMs: number): boolean {
--- a/packages/dispatch/src/home/common/expectedCreditPolicy.ts
+++ b/packages/dispatch/src/home/common/expectedCreditPolicy.ts
@@ -235,13 +235,19 @@
   return (1 - suspicion) * state.queued * Math.max(0, then - now);
 }
 
-function countSoundSlots({ excluded }: IGrantRequest, { nowMs, targets }: IServiceState): number {
+function countSoundSlots(request: IGrantRequest, state: IServiceState): number {
+  const { nowMs, targets, workTimes } = state;
+  const workMs = workTimes.getServiceMeanMs(request.objectiveMs);
   let slots = 0;
-  for (const { belief, isReady, record } of targets) {
-    if (!isReady || excluded.includes(record.id)) continue;
-    slots += record.slots * (1 - belief.getSuspicion(nowMs));
+  let usable = 0;
+  for (const target of targets) {
+    const { belief, isReady, record } = target;
+    if (!isReady || request.excluded.includes(record.id)) continue;
+    const ofTarget = target.countUsableSlots(workMs);
+    usable += ofTarget;
+    slots += ofTarget * (1 - belief.getSuspicion(nowMs));
   }
-  return Math.max(LEAST_SLOTS, slots);
+  return Math.max(usable > 0 ? Math.min(LEAST_SLOTS, usable) : LEAST_SLOTS, slots);
 }
 
 /**
--- a/packages/dispatch/src/home/common/servedWindow.ts
+++ b/packages/dispatch/src/home/common/servedWindow.ts
@@ -54,7 +54,9 @@
   getUse(targets: readonly BookedTarget[], nowMs: number): ITargetUse {
     const counted = targets.filter((target) => isCounted(target, nowMs));
     const used = counted.filter(({ lastGrantMs }) => isWithin(lastGrantMs, nowMs, WINDOW_MS));
-    const due = counted.filter(({ lastGrantMs }) => !isWithin(lastGrantMs, nowMs, DUE_MS));
+    const due = counted.filter(({ lastGrantMs, rateLimit }) => {
+      return !isWithin(lastGrantMs, nowMs, DUE_MS) && rateLimit.isOpen(nowMs);
+    });
     const all = countSound(counted, nowMs);
     return {
       share: computeShare(used.length, counted.length),
--- a/packages/dispatch/src/home/common/serviceLog.ts
+++ b/packages/dispatch/src/home/common/serviceLog.ts
@@ -88,6 +88,22 @@
     });
   }
 
+  /** The target names another limit than `before`, or none any more. */
+  logLimit(
+    { node, request }: ILoggedTicket,
+    target: BookedTarget,
+    before: number | undefined,
+  ): void {
+    this.options.log.info('target changes its limit', {
+      request: request.requestId,
+      entry: node,
+      service: this.options.service,
+      target: target.record.id,
+      ratePerS: target.rateLimit.ratePerS ?? null,
+      before: before ?? null,
+    });
+  }
+
   /** Retries and grants of one moment that several homes gave are found by these lines. */
   logTakeOver(facts: ITakeOverFacts): void {
     this.options.log.info('home takes over', { service: this.options.service, ...facts });
@@ -115,6 +131,7 @@
       queue,
       targets: targets.length,
       ready: ready.length,
+      limited: ready.filter(({ rateLimit }) => rateLimit.ratePerS !== undefined).length,
       free: ready.filter((target) => target.hasFreeSlot(nowMs)).length,
       retriesUsed: toPlaces(retriesUsed),
       retriesElsewhere,
--- a/packages/dispatch/src/home/common/serviceTargets.ts
+++ b/packages/dispatch/src/home/common/serviceTargets.ts
@@ -6,10 +6,18 @@
 import { BookedTarget } from './bookedTarget.js';
 import type { FailureModel } from './failureModel.js';
 import type { ITargetEvidence } from './targetBelief.js';
+import type { IRateEvidence } from './targetRateLimit.js';
 
 /** Targets that become known within this time of the home's start were there before, in ms. */
 const SETTLING_MS = 2000;
 
+/** What another home has granted a target. */
+export interface IHomeGrants {
+  /** Address of the home. */
+  readonly home: string;
+  readonly granted: number;
+}
+
 /** Options of {@link ServiceTargets}. */
 export interface IServiceTargetsOptions {
   readonly clock: Clock;
@@ -64,6 +72,22 @@
     if (target !== undefined) target.isLeaving = true;
   }
 
+  /** Takes what is known elsewhere of the limit that a target names. */
+  applyLimit(targetId: string, bornMs: number | undefined, evidence: IRateEvidence): void {
+    const nowMs = this.options.clock.getMonotonicTime();
+    this.find(targetId, bornMs)?.rateLimit.apply(evidence, nowMs);
+  }
+
+  /** Another home has granted a target `granted` requests since it knows it. */
+  recordGrantedElsewhere(
+    targetId: string,
+    bornMs: number | undefined,
+    { granted, home }: IHomeGrants,
+  ): void {
+    const nowMs = this.options.clock.getMonotonicTime();
+    this.find(targetId, bornMs)?.rateLimit.recordElsewhere(home, granted, nowMs);
+  }
+
   /** Without one, waiting for a slot would only end the request's time. */
   hasUsable({ excluded }: IGrantRequest): boolean {
     return this.list().some(({ isReady, record }) => isReady && !excluded.includes(record.id));
--- a/packages/dispatch/src/test/builders.ts
+++ b/packages/dispatch/src/test/builders.ts
@@ -42,6 +42,7 @@
     objectiveMs: 1000,
     connected: [],
     excluded: [],
+    limits: [],
     ...fields,
   };
 }
--- a/packages/lab/src/experiment/common/modelledNode.ts
+++ b/packages/lab/src/experiment/common/modelledNode.ts
@@ -109,7 +109,7 @@
       if (body.case === 'decision') selector.handleDecision(sender, body.value);
       if (body.case === 'reportReceived') selector.handleReportReceived(body.value.askId);
       if (body.case === 'leaving') selector.handleLeaving(sender);
-      if (body.case === 'beliefs') beliefs.handleBeliefs(body.value);
+      if (body.case === 'beliefs') beliefs.handleBeliefs(sender, body.value);
       if (body.case === 'retryUse') retries.handleRetryUse(body.value);
       if (body.case === 'quarantine') sharing.handleQuarantine(body.value);
     });
--- a/packages/lab/src/soak/common/soakFaultKind.ts
+++ b/packages/lab/src/soak/common/soakFaultKind.ts
@@ -23,6 +23,8 @@
   CrashingRequest: 'crashing-request',
   /** A target says in its answers that it leaves, and its entry does not. */
   TargetTellsDrain: 'target-tells-drain',
+  /** A target names in its answers how many requests a second it takes. */
+  TargetNamesLimit: 'target-names-limit',
 } as const;
 
 export type SoakFaultKind = (typeof SoakFaultKind)[keyof typeof SoakFaultKind];
@@ -33,7 +35,12 @@
  * Kinds that schedules were drawn from when earlier seeds failed: a kind more would make other schedules
  * of the same seeds.
  */
-export const SECOND_FAULT_KINDS: readonly SoakFaultKind[] = SOAK_FAULT_KINDS.filter((kind) => {
+export const THIRD_FAULT_KINDS: readonly SoakFaultKind[] = SOAK_FAULT_KINDS.filter((kind) => {
+  return kind !== SoakFaultKind.TargetNamesLimit;
+});
+
+/** The same, before there were those. */
+export const SECOND_FAULT_KINDS: readonly SoakFaultKind[] = THIRD_FAULT_KINDS.filter((kind) => {
   return kind !== SoakFaultKind.CrashingRequest && kind !== SoakFaultKind.TargetTellsDrain;
 });
 
--- a/packages/lab/src/soak/common/soakLedger.ts
+++ b/packages/lab/src/soak/common/soakLedger.ts
@@ -31,6 +31,13 @@
   readonly isUnread: boolean;
 }
 
+/** A limit of requests that a target names for a while. */
+export interface INamedLimit {
+  readonly ratePerS: number;
+  /** When it began to name it, in ms of the run. */
+  readonly sinceMs: number;
+}
+
 /** One arrival at a target. */
 export interface ISoakArrival {
   readonly id: string;
@@ -46,6 +53,8 @@
   readonly status: number;
   /** Whether the answer says that the target leaves. */
   readonly tellsDrain: boolean;
+  /** The limit that the target named then. */
+  readonly limit?: INamedLimit | undefined;
   /** When the target started, in ms of Unix time: it may start again under its identifier. */
   readonly bornMs: number;
 }
--- a/packages/lab/src/soak/node/main.ts
+++ b/packages/lab/src/soak/node/main.ts
@@ -13,6 +13,7 @@
   FIRST_FAULT_KINDS,
   SECOND_FAULT_KINDS,
   SOAK_FAULT_KINDS,
+  THIRD_FAULT_KINDS,
 } from '../common/soakFaultKind.js';
 import { REGRESSION_SEEDS } from '../common/regressionSeeds.js';
 import { runSoak } from './soakRun.js';
@@ -21,8 +22,9 @@
 /** The break that is not inside the nodes. */
 const LAX_TARGETS = 'laxTargets';
 const USAGE = `npm run soak -- [--seed N] [--runs COUNT] [--seconds S] [--spacing MS] [--nodes COUNT]
-  [--targets COUNT] [--only KIND,KIND] [--break NAME] [--logs DIRECTORY] [--regressions] [--second]
---second: without the kinds that came last, for seeds that failed before there were these
+  [--targets COUNT] [--only KIND,KIND] [--break NAME] [--logs DIRECTORY] [--regressions] [--second] [--third]
+--third: without the kinds that came last, for seeds that failed before there were these; --second: without
+those before them either
 kinds: ${SOAK_FAULT_KINDS.join(', ')}
 breaks: ${[LAX_TARGETS, ...listBreakModules(BREAKS)].join(', ')}`;
 
@@ -39,6 +41,7 @@
     logs: { type: 'string', default: 'out/soak' },
     regressions: { type: 'boolean', default: false },
     second: { type: 'boolean', default: false },
+    third: { type: 'boolean', default: false },
     help: { type: 'boolean', default: false },
   },
 });
@@ -60,7 +63,8 @@
 
 function getKinds(): readonly SoakFaultKind[] {
   if (values.regressions) return FIRST_FAULT_KINDS;
-  return values.second ? SECOND_FAULT_KINDS : SOAK_FAULT_KINDS;
+  if (values.second) return SECOND_FAULT_KINDS;
+  return values.third ? THIRD_FAULT_KINDS : SOAK_FAULT_KINDS;
 }
 
 async function runSeed(seed: number, seconds: number): Promise<boolean> {
--- a/packages/lab/src/soak/node/soakFaults.ts
+++ b/packages/lab/src/soak/node/soakFaults.ts
@@ -28,6 +28,11 @@
 /** A leaving target serves a little longer than nodes may send to it, in ms. */
 const LEAVE_MS = SOAK_BOUNDS.drain_s * MS_PER_S + 1000;
 
+/** A target names a limit for this long, in ms, and how many requests a second it may be. */
+const LIMIT_MS = 9000;
+const LEAST_LIMIT_PER_S = 0.5;
+const LIMIT_RANGE_PER_S = 2;
+
 type Step = IFaultStep<SoakFaultKind>;
 
 const STORE_FAULTS: readonly MetadataFault[] = Object.values(MetadataFault).filter((fault) => {
@@ -79,6 +84,8 @@
       return Promise.resolve(startCrashingRequest(step, world));
     case SoakFaultKind.TargetTellsDrain:
       return withTarget(step, world, (target) => startToldDrain(target, world));
+    case SoakFaultKind.TargetNamesLimit:
+      return withTarget(step, world, (target) => startNamedLimit(target, step));
   }
 }
 
@@ -313,6 +320,15 @@
   return endNothing;
 }
 
+function startNamedLimit(target: SoakTarget, step: Step): Promise<EndFault> {
+  const ratePerS = LEAST_LIMIT_PER_S + step.size * LIMIT_RANGE_PER_S;
+  target.limit = { ratePerS, sinceMs: performance.now() };
+  setTimeout(() => {
+    target.limit = undefined;
+  }, LIMIT_MS);
+  return Promise.resolve(endNothing);
+}
+
 function startStorm(world: SoakWorld): EndFault {
   const timer = setInterval(() => {
     world.putConfig();
--- a/packages/lab/src/soak/node/soakTarget.ts
+++ b/packages/lab/src/soak/node/soakTarget.ts
@@ -4,7 +4,7 @@
 import { FaultyLink, LoopbackServer } from '@parsleymux/standins';
 import { CRASH_PREFIX } from '../common/soakLayout.js';
 import { formatAnswerBody } from '../common/storyText.js';
-import type { ISoakArrival } from '../common/soakLedger.js';
+import type { INamedLimit, ISoakArrival } from '../common/soakLedger.js';
 
 /** What a target does wrong with part of its requests. */
 export const TargetMode = {
@@ -72,6 +72,8 @@
   share = 1;
   /** Whether its answers say that it leaves. */
   tellsDrain = false;
+  /** The limit that its answers name. */
+  limit: INamedLimit | undefined;
   private running = 0;
   private readonly idleSinceMs = new WeakMap<object, number>();
   private readonly server: LoopbackServer;
@@ -172,7 +174,12 @@
     const text = formatAnswerBody(id, this.options.id);
     const stamp = `${this.options.id}.${id}`;
     const told = this.tellsDrain ? { 'server-leaving': '1' } : {};
-    const headers = { 'request-id': id, 'server-stamp': stamp, ...told };
+    const headers = {
+      'request-id': id,
+      'server-stamp': stamp,
+      ...told,
+      ...this.listLimitHeaders(),
+    };
     const raw = `HTTP/1.1 ${status} OK\r\nrequest-id: ${id}\r\nserver-stamp: ${stamp}\r\n`;
     const half = text.slice(0, text.length / 2);
     switch (mode) {
@@ -207,7 +214,12 @@
     refusal: { readonly id: string; readonly body: string; readonly status: number },
   ): void {
     this.record(request, { ...refusal, hasRun: false })(performance.now());
-    response.writeHead(refusal.status, { 'not-run': '1', 'request-id': refusal.id }).end();
+    const headers = { 'not-run': '1', 'request-id': refusal.id, ...this.listLimitHeaders() };
+    response.writeHead(refusal.status, headers).end();
+  }
+
+  private listLimitHeaders(): Readonly<Record<string, string>> {
+    return this.limit === undefined ? {} : { 'server-limit': this.limit.ratePerS.toFixed(1) };
   }
 
   private record(
@@ -221,6 +233,7 @@
       method: request.method ?? '',
       path: request.url ?? '',
       tellsDrain: this.tellsDrain,
+      limit: this.limit,
       bornMs: this.options.bornMs,
       atMs: performance.now(),
     });
--- a/packages/routing/src/transport/common/targetProtocol.ts
+++ b/packages/routing/src/transport/common/targetProtocol.ts
@@ -32,9 +32,7 @@
    * Requests a second that the target takes from all nodes together, by the answer; undefined when it
    * names no limit, or one that makes no sense.
    */
-  readRateLimit(_headers: readonly Header[]): number | undefined {
-    return undefined;
-  }
+  abstract readRateLimit(headers: readonly Header[]): number | undefined;
 }
 
 /** The fleet's own headers. */
@@ -54,4 +52,8 @@
   override isDraining(headers: readonly Header[]): boolean {
     return findHeader(headers, MuxHeader.Draining) === 'true';
   }
+
+  override readRateLimit(): undefined {
+    return undefined;
+  }
 }
