--- a/packages/routing/src/transport/common/targetProtocol.ts
+++ b/packages/routing/src/transport/common/targetProtocol.ts
@@ -27,6 +27,12 @@
 
   /** Whether the answer says that the target is draining. */
   abstract isDraining(headers: readonly Header[]): boolean;
+
+  /**
+   * Requests a second that the target takes from all nodes together, by the answer; undefined when it
+   * names no limit, or one that makes no sense.
+   */
+  abstract readRateLimit(headers: readonly Header[]): number | undefined;
 }
 
 /** The fleet's own headers. */
@@ -46,4 +52,8 @@
   override isDraining(headers: readonly Header[]): boolean {
     return findHeader(headers, MuxHeader.Draining) === 'true';
   }
+
+  override readRateLimit(): undefined {
+    return undefined;
+  }
 }
