Log era and versions of a table that is read whole; let the stand-in store come back from a copy

The client reads the era of each answer, and the line on a lost history names era and versions. Nothing is decided by it yet. The stand-in store can go back to a copy: versions are given out again, and reads from one that it doesn't have get 410.

--- a/packages/dispatch/src/directory/common/authority.ts
+++ b/packages/dispatch/src/directory/common/authority.ts
@@ -27,6 +27,11 @@
 /** Entries of a table up to a version. */
 export interface ITableChanges<T> {
   readonly version: number;
+  /**
+   * Rises each time that the authority comes back from an older copy of itself. Versions count within an era.
+   * Default 0.
+   */
+  readonly era?: number;
   readonly changes: readonly ITableChange<T>[];
   /** Whether a row of them can't be understood, so that the rest is not the whole. Default: false. */
   readonly isPartial?: boolean;
--- a/packages/dispatch/src/directory/common/storeFollower.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.ts
@@ -131,8 +131,14 @@
     } catch (error) {
       const isLost = error instanceof StoreCallError && error.failure === StoreFailure.HistoryLost;
       if (!isLost) throw error;
-      this.options.log.warn('history of a table is lost; reading it whole', { table: table.name });
-      return this.takeAll(await source.readAll(signal), clock.getMonotonicTime());
+      const content = await source.readAll(signal);
+      this.options.log.warn('history of a table is lost; read it whole', {
+        table: table.name,
+        version: after,
+        readEra: content.era ?? 0,
+        readVersion: content.version,
+      });
+      return this.takeAll(content, clock.getMonotonicTime());
     }
   }
 
--- a/packages/standins/src/metadata/common/metadataRows.ts
+++ b/packages/standins/src/metadata/common/metadataRows.ts
@@ -18,6 +18,12 @@
   readonly ver: number;
 }
 
+/** The rows as they were at one version. */
+export interface IMetadataCopy {
+  readonly rows: ReadonlyMap<string, IMetadataRow>;
+  readonly version: number;
+}
+
 /** One transaction. */
 export interface IMetadataTransaction {
   readonly expect_rev: readonly IMetadataCondition[];
@@ -32,11 +38,17 @@
  * rows.transact({ expect_rev: [], puts: [{ table: 'op', part: '', key: 'config', value }], remove: [] });
  */
 export class MetadataRows {
-  private readonly rows = new Map<string, IMetadataRow>();
+  private rows = new Map<string, IMetadataRow>();
   private history: IMetadataRow[] = [];
   /** Changes up to this version are forgotten. */
   private forgotten = 0;
   private currentVersion = 0;
+  private currentEra = 1;
+
+  /** Rises each time that the rows come back from a copy. */
+  get era(): number {
+    return this.currentEra;
+  }
 
   get version(): number {
     return this.currentVersion;
@@ -64,9 +76,9 @@
       .sort((left, right) => (left.key < right.key ? -1 : 1));
   }
 
-  /** Changes of a table after a version; undefined when they are forgotten. */
+  /** Changes of a table after a version; undefined when they are forgotten, or the version isn't there yet. */
   listChanges(table: string, after: number): readonly IMetadataRow[] | undefined {
-    if (after < this.forgotten) return undefined;
+    if (after < this.forgotten || after > this.currentVersion) return undefined;
     return this.history.filter((row) => row.table === table && row.ver > after);
   }
 
@@ -76,6 +88,19 @@
     this.forgotten = this.currentVersion;
   }
 
+  /** A copy of the rows as they are now. */
+  copy(): IMetadataCopy {
+    return { rows: new Map(this.rows), version: this.currentVersion };
+  }
+
+  /** Comes back from a copy: what was written since is gone, and its versions are given out again. */
+  restore({ rows, version }: IMetadataCopy): void {
+    this.rows = new Map(rows);
+    this.currentVersion = version;
+    this.currentEra += 1;
+    this.clearHistory();
+  }
+
   private set(row: IMetadataRow): void {
     if (row.value === undefined) this.rows.delete(formatKey(row));
     else this.rows.set(formatKey(row), row);
--- a/packages/standins/src/metadata/node/metadataStandIn.ts
+++ b/packages/standins/src/metadata/node/metadataStandIn.ts
@@ -3,7 +3,7 @@
 import type { IDisposable } from '@parsleymux/base';
 import { readJson, sendJson } from '../../server/node/httpBody.js';
 import { LoopbackServer } from '../../server/node/loopbackServer.js';
-import type { IMetadataTransaction } from '../common/metadataRows.js';
+import type { IMetadataCopy, IMetadataTransaction } from '../common/metadataRows.js';
 import { MetadataRows } from '../common/metadataRows.js';
 
 /** How every call is answered. */
@@ -72,6 +72,12 @@
     this.transact({ expect_rev: [], puts: [], remove: [{ table, part: '', key }] });
   }
 
+  /** Comes back from a copy of its rows; reads that it holds are answered as of then. */
+  restore(copy: IMetadataCopy): void {
+    this.rows.restore(copy);
+    this.notifyWaiters();
+  }
+
   countCalls(): number {
     return [...this.calls.values()].reduce((sum, count) => sum + count, 0);
   }
@@ -96,6 +102,7 @@
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://store');
     this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
+    response.setHeader('store-era', String(this.rows.era));
     if (this.isSpoilt(request, response)) return;
     switch (url.pathname) {
       case '/rows-tx':
