Order what is read of the store by its era first, and let no older copy undo what is known

Seen: requests handled by a configuration that was replaced more than 2 s before, and one for a target that had said that it leaves, after the store came back from an older copy. Class: a counter that is taken to rise for ever.

Copies, updates between nodes and proofs carry the era; a newer era replaces a copy whatever its version, changes of one era are not applied to a copy of another, and late answers of the former one change nothing. Content doesn't go back: an older configuration does not replace the one in force, a target doesn't take back that it leaves, one that is gone stays away for as long as the store itself needs to remove it, and one that the copy lacks is kept for the time in which it registers again. Nodes that are missing register again, those that are gone are removed again, verdicts on requests are written again. A list of keys proves nothing for the first 2.5 s of an era.

--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -251,6 +251,7 @@
       store: cases,
       isReader: () => service.isFollower,
       isFirstStart: settings.isFirstStart,
+      onDidRestore: this.directory.targets.onDidRestore,
     });
   }
 
--- a/packages/dispatch/src/app/node/directoryLog.ts
+++ b/packages/dispatch/src/app/node/directoryLog.ts
@@ -12,14 +12,21 @@
  */
 export function logDirectoryChanges(directory: NodeDirectory, log: Logger): void {
   const { catalog, members, targets } = directory;
+  for (const table of directory.listTables()) {
+    table.onDidRestore((era) => {
+      const { name, version } = table;
+      const ageMs = Math.round(table.getAgeMs());
+      log.warn('table follows a store that came back older', { table: name, era, version, ageMs });
+    });
+  }
   directory.onDidChangeCatalog(({ routes, version }) => {
     const ageMs = Math.round(catalog.getAgeMs());
     log.info('configuration in force', { catalog: version, routes: routes.length, ageMs });
   });
   targets.onDidChange((changes) => {
-    const { version } = targets;
+    const { era, version } = targets;
     const ageMs = Math.round(targets.getAgeMs());
-    log.info('targets changed', { version, ageMs, targets: changes.map(formatTarget) });
+    log.info('targets changed', { era, version, ageMs, targets: changes.map(formatTarget) });
   });
   members.onDidChange((changes) => {
     const joined = changes.filter(({ value }) => value !== undefined).map(({ key }) => key);
--- a/packages/dispatch/src/directory/common/authority.ts
+++ b/packages/dispatch/src/directory/common/authority.ts
@@ -22,6 +22,8 @@
 export interface ITableChange<T> {
   readonly key: string;
   readonly value: T | undefined;
+  /** Whether the authority came back without the entry, which is kept for now. Default false. */
+  readonly isMissing?: boolean;
 }
 
 /** Entries of a table up to a version. */
--- a/packages/dispatch/src/directory/common/catalogSource.test.ts
+++ b/packages/dispatch/src/directory/common/catalogSource.test.ts
@@ -114,3 +114,28 @@
   assert.equal(directory.tenantIndex.findByKey('n1'), undefined);
   assert.ok(directory.hasCurrentTenants());
 });
+
+test('a list of an older copy proves no key until the operator has had the time to write again', async () => {
+  // Guards against a key that has ended and is served again on the strength of a fresh read of an old list.
+  const { clock, directory, read } = openBench();
+  await read({ ...makeContent(3, [NORTH, SOUTH]), era: 1 });
+  const provenMs = directory.tenants.getProofAgeMs();
+  await read({ ...makeContent(3, [NORTH, SOUTH]), era: 2, version: 2 });
+  assert.equal(directory.tenants.getProofAgeMs(), provenMs + 600);
+  await clock.advanceBy(2500);
+  await read({ era: 2, version: 4, changes: [] }, 2);
+  assert.equal(directory.tenants.getProofAgeMs(), 600);
+});
+
+test('tenants of an older configuration do not come back with it, and newer ones are taken', async () => {
+  const { directory, read } = openBench();
+  await read({ ...makeContent(5, [SOUTH]), era: 1 });
+  await read({ ...makeContent(3, [NORTH, SOUTH]), era: 2 });
+  assert.equal(directory.tenantIndex.findByKey('n1'), undefined);
+  assert.equal(directory.getCatalog()?.version, 5);
+  assert.ok(directory.hasCurrentTenants());
+  const next = makeContent(6, [NORTH]);
+  await read({ ...next, era: 2, version: 4 }, 3);
+  assert.equal(directory.tenantIndex.findByKey('n1')?.name, 'north');
+  assert.equal(directory.tenantIndex.findByKey('s1'), undefined);
+});
--- a/packages/dispatch/src/directory/common/catalogSource.ts
+++ b/packages/dispatch/src/directory/common/catalogSource.ts
@@ -1,11 +1,14 @@
 /** Reads the configuration, and keeps its tenants in a table of their own. */
 import type { Clock, IInstant } from '@parsleymux/base';
-import { readInstant } from '@parsleymux/base';
+import { measureElapsedMs, readInstant } from '@parsleymux/base';
 import type { ICatalog } from '../../catalog/common/catalog.js';
 import type { ITableChange, ITableChanges } from './authority.js';
 import { AuthorityTable } from './authority.js';
 import type { NodeDirectory } from './nodeDirectory.js';
 
+/** What the operator wrote is written again within this time after the store came back, in ms. */
+const REWRITTEN_MS = 2500;
+
 /** Options of a {@link CatalogSource}. */
 export interface ICatalogSourceOptions {
   readonly source: AuthorityTable<ICatalog>;
@@ -21,6 +24,10 @@
  * const source = new CatalogSource({ source: authority.catalog, directory, clock });
  */
 export class CatalogSource extends AuthorityTable<ICatalog> {
+  private newestEra: number | undefined;
+  /** When a read was sent that showed a newer era. */
+  private restoredAt: IInstant | undefined;
+
   constructor(private readonly options: ICatalogSourceOptions) {
     super();
   }
@@ -47,24 +54,42 @@
   /** A peer may have passed the configuration on, and its tenants not yet. */
   private isBehind(version: number): boolean {
     const { directory } = this.options;
+    const { catalog, tenants } = directory;
     if (directory.getCatalog()?.requiresKeys !== true) return false;
-    return (directory.tenants.version ?? -Infinity) < version;
+    return tenants.era < catalog.era || (tenants.version ?? -Infinity) < version;
   }
 
   private take(content: ITableChanges<ICatalog>, sentAt: IInstant): ITableChanges<ICatalog> {
     if (content.isPartial === true) return content;
     const { tenants } = this.options.directory;
-    const changes = content.changes.map((change) => this.takeEntry(change, content.version));
+    const changes = content.changes.map((change) => this.takeEntry(change, content));
+    if (changes.length === 0) this.copyTenants({ era: content.era, version: content.version });
     // Nothing changed up to this version.
     if (tenants.version !== undefined && tenants.version < content.version) {
       const readMs = sentAt.monotonicMs;
-      tenants.apply(tenants.version, { version: content.version, changes: [] }, readMs);
+      tenants.apply(tenants.version, { ...content, changes: [] }, readMs);
     }
-    tenants.recordProof(content.version, sentAt);
+    if (this.isSettled(content, sentAt)) tenants.recordProof(content.version, sentAt, content.era);
     return { ...content, changes };
   }
 
-  private takeEntry(change: ITableChange<ICatalog>, version: number): ITableChange<ICatalog> {
+  /**
+   * A list of an older state that is read freshly proves nothing: keys that had ended are in it until the
+   * operator's changes are written again.
+   */
+  private isSettled({ era = 0 }: ITableChanges<ICatalog>, sentAt: IInstant): boolean {
+    if (era > (this.newestEra ?? -Infinity)) {
+      if (this.newestEra !== undefined) this.restoredAt = sentAt;
+      this.newestEra = era;
+    }
+    if (this.restoredAt === undefined) return true;
+    return measureElapsedMs(this.options.clock, this.restoredAt) >= REWRITTEN_MS;
+  }
+
+  private takeEntry(
+    change: ITableChange<ICatalog>,
+    { era, version }: ITableChanges<ICatalog>,
+  ): ITableChange<ICatalog> {
     if (change.value === undefined) return change;
     const { tenants, ...catalog } = change.value;
     const { clock, directory } = this.options;
@@ -72,8 +97,26 @@
     const isNeeded = tenants !== undefined || directory.tenants.version !== undefined;
     if (isNeeded && !isOlder) {
       const rows = (tenants ?? []).map((tenant) => ({ key: tenant.name, value: tenant }));
-      directory.tenants.setAll({ version, changes: rows }, clock.getMonotonicTime());
+      const state = era === undefined ? { version } : { era, version };
+      directory.tenants.setAll({ ...state, changes: rows }, clock.getMonotonicTime());
     }
+    // An older configuration doesn't replace the known one, which stays in force with its tenants.
+    if (isNeeded && isOlder) this.copyTenants({ era, version });
     return { key: change.key, value: { ...catalog, requiresKeys: tenants !== undefined } };
   }
+
+  /** The known tenants, as those of a newer era of the authority. */
+  private copyTenants({
+    era = 0,
+    version,
+  }: {
+    readonly era: number | undefined;
+    readonly version: number;
+  }): void {
+    const { clock, directory } = this.options;
+    const { tenants } = directory;
+    if (tenants.version === undefined || era <= tenants.era) return;
+    const changes = tenants.listEntries().map(([key, value]) => ({ key, value }));
+    tenants.setAll({ era, version, changes }, clock.getMonotonicTime());
+  }
 }
--- a/packages/dispatch/src/directory/common/followedTable.test.ts
+++ b/packages/dispatch/src/directory/common/followedTable.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ManualClock } from '@parsleymux/base';
+import { ManualClock, readInstant } from '@parsleymux/base';
 import { makeCatalog, makeRoute, makeTarget } from '../../test/builders.js';
 import { FollowedTable } from './followedTable.js';
 import { FollowerRole } from './followerRole.js';
@@ -145,3 +145,99 @@
   targets.apply(3, { version: 4, changes: [{ key: 't1', value: undefined }] }, 0);
   assert.equal(targets.get('t1'), undefined);
 });
+
+const GRACE = { missingMs: 2000, droppedMs: 6000 };
+
+function makeRestorable(clock: ManualClock): FollowedTable<string> {
+  return new FollowedTable<string>({
+    name: 't',
+    clock,
+    isSame: (left, right) => left === right,
+    isOutdated: (known, next) => known === 'leaving' && next === 'ready',
+    restoreGrace: GRACE,
+  });
+}
+
+test('a copy of a newer era is taken though its version is lower, and late ones of the former era are not', () => {
+  // Guards against versions that are compared although the store has given them out again.
+  const table = makeTable();
+  table.setAll({ era: 1, version: 90, changes: [{ key: 'a', value: '1' }] }, 0);
+  assert.equal(table.apply(90, { era: 2, version: 91, changes: [] }, 0), false);
+  table.setAll({ era: 2, version: 70, changes: [{ key: 'a', value: '2' }] }, 5);
+  assert.equal(table.version, 70);
+  assert.equal(table.freshMs, 5);
+  table.setAll({ era: 1, version: 95, changes: [{ key: 'a', value: '3' }] }, 9);
+  assert.equal(
+    table.apply(70, { era: 1, version: 96, changes: [{ key: 'a', value: '3' }] }, 9),
+    true,
+  );
+  assert.equal(table.get('a'), '2');
+  assert.equal(
+    table.apply(70, { era: 2, version: 71, changes: [{ key: 'a', value: '4' }] }, 9),
+    true,
+  );
+  assert.equal(table.get('a'), '4');
+});
+
+test('a peer whose copy is of the former era is not given changes, but the whole table', () => {
+  const clock = new ManualClock();
+  const [table, peer] = [makeTable(clock), makeTable(clock)];
+  for (const one of [table, peer]) one.setAll({ era: 1, version: 90, changes: [] }, 0);
+  table.setAll({ era: 2, version: 80, changes: [{ key: 'a', value: '1' }] }, 0);
+  table.apply(80, { era: 2, version: 92, changes: [{ key: 'b', value: '1' }] }, 0);
+  const { after, content } = table.listRecent();
+  assert.equal(peer.apply(after, content, 0), false);
+  const { after: mine, content: own } = peer.listRecent();
+  assert.equal(table.apply(mine, own, 0), true);
+  assert.equal(table.version, 92);
+});
+
+test('what an older copy undoes stays done: a target that leaves, and one that is gone', async () => {
+  // Guards against requests for a target that has said that it leaves, or that has left.
+  const clock = new ManualClock();
+  const table = makeRestorable(clock);
+  const older = [
+    { key: 'a', value: 'ready' },
+    { key: 'b', value: 'ready' },
+  ];
+  table.setAll({ era: 1, version: 80, changes: older }, 0);
+  const lost = [
+    { key: 'a', value: 'leaving' },
+    { key: 'b', value: undefined },
+  ];
+  table.apply(80, { era: 1, version: 90, changes: lost }, 0);
+  table.setAll({ era: 2, version: 80, changes: older }, 0);
+  table.setAll({ era: 2, version: 80, changes: older }, 0);
+  assert.equal(table.get('a'), 'leaving');
+  assert.equal(table.get('b'), undefined);
+  assert.deepEqual(table.listWithheld(), ['b']);
+  // What lives is written about, or the store itself removes it in that time.
+  await clock.advanceBy(GRACE.droppedMs);
+  table.apply(80, { era: 2, version: 81, changes: [] }, 0);
+  assert.equal(table.get('b'), 'ready');
+});
+
+test('an entry that an older copy lacks stays until it is written again, or its time is over', async () => {
+  // Guards against targets and nodes that are dropped for the moment until they register again.
+  const clock = new ManualClock();
+  const table = makeRestorable(clock);
+  const entries = ['a', 'b'].map((key) => ({ key, value: 'ready' }));
+  table.setAll({ era: 1, version: 90, changes: entries }, 0);
+  table.setAll({ era: 2, version: 80, changes: [] }, 0);
+  assert.ok(table.isMissing('a') && table.get('a') === 'ready');
+  table.apply(80, { era: 2, version: 81, changes: [{ key: 'a', value: 'ready' }] }, 0);
+  await clock.advanceBy(GRACE.missingMs);
+  table.apply(81, { era: 2, version: 82, changes: [] }, 0);
+  assert.equal(table.isMissing('a'), false);
+  assert.deepEqual(table.listValues(), ['ready']);
+});
+
+test('a moment of another era proves nothing', () => {
+  const clock = new ManualClock();
+  const table = makeTable(clock);
+  table.setAll({ era: 2, version: 70, changes: [] }, 0);
+  table.recordProof(60, readInstant(clock), 1);
+  assert.equal(table.getProofAgeMs(), Infinity);
+  table.recordProof(70, readInstant(clock), 2);
+  assert.equal(table.getProofAgeMs(), 0);
+});
--- a/packages/dispatch/src/directory/common/followedTable.ts
+++ b/packages/dispatch/src/directory/common/followedTable.ts
@@ -2,15 +2,25 @@
 import type { Clock, Event, IInstant } from '@parsleymux/base';
 import { Emitter, measureElapsedMs, pickLater } from '@parsleymux/base';
 import type { ITableChange, ITableChanges } from './authority.js';
+import { RestoredEntries } from './restoredEntries.js';
 
 /** Changes are kept this long for peers that missed an update, in ms: several updates. */
 const KEPT_MS = 5000;
+const NO_GRACE: IRestoreGrace = { missingMs: 0, droppedMs: 0 };
 
 interface IKeptChange<T> extends ITableChange<T> {
   readonly version: number;
   readonly atMs: number;
 }
 
+/** For how long a copy of an older state of the authority is not believed, in ms. */
+export interface IRestoreGrace {
+  /** Entries that the older state lacks stay so long: whoever wrote them writes them again. */
+  readonly missingMs: number;
+  /** Entries that were dropped stay away so long, though the older state has them. */
+  readonly droppedMs: number;
+}
+
 /** Options of a {@link FollowedTable}. */
 export interface IFollowedTableOptions<T> {
   /** Name in messages between nodes. */
@@ -20,10 +30,14 @@
   readonly isSame: (left: T, right: T) => boolean;
   /** Whether a value is of an earlier time than the known one, whatever its version. Default: never. */
   readonly isOutdated?: (known: T, next: T) => boolean;
+  /** Default: an older state is believed at once. */
+  readonly restoreGrace?: IRestoreGrace;
 }
 
 /**
- * Only ever moves to newer versions: an answer or update that arrives late changes nothing.
+ * Only ever moves to newer eras, and within one to newer versions: an answer or update that arrives late
+ * changes nothing. Entries of an older state that the authority came back from replace what is known as far as
+ * they can't be a relapse; see {@link RestoredEntries}.
  *
  * @example
  * table.setAll(await authority.targets.readAll(signal), clock.getMonotonicTime());
@@ -34,7 +48,10 @@
   /** Changes after this version are all in `kept`. */
   private keptAfter = 0;
   private currentVersion: number | undefined;
+  private currentEra = 0;
+  private readonly restored: RestoredEntries<T>;
   private readonly changed = new Emitter<readonly ITableChange<T>[]>();
+  private readonly restoredEmitter = new Emitter<number>();
   private proof: IInstant | undefined;
   /** The copy is as of this moment or later, in ms of the monotonic clock. */
   freshMs = -Infinity;
@@ -42,7 +59,12 @@
   /** Fires with the entries that changed. */
   readonly onDidChange: Event<readonly ITableChange<T>[]> = this.changed.onDidFire;
 
-  constructor(private readonly options: IFollowedTableOptions<T>) {}
+  /** Fires with the new era when the authority has come back from an older copy. */
+  readonly onDidRestore: Event<number> = this.restoredEmitter.onDidFire;
+
+  constructor(private readonly options: IFollowedTableOptions<T>) {
+    this.restored = new RestoredEntries(options.clock, options.restoreGrace ?? NO_GRACE);
+  }
 
   get name(): string {
     return this.options.name;
@@ -53,6 +75,21 @@
     return this.currentVersion;
   }
 
+  /** The authority's era that the version counts in. */
+  get era(): number {
+    return this.currentEra;
+  }
+
+  /** Whether the authority came back without this entry, and it was not written again yet. */
+  isMissing(key: string): boolean {
+    return this.restored.isMissing(key);
+  }
+
+  /** Entries that were dropped, and that the authority came back with. */
+  listWithheld(): readonly string[] {
+    return this.restored.listWithheld();
+  }
+
   get(key: string): T | undefined {
     return this.entries.get(key);
   }
@@ -73,8 +110,9 @@
    * Takes a moment at which a copy of `version` was the newest. For a read of the store it is the moment at
    * which the read was sent: its answer may have been under way for any time.
    */
-  recordProof(version: number, at: IInstant): void {
-    if (this.currentVersion === undefined || this.currentVersion < version) return;
+  recordProof(version: number, at: IInstant, era = 0): void {
+    if (this.currentVersion === undefined || era !== this.currentEra) return;
+    if (this.currentVersion < version) return;
     this.proof = this.proof === undefined ? at : pickLater(this.options.clock, this.proof, at);
   }
 
@@ -85,19 +123,37 @@
 
   /** Takes a copy of the whole table that was read at `readMs`. */
   setAll(content: ITableChanges<T>, readMs: number): void {
-    if (this.currentVersion !== undefined && content.version < this.currentVersion) return;
+    const { era = 0, version } = content;
+    if (era < this.currentEra) return;
+    const isRestored = this.currentVersion !== undefined && era > this.currentEra;
+    if (!isRestored && version < (this.currentVersion ?? -Infinity)) return;
     const keys = new Set(content.changes.map(({ key }) => key));
     const dropped = [...this.entries.keys()]
       .filter((key) => !keys.has(key))
       .map((key) => ({ key, value: undefined }));
-    this.takeChanges([...content.changes, ...dropped], content.version, readMs);
+    this.currentEra = era;
+    if (isRestored) {
+      this.kept.length = 0;
+      this.keptAfter = version;
+    }
+    const changes = this.listCredible([...content.changes, ...dropped], isRestored);
+    this.takeChanges(changes, version, readMs);
+    for (const { isMissing, key } of content.changes) {
+      if (isMissing === true) this.restored.tryRetain(key);
+    }
+    if (isRestored) this.restoredEmitter.fire(era);
   }
 
-  /** Takes changes that are complete after version `after`. False when some are missing between. */
+  /**
+   * Takes changes that are complete after version `after` of the same era. False when some are missing
+   * between, or the era is a newer one.
+   */
   apply(after: number, content: ITableChanges<T>, readMs: number): boolean {
+    const { era = 0, version } = content;
+    if (era < this.currentEra) return true;
     const current = this.currentVersion;
-    if (current === undefined || current < after) return false;
-    if (content.version >= current) this.takeChanges(content.changes, content.version, readMs);
+    if (era > this.currentEra || current === undefined || current < after) return false;
+    if (version >= current) this.takeChanges(content.changes, version, readMs);
     return true;
   }
 
@@ -115,7 +171,22 @@
     if (newestRemoved !== undefined) this.keptAfter = newestRemoved.version;
     const after = Math.max(known, this.keptAfter);
     const changes = listNewest(this.kept.filter(({ version }) => version > after));
-    return { after, content: { version: this.currentVersion ?? 0, changes } };
+    const { currentEra: era } = this;
+    return { after, content: { era, version: this.currentVersion ?? 0, changes } };
+  }
+
+  /** Changes to a whole copy, without those of an older state that would be a relapse. */
+  private listCredible(
+    changes: readonly ITableChange<T>[],
+    isRestored: boolean,
+  ): readonly ITableChange<T>[] {
+    const { restored } = this;
+    return changes.filter((change) => {
+      const { key, value } = change;
+      if (!isRestored) return !restored.isAwaited(key);
+      if (value === undefined) return !restored.tryRetain(key);
+      return this.entries.has(key) || !restored.tryWithhold(change);
+    });
   }
 
   private takeChanges(changes: readonly ITableChange<T>[], version: number, readMs: number): void {
@@ -123,8 +194,13 @@
     if (this.currentVersion === undefined) this.keptAfter = version;
     this.currentVersion = version;
     this.freshMs = Math.max(this.freshMs, readMs);
-    const real = listNewest(changes).filter((change) => this.isChange(change));
+    for (const { key } of changes) this.restored.clear(key);
+    const due = this.restored
+      .takeDue()
+      .filter(({ key }) => !changes.some((one) => one.key === key));
+    const real = listNewest([...due, ...changes]).filter((change) => this.isChange(change));
     for (const change of real) {
+      if (change.value === undefined) this.restored.recordDropped(change.key);
       this.setEntry(change);
       this.kept.push({ ...change, version, atMs });
     }
--- a/packages/dispatch/src/directory/common/memberRegistration.ts
+++ b/packages/dispatch/src/directory/common/memberRegistration.ts
@@ -86,6 +86,7 @@
   private isUnlisted(): boolean {
     const { members, self } = this.options;
     if (members.version === undefined || members.freshMs < (this.registeredMs ?? 0)) return false;
+    if (members.isMissing(self.address)) return true;
     return members.get(self.address)?.incarnation !== self.incarnation;
   }
 
--- a/packages/dispatch/src/directory/common/nodeDirectory.ts
+++ b/packages/dispatch/src/directory/common/nodeDirectory.ts
@@ -7,6 +7,7 @@
 import { isEarlierLife, isSameLife } from '../../catalog/common/catalog.js';
 import { RouteTable } from '../../catalog/common/routeTable.js';
 import type { IMember } from './authority.js';
+import type { IRestoreGrace } from './followedTable.js';
 import { FollowedTable } from './followedTable.js';
 import type { ITenantRule } from '../../tenants/common/tenant.js';
 import { isSameTenant } from '../../tenants/common/tenant.js';
@@ -16,6 +17,14 @@
 /** Homes of a service that are ranked: the home, and those that take over one after the other. */
 const RANKED_HOMES = 3;
 
+/**
+ * Targets that live write their entries again within about 2 s; the store itself removes those of silent ones
+ * after three times their usual pause.
+ */
+const TARGETS_GRACE: IRestoreGrace = { missingMs: 2000, droppedMs: 6000 };
+/** Nodes miss themselves on the list within a second, and may have to try again. */
+const MEMBERS_GRACE: IRestoreGrace = { missingMs: 4000, droppedMs: 6000 };
+
 /**
  * Derives look-up tables once for each change.
  *
@@ -44,14 +53,22 @@
       name: 'catalog',
       clock,
       isSame: (left, right) => left.version === right.version,
+      isOutdated: (known, next) => next.version < known.version,
+      restoreGrace: { missingMs: Infinity, droppedMs: 0 },
     });
     this.targets = new FollowedTable({
       name: 'targets',
       clock,
       isSame: isSameTarget,
-      isOutdated: isEarlierLife,
+      isOutdated: isEarlierState,
+      restoreGrace: TARGETS_GRACE,
+    });
+    this.members = new FollowedTable({
+      name: 'members',
+      clock,
+      isSame: isSameMember,
+      restoreGrace: MEMBERS_GRACE,
     });
-    this.members = new FollowedTable({ name: 'members', clock, isSame: isSameMember });
     this.tenants = new FollowedTable({ name: 'tenants', clock, isSame: isSameTenant });
     this.tenants.onDidChange((changes) => {
       this.tenantIndex.apply(changes);
@@ -73,7 +90,9 @@
   /** Whether the tenants are at least as new as the configuration; they may come separately. */
   hasCurrentTenants(): boolean {
     const { catalog, tenants } = this;
-    return tenants.version !== undefined && tenants.version >= (catalog.version ?? 0);
+    if (tenants.version === undefined) return false;
+    if (tenants.era !== catalog.era) return tenants.era > catalog.era;
+    return tenants.version >= (catalog.version ?? 0);
   }
 
   /** All tables that nodes replicate to each other, the tenants before the configuration that needs them. */
@@ -152,6 +171,12 @@
   );
 }
 
+/** A target never takes back in the same life that it leaves. */
+function isEarlierState(known: ITargetRecord, next: ITargetRecord): boolean {
+  const isTakenBack = known.isDraining && !next.isDraining && isSameLife(known, next);
+  return isTakenBack || isEarlierLife(known, next);
+}
+
 function isSameMember(left: IMember, right: IMember): boolean {
   return left.incarnation === right.incarnation && left.stateAddress === right.stateAddress;
 }
--- a/packages/dispatch/src/directory/common/storeFollower.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.ts
@@ -124,6 +124,8 @@
       const content = await source.readChanges(after, this.heldMs, signal);
       // A held read is answered at the change or when the wait is over: it is as of its end.
       const readMs = this.heldMs > 0 ? clock.getMonotonicTime() : startMs;
+      // Versions of another era were given out again: what is new after them is not known.
+      if ((content.era ?? 0) > table.era) return await this.readRestored(content, signal);
       // Rows that can't be understood are read again: the version behind them would hide them.
       if (content.isPartial === true) table.freshMs = readMs;
       else table.apply(after, content, readMs);
@@ -142,6 +144,23 @@
     }
   }
 
+  private async readRestored(
+    { era, version }: ITableChanges<T>,
+    signal: AbortSignal,
+  ): Promise<ITableChanges<T>> {
+    const { clock, log, source, table } = this.options;
+    const { era: before, version: versionBefore } = table;
+    log.warn('store came back from an older copy; reading the table whole', {
+      table: table.name,
+      era: era ?? 0,
+      version,
+      eraBefore: before,
+      versionBefore,
+    });
+    const startMs = clock.getMonotonicTime();
+    return this.takeAll(await source.readAll(signal), startMs);
+  }
+
   private takeAll(content: ITableChanges<T>, readMs: number): ITableChanges<T> {
     if (content.isPartial !== true) this.options.table.setAll(content, readMs);
     return content;
--- a/packages/dispatch/src/directory/common/tableMessages.ts
+++ b/packages/dispatch/src/directory/common/tableMessages.ts
@@ -20,11 +20,12 @@
   content: ITableChanges<unknown>,
 ): FollowedChanges {
   const version = BigInt(content.version);
-  const rows = content.changes.map(({ key, value }) => {
+  const rows = content.changes.map(({ isMissing: missing = false, key, value }) => {
     if (value === undefined) return { key, version };
-    return { key, version, value: Buffer.from(JSON.stringify(value)) };
+    return { key, version, value: Buffer.from(JSON.stringify(value)), missing };
   });
-  return create(FollowedChangesSchema, { table, after: BigInt(after), version, rows });
+  const { era = 0 } = content;
+  return create(FollowedChangesSchema, { table, after: BigInt(after), version, era, rows });
 }
 
 /** How old a copy is, and how long ago it was certainly the newest. */
@@ -42,9 +43,11 @@
   readonly after: number;
   readonly content: ITableChanges<unknown>;
 } {
-  const changes = message.rows.map(({ key, value }) => ({
+  const changes = message.rows.map(({ key, missing: isMissing, value }) => ({
     key,
+    isMissing,
     value: value === undefined ? undefined : (JSON.parse(Buffer.from(value).toString()) as unknown),
   }));
-  return { after: Number(message.after), content: { version: Number(message.version), changes } };
+  const { after, era, version } = message;
+  return { after: Number(after), content: { era, version: Number(version), changes } };
 }
--- a/packages/dispatch/src/directory/common/updateRelay.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.ts
@@ -31,8 +31,14 @@
 /** Above this share of silent peers, the way of this node is to blame rather than the peers. */
 const MAX_SILENT_SHARE = 0.5;
 
-/** Versions of tables, by name. */
-type TableVersions = ReadonlyMap<string, number>;
+/** A state of a table. */
+interface ITableState {
+  readonly era: number;
+  readonly version: number;
+}
+
+/** States of tables, by name. */
+type TableVersions = ReadonlyMap<string, ITableState>;
 
 /** Updates in a row that a peer has not confirmed. */
 interface IUnanswered {
@@ -170,8 +176,8 @@
   private sendUpdates(peers: readonly string[]): void {
     const updates = new Map<string, Update>();
     for (const peer of peers) {
-      const known = this.confirmed.get(peer) ?? new Map<string, number>();
-      const key = [...known.values()].join(' ');
+      const known = this.confirmed.get(peer) ?? new Map<string, ITableState>();
+      const key = [...known.values()].map(({ era, version }) => `${era}/${version}`).join(' ');
       const shared = updates.get(key) ?? this.makeUpdate(known);
       updates.set(key, shared);
       this.recordSent(peer);
@@ -193,7 +199,9 @@
     const { statePort } = this.options;
     const tables = this.options.tables.filter(({ version }) => version !== undefined);
     this.sequence += 1n;
-    this.recordTold(new Map(tables.map(({ name, version }) => [name, version ?? 0])));
+    this.recordTold(
+      new Map(tables.map(({ era, name, version }) => [name, { era, version: version ?? 0 }])),
+    );
     const changes = tables.map((table) => this.encodeTable(table, known.get(table.name)));
     return create(UpdateSchema, { sequence: this.sequence, changes, statePort });
   }
@@ -204,15 +212,28 @@
     if (this.told.size > MAX_REMEMBERED && oldest !== undefined) this.told.delete(oldest);
   }
 
-  private encodeTable(table: FollowedTable<unknown>, known: number | undefined): FollowedChanges {
-    const { after, content } = table.listRecent(known);
+  private encodeTable(
+    table: FollowedTable<unknown>,
+    known: ITableState | undefined,
+  ): FollowedChanges {
+    // A version of another era says nothing of what the peer knows.
+    const { after, content } = table.listRecent(
+      known?.era === table.era ? known.version : undefined,
+    );
     const encoded = encodeChanges(table.name, after, content);
     const bytes = encoded.rows.reduce((sum, { value }) => sum + (value?.byteLength ?? 0), 0);
     const ages = encodeAges(table);
     if (bytes <= MAX_ROW_BYTES) return create(FollowedChangesSchema, { ...encoded, ...ages });
     // Too much for a datagram: who lacks these changes fetches the table.
     const version = encoded.version;
-    return create(FollowedChangesSchema, { table: table.name, after: version, version, ...ages });
+    const { era } = table;
+    return create(FollowedChangesSchema, {
+      table: table.name,
+      after: version,
+      version,
+      era,
+      ...ages,
+    });
   }
 
   private take(
@@ -226,7 +247,7 @@
     const { after, content } = decodeChanges(changes);
     if (!table.apply(after, content, asOfMs)) this.fetch(table, stateAddress);
     if (sentAfter === undefined || changes.proofAgeMs === undefined) return;
-    table.recordProof(content.version, computeEarlier(sentAfter, changes.proofAgeMs));
+    table.recordProof(content.version, computeEarlier(sentAfter, changes.proofAgeMs), content.era);
   }
 
   private fetch(table: FollowedTable<unknown>, stateAddress: string): void {
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -208,6 +208,7 @@
       jitter: (delayMs) => random.getJittered(delayMs, 0.4),
       isFirst: () => this.role.isFirst(),
       onDidRead: (hasNews) => {
+        if (name === 'targets') this.checkEra();
         // Reads of the targets come often enough to pass on that nothing is new elsewhere.
         if (hasNews || name === 'targets') this.announce();
       },
@@ -264,8 +265,20 @@
     this.removeSilentPeers();
   }
 
+  /** The store came back from an older copy: what it holds back may be reads of its former versions. */
+  private checkEra(): void {
+    const { catalog, members, targets } = this.options.directory;
+    const isOlder = ({ era, version }: FollowedTable<unknown>) => {
+      return version !== undefined && era < targets.era;
+    };
+    if (isOlder(catalog as FollowedTable<unknown>)) this.catalogFollower.cancelRead();
+    if (isOlder(members as FollowedTable<unknown>)) this.membersFollower.cancelRead();
+  }
+
   private removeSilentPeers(): void {
-    for (const peer of this.relay.listSilent(SILENT_PEER_MS)) {
+    // Those that are gone are named again by a store that came back from an older copy.
+    const relapsed = this.options.directory.members.listWithheld();
+    for (const peer of [...this.relay.listSilent(SILENT_PEER_MS), ...relapsed]) {
       if (this.removing.has(peer)) continue;
       this.removing.add(peer);
       void this.removePeer(peer).finally(() => this.removing.delete(peer));
@@ -274,7 +287,7 @@
 
   private async removePeer(peer: string): Promise<void> {
     const { authority, log } = this.options;
-    log.warn('peer is silent; removing its registration', { peer, limitMs: SILENT_PEER_MS });
+    log.warn('peer is gone; removing its registration', { peer, limitMs: SILENT_PEER_MS });
     try {
       await authority.removeMember(peer, AbortSignal.timeout(SILENT_PEER_MS));
     } catch (error) {
--- a/packages/dispatch/src/directory/node/stateServer.ts
+++ b/packages/dispatch/src/directory/node/stateServer.ts
@@ -20,6 +20,7 @@
 const NOT_FOUND = 404;
 
 interface IEncodedTable {
+  readonly era: number;
   readonly version: number;
   readonly bytes: Uint8Array;
 }
@@ -61,12 +62,15 @@
   encoded: Map<string, IEncodedTable>,
 ): Uint8Array {
   const version = table.version ?? 0;
+  const { era } = table;
   const known = encoded.get(table.name);
-  if (known?.version === version) return known.bytes;
-  const changes = table.listEntries().map(([key, value]) => ({ key, value }));
-  const message = encodeChanges(table.name, 0, { version, changes });
+  if (known?.version === version && known.era === era) return known.bytes;
+  const changes = table
+    .listEntries()
+    .map(([key, value]) => ({ key, value, isMissing: table.isMissing(key) }));
+  const message = encodeChanges(table.name, 0, { era, version, changes });
   const bytes = toBinary(FollowedChangesSchema, message);
-  encoded.set(table.name, { version, bytes });
+  encoded.set(table.name, { era, version, bytes });
   return bytes;
 }
 
@@ -91,5 +95,5 @@
   const { content } = decodeChanges(message);
   table.setAll(content, clock.getMonotonicTime() - message.ageMs);
   if (message.proofAgeMs === undefined) return;
-  table.recordProof(content.version, computeEarlier(sentAt, message.proofAgeMs));
+  table.recordProof(content.version, computeEarlier(sentAt, message.proofAgeMs), content.era);
 }
--- a/packages/dispatch/src/quarantine/common/caseKeeper.ts
+++ b/packages/dispatch/src/quarantine/common/caseKeeper.ts
@@ -1,5 +1,5 @@
 /** Writes verdicts on requests to the store, and reads them when the fleet starts anew. */
-import type { Clock, IDisposable, Logger } from '@parsleymux/base';
+import type { Clock, Event, IDisposable, Logger } from '@parsleymux/base';
 import { StoreCallError } from '../../directory/common/authority.js';
 import type { CaseStore } from './caseStore.js';
 import type { ICaseRecord } from './crashCase.js';
@@ -27,6 +27,8 @@
   readonly isReader: () => boolean;
   /** Whether the whole fleet starts for the first time: no request was ever held back then. */
   readonly isFirstStart: boolean;
+  /** Fires when the store has come back from an older copy. Default: it never does. */
+  readonly onDidRestore?: Event<unknown>;
 }
 
 /**
@@ -40,6 +42,7 @@
 export class CaseKeeper implements IDisposable {
   private readonly decided: IDisposable;
   private readonly expired: IDisposable;
+  private readonly restored: IDisposable | undefined;
   private readonly waiting = new Map<string, ICaseRecord>();
   private readonly background = new AbortController();
   private timer: IDisposable | undefined;
@@ -56,6 +59,9 @@
     this.expired = options.quarantine.onDidExpire((fingerprint) => {
       this.removeExpired(fingerprint);
     });
+    this.restored = options.onDidRestore?.(() => {
+      this.writeAgain();
+    });
   }
 
   start(): void {
@@ -66,6 +72,7 @@
   dispose(): void {
     void this.decided.dispose();
     void this.expired.dispose();
+    void this.restored?.dispose();
     void this.timer?.dispose();
     this.background.abort(new Error('the node stops'));
   }
@@ -102,6 +109,14 @@
     this.startTimer(0);
   }
 
+  /** What was written since the copy was made is gone; one node of a failure domain writes it again. */
+  private writeAgain(): void {
+    if (!this.options.isReader()) return;
+    const convicted = this.options.quarantine.listConvicted();
+    for (const record of convicted) this.add(record);
+    if (convicted.length > 0) this.startTimer(0);
+  }
+
   private add(record: ICaseRecord): void {
     this.waiting.delete(record.fingerprint);
     this.waiting.set(record.fingerprint, record);
