--- a/packages/dispatch/src/directory/common/authority.ts
+++ b/packages/dispatch/src/directory/common/authority.ts
@@ -22,11 +22,18 @@
 export interface ITableChange<T> {
   readonly key: string;
   readonly value: T | undefined;
+  /** Whether the authority came back without the entry, which is kept for now. Default false. */
+  readonly isMissing?: boolean;
 }
 
 /** Entries of a table up to a version. */
 export interface ITableChanges<T> {
   readonly version: number;
+  /**
+   * Rises each time that the authority comes back from an older copy of itself. Versions count within an era.
+   * Default 0.
+   */
+  readonly era?: number;
   readonly changes: readonly ITableChange<T>[];
   /** Whether a row of them can't be understood, so that the rest is not the whole. Default: false. */
   readonly isPartial?: boolean;
