Tell copies of one version apart by what they keep of a former era

Cause: a follower that keeps a newer configuration has the same era and version as a peer that has read the older one by itself, so the peer took the follower's proof, and its changes, for its own list.

A copy says whether it keeps anything of a former era; a peer of the other kind fetches the table, and takes no proof of it. All changes of the first 15 s of an era are passed on, also those that are no news to the follower.

--- a/packages/dispatch/src/directory/common/authority.ts
+++ b/packages/dispatch/src/directory/common/authority.ts
@@ -26,14 +26,20 @@
   readonly isMissing?: boolean;
 }
 
-/** Entries of a table up to a version. */
-export interface ITableChanges<T> {
+/** Which state of a table a copy is of. */
+export interface ITableState {
   readonly version: number;
   /**
    * Rises each time that the authority comes back from an older copy of itself. Versions count within an era.
    * Default 0.
    */
   readonly era?: number;
+  /** Whether the copy keeps something of a former era besides. Default false. */
+  readonly isRetained?: boolean;
+}
+
+/** Entries of a table up to a version. */
+export interface ITableChanges<T> extends ITableState {
   readonly changes: readonly ITableChange<T>[];
   /** Whether a row of them can't be understood, so that the rest is not the whole. Default: false. */
   readonly isPartial?: boolean;
--- a/packages/dispatch/src/directory/common/catalogSource.ts
+++ b/packages/dispatch/src/directory/common/catalogSource.ts
@@ -2,7 +2,7 @@
 import type { Clock, IInstant } from '@parsleymux/base';
 import { measureElapsedMs, readInstant } from '@parsleymux/base';
 import type { ICatalog } from '../../catalog/common/catalog.js';
-import type { ITableChange, ITableChanges } from './authority.js';
+import type { ITableChange, ITableChanges, ITableState } from './authority.js';
 import { AuthorityTable } from './authority.js';
 import type { NodeDirectory } from './nodeDirectory.js';
 
@@ -63,13 +63,13 @@
     if (content.isPartial === true) return content;
     const { tenants } = this.options.directory;
     const changes = content.changes.map((change) => this.takeEntry(change, content));
-    if (changes.length === 0) this.copyTenants({ era: content.era, version: content.version });
+    const readMs = sentAt.monotonicMs;
+    if (changes.length === 0) tenants.advanceEra(content.era ?? 0, content.version, readMs);
     // Nothing changed up to this version.
     if (tenants.version !== undefined && tenants.version < content.version) {
-      const readMs = sentAt.monotonicMs;
       tenants.apply(tenants.version, { ...content, changes: [] }, readMs);
     }
-    if (this.isSettled(content, sentAt)) tenants.recordProof(content.version, sentAt, content.era);
+    if (this.isSettled(content, sentAt)) tenants.recordProof(this.getState(content), sentAt);
     return { ...content, changes };
   }
 
@@ -86,6 +86,11 @@
     return measureElapsedMs(this.options.clock, this.restoredAt) >= REWRITTEN_MS;
   }
 
+  /** What is kept of a newer state is newer than what the read has shown. */
+  private getState({ era = 0, version }: ITableChanges<ICatalog>): ITableState {
+    return { era, version, isRetained: this.options.directory.tenants.isRetaining };
+  }
+
   private takeEntry(
     change: ITableChange<ICatalog>,
     { era, version }: ITableChanges<ICatalog>,
@@ -101,22 +106,9 @@
       directory.tenants.setAll({ ...state, changes: rows }, clock.getMonotonicTime());
     }
     // An older configuration doesn't replace the known one, which stays in force with its tenants.
-    if (isNeeded && isOlder) this.copyTenants({ era, version });
+    if (isNeeded && isOlder) {
+      directory.tenants.advanceEra(era ?? 0, version, clock.getMonotonicTime());
+    }
     return { key: change.key, value: { ...catalog, requiresKeys: tenants !== undefined } };
   }
-
-  /** The known tenants, as those of a newer era of the authority. */
-  private copyTenants({
-    era = 0,
-    version,
-  }: {
-    readonly era: number | undefined;
-    readonly version: number;
-  }): void {
-    const { clock, directory } = this.options;
-    const { tenants } = directory;
-    if (tenants.version === undefined || era <= tenants.era) return;
-    const changes = tenants.listEntries().map(([key, value]) => ({ key, value }));
-    tenants.setAll({ era, version, changes }, clock.getMonotonicTime());
-  }
 }
--- a/packages/dispatch/src/directory/common/followedTable.test.ts
+++ b/packages/dispatch/src/directory/common/followedTable.test.ts
@@ -236,8 +236,8 @@
   const clock = new ManualClock();
   const table = makeTable(clock);
   table.setAll({ era: 2, version: 70, changes: [] }, 0);
-  table.recordProof(60, readInstant(clock), 1);
+  table.recordProof({ version: 60, era: 1 }, readInstant(clock));
   assert.equal(table.getProofAgeMs(), Infinity);
-  table.recordProof(70, readInstant(clock), 2);
+  table.recordProof({ version: 70, era: 2 }, readInstant(clock));
   assert.equal(table.getProofAgeMs(), 0);
 });
--- a/packages/dispatch/src/directory/common/followedTable.ts
+++ b/packages/dispatch/src/directory/common/followedTable.ts
@@ -1,11 +1,13 @@
 /** A node's copy of one table of the authority, and how fresh it is. */
 import type { Clock, Event, IInstant } from '@parsleymux/base';
 import { Emitter, measureElapsedMs, pickLater } from '@parsleymux/base';
-import type { ITableChange, ITableChanges } from './authority.js';
+import type { ITableChange, ITableChanges, ITableState } from './authority.js';
 import { RestoredEntries } from './restoredEntries.js';
 
 /** Changes are kept this long for peers that missed an update, in ms: several updates. */
 const KEPT_MS = 5000;
+/** By then all that the authority has lost was written again, or is gone, in ms. */
+const RETAINED_MS = 15_000;
 const NO_GRACE: IRestoreGrace = { missingMs: 0, droppedMs: 0 };
 
 interface IKeptChange<T> extends ITableChange<T> {
@@ -49,6 +51,8 @@
   private keptAfter = 0;
   private currentVersion: number | undefined;
   private currentEra = 0;
+  private restoredMs = -Infinity;
+  private retainedUntilMs = -Infinity;
   private readonly restored: RestoredEntries<T>;
   private readonly changed = new Emitter<readonly ITableChange<T>[]>();
   private readonly restoredEmitter = new Emitter<number>();
@@ -80,6 +84,14 @@
     return this.currentEra;
   }
 
+  /**
+   * Whether something of a former era is kept that the authority's state lacks. Copies of one version differ by
+   * that, so a peer takes none of the other kind piece by piece, and no proof of it.
+   */
+  get isRetaining(): boolean {
+    return this.options.clock.getMonotonicTime() < this.retainedUntilMs;
+  }
+
   /** Whether the authority came back without this entry, and it was not written again yet. */
   isMissing(key: string): boolean {
     return this.restored.isMissing(key);
@@ -107,12 +119,12 @@
   }
 
   /**
-   * Takes a moment at which a copy of `version` was the newest. For a read of the store it is the moment at
+   * Takes a moment at which a copy of this state was the newest. For a read of the store it is the moment at
    * which the read was sent: its answer may have been under way for any time.
    */
-  recordProof(version: number, at: IInstant, era = 0): void {
-    if (this.currentVersion === undefined || era !== this.currentEra) return;
-    if (this.currentVersion < version) return;
+  recordProof({ era = 0, isRetained = false, version }: ITableState, at: IInstant): void {
+    if (era !== this.currentEra || isRetained !== this.isRetaining) return;
+    if (this.currentVersion === undefined || this.currentVersion < version) return;
     this.proof = this.proof === undefined ? at : pickLater(this.options.clock, this.proof, at);
   }
 
@@ -123,7 +135,7 @@
 
   /** Takes a copy of the whole table that was read at `readMs`. */
   setAll(content: ITableChanges<T>, readMs: number): void {
-    const { era = 0, version } = content;
+    const { era = 0, isRetained = false, version } = content;
     if (era < this.currentEra) return;
     const isRestored = this.currentVersion !== undefined && era > this.currentEra;
     if (!isRestored && version < (this.currentVersion ?? -Infinity)) return;
@@ -132,18 +144,26 @@
       .filter((key) => !keys.has(key))
       .map((key) => ({ key, value: undefined }));
     this.currentEra = era;
-    if (isRestored) {
-      this.kept.length = 0;
-      this.keptAfter = version;
-    }
-    const changes = this.listCredible([...content.changes, ...dropped], isRestored);
-    this.takeChanges(changes, version, readMs);
+    const all = [...content.changes, ...dropped];
+    const changes = this.listCredible(all, isRestored);
+    if (isRestored) this.takeRestored(changes, changes.length < all.length, version, readMs);
+    else this.takeChanges(changes, version, readMs);
+    if (isRetained) this.retainedUntilMs = this.getRetainEndMs();
+    else if (!isRestored) this.endRetaining();
     for (const { isMissing, key } of content.changes) {
       if (isMissing === true) this.restored.tryRetain(key);
     }
     if (isRestored) this.restoredEmitter.fire(era);
   }
 
+  /** Keeps all entries in a newer era, whose own state is an older one. */
+  advanceEra(era: number, version: number, readMs: number): void {
+    if (this.currentVersion === undefined || era <= this.currentEra) return;
+    this.currentEra = era;
+    this.takeRestored([], true, version, readMs);
+    this.restoredEmitter.fire(era);
+  }
+
   /**
    * Takes changes that are complete after version `after` of the same era. False when some are missing
    * between, or the era is a newer one.
@@ -171,8 +191,44 @@
     if (newestRemoved !== undefined) this.keptAfter = newestRemoved.version;
     const after = Math.max(known, this.keptAfter);
     const changes = listNewest(this.kept.filter(({ version }) => version > after));
-    const { currentEra: era } = this;
-    return { after, content: { era, version: this.currentVersion ?? 0, changes } };
+    const { currentEra: era, isRetaining: isRetained } = this;
+    return { after, content: { era, isRetained, version: this.currentVersion ?? 0, changes } };
+  }
+
+  /** Changes to an older state; `isCut` if some of them are not believed yet. */
+  private takeRestored(
+    changes: readonly ITableChange<T>[],
+    isCut: boolean,
+    version: number,
+    readMs: number,
+  ): void {
+    const isRetained = isCut || changes.some((change) => this.isRelapse(change));
+    this.restoredMs = this.options.clock.getMonotonicTime();
+    if (isRetained) this.retainedUntilMs = this.getRetainEndMs();
+    this.takeChanges(changes, version, readMs);
+    this.clearKept(version);
+  }
+
+  /** Who has not fetched the table by now lacks what is not kept for it. */
+  private clearKept(version: number): void {
+    this.kept.length = 0;
+    this.keptAfter = version;
+  }
+
+  private getRetainEndMs(): number {
+    return this.options.clock.getMonotonicTime() + RETAINED_MS;
+  }
+
+  private endRetaining(): void {
+    if (this.retainedUntilMs === -Infinity) return;
+    this.retainedUntilMs = -Infinity;
+    this.clearKept(this.currentVersion ?? 0);
+  }
+
+  private isRelapse({ key, value }: ITableChange<T>): boolean {
+    const known = this.entries.get(key);
+    if (known === undefined || value === undefined) return false;
+    return this.options.isOutdated?.(known, value) === true;
   }
 
   /** Changes to a whole copy, without those of an older state that would be a relapse. */
@@ -191,6 +247,7 @@
 
   private takeChanges(changes: readonly ITableChange<T>[], version: number, readMs: number): void {
     const atMs = this.options.clock.getMonotonicTime();
+    if (atMs >= this.retainedUntilMs) this.endRetaining();
     if (this.currentVersion === undefined) this.keptAfter = version;
     this.currentVersion = version;
     this.freshMs = Math.max(this.freshMs, readMs);
@@ -202,8 +259,11 @@
     for (const change of real) {
       if (change.value === undefined) this.restored.recordDropped(change.key);
       this.setEntry(change);
-      this.kept.push({ ...change, version, atMs });
     }
+    // What is no news here may be to a peer that has read the older state by itself.
+    const isForAll = atMs - this.restoredMs < RETAINED_MS;
+    const passedOn = isForAll ? listNewest([...due, ...changes]) : real;
+    for (const change of passedOn) this.kept.push({ ...change, version, atMs });
     if (real.length > 0) this.changed.fire(real);
   }
 
--- a/packages/dispatch/src/directory/common/tableMessages.ts
+++ b/packages/dispatch/src/directory/common/tableMessages.ts
@@ -24,8 +24,15 @@
     if (value === undefined) return { key, version };
     return { key, version, value: Buffer.from(JSON.stringify(value)), missing };
   });
-  const { era = 0 } = content;
-  return create(FollowedChangesSchema, { table, after: BigInt(after), version, era, rows });
+  const { era = 0, isRetained: retained = false } = content;
+  return create(FollowedChangesSchema, {
+    table,
+    after: BigInt(after),
+    version,
+    era,
+    retained,
+    rows,
+  });
 }
 
 /** How old a copy is, and how long ago it was certainly the newest. */
@@ -48,6 +55,6 @@
     isMissing,
     value: value === undefined ? undefined : (JSON.parse(Buffer.from(value).toString()) as unknown),
   }));
-  const { after, era, version } = message;
-  return { after: Number(after), content: { era, version: Number(version), changes } };
+  const { after, era, retained: isRetained, version } = message;
+  return { after: Number(after), content: { era, isRetained, version: Number(version), changes } };
 }
--- a/packages/dispatch/src/directory/common/updateRelay.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.ts
@@ -245,9 +245,10 @@
     if (table === undefined) return;
     const asOfMs = this.options.clock.getMonotonicTime() - changes.ageMs;
     const { after, content } = decodeChanges(changes);
-    if (!table.apply(after, content, asOfMs)) this.fetch(table, stateAddress);
+    const isOtherKind = content.isRetained !== table.isRetaining && content.era === table.era;
+    if (isOtherKind || !table.apply(after, content, asOfMs)) this.fetch(table, stateAddress);
     if (sentAfter === undefined || changes.proofAgeMs === undefined) return;
-    table.recordProof(content.version, computeEarlier(sentAfter, changes.proofAgeMs), content.era);
+    table.recordProof(content, computeEarlier(sentAfter, changes.proofAgeMs));
   }
 
   private fetch(table: FollowedTable<unknown>, stateAddress: string): void {
--- a/packages/dispatch/src/directory/node/keyLease.test.ts
+++ b/packages/dispatch/src/directory/node/keyLease.test.ts
@@ -21,3 +21,18 @@
     );
   });
 }
+
+for (const seed of [1, 2, 3]) {
+  test(`no ended key is served later than the lease by a store that comes back older: seed ${seed}`, async () => {
+    // Guards against a key that has ended and holds again by a fresh read of an older list.
+    const fleet = new LeaseFleet({
+      clock: new ManualClock(),
+      seed,
+      nodes: NODES,
+      way: 'followers',
+      restores: true,
+    });
+    const { servedTooLate } = await fleet.run();
+    assert.equal(servedTooLate, 0);
+  });
+}
--- a/packages/dispatch/src/directory/node/stateServer.ts
+++ b/packages/dispatch/src/directory/node/stateServer.ts
@@ -21,6 +21,7 @@
 
 interface IEncodedTable {
   readonly era: number;
+  readonly isRetained: boolean;
   readonly version: number;
   readonly bytes: Uint8Array;
 }
@@ -62,15 +63,16 @@
   encoded: Map<string, IEncodedTable>,
 ): Uint8Array {
   const version = table.version ?? 0;
-  const { era } = table;
+  const { era, isRetaining: isRetained } = table;
   const known = encoded.get(table.name);
-  if (known?.version === version && known.era === era) return known.bytes;
+  const isSame = known?.era === era && known.isRetained === isRetained;
+  if (isSame && known.version === version) return known.bytes;
   const changes = table
     .listEntries()
     .map(([key, value]) => ({ key, value, isMissing: table.isMissing(key) }));
-  const message = encodeChanges(table.name, 0, { era, version, changes });
+  const message = encodeChanges(table.name, 0, { era, isRetained, version, changes });
   const bytes = toBinary(FollowedChangesSchema, message);
-  encoded.set(table.name, { era, version, bytes });
+  encoded.set(table.name, { era, isRetained, version, bytes });
   return bytes;
 }
 
@@ -95,5 +97,5 @@
   const { content } = decodeChanges(message);
   table.setAll(content, clock.getMonotonicTime() - message.ageMs);
   if (message.proofAgeMs === undefined) return;
-  table.recordProof(content.version, computeEarlier(sentAt, message.proofAgeMs), content.era);
+  table.recordProof(content, computeEarlier(sentAt, message.proofAgeMs));
 }
--- a/packages/dispatch/src/quotas/common/tenantAdmission.test.ts
+++ b/packages/dispatch/src/quotas/common/tenantAdmission.test.ts
@@ -31,7 +31,7 @@
   const admission = new TenantAdmission({ directory, keys, quotas, self: SELF });
   const setVersion = (version: number) => {
     directory.tenants.setAll({ version, changes: [{ key: NORTH.name, value: NORTH }] }, 0);
-    directory.tenants.recordProof(version, readInstant(clock));
+    directory.tenants.recordProof({ version }, readInstant(clock));
     const catalog = { ...makeCatalog(version, [makeRoute()]), requiresKeys: true };
     directory.catalog.setAll({ version, changes: [{ key: 'config', value: catalog }] }, 0);
   };
--- a/packages/dispatch/src/tenants/common/keyChecker.test.ts
+++ b/packages/dispatch/src/tenants/common/keyChecker.test.ts
@@ -53,7 +53,7 @@
     const rows = tenants.map((value) => ({ key: value.name, value }));
     const nowMs = clock.getMonotonicTime();
     directory.tenants.setAll({ version, changes: rows }, nowMs);
-    directory.tenants.recordProof(version, provenAt);
+    directory.tenants.recordProof({ version: version }, provenAt);
     const catalog = { ...makeCatalog(version, [ROUTE, PUBLIC]), requiresKeys: true };
     const changes = [{ key: 'config', value: catalog }];
     directory.catalog.setAll({ version, changes }, nowMs);
--- a/packages/dispatch/src/test/keyLeaseFleet.ts
+++ b/packages/dispatch/src/test/keyLeaseFleet.ts
@@ -28,16 +28,38 @@
 const QUEUE_SHARE = 0.1;
 const POLL_MS = 5;
 const KEYS = 12;
+/** When the store comes back, in ms of the run, and how many changes it has lost then. */
+const RESTORES_MS = [3500, 10_600];
+const LOST_CHANGES = 2;
+/** From then on nodes are cut off, and until then, in ms after the store came back. */
+const CUT_AFTER_MS = 1000;
+const CUT_SHARE = 0.3;
+const HEALED_AFTER_MS = 7000;
+/** The operator writes again what the store has lost after this time, in ms. */
+const REWRITTEN_MS = 1500;
 const ROUTE = makeRoute();
 
 /** Who proves that a node's keys are the newest. */
 export type ProofWay = 'followers' | 'every-node';
 
+/** Rows of the operator at one version. */
+interface IStoreCopy {
+  readonly configVersion: number;
+  readonly keys: readonly string[];
+  readonly version: number;
+}
+
 /** The store's rows of the operator; calls are counted. */
 class ModelledStore {
   calls = 0;
   version = 1;
+  era = 1;
+  /** Counts the operator's configurations; it never goes back. */
+  private configVersion = 1;
   private keys: readonly string[] = Array.from({ length: KEYS }, (_, index) => `key-${index}`);
+  private copies: readonly IStoreCopy[] = [];
+  /** What the operator wrote last, whatever the store holds. */
+  private written = this.copy();
   /** When each key ended. */
   readonly endedMs = new Map<string, number>();
 
@@ -46,11 +68,36 @@
   endKey(): void {
     const [first, ...rest] = this.keys;
     if (first === undefined || rest.length === 0) return;
+    this.copies = [...this.copies, this.copy()];
     this.keys = rest;
     this.version += 1;
+    this.configVersion += 1;
+    this.written = this.copy();
     this.endedMs.set(first, this.clock.getMonotonicTime());
   }
 
+  /** Comes back from a copy of before the last `lost` changes; the operator writes again a moment later. */
+  restore(lost: number): void {
+    const copy = this.copies.at(-lost);
+    if (copy === undefined) return;
+    this.era += 1;
+    this.take(copy, copy.version);
+    this.clock.startTimer(REWRITTEN_MS, () => {
+      this.take(this.written, this.version + 1);
+    });
+  }
+
+  private take({ configVersion, keys }: IStoreCopy, version: number): void {
+    this.keys = keys;
+    this.configVersion = configVersion;
+    this.version = version;
+  }
+
+  private copy(): IStoreCopy {
+    const { configVersion, keys, version } = this;
+    return { configVersion, keys, version };
+  }
+
   /** A key that holds to the end. */
   get lastKey(): string {
     return this.keys.at(-1) ?? '';
@@ -58,8 +105,9 @@
 
   makeCatalogRows(): ITableChanges<ICatalog> {
     const tenants = this.keys.map((key) => ({ name: `tenant-${key}`, keys: [key], burst: 0 }));
-    const value = { ...makeCatalog(this.version, [ROUTE]), tenants };
-    return { version: this.version, changes: [{ key: 'config', value }] };
+    const value = { ...makeCatalog(this.configVersion, [ROUTE]), tenants };
+    const { era, version } = this;
+    return { era, version, changes: [{ key: 'config', value }] };
   }
 }
 
@@ -87,12 +135,17 @@
     const { clock, store } = this.node.fleet;
     const endMs = clock.getMonotonicTime() + waitMs;
     await this.node.requestStore(signal);
-    while (this.listRows().version <= after && clock.getMonotonicTime() < endMs) {
+    for (;;) {
+      const rows = this.listRows();
+      if (store.version < after) {
+        throw new StoreCallError(StoreFailure.HistoryLost, 'a version that is not there');
+      }
+      if (rows.version > after) return rows;
+      const { era, version } = store;
+      if (clock.getMonotonicTime() >= endMs) return { era, version, changes: [] };
       await clock.sleep(POLL_MS, signal);
       this.node.throwIfTurnedAway();
     }
-    const rows = this.listRows();
-    return rows.version > after ? rows : { version: store.version, changes: [] };
   }
 }
 
@@ -105,8 +158,16 @@
     super();
     const { fleet } = node;
     this.catalog = new ModelledTable(node, () => fleet.store.makeCatalogRows());
-    this.targets = new ModelledTable<ITargetRecord>(node, () => ({ version: 1, changes: [] }));
-    this.members = new ModelledTable(node, () => ({ version: 1, changes: fleet.members }));
+    this.targets = new ModelledTable<ITargetRecord>(node, () => ({
+      era: fleet.store.era,
+      version: 1,
+      changes: [],
+    }));
+    this.members = new ModelledTable(node, () => ({
+      era: fleet.store.era,
+      version: 1,
+      changes: fleet.members,
+    }));
   }
 
   override putMember(): Promise<void> {
@@ -129,6 +190,8 @@
   override send(address: string, body: DatagramBody): void {
     const { clock, nodes, random } = this.fleet;
     if (random.getFloat() < LOST_SHARE) return;
+    const isCut = [this.address, address].some((one) => nodes.get(one)?.isCutOff === true);
+    if (isCut) return;
     const isLate = random.getFloat() < LATE_SHARE;
     const queuedMs = nodes.get(address)?.isBehindQueue === true ? QUEUE_MS : 0;
     const delayMs = 1 + queuedMs + random.getFloat() * (isLate ? LATEST_MS : 4);
@@ -147,6 +210,8 @@
 class LeaseNode {
   isTurnedAway = false;
   isBehindQueue = false;
+  /** Reaches neither the store nor other nodes. */
+  isCutOff = false;
   readonly directory: NodeDirectory;
   readonly checker: KeyChecker;
   private readonly service: DirectoryService;
@@ -207,7 +272,8 @@
   }
 
   throwIfTurnedAway(): void {
-    if (this.isTurnedAway) throw new StoreCallError(StoreFailure.Busy, 'turned away');
+    if (this.isTurnedAway || this.isCutOff)
+      throw new StoreCallError(StoreFailure.Busy, 'turned away');
   }
 
   isServed(key: string): boolean {
@@ -230,6 +296,8 @@
   readonly seed: number;
   readonly nodes: number;
   readonly way: ProofWay;
+  /** Whether the store comes back from older copies while keys end. Default false. */
+  readonly restores?: boolean;
 }
 
 /**
@@ -244,8 +312,11 @@
   readonly members: { readonly key: string; readonly value: IMember }[];
   readonly nodes = new Map<string, LeaseNode>();
 
-  constructor({ clock, nodes, seed, way }: ILeaseFleetOptions) {
+  private readonly restores: boolean;
+
+  constructor({ clock, nodes, restores = false, seed, way }: ILeaseFleetOptions) {
     this.clock = clock;
+    this.restores = restores;
     this.way = way;
     this.random = new SeededRandom(seed);
     this.store = new ModelledStore(clock);
@@ -269,6 +340,7 @@
       if (ms === 4000) this.startOutage();
       if (ms === 13_000) for (const node of this.nodes.values()) node.isTurnedAway = false;
       if (ms >= 4000 && ms % 1250 === 0) this.store.endKey();
+      if (this.restores) this.updateStore(ms);
       await this.clock.advanceBy(50);
       for (const node of this.nodes.values()) this.look(node, figures);
     }
@@ -277,6 +349,23 @@
     return { ...figures, callsPerS: (this.store.calls - callsBefore) / 15 };
   }
 
+  /**
+   * A key ends that no node hears of before the store has lost it; then some nodes are cut off with what
+   * they have read of the older copy.
+   */
+  private updateStore(ms: number): void {
+    if (RESTORES_MS.includes(ms)) {
+      this.store.endKey();
+      this.store.restore(LOST_CHANGES);
+    }
+    for (const node of this.nodes.values()) {
+      if (RESTORES_MS.includes(ms - CUT_AFTER_MS) && this.random.getFloat() < CUT_SHARE) {
+        node.isCutOff = true;
+      }
+      if (RESTORES_MS.includes(ms - HEALED_AFTER_MS)) node.isCutOff = false;
+    }
+  }
+
   private look(node: LeaseNode, figures: { servedTooLate: number; withoutServiceS: number }): void {
     const nowMs = this.clock.getMonotonicTime();
     const leaseMs = TENANT_BOUNDS.keyLeaseMs ?? 0;
--- a/packages/lab/src/soak/common/soakFaultKind.ts
+++ b/packages/lab/src/soak/common/soakFaultKind.ts
@@ -25,6 +25,8 @@
   TargetTellsDrain: 'target-tells-drain',
   /** A target names in its answers how many requests a second it takes. */
   TargetNamesLimit: 'target-names-limit',
+  /** The store comes back from an older copy; what others wrote since is written again. */
+  StoreRestore: 'store-restore',
 } as const;
 
 export type SoakFaultKind = (typeof SoakFaultKind)[keyof typeof SoakFaultKind];
@@ -36,7 +38,7 @@
  * of the same seeds.
  */
 export const THIRD_FAULT_KINDS: readonly SoakFaultKind[] = SOAK_FAULT_KINDS.filter((kind) => {
-  return kind !== SoakFaultKind.TargetNamesLimit;
+  return kind !== SoakFaultKind.TargetNamesLimit && kind !== SoakFaultKind.StoreRestore;
 });
 
 /** The same, before there were those. */
--- a/packages/lab/src/soak/node/soakFaults.ts
+++ b/packages/lab/src/soak/node/soakFaults.ts
@@ -28,6 +28,9 @@
 /** A leaving target serves a little longer than nodes may send to it, in ms. */
 const LEAVE_MS = SOAK_BOUNDS.drain_s * MS_PER_S + 1000;
 
+/** The store is away for this long before it comes back older, in ms; then others write again. */
+const STORE_AWAY_MS = 400;
+const REWRITE_MS = 600;
 /** A target names a limit for this long, in ms, and how many requests a second it may be. */
 const LIMIT_MS = 9000;
 const LEAST_LIMIT_PER_S = 0.5;
@@ -84,6 +87,8 @@
       return Promise.resolve(startCrashingRequest(step, world));
     case SoakFaultKind.TargetTellsDrain:
       return withTarget(step, world, (target) => startToldDrain(target, world));
+    case SoakFaultKind.StoreRestore:
+      return Promise.resolve(startStoreRestore(world));
     case SoakFaultKind.TargetNamesLimit:
       return withTarget(step, world, (target) => startNamedLimit(target, step));
   }
@@ -189,6 +194,22 @@
   };
 }
 
+/** The copy is as old as the step is long. */
+function startStoreRestore(world: SoakWorld): Injection {
+  if (world.store.fault !== MetadataFault.None) return 'skipped';
+  const copy = world.store.rows.copy();
+  return async () => {
+    const endDisturbance = markDisturbed(STORE_SCOPE, world);
+    world.store.fault = MetadataFault.Reset;
+    await new Promise((resolve) => setTimeout(resolve, STORE_AWAY_MS));
+    world.store.restore(copy);
+    world.store.fault = MetadataFault.None;
+    endDisturbance();
+    await new Promise((resolve) => setTimeout(resolve, REWRITE_MS));
+    world.writeAgain();
+  };
+}
+
 async function startLinkFault(
   link: SoakNode['link'],
   scope: string,
--- a/packages/lab/src/soak/node/soakWorld.ts
+++ b/packages/lab/src/soak/node/soakWorld.ts
@@ -59,6 +59,10 @@
   readonly targets: SoakTarget[] = [];
   private readonly fleet = new ProcessFleet({ graceMs: GRACE_MS, handleSignals: false });
   private readonly gone: SoakTarget[] = [];
+  /** Targets that have written that they leave, and are still there. */
+  private readonly leaving = new Set<SoakTarget>();
+  /** Identifiers of targets whose entries were removed. */
+  private readonly removed = new Set<string>();
   private openedStore: MetadataStandIn | undefined;
   private targetCount = 0;
   private isEnding = false;
@@ -100,6 +104,22 @@
     this.versions.push({ version, acceptedMs: performance.now() });
   }
 
+  /** Operator and targets write again what a store has lost that came back older. */
+  writeAgain(): void {
+    const newest = this.versions[this.versions.length - 1];
+    if (newest !== undefined) {
+      this.store.put(CONFIG_TABLE, 'config', makeSoakConfig(newest.version));
+    }
+    for (const target of this.targets) this.register(target, false);
+    const present = new Set(this.targets.map(({ options }) => options.id));
+    for (const { options } of this.gone) {
+      if (this.removed.has(options.id) && !present.has(options.id)) {
+        this.store.remove(TARGET_TABLE, options.id);
+      }
+    }
+    for (const target of this.leaving) this.register(target, true);
+  }
+
   /** Opens and registers a target, at a former one's place or at its own. */
   async openTarget(service: string, place?: ITargetPlace): Promise<void> {
     this.targetCount += 1;
@@ -143,6 +163,7 @@
   retireTarget(target: SoakTarget): void {
     this.targets.splice(this.targets.indexOf(target), 1);
     this.gone.push(target);
+    this.leaving.add(target);
     this.register(target, true);
     this.drains.push({ target: target.options.id, acceptedMs: performance.now() });
   }
@@ -170,6 +191,8 @@
     const index = this.targets.indexOf(target);
     if (index !== -1) this.targets.splice(index, 1);
     if (!this.gone.includes(target)) this.gone.push(target);
+    this.leaving.delete(target);
+    this.removed.add(target.options.id);
     this.store.remove(TARGET_TABLE, target.options.id);
   }
 
