--- a/packages/dispatch/src/entry/common/requestRun.test.ts
+++ b/packages/dispatch/src/entry/common/requestRun.test.ts
@@ -95,6 +95,7 @@
   isIdempotent: boolean,
   refusing?: TargetSelector,
   clock = new ManualClock(),
+  notices = new TargetNotices(clock),
 ): Promise<IBench> {
   const selector = new CountingSelector();
   const transport = new ScriptedTransport(replies);
@@ -104,7 +105,7 @@
     transport,
     quarantine: makeQuarantine(clock),
     keys: makeKeyChecker(clock),
-    notices: new TargetNotices(clock),
+    notices,
     paths: new PathHealth(clock, () => undefined),
     failureDomain: 'north',
     listTargets: () => [],
@@ -294,3 +295,13 @@
     [0.5, 2],
   );
 });
+
+test('what another target says at an address is not taken for the word of the one that was meant', async () => {
+  // Guards against a sound target that is left alone because the next one at its former address leaves.
+  const clock = new ManualClock();
+  const other = makeAnswer(421, { notRun: true, draining: true, rateLimit: 1 });
+  const notices = new TargetNotices(clock);
+  await run([other, makeAnswer(200)], true, undefined, clock, notices);
+  assert.equal(notices.isLeaving(makeTarget('t1')), false);
+  assert.deepEqual(notices.listLimits([makeTarget('t1')]), []);
+});
