--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -33,6 +33,7 @@
 import type { IDirectNodeSettings } from './directNodeSettings.js';
 import { handleDatagram } from './datagramRouter.js';
 import { logDirectoryChanges } from './directoryLog.js';
+import { countDirectory } from './directoryMetrics.js';
 import { countHeldRequests } from './heldRequests.js';
 import { countMalformedRows } from './malformedRows.js';
 import { createMetricsServer, createReadyServer } from './statusServers.js';
@@ -126,6 +127,7 @@
     countHeldRequests(this.quarantine, registry);
     const channel = this.store.add(await UdpChannel.open(settings.datagramAddress, log));
     const homes = this.store.add(this.createHomes(channel.address));
+    countDirectory(homes, registry);
     const state = createStateServer(this.directory.listTables(), (incoming, response) => {
       return handleHeldRequests(this.quarantine, incoming, response);
     });
--- /dev/null
+++ b/packages/dispatch/src/app/node/directoryMetrics.ts
@@ -0,0 +1,22 @@
+/** What a node follows, for the metrics. */
+import type { Registry } from 'prom-client';
+import { Gauge } from 'prom-client';
+import type { HomeService } from '../../home/common/homeService.js';
+
+/**
+ * Registers the gauges. They are read when they are fetched.
+ *
+ * @example
+ * countDirectory(homes, registry);
+ */
+export function countDirectory(homes: HomeService, registry: Registry): void {
+  new Gauge({
+    name: 'parsleymux_limited_targets',
+    help: 'Targets of services whose home this node is that name a limit of requests.',
+    registers: [registry],
+    collect() {
+      const targets = homes.listBooks().flatMap(([, book]) => book.listTargets());
+      this.set(targets.filter(({ rateLimit }) => rateLimit.ratePerS !== undefined).length);
+    },
+  });
+}
