--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -127,7 +127,7 @@
     countHeldRequests(this.quarantine, registry);
     const channel = this.store.add(await UdpChannel.open(settings.datagramAddress, log));
     const homes = this.store.add(this.createHomes(channel.address));
-    countDirectory(homes, registry);
+    countDirectory(this.directory, homes, registry);
     const state = createStateServer(this.directory.listTables(), (incoming, response) => {
       return handleHeldRequests(this.quarantine, incoming, response);
     });
