--- a/packages/lab/src/soak/node/soakFaults.ts
+++ b/packages/lab/src/soak/node/soakFaults.ts
@@ -31,6 +31,7 @@
 /** The store is away for this long before it comes back older, in ms; then others write again. */
 const STORE_AWAY_MS = 400;
 const REWRITE_MS = 600;
+const LOST_WRITES = 10;
 /** A target names a limit for this long, in ms, and how many requests a second it may be. */
 const LIMIT_MS = 9000;
 const LEAST_LIMIT_PER_S = 0.5;
@@ -198,6 +199,8 @@
 function startStoreRestore(world: SoakWorld): Injection {
   if (world.store.fault !== MetadataFault.None) return 'skipped';
   const copy = world.store.rows.copy();
+  // What the store loses moves its versions, as the entries of many targets do that report again and again.
+  for (let count = 0; count < LOST_WRITES; count += 1) world.writeTargets();
   return async () => {
     const endDisturbance = markDisturbed(STORE_SCOPE, world);
     world.store.fault = MetadataFault.Reset;
--- a/packages/lab/src/soak/node/soakWorld.ts
+++ b/packages/lab/src/soak/node/soakWorld.ts
@@ -104,13 +104,18 @@
     this.versions.push({ version, acceptedMs: performance.now() });
   }
 
+  /** Targets write their entries again. */
+  writeTargets(): void {
+    for (const target of this.targets) this.register(target, false);
+  }
+
   /** Operator and targets write again what a store has lost that came back older. */
   writeAgain(): void {
     const newest = this.versions[this.versions.length - 1];
     if (newest !== undefined) {
       this.store.put(CONFIG_TABLE, 'config', makeSoakConfig(newest.version));
     }
-    for (const target of this.targets) this.register(target, false);
+    this.writeTargets();
     const present = new Set(this.targets.map(({ options }) => options.id));
     for (const { options } of this.gone) {
       if (this.removed.has(options.id) && !present.has(options.id)) {
