--- a/packages/dispatch/src/directory/common/storeFollower.test.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.test.ts
@@ -156,3 +156,16 @@
   assert.equal(table.get('config'), 'new');
   stop.abort();
 });
+
+test('a read of changes that shows a newer era is followed by one of the whole table', async () => {
+  // Guards against changes after a version that the store has given out again.
+  const stop = new AbortController();
+  const changes = { era: 2, version: 9, changes: [{ key: 'other', value: 'x' }] };
+  const whole = { ...SECOND, era: 2, version: 2 };
+  const { clock, source, table } = startBench([FIRST, changes, whole], stop.signal);
+  await clock.advanceBy(100);
+  assert.equal(table.get('config'), 'new');
+  assert.equal(table.version, 2);
+  assert.deepEqual(source.calls.slice(0, 4), ['all', 'after 3', 'all', 'after 2']);
+  stop.abort();
+});
--- a/packages/dispatch/src/directory/common/updateRelay.test.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.test.ts
@@ -3,10 +3,11 @@
 import { create } from '@bufbuild/protobuf';
 import { ManualClock, createSilentLogger } from '@parsleymux/base';
 import type { UpdateReceived } from '@parsleymux/schema';
-import { UpdateReceivedSchema } from '@parsleymux/schema';
+import { FollowedChangesSchema, UpdateReceivedSchema, UpdateSchema } from '@parsleymux/schema';
 import type { DatagramBody } from '../../grants/common/datagramChannel.js';
 import { DatagramChannel } from '../../grants/common/datagramChannel.js';
 import { FollowedTable } from './followedTable.js';
+import { encodeChanges } from './tableMessages.js';
 import { UpdateRelay } from './updateRelay.js';
 
 const LIMIT_MS = 4500;
@@ -140,3 +141,47 @@
   for (const peer of PEERS.slice(2)) relay.handleUpdateReceived(peer, confirm(2n));
   assert.deepEqual(relay.listSilent(LIMIT_MS), []);
 });
+
+test('a peer that has read an older copy by itself takes neither changes nor proof of one that keeps more', () => {
+  // Guards against an ended key that holds again by the proof of a follower which knows that it has ended.
+  const clock = new ManualClock();
+  const fetched: string[] = [];
+  const tables = [0, 1].map(() => {
+    const isSame = (left: unknown, right: unknown) => left === right;
+    return new FollowedTable<unknown>({
+      name: 't',
+      clock,
+      isSame,
+      restoreGrace: { missingMs: 2000, droppedMs: 6000 },
+    });
+  });
+  const [follower, peer] = tables as [FollowedTable<unknown>, FollowedTable<unknown>];
+  const key = { key: 'a', value: 1 };
+  follower.setAll({ era: 1, version: 8, changes: [key] }, 0);
+  follower.apply(8, { era: 1, version: 9, changes: [{ key: 'a', value: undefined }] }, 0);
+  for (const table of tables) table.setAll({ era: 2, version: 8, changes: [key] }, 0);
+  assert.deepEqual(
+    tables.map(({ era, isRetaining, version }) => [era, version, isRetaining]),
+    [
+      [2, 8, true],
+      [2, 8, false],
+    ],
+  );
+  const relay = new UpdateRelay({
+    channel: new RecordingChannel(),
+    clock,
+    log: createSilentLogger(),
+    statePort: 7201,
+    tables: [peer],
+    listPeers: () => PEERS,
+    fetchTable: (table) => {
+      fetched.push(table.name);
+      return Promise.resolve();
+    },
+  });
+  const encoded = encodeChanges('t', 8, follower.listRecent(8).content);
+  const changes = [create(FollowedChangesSchema, { ...encoded, proofAgeMs: 0 })];
+  relay.handleUpdate(PEERS[0]!, create(UpdateSchema, { sequence: 1n, changes, statePort: 1 }));
+  assert.deepEqual(fetched, ['t']);
+  assert.equal(peer.getProofAgeMs(), Infinity);
+});
--- a/packages/dispatch/src/directory/node/directoryService.test.ts
+++ b/packages/dispatch/src/directory/node/directoryService.test.ts
@@ -194,3 +194,18 @@
   stop.abort();
   await running;
 });
+
+test('a node that the store came back without registers again at once, and others stay on its list', async () => {
+  // Guards against a home that nobody asks any more because the store has lost its row.
+  const { authority, clock, directory, service, stop } = startService(false);
+  const running = service.run(stop.signal);
+  await clock.advanceBy(2000);
+  const before = authority.registrations;
+  const { changes } = makeMembers();
+  directory.members.setAll({ era: 2, version: 0, changes: changes.slice(2) }, 2000);
+  await clock.advanceBy(1500);
+  assert.equal(authority.registrations, before + 1);
+  assert.equal(directory.members.listValues().length, changes.length);
+  stop.abort();
+  await running;
+});
--- a/packages/dispatch/src/quarantine/common/caseKeeper.test.ts
+++ b/packages/dispatch/src/quarantine/common/caseKeeper.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ManualClock, SeededRandom, createSilentLogger } from '@parsleymux/base';
+import { Emitter, ManualClock, SeededRandom, createSilentLogger } from '@parsleymux/base';
 import { StoreCallError, StoreFailure } from '../../directory/common/authority.js';
 import { MemoryNetwork } from '../../test/memoryNetwork.js';
 import { CaseKeeper } from './caseKeeper.js';
@@ -39,6 +39,8 @@
 class Node {
   readonly quarantine: RequestQuarantine;
 
+  readonly restored = new Emitter<number>();
+
   constructor(network: MemoryNetwork, address: string, store: CaseStore, isReader: boolean) {
     const { clock } = network;
     const log = createSilentLogger();
@@ -59,6 +61,7 @@
       log,
       isReader: () => isReader,
       isFirstStart: false,
+      onDidRestore: this.restored.onDidFire,
     }).start();
   }
 
@@ -140,3 +143,16 @@
   await network.clock.advanceBy(50);
   assert.equal(store.rows.size, 0);
 });
+
+test('a verdict that the store has lost with an older copy is written again, by one node', async () => {
+  // Guards against a held request that is forgotten when all nodes lose power after the store went back.
+  const network = new MemoryNetwork(new ManualClock());
+  const store = new MemoryCaseStore();
+  const nodes = ['a', 'b', 'c'].map((name) => new Node(network, name, store, name === 'b'));
+  nodes[0]?.loseThree();
+  await network.clock.advanceBy(50);
+  store.rows.clear();
+  for (const { restored } of nodes) restored.fire(2);
+  await network.clock.advanceBy(50);
+  assert.deepEqual([...store.rows.keys()], [REQUEST]);
+});
