--- a/packages/dispatch/src/grants/common/beliefSharing.ts
+++ b/packages/dispatch/src/grants/common/beliefSharing.ts
@@ -49,7 +49,7 @@
     const nowMs = this.options.clock.getMonotonicTime();
     const book = this.options.homes.getBook(message.service);
     for (const { ageMs, bornMs, leaving, suspicionPermille, targetId } of message.beliefs) {
-      if (leaving) book.applyLeaving(targetId, decodeBornMs(bornMs));
+      if (leaving) book.statements.applyLeaving(targetId, decodeBornMs(bornMs));
       book.applyEvidence(targetId, decodeBornMs(bornMs), {
         suspicion: suspicionPermille / PERMILLE,
         updatedMs: nowMs - ageMs,
@@ -58,7 +58,7 @@
     for (const limit of message.limits) {
       const { ageMs, granted, rateMilli, targetId } = limit;
       const evidence = { ratePerS: decodeRate(rateMilli), atMs: nowMs - ageMs };
-      book.applyLimit(targetId, decodeBornMs(limit.bornMs), evidence, {
+      book.statements.applyLimit(targetId, decodeBornMs(limit.bornMs), evidence, {
         home: sender,
         granted: Number(granted),
       });
--- a/packages/dispatch/src/home/common/serviceBook.ts
+++ b/packages/dispatch/src/home/common/serviceBook.ts
@@ -3,7 +3,7 @@
 import { ResultCode } from '@parsleymux/base';
 import type { ITargetRecord } from '../../catalog/common/catalog.js';
 import type { GrantDecision, IGrantRequest, IReportedAnswer } from '../../grants/common/grant.js';
-import { GrantOutcome, NO_ANSWER, isAnswered } from '../../grants/common/grant.js';
+import { GrantOutcome, NO_ANSWER } from '../../grants/common/grant.js';
 import type { RequestQuarantine } from '../../quarantine/common/requestQuarantine.js';
 import type { TenantAdmission } from '../../quotas/common/tenantAdmission.js';
 import type { IQuotaFacts } from '../../quotas/common/tenantQuotas.js';
@@ -17,11 +17,10 @@
 import type { IRetryWindowOptions } from './retryWindow.js';
 import { RetryWindow } from './retryWindow.js';
 import { ServiceLog } from './serviceLog.js';
-import type { IHomeGrants } from './serviceTargets.js';
 import { ServiceTargets } from './serviceTargets.js';
 import { ServedWindow } from './servedWindow.js';
 import type { ITargetEvidence } from './targetBelief.js';
-import type { IRateEvidence } from './targetRateLimit.js';
+import { TargetStatements } from './targetStatements.js';
 import type { ITicket } from './ticket.js';
 import { Ticket } from './ticket.js';
 import { WorkTimes } from './workTimes.js';
@@ -78,6 +77,8 @@
 export class ServiceBook {
   /** Retries of the whole fleet, as far as this home knows. */
   readonly retries: RetryWindow;
+  /** What its targets say of themselves. */
+  readonly statements: TargetStatements;
   private readonly serviceLog: ServiceLog;
   private bounds: IServiceBounds;
   private readonly clock: Clock;
@@ -99,6 +100,11 @@
     this.bounds = options;
     this.clock = options.clock;
     this.targets = new ServiceTargets({ clock: options.clock, model: this.model });
+    this.statements = new TargetStatements({
+      clock: options.clock,
+      targets: this.targets,
+      serviceLog: this.serviceLog,
+    });
     this.retries = new RetryWindow(options.retries);
     this.quarantine = options.quarantine;
     this.admission = options.admission;
@@ -136,9 +142,7 @@
     const ticket = new Ticket(request, node, nowMs, respond);
     this.logTakeOver(nowMs);
     this.lastAskedMs = nowMs;
-    for (const { ageMs, bornMs, ratePerS, targetId } of request.limits) {
-      this.targets.applyLimit(targetId, bornMs, { ratePerS, atMs: nowMs - ageMs });
-    }
+    this.statements.applyNamed(request.limits);
     if (!request.isRetry && !request.isRepeated) this.retries.recordRequest(nowMs);
     const admitted = this.admission?.check(request, node);
     if (admitted?.kind === 'refused') {
@@ -173,17 +177,16 @@
     ticket: ITicket,
     outcome: GrantOutcome,
     latencyMs: number,
-    { answerBytes, isLeaving, rateLimit }: IReportedAnswer = NO_ANSWER,
+    answer: IReportedAnswer = NO_ANSWER,
   ): void {
     if (!(ticket instanceof Ticket)) return;
     this.queue.remove(ticket);
     const { target } = ticket;
     this.releaseToken(ticket, target === undefined ? undefined : outcome);
-    if (isLeaving && target !== undefined) this.recordLeaving(target, ticket);
-    if (isAnswered(outcome) && target !== undefined) this.recordLimit(target, ticket, rateLimit);
+    if (target !== undefined) this.statements.record(ticket, target, outcome, answer);
     if (!this.open.delete(ticket) || target === undefined) return;
     target.inUse -= 1;
-    this.intake.record(ticket, target, { outcome, latencyMs, answerBytes });
+    this.intake.record(ticket, target, { outcome, latencyMs, answerBytes: answer.answerBytes });
     this.serveQueue();
   }
 
@@ -204,41 +207,6 @@
     this.targets.applyEvidence(targetId, bornMs, evidence);
   }
 
-  /** Another home was told that a target leaves. */
-  applyLeaving(targetId: string, bornMs: number | undefined): void {
-    this.targets.applyLeaving(targetId, bornMs);
-  }
-
-  /** Another home knows of the limit that a target names, and has granted it requests itself. */
-  applyLimit(
-    targetId: string,
-    bornMs: number | undefined,
-    evidence: IRateEvidence,
-    grants: IHomeGrants,
-  ): void {
-    this.targets.applyLimit(targetId, bornMs, evidence);
-    this.targets.recordGrantedElsewhere(targetId, bornMs, grants);
-  }
-
-  /**
-   * An answer that names no limit is as of its request's grant or later, so it ends only a limit that was
-   * named before: answers of slower requests come in any order.
-   */
-  private recordLimit(target: BookedTarget, ticket: Ticket, ratePerS: number | undefined): void {
-    const nowMs = this.clock.getMonotonicTime();
-    const before = target.rateLimit.ratePerS;
-    const atMs = ratePerS === undefined ? ticket.grantedMs : nowMs;
-    target.rateLimit.apply({ ratePerS, atMs }, nowMs);
-    if (target.rateLimit.ratePerS !== before) this.serviceLog.logLimit(ticket, target, before);
-  }
-
-  /** A target told an entry that it leaves: no other entry is to find out by itself. */
-  private recordLeaving(target: BookedTarget, ticket: Ticket): void {
-    if (target.isLeaving) return;
-    target.isLeaving = true;
-    this.serviceLog.logLeaving(ticket, target);
-  }
-
   /** Whether this node was asked for a grant within the last `windowMs`. */
   isAtWork(windowMs: number): boolean {
     return this.clock.getMonotonicTime() - this.lastAskedMs < windowMs;
