Let soak targets name their limit and their leaving in every answer that they write themselves

Traced: the target was in the mode that sends two answers, whose raw text had no header of the limit; the home took the limit for ended (lines of requests c6-36 and c16-45 show answers without it), as the protocol says. The check counted the target's state, not its answers.

--- a/packages/lab/src/soak/node/soakTarget.ts
+++ b/packages/lab/src/soak/node/soakTarget.ts
@@ -180,7 +180,8 @@
       ...told,
       ...this.listLimitHeaders(),
     };
-    const raw = `HTTP/1.1 ${status} OK\r\nrequest-id: ${id}\r\nserver-stamp: ${stamp}\r\n`;
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+    const raw = `HTTP/1.1 ${status} OK\r\n${lines.join('')}`;
     const half = text.slice(0, text.length / 2);
     switch (mode) {
       case TargetMode.Hanging:
