--- a/packages/dispatch/src/entry/common/targetNotices.ts
+++ b/packages/dispatch/src/entry/common/targetNotices.ts
@@ -12,8 +12,6 @@
 const LONGEST_WAIT_MS = 600_000;
 /** Lives of targets that are kept in mind at most, the oldest going first: more than a fleet has. */
 const MAX_LIVES = 4096;
-/** Limits that go with one question to a home, so that it stays within one packet. */
-const MOST_LIMITS = 8;
 
 interface INotice {
   isLeaving: boolean;
@@ -56,7 +54,7 @@
     return this.notices.get(formatLife(target))?.isLeaving === true;
   }
 
-  /** Limits that some of the targets have named, the latest first, a few at most. */
+  /** Limits that some of the targets have named, the latest first. */
   listLimits(targets: readonly ITargetRecord[]): readonly INamedLimit[] {
     if (this.notices.size === 0) return [];
     const nowMs = this.clock.getMonotonicTime();
@@ -66,7 +64,7 @@
       const { bornMs, id: targetId } = target;
       return { targetId, bornMs, ratePerS: limit.ratePerS, ageMs: nowMs - limit.atMs };
     });
-    return limits.sort((left, right) => left.ageMs - right.ageMs).slice(0, MOST_LIMITS);
+    return limits.sort((left, right) => left.ageMs - right.ageMs);
   }
 
   /** Whether nothing is to be sent to the target now. */
--- a/packages/dispatch/src/grants/common/grant.ts
+++ b/packages/dispatch/src/grants/common/grant.ts
@@ -109,7 +109,7 @@
   readonly connected: readonly string[];
   /** Identifiers of targets that it must not be sent to. */
   readonly excluded: readonly string[];
-  /** Limits that targets of the service have named to the entry. */
+  /** Limits that targets of the service have named to the entry, the latest first. */
   readonly limits: readonly INamedLimit[];
 }
 
--- a/packages/dispatch/src/grants/common/grantMessages.ts
+++ b/packages/dispatch/src/grants/common/grantMessages.ts
@@ -16,6 +16,8 @@
 import { GrantOutcome } from './grant.js';
 
 const PERMILLE = 1000;
+/** Limits that go with one question to a home, so that it stays within one packet. */
+const MOST_LIMITS = 8;
 const MILLI = 1000;
 const MAX_UINT32 = 0xffff_ffff;
 
@@ -75,7 +77,7 @@
     objectiveMs: Math.floor(request.objectiveMs),
     excluded: [...request.excluded],
     connected: [...request.connected],
-    limits: request.limits.map((limit) => encodeLimit(limit, limit.ageMs)),
+    limits: request.limits.slice(0, MOST_LIMITS).map((limit) => encodeLimit(limit, limit.ageMs)),
   });
 }
 
