Keep the mark of a copy that keeps more than the store has, until the store's own list replaces it

Found when the diff was read: a second whole read of the same era ended the mark, and a peer with the older list could have taken the proof of a follower with the newer one again. The test asserts the mark after such a read.

--- a/packages/dispatch/src/directory/common/authority.ts
+++ b/packages/dispatch/src/directory/common/authority.ts
@@ -34,7 +34,7 @@
    * Default 0.
    */
   readonly era?: number;
-  /** Whether the copy keeps something of a former era besides. Default false. */
+  /** Whether the copy keeps something of a former era besides; undefined where the authority was read. */
   readonly isRetained?: boolean;
 }
 
--- a/packages/dispatch/src/directory/common/catalogSource.ts
+++ b/packages/dispatch/src/directory/common/catalogSource.ts
@@ -38,7 +38,9 @@
 
   override async readAll(signal: AbortSignal): Promise<ITableChanges<ICatalog>> {
     const sentAt = readInstant(this.options.clock);
-    return this.take(await this.options.source.readAll(signal), sentAt);
+    const content = await this.options.source.readAll(signal);
+    if (content.changes.length === 0) this.advanceTenants(content);
+    return this.take(content, sentAt);
   }
 
   override async readChanges(
@@ -64,7 +66,6 @@
     const { tenants } = this.options.directory;
     const changes = content.changes.map((change) => this.takeEntry(change, content));
     const readMs = sentAt.monotonicMs;
-    if (changes.length === 0) tenants.advanceEra(content.era ?? 0, content.version, readMs);
     // Nothing changed up to this version.
     if (tenants.version !== undefined && tenants.version < content.version) {
       tenants.apply(tenants.version, { ...content, changes: [] }, readMs);
@@ -91,10 +92,7 @@
     return { era, version, isRetained: this.options.directory.tenants.isRetaining };
   }
 
-  private takeEntry(
-    change: ITableChange<ICatalog>,
-    { era, version }: ITableChanges<ICatalog>,
-  ): ITableChange<ICatalog> {
+  private takeEntry(change: ITableChange<ICatalog>, state: ITableState): ITableChange<ICatalog> {
     if (change.value === undefined) return change;
     const { tenants, ...catalog } = change.value;
     const { clock, directory } = this.options;
@@ -102,13 +100,17 @@
     const isNeeded = tenants !== undefined || directory.tenants.version !== undefined;
     if (isNeeded && !isOlder) {
       const rows = (tenants ?? []).map((tenant) => ({ key: tenant.name, value: tenant }));
-      const state = era === undefined ? { version } : { era, version };
-      directory.tenants.setAll({ ...state, changes: rows }, clock.getMonotonicTime());
-    }
-    // An older configuration doesn't replace the known one, which stays in force with its tenants.
-    if (isNeeded && isOlder) {
-      directory.tenants.advanceEra(era ?? 0, version, clock.getMonotonicTime());
+      const { era = 0, version } = state;
+      const content = { era, isRetained: false, version, changes: rows };
+      directory.tenants.setAll(content, clock.getMonotonicTime());
     }
+    if (isNeeded && isOlder) this.advanceTenants(state);
     return { key: change.key, value: { ...catalog, requiresKeys: tenants !== undefined } };
   }
+
+  /** A configuration that stays in force though the authority holds an older one, or none, keeps its tenants. */
+  private advanceTenants({ era = 0, version }: ITableState): void {
+    const { clock, directory } = this.options;
+    directory.tenants.advanceEra(era, version, clock.getMonotonicTime());
+  }
 }
--- a/packages/dispatch/src/directory/common/followedTable.test.ts
+++ b/packages/dispatch/src/directory/common/followedTable.test.ts
@@ -211,6 +211,7 @@
   assert.equal(table.get('a'), 'leaving');
   assert.equal(table.get('b'), undefined);
   assert.deepEqual(table.listWithheld(), ['b']);
+  assert.ok(table.isRetaining, 'also after the authority was read again');
   // What lives is written about, or the store itself removes it in that time.
   await clock.advanceBy(GRACE.droppedMs);
   table.apply(80, { era: 2, version: 81, changes: [] }, 0);
--- a/packages/dispatch/src/directory/common/followedTable.ts
+++ b/packages/dispatch/src/directory/common/followedTable.ts
@@ -135,7 +135,7 @@
 
   /** Takes a copy of the whole table that was read at `readMs`. */
   setAll(content: ITableChanges<T>, readMs: number): void {
-    const { era = 0, isRetained = false, version } = content;
+    const { era = 0, isRetained, version } = content;
     if (era < this.currentEra) return;
     const isRestored = this.currentVersion !== undefined && era > this.currentEra;
     if (!isRestored && version < (this.currentVersion ?? -Infinity)) return;
@@ -148,8 +148,9 @@
     const changes = this.listCredible(all, isRestored);
     if (isRestored) this.takeRestored(changes, changes.length < all.length, version, readMs);
     else this.takeChanges(changes, version, readMs);
-    if (isRetained) this.retainedUntilMs = this.getRetainEndMs();
-    else if (!isRestored) this.endRetaining();
+    if (isRetained === true) this.retainedUntilMs = this.getRetainEndMs();
+    // The authority itself doesn't say; what it lacks is still kept here then.
+    if (isRetained === false && !isRestored) this.endRetaining();
     for (const { isMissing, key } of content.changes) {
       if (isMissing === true) this.restored.tryRetain(key);
     }
