--- a/packages/dispatch/src/grants/common/homeSelector.test.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.test.ts
@@ -239,7 +239,7 @@
   assert.equal(home.getInUse(), 1);
 });
 
-test('a node that decides alone keeps off targets that name a limit', async () => {
+test('a node that decides alone avoids targets that name a limit', async () => {
   // Guards against every node of a fleet that has lost its homes granting the whole limit.
   const network = new MemoryNetwork(new ManualClock());
   const node = new Node(network, 'entry', []);
--- a/packages/dispatch/src/grants/common/homeSelector.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.ts
@@ -97,8 +97,8 @@
   }
 
   /**
-   * A node that decides for itself knows nothing of what others send, so it keeps off targets that
-   * name a limit over all nodes.
+   * A node that decides for itself knows nothing of what others send, so it avoids targets that name a
+   * limit over all nodes.
    */
   private removeLimited(request: IGrantRequest): IGrantRequest {
     const targets = this.options.homes.findBook(request.service)?.listTargets() ?? [];
--- a/packages/lab/src/soak/common/noticeChecks.ts
+++ b/packages/lab/src/soak/common/noticeChecks.ts
@@ -82,13 +82,13 @@
   findings: Findings,
 ): void {
   const name = 'targets that name a limit get no more';
-  const toldMs = findToldLimits(stories);
+  const namedMs = findNamedMoments(stories);
   const arrivals = stories.flatMap(({ arrivals: ofStory, request }) => {
     return ofStory.flatMap((arrival) => {
       const { atMs, limit } = arrival;
       if (limit === undefined) return [];
       const key = formatLimit(arrival, limit);
-      const countedMs = (toldMs.get(`${formatNode(request)} ${key}`) ?? Infinity) + LIMIT_KNOWN_MS;
+      const countedMs = (namedMs.get(`${formatNode(request)} ${key}`) ?? Infinity) + LIMIT_KNOWN_MS;
       const isCalm = disturbances.isCalm([request.node], countedMs, atMs);
       return atMs >= countedMs && isCalm ? { atMs, key, limit } : [];
     });
@@ -107,17 +107,17 @@
 }
 
 /** When each node first passed on an answer that names a limit. */
-function findToldLimits(stories: readonly ISoakStory[]): ReadonlyMap<string, number> {
-  const toldMs = new Map<string, number>();
+function findNamedMoments(stories: readonly ISoakStory[]): ReadonlyMap<string, number> {
+  const namedMs = new Map<string, number>();
   for (const { arrivals, reply, request } of stories) {
     for (const arrival of arrivals) {
       const isPassedOn = reply?.stamp === `${arrival.target}.${arrival.id}`;
       if (arrival.limit === undefined || !isPassedOn) continue;
       const key = `${formatNode(request)} ${formatLimit(arrival, arrival.limit)}`;
-      toldMs.set(key, Math.min(toldMs.get(key) ?? Infinity, reply.endMs));
+      namedMs.set(key, Math.min(namedMs.get(key) ?? Infinity, reply.endMs));
     }
   }
-  return toldMs;
+  return namedMs;
 }
 
 function formatLimit({ bornMs, target }: ISoakWork, { sinceMs }: INamedLimit): string {
