--- a/packages/dispatch/src/directory/common/followedTable.ts
+++ b/packages/dispatch/src/directory/common/followedTable.ts
@@ -39,7 +39,7 @@
 /**
  * Only ever moves to newer eras, and within one to newer versions: an answer or update that arrives late
  * changes nothing. Entries of an older state that the authority came back from replace what is known as far as
- * they can't be a relapse; see {@link RestoredEntries}.
+ * they are no regression; see {@link RestoredEntries}.
  *
  * @example
  * table.setAll(await authority.targets.readAll(signal), clock.getMonotonicTime());
@@ -145,7 +145,7 @@
       .map((key) => ({ key, value: undefined }));
     this.currentEra = era;
     const all = [...content.changes, ...dropped];
-    const changes = this.listCredible(all, isRestored);
+    const changes = this.listAccepted(all, isRestored);
     if (isRestored) this.takeRestored(changes, changes.length < all.length, version, readMs);
     else this.takeChanges(changes, version, readMs);
     if (isRetained === true) this.retainedUntilMs = this.getRetainEndMs();
@@ -203,7 +203,7 @@
     version: number,
     readMs: number,
   ): void {
-    const isRetained = isCut || changes.some((change) => this.isRelapse(change));
+    const isRetained = isCut || changes.some((change) => this.isRegression(change));
     this.restoredMs = this.options.clock.getMonotonicTime();
     if (isRetained) this.retainedUntilMs = this.getRetainEndMs();
     this.takeChanges(changes, version, readMs);
@@ -226,14 +226,14 @@
     this.clearKept(this.currentVersion ?? 0);
   }
 
-  private isRelapse({ key, value }: ITableChange<T>): boolean {
+  private isRegression({ key, value }: ITableChange<T>): boolean {
     const known = this.entries.get(key);
     if (known === undefined || value === undefined) return false;
     return this.options.isOutdated?.(known, value) === true;
   }
 
-  /** Changes to a whole copy, without those of an older state that would be a relapse. */
-  private listCredible(
+  /** Changes to a whole copy, without those of an older state that would be a regression. */
+  private listAccepted(
     changes: readonly ITableChange<T>[],
     isRestored: boolean,
   ): readonly ITableChange<T>[] {
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -277,8 +277,8 @@
 
   private removeSilentPeers(): void {
     // Those that are gone are named again by a store that came back from an older copy.
-    const relapsed = this.options.directory.members.listWithheld();
-    for (const peer of [...this.relay.listSilent(SILENT_PEER_MS), ...relapsed]) {
+    const returned = this.options.directory.members.listWithheld();
+    for (const peer of [...this.relay.listSilent(SILENT_PEER_MS), ...returned]) {
       if (this.removing.has(peer)) continue;
       this.removing.add(peer);
       void this.removePeer(peer).finally(() => this.removing.delete(peer));
