--- a/packages/dispatch/src/test/keyLeaseFleet.ts
+++ b/packages/dispatch/src/test/keyLeaseFleet.ts
@@ -16,7 +16,8 @@
 import type { DatagramBody } from '../grants/common/datagramChannel.js';
 import { DatagramChannel } from '../grants/common/datagramChannel.js';
 import type { KeyChecker } from '../tenants/common/keyChecker.js';
-import { TENANT_BOUNDS, makeCatalog, makeKeyChecker, makeRoute } from './builders.js';
+import { TENANT_BOUNDS, makeKeyChecker } from './builders.js';
+import { ModelledKeyStore, ROUTE } from './modelledKeyStore.js';
 
 const STORE_MS = 4;
 const LOST_SHARE = 0.02;
@@ -27,7 +28,6 @@
 const QUEUE_MS = 6000;
 const QUEUE_SHARE = 0.1;
 const POLL_MS = 5;
-const KEYS = 12;
 /** When the store comes back, in ms of the run, and how many changes it has lost then. */
 const RESTORES_MS = [3500, 10_600];
 const LOST_CHANGES = 2;
@@ -35,82 +35,10 @@
 const CUT_AFTER_MS = 1000;
 const CUT_SHARE = 0.3;
 const HEALED_AFTER_MS = 7000;
-/** The operator writes again what the store has lost after this time, in ms. */
-const REWRITTEN_MS = 1500;
-const ROUTE = makeRoute();
 
 /** Who proves that a node's keys are the newest. */
 export type ProofWay = 'followers' | 'every-node';
 
-/** Rows of the operator at one version. */
-interface IStoreCopy {
-  readonly configVersion: number;
-  readonly keys: readonly string[];
-  readonly version: number;
-}
-
-/** The store's rows of the operator; calls are counted. */
-class ModelledStore {
-  calls = 0;
-  version = 1;
-  era = 1;
-  /** Counts the operator's configurations; it never goes back. */
-  private configVersion = 1;
-  private keys: readonly string[] = Array.from({ length: KEYS }, (_, index) => `key-${index}`);
-  private copies: readonly IStoreCopy[] = [];
-  /** What the operator wrote last, whatever the store holds. */
-  private written = this.copy();
-  /** When each key ended. */
-  readonly endedMs = new Map<string, number>();
-
-  constructor(private readonly clock: ManualClock) {}
-
-  endKey(): void {
-    const [first, ...rest] = this.keys;
-    if (first === undefined || rest.length === 0) return;
-    this.copies = [...this.copies, this.copy()];
-    this.keys = rest;
-    this.version += 1;
-    this.configVersion += 1;
-    this.written = this.copy();
-    this.endedMs.set(first, this.clock.getMonotonicTime());
-  }
-
-  /** Comes back from a copy of before the last `lost` changes; the operator writes again a moment later. */
-  restore(lost: number): void {
-    const copy = this.copies.at(-lost);
-    if (copy === undefined) return;
-    this.era += 1;
-    this.take(copy, copy.version);
-    this.clock.startTimer(REWRITTEN_MS, () => {
-      this.take(this.written, this.version + 1);
-    });
-  }
-
-  private take({ configVersion, keys }: IStoreCopy, version: number): void {
-    this.keys = keys;
-    this.configVersion = configVersion;
-    this.version = version;
-  }
-
-  private copy(): IStoreCopy {
-    const { configVersion, keys, version } = this;
-    return { configVersion, keys, version };
-  }
-
-  /** A key that holds to the end. */
-  get lastKey(): string {
-    return this.keys.at(-1) ?? '';
-  }
-
-  makeCatalogRows(): ITableChanges<ICatalog> {
-    const tenants = this.keys.map((key) => ({ name: `tenant-${key}`, keys: [key], burst: 0 }));
-    const value = { ...makeCatalog(this.configVersion, [ROUTE]), tenants };
-    const { era, version } = this;
-    return { era, version, changes: [{ key: 'config', value }] };
-  }
-}
-
 /** One node's way to the store. */
 class ModelledTable<T> extends AuthorityTable<T> {
   override readonly malformedRows = 0;
@@ -307,7 +235,7 @@
 export class LeaseFleet {
   readonly clock: ManualClock;
   readonly random: SeededRandom;
-  readonly store: ModelledStore;
+  readonly store: ModelledKeyStore;
   readonly way: ProofWay;
   readonly members: { readonly key: string; readonly value: IMember }[];
   readonly nodes = new Map<string, LeaseNode>();
@@ -319,7 +247,7 @@
     this.restores = restores;
     this.way = way;
     this.random = new SeededRandom(seed);
-    this.store = new ModelledStore(clock);
+    this.store = new ModelledKeyStore(clock);
     this.members = Array.from({ length: nodes }, (_, index) => makeMember(index));
     for (const { value } of this.members) {
       this.nodes.set(value.address, new LeaseNode(this, value));
