Inject the transport by which nodes fetch tables from each other

Cause: the fetch of a whole table was a function on undici that DirectoryService imported, so no simulation could carry it: the fleet of the key lease has fetches that always fail. TableServer encodes a table, TableFetcher applies a peer's copy, and TableTransport carries the bytes; over HTTP in the node, over modelled links with a byte rate in the new DistributionFleet of the tests. No change of behaviour: the same requests, responses and time limit; the limit now runs on the injected clock.

--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -10,7 +10,7 @@
 import type { Authority, IMember } from '../../directory/common/authority.js';
 import { NodeDirectory } from '../../directory/common/nodeDirectory.js';
 import { DirectoryService } from '../../directory/node/directoryService.js';
-import { createStateServer } from '../../directory/node/stateServer.js';
+import { HttpTableTransport, createStateServer } from '../../directory/node/stateServer.js';
 import type { ResponseCheck } from '../../entry/common/attemptOutcome.js';
 import type { CallerProtocol } from '../../entry/common/callerProtocol.js';
 import { PathHealth } from '../../entry/common/pathHealth.js';
@@ -169,6 +169,7 @@
     const service = new DirectoryService({
       authority,
       channel,
+      transport: new HttpTableTransport(),
       clock,
       directory: this.directory,
       log,
--- a/packages/dispatch/src/directory/node/directoryService.test.ts
+++ b/packages/dispatch/src/directory/node/directoryService.test.ts
@@ -6,6 +6,7 @@
 import type { IMember, ITableChanges } from '../common/authority.js';
 import { Authority, AuthorityTable, StoreCallError, StoreFailure } from '../common/authority.js';
 import { NodeDirectory } from '../common/nodeDirectory.js';
+import { UnavailableTransport } from '../../test/unavailableTransport.js';
 import { DirectoryService } from './directoryService.js';
 
 const SELF: IMember = {
@@ -98,6 +99,7 @@
     directory,
     authority,
     channel,
+    transport: new UnavailableTransport(),
     clock,
     random: new SeededRandom(1),
     log: createSilentLogger(),
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -12,8 +12,9 @@
 import type { NodeDirectory } from '../common/nodeDirectory.js';
 import type { IPollTiming } from '../common/storeFollower.js';
 import { StoreFollower } from '../common/storeFollower.js';
+import { TableFetcher } from '../common/tableFetcher.js';
+import type { TableTransport } from '../common/tableTransport.js';
 import { UpdateRelay } from '../common/updateRelay.js';
-import { fetchTable } from './stateServer.js';
 
 /**
  * Reads are billed, so targets are read no more often than needed: all nodes have to receive the drain of a
@@ -54,6 +55,8 @@
   readonly directory: NodeDirectory;
   readonly authority: Authority;
   readonly channel: DatagramChannel;
+  /** Transfers whole tables from peers. */
+  readonly transport: TableTransport;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: Logger;
@@ -95,6 +98,7 @@
       self: self.address,
       rankFollowers: () => directory.rankFollowers(self.failureDomain),
     });
+    const fetcher = new TableFetcher(options);
     this.relay = new UpdateRelay({
       channel,
       clock,
@@ -104,7 +108,7 @@
       tables: directory.listTables(),
       isProofDue: () => this.isProofDue(),
       listPeers: () => this.listPeers(),
-      fetchTable: (table, address) => fetchTable(table, address, clock),
+      fetchTable: (table, address) => fetcher.fetch(table, address),
     });
     this.targetsFollower = this.createFollower('targets', TARGETS_POLLING, () => {
       if (targets.version === undefined) return this.isFirstReadDue();
--- a/packages/dispatch/src/directory/node/stateServer.test.ts
+++ b/packages/dispatch/src/directory/node/stateServer.test.ts
@@ -3,7 +3,8 @@
 import { test } from 'node:test';
 import { ManualClock, closeServerImmediately, listenOn } from '@parsleymux/base';
 import { FollowedTable } from '../common/followedTable.js';
-import { createStateServer, fetchTable } from './stateServer.js';
+import { TableFetcher } from '../common/tableFetcher.js';
+import { HttpTableTransport, createStateServer } from './stateServer.js';
 
 test('a table that is encoded once for all peers is sent to each with its current age', async () => {
   const clock = new ManualClock();
@@ -12,9 +13,10 @@
   const server = createStateServer([table as FollowedTable<unknown>]);
   await listenOn(server, '127.0.0.1:0');
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const fetcher = new TableFetcher({ clock, transport: new HttpTableTransport() });
   const fetchCopy = async () => {
     const copy = new FollowedTable<unknown>({ name: 't', clock, isSame: (a, b) => a === b });
-    await fetchTable(copy, address, clock);
+    await fetcher.fetch(copy, address);
     return copy;
   };
   await clock.advanceBy(1000);
--- /dev/null
+++ b/packages/dispatch/src/test/distributionFleet.ts
@@ -0,0 +1,368 @@
+/** Simulates nodes with slow links that replicate a configuration of many routes. */
+import { create, toBinary } from '@bufbuild/protobuf';
+import type { ManualClock } from '@parsleymux/base';
+import { SeededRandom, createSilentLogger } from '@parsleymux/base';
+import { DatagramSchema } from '@parsleymux/schema';
+import type { ICatalog, IRouteRule, ITargetRecord } from '../catalog/common/catalog.js';
+import type { IMember, ITableChanges } from '../directory/common/authority.js';
+import { Authority, AuthorityTable } from '../directory/common/authority.js';
+import { NodeDirectory } from '../directory/common/nodeDirectory.js';
+import { TableServer } from '../directory/common/tableServer.js';
+import { TableTransport } from '../directory/common/tableTransport.js';
+import { DirectoryService } from '../directory/node/directoryService.js';
+import type { DatagramBody } from '../grants/common/datagramChannel.js';
+import { DatagramChannel } from '../grants/common/datagramChannel.js';
+import { makeCatalog, makeRoute } from './builders.js';
+import type { IModelledLinks } from './modelledLink.js';
+import { ModelledLink, sendBytes } from './modelledLink.js';
+
+const STORE_LATENCY_MS = 4;
+const LATENCY_MS = 1;
+const LOST_SHARE = 0.002;
+const POLL_MS = 5;
+const WARM_UP_MS = 4000;
+const CHECK_MS = 10;
+/** Values of rows are base64 in the responses of the store. */
+const STORE_ENCODING = 4 / 3;
+const REQUEST_BYTES = 300;
+const DOMAINS = 3;
+const CONFIG_KEY = 'config';
+const SERVICES = ['booking', 'survey', 'materials'];
+const LETTERS = 'abcdefghijklmnopqrstuvwxyz0123456789';
+
+/** Kinds of VMs in a {@link DistributionFleet}. */
+export interface IVmKind {
+  readonly count: number;
+  readonly linkMbps: number;
+  /** Relative to other VMs. */
+  readonly capacity: number;
+}
+
+/** Options of a {@link DistributionFleet}. */
+export interface IDistributionFleetOptions {
+  readonly clock: ManualClock;
+  readonly seed: number;
+  readonly vms: readonly IVmKind[];
+  /** Number of routes of the first configuration. */
+  readonly routes: number;
+  /** Share of all links that requests take. Default: 0. */
+  readonly busyShare?: number;
+}
+
+/** How a change of the configuration reached the nodes. */
+export interface IDistributionResults {
+  /** Time until the last node had the change in force, in ms; infinite if one never had. */
+  readonly lastMs: number;
+  /** Bytes sent between nodes, per node. */
+  readonly bytesPerNode: number;
+}
+
+/** A node's access to a table of the store. */
+class ModelledTable<T> extends AuthorityTable<T> {
+  override readonly malformedRows = 0;
+
+  constructor(
+    private readonly node: FleetNode,
+    private readonly read: () => ITableChanges<T>,
+  ) {
+    super();
+  }
+
+  override async readAll(signal: AbortSignal): Promise<ITableChanges<T>> {
+    await this.node.fleet.clock.sleep(STORE_LATENCY_MS, signal);
+    return this.receive(this.read(), signal);
+  }
+
+  override async readChanges(
+    after: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<ITableChanges<T>> {
+    const { clock } = this.node.fleet;
+    const endMs = clock.getMonotonicTime() + waitMs;
+    await clock.sleep(STORE_LATENCY_MS, signal);
+    for (;;) {
+      const rows = this.read();
+      if (rows.version > after) return this.receive(rows, signal);
+      if (clock.getMonotonicTime() >= endMs) return { version: rows.version, changes: [] };
+      await clock.sleep(POLL_MS, signal);
+    }
+  }
+
+  private async receive(rows: ITableChanges<T>, signal: AbortSignal): Promise<ITableChanges<T>> {
+    const { clock } = this.node.fleet;
+    const bytes = JSON.stringify(rows.changes).length * STORE_ENCODING;
+    await clock.sleep(this.node.links.ingress.reserve(bytes), signal);
+    return rows;
+  }
+}
+
+class ModelledAuthority extends Authority {
+  override readonly catalog: AuthorityTable<ICatalog>;
+  override readonly targets: AuthorityTable<ITargetRecord>;
+  override readonly members: AuthorityTable<IMember>;
+
+  constructor(node: FleetNode) {
+    super();
+    const { fleet } = node;
+    this.catalog = new ModelledTable(node, () => ({
+      version: fleet.catalog.version,
+      changes: [{ key: CONFIG_KEY, value: fleet.catalog }],
+    }));
+    this.targets = new ModelledTable<ITargetRecord>(node, () => ({ version: 1, changes: [] }));
+    this.members = new ModelledTable(node, () => ({ version: 1, changes: fleet.members }));
+  }
+
+  override putMember(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  override removeMember(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+class ModelledTransport extends TableTransport {
+  constructor(private readonly node: FleetNode) {
+    super();
+  }
+
+  override async requestTable(
+    stateAddress: string,
+    table: string,
+    signal: AbortSignal,
+  ): Promise<Uint8Array> {
+    const { fleet, links } = this.node;
+    const peer = fleet.nodes.get(stateAddress);
+    if (peer === undefined) throw new Error('no such node');
+    await fleet.sendBytes(REQUEST_BYTES, links.egress, peer.links.ingress, signal);
+    if (peer.isDown) await waitForAbort(signal);
+    const bytes = peer.server.encodeTable(table);
+    if (bytes === undefined) throw new Error('no such table');
+    const arrived = fleet.sendBytes(bytes.length, peer.links.egress, links.ingress, signal);
+    await Promise.race([arrived, peer.waitForLoss(signal)]);
+    return bytes;
+  }
+}
+
+class ModelledChannel extends DatagramChannel {
+  override readonly address: string;
+
+  constructor(private readonly node: FleetNode) {
+    super();
+    this.address = node.member.address;
+  }
+
+  override send(address: string, body: DatagramBody): void {
+    const { fleet, links } = this.node;
+    const receiver = fleet.nodes.get(address);
+    if (receiver === undefined || this.node.isDown) return;
+    if (fleet.random.getFloat() < LOST_SHARE) return;
+    const bytes = toBinary(DatagramSchema, create(DatagramSchema, { body })).length;
+    void fleet.sendBytes(bytes, links.egress, receiver.links.ingress).then(() => {
+      receiver.receive(this.address, body);
+    });
+  }
+
+  override setHandler(): void {
+    // Datagrams are passed to nodes by their addresses.
+  }
+
+  override dispose(): void {
+    // Holds no resources.
+  }
+}
+
+class FleetNode {
+  readonly directory: NodeDirectory;
+  readonly server: TableServer;
+  readonly links: IModelledLinks;
+  private readonly service: DirectoryService;
+  private readonly lost = new AbortController();
+
+  constructor(
+    readonly fleet: DistributionFleet,
+    readonly member: IMember,
+    linkMbps: number,
+  ) {
+    const { busyShare = 0, clock } = fleet.options;
+    this.links = {
+      egress: new ModelledLink(clock, linkMbps, busyShare),
+      ingress: new ModelledLink(clock, linkMbps, busyShare),
+    };
+    this.directory = new NodeDirectory(clock);
+    this.server = new TableServer(this.directory.listTables());
+    this.service = new DirectoryService({
+      directory: this.directory,
+      authority: new ModelledAuthority(this),
+      channel: new ModelledChannel(this),
+      transport: new ModelledTransport(this),
+      clock,
+      random: fleet.random,
+      log: createSilentLogger(),
+      self: member,
+      isFirstStart: false,
+      seeds: [],
+      hasReceivedRequests: () => true,
+    });
+  }
+
+  get isDown(): boolean {
+    return this.lost.signal.aborted;
+  }
+
+  run(signal: AbortSignal): Promise<void> {
+    return this.service.run(AbortSignal.any([signal, this.lost.signal]));
+  }
+
+  /** Loses power: nothing is sent any more, and connections stay open without data. */
+  stop(): void {
+    this.lost.abort(new Error('power lost'));
+  }
+
+  /** Never resolves; after this node stopped, rejects when `signal` aborts, as connections hang. */
+  waitForLoss(signal: AbortSignal): Promise<never> {
+    return new Promise((_, reject) => {
+      this.lost.signal.addEventListener('abort', () => void waitForAbort(signal).catch(reject));
+    });
+  }
+
+  receive(sender: string, body: DatagramBody): void {
+    if (this.isDown) return;
+    if (body.case === 'update') this.service.handleUpdate(sender, body.value);
+    if (body.case === 'updateReceived') this.service.handleUpdateReceived(sender, body.value);
+    if (body.case === 'hello') this.service.handleHello(sender);
+  }
+}
+
+/**
+ * Runs the nodes, changes the configuration, and measures how long the change takes to be in force.
+ *
+ * @example
+ * const fleet = new DistributionFleet({ clock, seed: 1, vms, routes: 100 });
+ * await fleet.start();
+ * const { lastMs } = await fleet.addRoutes(1400, 2500);
+ */
+export class DistributionFleet {
+  readonly clock: ManualClock;
+  readonly random: SeededRandom;
+  readonly members: { readonly key: string; readonly value: IMember }[] = [];
+  /** By address, which is also the state address. */
+  readonly nodes = new Map<string, FleetNode>();
+  catalog: ICatalog;
+  private readonly end = new AbortController();
+  private running: readonly Promise<void>[] = [];
+
+  constructor(readonly options: IDistributionFleetOptions) {
+    this.clock = options.clock;
+    this.random = new SeededRandom(options.seed);
+    this.catalog = makeCatalog(1, this.makeRoutes(options.routes));
+    const links = options.vms.flatMap((kind) => Array.from({ length: kind.count }, () => kind));
+    for (const { capacity, linkMbps } of links) {
+      const value = makeMember(this.members.length, capacity);
+      this.members.push({ key: value.address, value });
+      this.nodes.set(value.address, new FleetNode(this, value, linkMbps));
+    }
+  }
+
+  /** Starts all nodes; resolves once they have had time to read the first configuration. */
+  async start(): Promise<void> {
+    this.running = [...this.nodes.values()].map((node) => node.run(this.end.signal));
+    await this.clock.advanceBy(WARM_UP_MS);
+  }
+
+  async stop(): Promise<void> {
+    this.end.abort();
+    await Promise.allSettled(this.running);
+  }
+
+  /** Adds routes, and waits until all nodes have them, at most `limitMs`. */
+  async addRoutes(count: number, limitMs: number): Promise<IDistributionResults> {
+    const { routes, version } = this.catalog;
+    this.catalog = makeCatalog(version + 1, [...routes, ...this.makeRoutes(count)]);
+    return this.waitUntilApplied(limitMs);
+  }
+
+  /** The node that currently reads the store for a failure domain. */
+  findFollower(domain: number): FleetNode | undefined {
+    const [first] = [...this.nodes.values()].filter((node) => !node.isDown);
+    const ranking = first?.directory.rankFollowers(formatDomain(domain)) ?? [];
+    return ranking.flatMap((address) => this.nodes.get(address) ?? []).find((node) => !node.isDown);
+  }
+
+  async sendBytes(
+    bytes: number,
+    egress: ModelledLink,
+    ingress: ModelledLink,
+    signal?: AbortSignal,
+  ): Promise<void> {
+    await this.clock.sleep(LATENCY_MS, signal);
+    await sendBytes(this.clock, bytes, egress, ingress, signal);
+  }
+
+  private async waitUntilApplied(limitMs: number): Promise<IDistributionResults> {
+    const startMs = this.clock.getMonotonicTime();
+    const bytesBefore = this.countBytes();
+    let lastMs = Infinity;
+    while (lastMs === Infinity && this.clock.getMonotonicTime() - startMs < limitMs) {
+      await this.clock.advanceBy(CHECK_MS);
+      if (this.countOutdated() === 0) lastMs = this.clock.getMonotonicTime() - startMs;
+    }
+    const bytes = this.countBytes() - bytesBefore;
+    return { lastMs, bytesPerNode: Math.round(bytes / this.nodes.size) };
+  }
+
+  private countOutdated(): number {
+    const isOutdated = ({ directory, isDown }: FleetNode) => {
+      return !isDown && directory.getCatalog()?.version !== this.catalog.version;
+    };
+    return [...this.nodes.values()].filter(isOutdated).length;
+  }
+
+  private countBytes(): number {
+    return [...this.nodes.values()].reduce((sum, { links }) => sum + links.egress.bytes, 0);
+  }
+
+  private makeRoutes(count: number): readonly IRouteRule[] {
+    return Array.from({ length: count }, () => {
+      const name = `r-${this.makeText(7)}`;
+      const service = SERVICES[this.random.getInteger(SERVICES.length)] ?? '';
+      return makeRoute({
+        name,
+        host: `${this.makeText(6)}.example`,
+        prefix: `/${this.makeText(8)}/`,
+        isPublic: false,
+        destinations: [{ service, weight: 1 }],
+      });
+    });
+  }
+
+  private makeText(length: number): string {
+    const pickLetter = () => LETTERS.charAt(this.random.getInteger(LETTERS.length));
+    return Array.from({ length }, pickLetter).join('');
+  }
+}
+
+function waitForAbort(signal: AbortSignal): Promise<never> {
+  return new Promise((_, reject) => {
+    signal.addEventListener('abort', () => {
+      reject(new Error('aborted'));
+    });
+  });
+}
+
+function formatDomain(domain: number): string {
+  return `domain-${domain}`;
+}
+
+function makeMember(index: number, capacity: number): IMember {
+  const domain = index % DOMAINS;
+  const address = `10.0.${domain}.${Math.floor(index / DOMAINS)}:7200`;
+  return {
+    address,
+    capacity,
+    failureDomain: formatDomain(domain),
+    stateAddress: address,
+    incarnation: index + 1,
+  };
+}
--- a/packages/dispatch/src/test/keyLeaseFleet.ts
+++ b/packages/dispatch/src/test/keyLeaseFleet.ts
@@ -18,6 +18,7 @@
 import type { KeyChecker } from '../tenants/common/keyChecker.js';
 import { TENANT_BOUNDS, makeKeyChecker } from './builders.js';
 import { ModelledKeyStore, ROUTE } from './modelledKeyStore.js';
+import { UnavailableTransport } from './unavailableTransport.js';
 
 const STORE_LATENCY_MS = 4;
 const LOST_SHARE = 0.02;
@@ -158,6 +159,7 @@
       directory: this.directory,
       authority,
       channel: new LeaseChannel(member.address, fleet),
+      transport: new UnavailableTransport(),
       clock,
       random,
       log,
