--- a/packages/dispatch/src/directory/common/tableFetcher.ts
+++ b/packages/dispatch/src/directory/common/tableFetcher.ts
@@ -1,6 +1,6 @@
 /** Fetches whole tables from peers. */
 import { fromBinary } from '@bufbuild/protobuf';
-import type { Clock } from '@parsleymux/base';
+import type { Clock, Logger } from '@parsleymux/base';
 import { computeEarlierInstant, readInstant } from '@parsleymux/base';
 import { FollowedChangesSchema } from '@parsleymux/schema';
 import VError from 'verror';
@@ -17,6 +17,7 @@
 /** Options of a {@link TableFetcher}. */
 export interface ITableFetcherOptions {
   readonly clock: Clock;
+  readonly log: Logger;
   readonly transport: TableTransport;
 }
 
@@ -24,14 +25,14 @@
  * Replaces the content of a table by the copy of a peer.
  *
  * @example
- * await new TableFetcher({ clock, transport }).fetch(directory.catalog, '10.1.0.4:7201');
+ * await new TableFetcher({ clock, log, transport }).fetch(directory.catalog, '10.1.0.4:7201');
  */
 export class TableFetcher {
   constructor(private readonly options: ITableFetcherOptions) {}
 
   /** Rejects if the peer doesn't respond in time. */
   async fetch(table: FollowedTable<unknown>, stateAddress: string): Promise<void> {
-    const { clock, transport } = this.options;
+    const { clock, log, transport } = this.options;
     const sentAt = readInstant(clock);
     const cancelled = new AbortController();
     const timer = clock.startTimer(FETCH_TIMEOUT_MS, () => {
@@ -42,6 +43,14 @@
       const message = fromBinary(FollowedChangesSchema, bytes);
       const { content } = decodeChanges(message);
       table.setAll(content, clock.getMonotonicTime() - message.ageMs);
+      log.info('table fetched from peer', {
+        table: table.name,
+        peer: stateAddress,
+        version: content.version,
+        bytes: bytes.length,
+        ms: Math.round(clock.getMonotonicTime() - sentAt.monotonicMs),
+        ageMs: message.ageMs,
+      });
       if (message.proofAgeMs === undefined) return;
       table.recordProof(content, computeEarlierInstant(sentAt, message.proofAgeMs));
     } finally {
--- a/packages/dispatch/src/directory/node/stateServer.test.ts
+++ b/packages/dispatch/src/directory/node/stateServer.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
-import { ManualClock, closeServerImmediately, listenOn } from '@parsleymux/base';
+import {
+  ManualClock,
+  closeServerImmediately,
+  createSilentLogger,
+  listenOn,
+} from '@parsleymux/base';
 import { FollowedTable } from '../common/followedTable.js';
 import { TableFetcher } from '../common/tableFetcher.js';
 import { HttpTableTransport, createStateServer } from './stateServer.js';
@@ -13,7 +18,11 @@
   const server = createStateServer([table as FollowedTable<unknown>]);
   await listenOn(server, '127.0.0.1:0');
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-  const fetcher = new TableFetcher({ clock, transport: new HttpTableTransport() });
+  const fetcher = new TableFetcher({
+    clock,
+    log: createSilentLogger(),
+    transport: new HttpTableTransport(),
+  });
   const fetchCopy = async () => {
     const copy = new FollowedTable<unknown>({ name: 't', clock, isSame: (a, b) => a === b });
     await fetcher.fetch(copy, address);
