--- a/packages/dispatch/src/test/distributionFleet.ts
+++ b/packages/dispatch/src/test/distributionFleet.ts
@@ -1,7 +1,7 @@
 /** Simulates nodes with slow links that replicate a configuration of many routes. */
 import { create, toBinary } from '@bufbuild/protobuf';
 import type { ManualClock } from '@parsleymux/base';
-import { SeededRandom, createSilentLogger } from '@parsleymux/base';
+import { JoinedSignal, SeededRandom, createSilentLogger } from '@parsleymux/base';
 import { DatagramSchema } from '@parsleymux/schema';
 import type { ICatalog, IRouteRule, ITargetRecord } from '../catalog/common/catalog.js';
 import type { IMember, ITableChanges } from '../directory/common/authority.js';
@@ -139,8 +139,16 @@
     if (peer.isDown) await waitForAbort(signal);
     const bytes = peer.server.encodeTable(table);
     if (bytes === undefined) throw new Error('no such table');
-    const arrived = fleet.sendBytes(bytes.length, peer.links.egress, links.ingress, signal);
-    await Promise.race([arrived, peer.waitForLoss(signal)]);
+    const joined = new JoinedSignal([signal, peer.lost]);
+    try {
+      await fleet.sendBytes(bytes.length, peer.links.egress, links.ingress, joined.signal);
+    } catch (error) {
+      // Connections to a VM without power hang.
+      if (!signal.aborted) await waitForAbort(signal);
+      throw error;
+    } finally {
+      joined.dispose();
+    }
     return bytes;
   }
 }
@@ -178,7 +186,7 @@
   readonly server: TableServer;
   readonly links: IModelledLinks;
   private readonly service: DirectoryService;
-  private readonly lost = new AbortController();
+  private readonly lostController = new AbortController();
 
   constructor(
     readonly fleet: DistributionFleet,
@@ -207,24 +215,22 @@
     });
   }
 
+  /** Aborts when the VM loses power. */
+  get lost(): AbortSignal {
+    return this.lostController.signal;
+  }
+
   get isDown(): boolean {
-    return this.lost.signal.aborted;
+    return this.lost.aborted;
   }
 
   run(signal: AbortSignal): Promise<void> {
-    return this.service.run(AbortSignal.any([signal, this.lost.signal]));
+    return this.service.run(AbortSignal.any([signal, this.lost]));
   }
 
   /** Loses power: nothing is sent any more, and connections stay open without data. */
   stop(): void {
-    this.lost.abort(new Error('power lost'));
-  }
-
-  /** Never resolves; after this node stopped, rejects when `signal` aborts, as connections hang. */
-  waitForLoss(signal: AbortSignal): Promise<never> {
-    return new Promise((_, reject) => {
-      this.lost.signal.addEventListener('abort', () => void waitForAbort(signal).catch(reject));
-    });
+    this.lostController.abort(new Error('power lost'));
   }
 
   receive(sender: string, body: DatagramBody): void {
