Send what changed of the configuration instead of all of it

What callers saw: 1,400 routes are added on a fleet of 110 nodes, most with links of 10 Mbit/s; for seconds requests are late or refused, and some are handled by the former version more than 2.5 s after the new one was acknowledged.

Cause: nodes replicate the configuration as one entry. Any change of it, also of one route, made each of the 35 peers of a follower download all routes as JSON (1 MB at 4,219 routes) at the same moment. The transfers filled the links, so that grants and updates queued behind them, and most ended by their time limit of 2 s, to begin again from nothing. Ruled out: late followers, processor time (11% of a core at most).

Now nodes send patches between versions: each keeps the last 16, whose unchanged routes share memory; a peer names the version that it has in force with each confirmation, and gets the difference, in the update itself if it fits. Only for another version than the one it is for, a patch is dropped and the table is fetched, so no configuration mixes two versions. Fetches name what is known, of every table: changes instead of whole tables of targets, members and tenants too. Responses are compressed (gzip, once for all peers). A node of an earlier release names no version and gets whole values, uncompressed; one that asks such a node gets the same.

The test that was red: in force on all nodes after 3,060 ms before; green. The follower that loses power: 2,660 ms before; green.

--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -128,9 +128,10 @@
     const channel = this.store.add(await UdpChannel.open(settings.datagramAddress, log));
     const homes = this.store.add(this.createHomes(channel.address));
     countDirectory(this.directory, homes, registry);
-    const state = createStateServer(this.directory.listTables(), (incoming, response) => {
-      return handleHeldRequests(this.quarantine, incoming, response);
-    });
+    const state = createStateServer(
+      { tables: this.directory.listTables(), encoder: this.directory.encoder },
+      (incoming, response) => handleHeldRequests(this.quarantine, incoming, response),
+    );
     await this.listen(state, settings.stateAddress);
     await this.listen(
       createReadyServer(() => this.isReady()),
--- a/packages/dispatch/src/catalog/common/catalogPatch.test.ts
+++ b/packages/dispatch/src/catalog/common/catalogPatch.test.ts
@@ -3,7 +3,7 @@
 import { SeededRandom } from '@parsleymux/base';
 import { makeCatalog, makeRoute } from '../../test/builders.js';
 import type { IRouteRule } from './catalog.js';
-import { applyCatalogPatch, computeCatalogPatch, reuseCatalogItems } from './catalogPatch.js';
+import { applyCatalogPatch, computeCatalogPatch, mergeCatalog } from './catalogPatch.js';
 
 const SEEDS = 50;
 
@@ -80,7 +80,7 @@
 test('unchanged routes of a configuration that is read again are reused', () => {
   const known = makeCatalog(1, makeRoutes(3));
   const copy = structuredClone(makeCatalog(2, [...makeRoutes(2), makeRoute({ name: 'route-2' })]));
-  const { routes, version } = reuseCatalogItems(known, copy);
+  const { routes, version } = mergeCatalog(known, copy);
   assert.equal(version, 2);
   assert.equal(routes[0], known.routes[0]);
   assert.equal(routes[1], known.routes[1]);
--- a/packages/dispatch/src/catalog/common/catalogPatch.ts
+++ b/packages/dispatch/src/catalog/common/catalogPatch.ts
@@ -62,17 +62,17 @@
  * versions of a large configuration share most of their memory.
  *
  * @example
- * const next = reuseCatalogItems(known, decodeCatalog(text));
+ * const next = mergeCatalog(known, decodeCatalog(text));
  */
-export function reuseCatalogItems(known: ICatalog, next: ICatalog): ICatalog {
+export function mergeCatalog(known: ICatalog, next: ICatalog): ICatalog {
   return {
     ...next,
-    routes: reuseItems(known.routes, next.routes, isSameRoute),
-    services: reuseItems(known.services, next.services, isSameService),
+    routes: mergeItems(known.routes, next.routes, isSameRoute),
+    services: mergeItems(known.services, next.services, isSameService),
   };
 }
 
-function reuseItems<T extends INamed>(
+function mergeItems<T extends INamed>(
   known: readonly T[],
   next: readonly T[],
   isSame: (left: T, right: T) => boolean,
--- a/packages/dispatch/src/directory/common/catalogSource.ts
+++ b/packages/dispatch/src/directory/common/catalogSource.ts
@@ -2,6 +2,7 @@
 import type { Clock, IInstant } from '@parsleymux/base';
 import { measureElapsedMs, readInstant } from '@parsleymux/base';
 import type { ICatalog } from '../../catalog/common/catalog.js';
+import { mergeCatalog } from '../../catalog/common/catalogPatch.js';
 import type { ITableChange, ITableChanges, ITableState } from './authority.js';
 import { AuthorityTable } from './authority.js';
 import type { NodeDirectory } from './nodeDirectory.js';
@@ -105,7 +106,9 @@
       directory.tenants.setAll(content, clock.getMonotonicTime());
     }
     if (isNeeded && isOlder) this.advanceTenants(state);
-    return { key: change.key, value: { ...catalog, requiresKeys: tenants !== undefined } };
+    const value = { ...catalog, requiresKeys: tenants !== undefined };
+    const known = directory.getCatalog();
+    return { key: change.key, value: known === undefined ? value : mergeCatalog(known, value) };
   }
 
   /** Keeps the tenants of a configuration that stays in force although the authority lacks it. */
--- a/packages/dispatch/src/directory/common/nodeDirectory.ts
+++ b/packages/dispatch/src/directory/common/nodeDirectory.ts
@@ -12,10 +12,13 @@
 import type { ITenantRule } from '../../tenants/common/tenant.js';
 import { isSameTenant } from '../../tenants/common/tenant.js';
 import { TenantIndex } from '../../tenants/common/tenantIndex.js';
+import { CatalogHistory } from './catalogHistory.js';
 import { listHighCapacityMembers } from './highCapacityMembers.js';
+import { TableEncoder } from './tableEncoder.js';
 
 /** Number of ranked homes of a service: the home, and the nodes that take over in order. */
 const RANKED_HOMES = 3;
+const CATALOG_TABLE = 'catalog';
 
 /**
  * Live targets write their entries again within about 2 s; the store removes the entries of others after
@@ -38,6 +41,9 @@
   /** Tenants of the configuration; without a version while requests need no keys. */
   readonly tenants: FollowedTable<ITenantRule>;
   readonly tenantIndex = new TenantIndex();
+  /** Encodes the tables for other nodes. */
+  readonly encoder: TableEncoder;
+  private readonly history = new CatalogHistory();
   private currentCatalog: ICatalog | undefined;
   private currentRoutes: RouteTable | undefined;
   private homes = new RendezvousPlacement();
@@ -49,8 +55,9 @@
   readonly onDidChangeCatalog: Event<ICatalog> = this.catalogChanged.onDidFire;
 
   constructor(clock: Clock) {
+    this.encoder = new TableEncoder({ history: this.history, catalogTable: CATALOG_TABLE });
     this.catalog = new FollowedTable({
-      name: 'catalog',
+      name: CATALOG_TABLE,
       clock,
       isSame: (left, right) => left.version === right.version,
       isOutdated: (known, next) => next.version < known.version,
@@ -137,6 +144,7 @@
     for (const catalog of this.catalog.listValues()) {
       if (catalog.version <= (this.currentCatalog?.version ?? -Infinity)) continue;
       this.currentCatalog = catalog;
+      this.history.record(catalog);
       this.currentRoutes = new RouteTable(catalog.routes);
       this.catalogChanged.fire(catalog);
     }
--- a/packages/dispatch/src/directory/common/tableServer.ts
+++ b/packages/dispatch/src/directory/common/tableServer.ts
@@ -1,48 +1,69 @@
-/** Encodes whole tables for peers that lack more changes than fit into a datagram. */
+/** Encodes tables for peers that lack more changes than fit into a datagram. */
 import { create, toBinary } from '@bufbuild/protobuf';
 import { FollowedChangesSchema } from '@parsleymux/schema';
 import type { FollowedTable } from './followedTable.js';
-import { encodeAges, encodeChanges } from './tableMessages.js';
+import type { TableEncoder } from './tableEncoder.js';
+import { encodeAges } from './tableMessages.js';
+import type { ITableRequest } from './tableTransport.js';
 
-interface IEncodedTable {
-  readonly era: number;
-  readonly isRetained: boolean;
-  readonly version: number;
-  readonly bytes: Uint8Array;
+/** Most encoded copies kept for each table, for peers that know different versions. */
+const MAX_ENCODED = 16;
+
+/** A response in two parts, which form one message when they are concatenated. */
+export interface ITableResponse {
+  /** The same object for all peers that request the same changes. */
+  readonly rows: Uint8Array;
+  readonly ages: Uint8Array;
+}
+
+/** Options of a {@link TableServer}. */
+export interface ITableServerOptions {
+  readonly tables: readonly FollowedTable<unknown>[];
+  readonly encoder: TableEncoder;
+}
+
+/** Copies of one state of a table, by what the peer knew. */
+interface IEncodedCopies {
+  readonly state: string;
+  readonly copies: Map<string, Uint8Array>;
 }
 
 /**
- * Encodes the rows of a table once for all peers that request the same version.
+ * Encodes each change of a table once for all peers that request it.
  *
  * @example
- * const bytes = new TableServer(directory.listTables()).encodeTable('targets');
+ * const response = new TableServer({ tables, encoder }).encodeTable({ table: 'targets', known: {} });
  */
 export class TableServer {
-  private readonly encoded = new Map<string, IEncodedTable>();
+  private readonly encoded = new Map<string, IEncodedCopies>();
 
-  constructor(private readonly tables: readonly FollowedTable<unknown>[]) {}
+  constructor(private readonly options: ITableServerOptions) {}
 
-  /** Encodes a table and its current age; returns undefined if this node doesn't have the table. */
-  encodeTable(name: string | undefined): Uint8Array | undefined {
-    const table = this.tables.find((candidate) => candidate.name === name);
+  /** Encodes what the peer lacks of a table; returns undefined if this node doesn't have the table. */
+  encodeTable(request: ITableRequest): ITableResponse | undefined {
+    const table = this.options.tables.find(({ name }) => name === request.table);
     if (table?.version === undefined) return undefined;
-    const age = toBinary(FollowedChangesSchema, create(FollowedChangesSchema, encodeAges(table)));
-    // Concatenated protobuf messages are parsed as one message with the fields of both.
-    return Buffer.concat([this.encodeRows(table), age]);
+    const ages = toBinary(FollowedChangesSchema, create(FollowedChangesSchema, encodeAges(table)));
+    return { rows: this.encodeRows(table, request), ages };
   }
 
-  private encodeRows(table: FollowedTable<unknown>): Uint8Array {
-    const version = table.version ?? 0;
-    const { era, isRetaining: isRetained } = table;
-    const known = this.encoded.get(table.name);
-    const isSame = known?.era === era && known.isRetained === isRetained;
-    if (isSame && known.version === version) return known.bytes;
-    const changes = table
-      .listEntries()
-      .map(([key, value]) => ({ key, value, isMissing: table.isMissing(key) }));
-    const message = encodeChanges(table.name, 0, { era, isRetained, version, changes });
-    const bytes = toBinary(FollowedChangesSchema, message);
-    this.encoded.set(table.name, { era, isRetained, version, bytes });
+  private encodeRows(table: FollowedTable<unknown>, { known }: ITableRequest): Uint8Array {
+    const copies = this.getCopies(table);
+    const key = JSON.stringify([known.era, known.version, known.isRetained, known.catalogVersion]);
+    const bytes =
+      copies.get(key) ??
+      toBinary(FollowedChangesSchema, this.options.encoder.encodeRows(table, known));
+    if (copies.size >= MAX_ENCODED) copies.clear();
+    copies.set(key, bytes);
     return bytes;
   }
+
+  private getCopies({ era, isRetaining, name, version }: FollowedTable<unknown>) {
+    const state = JSON.stringify([era, version, isRetaining]);
+    const known = this.encoded.get(name);
+    if (known?.state === state) return known.copies;
+    const copies = new Map<string, Uint8Array>();
+    this.encoded.set(name, { state, copies });
+    return copies;
+  }
 }
--- a/packages/dispatch/src/directory/common/tableTransport.ts
+++ b/packages/dispatch/src/directory/common/tableTransport.ts
@@ -1,4 +1,12 @@
 /** Transfers of tables between nodes. */
+import type { IKnownCopy } from './tableEncoder.js';
+
+/** A request for a table of another node. */
+export interface ITableRequest {
+  readonly table: string;
+  /** What the requesting node has of it. */
+  readonly known: IKnownCopy;
+}
 
 /** Requests tables of other nodes. */
 export abstract class TableTransport {
@@ -8,7 +16,7 @@
    */
   abstract requestTable(
     stateAddress: string,
-    table: string,
+    request: ITableRequest,
     signal: AbortSignal,
   ): Promise<Uint8Array>;
 }
--- a/packages/dispatch/src/directory/common/updateRelay.test.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.test.ts
@@ -6,11 +6,14 @@
 import { FollowedChangesSchema, UpdateReceivedSchema, UpdateSchema } from '@parsleymux/schema';
 import type { DatagramBody } from '../../grants/common/datagramChannel.js';
 import { DatagramChannel } from '../../grants/common/datagramChannel.js';
+import { CatalogHistory } from './catalogHistory.js';
 import { FollowedTable } from './followedTable.js';
+import { TableEncoder } from './tableEncoder.js';
 import { encodeChanges } from './tableMessages.js';
 import { UpdateRelay } from './updateRelay.js';
 
 const LIMIT_MS = 4500;
+const ENCODER = new TableEncoder({ history: new CatalogHistory(), catalogTable: 'catalog' });
 const PEERS = ['127.0.0.2:1', '127.0.0.3:1', '127.0.0.4:1', '127.0.0.5:1'];
 
 class RecordingChannel extends DatagramChannel {
@@ -51,6 +54,7 @@
     log: createSilentLogger(),
     statePort: 7201,
     tables: [table],
+    encoder: ENCODER,
     listPeers: () => PEERS,
     fetchTable: () => Promise.resolve(),
   });
@@ -167,6 +171,7 @@
     log: createSilentLogger(),
     statePort: 7201,
     tables: [peer],
+    encoder: ENCODER,
     listPeers: () => PEERS,
     fetchTable: (table) => {
       fetched.push(table.name);
--- a/packages/dispatch/src/directory/common/updateRelay.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.ts
@@ -7,7 +7,8 @@
 import type { DatagramChannel } from '../../grants/common/datagramChannel.js';
 import { EchoTokens } from './echoTokens.js';
 import type { FollowedTable } from './followedTable.js';
-import { decodeChanges, encodeAges, encodeChanges } from './tableMessages.js';
+import type { IKnownCopy, TableEncoder } from './tableEncoder.js';
+import { encodeAges } from './tableMessages.js';
 
 /**
  * Most bytes of rows in one datagram: about forty targets. For more changes, peers fetch the whole table,
@@ -56,6 +57,7 @@
   /** Differs for each start of the process. Default: 0. */
   readonly incarnation?: number;
   readonly tables: readonly FollowedTable<unknown>[];
+  readonly encoder: TableEncoder;
   /** Whether this node needs a freshness proof for its copies soon. Default: never. */
   readonly isProofDue?: () => boolean;
   /** Lists the addresses of the other nodes of this failure domain. */
@@ -82,6 +84,8 @@
   /** States of the tables that each peer has confirmed. */
   private readonly confirmed = new Map<string, TableVersions>();
   private readonly tokens: EchoTokens;
+  /** Version of the configuration that each peer has in force, of those that can apply patches. */
+  private readonly catalogVersions = new Map<string, number>();
   /** The newest echo token of each peer. */
   private readonly echoes = new Map<string, bigint>();
   private repeatTimer: IDisposable | undefined;
@@ -104,6 +108,7 @@
   /** Sends an update to a node that has just started and requested one. */
   handleHello(sender: string): void {
     this.confirmed.delete(sender);
+    this.catalogVersions.delete(sender);
     this.sendUpdates([sender]);
   }
 
@@ -116,11 +121,13 @@
     this.confirm(sender, update);
   }
 
-  handleUpdateReceived(sender: string, { echo, sequence, urgent }: UpdateReceived): void {
+  handleUpdateReceived(sender: string, received: UpdateReceived): void {
+    const { catalogVersion, echo, sequence, urgent } = received;
     this.confirmedAtMs.set(sender, this.options.clock.getMonotonicTime());
     this.unconfirmed.delete(sender);
     const versions = this.sentVersions.get(sequence);
     if (versions !== undefined) this.confirmed.set(sender, versions);
+    if (catalogVersion !== undefined) this.catalogVersions.set(sender, Number(catalogVersion));
     if (echo > 0n) this.echoes.set(sender, echo);
     if (urgent) this.sendUpdates([sender]);
   }
@@ -130,9 +137,10 @@
    * next one is requested immediately if a proof is due.
    */
   private confirm(sender: string, { echo, sequence }: Update): void {
-    const { channel, isProofDue } = this.options;
+    const { channel, encoder, isProofDue } = this.options;
     const value = create(UpdateReceivedSchema, {
       sequence,
+      catalogVersion: BigInt(encoder.catalogVersion),
       echo: this.tokens.create(),
       urgent: this.tokens.find(echo) === undefined && isProofDue?.() === true,
     });
@@ -160,6 +168,7 @@
     void this.repeatTimer?.dispose();
     this.confirmedAtMs.clear();
     this.confirmed.clear();
+    this.catalogVersions.clear();
     this.echoes.clear();
     this.unconfirmed.clear();
   }
@@ -181,8 +190,10 @@
     const updates = new Map<string, Update>();
     for (const peer of peers) {
       const known = this.confirmed.get(peer) ?? new Map<string, ISentState>();
-      const key = [...known.values()].map(({ era, version }) => `${era}/${version}`).join(' ');
-      const shared = updates.get(key) ?? this.makeUpdate(known);
+      const catalogVersion = this.catalogVersions.get(peer);
+      const states = [...known.values()].map(({ era, version }) => `${era}/${version}`);
+      const key = [catalogVersion ?? '', ...states].join(' ');
+      const shared = updates.get(key) ?? this.makeUpdate(known, catalogVersion);
       updates.set(key, shared);
       this.recordSent(peer);
       const echo = this.echoes.get(peer) ?? 0n;
@@ -199,15 +210,19 @@
     this.unconfirmed.set(peer, { sinceMs: before.sinceMs, lastMs: nowMs, count: before.count + 1 });
   }
 
-  private makeUpdate(known: TableVersions): Update {
-    const { statePort } = this.options;
+  private makeUpdate(known: TableVersions, catalogVersion: number | undefined): Update {
+    const { encoder, statePort } = this.options;
     const tables = this.options.tables.filter(({ version }) => version !== undefined);
     this.sequence += 1n;
     this.recordSentVersions(
       new Map(tables.map(({ era, name, version }) => [name, { era, version: version ?? 0 }])),
     );
-    const changes = tables.map((table) => this.encodeTable(table, known.get(table.name)));
-    return create(UpdateSchema, { sequence: this.sequence, changes, statePort });
+    const changes = tables.map((table) => {
+      return this.encodeTable(table, { ...known.get(table.name), catalogVersion });
+    });
+    const { sequence } = this;
+    const ownVersion = BigInt(encoder.catalogVersion);
+    return create(UpdateSchema, { sequence, changes, statePort, catalogVersion: ownVersion });
   }
 
   private recordSentVersions(versions: TableVersions): void {
@@ -216,28 +231,17 @@
     if (this.sentVersions.size > MAX_SENT && oldest !== undefined) this.sentVersions.delete(oldest);
   }
 
-  private encodeTable(
-    table: FollowedTable<unknown>,
-    known: ISentState | undefined,
-  ): FollowedChanges {
-    // A version of another epoch isn't comparable, so it doesn't limit the changes to send.
-    const { after, content } = table.listRecent(
-      known?.era === table.era ? known.version : undefined,
-    );
-    const encoded = encodeChanges(table.name, after, content);
-    const bytes = encoded.rows.reduce((sum, { value }) => sum + (value?.byteLength ?? 0), 0);
-    const ages = encodeAges(table);
-    if (bytes <= MAX_ROW_BYTES) return create(FollowedChangesSchema, { ...encoded, ...ages });
+  private encodeTable(table: FollowedTable<unknown>, known: IKnownCopy): FollowedChanges {
+    const message = this.options.encoder.encodeRecent(table, known);
+    const bytes = message.rows.reduce((sum, { patch, value }) => {
+      return sum + (value?.byteLength ?? 0) + (patch?.byteLength ?? 0);
+    }, 0);
+    if (bytes <= MAX_ROW_BYTES) return message;
     // The changes don't fit into a datagram: peers that lack them fetch the table.
-    const version = encoded.version;
-    const { era } = table;
-    return create(FollowedChangesSchema, {
-      table: table.name,
-      after: version,
-      version,
-      era,
-      ...ages,
-    });
+    const { version } = message;
+    const { era, name } = table;
+    const ages = encodeAges(table);
+    return create(FollowedChangesSchema, { table: name, after: version, version, era, ...ages });
   }
 
   private applyChanges(
@@ -248,7 +252,12 @@
     const table = this.options.tables.find(({ name }) => name === changes.table);
     if (table === undefined) return;
     const asOfMs = this.options.clock.getMonotonicTime() - changes.ageMs;
-    const { after, content } = decodeChanges(changes);
+    const decoded = this.options.encoder.decode(changes);
+    if (decoded === undefined) {
+      this.fetch(table, stateAddress);
+      return;
+    }
+    const { after, content } = decoded;
     const isIncompatible = content.isRetained !== table.isRetaining && content.era === table.era;
     if (isIncompatible || !table.apply(after, content, asOfMs)) this.fetch(table, stateAddress);
     if (sentAfter === undefined || changes.proofAgeMs === undefined) return;
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -98,7 +98,8 @@
       self: self.address,
       rankFollowers: () => directory.rankFollowers(self.failureDomain),
     });
-    const fetcher = new TableFetcher(options);
+    const { encoder } = directory;
+    const fetcher = new TableFetcher({ ...options, encoder });
     this.relay = new UpdateRelay({
       channel,
       clock,
@@ -106,6 +107,7 @@
       statePort: Number(self.stateAddress.slice(self.stateAddress.lastIndexOf(':') + 1)),
       incarnation: self.incarnation,
       tables: directory.listTables(),
+      encoder,
       isProofDue: () => this.isProofDue(),
       listPeers: () => this.listPeers(),
       fetchTable: (table, address) => fetcher.fetch(table, address),
--- a/packages/dispatch/src/directory/node/stateServer.test.ts
+++ b/packages/dispatch/src/directory/node/stateServer.test.ts
@@ -7,7 +7,9 @@
   createSilentLogger,
   listenOn,
 } from '@parsleymux/base';
+import { CatalogHistory } from '../common/catalogHistory.js';
 import { FollowedTable } from '../common/followedTable.js';
+import { TableEncoder } from '../common/tableEncoder.js';
 import { TableFetcher } from '../common/tableFetcher.js';
 import { HttpTableTransport, createStateServer } from './stateServer.js';
 
@@ -15,12 +17,14 @@
   const clock = new ManualClock();
   const table = new FollowedTable<string>({ name: 't', clock, isSame: (a, b) => a === b });
   table.setAll({ version: 7, changes: [{ key: 'a', value: 'ready' }] }, 0);
-  const server = createStateServer([table as FollowedTable<unknown>]);
+  const encoder = new TableEncoder({ history: new CatalogHistory(), catalogTable: 'catalog' });
+  const server = createStateServer({ tables: [table as FollowedTable<unknown>], encoder });
   await listenOn(server, '127.0.0.1:0');
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
   const fetcher = new TableFetcher({
     clock,
     log: createSilentLogger(),
+    encoder,
     transport: new HttpTableTransport(),
   });
   const fetchCopy = async () => {
--- a/packages/dispatch/src/directory/node/stateServer.ts
+++ b/packages/dispatch/src/directory/node/stateServer.ts
@@ -1,13 +1,19 @@
-/** Serves whole tables to peers over HTTP, and requests theirs. */
+/** Serves tables to peers over HTTP, and requests theirs. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import { request } from 'undici';
 import VError from 'verror';
-import type { FollowedTable } from '../common/followedTable.js';
+import type { IKnownCopy } from '../common/tableEncoder.js';
+import type { ITableServerOptions } from '../common/tableServer.js';
 import { TableServer } from '../common/tableServer.js';
+import type { ITableRequest } from '../common/tableTransport.js';
 import { TableTransport } from '../common/tableTransport.js';
+import { encodeCompressed, decodeCompressed, isWorthCompressing } from './tableCompression.js';
 
 const TABLE_PREFIX = '/tables/';
+/** Header with what the requesting node has of the table, as JSON. Without it, the whole table is sent. */
+const KNOWN_HEADER = 'parsleymux-known';
+const COMPRESSION = 'gzip';
 const OK = 200;
 const NOT_FOUND = 404;
 
@@ -18,18 +24,27 @@
  * Creates an HTTP server for this node's tables.
  *
  * @example
- * const server = createStateServer([directory.catalog, directory.targets]);
+ * const server = createStateServer({ tables: directory.listTables(), encoder: directory.encoder });
  */
 export function createStateServer(
-  tables: readonly FollowedTable<unknown>[],
+  options: ITableServerOptions,
   handleFallback: FallbackHandler = () => false,
 ): Server {
-  const tableServer = new TableServer(tables);
+  const tableServer = new TableServer(options);
   return createServer((incoming, response) => {
     if (handleFallback(incoming, response)) return;
-    const bytes = tableServer.encodeTable(incoming.url?.slice(TABLE_PREFIX.length));
-    if (bytes === undefined) response.writeHead(NOT_FOUND).end();
-    else response.writeHead(OK).end(bytes);
+    const table = incoming.url?.slice(TABLE_PREFIX.length) ?? '';
+    const found = tableServer.encodeTable({ table, known: parseKnown(incoming) });
+    if (found === undefined) {
+      response.writeHead(NOT_FOUND).end();
+      return;
+    }
+    const isAccepted = incoming.headers['accept-encoding'] === COMPRESSION;
+    if (isAccepted && isWorthCompressing(found)) {
+      response.writeHead(OK, { 'content-encoding': COMPRESSION }).end(encodeCompressed(found));
+    } else {
+      response.writeHead(OK).end(Buffer.concat([found.rows, found.ages]));
+    }
   });
 }
 
@@ -37,13 +52,26 @@
 export class HttpTableTransport extends TableTransport {
   override async requestTable(
     stateAddress: string,
-    table: string,
+    { known, table }: ITableRequest,
     signal: AbortSignal,
   ): Promise<Uint8Array> {
     const url = `http://${stateAddress}${TABLE_PREFIX}${table}`;
-    const { statusCode, body } = await request(url, { signal });
+    const { body, headers, statusCode } = await request(url, {
+      signal,
+      headers: { [KNOWN_HEADER]: JSON.stringify(known), 'accept-encoding': COMPRESSION },
+    });
     const bytes = await body.bytes();
     if (statusCode !== OK) throw new VError('peer answered %d', statusCode);
-    return bytes;
+    return headers['content-encoding'] === COMPRESSION ? decodeCompressed(bytes) : bytes;
+  }
+}
+
+function parseKnown({ headers }: IncomingMessage): IKnownCopy {
+  const text = headers[KNOWN_HEADER];
+  if (typeof text !== 'string') return {};
+  try {
+    return JSON.parse(text) as IKnownCopy;
+  } catch {
+    return {};
   }
 }
--- a/packages/dispatch/src/test/distributionFleet.ts
+++ b/packages/dispatch/src/test/distributionFleet.ts
@@ -8,8 +8,10 @@
 import { Authority, AuthorityTable } from '../directory/common/authority.js';
 import { NodeDirectory } from '../directory/common/nodeDirectory.js';
 import { TableServer } from '../directory/common/tableServer.js';
+import type { ITableRequest } from '../directory/common/tableTransport.js';
 import { TableTransport } from '../directory/common/tableTransport.js';
 import { DirectoryService } from '../directory/node/directoryService.js';
+import { encodeCompressed, decodeCompressed } from '../directory/node/tableCompression.js';
 import type { DatagramBody } from '../grants/common/datagramChannel.js';
 import { DatagramChannel } from '../grants/common/datagramChannel.js';
 import { makeCatalog, makeRoute } from './builders.js';
@@ -129,7 +131,7 @@
 
   override async requestTable(
     stateAddress: string,
-    table: string,
+    request: ITableRequest,
     signal: AbortSignal,
   ): Promise<Uint8Array> {
     const { fleet, links } = this.node;
@@ -137,8 +139,9 @@
     if (peer === undefined) throw new Error('no such node');
     await fleet.sendBytes(REQUEST_BYTES, links.egress, peer.links.ingress, signal);
     if (peer.isDown) await waitForAbort(signal);
-    const bytes = peer.server.encodeTable(table);
-    if (bytes === undefined) throw new Error('no such table');
+    const response = peer.server.encodeTable(request);
+    if (response === undefined) throw new Error('no such table');
+    const bytes = encodeCompressed(response);
     const joined = new JoinedSignal([signal, peer.lost]);
     try {
       await fleet.sendBytes(bytes.length, peer.links.egress, links.ingress, joined.signal);
@@ -149,7 +152,7 @@
     } finally {
       joined.dispose();
     }
-    return bytes;
+    return decodeCompressed(bytes);
   }
 }
 
@@ -199,7 +202,8 @@
       ingress: new ModelledLink(clock, linkMbps, busyShare),
     };
     this.directory = new NodeDirectory(clock);
-    this.server = new TableServer(this.directory.listTables());
+    const { encoder } = this.directory;
+    this.server = new TableServer({ tables: this.directory.listTables(), encoder });
     this.service = new DirectoryService({
       directory: this.directory,
       authority: new ModelledAuthority(this),
