Fetch tables from several nodes, and give up a transfer by its progress

A fetch had one source, the follower that announced the change; it had a time limit of 2 s, of the 2.5 s in which a change has to be in force, however much had arrived; and one that failed began again only with the next update, 0.85 s later.

Now a node whose link is behind with transfers by 200 ms redirects further peers to those that it sent the same state before; a peer that is still receiving it holds the request. Who sends nothing for 600 ms, or stops for 1.2 s, is given up for the followers of the own and the other failure domains. A state announced during a fetch is fetched right after it. Nodes of an earlier release are never redirected.

The store's rows of the model are counted by the store's own layout (110 bytes a route) from here on.

--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -129,7 +129,12 @@
     const homes = this.store.add(this.createHomes(channel.address));
     countDirectory(this.directory, homes, registry);
     const state = createStateServer(
-      { tables: this.directory.listTables(), encoder: this.directory.encoder },
+      {
+        clock,
+        tables: this.directory.listTables(),
+        encoder: this.directory.encoder,
+        bytesPerMs: settings.linkBytesPerMs,
+      },
       (incoming, response) => handleHeldRequests(this.quarantine, incoming, response),
     );
     await this.listen(state, settings.stateAddress);
--- a/packages/dispatch/src/app/node/directNodeSettings.ts
+++ b/packages/dispatch/src/app/node/directNodeSettings.ts
@@ -26,4 +26,6 @@
   readonly graceMs: number;
   /** Capacity of the VM for work on behalf of other nodes, relative to other VMs. */
   readonly capacity: number;
+  /** Rate of the VM's link, in bytes per ms; undefined if unknown. */
+  readonly linkBytesPerMs?: number | undefined;
 }
--- a/packages/dispatch/src/directory/common/tableFetcher.ts
+++ b/packages/dispatch/src/directory/common/tableFetcher.ts
@@ -1,18 +1,25 @@
 /** Fetches tables from peers. */
 import { fromBinary } from '@bufbuild/protobuf';
-import type { Clock, Logger } from '@parsleymux/base';
+import type { Clock, IInstant, Logger } from '@parsleymux/base';
 import { computeEarlierInstant, readInstant } from '@parsleymux/base';
 import { FollowedChangesSchema } from '@parsleymux/schema';
 import VError from 'verror';
 import type { FollowedTable } from './followedTable.js';
 import type { TableEncoder } from './tableEncoder.js';
-import type { TableTransport } from './tableTransport.js';
+import type { IAnnouncedState, TableReply, TableTransport } from './tableTransport.js';
 
-/**
- * Timeout of a fetch, in ms. When a fleet starts, sixty nodes fetch tables of 70 KB from one node, which
- * takes 1.7 s on a link of 20 Mbit/s. With a shorter timeout and retries, most fetches would fail.
- */
-const FETCH_TIMEOUT_MS = 2000;
+/** A peer that doesn't begin to respond within this time, in ms, is considered unreachable. */
+const RESPONSE_TIMEOUT_MS = 600;
+/** A transfer without progress for this long, in ms, is abandoned; longer than peers hold requests. */
+const STALL_TIMEOUT_MS = 1200;
+const MAX_REDIRECTS = 8;
+
+/** Where to fetch a table from. */
+export interface ITableSource {
+  /** State address of the node that announced the state. */
+  readonly stateAddress: string;
+  readonly minimum?: IAnnouncedState | undefined;
+}
 
 /** Options of a {@link TableFetcher}. */
 export interface ITableFetcherOptions {
@@ -20,44 +27,103 @@
   readonly log: Logger;
   readonly encoder: TableEncoder;
   readonly transport: TableTransport;
+  /** State address of this node. */
+  readonly self: string;
+  /** Lists state addresses of other nodes that probably have the newest tables. Default: none. */
+  readonly listOthers?: () => readonly string[];
+}
+
+/** One attempt to fetch a table. */
+interface IAttempt extends ITableSource {
+  readonly isDirect: boolean;
 }
 
 /**
- * Updates a table from the copy of a peer.
+ * Updates a table from the copy of a peer, or of another one if that one doesn't respond.
  *
  * @example
- * await new TableFetcher(options).fetch(directory.catalog, '10.1.0.4:7201');
+ * await new TableFetcher(options).fetch(directory.catalog, { stateAddress: '10.1.0.4:7201' });
  */
 export class TableFetcher {
   constructor(private readonly options: ITableFetcherOptions) {}
 
-  /** Rejects if the peer doesn't respond in time. */
-  async fetch(table: FollowedTable<unknown>, stateAddress: string): Promise<void> {
-    const { clock, transport } = this.options;
+  /** Rejects if no peer responds in time. */
+  async fetch(table: FollowedTable<unknown>, source: ITableSource): Promise<void> {
+    const { listOthers, log } = this.options;
+    const others = (listOthers?.() ?? []).filter((address) => address !== source.stateAddress);
+    const addresses = [source.stateAddress, ...others];
+    let reason: unknown;
+    for (const [index, stateAddress] of addresses.entries()) {
+      try {
+        await this.fetchFrom(table, { ...source, stateAddress, isDirect: index > 0 });
+        return;
+      } catch (error) {
+        reason = error;
+        log.warn('table not fetched from peer', {
+          table: table.name,
+          peer: stateAddress,
+          isDirect: index > 0,
+          reason: error instanceof Error ? error.message : String(error),
+        });
+      }
+    }
+    throw new VError(reason instanceof Error ? reason : {}, 'no peer sent table %s', table.name);
+  }
+
+  /** Follows redirects; if a node to which the request was redirected fails, the first one has to send. */
+  private async fetchFrom(table: FollowedTable<unknown>, attempt: IAttempt): Promise<void> {
+    let { stateAddress } = attempt;
+    for (let redirects = 0; redirects <= MAX_REDIRECTS; redirects += 1) {
+      try {
+        const next = await this.fetchOnce(table, { ...attempt, stateAddress });
+        if (next === undefined) return;
+        stateAddress = next;
+      } catch (error) {
+        if (redirects === 0) throw error;
+        break;
+      }
+    }
+    await this.fetchOnce(table, { ...attempt, isDirect: true });
+  }
+
+  /** Returns the state address of the node to ask instead; undefined if the table was applied. */
+  private async fetchOnce(
+    table: FollowedTable<unknown>,
+    attempt: IAttempt,
+  ): Promise<string | undefined> {
+    const sentAt = readInstant(this.options.clock);
+    const reply = await this.request(table, attempt);
+    if (reply.kind === 'redirect') return reply.stateAddress;
+    this.apply(table, reply.bytes, sentAt);
+    this.logFetched(table, attempt.stateAddress, reply.bytes.length, sentAt);
+    return undefined;
+  }
+
+  private async request(table: FollowedTable<unknown>, attempt: IAttempt): Promise<TableReply> {
+    const { clock, encoder, self, transport } = this.options;
+    const { isDirect, minimum, stateAddress } = attempt;
+    const { era, isRetaining: isRetained, version } = table;
+    const known = { era, isRetained, version, catalogVersion: encoder.catalogVersion };
+    const request = { table: table.name, known, minimum, requester: self, isDirect };
     const cancelled = new AbortController();
-    const timer = clock.startTimer(FETCH_TIMEOUT_MS, () => {
-      cancelled.abort(new VError('no table within %d ms', FETCH_TIMEOUT_MS));
-    });
-    const sentAt = readInstant(clock);
+    const startTimer = (limitMs: number) =>
+      clock.startTimer(limitMs, () => {
+        cancelled.abort(new VError('no data for %d ms', limitMs));
+      });
+    let timer = startTimer(RESPONSE_TIMEOUT_MS);
+    const onDidProgress = () => {
+      void timer.dispose();
+      timer = startTimer(STALL_TIMEOUT_MS);
+    };
     try {
-      const request = { table: table.name, known: this.describeKnown(table) };
-      const bytes = await transport.requestTable(stateAddress, request, cancelled.signal);
-      this.apply(table, bytes, sentAt);
-      this.logFetched(table, stateAddress, bytes.length, sentAt.monotonicMs);
+      const { signal } = cancelled;
+      return await transport.requestTable(stateAddress, request, { signal, onDidProgress });
     } finally {
       void timer.dispose();
     }
   }
 
-  private describeKnown({ era, isRetaining: isRetained, version }: FollowedTable<unknown>) {
-    return { era, isRetained, version, catalogVersion: this.options.encoder.catalogVersion };
-  }
-
-  private apply(
-    table: FollowedTable<unknown>,
-    bytes: Uint8Array,
-    sentAt: ReturnType<typeof readInstant>,
-  ): void {
+  private apply(table: FollowedTable<unknown>, bytes: Uint8Array, sentAt: IInstant): void {
     const { clock, encoder } = this.options;
     const message = fromBinary(FollowedChangesSchema, bytes);
     const decoded = encoder.decode(message);
@@ -74,10 +140,10 @@
     { name, version }: FollowedTable<unknown>,
     peer: string,
     bytes: number,
-    sentMs: number,
+    sentAt: IInstant,
   ): void {
     const { clock, log } = this.options;
-    const ms = Math.round(clock.getMonotonicTime() - sentMs);
+    const ms = Math.round(clock.getMonotonicTime() - sentAt.monotonicMs);
     log.info('table fetched from peer', { table: name, peer, version, bytes, ms });
   }
 }
--- a/packages/dispatch/src/directory/common/tableServer.ts
+++ b/packages/dispatch/src/directory/common/tableServer.ts
@@ -1,25 +1,35 @@
-/** Encodes tables for peers that lack more changes than fit into a datagram. */
+/** Sends tables to peers that lack more changes than fit into a datagram. */
 import { create, toBinary } from '@bufbuild/protobuf';
+import type { Clock } from '@parsleymux/base';
 import { FollowedChangesSchema } from '@parsleymux/schema';
 import type { FollowedTable } from './followedTable.js';
 import type { TableEncoder } from './tableEncoder.js';
 import { encodeAges } from './tableMessages.js';
-import type { ITableRequest } from './tableTransport.js';
+import type { IAnnouncedState, ITableRequest } from './tableTransport.js';
+import { TransferSpreader } from './transferSpreader.js';
 
 /** Most encoded copies kept for each table, for peers that know different versions. */
 const MAX_ENCODED = 16;
+/** How long a request waits until this node has received the requested state itself, in ms. */
+const MAX_HOLD_MS = 1000;
+const HOLD_CHECK_MS = 10;
 
-/** A response in two parts, which form one message when they are concatenated. */
-export interface ITableResponse {
-  /** The same object for all peers that request the same changes. */
-  readonly rows: Uint8Array;
-  readonly ages: Uint8Array;
-}
+/** Encodes a message for the wire, for example with compression. */
+export type TableCompressor = (rows: Uint8Array, ages: Uint8Array) => Uint8Array;
+
+/** Result of a request: the response to send, the node to ask instead, or neither. */
+export type TableResult =
+  | { readonly kind: 'table'; readonly bytes: Uint8Array }
+  | { readonly kind: 'redirect'; readonly stateAddress: string }
+  | { readonly kind: 'unavailable' };
 
 /** Options of a {@link TableServer}. */
 export interface ITableServerOptions {
+  readonly clock: Clock;
   readonly tables: readonly FollowedTable<unknown>[];
   readonly encoder: TableEncoder;
+  /** Rate of the node's link in bytes per ms. Default: unlimited. */
+  readonly bytesPerMs?: number | undefined;
 }
 
 /** Copies of one state of a table, by what the peer knew. */
@@ -29,41 +39,89 @@
 }
 
 /**
- * Encodes each change of a table once for all peers that request it.
+ * Answers requests for tables. Each change of a table is encoded once for all peers that request it.
  *
  * @example
- * const response = new TableServer({ tables, encoder }).encodeTable({ table: 'targets', known: {} });
+ * const result = await new TableServer(options).serve(request, encodeCompressed, signal);
  */
 export class TableServer {
   private readonly encoded = new Map<string, IEncodedCopies>();
+  private readonly spreader: TransferSpreader;
 
-  constructor(private readonly options: ITableServerOptions) {}
+  constructor(private readonly options: ITableServerOptions) {
+    const { bytesPerMs = Infinity, clock } = options;
+    this.spreader = new TransferSpreader({ clock, bytesPerMs });
+  }
 
-  /** Encodes what the peer lacks of a table; returns undefined if this node doesn't have the table. */
-  encodeTable(request: ITableRequest): ITableResponse | undefined {
+  /** Resolves as soon as this node has the requested state, or can't wait for it any longer. */
+  async serve(
+    request: ITableRequest,
+    compress: TableCompressor,
+    signal: AbortSignal,
+  ): Promise<TableResult> {
     const table = this.options.tables.find(({ name }) => name === request.table);
-    if (table?.version === undefined) return undefined;
+    if (table === undefined || !(await this.waitForState(table, request.minimum, signal))) {
+      return { kind: 'unavailable' };
+    }
     const ages = toBinary(FollowedChangesSchema, create(FollowedChangesSchema, encodeAges(table)));
-    return { rows: this.encodeRows(table, request), ages };
+    const bytes = compress(this.encodeRows(table, request), ages);
+    const state = formatState(table);
+    const { isDirect = false, requester } = request;
+    const other =
+      isDirect || requester === undefined
+        ? undefined
+        : this.spreader.findOther(state, requester, bytes.length);
+    if (other !== undefined) return { kind: 'redirect', stateAddress: other };
+    this.spreader.recordTransfer(state, requester, bytes.length);
+    return { kind: 'table', bytes };
+  }
+
+  private async waitForState(
+    table: FollowedTable<unknown>,
+    minimum: IAnnouncedState | undefined,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const { clock } = this.options;
+    const endMs = clock.getMonotonicTime() + MAX_HOLD_MS;
+    while (!hasState(table, minimum)) {
+      if (signal.aborted || clock.getMonotonicTime() >= endMs) return false;
+      await clock.sleep(HOLD_CHECK_MS, signal).catch(() => undefined);
+    }
+    return true;
   }
 
   private encodeRows(table: FollowedTable<unknown>, { known }: ITableRequest): Uint8Array {
     const copies = this.getCopies(table);
-    const key = JSON.stringify([known.era, known.version, known.isRetained, known.catalogVersion]);
-    const bytes =
-      copies.get(key) ??
-      toBinary(FollowedChangesSchema, this.options.encoder.encodeRows(table, known));
+    const { catalogVersion, era, isRetained, version } = known;
+    const key = JSON.stringify([era, version, isRetained, catalogVersion]);
+    const found = copies.get(key);
+    if (found !== undefined) return found;
+    const bytes = toBinary(FollowedChangesSchema, this.options.encoder.encodeRows(table, known));
     if (copies.size >= MAX_ENCODED) copies.clear();
     copies.set(key, bytes);
     return bytes;
   }
 
-  private getCopies({ era, isRetaining, name, version }: FollowedTable<unknown>) {
-    const state = JSON.stringify([era, version, isRetaining]);
-    const known = this.encoded.get(name);
+  private getCopies(table: FollowedTable<unknown>): Map<string, Uint8Array> {
+    const state = formatState(table);
+    const known = this.encoded.get(table.name);
     if (known?.state === state) return known.copies;
     const copies = new Map<string, Uint8Array>();
-    this.encoded.set(name, { state, copies });
+    this.encoded.set(table.name, { state, copies });
     return copies;
   }
 }
+
+/** Whether a table is at least as new as a state that was announced. */
+export function hasState(
+  { era, version }: FollowedTable<unknown>,
+  minimum: IAnnouncedState | undefined,
+): boolean {
+  if (version === undefined) return false;
+  if (minimum === undefined || era > minimum.era) return true;
+  return era === minimum.era && version >= minimum.version;
+}
+
+function formatState({ era, isRetaining, name, version }: FollowedTable<unknown>): string {
+  return JSON.stringify([name, era, version, isRetaining]);
+}
--- a/packages/dispatch/src/directory/common/updateRelay.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.ts
@@ -8,7 +8,9 @@
 import { EchoTokens } from './echoTokens.js';
 import type { FollowedTable } from './followedTable.js';
 import type { IKnownCopy, TableEncoder } from './tableEncoder.js';
+import type { ITableSource } from './tableFetcher.js';
 import { encodeAges } from './tableMessages.js';
+import { hasState } from './tableServer.js';
 
 /**
  * Most bytes of rows in one datagram: about forty targets. For more changes, peers fetch the whole table,
@@ -62,8 +64,8 @@
   readonly isProofDue?: () => boolean;
   /** Lists the addresses of the other nodes of this failure domain. */
   readonly listPeers: () => readonly string[];
-  /** Fetches a whole table from a node that has a newer copy. */
-  readonly fetchTable: (table: FollowedTable<unknown>, stateAddress: string) => Promise<void>;
+  /** Fetches a table from a node that has a newer copy. */
+  readonly fetchTable: (table: FollowedTable<unknown>, source: ITableSource) => Promise<void>;
 }
 
 /**
@@ -78,7 +80,8 @@
   private sequence = 0n;
   private readonly confirmedAtMs = new Map<string, number>();
   private readonly unconfirmed = new Map<string, IUnconfirmed>();
-  private readonly fetching = new Set<string>();
+  /** The newest announced source of each table that is being fetched. */
+  private readonly fetching = new Map<string, ITableSource>();
   /** States of the tables in each sent update, by sequence number. */
   private readonly sentVersions = new Map<bigint, TableVersions>();
   /** States of the tables that each peer has confirmed. */
@@ -252,31 +255,46 @@
     const table = this.options.tables.find(({ name }) => name === changes.table);
     if (table === undefined) return;
     const asOfMs = this.options.clock.getMonotonicTime() - changes.ageMs;
+    const minimum = { era: changes.era, version: Number(changes.version) };
     const decoded = this.options.encoder.decode(changes);
     if (decoded === undefined) {
-      this.fetch(table, stateAddress);
+      this.fetch(table, { stateAddress, minimum });
       return;
     }
     const { after, content } = decoded;
     const isIncompatible = content.isRetained !== table.isRetaining && content.era === table.era;
-    if (isIncompatible || !table.apply(after, content, asOfMs)) this.fetch(table, stateAddress);
+    if (isIncompatible || !table.apply(after, content, asOfMs)) {
+      this.fetch(table, { stateAddress, minimum });
+    }
     if (sentAfter === undefined || changes.proofAgeMs === undefined) return;
     table.recordProof(content, computeEarlierInstant(sentAfter, changes.proofAgeMs));
   }
 
-  private fetch(table: FollowedTable<unknown>, stateAddress: string): void {
-    if (this.fetching.has(table.name)) return;
-    this.fetching.add(table.name);
-    this.options
-      .fetchTable(table, stateAddress)
-      .catch((error: unknown) => {
-        const reason = error instanceof Error ? error.message : String(error);
-        this.options.log.warn('table not fetched from peer', {
-          table: table.name,
-          peer: stateAddress,
-          reason,
-        });
-      })
-      .finally(() => this.fetching.delete(table.name));
+  private fetch(table: FollowedTable<unknown>, source: ITableSource): void {
+    const isFetching = this.fetching.has(table.name);
+    this.fetching.set(table.name, source);
+    if (!isFetching) void this.fetchNewest(table, source);
+  }
+
+  /** Fetches the table, and again if a newer state was announced meanwhile. */
+  private async fetchNewest(table: FollowedTable<unknown>, first: ITableSource): Promise<void> {
+    let source = first;
+    try {
+      for (;;) {
+        await this.options.fetchTable(table, source);
+        const newest = this.fetching.get(table.name) ?? source;
+        if (hasState(table, newest.minimum)) return;
+        source = newest;
+      }
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      this.options.log.warn('table not fetched', {
+        table: table.name,
+        peer: source.stateAddress,
+        reason,
+      });
+    } finally {
+      this.fetching.delete(table.name);
+    }
   }
 }
--- a/packages/dispatch/src/directory/node/configurationDistribution.test.ts
+++ b/packages/dispatch/src/directory/node/configurationDistribution.test.ts
@@ -14,11 +14,13 @@
 const BUSY_SHARE = 0.3;
 /** When a follower loses power, in ms after the change. */
 const FOLLOWER_LOSS_MS = 60;
+/** When nodes lose power that have been sent a change and would send it on, in ms after the change. */
+const REDIRECT_LOSS_MS = 420;
 const LIMIT_MS = 10_000;
 
-async function startFleet(routes: number, seed = 1): Promise<DistributionFleet> {
+async function startFleet(routes: number, vms = VMS): Promise<DistributionFleet> {
   const clock = new ManualClock();
-  const fleet = new DistributionFleet({ clock, seed, vms: VMS, routes, busyShare: BUSY_SHARE });
+  const fleet = new DistributionFleet({ clock, seed: 1, vms, routes, busyShare: BUSY_SHARE });
   await fleet.start();
   return fleet;
 }
@@ -48,3 +50,22 @@
   await fleet.stop();
   assert.ok(lastMs <= BOUND_MS, `in force on all nodes after ${lastMs} ms`);
 });
+
+test('a large change is in force in time if all links are slow', async () => {
+  // Guards against a single source: the follower's link carries the change once for each node of its domain.
+  const fleet = await startFleet(10, [{ count: 110, linkMbps: 10, capacity: 1 }]);
+  const { lastMs } = await fleet.addRoutes(3000, LIMIT_MS);
+  await fleet.stop();
+  assert.ok(lastMs <= BOUND_MS, `in force on all nodes after ${lastMs} ms`);
+});
+
+test('a node that is sent on to one without power gets the change in time', async () => {
+  // Guards against nodes that wait for a peer that can't send: many are redirected to the first receivers.
+  const fleet = await startFleet(10, [{ count: 110, linkMbps: 10, capacity: 1 }]);
+  fleet.clock.startTimer(REDIRECT_LOSS_MS, () => {
+    fleet.stopReceivers(0);
+  });
+  const { lastMs } = await fleet.addRoutes(1400, LIMIT_MS);
+  await fleet.stop();
+  assert.ok(lastMs <= BOUND_MS, `in force on all nodes after ${lastMs} ms`);
+});
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -99,7 +99,12 @@
       rankFollowers: () => directory.rankFollowers(self.failureDomain),
     });
     const { encoder } = directory;
-    const fetcher = new TableFetcher({ ...options, encoder });
+    const fetcher = new TableFetcher({
+      ...options,
+      encoder,
+      self: self.stateAddress,
+      listOthers: () => this.listFollowers(),
+    });
     this.relay = new UpdateRelay({
       channel,
       clock,
@@ -110,7 +115,7 @@
       encoder,
       isProofDue: () => this.isProofDue(),
       listPeers: () => this.listPeers(),
-      fetchTable: (table, address) => fetcher.fetch(table, address),
+      fetchTable: (table, source) => fetcher.fetch(table, source),
     });
     this.targetsFollower = this.createFollower('targets', TARGETS_POLLING, () => {
       if (targets.version === undefined) return this.isFirstReadDue();
@@ -321,6 +326,19 @@
     }
   }
 
+  /** State addresses of the followers of all failure domains, those of this node's domain first. */
+  private listFollowers(): readonly string[] {
+    const { directory, self } = this.options;
+    const domains = new Set([
+      self.failureDomain,
+      ...directory.members.listValues().map(({ failureDomain }) => failureDomain),
+    ]);
+    return [...domains]
+      .flatMap((domain) => directory.rankFollowers(domain).slice(0, 1))
+      .filter((address) => address !== self.address)
+      .flatMap((address) => directory.members.get(address)?.stateAddress ?? []);
+  }
+
   private listPeers(): readonly string[] {
     const { directory, self } = this.options;
     return directory.members
--- a/packages/dispatch/src/directory/node/stateServer.test.ts
+++ b/packages/dispatch/src/directory/node/stateServer.test.ts
@@ -18,18 +18,19 @@
   const table = new FollowedTable<string>({ name: 't', clock, isSame: (a, b) => a === b });
   table.setAll({ version: 7, changes: [{ key: 'a', value: 'ready' }] }, 0);
   const encoder = new TableEncoder({ history: new CatalogHistory(), catalogTable: 'catalog' });
-  const server = createStateServer({ tables: [table as FollowedTable<unknown>], encoder });
+  const server = createStateServer({ clock, tables: [table as FollowedTable<unknown>], encoder });
   await listenOn(server, '127.0.0.1:0');
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
   const fetcher = new TableFetcher({
     clock,
     log: createSilentLogger(),
     encoder,
+    self: '127.0.0.1:1',
     transport: new HttpTableTransport(),
   });
   const fetchCopy = async () => {
     const copy = new FollowedTable<unknown>({ name: 't', clock, isSame: (a, b) => a === b });
-    await fetcher.fetch(copy, address);
+    await fetcher.fetch(copy, { stateAddress: address });
     return copy;
   };
   await clock.advanceBy(1000);
--- a/packages/dispatch/src/directory/node/tableCompression.ts
+++ b/packages/dispatch/src/directory/node/tableCompression.ts
@@ -1,33 +1,31 @@
 /** Compression of tables that nodes send each other. */
 import { constants, gunzipSync, gzipSync } from 'node:zlib';
-import type { ITableResponse } from '../common/tableServer.js';
 
-/** Shorter responses aren't compressed, in bytes. */
-const MIN_COMPRESSED_BYTES = 1024;
 const OPTIONS = { level: constants.Z_BEST_SPEED };
 
 /** Compressed rows by the rows that a server sends to several peers. */
 const compressedRows = new WeakMap<Uint8Array, Uint8Array>();
 
 /**
- * Compresses a response; the rows only once for all peers that get the same.
+ * Compresses the two parts of a response; the rows only once for all peers that get the same.
  *
  * @example
- * response.end(encodeCompressed(tableServer.encodeTable(request)));
+ * const result = await tableServer.serve(request, encodeCompressed, signal);
  */
-export function encodeCompressed({ ages, rows }: ITableResponse): Uint8Array {
+export function encodeCompressed(rows: Uint8Array, ages: Uint8Array): Uint8Array {
   const compressed = compressedRows.get(rows) ?? gzipSync(rows, OPTIONS);
   compressedRows.set(rows, compressed);
   // Concatenated members are decompressed as one.
   return Buffer.concat([compressed, gzipSync(ages, OPTIONS)]);
 }
 
-/** Whether compressing a response pays. */
-export function isWorthCompressing({ rows }: ITableResponse): boolean {
-  return rows.length >= MIN_COMPRESSED_BYTES;
-}
-
 /** Reverses {@link encodeCompressed}. */
 export function decodeCompressed(bytes: Uint8Array): Uint8Array {
   return gunzipSync(bytes);
 }
+
+/** Joins the two parts for peers that accept no compression. */
+export function encodePlain(rows: Uint8Array, ages: Uint8Array): Uint8Array {
+  // Concatenated protobuf messages are parsed as one message with the fields of both.
+  return Buffer.concat([rows, ages]);
+}
--- a/packages/dispatch/src/test/distributionFleet.ts
+++ b/packages/dispatch/src/test/distributionFleet.ts
@@ -8,7 +8,11 @@
 import { Authority, AuthorityTable } from '../directory/common/authority.js';
 import { NodeDirectory } from '../directory/common/nodeDirectory.js';
 import { TableServer } from '../directory/common/tableServer.js';
-import type { ITableRequest } from '../directory/common/tableTransport.js';
+import type {
+  ITableRequest,
+  ITransferOptions,
+  TableReply,
+} from '../directory/common/tableTransport.js';
 import { TableTransport } from '../directory/common/tableTransport.js';
 import { DirectoryService } from '../directory/node/directoryService.js';
 import { encodeCompressed, decodeCompressed } from '../directory/node/tableCompression.js';
@@ -27,6 +31,8 @@
 /** Values of rows are base64 in the responses of the store. */
 const STORE_ENCODING = 4 / 3;
 const REQUEST_BYTES = 300;
+const STORED_ROUTE_BYTES = 110;
+const BYTES_PER_MS_PER_MBPS = 125;
 const DOMAINS = 3;
 const CONFIG_KEY = 'config';
 const SERVICES = ['booking', 'survey', 'materials'];
@@ -91,9 +97,16 @@
     }
   }
 
+  /** The store's row of the configuration has the names of columns once and not in each route. */
+  private countBytes({ changes }: ITableChanges<T>): number {
+    const { catalog } = this.node.fleet;
+    const isCatalog = changes.some(({ key }) => key === CONFIG_KEY);
+    return isCatalog ? catalog.routes.length * STORED_ROUTE_BYTES : JSON.stringify(changes).length;
+  }
+
   private async receive(rows: ITableChanges<T>, signal: AbortSignal): Promise<ITableChanges<T>> {
     const { clock } = this.node.fleet;
-    const bytes = JSON.stringify(rows.changes).length * STORE_ENCODING;
+    const bytes = this.countBytes(rows) * STORE_ENCODING;
     await clock.sleep(this.node.links.ingress.reserve(bytes), signal);
     return rows;
   }
@@ -132,27 +145,29 @@
   override async requestTable(
     stateAddress: string,
     request: ITableRequest,
-    signal: AbortSignal,
-  ): Promise<Uint8Array> {
+    { onDidProgress, signal }: ITransferOptions,
+  ): Promise<TableReply> {
     const { fleet, links } = this.node;
     const peer = fleet.nodes.get(stateAddress);
     if (peer === undefined) throw new Error('no such node');
-    await fleet.sendBytes(REQUEST_BYTES, links.egress, peer.links.ingress, signal);
-    if (peer.isDown) await waitForAbort(signal);
-    const response = peer.server.encodeTable(request);
-    if (response === undefined) throw new Error('no such table');
-    const bytes = encodeCompressed(response);
     const joined = new JoinedSignal([signal, peer.lost]);
     try {
-      await fleet.sendBytes(bytes.length, peer.links.egress, links.ingress, joined.signal);
+      await fleet.sendBytes(REQUEST_BYTES, links.egress, peer.links.ingress, joined.signal);
+      onDidProgress();
+      const result = await peer.server.serve(request, encodeCompressed, joined.signal);
+      if (result.kind === 'unavailable') throw new Error('no such table');
+      const bytes = result.kind === 'table' ? result.bytes.length : REQUEST_BYTES;
+      const { egress } = peer.links;
+      await fleet.sendBytes(bytes, egress, links.ingress, joined.signal, onDidProgress);
+      if (result.kind === 'redirect') return result;
+      return { kind: 'table', bytes: decodeCompressed(result.bytes) };
     } catch (error) {
       // Connections to a VM without power hang.
-      if (!signal.aborted) await waitForAbort(signal);
+      if (peer.isDown && !signal.aborted) await waitForAbort(signal);
       throw error;
     } finally {
       joined.dispose();
     }
-    return decodeCompressed(bytes);
   }
 }
 
@@ -203,7 +218,12 @@
     };
     this.directory = new NodeDirectory(clock);
     const { encoder } = this.directory;
-    this.server = new TableServer({ tables: this.directory.listTables(), encoder });
+    this.server = new TableServer({
+      clock,
+      tables: this.directory.listTables(),
+      encoder,
+      bytesPerMs: linkMbps * BYTES_PER_MS_PER_MBPS,
+    });
     this.service = new DirectoryService({
       directory: this.directory,
       authority: new ModelledAuthority(this),
@@ -300,14 +320,25 @@
     return ranking.flatMap((address) => this.nodes.get(address) ?? []).find((node) => !node.isDown);
   }
 
+  /** Cuts power to the nodes of a failure domain that have the newest configuration, except the follower. */
+  stopReceivers(domain: number): void {
+    const follower = this.findFollower(domain);
+    for (const node of this.nodes.values()) {
+      const isReceiver = node.directory.getCatalog()?.version === this.catalog.version;
+      const isInDomain = node.member.failureDomain === formatDomain(domain);
+      if (isReceiver && isInDomain && node !== follower) node.stop();
+    }
+  }
+
   async sendBytes(
     bytes: number,
     egress: ModelledLink,
     ingress: ModelledLink,
     signal?: AbortSignal,
+    onDidProgress?: () => void,
   ): Promise<void> {
     await this.clock.sleep(LATENCY_MS, signal);
-    await sendBytes(this.clock, bytes, egress, ingress, signal);
+    await sendBytes({ clock: this.clock, bytes, egress, ingress, signal, onDidProgress });
   }
 
   private async waitUntilApplied(limitMs: number): Promise<IDistributionResults> {
--- a/packages/dispatch/src/test/modelledLink.ts
+++ b/packages/dispatch/src/test/modelledLink.ts
@@ -38,22 +38,29 @@
   readonly ingress: ModelledLink;
 }
 
+/** Options of {@link sendBytes}. */
+export interface ISendOptions {
+  readonly clock: Clock;
+  readonly bytes: number;
+  readonly egress: ModelledLink;
+  readonly ingress: ModelledLink;
+  readonly signal?: AbortSignal | undefined;
+  /** Called for each chunk. */
+  readonly onDidProgress?: (() => void) | undefined;
+}
+
 /**
  * Resolves once all bytes have passed the links of the sender and of the receiver. Rejects if the signal
  * aborts before.
  */
-export async function sendBytes(
-  clock: Clock,
-  bytes: number,
-  egress: ModelledLink,
-  ingress: ModelledLink,
-  signal?: AbortSignal,
-): Promise<void> {
+export async function sendBytes(options: ISendOptions): Promise<void> {
+  const { bytes, clock, egress, ingress, onDidProgress, signal } = options;
   let arrivedInMs = 0;
   for (let sent = 0; sent < bytes; sent += CHUNK_BYTES) {
     const chunk = Math.min(CHUNK_BYTES, bytes - sent);
     await clock.sleep(egress.reserve(chunk), signal);
     arrivedInMs = ingress.reserve(chunk);
+    onDidProgress?.();
   }
   await clock.sleep(arrivedInMs, signal);
 }
