--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -3,6 +3,7 @@
 export * from './clock/common/durations.js';
 export * from './clock/common/instant.js';
 export * from './clock/common/manualClock.js';
+export * from './clock/common/stallTimeout.js';
 export * from './clock/node/systemClock.js';
 export * from './error/common/muxError.js';
 export * from './event/common/event.js';
--- a/packages/dispatch/src/directory/common/tableFetcher.ts
+++ b/packages/dispatch/src/directory/common/tableFetcher.ts
@@ -1,7 +1,7 @@
 /** Fetches tables from peers. */
 import { fromBinary } from '@bufbuild/protobuf';
 import type { Clock, IInstant, Logger } from '@parsleymux/base';
-import { computeEarlierInstant, readInstant } from '@parsleymux/base';
+import { StallTimeout, computeEarlierInstant, readInstant } from '@parsleymux/base';
 import { FollowedChangesSchema } from '@parsleymux/schema';
 import VError from 'verror';
 import type { FollowedTable } from './followedTable.js';
@@ -105,21 +105,15 @@
     const { era, isRetaining: isRetained, version } = table;
     const known = { era, isRetained, version, catalogVersion: encoder.catalogVersion };
     const request = { table: table.name, known, minimum, requester: self, isDirect };
-    const cancelled = new AbortController();
-    const startTimer = (limitMs: number) =>
-      clock.startTimer(limitMs, () => {
-        cancelled.abort(new VError('no data for %d ms', limitMs));
-      });
-    let timer = startTimer(RESPONSE_TIMEOUT_MS);
+    const stall = new StallTimeout(clock, RESPONSE_TIMEOUT_MS);
+    const { signal } = stall;
     const onDidProgress = () => {
-      void timer.dispose();
-      timer = startTimer(STALL_TIMEOUT_MS);
+      stall.reset(STALL_TIMEOUT_MS);
     };
     try {
-      const { signal } = cancelled;
       return await transport.requestTable(stateAddress, request, { signal, onDidProgress });
     } finally {
-      void timer.dispose();
+      stall.dispose();
     }
   }
 
