Refuse requests on a node that knows of a newer configuration and can't get it

The same failure, seen from the late node: it heard of the new version by the update that was too small to carry it, and went on to serve by the former one for as long as the fetch took.

Updates name the sender's version in force. A node that has known of a newer one for half of the bound (config_apply_s), without having it, answers 503 (2013 ConfigurationOutdated, not run, Retry-After 0.1 s) and is not ready, until it has it. Weighed: passing the request to a peer (a second hop that this path doesn't have), waiting with it (its time passes, and the node doesn't know for how long). A node that hears of no newer version serves as before.

--- a/packages/base/src/result/common/resultCode.ts
+++ b/packages/base/src/result/common/resultCode.ts
@@ -48,6 +48,7 @@
   RequestQuarantined: 2010,
   KeysOutdated: 2011,
   QuotaExceeded: 2012,
+  ConfigurationOutdated: 2013,
   TargetUnreachable: 3001,
   TargetFailed: 3002,
   TargetTimeout: 3003,
--- a/packages/base/src/result/common/resultTable.ts
+++ b/packages/base/src/result/common/resultTable.ts
@@ -105,6 +105,12 @@
     'The tenant sends more than its quota.',
     'Retry after the delay in Retry-After.',
   ],
+  ConfigurationOutdated: [
+    503,
+    NotRun,
+    'Other nodes have a newer configuration, which this node has not received in time.',
+    'Retry after the delay in Retry-After; another node may respond.',
+  ],
   TargetUnreachable: [502, NotRun, 'No connection to a target could be made.', 'Retry.'],
   TargetFailed: [
     502,
--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -51,6 +51,8 @@
  */
 const STOP_MARGIN_MS = 900;
 const STOP_CHECK_MS = 50;
+/** A node serves requests without a newer configuration that it knows of for this share of the bound. */
+const MAX_OUTDATED_SHARE = 0.5;
 /**
  * Longest wait for a connection to a target, in ms: some fifty round trips between failure domains.
  * A target that does not accept by then is partitioned or overloaded, and nothing has been sent yet.
@@ -303,6 +305,7 @@
       picker: new DestinationPicker(random),
       callers: protocol.callers,
       keys: this.tenants.keys,
+      isConfigurationOutdated: () => this.isConfigurationOutdated(),
       requestLog: new RequestLog({ clock, log, registry, directory: this.directory }),
     });
     this.store.add(front);
@@ -313,7 +316,15 @@
   private isReady(): boolean {
     const isInformed =
       this.directory.getCatalog() !== undefined && this.homes?.hasReceivedTargets === true;
-    return isInformed && !this.isStopping && this.tenants.isServing();
+    const isServing = this.tenants.isServing() && !this.isConfigurationOutdated();
+    return isInformed && !this.isStopping && isServing;
+  }
+
+  /** Whether this node has known of a newer configuration for too long to serve requests by its own. */
+  private isConfigurationOutdated(): boolean {
+    const { applyMs } = this.settings.tenants;
+    const ageMs = this.directory.announced.getOldestAgeMs();
+    return applyMs > 0 && ageMs > applyMs * MAX_OUTDATED_SHARE;
   }
 
   private makeMember(address: string): IMember {
--- a/packages/dispatch/src/directory/common/nodeDirectory.ts
+++ b/packages/dispatch/src/directory/common/nodeDirectory.ts
@@ -12,6 +12,7 @@
 import type { ITenantRule } from '../../tenants/common/tenant.js';
 import { isSameTenant } from '../../tenants/common/tenant.js';
 import { TenantIndex } from '../../tenants/common/tenantIndex.js';
+import { AnnouncedVersions } from './announcedVersions.js';
 import { CatalogHistory } from './catalogHistory.js';
 import { listHighCapacityMembers } from './highCapacityMembers.js';
 import { TableEncoder } from './tableEncoder.js';
@@ -43,6 +44,8 @@
   readonly tenantIndex = new TenantIndex();
   /** Encodes the tables for other nodes. */
   readonly encoder: TableEncoder;
+  /** Versions of the configuration that other nodes have in force. */
+  readonly announced: AnnouncedVersions;
   private readonly history = new CatalogHistory();
   private currentCatalog: ICatalog | undefined;
   private currentRoutes: RouteTable | undefined;
@@ -55,6 +58,7 @@
   readonly onDidChangeCatalog: Event<ICatalog> = this.catalogChanged.onDidFire;
 
   constructor(clock: Clock) {
+    this.announced = new AnnouncedVersions(clock);
     this.encoder = new TableEncoder({ history: this.history, catalogTable: CATALOG_TABLE });
     this.catalog = new FollowedTable({
       name: CATALOG_TABLE,
@@ -145,6 +149,7 @@
       if (catalog.version <= (this.currentCatalog?.version ?? -Infinity)) continue;
       this.currentCatalog = catalog;
       this.history.record(catalog);
+      this.announced.recordApplied(catalog.version);
       this.currentRoutes = new RouteTable(catalog.routes);
       this.catalogChanged.fire(catalog);
     }
--- a/packages/dispatch/src/entry/node/frontServer.ts
+++ b/packages/dispatch/src/entry/node/frontServer.ts
@@ -26,6 +26,8 @@
 const DEFAULT_CALLER_TIMEOUT_MS = 60_000;
 /** Retry-After while the node has no configuration, in ms: one usually arrives within this time. */
 const NOT_READY_RETRY_MS = 300;
+/** The same for requests to a node with an outdated configuration; others are up to date. */
+const OUTDATED_RETRY_MS = 100;
 /** Extra time for which idle connections are kept, in ms: allows for differences of clocks and latency. */
 const IDLE_MARGIN_MS = 2000;
 /** Idle timeout until a configuration sets it, in ms. */
@@ -40,6 +42,8 @@
   readonly picker: DestinationPicker;
   readonly callers: CallerProtocol;
   readonly keys: KeyChecker;
+  /** Whether other nodes have had a newer configuration for too long to serve requests by this one. */
+  readonly isConfigurationOutdated: () => boolean;
   readonly log: Logger;
   readonly requestLog: RequestLog;
 }
@@ -144,6 +148,9 @@
     if (catalog === undefined || match === undefined) {
       return refuse(ResultCode.NotReady, NOT_READY_RETRY_MS);
     }
+    if (this.options.isConfigurationOutdated()) {
+      return refuse(ResultCode.ConfigurationOutdated, OUTDATED_RETRY_MS);
+    }
     switch (match.kind) {
       case 'unknown-host':
         return refuse(ResultCode.UnknownHost);
