--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -6,6 +6,7 @@
 export * from './directory/common/authority.js';
 export * from './directory/common/followedTable.js';
 export * from './directory/common/nodeDirectory.js';
+export * from './directory/common/tableEncoder.js';
 export * from './entry/common/attemptOutcome.js';
 export * from './entry/common/callerProtocol.js';
 export * from './entry/common/entryRequest.js';
--- a/packages/dispatch/src/test/builders.ts
+++ b/packages/dispatch/src/test/builders.ts
@@ -1,6 +1,6 @@
 /** Builders of values for tests, with defaults for everything that a test does not set. */
-import type { Clock } from '@parsleymux/base';
-import { createSilentLogger } from '@parsleymux/base';
+import type { Clock, RandomSource } from '@parsleymux/base';
+import { SeededRandom, createSilentLogger } from '@parsleymux/base';
 import type { ICatalog, IRouteRule, ITargetRecord } from '../catalog/common/catalog.js';
 import { NodeDirectory } from '../directory/common/nodeDirectory.js';
 import { KeyChecker } from '../tenants/common/keyChecker.js';
@@ -8,6 +8,9 @@
 import type { IGrantRequest } from '../grants/common/grant.js';
 import { RequestQuarantine } from '../quarantine/common/requestQuarantine.js';
 
+const SERVICES = ['booking', 'survey', 'materials'];
+const LETTERS = 'abcdefghijklmnopqrstuvwxyz0123456789';
+
 export function makeTarget(id: string, fields: Partial<ITargetRecord> = {}): ITargetRecord {
   return {
     id,
@@ -62,6 +65,27 @@
   };
 }
 
+/** Makes routes with random names, hosts and prefixes, so that they compress as real ones do. */
+export function makeRoutes(
+  count: number,
+  random: RandomSource = new SeededRandom(1),
+): readonly IRouteRule[] {
+  const makeText = (length: number) => {
+    const pickLetter = () => LETTERS.charAt(random.getInteger(LETTERS.length));
+    return Array.from({ length }, pickLetter).join('');
+  };
+  return Array.from({ length: count }, () => {
+    const service = SERVICES[random.getInteger(SERVICES.length)] ?? '';
+    return makeRoute({
+      name: `r-${makeText(7)}`,
+      host: `${makeText(6)}.example`,
+      prefix: `/${makeText(8)}/`,
+      isPublic: false,
+      destinations: [{ service, weight: 1 }],
+    });
+  });
+}
+
 export function makeCatalog(version: number, routes: readonly IRouteRule[]): ICatalog {
   return {
     version,
--- a/packages/dispatch/src/test/distributionFleet.ts
+++ b/packages/dispatch/src/test/distributionFleet.ts
@@ -3,7 +3,7 @@
 import type { ManualClock } from '@parsleymux/base';
 import { JoinedSignal, SeededRandom, createSilentLogger } from '@parsleymux/base';
 import { DatagramSchema } from '@parsleymux/schema';
-import type { ICatalog, IRouteRule, ITargetRecord } from '../catalog/common/catalog.js';
+import type { ICatalog, ITargetRecord } from '../catalog/common/catalog.js';
 import type { IMember, ITableChanges } from '../directory/common/authority.js';
 import { Authority, AuthorityTable } from '../directory/common/authority.js';
 import { NodeDirectory } from '../directory/common/nodeDirectory.js';
@@ -18,7 +18,7 @@
 import { encodeCompressed, decodeCompressed } from '../directory/node/tableCompression.js';
 import type { DatagramBody } from '../grants/common/datagramChannel.js';
 import { DatagramChannel } from '../grants/common/datagramChannel.js';
-import { makeCatalog, makeRoute } from './builders.js';
+import { makeCatalog, makeRoutes } from './builders.js';
 import type { IModelledLinks } from './modelledLink.js';
 import { ModelledLink, sendBytes } from './modelledLink.js';
 
@@ -35,8 +35,6 @@
 const BYTES_PER_MS_PER_MBPS = 125;
 const DOMAINS = 3;
 const CONFIG_KEY = 'config';
-const SERVICES = ['booking', 'survey', 'materials'];
-const LETTERS = 'abcdefghijklmnopqrstuvwxyz0123456789';
 
 /** Kinds of VMs in a {@link DistributionFleet}. */
 export interface IVmKind {
@@ -286,7 +284,7 @@
   constructor(readonly options: IDistributionFleetOptions) {
     this.clock = options.clock;
     this.random = new SeededRandom(options.seed);
-    this.catalog = makeCatalog(1, this.makeRoutes(options.routes));
+    this.catalog = makeCatalog(1, makeRoutes(options.routes, this.random));
     const links = options.vms.flatMap((kind) => Array.from({ length: kind.count }, () => kind));
     for (const { capacity, linkMbps } of links) {
       const value = makeMember(this.members.length, capacity);
@@ -309,7 +307,7 @@
   /** Adds routes, and waits until all nodes have them, at most `limitMs`. */
   async addRoutes(count: number, limitMs: number): Promise<IDistributionResults> {
     const { routes, version } = this.catalog;
-    this.catalog = makeCatalog(version + 1, [...routes, ...this.makeRoutes(count)]);
+    this.catalog = makeCatalog(version + 1, [...routes, ...makeRoutes(count, this.random)]);
     return this.waitUntilApplied(limitMs);
   }
 
@@ -363,25 +361,6 @@
   private countBytes(): number {
     return [...this.nodes.values()].reduce((sum, { links }) => sum + links.egress.bytes, 0);
   }
-
-  private makeRoutes(count: number): readonly IRouteRule[] {
-    return Array.from({ length: count }, () => {
-      const name = `r-${this.makeText(7)}`;
-      const service = SERVICES[this.random.getInteger(SERVICES.length)] ?? '';
-      return makeRoute({
-        name,
-        host: `${this.makeText(6)}.example`,
-        prefix: `/${this.makeText(8)}/`,
-        isPublic: false,
-        destinations: [{ service, weight: 1 }],
-      });
-    });
-  }
-
-  private makeText(length: number): string {
-    const pickLetter = () => LETTERS.charAt(this.random.getInteger(LETTERS.length));
-    return Array.from({ length }, pickLetter).join('');
-  }
 }
 
 function waitForAbort(signal: AbortSignal): Promise<never> {
