Count a copy as fresh only until the response to a long poll begins

The read now reports when its response begins; from then on the age grows, and peers take over if the transfer takes too long. Test: a poll whose response has begun, red before.

--- a/packages/dispatch/src/directory/common/authority.ts
+++ b/packages/dispatch/src/directory/common/authority.ts
@@ -85,11 +85,15 @@
   /** Reads the whole table. */
   abstract readAll(signal: AbortSignal): Promise<ITableChanges<T>>;
 
-  /** Reads the changes after a version; waits up to `waitMs` for the first one. */
+  /**
+   * Reads the changes after a version; waits up to `waitMs` for the first one. `onDidRespond` is called when
+   * the response begins, after which the table may change again.
+   */
   abstract readChanges(
     after: number,
     waitMs: number,
     signal: AbortSignal,
+    onDidRespond?: () => void,
   ): Promise<ITableChanges<T>>;
 }
 
--- a/packages/dispatch/src/directory/common/catalogSource.ts
+++ b/packages/dispatch/src/directory/common/catalogSource.ts
@@ -48,10 +48,13 @@
     after: number,
     waitMs: number,
     signal: AbortSignal,
+    onDidRespond?: () => void,
   ): Promise<ITableChanges<ICatalog>> {
     if (this.isBehind(after)) return this.readAll(signal);
     const sentAt = readInstant(this.options.clock);
-    return this.applyRead(await this.options.source.readChanges(after, waitMs, signal), sentAt);
+    const { source } = this.options;
+    const content = await source.readChanges(after, waitMs, signal, onDidRespond);
+    return this.applyRead(content, sentAt);
   }
 
   /** Whether the tenants are older than the configuration, as peers replicate them separately. */
--- a/packages/dispatch/src/directory/common/storeFollower.test.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.test.ts
@@ -6,9 +6,12 @@
 import { FollowedTable } from './followedTable.js';
 import { StoreFollower } from './storeFollower.js';
 
-type Reply = ITableChanges<string> | StoreFailure | 'none';
+type Reply = ITableChanges<string> | StoreFailure | 'none' | 'begun';
 
-/** Returns the replies in order; for 'none', the call stays pending until it is aborted. */
+/**
+ * Returns the replies in order; for 'none', the call stays pending until it is aborted, and for 'begun' too,
+ * but its response has begun.
+ */
 class ScriptedTable extends AuthorityTable<string> {
   override readonly malformedRows = 0;
   readonly calls: string[] = [];
@@ -26,15 +29,18 @@
     after: number,
     _waitMs: number,
     signal: AbortSignal,
+    onDidRespond?: () => void,
   ): Promise<ITableChanges<string>> {
     this.calls.push(`after ${after}`);
+    if (this.replies[0] === 'begun') onDidRespond?.();
     return this.reply(signal);
   }
 
   private reply(signal: AbortSignal): Promise<ITableChanges<string>> {
     const reply = this.replies.shift() ?? 'none';
     if (typeof reply === 'object') return Promise.resolve(reply);
-    if (reply !== 'none') return Promise.reject(new StoreCallError(reply, reply));
+    if (reply !== 'none' && reply !== 'begun')
+      return Promise.reject(new StoreCallError(reply, reply));
     return new Promise((_, reject) => {
       signal.addEventListener('abort', () => {
         reject(new StoreCallError(StoreFailure.Reset, 'aborted'));
@@ -132,6 +138,15 @@
   stop.abort();
 });
 
+test('a long poll whose response has begun is no sign that nothing changed', async () => {
+  // Guards against a copy that counts as fresh while a large change is on its way.
+  const stop = new AbortController();
+  const { clock, follower } = startFixture([FIRST, 'begun'], stop.signal);
+  await clock.advanceBy(100);
+  assert.equal(follower.isLongPollPending(), false);
+  stop.abort();
+});
+
 test('the whole table is read if the store no longer has its change history', async () => {
   const stop = new AbortController();
   const replies: Reply[] = [FIRST, StoreFailure.HistoryLost, SECOND];
--- a/packages/dispatch/src/directory/common/storeFollower.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.ts
@@ -75,10 +75,14 @@
     }
   }
 
-  /** Whether a long poll is pending within its wait time, so that nothing has changed since it began. */
+  /**
+   * Whether a long poll is pending within its wait time and has no response yet, so that nothing has changed
+   * since it began.
+   */
   isLongPollPending(): boolean {
     if (this.readStartMs === undefined) return false;
-    return this.options.clock.getMonotonicTime() - this.readStartMs <= this.longPollMs;
+    const pendingMs = this.options.clock.getMonotonicTime() - this.readStartMs;
+    return this.longPollMs > 0 && pendingMs <= this.longPollMs;
   }
 
   /**
@@ -121,9 +125,12 @@
     if (after === undefined) return this.applyAll(await source.readAll(signal), startMs);
     try {
       this.longPollMs = pollTiming.getWaitMs?.() ?? pollTiming.waitMs;
-      const content = await source.readChanges(after, this.longPollMs, signal);
+      const waitMs = this.longPollMs;
+      const content = await source.readChanges(after, waitMs, signal, () => {
+        this.longPollMs = 0;
+      });
       // The store responds to a long poll at a change or at the end of the wait, so it is as of its end.
-      const readMs = this.longPollMs > 0 ? clock.getMonotonicTime() : startMs;
+      const readMs = waitMs > 0 ? clock.getMonotonicTime() : startMs;
       // Versions of different epochs aren't comparable, so the whole table has to be read.
       if ((content.era ?? 0) > table.era) return await this.readRestored(content, signal);
       // The version isn't advanced past malformed rows, so that they are read again.
