--- a/packages/lab/src/soak/common/soakLayout.ts
+++ b/packages/lab/src/soak/common/soakLayout.ts
@@ -35,6 +35,10 @@
   return `/at-${version}/`;
 }
 
+/** Every third version has this many routes more, which no caller uses. */
+const ADDED_ROUTES = 1400;
+const LARGE_VERSION_INTERVAL = 3;
+
 /**
  * Builds the configuration of one version.
  *
@@ -43,6 +47,11 @@
  */
 export function makeSoakConfig(version: number): string {
   const common = { host: SOAK_HOST, timeoutS: ROUTE_TIMEOUT_S, objectiveS: 0.6 };
+  const addedCount = version % LARGE_VERSION_INTERVAL === 0 ? ADDED_ROUTES : 0;
+  const added = Array.from({ length: addedCount }, (_, index) => {
+    const name = `added-${version}-${index}`;
+    return { ...common, name, prefix: `/${name}/`, kind: 'safe', maxAttempts: 1 } as const;
+  });
   const routes: readonly IMetadataRoute[] = [
     {
       ...common,
@@ -68,6 +77,7 @@
       maxAttempts: 1,
       service: LISTING_SERVICE,
     },
+    ...added.map((route) => ({ ...route, service: LISTING_SERVICE })),
   ];
   return makeConfigText(version, routes, SOAK_SERVICES);
 }
