Play series of large changes on a simulated fleet while followers lose power

Changes of 1 to 3,000 routes, 0.2 to 2.7 s apart, on 9 nodes with links of 200 Mbit/s and 27 with 10, 0.3 of them taken by requests; in half of the changes a follower loses power within 0.4 s. Each change has to be in force on all running nodes within 2.5 s.

--- a/packages/dispatch/src/directory/node/configurationDistribution.test.ts
+++ b/packages/dispatch/src/directory/node/configurationDistribution.test.ts
@@ -17,10 +17,12 @@
 /** When nodes lose power that have been sent a change and would send it on, in ms after the change. */
 const REDIRECT_LOSS_MS = 420;
 const LIMIT_MS = 10_000;
+const SERIES_SEEDS = 2;
+const SERIES_CHANGES = 6;
 
-async function startFleet(routes: number, vms = VMS): Promise<DistributionFleet> {
+async function startFleet(routes: number, vms = VMS, seed = 1): Promise<DistributionFleet> {
   const clock = new ManualClock();
-  const fleet = new DistributionFleet({ clock, seed: 1, vms, routes, busyShare: BUSY_SHARE });
+  const fleet = new DistributionFleet({ clock, seed, vms, routes, busyShare: BUSY_SHARE });
   await fleet.start();
   return fleet;
 }
@@ -69,3 +71,17 @@
   await fleet.stop();
   assert.ok(lastMs <= BOUND_MS, `in force on all nodes after ${lastMs} ms`);
 });
+
+for (let seed = 1; seed <= SERIES_SEEDS; seed += 1) {
+  test(`changes in series are in force in time while followers lose power (seed ${seed})`, async () => {
+    // Guards against a transfer of one version that keeps nodes from the next one.
+    const vms = [
+      { count: 9, linkMbps: 200, capacity: 1 },
+      { count: 27, linkMbps: 10, capacity: 0.05 },
+    ];
+    const fleet = await startFleet(100, vms, seed);
+    const worstMs = await fleet.runSeries(SERIES_CHANGES, BOUND_MS * 2);
+    await fleet.stop();
+    assert.ok(worstMs <= BOUND_MS, `in force on all nodes after ${worstMs} ms`);
+  });
+}
--- a/packages/dispatch/src/test/distributionFleet.ts
+++ b/packages/dispatch/src/test/distributionFleet.ts
@@ -35,6 +35,13 @@
 const BYTES_PER_MS_PER_MBPS = 125;
 const DOMAINS = 3;
 const CONFIG_KEY = 'config';
+/** Numbers of routes that changes of a series add. */
+const SERIES_COUNTS = [1, 1, 30, 400, 1400, 3000];
+/** Pause between the changes of a series, in ms: the minimum, and what is added at most. */
+const MIN_PAUSE_MS = 200;
+const MAX_PAUSE_MS = 2500;
+/** A follower loses power up to this long after a change, in ms. */
+const MAX_LOSS_DELAY_MS = 400;
 
 /** Kinds of VMs in a {@link DistributionFleet}. */
 export interface IVmKind {
@@ -306,9 +313,49 @@
 
   /** Adds routes, and waits until all nodes have them, at most `limitMs`. */
   async addRoutes(count: number, limitMs: number): Promise<IDistributionResults> {
+    this.putRoutes(count);
+    return this.waitUntilApplied(limitMs);
+  }
+
+  private putRoutes(count: number): void {
     const { routes, version } = this.catalog;
     this.catalog = makeCatalog(version + 1, [...routes, ...makeRoutes(count, this.random)]);
-    return this.waitUntilApplied(limitMs);
+  }
+
+  /**
+   * Makes changes of 1 to 3,000 routes in series, while followers lose power in the middle of some of them.
+   * Returns the longest time until a change, or a later one, was in force on all nodes.
+   */
+  async runSeries(changes: number, limitMs: number): Promise<number> {
+    const issuedMs = new Map<number, number>();
+    let worstMs = 0;
+    const advance = async (durationMs: number) => {
+      const endMs = this.clock.getMonotonicTime() + durationMs;
+      while (this.clock.getMonotonicTime() < endMs) {
+        await this.clock.advanceBy(CHECK_MS);
+        const oldest = this.findOldestVersion();
+        for (const [version, atMs] of issuedMs) {
+          worstMs = Math.max(worstMs, this.clock.getMonotonicTime() - atMs);
+          if (oldest >= version) issuedMs.delete(version);
+        }
+      }
+    };
+    const followersLost = new Set<number>();
+    for (let change = 0; change < changes; change += 1) {
+      const count = SERIES_COUNTS[this.random.getInteger(SERIES_COUNTS.length)] ?? 1;
+      this.putRoutes(count);
+      issuedMs.set(this.catalog.version, this.clock.getMonotonicTime());
+      const domain = this.random.getInteger(DOMAINS * 2);
+      if (domain < DOMAINS && !followersLost.has(domain)) {
+        followersLost.add(domain);
+        this.clock.startTimer(this.random.getInteger(MAX_LOSS_DELAY_MS), () => {
+          this.findFollower(domain)?.stop();
+        });
+      }
+      await advance(MIN_PAUSE_MS + this.random.getInteger(MAX_PAUSE_MS));
+    }
+    await advance(limitMs);
+    return worstMs;
   }
 
   /** The node that currently reads the store for a failure domain. */
@@ -358,6 +405,11 @@
     return [...this.nodes.values()].filter(isOutdated).length;
   }
 
+  private findOldestVersion(): number {
+    const running = [...this.nodes.values()].filter(({ isDown }) => !isDown);
+    return Math.min(...running.map(({ directory }) => directory.getCatalog()?.version ?? 0));
+  }
+
   private countBytes(): number {
     return [...this.nodes.values()].reduce((sum, { links }) => sum + links.egress.bytes, 0);
   }
