Keep who has a table apart by table, and answer at once where nothing is announced

Found by reading: the spreader kept the receivers of one state for all tables, so that fetches of targets between those of the configuration made the follower send to all nodes itself (test: red before by its assertion on the second table). A request without an announced state, as nodes of an earlier release send, waited up to 1 s for a table that the node didn't have; it gets 404 at once, as before this change.

The simulated node moves to a file of its own.

--- a/packages/dispatch/src/directory/common/tableServer.ts
+++ b/packages/dispatch/src/directory/common/tableServer.ts
@@ -65,14 +65,14 @@
     }
     const ages = toBinary(FollowedChangesSchema, create(FollowedChangesSchema, encodeAges(table)));
     const bytes = compress(this.encodeRows(table, request), ages);
-    const state = formatState(table);
+    const sent = { table: table.name, state: formatState(table) };
     const { isDirect = false, requester } = request;
     const other =
       isDirect || requester === undefined
         ? undefined
-        : this.spreader.findOther(state, requester, bytes.length);
+        : this.spreader.findOther(sent, requester, bytes.length);
     if (other !== undefined) return { kind: 'redirect', stateAddress: other };
-    this.spreader.recordTransfer(state, requester, bytes.length);
+    this.spreader.recordTransfer(sent, requester, bytes.length);
     return { kind: 'table', bytes };
   }
 
@@ -81,6 +81,7 @@
     minimum: IAnnouncedState | undefined,
     signal: AbortSignal,
   ): Promise<boolean> {
+    if (minimum === undefined) return table.version !== undefined;
     const { clock } = this.options;
     const endMs = clock.getMonotonicTime() + MAX_HOLD_MS;
     while (!hasState(table, minimum)) {
@@ -122,6 +123,6 @@
   return era === minimum.era && version >= minimum.version;
 }
 
-function formatState({ era, isRetaining, name, version }: FollowedTable<unknown>): string {
-  return JSON.stringify([name, era, version, isRetaining]);
+function formatState({ era, isRetaining, version }: FollowedTable<unknown>): string {
+  return JSON.stringify([era, version, isRetaining]);
 }
--- a/packages/dispatch/src/directory/common/transferSpreader.test.ts
+++ b/packages/dispatch/src/directory/common/transferSpreader.test.ts
@@ -3,7 +3,7 @@
 import { ManualClock } from '@parsleymux/base';
 import { TransferSpreader } from './transferSpreader.js';
 
-const STATE = 'catalog/1';
+const STATE = { table: 'catalog', state: '1' };
 const BYTES = 60_000;
 /** Links of 10 and 200 Mbit/s. */
 const SLOW_BYTES_PER_MS = 1250;
@@ -42,7 +42,7 @@
   const clock = new ManualClock();
   const spreader = new TransferSpreader({ clock, bytesPerMs: SLOW_BYTES_PER_MS });
   requestAll(spreader, listPeers(36));
-  assert.equal(spreader.findOther('catalog/2', 'peer-9', BYTES), undefined);
+  assert.equal(spreader.findOther({ table: 'catalog', state: '2' }, 'peer-9', BYTES), undefined);
 });
 
 test('a node is not redirected to itself, and not once the link is free again', async () => {
@@ -53,3 +53,12 @@
   await clock.advanceBy(1000);
   assert.equal(spreader.findOther(STATE, 'peer-9', BYTES), undefined);
 });
+
+test('transfers of another table do not change who has this one', () => {
+  // Guards against a follower that sends to all nodes itself because they fetch two tables at the same time.
+  const clock = new ManualClock();
+  const spreader = new TransferSpreader({ clock, bytesPerMs: SLOW_BYTES_PER_MS });
+  requestAll(spreader, listPeers(4));
+  spreader.recordTransfer({ table: 'targets', state: '1' }, 'peer-9', BYTES);
+  assert.notEqual(spreader.findOther(STATE, 'peer-8', BYTES), undefined);
+});
--- a/packages/dispatch/src/test/distributionFleet.ts
+++ b/packages/dispatch/src/test/distributionFleet.ts
@@ -1,40 +1,17 @@
 /** Simulates nodes with slow links that replicate a configuration of many routes. */
-import { create, toBinary } from '@bufbuild/protobuf';
 import type { ManualClock } from '@parsleymux/base';
-import { JoinedSignal, SeededRandom, createSilentLogger } from '@parsleymux/base';
-import { DatagramSchema } from '@parsleymux/schema';
-import type { ICatalog, ITargetRecord } from '../catalog/common/catalog.js';
-import type { IMember, ITableChanges } from '../directory/common/authority.js';
-import { Authority, AuthorityTable } from '../directory/common/authority.js';
-import { NodeDirectory } from '../directory/common/nodeDirectory.js';
-import { TableServer } from '../directory/common/tableServer.js';
-import type {
-  ITableRequest,
-  ITransferOptions,
-  TableReply,
-} from '../directory/common/tableTransport.js';
-import { TableTransport } from '../directory/common/tableTransport.js';
-import { DirectoryService } from '../directory/node/directoryService.js';
-import { encodeCompressed, decodeCompressed } from '../directory/node/tableCompression.js';
-import type { DatagramBody } from '../grants/common/datagramChannel.js';
-import { DatagramChannel } from '../grants/common/datagramChannel.js';
+import { SeededRandom } from '@parsleymux/base';
+import type { ICatalog } from '../catalog/common/catalog.js';
+import type { IMember } from '../directory/common/authority.js';
 import { makeCatalog, makeRoutes } from './builders.js';
-import type { IModelledLinks } from './modelledLink.js';
-import { ModelledLink, sendBytes } from './modelledLink.js';
+import { DistributionNode } from './distributionNode.js';
+import type { ModelledLink } from './modelledLink.js';
+import { sendBytes } from './modelledLink.js';
 
-const STORE_LATENCY_MS = 4;
 const LATENCY_MS = 1;
-const LOST_SHARE = 0.002;
-const POLL_MS = 5;
 const WARM_UP_MS = 4000;
 const CHECK_MS = 10;
-/** Values of rows are base64 in the responses of the store. */
-const STORE_ENCODING = 4 / 3;
-const REQUEST_BYTES = 300;
-const STORED_ROUTE_BYTES = 110;
-const BYTES_PER_MS_PER_MBPS = 125;
 const DOMAINS = 3;
-const CONFIG_KEY = 'config';
 /** Numbers of routes that changes of a series add. */
 const SERIES_COUNTS = [1, 1, 30, 400, 1400, 3000];
 /** Pause between the changes of a series, in ms: the minimum, and what is added at most. */
@@ -70,206 +47,6 @@
   readonly bytesPerNode: number;
 }
 
-/** A node's access to a table of the store. */
-class ModelledTable<T> extends AuthorityTable<T> {
-  override readonly malformedRows = 0;
-
-  constructor(
-    private readonly node: FleetNode,
-    private readonly read: () => ITableChanges<T>,
-  ) {
-    super();
-  }
-
-  override async readAll(signal: AbortSignal): Promise<ITableChanges<T>> {
-    await this.node.fleet.clock.sleep(STORE_LATENCY_MS, signal);
-    return this.receive(this.read(), signal);
-  }
-
-  override async readChanges(
-    after: number,
-    waitMs: number,
-    signal: AbortSignal,
-  ): Promise<ITableChanges<T>> {
-    const { clock } = this.node.fleet;
-    const endMs = clock.getMonotonicTime() + waitMs;
-    await clock.sleep(STORE_LATENCY_MS, signal);
-    for (;;) {
-      const rows = this.read();
-      if (rows.version > after) return this.receive(rows, signal);
-      if (clock.getMonotonicTime() >= endMs) return { version: rows.version, changes: [] };
-      await clock.sleep(POLL_MS, signal);
-    }
-  }
-
-  /** The store's row of the configuration has the names of columns once and not in each route. */
-  private countBytes({ changes }: ITableChanges<T>): number {
-    const { catalog } = this.node.fleet;
-    const isCatalog = changes.some(({ key }) => key === CONFIG_KEY);
-    return isCatalog ? catalog.routes.length * STORED_ROUTE_BYTES : JSON.stringify(changes).length;
-  }
-
-  private async receive(rows: ITableChanges<T>, signal: AbortSignal): Promise<ITableChanges<T>> {
-    const { clock } = this.node.fleet;
-    const bytes = this.countBytes(rows) * STORE_ENCODING;
-    await clock.sleep(this.node.links.ingress.reserve(bytes), signal);
-    return rows;
-  }
-}
-
-class ModelledAuthority extends Authority {
-  override readonly catalog: AuthorityTable<ICatalog>;
-  override readonly targets: AuthorityTable<ITargetRecord>;
-  override readonly members: AuthorityTable<IMember>;
-
-  constructor(node: FleetNode) {
-    super();
-    const { fleet } = node;
-    this.catalog = new ModelledTable(node, () => ({
-      version: fleet.catalog.version,
-      changes: [{ key: CONFIG_KEY, value: fleet.catalog }],
-    }));
-    this.targets = new ModelledTable<ITargetRecord>(node, () => ({ version: 1, changes: [] }));
-    this.members = new ModelledTable(node, () => ({ version: 1, changes: fleet.members }));
-  }
-
-  override putMember(): Promise<void> {
-    return Promise.resolve();
-  }
-
-  override removeMember(): Promise<void> {
-    return Promise.resolve();
-  }
-}
-
-class ModelledTransport extends TableTransport {
-  constructor(private readonly node: FleetNode) {
-    super();
-  }
-
-  override async requestTable(
-    stateAddress: string,
-    request: ITableRequest,
-    { onDidProgress, signal }: ITransferOptions,
-  ): Promise<TableReply> {
-    const { fleet, links } = this.node;
-    const peer = fleet.nodes.get(stateAddress);
-    if (peer === undefined) throw new Error('no such node');
-    const joined = new JoinedSignal([signal, peer.lost]);
-    try {
-      await fleet.sendBytes(REQUEST_BYTES, links.egress, peer.links.ingress, joined.signal);
-      onDidProgress();
-      const result = await peer.server.serve(request, encodeCompressed, joined.signal);
-      if (result.kind === 'unavailable') throw new Error('no such table');
-      const bytes = result.kind === 'table' ? result.bytes.length : REQUEST_BYTES;
-      const { egress } = peer.links;
-      await fleet.sendBytes(bytes, egress, links.ingress, joined.signal, onDidProgress);
-      if (result.kind === 'redirect') return result;
-      return { kind: 'table', bytes: decodeCompressed(result.bytes) };
-    } catch (error) {
-      // Connections to a VM without power hang.
-      if (peer.isDown && !signal.aborted) await waitForAbort(signal);
-      throw error;
-    } finally {
-      joined.dispose();
-    }
-  }
-}
-
-class ModelledChannel extends DatagramChannel {
-  override readonly address: string;
-
-  constructor(private readonly node: FleetNode) {
-    super();
-    this.address = node.member.address;
-  }
-
-  override send(address: string, body: DatagramBody): void {
-    const { fleet, links } = this.node;
-    const receiver = fleet.nodes.get(address);
-    if (receiver === undefined || this.node.isDown) return;
-    if (fleet.random.getFloat() < LOST_SHARE) return;
-    const bytes = toBinary(DatagramSchema, create(DatagramSchema, { body })).length;
-    void fleet.sendBytes(bytes, links.egress, receiver.links.ingress).then(() => {
-      receiver.receive(this.address, body);
-    });
-  }
-
-  override setHandler(): void {
-    // Datagrams are passed to nodes by their addresses.
-  }
-
-  override dispose(): void {
-    // Holds no resources.
-  }
-}
-
-class FleetNode {
-  readonly directory: NodeDirectory;
-  readonly server: TableServer;
-  readonly links: IModelledLinks;
-  private readonly service: DirectoryService;
-  private readonly lostController = new AbortController();
-
-  constructor(
-    readonly fleet: DistributionFleet,
-    readonly member: IMember,
-    linkMbps: number,
-  ) {
-    const { busyShare = 0, clock } = fleet.options;
-    this.links = {
-      egress: new ModelledLink(clock, linkMbps, busyShare),
-      ingress: new ModelledLink(clock, linkMbps, busyShare),
-    };
-    this.directory = new NodeDirectory(clock);
-    const { encoder } = this.directory;
-    this.server = new TableServer({
-      clock,
-      tables: this.directory.listTables(),
-      encoder,
-      bytesPerMs: linkMbps * BYTES_PER_MS_PER_MBPS,
-    });
-    this.service = new DirectoryService({
-      directory: this.directory,
-      authority: new ModelledAuthority(this),
-      channel: new ModelledChannel(this),
-      transport: new ModelledTransport(this),
-      clock,
-      random: fleet.random,
-      log: createSilentLogger(),
-      self: member,
-      isFirstStart: false,
-      seeds: [],
-      hasReceivedRequests: () => true,
-    });
-  }
-
-  /** Aborts when the VM loses power. */
-  get lost(): AbortSignal {
-    return this.lostController.signal;
-  }
-
-  get isDown(): boolean {
-    return this.lost.aborted;
-  }
-
-  run(signal: AbortSignal): Promise<void> {
-    return this.service.run(AbortSignal.any([signal, this.lost]));
-  }
-
-  /** Loses power: nothing is sent any more, and connections stay open without data. */
-  stop(): void {
-    this.lostController.abort(new Error('power lost'));
-  }
-
-  receive(sender: string, body: DatagramBody): void {
-    if (this.isDown) return;
-    if (body.case === 'update') this.service.handleUpdate(sender, body.value);
-    if (body.case === 'updateReceived') this.service.handleUpdateReceived(sender, body.value);
-    if (body.case === 'hello') this.service.handleHello(sender);
-  }
-}
-
 /**
  * Runs the nodes, changes the configuration, and measures how long the change takes to be in force.
  *
@@ -283,7 +60,7 @@
   readonly random: SeededRandom;
   readonly members: { readonly key: string; readonly value: IMember }[] = [];
   /** By address, which is also the state address. */
-  readonly nodes = new Map<string, FleetNode>();
+  readonly nodes = new Map<string, DistributionNode>();
   catalog: ICatalog;
   private readonly end = new AbortController();
   private running: readonly Promise<void>[] = [];
@@ -296,7 +73,7 @@
     for (const { capacity, linkMbps } of links) {
       const value = makeMember(this.members.length, capacity);
       this.members.push({ key: value.address, value });
-      this.nodes.set(value.address, new FleetNode(this, value, linkMbps));
+      this.nodes.set(value.address, new DistributionNode(this, value, linkMbps));
     }
   }
 
@@ -359,7 +136,7 @@
   }
 
   /** The node that currently reads the store for a failure domain. */
-  findFollower(domain: number): FleetNode | undefined {
+  findFollower(domain: number): DistributionNode | undefined {
     const [first] = [...this.nodes.values()].filter((node) => !node.isDown);
     const ranking = first?.directory.rankFollowers(formatDomain(domain)) ?? [];
     return ranking.flatMap((address) => this.nodes.get(address) ?? []).find((node) => !node.isDown);
@@ -399,7 +176,7 @@
   }
 
   private countOutdated(): number {
-    const isOutdated = ({ directory, isDown }: FleetNode) => {
+    const isOutdated = ({ directory, isDown }: DistributionNode) => {
       return !isDown && directory.getCatalog()?.version !== this.catalog.version;
     };
     return [...this.nodes.values()].filter(isOutdated).length;
@@ -415,14 +192,6 @@
   }
 }
 
-function waitForAbort(signal: AbortSignal): Promise<never> {
-  return new Promise((_, reject) => {
-    signal.addEventListener('abort', () => {
-      reject(new Error('aborted'));
-    });
-  });
-}
-
 function formatDomain(domain: number): string {
   return `domain-${domain}`;
 }
