Don't cancel a read of the configuration whose response has begun

A response that has begun ends by its own limit on progress. Test: a begun read is followed by no second one; before, cancelRead ended it.

--- a/packages/dispatch/src/directory/common/storeFollower.test.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.test.ts
@@ -147,6 +147,18 @@
   stop.abort();
 });
 
+test('a read whose response has begun is not cancelled', async () => {
+  // Guards against a large configuration that is never received, as each failed read of the targets discards
+  // what has arrived of it.
+  const stop = new AbortController();
+  const { clock, follower, source } = startFixture([FIRST, 'begun', SECOND], stop.signal);
+  await clock.advanceBy(100);
+  follower.cancelRead();
+  await clock.advanceBy(100);
+  assert.deepEqual(source.calls, ['all', 'after 3']);
+  stop.abort();
+});
+
 test('the whole table is read if the store no longer has its change history', async () => {
   const stop = new AbortController();
   const replies: Reply[] = [FIRST, StoreFailure.HistoryLost, SECOND];
--- a/packages/dispatch/src/directory/common/storeFollower.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.ts
@@ -55,6 +55,8 @@
   private readStartMs: number | undefined;
   /** How long the store may hold the pending read, in ms. */
   private longPollMs = 0;
+  /** Whether the response to the pending read has begun. */
+  private hasResponse = false;
   private cancelled = new AbortController();
   /** Number of successful reads, and of failed reads by kind of failure. */
   readonly counts = { succeeded: 0, failed: new Map<StoreFailure, number>() };
@@ -82,7 +84,7 @@
   isLongPollPending(): boolean {
     if (this.readStartMs === undefined) return false;
     const pendingMs = this.options.clock.getMonotonicTime() - this.readStartMs;
-    return this.longPollMs > 0 && pendingMs <= this.longPollMs;
+    return !this.hasResponse && this.longPollMs > 0 && pendingMs <= this.longPollMs;
   }
 
   /**
@@ -90,12 +92,15 @@
    * response may be lost, and the pending read would wrongly indicate that nothing changes.
    */
   cancelRead(): void {
+    // A response that has begun ends by its own time limit, and what arrived of it is not discarded.
+    if (this.hasResponse) return;
     this.cancelled.abort(new Error('read cancelled; its connection to the store may be lost'));
   }
 
   private async read(signal: AbortSignal): Promise<boolean> {
     const { clock, table } = this.options;
     this.readStartMs = clock.getMonotonicTime();
+    this.hasResponse = false;
     this.cancelled = new AbortController();
     const joined = new JoinedSignal([signal, this.cancelled.signal]);
     try {
@@ -127,7 +132,7 @@
       this.longPollMs = pollTiming.getWaitMs?.() ?? pollTiming.waitMs;
       const waitMs = this.longPollMs;
       const content = await source.readChanges(after, waitMs, signal, () => {
-        this.longPollMs = 0;
+        this.hasResponse = true;
       });
       // The store responds to a long poll at a change or at the end of the wait, so it is as of its end.
       const readMs = waitMs > 0 ? clock.getMonotonicTime() : startMs;
