--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -323,7 +323,7 @@
   /** Whether this node has known of a newer configuration for too long to serve requests by its own. */
   private isConfigurationOutdated(): boolean {
     const { applyMs } = this.settings.tenants;
-    const ageMs = this.directory.announced.getOldestAgeMs();
+    const ageMs = this.directory.announcedVersions.getOldestAgeMs();
     return applyMs > 0 && ageMs > applyMs * MAX_OUTDATED_SHARE;
   }
 
--- a/packages/dispatch/src/directory/common/nodeDirectory.ts
+++ b/packages/dispatch/src/directory/common/nodeDirectory.ts
@@ -45,7 +45,7 @@
   /** Encodes the tables for other nodes. */
   readonly encoder: TableEncoder;
   /** Versions of the configuration that other nodes have in force. */
-  readonly announced: AnnouncedVersions;
+  readonly announcedVersions: AnnouncedVersions;
   private readonly history = new CatalogHistory();
   private currentCatalog: ICatalog | undefined;
   private currentRoutes: RouteTable | undefined;
@@ -58,7 +58,7 @@
   readonly onDidChangeCatalog: Event<ICatalog> = this.catalogChanged.onDidFire;
 
   constructor(clock: Clock) {
-    this.announced = new AnnouncedVersions(clock);
+    this.announcedVersions = new AnnouncedVersions(clock);
     this.encoder = new TableEncoder({ history: this.history, catalogTable: CATALOG_TABLE });
     this.catalog = new FollowedTable({
       name: CATALOG_TABLE,
@@ -149,7 +149,7 @@
       if (catalog.version <= (this.currentCatalog?.version ?? -Infinity)) continue;
       this.currentCatalog = catalog;
       this.history.record(catalog);
-      this.announced.recordApplied(catalog.version);
+      this.announcedVersions.recordApplied(catalog.version);
       this.currentRoutes = new RouteTable(catalog.routes);
       this.catalogChanged.fire(catalog);
     }
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -153,7 +153,7 @@
 
   handleUpdate(sender: string, update: Update): void {
     this.role.recordUpdate(sender);
-    this.options.directory.announced.recordAnnounced(Number(update.catalogVersion));
+    this.options.directory.announcedVersions.recordAnnounced(Number(update.catalogVersion));
     this.relay.handleUpdate(sender, update);
   }
 
