Log whether a failed attempt used a connection that had carried a request

Callers of nodes that had lost their links to the targets were served far worse than the others. Whether their requests hang on kept connections or fail on new ones can't be read from the logs: an attempt's outcome is the same. The attempts of a request's log line now contain it.

--- a/packages/dispatch/src/entry/common/attemptOutcome.ts
+++ b/packages/dispatch/src/entry/common/attemptOutcome.ts
@@ -18,6 +18,8 @@
   readonly response: ITargetResponse | undefined;
   /** The rate limit that the target advertised in its own response, in requests per second. */
   readonly rateLimit?: number | undefined;
+  /** Of a failed exchange: whether its connection had carried a request before. */
+  readonly isConnectionReused?: boolean;
 }
 
 const MISDIRECTED_RESULT: IAttemptResult = {
@@ -69,5 +71,6 @@
     outcome: isStale ? GrantOutcome.Stale : FAILURE_OUTCOMES[error.failure],
     mayHaveRun: error.mayHaveRun,
     response: undefined,
+    isConnectionReused: error.reusedConnection,
   };
 }
--- a/packages/dispatch/src/entry/common/entryRequest.ts
+++ b/packages/dispatch/src/entry/common/entryRequest.ts
@@ -34,6 +34,8 @@
   readonly latencyMs: number;
   /** The rate limit that the target advertised in its response, in requests per second. */
   readonly rateLimit?: number | undefined;
+  /** Of a failed attempt: whether its connection had carried a request before. */
+  readonly isConnectionReused?: boolean | undefined;
 }
 
 /** The final response to a request. */
--- a/packages/dispatch/src/entry/common/requestRunner.ts
+++ b/packages/dispatch/src/entry/common/requestRunner.ts
@@ -249,6 +249,7 @@
       outcome: result.outcome,
       latencyMs: Math.round(latencyMs),
       rateLimit: result.rateLimit,
+      isConnectionReused: result.isConnectionReused,
     });
     return result;
   }
