--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -3,8 +3,8 @@
 import type { Server } from 'node:http';
 import type { Clock, Logger, RandomSource } from '@parsleymux/base';
 import { DisposableStore, closeServerImmediately, listenOn, toDisposable } from '@parsleymux/base';
-import type { Header, TargetProtocol } from '@parsleymux/routing';
-import { HttpTargetTransport } from '@parsleymux/routing';
+import type { Header, TargetConnector, TargetProtocol } from '@parsleymux/routing';
+import { HttpTargetTransport, TcpTargetConnector } from '@parsleymux/routing';
 import { Registry, collectDefaultMetrics } from 'prom-client';
 import { DestinationPicker } from '../../catalog/common/destinationPicker.js';
 import type { Authority, IMember } from '../../directory/common/authority.js';
@@ -76,6 +76,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: Logger;
+  /** Default: TCP. */
+  readonly connector?: TargetConnector;
 }
 
 /**
@@ -281,6 +283,7 @@
         clock,
         registry,
         protocol: protocol.targets,
+        connector: this.options.connector ?? new TcpTargetConnector(),
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
       }),
     );
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -24,3 +24,4 @@
 export * from './transport/common/targetProtocol.js';
 export * from './transport/node/httpTargetTransport.js';
 export * from './transport/node/targetAddress.js';
+export * from './transport/node/targetConnector.js';
--- a/packages/routing/src/transport/node/connectionPool.ts
+++ b/packages/routing/src/transport/node/connectionPool.ts
@@ -4,10 +4,12 @@
 import { TransportError, TransportFailure } from '../common/targetTransport.js';
 import type { TargetConnection } from './targetConnection.js';
 import { openConnection } from './targetConnection.js';
+import type { TargetConnector } from './targetConnector.js';
 
 /** Options of a {@link ConnectionPool}. */
 export interface IConnectionPoolOptions {
   readonly target: string;
+  readonly connector: TargetConnector;
   /** Maximum number of connections; read each time one is to be opened. */
   readonly getLimit: () => number;
   /** Called when a connection was opened. */
@@ -62,9 +64,10 @@
     }
     this.opening += 1;
     try {
-      const { target } = this.options;
+      const { connector, target } = this.options;
       const { generation } = this;
-      const connection = await openConnection({ target, generation, signal: options.signal });
+      const { signal } = options;
+      const connection = await openConnection({ target, connector, generation, signal });
       this.track(connection);
       return connection;
     } catch (cause) {
--- a/packages/routing/src/transport/node/httpTargetTransport.ts
+++ b/packages/routing/src/transport/node/httpTargetTransport.ts
@@ -13,6 +13,8 @@
 import { ConnectionPool } from './connectionPool.js';
 import { Exchange } from './exchange.js';
 import type { TargetConnection } from './targetConnection.js';
+import type { TargetConnector } from './targetConnector.js';
+import { TcpTargetConnector } from './targetConnector.js';
 import { TransportMetrics } from './transportMetrics.js';
 
 const DEFAULT_CONNECTION_LIMIT = 64;
@@ -25,6 +27,8 @@
   /** Default: the system clock. */
   readonly clock?: Clock;
   readonly invariants?: InvariantRegistry;
+  /** Default: TCP. */
+  readonly connector?: TargetConnector;
   /** Header conventions of the targets. Default: the fleet's own headers. */
   readonly protocol?: TargetProtocol;
   /** Registry of the transport's metrics. Default: no metrics are kept. */
@@ -50,6 +54,7 @@
  */
 export class HttpTargetTransport extends TargetTransport implements IDisposable {
   private readonly clock: Clock;
+  private readonly connector: TargetConnector;
   private readonly invariants: InvariantRegistry;
   private readonly options: IHttpTargetTransportOptions;
   private readonly protocol: TargetProtocol;
@@ -63,6 +68,7 @@
     super();
     this.options = options;
     this.clock = options.clock ?? new SystemClock();
+    this.connector = options.connector ?? new TcpTargetConnector();
     this.invariants = options.invariants ?? new InvariantRegistry();
     this.protocol = options.protocol ?? new MuxTargetProtocol();
     this.metrics = new TransportMetrics(options.registry, () => this.listPools());
@@ -178,6 +184,7 @@
     if (pool === undefined) {
       pool = new ConnectionPool({
         target,
+        connector: this.connector,
         getLimit: () => this.getLimit(member, target),
         onDidOpen: () => {
           this.metrics.recordOpened();
--- a/packages/routing/src/transport/node/targetConnection.ts
+++ b/packages/routing/src/transport/node/targetConnection.ts
@@ -4,7 +4,7 @@
 import { Client } from 'undici';
 import VError from 'verror';
 import { PausableSocket } from './pausableSocket.js';
-import { parseTargetAddress } from './targetAddress.js';
+import type { TargetConnector } from './targetConnector.js';
 
 /** Headers are buffered before they can be checked, so their size is limited. */
 const MAX_RESPONSE_HEADER_BYTES = 65_536;
@@ -23,6 +23,7 @@
 /** Options of {@link openConnection}. */
 export interface IOpenConnectionOptions {
   readonly target: string;
+  readonly connector: TargetConnector;
   /** Connections of an older generation than their pool's are not used again. */
   readonly generation: number;
   /** Aborting it cancels the connect and closes the socket. */
@@ -33,7 +34,7 @@
  * Opens a connection. Rejects when connecting fails or `signal` aborts first.
  *
  * @example
- * const connection = await openConnection({ target: '127.0.0.1:9001', generation: 0, signal });
+ * const connection = await openConnection({ target: '127.0.0.1:9001', connector, generation: 0, signal });
  */
 export function openConnection(options: IOpenConnectionOptions): Promise<TargetConnection> {
   const { signal } = options;
@@ -44,7 +45,7 @@
     }
     const socket = new PausableSocket();
     socket.setNoDelay(true);
-    socket.connect(parseTargetAddress(options.target));
+    options.connector.open(socket, options.target);
     const fail = (cause?: Error) => {
       signal.removeEventListener('abort', onAbort);
       socket.destroy();
