Send attempts through a peer while a node has no path to the targets

Cause: a request was sent only over its node's own connections, and a failed connection was only evidence against its target.

What a node attributes to its own path is not reported as a failure of the target.

--- a/packages/base/src/result/common/resultCode.ts
+++ b/packages/base/src/result/common/resultCode.ts
@@ -49,6 +49,7 @@
   KeysOutdated: 2011,
   QuotaExceeded: 2012,
   ConfigurationOutdated: 2013,
+  NoPathToTargets: 2014,
   TargetUnreachable: 3001,
   TargetFailed: 3002,
   TargetTimeout: 3003,
--- a/packages/base/src/result/common/resultTable.ts
+++ b/packages/base/src/result/common/resultTable.ts
@@ -111,6 +111,12 @@
     'Other nodes have a newer configuration, which this node has not received in time.',
     'Retry after the delay in Retry-After; another node may respond.',
   ],
+  NoPathToTargets: [
+    503,
+    NotRun,
+    'Neither this node nor a node that it asked can reach the targets.',
+    'Retry after the delay in Retry-After; another node may respond.',
+  ],
   TargetUnreachable: [502, NotRun, 'No connection to a target could be made.', 'Retry.'],
   TargetFailed: [
     502,
--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -13,8 +13,6 @@
 import { HttpTableTransport, createStateServer } from '../../directory/node/stateServer.js';
 import type { ResponseCheck } from '../../entry/common/attemptOutcome.js';
 import type { CallerProtocol } from '../../entry/common/callerProtocol.js';
-import { PathHealth } from '../../entry/common/pathHealth.js';
-import { TargetNotices } from '../../entry/common/targetNotices.js';
 import { RequestRunner } from '../../entry/common/requestRunner.js';
 import { FrontServer } from '../../entry/node/frontServer.js';
 import { RequestLog } from '../../entry/node/requestLog.js';
@@ -36,6 +34,7 @@
 import { countDirectory } from './directoryMetrics.js';
 import { countHeldRequests } from './heldRequests.js';
 import { countMalformedRows } from './malformedRows.js';
+import { RelayComponents } from './relayComponents.js';
 import { createMetricsServer, createReadyServer } from './statusServers.js';
 import { TenantComponents } from './tenantComponents.js';
 
@@ -100,6 +99,7 @@
   private front: FrontServer | undefined;
   private directoryService: DirectoryService | undefined;
   private retrySharing: RetrySharing | undefined;
+  private relays: RelayComponents | undefined;
   private loops: Promise<void> = Promise.resolve();
   private isStopping = false;
 
@@ -132,6 +132,7 @@
     const channel = this.store.add(await UdpChannel.open(settings.datagramAddress, log));
     const homes = this.store.add(this.createHomes(channel.address));
     countDirectory(this.directory, homes, registry);
+    const relays = this.createRelays(channel.address, registry);
     const state = createStateServer(
       {
         clock,
@@ -141,6 +142,7 @@
       },
       (incoming, response) => handleHeldRequests(this.quarantine, incoming, response),
     );
+    relays.listen(state);
     await this.listen(state, settings.stateAddress);
     await this.listen(
       createReadyServer(() => this.isReady()),
@@ -196,7 +198,7 @@
       const handlers = { healthSharing, quarantine, quotas, retries, selector, server, service };
       handleDatagram(handlers, sender, body);
     });
-    this.front = await this.openFront(selector, homes, registry);
+    this.front = await this.openFront(selector, homes, relays, registry);
     homes.start();
     healthSharing.start();
     retries.start();
@@ -226,7 +228,8 @@
     const limitMs = graceMs - STOP_MARGIN_MS;
     while (clock.getMonotonicTime() - startMs < limitMs) {
       this.front?.connections.closeIdle();
-      if ((this.front?.connections.size ?? 0) === 0) break;
+      const isRelaying = (this.relays?.running ?? 0) > 0;
+      if ((this.front?.connections.size ?? 0) === 0 && !isRelaying) break;
       await clock.sleep(STOP_CHECK_MS);
     }
     const cut = this.front?.connections.openRequests ?? 0;
@@ -255,6 +258,33 @@
     return homes;
   }
 
+  private createRelays(self: string, registry: Registry): RelayComponents {
+    const { clock, connector, log, protocol, random, settings } = this.options;
+    const transport = this.store.add(
+      new HttpTargetTransport({
+        clock,
+        registry,
+        protocol: protocol.targets,
+        connector: connector ?? new TcpTargetConnector(),
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      }),
+    );
+    const relays = new RelayComponents({
+      clock,
+      log,
+      random,
+      registry,
+      self,
+      transport,
+      directory: this.directory,
+      failureDomain: settings.failureDomain,
+      isAuthentic: protocol.isAuthentic,
+      isStopping: () => this.isStopping,
+    });
+    this.relays = this.store.add(relays);
+    return relays;
+  }
+
   private createQuarantinePersister(
     sharing: QuarantineSharing,
     service: DirectoryService,
@@ -275,26 +305,18 @@
   private async openFront(
     selector: HomeSelector,
     homes: HomeService,
+    { dispatcher, notices, paths }: RelayComponents,
     registry: Registry,
   ): Promise<FrontServer> {
     const { clock, log, protocol, random, settings } = this.options;
-    const transport = this.store.add(
-      new HttpTargetTransport({
-        clock,
-        registry,
-        protocol: protocol.targets,
-        connector: this.options.connector ?? new TcpTargetConnector(),
-        connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      }),
-    );
     const runner = new RequestRunner({
       clock,
       selector,
-      transport,
+      dispatcher,
+      notices,
       quarantine: this.quarantine,
-      notices: new TargetNotices(clock),
       keys: this.tenants.keys,
-      paths: new PathHealth(clock, (id) => this.directory.targets.get(id)),
+      paths,
       failureDomain: settings.failureDomain,
       listTargets: (service) => homes.listTargets(service),
       isAuthentic: protocol.isAuthentic,
@@ -332,7 +354,8 @@
 
   private makeMember(address: string): IMember {
     const { capacity, failureDomain, stateAddress } = this.options.settings;
-    return { address, capacity, failureDomain, stateAddress, incarnation: this.incarnation };
+    const { incarnation } = this;
+    return { address, capacity, failureDomain, stateAddress, incarnation, canRelay: true };
   }
 
   private async listen(server: Server, address: string): Promise<void> {
--- a/packages/dispatch/src/directory/common/authority.ts
+++ b/packages/dispatch/src/directory/common/authority.ts
@@ -16,6 +16,8 @@
   readonly incarnation: number;
   /** How much work for other nodes its VM can do, relative to other VMs. */
   readonly capacity: number;
+  /** Whether it sends attempts for nodes that have lost their path to the targets. Default: false. */
+  readonly canRelay?: boolean | undefined;
 }
 
 /** One entry that was added, changed or, if it has no value, removed. */
--- a/packages/dispatch/src/entry/common/attemptOutcome.ts
+++ b/packages/dispatch/src/entry/common/attemptOutcome.ts
@@ -20,6 +20,10 @@
   readonly rateLimit?: number | undefined;
   /** Of a failed exchange: whether its connection had carried a request before. */
   readonly isConnectionReused?: boolean;
+  /** Whether neither this node nor a peer has a path to the target. */
+  readonly hasNoPath?: boolean;
+  /** The peer through which the attempt was sent, or was last tried. */
+  readonly relay?: string | undefined;
 }
 
 const MISDIRECTED_RESULT: IAttemptResult = {
@@ -56,6 +60,7 @@
 const FAILURE_OUTCOMES: Readonly<Record<TransportFailure, GrantOutcome>> = {
   [TransportFailure.Connect]: GrantOutcome.Unreachable,
   [TransportFailure.NoConnection]: GrantOutcome.Abandoned,
+  [TransportFailure.NoPath]: GrantOutcome.Abandoned,
   [TransportFailure.Broken]: GrantOutcome.Broken,
   [TransportFailure.Truncated]: GrantOutcome.Broken,
   [TransportFailure.TooLarge]: GrantOutcome.Abandoned,
@@ -72,5 +77,6 @@
     mayHaveRun: error.mayHaveRun,
     response: undefined,
     isConnectionReused: error.reusedConnection,
+    hasNoPath: error.failure === TransportFailure.NoPath,
   };
 }
--- a/packages/dispatch/src/entry/common/attemptSender.ts
+++ b/packages/dispatch/src/entry/common/attemptSender.ts
@@ -1,9 +1,10 @@
 /** Sends one attempt of a request to one target and determines its outcome. */
 import type { Clock } from '@parsleymux/base';
-import type { Header, TargetTransport } from '@parsleymux/routing';
+import type { Header } from '@parsleymux/routing';
 import type { ITargetRecord } from '../../catalog/common/catalog.js';
 import { formatIncarnation } from '../../catalog/common/catalog.js';
 import { GrantOutcome, hasCompleteResponse } from '../../grants/common/grant.js';
+import type { TargetDispatcher } from '../../relay/common/targetDispatcher.js';
 import type { KeyChecker } from '../../tenants/common/keyChecker.js';
 import type { ResponseCheck, IAttemptResult } from './attemptOutcome.js';
 import { decideResponseOutcome, decideFailureOutcome } from './attemptOutcome.js';
@@ -25,7 +26,7 @@
 /** Options of an {@link AttemptSender}. */
 export interface IAttemptSenderOptions {
   readonly clock: Clock;
-  readonly transport: TargetTransport;
+  readonly dispatcher: TargetDispatcher;
   readonly notices: TargetNotices;
   readonly keys: KeyChecker;
   readonly isAuthentic: ResponseCheck;
@@ -38,13 +39,15 @@
   readonly signal: AbortSignal;
   /** Whether the attempt must use a new connection. */
   readonly needsFreshConnection: boolean;
+  /** Time without any response after which the path to the targets is checked, in ms. */
+  readonly silenceMs: number;
 }
 
 /**
  * Sends attempts and records the notices of targets.
  *
  * @example
- * const { outcome } = await sender.send(request, target, { signal, needsFreshConnection: false });
+ * const { outcome } = await sender.send(request, target, options);
  */
 export class AttemptSender {
   constructor(private readonly options: IAttemptSenderOptions) {}
@@ -52,15 +55,17 @@
   async send(
     request: IEntryRequest,
     target: ITargetRecord,
-    { needsFreshConnection: freshConnection, signal }: ISendAttemptOptions,
+    { needsFreshConnection: freshConnection, signal, silenceMs }: ISendAttemptOptions,
   ): Promise<IAttemptResult> {
-    const { clock, isAuthentic, keys, listTargetHeaders, notices, transport } = this.options;
+    const { clock, dispatcher, isAuthentic, keys, listTargetHeaders, notices } = this.options;
     // While the grant waited in a queue, the target may have reported that it is draining or overloaded.
     if (notices.isExcluded(target)) return NOT_SENT;
     if (keys.checkAgain(request.sender, request.route).kind === 'refused') return NOT_SENT;
     const remainingMs = request.deadlineMs - clock.getMonotonicTime();
+    let relay: string | undefined;
     try {
-      const response = await transport.send(
+      const response = await dispatcher.send(
+        target,
         {
           target: target.address,
           // Connections to an earlier incarnation are dead or hang, so each incarnation has its own.
@@ -72,14 +77,24 @@
           timeoutMs: remainingMs,
           targetTimeoutMs: Math.max(1, remainingMs - TARGET_MARGIN_MS),
         },
-        { signal, maxResponseBytes: MAX_RESPONSE_BYTES, freshConnection },
+        {
+          signal,
+          silenceMs,
+          freshConnection,
+          requestId: request.id,
+          isIdempotent: request.route.isIdempotent,
+          maxResponseBytes: MAX_RESPONSE_BYTES,
+          onRelay: (peer) => {
+            relay = peer;
+          },
+        },
       );
       const result = decideResponseOutcome(response, isAuthentic);
       // Headers of a response that is not the target's own can't be relied on.
       if (hasCompleteResponse(result.outcome)) notices.record(target, response);
-      return result;
+      return { ...result, relay };
     } catch (error) {
-      return decideFailureOutcome(error);
+      return { ...decideFailureOutcome(error), relay };
     }
   }
 }
--- a/packages/dispatch/src/entry/common/entryRequest.ts
+++ b/packages/dispatch/src/entry/common/entryRequest.ts
@@ -36,6 +36,8 @@
   readonly rateLimit?: number | undefined;
   /** Of a failed attempt: whether its connection had carried a request before. */
   readonly isConnectionReused?: boolean | undefined;
+  /** The peer through which the attempt was sent, or was last tried. */
+  readonly relay?: string | undefined;
 }
 
 /** The final response to a request. */
--- a/packages/dispatch/src/entry/common/pathHealth.ts
+++ b/packages/dispatch/src/entry/common/pathHealth.ts
@@ -41,6 +41,11 @@
     this.unreachable.delete(targetId);
   }
 
+  /** Forgets all failures, when they are due to this node's own path. */
+  clear(): void {
+    this.unreachable.clear();
+  }
+
   listUnreachable(): readonly string[] {
     const nowMs = this.clock.getMonotonicTime();
     const oldestMs = nowMs - MAX_PAUSE_MS;
--- a/packages/dispatch/src/entry/common/requestRunner.test.ts
+++ b/packages/dispatch/src/entry/common/requestRunner.test.ts
@@ -10,6 +10,7 @@
 import { makeKeyChecker, makeQuarantine, makeRoute, makeTarget } from '../../test/builders.js';
 import { ANONYMOUS } from '../../tenants/common/keyChecker.js';
 import type { IEntryResponse, IEntryRequest } from './entryRequest.js';
+import { TargetDispatcher } from '../../relay/common/targetDispatcher.js';
 import { PathHealth } from './pathHealth.js';
 import { RequestRunner } from './requestRunner.js';
 import { TargetNotices } from './targetNotices.js';
@@ -102,7 +103,7 @@
   const runner = new RequestRunner({
     clock,
     selector: refusing ?? selector,
-    transport,
+    dispatcher: new TargetDispatcher({ clock, transport }),
     quarantine: makeQuarantine(clock),
     keys: makeKeyChecker(clock),
     notices,
--- a/packages/dispatch/src/entry/common/requestRunner.ts
+++ b/packages/dispatch/src/entry/common/requestRunner.ts
@@ -3,7 +3,7 @@
 import { ResultCode, RunState } from '@parsleymux/base';
 import type { ITargetResponse } from '@parsleymux/routing';
 import type { ITargetRecord } from '../../catalog/common/catalog.js';
-import { formatIncarnation } from '../../catalog/common/catalog.js';
+import type { IReportedResponse } from '../../grants/common/grant.js';
 import { GrantOutcome } from '../../grants/common/grant.js';
 import type { IGrant, Selection, TargetSelector } from '../../grants/common/targetSelector.js';
 import type { RequestQuarantine } from '../../quarantine/common/requestQuarantine.js';
@@ -25,6 +25,13 @@
 /** Retry-After of a request that no target accepted, in ms: about the duration of one request. */
 const DEFAULT_RETRY_MS = 250;
 
+/** Outcomes that a partition between this node and the target causes too. */
+const PATH_DEPENDENT_OUTCOMES: ReadonlySet<GrantOutcome> = new Set([
+  GrantOutcome.Broken,
+  GrantOutcome.Stale,
+  GrantOutcome.TimedOut,
+]);
+
 /** Options of a {@link RequestRunner}. */
 export interface IRequestRunnerOptions extends IAttemptSenderOptions {
   readonly selector: TargetSelector;
@@ -84,6 +91,7 @@
       if (result.outcome === GrantOutcome.Succeeded && result.response !== undefined) {
         return makeTargetResponse(result.response, state.attempts);
       }
+      if (result.hasNoPath === true && !state.mayHaveRun) return this.refuseWithoutPath(state);
     }
     return this.makeFailure(request, state);
   }
@@ -198,7 +206,7 @@
     );
   }
 
-  /** Targets that this node can't reach, or whose notices exclude them. */
+  /** Targets that this node can't reach, neither directly nor through peers, or whose notices exclude them. */
   private listExcluded(service: string): readonly string[] {
     const { listTargets, notices, paths } = this.options;
     const notified = listTargets(service).filter((target) => notices.isExcluded(target));
@@ -207,9 +215,9 @@
 
   /** Targets with idle connections. The home prefers them, since they need no new handshake. */
   private listConnected(service: string): readonly string[] {
-    const { listTargets, transport } = this.options;
+    const { dispatcher, listTargets } = this.options;
     return listTargets(service)
-      .filter((target) => transport.hasIdleConnection(formatIncarnation(target), target.address))
+      .filter((target) => dispatcher.hasIdleConnection(target))
       .map(({ id }) => id);
   }
 
@@ -219,11 +227,12 @@
     state: IRunState,
     attempt: CancellableAttempt,
   ): Promise<IAttemptResult> {
-    const { clock } = this.options;
+    const { clock, dispatcher } = this.options;
     const startMs = clock.getMonotonicTime();
     const result = await this.sender.send(request, grant.target, {
       signal: attempt.signal,
       needsFreshConnection: grant.needsFreshConnection,
+      silenceMs: request.route.objectiveMs * HEDGE_DELAY_SHARE,
     });
     const latencyMs = clock.getMonotonicTime() - startMs;
     attempt.end();
@@ -231,7 +240,13 @@
     const isDraining = this.options.notices.isDraining(grant.target);
     const outcome = attempt.cancelOutcome ?? result.outcome;
     const { rateLimit } = result;
-    grant.report(outcome, latencyMs, { answerBytes, isDraining, rateLimit });
+    const report = { answerBytes, isDraining, rateLimit };
+    const mayBePathFault = result.relay === undefined && PATH_DEPENDENT_OUTCOMES.has(outcome);
+    if (mayBePathFault && dispatcher.canVerifyPath) {
+      void this.sendVerifiedReport(grant, outcome, startMs, report);
+    } else {
+      grant.report(outcome, latencyMs, report);
+    }
     if (attempt.cancelOutcome !== undefined) return result;
     this.recordPath(grant, result);
     state.tried.push(grant.target.id);
@@ -250,16 +265,38 @@
       latencyMs: Math.round(latencyMs),
       rateLimit: result.rateLimit,
       isConnectionReused: result.isConnectionReused,
+      relay: result.relay,
     });
     return result;
   }
 
+  /** Reports a failure once it is known whether it is evidence against the target or against this node's path. */
+  private async sendVerifiedReport(
+    grant: IGrant,
+    outcome: GrantOutcome,
+    startMs: number,
+    report: IReportedResponse,
+  ): Promise<void> {
+    const { clock, dispatcher } = this.options;
+    const latencyMs = clock.getMonotonicTime() - startMs;
+    const isPathFault = await dispatcher.isPathFault(grant.target, outcome, startMs);
+    grant.report(isPathFault ? GrantOutcome.Abandoned : outcome, latencyMs, report);
+  }
+
   private recordPath(grant: IGrant, result: IAttemptResult): void {
     const { paths } = this.options;
     if (result.outcome === GrantOutcome.Unreachable) paths.recordUnreachable(grant.target);
     if (result.response !== undefined) paths.recordReachable(grant.target.id);
   }
 
+  /** Further attempts would have no path either. Another node may serve the request immediately. */
+  private refuseWithoutPath({ attempts, lastResponse }: IRunState): IEntryResponse {
+    if (lastResponse !== undefined) return makeTargetResponse(lastResponse, attempts);
+    const retryAfterMs = DEFAULT_RETRY_MS;
+    const code = ResultCode.NoPathToTargets;
+    return makeLocalResponse({ code, runState: RunState.NotRun, attempts, retryAfterMs });
+  }
+
   private makeRefusal(state: IRunState, refusal: Refusal): IEntryResponse {
     if (state.lastResponse !== undefined)
       return makeTargetResponse(state.lastResponse, state.attempts);
--- /dev/null
+++ b/packages/dispatch/src/relay/common/relaySelector.ts
@@ -0,0 +1,82 @@
+/** Selects the peers through which a node without a path to the targets sends. */
+import type { Clock, RandomSource } from '@parsleymux/base';
+import type { IMember } from '../../directory/common/authority.js';
+import { RelayRefusal } from './relayTransport.js';
+
+/** How long a peer is not asked again after a refusal, in ms. */
+const PAUSES_MS: Readonly<Record<RelayRefusal, number>> = {
+  [RelayRefusal.NoPath]: 1000,
+  [RelayRefusal.Busy]: 200,
+  [RelayRefusal.Stopping]: 10_000,
+  [RelayRefusal.UnknownTarget]: 100,
+  [RelayRefusal.ExcludedTarget]: 0,
+  [RelayRefusal.Silent]: 2000,
+  [RelayRefusal.Unsupported]: 30_000,
+};
+/**
+ * Peers of the own failure domain that are paused when peers of all domains are asked: most or all of the
+ * domain may be partitioned together.
+ */
+const MAX_PAUSED_NEARBY = 2;
+
+/** Options of a {@link RelaySelector}. */
+export interface IRelaySelectorOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** Datagram address of this node. */
+  readonly self: string;
+  readonly failureDomain: string;
+  readonly listMembers: () => readonly IMember[];
+}
+
+/**
+ * Spreads relayed attempts over the peers by their capacity, within the node's own failure domain if possible.
+ *
+ * @example
+ * const peer = selector.pick(new Set());
+ */
+export class RelaySelector {
+  private readonly pausedUntilMs = new Map<string, number>();
+
+  constructor(private readonly options: IRelaySelectorOptions) {}
+
+  /** Picks a peer that is not among those already asked; undefined if there is none. */
+  pick(asked: ReadonlySet<string>): IMember | undefined {
+    const { clock, failureDomain, listMembers, self } = this.options;
+    const nowMs = clock.getMonotonicTime();
+    const isPaused = ({ address }: IMember) => (this.pausedUntilMs.get(address) ?? 0) > nowMs;
+    const peers = listMembers().filter((member) => {
+      return member.canRelay === true && member.address !== self && !asked.has(member.address);
+    });
+    const usable = peers.filter((peer) => !isPaused(peer));
+    const nearby = usable.filter((peer) => peer.failureDomain === failureDomain);
+    const pausedNearby = [...this.pausedUntilMs].filter(([address, untilMs]) => {
+      return untilMs > nowMs && this.isNearby(address);
+    });
+    const isDomainDoubtful = pausedNearby.length >= MAX_PAUSED_NEARBY;
+    return this.pickByCapacity(nearby.length > 0 && !isDomainDoubtful ? nearby : usable);
+  }
+
+  recordRefusal({ address }: IMember, reason: RelayRefusal): void {
+    const nowMs = this.options.clock.getMonotonicTime();
+    for (const [known, untilMs] of this.pausedUntilMs) {
+      if (untilMs < nowMs) this.pausedUntilMs.delete(known);
+    }
+    this.pausedUntilMs.set(address, nowMs + PAUSES_MS[reason]);
+  }
+
+  private isNearby(address: string): boolean {
+    const member = this.options.listMembers().find((known) => known.address === address);
+    return member?.failureDomain === this.options.failureDomain;
+  }
+
+  private pickByCapacity(members: readonly IMember[]): IMember | undefined {
+    const total = members.reduce((sum, { capacity }) => sum + capacity, 0);
+    let rest = this.options.random.getFloat() * total;
+    for (const member of members) {
+      rest -= member.capacity;
+      if (rest < 0) return member;
+    }
+    return members.at(-1);
+  }
+}
--- a/packages/lab/src/experiment/common/modelledNode.ts
+++ b/packages/lab/src/experiment/common/modelledNode.ts
@@ -21,6 +21,7 @@
   RequestQuarantine,
   RequestRunner,
   RetrySharing,
+  TargetDispatcher,
   TargetNotices,
 } from '@parsleymux/dispatch';
 import { LeavingSchema } from '@parsleymux/schema';
@@ -121,7 +122,7 @@
     this.runner = new RequestRunner({
       clock,
       selector,
-      transport: this.transport,
+      dispatcher: new TargetDispatcher({ clock, transport: this.transport }),
       quarantine,
       notices: new TargetNotices(clock),
       keys: new KeyChecker({
--- a/packages/routing/src/attempt/common/attemptOutcome.ts
+++ b/packages/routing/src/attempt/common/attemptOutcome.ts
@@ -79,6 +79,7 @@
 const CODES: Readonly<Record<TransportFailure, ResultCode>> = {
   [TransportFailure.Connect]: ResultCode.TargetUnreachable,
   [TransportFailure.NoConnection]: ResultCode.TargetUnreachable,
+  [TransportFailure.NoPath]: ResultCode.NoPathToTargets,
   [TransportFailure.Broken]: ResultCode.TargetFailed,
   [TransportFailure.Truncated]: ResultCode.AnswerTruncated,
   [TransportFailure.Timeout]: ResultCode.TargetTimeout,
--- a/packages/routing/src/transport/common/targetTransport.ts
+++ b/packages/routing/src/transport/common/targetTransport.ts
@@ -73,6 +73,8 @@
   TooLarge: 'too-large',
   /** The target's limit on connections leaves none for this node. */
   NoConnection: 'no-connection',
+  /** Neither this node nor a peer that it asked has a path to the target; nothing was sent. */
+  NoPath: 'no-path',
 } as const;
 
 export type TransportFailure = (typeof TransportFailure)[keyof typeof TransportFailure];
--- a/packages/routing/src/transport/node/httpTargetTransport.ts
+++ b/packages/routing/src/transport/node/httpTargetTransport.ts
@@ -13,6 +13,7 @@
 import { ConnectionPool } from './connectionPool.js';
 import { Exchange } from './exchange.js';
 import type { TargetConnection } from './targetConnection.js';
+import { openConnection } from './targetConnection.js';
 import type { TargetConnector } from './targetConnector.js';
 import { TcpTargetConnector } from './targetConnector.js';
 import { TransportMetrics } from './transportMetrics.js';
@@ -94,6 +95,32 @@
     this.pools.get(member)?.get(target)?.retire();
   }
 
+  /** Excludes all connections opened until now from further requests. */
+  retireAllConnections(): void {
+    for (const { pool } of this.listPools()) pool.retire();
+  }
+
+  /** Opens a connection to a target and closes it; resolves with whether it was opened in time. */
+  async tryConnect(target: string): Promise<boolean> {
+    const { connector } = this;
+    const timeout = new AbortController();
+    const limitMs = this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
+    const timer = this.clock.startTimer(limitMs, () => {
+      timeout.abort();
+    });
+    try {
+      const { signal } = timeout;
+      const connection = await openConnection({ target, connector, generation: 0, signal });
+      this.metrics.recordOpened();
+      connection.dispose();
+      return true;
+    } catch {
+      return false;
+    } finally {
+      void timer.dispose();
+    }
+  }
+
   override hasIdleConnection(member: string, target: string): boolean {
     return (this.pools.get(member)?.get(target)?.idleCount ?? 0) > 0;
   }
