--- a/packages/dispatch/src/relay/common/relaySelector.ts
+++ b/packages/dispatch/src/relay/common/relaySelector.ts
@@ -5,7 +5,7 @@
 
 /** How long a peer is not asked again after a refusal, in ms. */
 const PAUSES_MS: Readonly<Record<RelayRefusal, number>> = {
-  [RelayRefusal.NoPath]: 1000,
+  [RelayRefusal.NoPath]: 3000,
   [RelayRefusal.Busy]: 200,
   [RelayRefusal.Stopping]: 10_000,
   [RelayRefusal.UnknownTarget]: 100,
@@ -19,6 +19,11 @@
  */
 const MAX_PAUSED_NEARBY = 2;
 
+/** Time for which a peer that has served an attempt is preferred, in ms. */
+const SERVED_MEMORY_MS = 5000;
+/** Peers that have served recently from which only these are asked, so that one alone doesn't get all attempts. */
+const MIN_PROVEN = 3;
+
 /** Options of a {@link RelaySelector}. */
 export interface IRelaySelectorOptions {
   readonly clock: Clock;
@@ -37,6 +42,7 @@
  */
 export class RelaySelector {
   private readonly pausedUntilMs = new Map<string, number>();
+  private readonly servedMs = new Map<string, number>();
 
   constructor(private readonly options: IRelaySelectorOptions) {}
 
@@ -54,14 +60,24 @@
       return untilMs > nowMs && this.isNearby(address);
     });
     const isDomainDoubtful = pausedNearby.length >= MAX_PAUSED_NEARBY;
-    return this.pickByCapacity(nearby.length > 0 && !isDomainDoubtful ? nearby : usable);
+    const candidates = nearby.length > 0 && !isDomainDoubtful ? nearby : usable;
+    const proven = candidates.filter(({ address }) => {
+      return nowMs - (this.servedMs.get(address) ?? -Infinity) < SERVED_MEMORY_MS;
+    });
+    const minProven = asked.size > 0 ? 1 : MIN_PROVEN;
+    return this.pickByCapacity(proven.length >= minProven ? proven : candidates);
+  }
+
+  recordServed({ address }: IMember): void {
+    const nowMs = this.options.clock.getMonotonicTime();
+    removeOlder(this.servedMs, nowMs - SERVED_MEMORY_MS);
+    this.servedMs.set(address, nowMs);
   }
 
   recordRefusal({ address }: IMember, reason: RelayRefusal): void {
     const nowMs = this.options.clock.getMonotonicTime();
-    for (const [known, untilMs] of this.pausedUntilMs) {
-      if (untilMs < nowMs) this.pausedUntilMs.delete(known);
-    }
+    removeOlder(this.pausedUntilMs, nowMs);
+    this.servedMs.delete(address);
     this.pausedUntilMs.set(address, nowMs + PAUSES_MS[reason]);
   }
 
@@ -80,3 +96,7 @@
     return members.at(-1);
   }
 }
+
+function removeOlder(timesMs: Map<string, number>, oldestMs: number): void {
+  for (const [address, atMs] of timesMs) if (atMs < oldestMs) timesMs.delete(address);
+}
--- a/packages/dispatch/src/relay/common/targetDispatcher.ts
+++ b/packages/dispatch/src/relay/common/targetDispatcher.ts
@@ -15,8 +15,8 @@
 import type { RelayTransport } from './relayTransport.js';
 import { RelayRefusal, RelayRefusedError } from './relayTransport.js';
 
-/** Peers that are asked for one attempt; each may cost the time until it is considered silent. */
-const MAX_PEERS_ASKED = 4;
+/** Peers that are asked for one attempt: most refuse within a round trip. */
+const MAX_PEERS_ASKED = 8;
 
 /** The components that relaying needs. */
 export interface IRelayComponents {
@@ -150,7 +150,9 @@
       const targetTimeoutMs = Math.max(1, remainingMs - marginMs);
       const remaining = { ...request, timeoutMs: remainingMs, targetTimeoutMs };
       try {
-        return await relays.transport.send(peer.stateAddress, offer, remaining, options);
+        const response = await relays.transport.send(peer.stateAddress, offer, remaining, options);
+        relays.selector.recordServed(peer);
+        return response;
       } catch (error) {
         if (!(error instanceof RelayRefusedError)) throw error;
         relays.selector.recordRefusal(peer, error.reason);
--- a/packages/lab/src/experiment/common/experimentRun.ts
+++ b/packages/lab/src/experiment/common/experimentRun.ts
@@ -8,7 +8,7 @@
 import { FleetObserver } from './fleetObserver.js';
 import { sendRequest } from './modelledCaller.js';
 import { ModelledQuarantineStore } from './modelledQuarantineStore.js';
-import { ModelledFleet, formatNode } from './modelledFleet.js';
+import { ModelledFleet, formatNode, parseNodeIndex } from './modelledFleet.js';
 import { ModelledNetwork } from './modelledNetwork.js';
 import { ModelledNode } from './modelledNode.js';
 import { ModelledTarget } from './modelledTarget.js';
@@ -21,6 +21,8 @@
 /** Delay until nodes receive a changed list of targets, in ms. */
 const TARGET_LIST_DELAY_MS = 800;
 const MS_PER_S = 1000;
+/** Time from the beginning of a loss of paths from which its effect is measured, in ms. */
+const MEASURED_FROM_MS = 1000;
 /** Nodes run this long before the first caller, in ms: longer than their window of retries. */
 const WARM_UP_MS = 12_000;
 /** Time after the end of the load in which pending requests end, in ms. */
@@ -80,6 +82,7 @@
       clock,
       network: this.network,
       random: fork(),
+      formatDomain: (index) => this.formatDomain(index),
       createNode: (index, incarnation, fleet) => {
         return new ModelledNode({
           scenario,
@@ -94,6 +97,11 @@
           observer: this.observer,
           rankHomes: (service) => fleet.rankHomes(service, index),
           listMembers: () => fleet.listMembers(),
+          formatDomainOf: (address) => this.formatDomain(parseNodeIndex(address)),
+          findPeer: (address) => {
+            const node = fleet.findReachable(address);
+            return node && { handler: node.relayHandler, endSignal: node.endSignal };
+          },
           quarantineStore,
         });
       },
@@ -158,6 +166,7 @@
       connections: sum(transports.map(({ openedConnections }) => openedConnections)),
       crossDomainBytes: sum(transports.map(({ crossDomainBytes }) => crossDomainBytes)),
       crashedTargets: this.observer.countCrashes(),
+      pathLoss: this.observer.pathLoss.count(MEASURED_FROM_MS),
       failedRuns: sum(this.targets.map(({ failedMs }) => failedMs.length)),
       violations: this.observer
         .findViolations(this.targets.map((target) => target.toObserved()))
--- a/packages/lab/src/experiment/common/fleetObserver.ts
+++ b/packages/lab/src/experiment/common/fleetObserver.ts
@@ -1,4 +1,5 @@
 /** Checks limits of the whole fleet by what callers sent and what targets received. */
+import { PathLossChecker } from './pathLossChecker.js';
 import type { IScenario } from './scenario.js';
 import type { INodeArrival, INodeTargetPair, INoticeViolation } from './targetNoticeChecker.js';
 import { TargetNoticeChecker } from './targetNoticeChecker.js';
@@ -20,7 +21,7 @@
 
 /** A violation of one limit, for one service in one window. */
 export interface ILimitViolation {
-  readonly limit: 'retries' | 'floor' | 'crashes' | INoticeViolation['limit'];
+  readonly limit: 'retries' | 'floor' | 'crashes' | 'path' | INoticeViolation['limit'];
   readonly service: string;
   /** Start of the window, in ms of the run. */
   readonly atMs: number;
@@ -76,8 +77,10 @@
   private readonly arrived = new Set<string>();
   private readonly crashes = new Map<string, IObservedCrashes>();
   private readonly noticeChecker = new TargetNoticeChecker();
+  readonly pathLoss: PathLossChecker;
 
   constructor(private readonly scenario: IScenario) {
+    this.pathLoss = new PathLossChecker(scenario);
     for (const { name } of scenario.services) {
       this.services.set(name, { requests: [], arrivals: [] });
     }
@@ -159,7 +162,13 @@
         if (floor !== undefined) violations.push({ limit: 'floor', service, atMs, text: floor });
       }
     }
-    return [...violations, ...this.checkCrashes(), ...this.noticeChecker.violations];
+    const notices = this.noticeChecker.violations;
+    return [...violations, ...this.checkCrashes(), ...this.checkPathLoss(), ...notices];
+  }
+
+  private checkPathLoss(): readonly ILimitViolation[] {
+    const text = this.pathLoss.findViolation();
+    return text === undefined ? [] : [{ limit: 'path', service: 'all', atMs: 0, text }];
   }
 
   private checkCrashes(): readonly ILimitViolation[] {
--- a/packages/lab/src/experiment/common/modelledCaller.ts
+++ b/packages/lab/src/experiment/common/modelledCaller.ts
@@ -111,8 +111,11 @@
     deadlineMs: Math.min(endMs, nowMs + kind.timeoutMs),
   };
   try {
+    const isAffected = node.transport.hasLostPath;
     const response = await node.runner.run(request, node.endSignal);
-    if (response.status === OK) observer.recordServed(request.id);
+    const isServed = response.status === OK;
+    if (isServed) observer.recordServed(request.id);
+    if (attempt === 0) observer.pathLoss.recordFirstTry(nowMs, isAffected, isServed);
     return response;
   } catch (error) {
     if (node.endSignal.aborted) return NO_RESPONSE;
--- a/packages/lab/src/experiment/common/modelledFleet.ts
+++ b/packages/lab/src/experiment/common/modelledFleet.ts
@@ -6,6 +6,7 @@
 import type { ModelledNode } from './modelledNode.js';
 import type { ModelledTransport } from './modelledTransport.js';
 import type { IScenario, IScenarioEvent } from './scenario.js';
+import { PathLoss } from './scenario.js';
 
 /** Number of homes that are ranked for a service. */
 const RANKED_HOMES = 3;
@@ -18,6 +19,7 @@
 /** Time from the start of a process until it is registered and ready, in ms. */
 const START_MS = 700;
 const DEFAULT_BATCH_INTERVAL_MS = 1000;
+const NODE_PREFIX = 'node-';
 
 /** Options of a {@link ModelledFleet}. */
 export interface IModelledFleetOptions {
@@ -25,6 +27,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly network: ModelledNetwork;
+  /** Failure domain of a node. */
+  readonly formatDomain: (index: number) => string;
   /** Starts a process on a node. */
   readonly createNode: (index: number, incarnation: number, fleet: ModelledFleet) => ModelledNode;
 }
@@ -33,6 +37,7 @@
   node: ModelledNode;
   incarnation: number;
   isOpen: boolean;
+  pathLoss?: PathLoss | undefined;
   readonly membershipDelayMs: number;
 }
 
@@ -74,6 +79,7 @@
     for (const event of this.options.scenario.events) {
       if (event.kind === 'restart') this.planRestarts(event);
       if (event.kind === 'power-loss') this.planPowerLoss(event);
+      if (event.kind === 'path-loss') this.planPathLoss(event);
     }
   }
 
@@ -85,6 +91,12 @@
     });
   }
 
+  /** The node at an address, if it can be reached. */
+  findReachable(address: string): ModelledNode | undefined {
+    const isReachable = !this.options.network.isDisconnected(address);
+    return isReachable ? this.nodeStates[parseNodeIndex(address)]?.node : undefined;
+  }
+
   /** Transports of all processes, ended ones included. */
   listTransports(): readonly ModelledTransport[] {
     return this.transports;
@@ -139,6 +151,32 @@
     });
   }
 
+  /** The affected nodes keep the loss if they restart meanwhile. */
+  private planPathLoss(event: IScenarioEvent): void {
+    const { atMs, connections = PathLoss.Silent, failureDomain, forMs, share = 0 } = event;
+    const { clock, formatDomain, random } = this.options;
+    const inDomain = [...this.nodeStates.keys()].filter((index) => {
+      return failureDomain === undefined || formatDomain(index) === failureDomain;
+    });
+    const affected = inDomain
+      .map((index) => ({ index, key: random.getFloat() }))
+      .sort((left, right) => left.key - right.key)
+      .slice(0, Math.round(share * inDomain.length));
+    clock.startTimer(atMs, () => {
+      for (const { index } of affected) this.setPathLoss(index, connections);
+    });
+    clock.startTimer(atMs + forMs, () => {
+      for (const { index } of affected) this.setPathLoss(index, undefined);
+    });
+  }
+
+  private setPathLoss(index: number, connections: PathLoss | undefined): void {
+    const state = this.nodeStates[index];
+    if (state === undefined) return;
+    state.pathLoss = connections;
+    state.node.transport.setPathLoss(connections);
+  }
+
   private runRestart(index: number, forMs: number): void {
     const { clock } = this.options;
     const state = this.nodeStates[index];
@@ -171,6 +209,7 @@
       network.setDisconnected(formatNode(index), false);
       state.node = createNode(index, state.incarnation, this);
       this.transports.push(state.node.transport);
+      state.node.transport.setPathLoss(state.pathLoss);
       state.node.setTargets(this.records);
       clock.startTimer(START_MS, () => {
         state.isOpen = true;
@@ -194,5 +233,10 @@
 
 /** Formats the address of a node of an experiment. */
 export function formatNode(index: number): string {
-  return `node-${index}`;
+  return `${NODE_PREFIX}${index}`;
+}
+
+/** Parses the number of a node from its address. */
+export function parseNodeIndex(address: string): number {
+  return Number(address.slice(NODE_PREFIX.length));
 }
--- a/packages/lab/src/experiment/common/modelledNode.ts
+++ b/packages/lab/src/experiment/common/modelledNode.ts
@@ -1,10 +1,12 @@
 /** One node of an experiment: the real entry, home and grant protocol on simulated time. */
 import type { Clock, Logger, RandomSource } from '@parsleymux/base';
+import { SeededRandom } from '@parsleymux/base';
 import { create } from '@bufbuild/protobuf';
 import type {
   QuarantineStore,
   DatagramChannel,
   GrantPolicy,
+  IMember,
   ITargetRecord,
 } from '@parsleymux/dispatch';
 import {
@@ -17,7 +19,10 @@
   KeyChecker,
   NodeDirectory,
   PathHealth,
+  PathMonitor,
   QuarantineSharing,
+  RelayHandler,
+  RelaySelector,
   RequestQuarantine,
   RequestRunner,
   RetrySharing,
@@ -27,6 +32,8 @@
 import { LeavingSchema } from '@parsleymux/schema';
 import type { FleetObserver } from './fleetObserver.js';
 import type { ModelledTarget } from './modelledTarget.js';
+import type { IModelledPeer } from './modelledRelayTransport.js';
+import { ModelledRelayTransport } from './modelledRelayTransport.js';
 import { ModelledTransport } from './modelledTransport.js';
 import type { IScenario } from './scenario.js';
 
@@ -45,6 +52,8 @@
   readonly observer: FleetObserver;
   readonly rankHomes: (service: string) => readonly string[];
   readonly listMembers: () => readonly string[];
+  readonly formatDomainOf: (address: string) => string;
+  readonly findPeer: (address: string) => IModelledPeer | undefined;
   readonly quarantineStore: QuarantineStore;
 }
 
@@ -52,12 +61,16 @@
 export class ModelledNode {
   readonly runner: RequestRunner;
   readonly transport: ModelledTransport;
+  /** Sends attempts for other nodes. */
+  readonly relayHandler: RelayHandler;
   private readonly homes: HomeService;
   private readonly healthSharing: HealthSharing;
   private readonly retrySharing: RetrySharing;
   private readonly quarantineSharing: QuarantineSharing;
   private readonly quarantinePersister: QuarantinePersister;
+  private readonly monitor: PathMonitor;
   private readonly end = new AbortController();
+  private isStopping = false;
   private targetsById = new Map<string, ITargetRecord>();
 
   constructor(private readonly options: IModelledNodeOptions) {
@@ -119,18 +132,60 @@
       if (body.case === 'retryUse') retrySharing.handleRetryUse(body.value);
       if (body.case === 'quarantine') sharing.handleQuarantine(body.value);
     });
+    const notices = new TargetNotices(clock);
+    const paths = new PathHealth(clock, findTarget);
+    // Its own generator, so that checks of paths don't change the draws of the transport.
+    const random = new SeededRandom(incarnation);
+    const { transport } = this;
+    this.monitor = new PathMonitor({
+      clock,
+      log,
+      random,
+      listTargets: () => [...this.targetsById.values()].filter(({ isDraining }) => !isDraining),
+      tryConnect: ({ address }) => transport.tryConnect(address),
+    });
+    this.monitor.onDidLose(() => {
+      transport.retireAllConnections();
+      paths.clear();
+    });
+    this.relayHandler = new RelayHandler({
+      clock,
+      log,
+      notices,
+      transport,
+      findTarget,
+      monitor: this.monitor,
+      isAuthentic: () => true,
+      isStopping: () => this.isStopping,
+    });
+    const relays = {
+      monitor: this.monitor,
+      selector: new RelaySelector({
+        clock,
+        failureDomain,
+        random,
+        self: channel.address,
+        listMembers: () => options.listMembers().map((address) => this.makeMember(address)),
+      }),
+      transport: new ModelledRelayTransport({
+        clock,
+        self: channel.address,
+        delayMs: scenario.datagramMs,
+        findPeer: options.findPeer,
+      }),
+    };
     this.runner = new RequestRunner({
       clock,
       selector,
-      dispatcher: new TargetDispatcher({ clock, transport: this.transport }),
+      dispatcher: new TargetDispatcher({ clock, transport, relays }),
       quarantine,
-      notices: new TargetNotices(clock),
+      notices,
       keys: new KeyChecker({
         clock,
         directory: new NodeDirectory(clock),
         getBounds: () => DEFAULT_TENANT_BOUNDS,
       }),
-      paths: new PathHealth(clock, findTarget),
+      paths,
       failureDomain,
       listTargets: (service) => homes.listTargets(service),
       isAuthentic: () => true,
@@ -160,6 +215,7 @@
   /** Notifies all members that this node accepts no more grant requests. */
   announceShutdown(members: readonly string[]): void {
     const { channel } = this.options;
+    this.isStopping = true;
     this.retrySharing.announce();
     const value = create(LeavingSchema);
     for (const address of members) {
@@ -167,6 +223,18 @@
     }
   }
 
+  private makeMember(address: string): IMember {
+    const failureDomain = this.options.formatDomainOf(address);
+    return {
+      address,
+      failureDomain,
+      stateAddress: address,
+      incarnation: 1,
+      capacity: 1,
+      canRelay: true,
+    };
+  }
+
   setTargets(records: readonly ITargetRecord[]): void {
     this.targetsById = new Map(records.map((record) => [record.id, record]));
     this.homes.setTargets(records);
@@ -174,6 +242,7 @@
 
   /** Ends the process. */
   dispose(): void {
+    this.monitor.dispose();
     this.end.abort(new Error('the process has ended'));
     this.healthSharing.dispose();
     this.retrySharing.dispose();
--- a/packages/lab/src/experiment/common/modelledTransport.ts
+++ b/packages/lab/src/experiment/common/modelledTransport.ts
@@ -4,6 +4,7 @@
 import { TargetTransport, TransportError, TransportFailure } from '@parsleymux/routing';
 import type { FleetObserver } from './fleetObserver.js';
 import type { ICrashingRequest } from './scenario.js';
+import { PathLoss } from './scenario.js';
 import type { IModelledResponse, ModelledTarget } from './modelledTarget.js';
 
 /** Header that carries the request's identifier. */
@@ -20,6 +21,8 @@
 const OK = 200;
 const MS_PER_S = 1000;
 const CONNECT_MS = 1;
+/** Time after which a connection that hangs has failed, in ms. */
+const CONNECT_TIMEOUT_MS = 250;
 const ONE_WAY_DELAY_MS = 0.5;
 /** Idle connections are reused within this time, in ms; targets close them a little later. */
 const IDLE_TIMEOUT_MS = 8500;
@@ -44,6 +47,9 @@
   crossDomainBytes = 0;
   private readonly idle = new Map<string, number[]>();
   private readonly startedMs: number;
+  private pathLoss: PathLoss | undefined;
+  /** Fails the exchanges that are running. */
+  private readonly running = new Set<() => void>();
 
   constructor(private readonly options: IModelledTransportOptions) {
     super();
@@ -59,8 +65,8 @@
       throw makeError(TransportFailure.Connect, false);
     }
     if (options.freshConnection === true || !this.takeIdle(request.target)) {
-      this.openedConnections += 1;
-      await clock.sleep(CONNECT_MS);
+      if (!(await this.tryConnect(request.target)))
+        throw makeError(TransportFailure.Connect, false);
     }
     const startMs = clock.getMonotonicTime();
     const { draining, notRun, rateLimit, status, waitMs } = await this.runExchange(
@@ -77,6 +83,33 @@
     return { status, notRun, latencyMs, body, headers, draining, rateLimit };
   }
 
+  /** Whether the node has lost its path to all targets. */
+  get hasLostPath(): boolean {
+    return this.pathLoss !== undefined;
+  }
+
+  /** Starts a loss of the path to all targets, or ends it if `pathLoss` is undefined. */
+  setPathLoss(pathLoss: PathLoss | undefined): void {
+    this.pathLoss = pathLoss;
+    if (pathLoss !== PathLoss.Reset) return;
+    this.idle.clear();
+    for (const fail of [...this.running]) fail();
+  }
+
+  /** Opens a connection; resolves with whether it succeeded. */
+  async tryConnect(targetId: string): Promise<boolean> {
+    const { clock, targets } = this.options;
+    if (targets.get(targetId)?.isDown() !== false) return false;
+    this.openedConnections += 1;
+    const { pathLoss } = this;
+    await clock.sleep(pathLoss === PathLoss.Silent ? CONNECT_TIMEOUT_MS : CONNECT_MS);
+    return pathLoss === undefined;
+  }
+
+  retireAllConnections(): void {
+    this.idle.clear();
+  }
+
   override retireConnections(_member: string, target: string): void {
     this.idle.delete(target);
   }
@@ -110,8 +143,13 @@
         void job?.dispose();
         void timeout.dispose();
         signal.removeEventListener('abort', onAbort);
+        this.running.delete(onReset);
         reject(makeError(failure, true));
       };
+      const onReset = (): void => {
+        fail(TransportFailure.Broken);
+      };
+      this.running.add(onReset);
       const onAbort = (): void => {
         fail(TransportFailure.Cancelled);
       };
@@ -120,7 +158,7 @@
       });
       signal.addEventListener('abort', onAbort, { once: true });
       clock.startTimer(ONE_WAY_DELAY_MS, () => {
-        if (signal.aborted) return;
+        if (signal.aborted || this.pathLoss === PathLoss.Silent) return;
         const nowMs = clock.getMonotonicTime();
         observer.recordArrival(service.name, requestId, targetId, nowMs);
         const incarnation = `${targetId}/${target.incarnation}`;
@@ -139,6 +177,8 @@
           crash,
           respond: (response) => {
             clock.startTimer(ONE_WAY_DELAY_MS, () => {
+              if (this.pathLoss === PathLoss.Silent) return;
+              this.running.delete(onReset);
               void timeout.dispose();
               signal.removeEventListener('abort', onAbort);
               const pair = { node, target: incarnation, atMs: clock.getMonotonicTime() };
--- a/packages/lab/src/experiment/common/runRecorder.ts
+++ b/packages/lab/src/experiment/common/runRecorder.ts
@@ -1,5 +1,6 @@
 /** Records the outcomes of requests in one run, and its costs. */
 import type { ILimitViolation } from './fleetObserver.js';
+import type { IPathLossCounts } from './pathLossChecker.js';
 import type { IRequestKind } from './scenario.js';
 
 /** Length of the windows that are searched for the worst credit, in ms. */
@@ -49,6 +50,8 @@
   readonly heldBack: number;
   /** Violations of limits that apply to all nodes together. */
   readonly violations: readonly ILimitViolation[];
+  /** First tries while some nodes had no path to the targets, from 1 s after the loss. */
+  readonly pathLoss: IPathLossCounts;
   /** Share of the requests of each kind with each outcome. */
   readonly kinds: Readonly<Record<string, Readonly<Record<RequestOutcome, number>>>>;
 }
@@ -66,6 +69,7 @@
   readonly crashedTargets: number;
   readonly failedRuns: number;
   readonly violations: readonly ILimitViolation[];
+  readonly pathLoss: IPathLossCounts;
 }
 
 /**
@@ -113,6 +117,7 @@
       crashedTargets: costs.crashedTargets,
       heldBack: this.heldBack,
       violations: costs.violations,
+      pathLoss: costs.pathLoss,
       kinds: Object.fromEntries(
         kinds.map((group) => [group[0]?.kind.name ?? '', computeShares(group)]),
       ),
--- a/packages/lab/src/experiment/common/scenario.ts
+++ b/packages/lab/src/experiment/common/scenario.ts
@@ -73,6 +73,18 @@
   readonly gray: IGrayEpochs;
 }
 
+/** How the loss of a node's path to the targets affects its connections. */
+export const PathLoss = {
+  /** Open connections and new ones hang. */
+  Silent: 'silent',
+  /** Open connections are reset, and new ones are refused. */
+  Reset: 'reset',
+  /** Open connections work, and new ones are refused. */
+  RefusesNew: 'refuses-new',
+} as const;
+
+export type PathLoss = (typeof PathLoss)[keyof typeof PathLoss];
+
 /** An event that lasts for some time. */
 export interface IScenarioEvent {
   readonly kind:
@@ -92,6 +104,8 @@
     | 'home-loss'
     /** Nodes stop and start again, one batch every `gapMs`. */
     | 'restart'
+    /** Nodes lose their path to all targets, in the way that `connections` names. */
+    | 'path-loss'
     /** All nodes lose power at the same time and start again after `forMs`. */
     | 'power-loss';
   readonly atMs: number;
@@ -104,6 +118,10 @@
   readonly waitMs?: number;
   /** For `limit`: requests per second that each target accepts from all nodes together. */
   readonly ratePerS?: number;
+  /** For `path-loss`: what becomes of connections. Default: silent. */
+  readonly connections?: PathLoss;
+  /** For `path-loss`: the failure domain whose nodes are affected. Default: all. */
+  readonly failureDomain?: string;
   /** Number of nodes in one batch of restarts. Default 1. */
   readonly batch?: number;
   /** Interval between two batches, in ms. Default 1,000. */
