Send the attempts after a failed connection through a peer

A node that reaches some targets but not most has no lost path by the monitor's count, and a request there still spent 250 ms on each of up to four connections. Now only the first attempt of a request may cost a connect timeout, and targets that the node can't reach are no longer avoided when they are most of their service, since the few others then got more than they could serve.

--- a/packages/dispatch/src/entry/common/attemptSender.ts
+++ b/packages/dispatch/src/entry/common/attemptSender.ts
@@ -41,6 +41,8 @@
   readonly needsFreshConnection: boolean;
   /** Time without any response after which the path to the targets is checked, in ms. */
   readonly silenceMs: number;
+  /** Whether a peer is tried first, because connections of this node have failed. */
+  readonly prefersPeer: boolean;
 }
 
 /**
@@ -55,7 +57,7 @@
   async send(
     request: IEntryRequest,
     target: ITargetRecord,
-    { needsFreshConnection: freshConnection, signal, silenceMs }: ISendAttemptOptions,
+    { needsFreshConnection: freshConnection, prefersPeer, signal, silenceMs }: ISendAttemptOptions,
   ): Promise<IAttemptResult> {
     const { clock, dispatcher, isAuthentic, keys, listTargetHeaders, notices } = this.options;
     // While the grant waited in a queue, the target may have reported that it is draining or overloaded.
@@ -79,6 +81,7 @@
         },
         {
           signal,
+          prefersPeer,
           silenceMs,
           freshConnection,
           requestId: request.id,
--- a/packages/dispatch/src/entry/common/pathHealth.ts
+++ b/packages/dispatch/src/entry/common/pathHealth.ts
@@ -46,6 +46,12 @@
     this.unreachable.clear();
   }
 
+  /** Whether the last connection to the target failed recently. */
+  isUnreachable(targetId: string): boolean {
+    const path = this.unreachable.get(targetId);
+    return path !== undefined && this.clock.getMonotonicTime() < path.untilMs;
+  }
+
   listUnreachable(): readonly string[] {
     const nowMs = this.clock.getMonotonicTime();
     const oldestMs = nowMs - MAX_PAUSE_MS;
--- a/packages/dispatch/src/entry/common/requestRunner.ts
+++ b/packages/dispatch/src/entry/common/requestRunner.ts
@@ -25,6 +25,8 @@
 /** Retry-After of a request that no target accepted, in ms: about the duration of one request. */
 const DEFAULT_RETRY_MS = 250;
 
+/** Share of a service's targets up to which those that this node can't reach are avoided. */
+const MAX_AVOIDED_SHARE = 0.5;
 /** Outcomes that a partition between this node and the target causes too. */
 const PATH_DEPENDENT_OUTCOMES: ReadonlySet<GrantOutcome> = new Set([
   GrantOutcome.Broken,
@@ -49,6 +51,8 @@
   readonly tried: string[];
   sent: number;
   unsent: number;
+  /** Whether a connection of this node failed; a further one may cost another connect timeout. */
+  hasFailedToConnect: boolean;
   mayHaveRun: boolean;
   /** Whether any attempt reached a target. */
   hasReachedTarget: boolean;
@@ -78,6 +82,7 @@
       tried: [],
       sent: 0,
       unsent: 0,
+      hasFailedToConnect: false,
       mayHaveRun: false,
       hasReachedTarget: false,
       lastResponse: undefined,
@@ -206,11 +211,23 @@
     );
   }
 
-  /** Targets that this node can't reach, neither directly nor through peers, or whose notices exclude them. */
+  /** Targets that must not be granted, because of this node's paths or of their notices. */
   private listExcluded(service: string): readonly string[] {
-    const { listTargets, notices, paths } = this.options;
+    const { listTargets, notices } = this.options;
     const notified = listTargets(service).filter((target) => notices.isExcluded(target));
-    return [...paths.listUnreachable(), ...notified.map(({ id }) => id)];
+    return [...this.listAvoided(service), ...notified.map(({ id }) => id)];
+  }
+
+  /**
+   * Targets that this node can't reach. If they are most of the service's, the attempts are sent through peers
+   * instead: the others would receive more than they can serve.
+   */
+  private listAvoided(service: string): readonly string[] {
+    const unreachable = this.options.paths.listUnreachable();
+    if (unreachable.length === 0) return [];
+    const ids = new Set(this.options.listTargets(service).map(({ id }) => id));
+    const ofService = unreachable.filter((id) => ids.has(id));
+    return ofService.length > ids.size * MAX_AVOIDED_SHARE ? [] : unreachable;
   }
 
   /** Targets with idle connections. The home prefers them, since they need no new handshake. */
@@ -233,6 +250,7 @@
       signal: attempt.signal,
       needsFreshConnection: grant.needsFreshConnection,
       silenceMs: request.route.objectiveMs * HEDGE_DELAY_SHARE,
+      prefersPeer: state.hasFailedToConnect || this.options.paths.isUnreachable(grant.target.id),
     });
     const latencyMs = clock.getMonotonicTime() - startMs;
     attempt.end();
@@ -253,6 +271,7 @@
     // A shed request has reached the target, so it counts as sent although it has not run.
     if (result.mayHaveRun || result.outcome === GrantOutcome.Shed) state.sent += 1;
     else state.unsent += 1;
+    state.hasFailedToConnect ||= result.outcome === GrantOutcome.Unreachable;
     state.mayHaveRun ||= result.mayHaveRun;
     state.hasReachedTarget ||= hasReachedTarget(result);
     state.lastResponse = result.response ?? state.lastResponse;
--- a/packages/dispatch/src/relay/common/targetDispatcher.test.ts
+++ b/packages/dispatch/src/relay/common/targetDispatcher.test.ts
@@ -9,6 +9,7 @@
 import { RelaySelector } from './relaySelector.js';
 import { RelayRefusal, RelayRefusedError, RelayTransport } from './relayTransport.js';
 import type { IRelayOffer } from './relayTransport.js';
+import type { IDispatchOptions } from './targetDispatcher.js';
 import { TargetDispatcher } from './targetDispatcher.js';
 
 const TARGETS = ['t1', 't2', 't3'].map((id) => makeTarget(id));
@@ -88,7 +89,8 @@
 interface IFixture {
   readonly clock: ManualClock;
   readonly relays: ScriptedRelays;
-  readonly send: () => Promise<ITargetResponse>;
+  readonly transport: PartitionedTransport;
+  readonly send: (options?: Partial<IDispatchOptions>) => Promise<ITargetResponse>;
 }
 
 function makeFixture(
@@ -115,16 +117,18 @@
   const relays = new ScriptedRelays(errors);
   const components = { monitor, selector, transport: relays };
   const dispatcher = new TargetDispatcher({ clock, transport, relays: components });
-  const send = () => {
+  const send = (options: Partial<IDispatchOptions> = {}) => {
     return dispatcher.send(TARGETS[0]!, REQUEST, {
       requestId: 'q1',
       isIdempotent: false,
+      prefersPeer: false,
       silenceMs: 600,
       signal: new AbortController().signal,
       maxResponseBytes: 1000,
+      ...options,
     });
   };
-  return { clock, relays, send };
+  return { clock, relays, send, transport };
 }
 
 test('an attempt that can not be sent directly is sent to the granted target through a peer', async () => {
@@ -193,3 +197,17 @@
   const small = relays.asked.filter((peer) => peer === 'small').length;
   assert.ok(small > 5 && small < 40, `${small} of 120`);
 });
+
+test('an attempt after a failed connection is sent through a peer without trying a connection again', async () => {
+  // Guards against requests that spend their time on one connect timeout after the other.
+  const { relays, send, transport } = makeFixture([makePeer('p1')]);
+  assert.equal((await send({ prefersPeer: true })).status, 200);
+  assert.deepEqual(relays.asked, ['p1']);
+  assert.equal(transport.sent, 0);
+});
+
+test('an attempt for which a peer is preferred is sent directly if no peer has a path', async () => {
+  const { send, transport } = makeFixture([]);
+  await assert.rejects(send({ prefersPeer: true }), { mayHaveRun: false });
+  assert.equal(transport.sent, 1);
+});
--- a/packages/dispatch/src/relay/common/targetDispatcher.ts
+++ b/packages/dispatch/src/relay/common/targetDispatcher.ts
@@ -38,6 +38,8 @@
   /** The caller's identifier of the request, for logs. */
   readonly requestId: string;
   readonly isIdempotent: boolean;
+  /** Whether a peer is tried first, because connections of this node have failed. */
+  readonly prefersPeer: boolean;
   /** Time without any response after which the path is checked, in ms. */
   readonly silenceMs: number;
   /** Called before a peer is asked to send the attempt; the last one called may have sent it. */
@@ -97,6 +99,13 @@
     if (relays === undefined) return this.options.transport.send(request, options);
     const endMs = clock.getMonotonicTime() + request.timeoutMs;
     if (!relays.monitor.hasPath(target)) return this.sendByPeer(target, request, options, endMs);
+    if (options.prefersPeer && !options.signal.aborted) {
+      try {
+        return await this.sendByPeer(target, request, options, endMs);
+      } catch (error) {
+        if (!isNoPath(error)) throw error;
+      }
+    }
     try {
       return await this.sendDirectly(target, request, options, relays);
     } catch (error) {
@@ -165,6 +174,10 @@
   }
 }
 
+function isNoPath(error: unknown): boolean {
+  return error instanceof TransportError && error.failure === TransportFailure.NoPath;
+}
+
 function makeUnsentError(failure: TransportFailure, cause?: unknown): TransportError {
   return new TransportError({ failure, mayHaveRun: false, reusedConnection: false, cause });
 }
