Inject losses of nodes' paths to all targets in the soak, and test them in simulation

The soak cuts up to all but two nodes off from the targets, by a module that nodes load first and that SIGUSR2 toggles: connections hang, are reset, or live on while new ones are refused. It checks first tries by the users' rule.

--- a/packages/dispatch/src/app/node/relayComponents.ts
+++ b/packages/dispatch/src/app/node/relayComponents.ts
@@ -65,7 +65,10 @@
       notices: this.notices,
       findTarget: (id) => directory.targets.get(id),
     });
-    this.peers = new HttpRelayTransport({ clock });
+    this.peers = new HttpRelayTransport({
+      clock,
+      localAddress: parseEndpoint(options.self).host,
+    });
     const listMembers = () => directory.members.listValues();
     const selector = new RelaySelector({ ...options, listMembers });
     const relays = { selector, monitor: this.monitor, transport: this.peers };
--- a/packages/dispatch/src/relay/node/httpRelayTransport.ts
+++ b/packages/dispatch/src/relay/node/httpRelayTransport.ts
@@ -28,6 +28,8 @@
 /** Options of an {@link HttpRelayTransport}. */
 export interface IHttpRelayTransportOptions {
   readonly clock: Clock;
+  /** IP address of this node, by which peers recognize a member. Default: chosen by the system. */
+  readonly localAddress?: string;
 }
 
 /**
@@ -52,6 +54,7 @@
   ): Promise<ITargetResponse> {
     const exchange = new RelayExchange(this.options.clock, request, options);
     const { host, port } = parseEndpoint(peer);
+    const { localAddress } = this.options;
     return exchange.run(
       requestHttp({
         host,
@@ -59,6 +62,7 @@
         path: RELAY_PATH,
         method: 'POST',
         agent: this.agent,
+        ...(localAddress === undefined ? {} : { localAddress }),
         headers: {
           expect: '100-continue',
           'transfer-encoding': 'chunked',
--- a/packages/lab/src/experiment/common/fleetObserver.test.ts
+++ b/packages/lab/src/experiment/common/fleetObserver.test.ts
@@ -14,6 +14,7 @@
     retryWindowMs: WINDOW_MS,
     floorShare: 0.7,
     services: [{ name: 'booking' }],
+    events: [],
   };
   return new FleetObserver(scenario as unknown as IScenario);
 }
--- a/packages/lab/src/experiment/common/requestLimits.test.ts
+++ b/packages/lab/src/experiment/common/requestLimits.test.ts
@@ -2,6 +2,9 @@
 import { test } from 'node:test';
 import { listViolations, runScenario } from '../test/scenarioRuns.js';
 
+/** Share served at nodes without a path from 1 s after the loss, relative to the others. */
+const MIN_RELATIVE_SERVED = 0.95;
+
 test('a request that crashes targets is quarantined before it takes down the service', async () => {
   // Guards against a poison request that keeps half of a service's targets down. The entry retries it at a
   // second target, and its caller repeats it at another node. Without a record per fingerprint each copy
@@ -47,3 +50,16 @@
   // Guards against a new home that lacks the limit or the count of requests granted before it took over.
   assert.deepEqual(await listViolations('named-limits', 'rate', [1, 2]), []);
 });
+
+for (const scenario of ['path-loss', 'path-loss-domain', 'path-loss-most']) {
+  test(`callers of nodes without a path to the targets are served like those of the others: ${scenario}`, async () => {
+    // Guards against nodes that refuse their callers while their peers have a path to the targets.
+    for (const seed of [1, 2]) {
+      const { pathLoss, violations } = await runScenario(scenario, seed);
+      const affected = pathLoss.affectedServed / pathLoss.affected;
+      const others = pathLoss.othersServed / pathLoss.others;
+      assert.ok(affected >= MIN_RELATIVE_SERVED * others, `seed ${seed}: ${affected}, ${others}`);
+      assert.deepEqual(violations, []);
+    }
+  });
+}
--- a/packages/lab/src/soak/common/boundChecks.ts
+++ b/packages/lab/src/soak/common/boundChecks.ts
@@ -3,7 +3,7 @@
  * is not overloaded.
  */
 import type { Findings } from '../../prove/common/findings.js';
-import { STORE_SCOPE, formatLinkScope } from './disturbanceLog.js';
+import { STORE_SCOPE, formatLinkScope, formatPathScope } from './disturbanceLog.js';
 import type { ISoakEvidence } from './soakEvidence.js';
 import type { ISoakRequestRecord } from './soakLedger.js';
 import { ROUTE_TIMEOUT_S, SOAK_BOUNDS } from './soakLayout.js';
@@ -14,11 +14,19 @@
 const TIMEOUT_SLACK_MS = 500;
 /** How long after its caller disconnected a request may still arrive or run at a target, in ms. */
 const DISCONNECT_SLACK_MS = 500;
+/** Time from the beginning of a path loss from which its nodes must serve, in ms. */
+const PATH_LOSS_SETTLE_MS = 3000;
+/** First tries that may fail at nodes without a path, and the share of all first tries in addition. */
+const MAX_FAILED_TRIES = 10;
+const MAX_FAILED_TRY_SHARE = 1 / 50;
+/** Lowest share served at nodes without a path, relative to the others. */
+const MIN_RELATIVE_SERVED = 2 / 3;
 
 export function checkBounds(evidence: ISoakEvidence, findings: Findings): void {
   const records = evidence.ledger.listRequestRecords();
   checkDrains(evidence, findings);
   checkConfigApplied(evidence, findings);
+  checkPathLosses(evidence, findings);
   for (const record of records) {
     checkPlannedStop(record, evidence, findings);
     checkTimeout(record, evidence, findings);
@@ -26,6 +34,43 @@
   }
 }
 
+/**
+ * Compares the first tries at nodes without a path with those at the others, from some seconds after the
+ * loss began. The callers of the soak don't retry, so each of their requests is a first try.
+ */
+function checkPathLosses(
+  { disturbances, ledger, pathLosses }: ISoakEvidence,
+  findings: Findings,
+): void {
+  const counts = { affected: 0, affectedServed: 0, others: 0, othersServed: 0 };
+  for (const { reply, request } of ledger.listRequestRecords()) {
+    const isCounted = request.kind === 'booking' || request.kind === 'list';
+    if (!isCounted || reply === undefined || reply.hasDisconnected) continue;
+    const loss = pathLosses.find(({ endMs = Infinity, startMs }) => {
+      return request.sentMs >= startMs + PATH_LOSS_SETTLE_MS && request.sentMs < endMs;
+    });
+    if (loss === undefined) continue;
+    if (!disturbances.isUndisturbed([request.node, STORE_SCOPE], loss.startMs, reply.endMs))
+      continue;
+    const isServed = reply.status === 200 ? 1 : 0;
+    if (loss.nodes.includes(request.node)) {
+      counts.affected += 1;
+      counts.affectedServed += isServed;
+    } else {
+      counts.others += 1;
+      counts.othersServed += isServed;
+    }
+  }
+  const { affected, affectedServed, others, othersServed } = counts;
+  if (affected === 0 || others === 0) return;
+  const failed = affected - affectedServed;
+  const isFailing = failed > MAX_FAILED_TRIES + MAX_FAILED_TRY_SHARE * (affected + others);
+  const isWorse = affectedServed * others < MIN_RELATIVE_SERVED * othersServed * affected;
+  findings.check('nodes without a path serve their callers', !(isFailing && isWorse), () => {
+    return `they served ${affectedServed} of ${affected} first tries, the others ${othersServed} of ${others}`;
+  });
+}
+
 function checkConfigApplied(evidence: ISoakEvidence, findings: Findings): void {
   const { disturbances, probes, versions } = evidence;
   for (const probe of probes) {
@@ -108,7 +153,10 @@
   const isLate = arrivals.some(({ atMs }) => atMs > limitMs);
   const describe = () => describeRequestRecord(record);
   findings.check('requests of callers that left go no further', !isLate, describe);
-  const links = arrivals.map(({ target }) => formatLinkScope(target));
+  const links = [
+    formatPathScope(request.node),
+    ...arrivals.map(({ target }) => formatLinkScope(target)),
+  ];
   if (!evidence.disturbances.isUndisturbed(links, request.sentMs, limitMs)) return;
   const isStillRunning = arrivals.some(({ workEndMs }) => (workEndMs ?? Infinity) > limitMs);
   findings.check('targets drop the work of callers that left', !isStillRunning, describe);
--- a/packages/lab/src/soak/common/checks.test.ts
+++ b/packages/lab/src/soak/common/checks.test.ts
@@ -64,6 +64,7 @@
     crashes: [],
     drains: [],
     plannedStops: [],
+    pathLosses: [],
     probes: [],
     versions: [],
     ...given.evidence,
@@ -162,7 +163,14 @@
   }
   const findings = new Findings();
   const disturbances = new DisturbanceLog();
-  const rest = { crashes: [], drains: [], plannedStops: [], probes: [], versions: [] };
+  const rest = {
+    crashes: [],
+    drains: [],
+    plannedStops: [],
+    pathLosses: [],
+    probes: [],
+    versions: [],
+  };
   checkSafety({ ledger, disturbances, ...rest }, findings);
   const budgetCheck = findings.list().find(({ name }) => name === 'repeats stay within the budget');
   assert.ok((budgetCheck?.violations ?? 0) > 0);
--- a/packages/lab/src/soak/common/disturbanceLog.ts
+++ b/packages/lab/src/soak/common/disturbanceLog.ts
@@ -17,6 +17,11 @@
   return `link of ${target}`;
 }
 
+/** Scope of the path from a node to all targets. Their work may go on after its callers have left. */
+export function formatPathScope(node: string): string {
+  return `path of ${node}`;
+}
+
 /**
  * Intervals of faults by scope, such as a node, a target or the store.
  *
--- a/packages/lab/src/soak/common/soakEvidence.ts
+++ b/packages/lab/src/soak/common/soakEvidence.ts
@@ -38,6 +38,14 @@
   readonly atMs: number;
 }
 
+/** A period in which nodes had no path to any target. */
+export interface IPathLoss {
+  readonly nodes: readonly string[];
+  readonly startMs: number;
+  /** Undefined until it has ended. */
+  endMs?: number;
+}
+
 /** The evidence of one run. */
 export interface ISoakEvidence {
   readonly ledger: SoakLedger;
@@ -45,6 +53,7 @@
   readonly drains: readonly IDrain[];
   readonly crashes: readonly ISoakCrash[];
   readonly plannedStops: readonly IPlannedStop[];
+  readonly pathLosses: readonly IPathLoss[];
   readonly probes: readonly IVersionProbe[];
   readonly versions: readonly IAcceptedVersion[];
 }
--- a/packages/lab/src/soak/common/soakFaultKind.ts
+++ b/packages/lab/src/soak/common/soakFaultKind.ts
@@ -27,17 +27,24 @@
   TargetAdvertisesLimit: 'target-names-limit',
   /** The store is restored from an older copy; writers repeat what they wrote since. */
   StoreRestore: 'store-restore',
+  /** Nodes lose their path to all targets, while callers, peers and the store reach them. */
+  NodePathLoss: 'node-path-loss',
 } as const;
 
 export type SoakFaultKind = (typeof SoakFaultKind)[keyof typeof SoakFaultKind];
 
 export const SOAK_FAULT_KINDS: readonly SoakFaultKind[] = Object.values(SoakFaultKind);
 
+/** The selection before path losses. */
+export const FOURTH_FAULT_KINDS: readonly SoakFaultKind[] = SOAK_FAULT_KINDS.filter((kind) => {
+  return kind !== SoakFaultKind.NodePathLoss;
+});
+
 /**
  * Older selections of kinds, to replay seeds that failed with them: the schedule of a seed depends on the
  * kinds to choose from. This one lacks the two newest kinds.
  */
-export const THIRD_FAULT_KINDS: readonly SoakFaultKind[] = SOAK_FAULT_KINDS.filter((kind) => {
+export const THIRD_FAULT_KINDS: readonly SoakFaultKind[] = FOURTH_FAULT_KINDS.filter((kind) => {
   return kind !== SoakFaultKind.TargetAdvertisesLimit && kind !== SoakFaultKind.StoreRestore;
 });
 
--- a/packages/lab/src/soak/node/main.ts
+++ b/packages/lab/src/soak/node/main.ts
@@ -11,6 +11,7 @@
 import type { SoakFaultKind } from '../common/soakFaultKind.js';
 import {
   FIRST_FAULT_KINDS,
+  FOURTH_FAULT_KINDS,
   SECOND_FAULT_KINDS,
   SOAK_FAULT_KINDS,
   THIRD_FAULT_KINDS,
@@ -23,8 +24,9 @@
 const LAX_TARGETS = 'laxTargets';
 const USAGE = `npm run soak -- [--seed N] [--runs COUNT] [--seconds S] [--spacing MS] [--nodes COUNT]
   [--targets COUNT] [--only KIND,KIND] [--break NAME] [--logs DIRECTORY] [--regressions] [--second] [--third]
---third: without the newest fault kinds, to replay seeds that failed before these were added; --second: also
-without the kinds added before those
+  [--fourth]
+--fourth: without the newest fault kinds, to replay seeds that failed before these were added; --third and
+--second: also without the kinds added before those
 kinds: ${SOAK_FAULT_KINDS.join(', ')}
 breaks: ${[LAX_TARGETS, ...listBreakModules(BREAKS)].join(', ')}`;
 
@@ -42,6 +44,7 @@
     regressions: { type: 'boolean', default: false },
     second: { type: 'boolean', default: false },
     third: { type: 'boolean', default: false },
+    fourth: { type: 'boolean', default: false },
     help: { type: 'boolean', default: false },
   },
 });
@@ -64,7 +67,8 @@
 function getKinds(): readonly SoakFaultKind[] {
   if (values.regressions) return FIRST_FAULT_KINDS;
   if (values.second) return SECOND_FAULT_KINDS;
-  return values.third ? THIRD_FAULT_KINDS : SOAK_FAULT_KINDS;
+  if (values.third) return THIRD_FAULT_KINDS;
+  return values.fourth ? FOURTH_FAULT_KINDS : SOAK_FAULT_KINDS;
 }
 
 async function runSeed(seed: number, seconds: number): Promise<boolean> {
--- a/packages/lab/src/soak/node/soakFaults.ts
+++ b/packages/lab/src/soak/node/soakFaults.ts
@@ -3,7 +3,8 @@
 import type { IFaultStep } from '../../prove/common/faultSchedule.js';
 import type { EndFault, Injection } from '../../prove/node/faultInjector.js';
 import { endNothing, pickElement } from '../../prove/node/faultInjector.js';
-import { STORE_SCOPE, formatLinkScope } from '../common/disturbanceLog.js';
+import { STORE_SCOPE, formatLinkScope, formatPathScope } from '../common/disturbanceLog.js';
+import type { IPathLoss } from '../common/soakEvidence.js';
 import { CRASH_PREFIX, SOAK_BOUNDS } from '../common/soakLayout.js';
 import { SoakFaultKind } from '../common/soakFaultKind.js';
 import { sendCrashingRequest } from './soakCaller.js';
@@ -95,6 +96,8 @@
       return withTarget(step, world, (target) => startAnnouncedDrain(target, world));
     case SoakFaultKind.StoreRestore:
       return Promise.resolve(startStoreRestore(world));
+    case SoakFaultKind.NodePathLoss:
+      return Promise.resolve(startPathLoss(step, world));
     case SoakFaultKind.TargetAdvertisesLimit:
       return withTarget(step, world, (target) => startAdvertisedLimit(target, step));
   }
@@ -366,6 +369,30 @@
   return Promise.resolve(endNothing);
 }
 
+/** Cuts off up to most of the nodes; a node that ends meanwhile starts again with its path. */
+function startPathLoss(step: Step, world: SoakWorld): Injection {
+  const usable = world.nodes.filter((node) => node.isUsable() && node.isPathCutCaught());
+  const isPending = world.pathLosses.some(({ endMs }) => endMs === undefined);
+  const count = Math.min(usable.length - MIN_NODES, 1 + Math.floor(step.size * usable.length));
+  if (isPending || count < 1) return 'skipped';
+  const first = step.pick % usable.length;
+  const nodes = [...usable.slice(first), ...usable.slice(0, first)].slice(0, count);
+  const cut = nodes.map((node) => ({ node, incarnation: node.incarnation }));
+  for (const { node } of cut) node.sendSignal('SIGUSR2');
+  const names = nodes.map(({ name }) => name);
+  const loss: IPathLoss = { nodes: names, startMs: performance.now() };
+  world.pathLosses.push(loss);
+  const endDisturbances = names.map((name) => markDisturbed(formatPathScope(name), world));
+  return () => {
+    for (const { incarnation, node } of cut) {
+      if (node.isPathCutCaught() && node.incarnation === incarnation) node.sendSignal('SIGUSR2');
+    }
+    loss.endMs = performance.now();
+    for (const end of endDisturbances) end();
+    return Promise.resolve();
+  };
+}
+
 function startStorm(world: SoakWorld): EndFault {
   const timer = setInterval(() => {
     world.putConfig();
--- a/packages/lab/src/soak/node/soakNode.ts
+++ b/packages/lab/src/soak/node/soakNode.ts
@@ -7,7 +7,7 @@
 import type { IDisposable } from '@parsleymux/base';
 import { FaultyLink } from '@parsleymux/standins';
 import { request } from 'undici';
-import { isReloadCaught } from '../../processes/node/caughtSignals.js';
+import { isPathCutCaught, isReloadCaught } from '../../processes/node/caughtSignals.js';
 import type { IProcessEnd, ManagedProcess } from '../../processes/node/managedProcess.js';
 import type { ProcessFleet } from '../../processes/node/processFleet.js';
 import { Program } from '../../processes/node/programs.js';
@@ -16,6 +16,7 @@
 /** Number of ports in the node's `port_range`, besides the front and ready ports. */
 const PORT_RANGE_SIZE = 16;
 const READY_TIMEOUT_MS = 900;
+const PATH_CUT_MODULE = new URL('pathCutModule.js', import.meta.url).href;
 /**
  * Last byte of the first node's address in 127.0.0.0/8. The bytes before it come from the run's process
  * id, so that concurrent runs use different addresses.
@@ -84,6 +85,11 @@
     return this.isRunning() && isReloadCaught(this.child?.pid ?? -1);
   }
 
+  /** Whether the signal that cuts it off from all targets is handled. */
+  isPathCutCaught(): boolean {
+    return this.isRunning() && isPathCutCaught(this.child?.pid ?? -1);
+  }
+
   /** Chooses the addresses. */
   async open(): Promise<void> {
     this.ports = await listFreePorts(this.host, 3);
@@ -114,7 +120,10 @@
       name: this.name,
       script: breakModule === undefined ? Program.PlatformNode : Program.PlatformModules,
       args: [this.settingsPath],
-      nodeOptions: breakModule === undefined ? [] : ['--import', breakModule],
+      nodeOptions: [
+        ...['--import', PATH_CUT_MODULE],
+        ...(breakModule === undefined ? [] : ['--import', breakModule]),
+      ],
     });
     this.child = child;
     void child.waitForEnd().then((end) => {
--- a/packages/lab/src/soak/node/soakRun.ts
+++ b/packages/lab/src/soak/node/soakRun.ts
@@ -93,8 +93,17 @@
   await Promise.all(background);
   await sleep(REST_MS);
   checkRecovery(world, recoveredMs);
-  const { crashes, disturbances, drains, ledger, plannedStops, versions } = world;
-  const evidence = { crashes, disturbances, drains, ledger, plannedStops, probes, versions };
+  const { crashes, disturbances, drains, ledger, pathLosses, plannedStops, versions } = world;
+  const evidence = {
+    crashes,
+    disturbances,
+    drains,
+    ledger,
+    pathLosses,
+    plannedStops,
+    probes,
+    versions,
+  };
   checkSafety(evidence, world.findings);
   if (options.isCheckingBounds) {
     checkBounds(evidence, world.findings);
--- a/packages/lab/src/soak/node/soakWorld.ts
+++ b/packages/lab/src/soak/node/soakWorld.ts
@@ -9,7 +9,13 @@
 import { ProcessFleet } from '../../processes/node/processFleet.js';
 import { Findings } from '../../prove/common/findings.js';
 import { DisturbanceLog } from '../common/disturbanceLog.js';
-import type { IAcceptedVersion, IDrain, IPlannedStop, ISoakCrash } from '../common/soakEvidence.js';
+import type {
+  IAcceptedVersion,
+  IDrain,
+  IPathLoss,
+  IPlannedStop,
+  ISoakCrash,
+} from '../common/soakEvidence.js';
 import { SoakLedger } from '../common/soakLedger.js';
 import {
   SOAK_BOUNDS,
@@ -53,6 +59,7 @@
   readonly crashes: ISoakCrash[] = [];
   readonly drains: IDrain[] = [];
   readonly plannedStops: IPlannedStop[] = [];
+  readonly pathLosses: IPathLoss[] = [];
   readonly versions: IAcceptedVersion[] = [];
   readonly random: SeededRandom;
   readonly nodes: SoakNode[] = [];
