Count a relayed attempt from its acceptance, and keep the members' addresses as a set

A peer that shuts down waited for attempts that it was sending, not for those whose offer it had accepted and whose request was still on its way; closing their connections made the entry report 'may have run' for requests that had not. Found by reading. The check whether a peer is a member parsed the addresses of all members for each offer.

--- a/packages/dispatch/src/app/node/relayComponents.ts
+++ b/packages/dispatch/src/app/node/relayComponents.ts
@@ -83,11 +83,14 @@
 
   /** Serves the attempts of peers on `server`. */
   listen(server: Server): void {
-    const { directory } = this.options;
+    const { members } = this.options.directory;
+    let ips: ReadonlySet<string> | undefined;
+    members.onDidChange(() => {
+      ips = undefined;
+    });
     const isMember = (ip: string) => {
-      return directory.members
-        .listValues()
-        .some(({ address }) => parseEndpoint(address).host === ip);
+      ips ??= new Set(members.listValues().map(({ address }) => parseEndpoint(address).host));
+      return ips.has(ip);
     };
     new RelayServer({ handler: this.handler, isMember }).listen(server);
   }
--- a/packages/dispatch/src/relay/common/relayHandler.ts
+++ b/packages/dispatch/src/relay/common/relayHandler.ts
@@ -32,25 +32,39 @@
  *
  * @example
  * const refusal = handler.findRefusal(offer);
- * if (refusal === undefined) response = await handler.send(peer, offer, request, signal);
+ * if (refusal === undefined) await handler.track(() => handler.send(peer, offer, request, signal));
  */
 export class RelayHandler {
-  /** Number of attempts that are being relayed. */
+  /** Number of attempts that were accepted and have not ended. */
   running = 0;
 
   constructor(private readonly options: IRelayHandlerOptions) {}
 
   /** Why the attempt would not be sent; undefined if it would. */
   findRefusal(offer: IRelayOffer): RelayRefusal | undefined {
-    const { findTarget, isStopping, monitor, notices } = this.options;
-    if (isStopping()) return RelayRefusal.Stopping;
+    if (this.options.isStopping()) return RelayRefusal.Stopping;
     if (this.running >= MAX_CONCURRENT_RELAYS) return RelayRefusal.Busy;
+    return this.findTargetRefusal(offer);
+  }
+
+  private findTargetRefusal(offer: IRelayOffer): RelayRefusal | undefined {
+    const { findTarget, monitor, notices } = this.options;
     const target = findTarget(offer.targetId);
     if (target === undefined || target.bornMs !== offer.bornMs) return RelayRefusal.UnknownTarget;
     if (target.isDraining || notices.isExcluded(target)) return RelayRefusal.ExcludedTarget;
     return monitor.hasPath(target) ? undefined : RelayRefusal.NoPath;
   }
 
+  /** Counts an accepted attempt until `work` has ended. */
+  async track<T>(work: () => Promise<T>): Promise<T> {
+    this.running += 1;
+    try {
+      return await work();
+    } finally {
+      this.running -= 1;
+    }
+  }
+
   /** Rejects with a RelayRefusedError if the request was not sent, otherwise with a TransportError. */
   async send(
     peer: string,
@@ -58,14 +72,13 @@
     request: IRelayedRequest,
     signal: AbortSignal,
   ): Promise<ITargetResponse> {
-    const refusal = this.findRefusal(offer);
+    const refusal = this.findTargetRefusal(offer);
     const target = this.options.findTarget(offer.targetId);
     if (refusal !== undefined || target === undefined) {
       throw new RelayRefusedError(refusal ?? RelayRefusal.UnknownTarget);
     }
     const { clock } = this.options;
     const startMs = clock.getMonotonicTime();
-    this.running += 1;
     let outcome = 'answered';
     try {
       return await this.sendToTarget(target, request, signal);
@@ -74,7 +87,6 @@
       if (error instanceof TransportError) outcome = error.failure;
       throw error;
     } finally {
-      this.running -= 1;
       const ms = Math.round(clock.getMonotonicTime() - startMs);
       const { running } = this;
       this.options.log.info('relayed', {
--- a/packages/dispatch/src/relay/node/relayServer.ts
+++ b/packages/dispatch/src/relay/node/relayServer.ts
@@ -56,6 +56,14 @@
       response.writeHead(UNAVAILABLE, { [REFUSAL_HEADER]: reason, connection: 'close' }).end();
       return;
     }
+    await this.options.handler.track(() => this.serve(offer, incoming, response));
+  }
+
+  private async serve(
+    offer: IRelayOffer,
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     const closed = new AbortController();
     response.once('close', () => {
       if (!response.writableFinished) closed.abort(new Error('the peer has closed the connection'));
--- a/packages/lab/src/experiment/common/modelledRelayTransport.ts
+++ b/packages/lab/src/experiment/common/modelledRelayTransport.ts
@@ -58,7 +58,7 @@
       needsFreshConnection: options.freshConnection ?? false,
     };
     const response = await Promise.race([
-      peer.handler.send(self, offer, relayed, options.signal),
+      peer.handler.track(() => peer.handler.send(self, offer, relayed, options.signal)),
       waitForEnd(peer.endSignal),
     ]);
     await clock.sleep(delayMs);
