--- a/packages/dispatch/src/relay/common/pathMonitor.ts
+++ b/packages/dispatch/src/relay/common/pathMonitor.ts
@@ -31,10 +31,7 @@
  */
 export class PathMonitor implements IDisposable {
   private readonly lost = new Emitter<void>();
-
-  /** Fires when the path is lost; connections from before may hang. */
-  readonly onDidLose: Event<void> = this.lost.onDidFire;
-
+  /** Time of the last failure by target, the oldest first, in ms of the monotonic clock. */
   private readonly failedMs = new Map<string, number>();
   /** Targets reached since the first failure. */
   private readonly reached = new Set<string>();
@@ -45,9 +42,12 @@
   private timer: IDisposable | undefined;
   private isDisposed = false;
 
+  /** Fires when the path is lost; connections from before may hang. */
+  readonly onDidLose: Event<void> = this.lost.onDidFire;
+
   constructor(private readonly options: IPathMonitorOptions) {}
 
-  /** Whether this node can't reach most targets while at least one peer may. */
+  /** Whether new connections to targets fail because of this node's own path. */
   get isLost(): boolean {
     return this.lostMs !== undefined;
   }
@@ -91,15 +91,15 @@
     return this.isLost;
   }
 
-  private async runSilenceCheck(target: ITargetRecord): Promise<void> {
-    if (!(await this.options.tryConnect(target))) await this.verifyFailure(target);
-  }
-
   dispose(): void {
     this.isDisposed = true;
     void this.timer?.dispose();
   }
 
+  private async runSilenceCheck(target: ITargetRecord): Promise<void> {
+    if (!(await this.options.tryConnect(target))) await this.verifyFailure(target);
+  }
+
   private async verify(): Promise<void> {
     while (!this.isLost && this.failedMs.size > this.reached.size) {
       const other = this.pickUnknown();
@@ -130,7 +130,7 @@
     this.removeExpired();
     if (this.failedMs.size === 0) this.reached.clear();
     this.reached.delete(id);
-    // The oldest failure is first, so that checks take turns.
+    // Moved to the end, so that checks take turns.
     this.failedMs.delete(id);
     this.failedMs.set(id, this.options.clock.getMonotonicTime());
   }
