--- a/packages/dispatch/src/relay/common/relaySelector.ts
+++ b/packages/dispatch/src/relay/common/relaySelector.ts
@@ -14,11 +14,10 @@
   [RelayRefusal.Unsupported]: 30_000,
 };
 /**
- * Peers of the own failure domain that are paused when peers of all domains are asked: most or all of the
+ * Number of paused peers of the own failure domain from which peers of all domains are asked: most or all of the
  * domain may be partitioned together.
  */
 const MAX_PAUSED_NEARBY = 2;
-
 /** Time for which a peer that has served an attempt is preferred, in ms. */
 const SERVED_MEMORY_MS = 5000;
 /** Peers that have served recently from which only these are asked, so that one alone doesn't get all attempts. */
@@ -51,14 +50,13 @@
     const { clock, failureDomain, listMembers, self } = this.options;
     const nowMs = clock.getMonotonicTime();
     const isPaused = ({ address }: IMember) => (this.pausedUntilMs.get(address) ?? 0) > nowMs;
-    const peers = listMembers().filter((member) => {
-      return member.canRelay === true && member.address !== self && !asked.has(member.address);
-    });
-    const usable = peers.filter((peer) => !isPaused(peer));
-    const nearby = usable.filter((peer) => peer.failureDomain === failureDomain);
-    const pausedNearby = [...this.pausedUntilMs].filter(([address, untilMs]) => {
-      return untilMs > nowMs && this.isNearby(address);
+    const isNearby = (member: IMember) => member.failureDomain === failureDomain;
+    const peers = listMembers().filter(({ address, canRelay }) => {
+      return canRelay === true && address !== self;
     });
+    const usable = peers.filter((peer) => !isPaused(peer) && !asked.has(peer.address));
+    const nearby = usable.filter(isNearby);
+    const pausedNearby = peers.filter((peer) => isNearby(peer) && isPaused(peer));
     const isDomainDoubtful = pausedNearby.length >= MAX_PAUSED_NEARBY;
     const candidates = nearby.length > 0 && !isDomainDoubtful ? nearby : usable;
     const proven = candidates.filter(({ address }) => {
@@ -81,11 +79,6 @@
     this.pausedUntilMs.set(address, nowMs + PAUSES_MS[reason]);
   }
 
-  private isNearby(address: string): boolean {
-    const member = this.options.listMembers().find((known) => known.address === address);
-    return member?.failureDomain === this.options.failureDomain;
-  }
-
   private pickByCapacity(members: readonly IMember[]): IMember | undefined {
     const total = members.reduce((sum, { capacity }) => sum + capacity, 0);
     let rest = this.options.random.getFloat() * total;
