--- a/packages/dispatch/src/relay/common/pathMonitor.test.ts
+++ b/packages/dispatch/src/relay/common/pathMonitor.test.ts
@@ -96,3 +96,14 @@
   assert.equal(monitor.hasPath(TARGETS[8]!), true);
   assert.equal(monitor.hasPath(TARGETS[1]!), false);
 });
+
+test('kept connections are in doubt for a while after one to an unreachable target has hung', async () => {
+  // Guards against bookings that hang one after the other on a node that has lost its path to some targets.
+  const { clock, monitor } = makeMonitor(TARGETS.slice(0, 1));
+  void monitor.checkSilence(TARGETS[0]!);
+  await clock.advanceBy(2 * CONNECT_TIMEOUT_MS);
+  assert.equal(monitor.isLost, false);
+  assert.equal(monitor.isInDoubt, true);
+  await clock.advanceBy(10_000);
+  assert.equal(monitor.isInDoubt, false);
+});
--- a/packages/dispatch/src/relay/common/pathMonitor.ts
+++ b/packages/dispatch/src/relay/common/pathMonitor.ts
@@ -39,6 +39,8 @@
   private silenceCheck: Promise<void> | undefined;
   private lostMs: number | undefined;
   private lastLostMs = -Infinity;
+  /** When a connection hung to a target that can't be reached, in ms of the monotonic clock. */
+  private lastHangMs = -Infinity;
   private timer: IDisposable | undefined;
   private isDisposed = false;
 
@@ -52,9 +54,14 @@
     return this.lostMs !== undefined;
   }
 
-  /** Whether a connection may hang: a failure is unexplained, or a check of a silent target is pending. */
+  /**
+   * Whether kept connections may hang: a failure is unexplained, a silent target is being checked, or one has hung
+   * recently.
+   */
   get isInDoubt(): boolean {
-    return this.failedMs.size > this.reached.size || this.silenceCheck !== undefined;
+    const sinceHangMs = this.options.clock.getMonotonicTime() - this.lastHangMs;
+    if (sinceHangMs < FAILURE_MEMORY_MS || this.silenceCheck !== undefined) return true;
+    return this.failedMs.size > this.reached.size;
   }
 
   /** Whether this node can send to the target itself, as far as it knows. */
@@ -97,7 +104,9 @@
   }
 
   private async runSilenceCheck(target: ITargetRecord): Promise<void> {
-    if (!(await this.options.tryConnect(target))) await this.verifyFailure(target);
+    if (await this.options.tryConnect(target)) return;
+    this.lastHangMs = this.options.clock.getMonotonicTime();
+    await this.verifyFailure(target);
   }
 
   private async verify(): Promise<void> {
