Learn from a later follower that a member relays

It had received the members from a follower of the landed build, which drops the flag, and a later row of the same incarnation counted as equal, so it would not have learnt it after the upgrade either. The flag is now compared, and once known it stays for the incarnation. A node whose follower is of the landed build still refuses as before.

--- a/packages/dispatch/src/directory/common/nodeDirectory.ts
+++ b/packages/dispatch/src/directory/common/nodeDirectory.ts
@@ -78,6 +78,7 @@
       name: 'members',
       clock,
       isSame: isSameMember,
+      isOutdated: isMemberWithoutFlag,
       restoreGrace: MEMBERS_GRACE,
     });
     this.tenants = new FollowedTable({ name: 'tenants', clock, isSame: isSameTenant });
@@ -191,5 +192,13 @@
 }
 
 function isSameMember(left: IMember, right: IMember): boolean {
-  return left.incarnation === right.incarnation && left.stateAddress === right.stateAddress;
+  const canBothRelay = (left.canRelay === true) === (right.canRelay === true);
+  const isSameIncarnation = left.incarnation === right.incarnation;
+  return isSameIncarnation && left.stateAddress === right.stateAddress && canBothRelay;
+}
+
+/** Followers of an earlier version drop the flag from the registrations that they pass on. */
+function isMemberWithoutFlag(known: IMember, next: IMember): boolean {
+  const isLost = known.canRelay === true && next.canRelay !== true;
+  return isLost && known.incarnation === next.incarnation;
 }
