Ignore decisions and confirmations for a former process

Cause: each process numbers its grant requests from 1, and a Decision names only the number. A home that granted a request of the former process was taken to have granted the successor's request of that number. The same holds for the confirmation of a report: it ended the repeats of a successor's lost report.

Fix: both messages state the incarnation of the process that they respond to; another one ignores them, and returns a grant so that its slot is released at once. A granted target has to belong to the requested service, which also holds for homes of earlier versions, whose messages lack the field and are handled as before otherwise.

--- a/packages/dispatch/src/app/node/datagramRouter.ts
+++ b/packages/dispatch/src/app/node/datagramRouter.ts
@@ -45,7 +45,7 @@
       server.handleReport(sender, body.value);
       break;
     case 'reportReceived':
-      selector.handleReportReceived(body.value.askId);
+      selector.handleReportReceived(body.value);
       break;
     case 'update':
       service.handleUpdate(sender, body.value);
--- a/packages/dispatch/src/directory/common/updateRelay.test.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.test.ts
@@ -42,12 +42,15 @@
   readonly channel: RecordingChannel;
   readonly relay: UpdateRelay;
   readonly table: FollowedTable<unknown>;
+  /** Names of the tables that were fetched. */
+  readonly fetched: readonly string[];
 }
 
 function openFixture(): IFixture {
   const clock = new ManualClock();
   const channel = new RecordingChannel();
   const table = new FollowedTable<unknown>({ name: 't', clock, isSame: () => false });
+  const fetched: string[] = [];
   const relay = new UpdateRelay({
     channel,
     clock,
@@ -56,9 +59,12 @@
     tables: [table],
     encoder: ENCODER,
     listPeers: () => PEERS,
-    fetchTable: () => Promise.resolve(),
+    fetchTable: ({ name }) => {
+      fetched.push(name);
+      return Promise.resolve();
+    },
   });
-  return { clock, channel, relay, table };
+  return { clock, channel, fetched, relay, table };
 }
 
 /** Announces updates at the interval of a follower. */
@@ -184,3 +190,22 @@
   assert.deepEqual(fetched, ['t']);
   assert.equal(peer.getProofAgeMs(), Infinity);
 });
+
+test('a peer that a follower wrongly takes for up to date fetches the table', () => {
+  // Guards against rows that stay outdated because the peer confirmed a former process's update of this number.
+  const follower = openFixture();
+  follower.table.setAll({ version: 5, changes: [{ key: 'a', value: 'changed' }] }, 0);
+  follower.relay.announce();
+  follower.relay.handleUpdateReceived(PEERS[0]!, confirm(1n));
+  follower.table.apply(5, { version: 6, changes: [{ key: 'b', value: 'added' }] }, 0);
+  follower.relay.announce();
+  const update = follower.channel.sent.flatMap(({ address, body }) => {
+    return address === PEERS[0] && body.case === 'update' ? [body.value] : [];
+  })[1]!;
+  assert.equal(update.changes[0]?.after, 5n);
+  const peer = openFixture();
+  peer.table.setAll({ version: 3, changes: [{ key: 'a', value: 'former' }] }, 0);
+  peer.relay.handleUpdate('127.0.0.1:1', update);
+  assert.deepEqual(peer.fetched, ['t']);
+  assert.equal(peer.table.version, 3, 'the change is not applied to an incomplete copy');
+});
--- a/packages/dispatch/src/grants/common/grantMessages.ts
+++ b/packages/dispatch/src/grants/common/grantMessages.ts
@@ -114,14 +114,18 @@
   };
 }
 
-/** Encodes a decision; undefined stands for a queued request. */
-export function encodeDecision(askId: bigint, decision: GrantDecision | undefined): Decision {
+/** Encodes the decision on a grant request; undefined stands for a queued request. */
+export function encodeDecision(
+  { id: askId, incarnation }: Pick<Ask, 'id' | 'incarnation'>,
+  decision: GrantDecision | undefined,
+): Decision {
   if (decision === undefined) {
-    return create(DecisionSchema, { askId, kind: DecisionKind.QUEUED });
+    return create(DecisionSchema, { askId, incarnation, kind: DecisionKind.QUEUED });
   }
   if (decision.kind === 'refused') {
     return create(DecisionSchema, {
       askId,
+      incarnation,
       kind: DecisionKind.REFUSED,
       retryAfterMs: decision.retryAfterMs,
       resultCode: decision.code,
@@ -129,6 +133,7 @@
   }
   return create(DecisionSchema, {
     askId,
+    incarnation,
     kind: DecisionKind.GRANTED,
     targetId: decision.target.id,
     ...encodeBornMs(decision.target.bornMs),
--- a/packages/dispatch/src/grants/common/grantServer.ts
+++ b/packages/dispatch/src/grants/common/grantServer.ts
@@ -38,10 +38,11 @@
   constructor(private readonly options: IGrantServerOptions) {}
 
   handleAsk(sender: string, ask: Ask): void {
-    const key = formatKey(sender, ask.incarnation, ask.id);
+    const { id, incarnation } = ask;
+    const key = formatKey(sender, incarnation, id);
     const known = this.tickets.get(key);
     if (known !== undefined) {
-      this.sendDecision(sender, ask.id, known.ticket.decision);
+      this.sendDecision(sender, { id, incarnation }, known.ticket.decision);
       return;
     }
     // Without a response the entry tries the next home; see HomeService.hasReceivedTargets.
@@ -49,17 +50,17 @@
     this.clearExpired();
     const scheduler = this.options.homes.getScheduler(ask.service);
     const ticket = scheduler.requestGrant(decodeAsk(ask), sender, (decision) => {
-      this.sendDecision(sender, ask.id, decision);
+      this.sendDecision(sender, { id, incarnation }, decision);
     });
     this.tickets.set(key, { scheduler, ticket, isReported: false });
-    if (ticket.decision === undefined) this.sendDecision(sender, ask.id, undefined);
+    if (ticket.decision === undefined) this.sendDecision(sender, { id, incarnation }, undefined);
   }
 
   handleReport(sender: string, report: Report): void {
-    const { askId } = report;
-    const received = create(ReportReceivedSchema, { askId });
+    const { askId, incarnation } = report;
+    const received = create(ReportReceivedSchema, { askId, incarnation });
     this.options.channel.send(sender, { case: 'reportReceived', value: received });
-    const known = this.tickets.get(formatKey(sender, report.incarnation, askId));
+    const known = this.tickets.get(formatKey(sender, incarnation, askId));
     if (known === undefined || known.isReported) return;
     known.isReported = true;
     const { answerBytes, latencyMs, leaving: isDraining, outcome, rateLimitMilli } = report;
@@ -67,8 +68,12 @@
     known.scheduler.recordOutcome(known.ticket, decodeOutcome(outcome), latencyMs, response);
   }
 
-  private sendDecision(sender: string, askId: bigint, decision: GrantDecision | undefined): void {
-    const value = encodeDecision(askId, decision);
+  private sendDecision(
+    sender: string,
+    ask: Pick<Ask, 'id' | 'incarnation'>,
+    decision: GrantDecision | undefined,
+  ): void {
+    const value = encodeDecision(ask, decision);
     this.options.channel.send(sender, { case: 'decision', value });
   }
 
--- a/packages/dispatch/src/grants/common/homeSelector.test.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.test.ts
@@ -1,8 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { create } from '@bufbuild/protobuf';
 import { ManualClock, createSilentLogger } from '@parsleymux/base';
 import { HomeService, GrantOutcome } from '@parsleymux/scheduling';
 import { makeGrantRequest, makeTarget } from '@parsleymux/scheduling/testing';
+import type { ITargetRecord } from '@parsleymux/scheduling';
+import { ReportReceivedSchema } from '@parsleymux/schema';
 import { makeQuarantine } from '@parsleymux/scheduling/testing';
 import { MemoryNetwork } from '../../test/memoryNetwork.js';
 import type { DatagramChannel } from './datagramChannel.js';
@@ -11,10 +14,18 @@
 import type { Selection } from './targetSelector.js';
 
 const TARGET = makeTarget('t1', { slots: 2 });
+const RANKING = ['home', 'second', 'third'];
+const OTHER_TARGET = makeTarget('t9', { service: 'catalog', slots: 2 });
+
+interface INodeOptions {
+  readonly ranking: readonly string[];
+  readonly targets: readonly ITargetRecord[];
+  readonly incarnation: number;
+}
 
 class Node {
   /** The targets in this node's copy of the directory. */
-  readonly known = new Map([[TARGET.id, TARGET]]);
+  readonly known = new Map([TARGET, OTHER_TARGET].map((target) => [target.id, target]));
   readonly homes: HomeService;
   readonly selector: HomeSelector;
   readonly channel: DatagramChannel;
@@ -22,22 +33,21 @@
   constructor(
     network: MemoryNetwork,
     address: string,
-    ranking: readonly string[],
-    hasTargets = true,
+    { incarnation = 1, ranking = RANKING, targets = [TARGET] }: Partial<INodeOptions> = {},
   ) {
     const { clock } = network;
     const log = createSilentLogger();
     const retries = { windowMs: 10_000, ratio: 0.2, burst: 50 };
     const quarantine = makeQuarantine(clock);
     this.homes = new HomeService({ clock, log, quarantine, retries, floorShare: 0.7 });
-    if (hasTargets) this.homes.setTargets([TARGET]);
+    if (targets.length > 0) this.homes.setTargets(targets);
     this.channel = network.open(address);
     this.selector = new HomeSelector({
       channel: this.channel,
       homes: this.homes,
       clock,
       log,
-      incarnation: 1,
+      incarnation,
       rankHomes: () => ranking,
       findTarget: (id) => this.known.get(id),
     });
@@ -46,23 +56,22 @@
       if (body.case === 'ask') server.handleAsk(sender, body.value);
       if (body.case === 'report') server.handleReport(sender, body.value);
       if (body.case === 'decision') this.selector.handleDecision(sender, body.value);
-      if (body.case === 'reportReceived') this.selector.handleReportReceived(body.value.askId);
+      if (body.case === 'reportReceived') this.selector.handleReportReceived(body.value);
     });
   }
 
-  getInUse(): number {
-    return this.homes.getScheduler('booking').listTargets()[0]?.inUse ?? 0;
+  getInUse(service = 'booking'): number {
+    return this.homes.getScheduler(service).listTargets()[0]?.inUse ?? 0;
   }
 }
 
-const RANKING = ['home', 'second', 'third'];
 const { signal } = new AbortController();
 
 function openNodes(): { network: MemoryNetwork; entry: Node; home: Node; second: Node } {
   const network = new MemoryNetwork(new ManualClock());
-  const home = new Node(network, 'home', RANKING);
-  const second = new Node(network, 'second', RANKING);
-  const entry = new Node(network, 'entry', RANKING);
+  const home = new Node(network, 'home');
+  const second = new Node(network, 'second');
+  const entry = new Node(network, 'entry');
   return { network, entry, home, second };
 }
 
@@ -114,9 +123,9 @@
   // Guards against a burst of rejections after restarts: a home receives grant requests before it has
   // received the list of targets.
   const network = new MemoryNetwork(new ManualClock());
-  const home = new Node(network, 'home', RANKING, false);
-  new Node(network, 'second', RANKING);
-  const entry = new Node(network, 'entry', RANKING);
+  const home = new Node(network, 'home', { targets: [] });
+  new Node(network, 'second');
+  const entry = new Node(network, 'entry');
   const pending = entry.selector.choose(makeGrantRequest(), signal);
   const pendingAtHome = home.selector.choose(makeGrantRequest(), signal);
   await network.clock.advanceBy(100);
@@ -235,8 +244,96 @@
 test('a node that decides locally avoids targets that advertise a limit', async () => {
   // Guards against every node granting the whole limit when the homes are unreachable.
   const network = new MemoryNetwork(new ManualClock());
-  const node = new Node(network, 'entry', []);
+  const node = new Node(network, 'entry', { ranking: [] });
   const limits = [{ targetId: TARGET.id, bornMs: undefined, ratePerS: 2, ageMs: 50 }];
   const selection = await node.selector.choose(makeGrantRequest({ limits }), signal);
   assert.equal(selection.kind, 'refused');
 });
+
+interface IRestartedEntry {
+  readonly network: MemoryNetwork;
+  readonly home: Node;
+  /** The process that took the place of the first one. */
+  readonly entry: Node;
+  /** A grant of the only slot of "catalog" to another node; a request of the former process waits for it. */
+  readonly held: Selection;
+}
+
+/** An entry is killed while its request is queued at a home, and starts again at its address. */
+async function restartEntry(): Promise<IRestartedEntry> {
+  const network = new MemoryNetwork(new ManualClock());
+  const targets = [TARGET, { ...OTHER_TARGET, slots: 1 }];
+  const home = new Node(network, 'home', { targets });
+  const other = new Node(network, 'other');
+  const first = new Node(network, 'entry');
+  const request = makeGrantRequest({ service: 'catalog', remainingMs: 20_000 });
+  const held = other.selector.choose(request, signal);
+  await network.clock.advanceBy(10);
+  void first.selector.choose(request, signal);
+  await network.clock.advanceBy(10);
+  assert.equal(home.homes.getScheduler('catalog').queueLength, 1);
+  network.stopSending(first.channel);
+  const entry = new Node(network, 'entry', { incarnation: 2 });
+  return { network, home, entry, held: await held };
+}
+
+test('a restarted entry does not take a decision on a request of its former process', async () => {
+  // Guards against running a request at a target that was granted to another request, also of another service.
+  const { entry, held, home, network } = await restartEntry();
+  const fill = [1, 2].map(() => home.selector.choose(makeGrantRequest(), signal));
+  const pending = entry.selector.choose(makeGrantRequest(), signal);
+  await network.clock.advanceBy(10);
+  assert.ok(held.kind === 'granted');
+  held.grant.report(GrantOutcome.Succeeded, 5);
+  await network.clock.advanceBy(50);
+  assert.equal(home.homes.getScheduler('booking').queueLength, 1, 'the request still waits');
+  const [first] = await Promise.all(fill);
+  assert.ok(first?.kind === 'granted');
+  first.grant.report(GrantOutcome.Succeeded, 5);
+  await network.clock.advanceBy(50);
+  const selection = await pending;
+  assert.equal(selection.kind === 'granted' && selection.grant.target.id, TARGET.id);
+});
+
+test('a slot granted to a former process is released at once', async () => {
+  // Guards against a slot that stays in use until the deadline of a request that nobody waits for.
+  const { held, home, network } = await restartEntry();
+  assert.ok(held.kind === 'granted');
+  held.grant.report(GrantOutcome.Succeeded, 5);
+  await network.clock.advanceBy(50);
+  assert.equal(home.homes.getScheduler('catalog').queueLength, 0);
+  assert.equal(home.getInUse('catalog'), 0);
+});
+
+test('a report is repeated until its own process receives the confirmation', async () => {
+  // Guards against a slot that stays in use because a confirmation for a former process ended the repeats.
+  const { entry, home, network } = await restartEntry();
+  const pending = entry.selector.choose(makeGrantRequest(), signal);
+  await network.clock.advanceBy(10);
+  const selection = await pending;
+  assert.ok(selection.kind === 'granted');
+  network.lossShare = 1;
+  selection.grant.report(GrantOutcome.Succeeded, 5);
+  network.lossShare = 0;
+  const confirmation = create(ReportReceivedSchema, { askId: 1n, incarnation: 1 });
+  home.channel.send('entry', { case: 'reportReceived', value: confirmation });
+  await network.clock.advanceBy(100);
+  assert.equal(home.getInUse(), 0);
+});
+
+test('a grant of a target of another service is returned', async () => {
+  // Guards against trusting a home that does not state which process asked.
+  const { entry, home, network } = openNodes();
+  const handle = network.handlers.get('entry');
+  network.handlers.set('entry', (sender, body) => {
+    if (body.case !== 'decision') return;
+    network.handlers.set('entry', handle!);
+    const value = { ...body.value, targetId: OTHER_TARGET.id, incarnation: 0 };
+    handle?.(sender, { case: 'decision', value });
+  });
+  const pending = entry.selector.choose(makeGrantRequest(), signal);
+  await network.clock.advanceBy(100);
+  const selection = await pending;
+  assert.equal(selection.kind === 'granted' && selection.grant.target.id, TARGET.id);
+  assert.equal(home.getInUse(), 1);
+});
--- a/packages/dispatch/src/grants/common/homeSelector.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.ts
@@ -2,7 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import type { Clock, IDisposable, Logger } from '@parsleymux/base';
 import type { ResultCode } from '@parsleymux/base';
-import type { Decision } from '@parsleymux/schema';
+import type { Decision, ReportReceived } from '@parsleymux/schema';
 import { DecisionKind, ReportSchema } from '@parsleymux/schema';
 import type {
   ITargetRecord,
@@ -120,17 +120,47 @@
 
   /** Handles a received decision. */
   handleDecision(sender: string, decision: Decision): void {
+    if (!this.isOwn(decision)) {
+      this.handleFormerDecision(sender, decision);
+      return;
+    }
     const pending = this.pending.get(decision.askId);
     if (pending?.home !== sender) return;
     this.health.recordResponse(sender);
     pending.requestSender.handleDecision(decision);
   }
 
-  handleReportReceived(askId: bigint): void {
+  handleReportReceived(received: ReportReceived): void {
+    if (!this.isOwn(received)) return;
+    const { askId } = received;
     void this.unconfirmed.get(askId)?.dispose();
     this.unconfirmed.delete(askId);
   }
 
+  /**
+   * Whether a message responds to this process. Each process numbers its grant requests from 1, so a response to
+   * an earlier process at this address can have the number of one of them. Older homes state no incarnation.
+   */
+  private isOwn({ incarnation }: Decision | ReportReceived): boolean {
+    return incarnation === 0 || incarnation === this.options.incarnation;
+  }
+
+  /** Returns a grant that no process can use; otherwise its slot stays in use until the request's deadline. */
+  private handleFormerDecision(home: string, decision: Decision): void {
+    const { askId, incarnation, kind, targetId } = decision;
+    this.options.log.info('decision on a request of a former process', {
+      home,
+      ask: String(askId),
+      incarnation,
+      kind: DecisionKind[kind],
+      target: targetId,
+    });
+    if (kind !== DecisionKind.GRANTED) return;
+    const outcome = encodeOutcome('abandoned');
+    const value = create(ReportSchema, { askId, incarnation, targetId, outcome });
+    this.options.channel.send(home, { case: 'report', value });
+  }
+
   /** Handles the shutdown notice of a node: no further requests are sent to it. */
   handleLeaving(sender: string): void {
     this.health.recordNoResponse(sender);
@@ -178,7 +208,8 @@
     // home that was paused may grant one that this node knows to be draining. If they know different
     // incarnations of a target, its address may have changed too.
     const isSameIncarnation = target?.bornMs === decodeBornMs(decision.bornMs);
-    if (target === undefined || target.isDraining || !isSameIncarnation) {
+    const isOfService = target?.service === request.service;
+    if (target === undefined || target.isDraining || !isSameIncarnation || !isOfService) {
       this.sendReport(home, id, request, undefined, 'abandoned', 0);
       this.options.log.info('granted target is not usable', {
         request: request.requestId,
@@ -186,6 +217,7 @@
         target: decision.targetId,
         isKnown: target !== undefined,
         isSameLife: isSameIncarnation,
+        isOfService,
       });
       return { kind: 'unusable-target', id: decision.targetId };
     }
--- a/packages/dispatch/src/test/memoryNetwork.ts
+++ b/packages/dispatch/src/test/memoryNetwork.ts
@@ -12,12 +12,22 @@
   readonly handlers = new Map<string, (sender: string, body: DatagramBody) => void>();
   readonly random = new SeededRandom(SEED);
   lossShare = 0;
+  private readonly stoppedChannels = new Set<DatagramChannel>();
 
   constructor(readonly clock: ManualClock) {}
 
   open(address: string): DatagramChannel {
     return new MemoryChannel(address, this);
   }
+
+  /** Drops all further datagrams that are sent on a channel, as if its process had ended. */
+  stopSending(channel: DatagramChannel): void {
+    this.stoppedChannels.add(channel);
+  }
+
+  hasStopped(channel: DatagramChannel): boolean {
+    return this.stoppedChannels.has(channel);
+  }
 }
 
 class MemoryChannel extends DatagramChannel {
@@ -29,6 +39,7 @@
   }
 
   override send(address: string, body: DatagramBody): void {
+    if (this.network.hasStopped(this)) return;
     if (this.network.random.getFloat() < this.network.lossShare) return;
     this.network.clock.startTimer(DELAY_MS, () => {
       this.network.handlers.get(address)?.(this.address, body);
--- a/packages/lab/src/experiment/common/modelledNode.ts
+++ b/packages/lab/src/experiment/common/modelledNode.ts
@@ -139,7 +139,7 @@
       if (body.case === 'ask') server.handleAsk(sender, body.value);
       if (body.case === 'report') server.handleReport(sender, body.value);
       if (body.case === 'decision') selector.handleDecision(sender, body.value);
-      if (body.case === 'reportReceived') selector.handleReportReceived(body.value.askId);
+      if (body.case === 'reportReceived') selector.handleReportReceived(body.value);
       if (body.case === 'leaving') selector.handleLeaving(sender);
       if (body.case === 'beliefs') healthSharing.handleBeliefs(sender, body.value);
       if (body.case === 'handover') handover.handleHandover(sender, body.value);
