Accept no request behind an unanswered one while a node stops

Cause: a response announces the close only if no other request has been passed on behind it, and a stopping node went on to accept requests behind unanswered ones. With callers that always have another request pending, no response was ever the last one.

Ruled out: a close that is announced and not kept to, and a grace time shorter than the deadlines.

Fix: a stopping node leaves requests behind an unanswered one unread, so the response to the last request that it handles announces the close. A request behind responses that are already written without it is still handled, as nobody else could tell its caller. Responses to internal errors announce the close too.

--- a/packages/dispatch/src/entry/node/callerConnections.ts
+++ b/packages/dispatch/src/entry/node/callerConnections.ts
@@ -2,9 +2,15 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+interface IOpenRequest {
+  readonly request: IncomingMessage;
+  /** Whether its response has been written, so that it can no longer announce the close. */
+  hasResponse: boolean;
+}
+
 interface IConnection {
   /** Requests without a complete response, in the order of arrival. */
-  readonly open: IncomingMessage[];
+  readonly open: IOpenRequest[];
   /** Whether a response has announced the close of the connection: later requests are not handled. */
   isClosing: boolean;
 }
@@ -14,8 +20,8 @@
  *
  * A request that was forwarded to a target runs even if its connection closes, but its response is lost.
  * A response therefore announces the close (`connection: close`) only if no other request is pending
- * behind it. Requests that arrive after the announcement are dropped unread, so callers can safely
- * resend them to another node.
+ * behind it. Requests behind such a response are dropped unread, so callers can safely resend them to
+ * another node.
  */
 export class CallerConnections {
   private readonly connections = new Map<Socket, IConnection>();
@@ -45,35 +51,39 @@
     socket.once('close', () => this.connections.delete(socket));
   }
 
-  /** Returns false if the request follows an announced close and must not be handled. */
+  /** Returns false if the request is behind a response that announces the close, and must not be handled. */
   startRequest(request: IncomingMessage): boolean {
     const connection = this.connections.get(request.socket);
     if (connection === undefined || connection.isClosing) return false;
-    connection.open.push(request);
+    // If a stopping node accepted it, a caller that always has another request pending would never see a close.
+    if (this.isStopping && connection.open.at(-1)?.hasResponse === false) return false;
+    connection.open.push({ request, hasResponse: false });
     return true;
   }
 
   endRequest(request: IncomingMessage): void {
     const connection = this.connections.get(request.socket);
     if (connection === undefined) return;
-    const index = connection.open.indexOf(request);
+    const index = connection.open.findIndex((one) => one.request === request);
     if (index !== -1) connection.open.splice(index, 1);
   }
 
   /**
-   * Announces the close of the connection in this response if the node is stopping or `mustEnd` is set,
-   * unless another request is pending behind it.
+   * Must be called before a response is written. Announces the close of the connection in it if the node is
+   * stopping or `mustEnd` is set, unless another request is pending behind it.
    */
-  announceClose(request: IncomingMessage, response: ServerResponse, mustEnd: boolean): void {
+  startResponse(request: IncomingMessage, response: ServerResponse, mustEnd: boolean): void {
     const connection = this.connections.get(request.socket);
-    if (connection === undefined) return;
-    const isLast = connection.open[connection.open.length - 1] === request;
+    const open = connection?.open.find((one) => one.request === request);
+    if (connection === undefined || open === undefined) return;
+    open.hasResponse = true;
+    const isLast = connection.open.at(-1) === open;
     if (!isLast || !(mustEnd || this.isStopping)) return;
     connection.isClosing = true;
     response.setHeader('connection', 'close');
   }
 
-  /** From now on, responses announce the close of their connections. */
+  /** From now on, responses announce the close of their connections, and no requests behind them are accepted. */
   stop(): void {
     this.isStopping = true;
   }
--- a/packages/dispatch/src/entry/node/frontServer.ts
+++ b/packages/dispatch/src/entry/node/frontServer.ts
@@ -230,7 +230,7 @@
     mustEnd: boolean,
   ): void {
     if (response.destroyed) return;
-    this.connections.announceClose(request, response, mustEnd);
+    this.connections.startResponse(request, response, mustEnd);
     const headers = entryResponse.headers.filter(([name]) => name !== 'content-length');
     for (const [name, value] of headers) response.appendHeader(name, value);
     if (entryResponse.runState !== RunState.Ran) {
@@ -258,6 +258,7 @@
       response.destroy();
       return;
     }
+    this.connections.startResponse(request, response, false);
     response.writeHead(INTERNAL_ERROR, { 'content-length': '0' }).end();
   }
 
