Cancel all requests of a connection when it is closed

Targets' view: callers that leave with five unanswered requests on a connection have only the first one cancelled.

Cause: the front server took a response's "close" event for the end of the connection. Node.js emits it only for the response that is being written; those behind it have no connection yet.

Evidence: in a run with the nodes' logs, 5 lines "caller left" for 25 requests, each for the first of its connection; the other 20 were logged as answered with 200. Ruled out: a signal that aborts and is not passed on to the attempt, or a target that goes on, which would have given 25 such lines.

Fix: the connection is observed itself, with one listener however many requests it carries, and aborts the signals of all its unanswered requests.

--- a/packages/dispatch/src/entry/node/callerConnections.ts
+++ b/packages/dispatch/src/entry/node/callerConnections.ts
@@ -4,6 +4,8 @@
 
 interface IOpenRequest {
   readonly request: IncomingMessage;
+  /** Aborts if the connection is closed before the response is complete. */
+  readonly disconnected: AbortController;
   /** Whether its response has been written, so that it can no longer announce the close. */
   hasResponse: boolean;
 }
@@ -48,19 +50,26 @@
   add(socket: Socket): void {
     this.hasAcceptedConnection = true;
     this.connections.set(socket, { open: [], isClosing: false });
-    socket.once('close', () => this.connections.delete(socket));
+    socket.once('close', () => {
+      this.handleClose(socket);
+    });
   }
 
-  /** Returns false if the request is behind a response that announces the close, and must not be handled. */
-  startRequest(request: IncomingMessage): boolean {
+  /**
+   * Returns a signal that aborts if the caller disconnects before the response is complete; undefined if the
+   * request is behind a response that announces the close, and must not be handled.
+   */
+  startRequest(request: IncomingMessage): AbortSignal | undefined {
     const connection = this.connections.get(request.socket);
-    if (connection === undefined || connection.isClosing) return false;
+    if (connection === undefined || connection.isClosing) return undefined;
     // If a stopping node accepted it, a caller that always has another request pending would never see a close.
-    if (this.isStopping && connection.open.at(-1)?.hasResponse === false) return false;
-    connection.open.push({ request, hasResponse: false });
-    return true;
+    if (this.isStopping && connection.open.at(-1)?.hasResponse === false) return undefined;
+    const disconnected = new AbortController();
+    connection.open.push({ request, disconnected, hasResponse: false });
+    return disconnected.signal;
   }
 
+  /** Must be called when the response to a request is complete. */
   endRequest(request: IncomingMessage): void {
     const connection = this.connections.get(request.socket);
     if (connection === undefined) return;
@@ -96,4 +105,14 @@
       socket.destroySoon();
     }
   }
+
+  /**
+   * Node.js emits the close only for the response that is being written. The responses behind it have no
+   * connection yet, so that their requests would go on although nobody receives the responses.
+   */
+  private handleClose(socket: Socket): void {
+    const open = this.connections.get(socket)?.open ?? [];
+    this.connections.delete(socket);
+    for (const { disconnected } of open) disconnected.abort(new Error('caller disconnected'));
+  }
 }
--- a/packages/dispatch/src/entry/node/frontServer.test.ts
+++ b/packages/dispatch/src/entry/node/frontServer.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import type { Socket } from 'node:net';
 import { test } from 'node:test';
 import { setImmediate } from 'node:timers/promises';
 import { openFront, waitUntil } from '../../test/frontFixture.js';
@@ -52,3 +53,51 @@
   await waitUntil(() => caller.isClosed);
   assert.deepEqual(caller.responses, ['500 close']);
 });
+
+test('all requests of a connection are cancelled when their caller leaves', async (t) => {
+  // Guards against targets that work on requests behind the first one of a closed connection.
+  const { front, openCaller, transport } = await openFront(t);
+  const caller = openCaller();
+  for (const name of ['a', 'b', 'c', 'd']) caller.send(name);
+  await waitUntil(() => transport.sent.length === 4);
+  transport.settle('c');
+  await setImmediate();
+  caller.socket.destroy();
+  await waitUntil(() => transport.cancelled.length === 3);
+  assert.deepEqual(transport.cancelled, ['a', 'b', 'd']);
+  assert.equal(front.connections.openRequests, 0);
+});
+
+test('queued requests of a connection are withdrawn when their caller leaves', async (t) => {
+  // Guards against requests that get a slot although nobody waits for their response.
+  const { openCaller, selector } = await openFront(t);
+  selector.isQueueing = true;
+  const caller = openCaller();
+  caller.send('a');
+  caller.send('b');
+  await waitUntil(() => selector.queued === 2);
+  caller.socket.destroy();
+  await waitUntil(() => selector.queued === 0);
+});
+
+test('requests leave no listeners on their connection', async (t) => {
+  // Guards against connections that are kept for long and whose memory grows with each request.
+  const { front, openCaller, transport } = await openFront(t);
+  let socket: Socket | undefined;
+  front.server.on('connection', (opened: Socket) => (socket = opened));
+  const caller = openCaller();
+  const countListeners = () => {
+    const names = socket?.eventNames() ?? [];
+    return names.reduce((sum, name) => sum + (socket?.listenerCount(name) ?? 0), 0);
+  };
+  const counts: number[] = [];
+  for (let index = 0; index < 20; index += 1) {
+    caller.send(String(index));
+    await waitUntil(() => transport.sent.length > index);
+    counts.push(countListeners());
+    transport.settle(String(index));
+    await waitUntil(() => caller.responses.length > index);
+  }
+  assert.equal(counts.at(-1), counts[1]);
+  assert.deepEqual(transport.cancelled, []);
+});
--- a/packages/dispatch/src/entry/node/frontServer.ts
+++ b/packages/dispatch/src/entry/node/frontServer.ts
@@ -102,16 +102,15 @@
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (!this.connections.startRequest(request)) return;
-    const disconnected = new AbortController();
+    const signal = this.connections.startRequest(request);
+    if (signal === undefined) return;
     response.once('close', () => {
-      this.connections.endRequest(request);
-      if (!response.writableFinished) disconnected.abort(new Error('caller disconnected'));
+      if (response.writableFinished) this.connections.endRequest(request);
     });
     try {
-      await this.serve(request, response, disconnected.signal);
+      await this.serve(request, response, signal);
     } catch (error) {
-      this.handleInternalError(request, response, error, disconnected.signal);
+      this.handleInternalError(request, response, error, signal);
     }
   }
 
--- a/packages/dispatch/src/test/frontFixture.ts
+++ b/packages/dispatch/src/test/frontFixture.ts
@@ -13,6 +13,7 @@
 } from '@parsleymux/base';
 import type { Header, ISendOptions, ITargetRequest, ITargetResponse } from '@parsleymux/routing';
 import { TargetTransport } from '@parsleymux/routing';
+import type { IGrantRequest } from '@parsleymux/scheduling';
 import { makeQuarantine, makeRoute, makeTarget } from '@parsleymux/scheduling/testing';
 import { Registry } from 'prom-client';
 import { DestinationPicker } from '../catalog/common/destinationPicker.js';
@@ -119,17 +120,31 @@
   }
 }
 
-/** Grants each request a target, unless the test makes it fail. */
+/** Grants each request a target, unless the test makes it fail or queue the request. */
 class TestSelector extends TargetSelector {
   failure: Error | undefined;
+  isQueueing = false;
+  /** Number of queued requests. */
+  queued = 0;
 
-  override choose(): Promise<Selection> {
+  override choose(_request: IGrantRequest, signal: AbortSignal): Promise<Selection> {
     if (this.failure !== undefined) return Promise.reject(this.failure);
+    if (this.isQueueing) return this.addToQueue(signal);
     const report = (): void => undefined;
     const target = makeTarget('t1');
     const grant = { target, home: 'h', suspicion: 0, needsFreshConnection: false, report };
     return Promise.resolve({ kind: 'granted', grant });
   }
+
+  private addToQueue(signal: AbortSignal): Promise<Selection> {
+    this.queued += 1;
+    return new Promise((_resolve, reject) => {
+      signal.addEventListener('abort', () => {
+        this.queued -= 1;
+        reject(new Error('withdrawn'));
+      });
+    });
+  }
 }
 
 class TestProtocol extends CallerProtocol {
