Cancel all requests of a closed connection at the callers' port of "serve" too

Callers saw: nothing at once. Requests behind the first one of a connection whose caller had left went on, were never counted as ended, and kept their part of their member's share until the process ended, so that a member whose callers send ahead and leave would be refused sooner or later, and a shutdown would wait for its time limit.

Before and after: the new test of callerServer failed at its first check (signals of three requests aborted: true, false, false) and passes, which includes that no request stays in flight.

--- a/packages/node/src/entry/node/callerServer.test.ts
+++ b/packages/node/src/entry/node/callerServer.test.ts
@@ -53,7 +53,9 @@
 
 interface IFixture {
   readonly state: NodeState;
-  openCaller(version?: string): Promise<Socket>;
+  /** The signals of the requests that were passed on. */
+  readonly signals: readonly AbortSignal[];
+  openCaller(version?: string, connection?: string): Promise<Socket>;
 }
 
 async function openFixture(
@@ -63,7 +65,9 @@
 ): Promise<IFixture> {
   const state = new NodeState();
   state.setStage(stage);
-  const serve = (): Promise<IResponse> => {
+  const signals: AbortSignal[] = [];
+  const serve = (_request: unknown, signal: AbortSignal): Promise<IResponse> => {
+    signals.push(signal);
     const head = { status: 200, headers: [], code: ResultCode.Ok, runState: RunState.Ran };
     return Promise.resolve({ ...head, body: makeBody() });
   };
@@ -100,11 +104,12 @@
   });
   return {
     state,
-    openCaller: async (version = '1.1') => {
+    signals,
+    openCaller: async (version = '1.1', connection = 'close') => {
       const socket = connect({ host, port });
       sockets.push(socket);
       await once(socket, 'connect');
-      socket.write(`GET / HTTP/${version}\r\nHost: ${HOST}\r\nConnection: close\r\n\r\n`);
+      socket.write(`GET / HTTP/${version}\r\nHost: ${HOST}\r\nConnection: ${connection}\r\n\r\n`);
       return socket;
     },
   };
@@ -213,3 +218,28 @@
   assert.match(text, new RegExp(`parsleymux-result: ${ResultCode.NotReady}\r\n`));
   assert.match(text, /retry-after: 1\r\n/);
 });
+
+test(
+  'all requests of a connection end when their caller leaves',
+  { timeout: 10_000 },
+  async (t) => {
+    // Guards against requests behind the first one that go on and hold their member's share for ever.
+    const released = new AbortController();
+    const fixture = await openFixture(t, async function* () {
+      yield Buffer.from('half');
+      await once(released.signal, 'abort');
+    });
+    const socket = await fixture.openCaller('1.1', 'keep-alive');
+    socket.write(`GET / HTTP/1.1\r\nHost: ${HOST}\r\n\r\n`.repeat(2));
+    while (fixture.signals.length < 3) await new Promise((resolve) => setImmediate(resolve));
+    socket.destroy();
+    while (fixture.signals[0]?.aborted !== true)
+      await new Promise((resolve) => setImmediate(resolve));
+    assert.deepEqual(
+      fixture.signals.map(({ aborted }) => aborted),
+      [true, true, true],
+    );
+    released.abort();
+    await waitUntilIdle(fixture.state);
+  },
+);
--- a/packages/node/src/http/node/bodyWriter.ts
+++ b/packages/node/src/http/node/bodyWriter.ts
@@ -4,6 +4,7 @@
 import type { ResponseBody, Header } from '@parsleymux/routing';
 import { discardBody } from '@parsleymux/routing';
 import { toRawHeaders } from '../common/headers.js';
+import { watchConnection } from './connectionWatcher.js';
 
 const CONTENT_LENGTH = 'content-length';
 const NO_CONTENT = 204;
@@ -28,8 +29,13 @@
 export function waitForEnd(response: ServerResponse): Promise<void> {
   if (response.writableFinished || response.destroyed) return Promise.resolve();
   return new Promise((resolve) => {
-    response.once('finish', resolve);
-    response.once('close', resolve);
+    const subscription = watchConnection(response.req.socket, resolve);
+    const finish = () => {
+      void subscription.dispose();
+      resolve();
+    };
+    response.once('finish', finish);
+    response.once('close', finish);
   });
 }
 
@@ -80,16 +86,20 @@
   body: AsyncIterable<Uint8Array>,
 ): Promise<void> {
   const closed = new AbortController();
-  response.once('close', () => {
+  const abort = () => {
     closed.abort();
-  });
+  };
+  const subscription = watchConnection(response.req.socket, abort);
+  response.once('close', abort);
   try {
     for await (const chunk of body) {
-      if (response.destroyed) return;
+      if (response.destroyed || closed.signal.aborted) return;
       if (!response.write(chunk)) await once(response, 'drain', { signal: closed.signal });
     }
     response.end();
   } catch {
     response.destroy();
+  } finally {
+    void subscription.dispose();
   }
 }
--- a/packages/node/src/http/node/disconnectSignal.ts
+++ b/packages/node/src/http/node/disconnectSignal.ts
@@ -1,5 +1,6 @@
 /** Detects receivers that disconnect before their response is complete. */
 import type { ServerResponse } from 'node:http';
+import { watchConnection } from './connectionWatcher.js';
 
 /**
  * Creates a signal that aborts when the connection ends before the complete response was written.
@@ -11,8 +12,13 @@
  */
 export function createDisconnectSignal(response: ServerResponse, reason: string): AbortSignal {
   const abort = new AbortController();
-  response.once('close', () => {
+  const abortUnlessFinished = () => {
     if (!response.writableFinished) abort.abort(new Error(reason));
+  };
+  const subscription = watchConnection(response.req.socket, abortUnlessFinished);
+  response.once('close', () => {
+    void subscription.dispose();
+    abortUnlessFinished();
   });
   return abort.signal;
 }
