Cut no request behind another one when "serve" shuts down

Callers saw, by the new test: during a shutdown the first response closes the connection, and the request behind it, which a target works on, ends without a response. For a request that is not idempotent its outcome is unknown.

Cause: every response during a shutdown announced the close, whatever had been passed on behind it; and requests that arrived after the announcement were passed on.

Fix: as at the node on the users' platform. Only the response to the last request of a connection announces the close, and requests behind an unanswered one are left unread during a shutdown.

Before and after: the new test failed (the first response said close, no second one came) and passes, with responses that complete in the other order too. The front server of the platform's node gets the same check of the order; it passed at once.

--- a/packages/dispatch/src/entry/node/frontServer.test.ts
+++ b/packages/dispatch/src/entry/node/frontServer.test.ts
@@ -42,6 +42,21 @@
   assert.deepEqual(caller.responses, ['200 keep-alive a', '200 keep-alive b', '200 close c']);
 });
 
+test('a stopping node announces the close in the last response, also if it is ready first', async (t) => {
+  // Guards against a close that is announced ahead of a request at work.
+  const { front, openCaller, transport } = await openFront(t);
+  const caller = openCaller();
+  caller.send('a');
+  caller.send('b');
+  await waitUntil(() => transport.sent.length === 2);
+  front.connections.stop();
+  transport.settle('b');
+  await setImmediate();
+  transport.settle('a');
+  await waitUntil(() => caller.isClosed);
+  assert.deepEqual(caller.responses, ['200 keep-alive a', '200 close b']);
+});
+
 test('a stopping node announces the close after an internal error too', async (t) => {
   // Guards against a caller that waits for the response to a discarded request.
   const { front, openCaller, selector } = await openFront(t);
--- a/packages/node/src/entry/node/callerConnections.ts
+++ b/packages/node/src/entry/node/callerConnections.ts
@@ -10,6 +10,19 @@
 /** Connections above the limit that still get a refusal; further ones are dropped. */
 const REFUSED_ABOVE_LIMIT = 64;
 
+interface IOpenRequest {
+  readonly request: IncomingMessage;
+  /** Whether its response has been written, so that it can no longer announce the close. */
+  hasResponse: boolean;
+}
+
+interface IRequests {
+  /** Requests whose response is not complete yet, in the order of arrival. */
+  readonly open: IOpenRequest[];
+  /** Whether a response has announced the close of the connection. */
+  isClosing: boolean;
+}
+
 /** Options of a {@link CallerConnections}. */
 export interface ICallerConnectionsOptions {
   readonly server: Server;
@@ -29,8 +42,7 @@
   private readonly options: ICallerConnectionsOptions;
   private readonly open = new Set<Duplex>();
   private readonly aboveLimit = new WeakSet<Duplex>();
-  /** Requests of each connection whose response is not complete yet. */
-  private readonly inFlight = new WeakMap<Duplex, Set<IncomingMessage>>();
+  private readonly requests = new WeakMap<Duplex, IRequests>();
 
   constructor(options: ICallerConnectionsOptions) {
     this.options = options;
@@ -52,19 +64,50 @@
 
   /** Tracks a request until the returned function is called, when its response is complete. */
   startRequest(request: IncomingMessage): () => void {
-    const requests = this.inFlight.get(request.socket) ?? new Set();
-    this.inFlight.set(request.socket, requests.add(request));
+    const { open } = this.getRequests(request);
+    const entry = { request, hasResponse: false };
+    open.push(entry);
     return () => {
-      requests.delete(request);
+      const index = open.indexOf(entry);
+      if (index !== -1) open.splice(index, 1);
     };
   }
 
+  /**
+   * Whether an earlier response of the connection announces, or is going to announce, the close. The caller
+   * knows then that the request was not read.
+   */
+  isBehindClose(request: IncomingMessage, isShuttingDown: boolean): boolean {
+    const { isClosing, open } = this.getRequests(request);
+    return isClosing || (isShuttingDown && open.at(-1)?.hasResponse === false);
+  }
+
+  /**
+   * Must be called before a response is written. Returns whether it can announce the close of the connection:
+   * the response to a request behind it would be lost.
+   */
+  startResponse(request: IncomingMessage, isShuttingDown: boolean): boolean {
+    const requests = this.getRequests(request);
+    const entry = requests.open.find((one) => one.request === request);
+    if (entry === undefined) return false;
+    entry.hasResponse = true;
+    const isClosing = isShuttingDown && entry === requests.open.at(-1);
+    if (isClosing) requests.isClosing = true;
+    return isClosing;
+  }
+
   /** Throws when the request's connection was opened above the limit. */
   checkLimit(request: IncomingMessage): void {
     if (!this.aboveLimit.has(request.socket)) return;
     throw createRefusal(ResultCode.TooManyConnections, 'too many connections from callers');
   }
 
+  private getRequests({ socket }: IncomingMessage): IRequests {
+    const known = this.requests.get(socket) ?? { open: [], isClosing: false };
+    this.requests.set(socket, known);
+    return known;
+  }
+
   private track(socket: Socket): void {
     this.open.add(socket);
     if (this.open.size > this.options.limit) this.aboveLimit.add(socket);
@@ -73,7 +116,7 @@
 
   /** Whether a request that was received completely, and so may run, has no complete response yet. */
   private hasCompleteRequest(socket: Duplex): boolean {
-    return [...(this.inFlight.get(socket) ?? [])].some(({ complete }) => complete);
+    return this.requests.get(socket)?.open.some(({ request }) => request.complete) === true;
   }
 
   private refuseMalformed(error: Error, socket: Duplex): void {
--- a/packages/node/src/entry/node/callerServer.test.ts
+++ b/packages/node/src/entry/node/callerServer.test.ts
@@ -60,16 +60,16 @@
 
 async function openFixture(
   t: TestContext,
-  makeBody: () => ResponseBody,
+  makeBody: () => ResponseBody | Promise<ResponseBody>,
   stage: NodeStage = NodeStage.Serving,
 ): Promise<IFixture> {
   const state = new NodeState();
   state.setStage(stage);
   const signals: AbortSignal[] = [];
-  const serve = (_request: unknown, signal: AbortSignal): Promise<IResponse> => {
+  const serve = async (_request: unknown, signal: AbortSignal): Promise<IResponse> => {
     signals.push(signal);
     const head = { status: 200, headers: [], code: ResultCode.Ok, runState: RunState.Ran };
-    return Promise.resolve({ ...head, body: makeBody() });
+    return { ...head, body: await makeBody() };
   };
   const server = new CallerServer({
     clock: new SystemClock(),
@@ -243,3 +243,30 @@
     await waitUntilIdle(fixture.state);
   },
 );
+
+test('a shutdown cuts no request behind another one', { timeout: 10_000 }, async (t) => {
+  // Guards against a response that closes the connection while a request behind it is at work.
+  const releases: (() => void)[] = [];
+  const fixture = await openFixture(t, async () => {
+    await new Promise<void>((resolve) => releases.push(resolve));
+    return Buffer.from('complete');
+  });
+  const next = `GET / HTTP/1.1\r\nHost: ${HOST}\r\n\r\n`;
+  const socket = await fixture.openCaller('1.1', 'keep-alive');
+  socket.write(next);
+  while (fixture.signals.length < 2) await new Promise((resolve) => setImmediate(resolve));
+  fixture.state.setStage(NodeStage.ShuttingDown);
+  socket.write(next);
+  const end = readToEnd(socket);
+  // Leaves time for the third request to arrive.
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  for (const release of releases.reverse()) {
+    release();
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  const [, first, second, ...others] = (await end).split('HTTP/1.1 200 ');
+  assert.match(first ?? '', /connection: keep-alive[^]*complete/i);
+  assert.match(second ?? '', /connection: close[^]*complete/i);
+  assert.deepEqual(others, []);
+  assert.equal(fixture.signals.length, 2, 'the request behind the close is not passed on');
+});
--- a/packages/node/src/entry/node/callerServer.ts
+++ b/packages/node/src/entry/node/callerServer.ts
@@ -113,6 +113,7 @@
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.connections.isBehindClose(request, this.options.state.isShuttingDown())) return;
     const startedMs = this.options.clock.getMonotonicTime();
     const finish = this.options.state.startRequest();
     const finishOnConnection = this.connections.startRequest(request);
@@ -205,7 +206,7 @@
       ...homeResponse.headers,
       [HeaderName.Result, String(homeResponse.code)],
       [HeaderName.RunState, homeResponse.runState],
-      ...this.listClosingHeaders(),
+      ...this.listClosingHeaders(request),
     ];
     const isHead = request.method === 'HEAD';
     await writeResponse(response, {
@@ -223,7 +224,7 @@
   ): Promise<void> {
     if (refusal.code === ResultCode.Internal) this.options.metrics.recordInternalError(refusal);
     this.watchStalls(response);
-    await writeRefusal(request, response, refusal, this.listClosingHeaders());
+    await writeRefusal(request, response, refusal, this.listClosingHeaders(request));
   }
 
   /**
@@ -238,8 +239,9 @@
   }
 
   /** During shutdown, makes callers open new connections, which reach other nodes. */
-  private listClosingHeaders(): readonly Header[] {
-    return this.options.state.isShuttingDown() ? [['connection', 'close']] : [];
+  private listClosingHeaders(request: IncomingMessage): readonly Header[] {
+    const isShuttingDown = this.options.state.isShuttingDown();
+    return this.connections.startResponse(request, isShuttingDown) ? [['connection', 'close']] : [];
   }
 }
 
