--- a/packages/dispatch/src/entry/node/callerConnections.ts
+++ b/packages/dispatch/src/entry/node/callerConnections.ts
@@ -73,7 +73,7 @@
   endRequest(request: IncomingMessage): void {
     const connection = this.connections.get(request.socket);
     if (connection === undefined) return;
-    const index = connection.open.findIndex((one) => one.request === request);
+    const index = connection.open.findIndex((entry) => entry.request === request);
     if (index !== -1) connection.open.splice(index, 1);
   }
 
@@ -83,10 +83,10 @@
    */
   startResponse(request: IncomingMessage, response: ServerResponse, mustEnd: boolean): void {
     const connection = this.connections.get(request.socket);
-    const open = connection?.open.find((one) => one.request === request);
-    if (connection === undefined || open === undefined) return;
-    open.hasResponse = true;
-    const isLast = connection.open.at(-1) === open;
+    const entry = connection?.open.find((open) => open.request === request);
+    if (connection === undefined || entry === undefined) return;
+    entry.hasResponse = true;
+    const isLast = connection.open.at(-1) === entry;
     if (!isLast || !(mustEnd || this.isStopping)) return;
     connection.isClosing = true;
     response.setHeader('connection', 'close');
--- a/packages/dispatch/src/grants/common/homeSelector.test.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.test.ts
@@ -2,9 +2,9 @@
 import { test } from 'node:test';
 import { create } from '@bufbuild/protobuf';
 import { ManualClock, createSilentLogger } from '@parsleymux/base';
+import type { ITargetRecord } from '@parsleymux/scheduling';
 import { HomeService, GrantOutcome } from '@parsleymux/scheduling';
 import { makeGrantRequest, makeTarget } from '@parsleymux/scheduling/testing';
-import type { ITargetRecord } from '@parsleymux/scheduling';
 import { ReportReceivedSchema } from '@parsleymux/schema';
 import { makeQuarantine } from '@parsleymux/scheduling/testing';
 import { MemoryNetwork } from '../../test/memoryNetwork.js';
@@ -15,7 +15,7 @@
 
 const TARGET = makeTarget('t1', { slots: 2 });
 const RANKING = ['home', 'second', 'third'];
-const OTHER_TARGET = makeTarget('t9', { service: 'catalog', slots: 2 });
+const OTHER_TARGET = makeTarget('t9', { service: 'catalog', slots: 1 });
 
 interface INodeOptions {
   readonly ranking: readonly string[];
@@ -262,8 +262,7 @@
 /** An entry is killed while its request is queued at a home, and starts again at its address. */
 async function restartEntry(): Promise<IRestartedEntry> {
   const network = new MemoryNetwork(new ManualClock());
-  const targets = [TARGET, { ...OTHER_TARGET, slots: 1 }];
-  const home = new Node(network, 'home', { targets });
+  const home = new Node(network, 'home', { targets: [TARGET, OTHER_TARGET] });
   const other = new Node(network, 'other');
   const first = new Node(network, 'entry');
   const request = makeGrantRequest({ service: 'catalog', remainingMs: 20_000 });
