Keep the connection of a request whose body is too large

A request that is destroyed loses its socket, and both the new list of open requests and the new observer of connections looked for it there after the body had been read.

Found by the tests of bad input: 8 of malformedRequests failed in a run of all tests on, the first at the body and the others as the node was gone.

Fix: both remember what belongs to a request when it arrives. malformedRequests and packages/node: 88 passed, 0 failed.

--- a/packages/node/src/entry/node/callerConnections.ts
+++ b/packages/node/src/entry/node/callerConnections.ts
@@ -42,7 +42,9 @@
   private readonly options: ICallerConnectionsOptions;
   private readonly open = new Set<Duplex>();
   private readonly aboveLimit = new WeakSet<Duplex>();
-  private readonly requests = new WeakMap<Duplex, IRequests>();
+  private readonly requestsBySocket = new WeakMap<Duplex, IRequests>();
+  /** A request loses its socket when it is destroyed, for example because its body is too large. */
+  private readonly requestsByRequest = new WeakMap<IncomingMessage, IRequests>();
 
   constructor(options: ICallerConnectionsOptions) {
     this.options = options;
@@ -64,7 +66,9 @@
 
   /** Tracks a request until the returned function is called, when its response is complete. */
   startRequest(request: IncomingMessage): () => void {
-    const { open } = this.getRequests(request);
+    const requests = this.getRequests(request);
+    this.requestsByRequest.set(request, requests);
+    const { open } = requests;
     const entry = { request, hasResponse: false };
     open.push(entry);
     return () => {
@@ -87,9 +91,9 @@
    * the response to a request behind it would be lost.
    */
   startResponse(request: IncomingMessage, isShuttingDown: boolean): boolean {
-    const requests = this.getRequests(request);
-    const entry = requests.open.find((one) => one.request === request);
-    if (entry === undefined) return false;
+    const requests = this.requestsByRequest.get(request);
+    const entry = requests?.open.find((one) => one.request === request);
+    if (requests === undefined || entry === undefined) return false;
     entry.hasResponse = true;
     const isClosing = isShuttingDown && entry === requests.open.at(-1);
     if (isClosing) requests.isClosing = true;
@@ -103,8 +107,8 @@
   }
 
   private getRequests({ socket }: IncomingMessage): IRequests {
-    const known = this.requests.get(socket) ?? { open: [], isClosing: false };
-    this.requests.set(socket, known);
+    const known = this.requestsBySocket.get(socket) ?? { open: [], isClosing: false };
+    this.requestsBySocket.set(socket, known);
     return known;
   }
 
@@ -116,7 +120,7 @@
 
   /** Whether a request that was received completely, and so may run, has no complete response yet. */
   private hasCompleteRequest(socket: Duplex): boolean {
-    return this.requests.get(socket)?.open.some(({ request }) => request.complete) === true;
+    return this.requestsBySocket.get(socket)?.open.some(({ request }) => request.complete) === true;
   }
 
   private refuseMalformed(error: Error, socket: Duplex): void {
--- a/packages/node/src/http/node/bodyWriter.ts
+++ b/packages/node/src/http/node/bodyWriter.ts
@@ -29,7 +29,7 @@
 export function waitForEnd(response: ServerResponse): Promise<void> {
   if (response.writableFinished || response.destroyed) return Promise.resolve();
   return new Promise((resolve) => {
-    const subscription = watchConnection(response.req.socket, resolve);
+    const subscription = watchConnection(response, resolve);
     const finish = () => {
       void subscription.dispose();
       resolve();
@@ -89,7 +89,7 @@
   const abort = () => {
     closed.abort();
   };
-  const subscription = watchConnection(response.req.socket, abort);
+  const subscription = watchConnection(response, abort);
   response.once('close', abort);
   try {
     for await (const chunk of body) {
--- a/packages/node/src/http/node/disconnectSignal.ts
+++ b/packages/node/src/http/node/disconnectSignal.ts
@@ -15,7 +15,7 @@
   const abortUnlessFinished = () => {
     if (!response.writableFinished) abort.abort(new Error(reason));
   };
-  const subscription = watchConnection(response.req.socket, abortUnlessFinished);
+  const subscription = watchConnection(response, abortUnlessFinished);
   response.once('close', () => {
     void subscription.dispose();
     abortUnlessFinished();
