--- a/review/rig-2/rig.mjs
+++ b/review/rig-2/rig.mjs
@@ -328,6 +328,7 @@
   }
   /** Starts the process with the words of the `run` line of the deploy file. */
   start() {
+    if (this.isDisposed) throw new Error(`${this.name} is disposed`);
     const deploy = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8');
     const [, line] = /^run = "(.*)"$/m.exec(deploy);
     const [, ...words] = line.split(' ');
@@ -372,6 +373,7 @@
     if (this.exit === undefined) this.child?.kill(signal);
   }
   async dispose() {
+    this.isDisposed = true;
     if (this.exit === undefined && this.child !== undefined) {
       this.child.kill('SIGCONT');
       this.child.kill('SIGKILL');
@@ -472,6 +474,16 @@
     return part;
   };
   let code = 2;
+  // A script that is stopped ends its processes as well.
+  const stop = () => {
+    for (const { child, folder: temporary } of parts) {
+      child?.kill('SIGKILL');
+      if (temporary !== undefined) rmSync(temporary, { recursive: true, force: true });
+    }
+    process.exit(2);
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
   try {
     const isBroken = await play({ record, add });
     record.add(isBroken ? 'RESULT: the rule was broken' : 'RESULT: the rule held');
