--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -26,6 +26,8 @@
   return { name, path: `/${name}/`, method: 'GET', workMs: 440 };
 });
 const CLIENTS = 24;
+/** After this many requests a client opens a new connection, to the next machine. */
+const REQUESTS_PER_CONNECTION = 8;
 const DEADLINE_MS = 3000;
 const QUIET_S = 3;
 const AFTER_S = 16;
@@ -91,7 +93,8 @@
     let connection;
     let sent = 0;
     for (let number = 0; !until(); number += 1) {
-      if (connection === undefined || connection.isClosed) {
+      if (connection === undefined || connection.isClosed || sent === REQUESTS_PER_CONNECTION) {
+        connection?.close();
         connection = new Connection(machines[(client + number) % MACHINES].front);
         sent = 0;
       }
