Encode any number into the integer fields of messages between nodes

Cause: the length of a part of the retry window, 512.5 ms, went into a uint32 field. Encoding threw in the callback of a timer, which ended the process of each home, again after each start.

Fix: parts of windows last whole milliseconds; integer fields are rounded and bounded in one place; a message that can't be encoded is counted, logged and dropped, as the channel's contract says. Windows that divide evenly keep their parts, so builds can run side by side. The tests' network now encodes.

--- a/packages/dispatch/src/directory/common/tableMessages.ts
+++ b/packages/dispatch/src/directory/common/tableMessages.ts
@@ -2,6 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import type { FollowedChanges, FollowedRow } from '@parsleymux/schema';
 import { FollowedChangesSchema } from '@parsleymux/schema';
+import { toUint32 } from '../../grants/common/integerFields.js';
 import type { ITableChange, ITableChanges } from './authority.js';
 import type { FollowedTable } from './followedTable.js';
 
@@ -42,10 +43,10 @@
 export function encodeAges(
   table: FollowedTable<unknown>,
 ): Pick<FollowedChanges, 'ageMs' | 'proofAgeMs'> {
-  const ageMs = Math.max(0, Math.round(table.getAgeMs()));
+  const ageMs = toUint32(table.getAgeMs());
   const proofAgeMs = table.getProofAgeMs();
   if (proofAgeMs > MAX_PROOF_AGE_MS) return { ageMs };
-  return { ageMs, proofAgeMs: Math.max(0, Math.ceil(proofAgeMs)) };
+  return { ageMs, proofAgeMs: toUint32(Math.ceil(proofAgeMs)) };
 }
 
 /** Decoded changes, and the version after which they are complete. */
--- a/packages/dispatch/src/grants/common/grantMessages.ts
+++ b/packages/dispatch/src/grants/common/grantMessages.ts
@@ -14,12 +14,12 @@
 } from '../../quarantine/common/quarantineMessages.js';
 import type { GrantDecision, IGrantRequest } from '@parsleymux/scheduling';
 import { GrantOutcome } from '@parsleymux/scheduling';
+import { toUint32 } from './integerFields.js';
 
 const PERMILLE = 1000;
 /** Maximum number of limits in one grant request, so that it fits into one packet. */
 const MAX_LIMITS_PER_REQUEST = 8;
 const MILLI = 1000;
-const MAX_UINT32 = 0xffff_ffff;
 
 const OUTCOMES: Readonly<Record<GrantOutcome, Outcome>> = {
   [GrantOutcome.Succeeded]: Outcome.SUCCEEDED,
@@ -63,7 +63,7 @@
     route: request.route,
     service: request.service,
     failureDomain: request.failureDomain,
-    attempt: request.attempt,
+    attempt: toUint32(request.attempt),
     idempotent: request.isIdempotent,
     mayRetry: request.mayRetry,
     hedge: request.isHedge,
@@ -72,9 +72,9 @@
     charged: request.isCharged,
     repeated: request.isRepeated,
     retry: request.isRetry,
-    priority: request.priority,
-    remainingMs: Math.max(0, Math.floor(request.remainingMs)),
-    objectiveMs: Math.floor(request.objectiveMs),
+    priority: toUint32(request.priority),
+    remainingMs: toUint32(Math.floor(request.remainingMs)),
+    objectiveMs: toUint32(Math.floor(request.objectiveMs)),
     excluded: [...request.excluded],
     connected: [...request.connected],
     limits: request.limits
@@ -127,7 +127,7 @@
       askId,
       incarnation,
       kind: DecisionKind.REFUSED,
-      retryAfterMs: decision.retryAfterMs,
+      retryAfterMs: toUint32(Math.ceil(decision.retryAfterMs)),
       resultCode: decision.code,
     });
   }
@@ -137,7 +137,7 @@
     kind: DecisionKind.GRANTED,
     targetId: decision.target.id,
     ...encodeBornMs(decision.target.bornMs),
-    suspicionPermille: Math.round(decision.suspicion * PERMILLE),
+    suspicionPermille: toUint32(decision.suspicion * PERMILLE),
     freshConnection: decision.needsFreshConnection,
   });
 }
@@ -167,14 +167,14 @@
     targetId: limit.targetId,
     ...encodeBornMs(limit.bornMs),
     ...(rateMilli === undefined ? {} : { rateMilli }),
-    ageMs: Math.min(MAX_UINT32, Math.max(0, Math.round(ageMs))),
+    ageMs: toUint32(ageMs),
     granted: BigInt(limit.granted ?? 0),
   });
 }
 
 /** Encodes a rate in thousandths of a request per second; undefined stands for no limit. */
 export function encodeRate(ratePerS: number | undefined): number | undefined {
-  return ratePerS === undefined ? undefined : Math.min(MAX_UINT32, Math.floor(ratePerS * MILLI));
+  return ratePerS === undefined ? undefined : toUint32(Math.floor(ratePerS * MILLI));
 }
 
 /** Decodes a rate to requests per second. */
--- a/packages/dispatch/src/grants/common/handoverMessages.ts
+++ b/packages/dispatch/src/grants/common/handoverMessages.ts
@@ -14,6 +14,7 @@
   encodeFingerprint,
 } from '../../quarantine/common/quarantineMessages.js';
 import { decodeBornMs, encodeBornMs } from './grantMessages.js';
+import { toSint32, toUint32 } from './integerFields.js';
 
 const MILLI = 1000;
 const CENTI = 100;
@@ -43,18 +44,27 @@
   const header = { service, startedMs: BigInt(startedMs), sequence, stopping: isLast };
   const left = maxBytes - toBinary(HandoverSchema, create(HandoverSchema, header)).length;
   const places = digest.places.map(({ ageMs, inMs, key, lane }) => {
-    return create(PromisedPlaceSchema, { tenant: lane, key: encodeFingerprint(key), inMs, ageMs });
+    return create(PromisedPlaceSchema, {
+      tenant: lane,
+      key: encodeFingerprint(key),
+      inMs: toSint32(inMs),
+      ageMs: toUint32(ageMs),
+    });
   });
   const leads = digest.leads.map(({ lead, priority, tenant }) => {
-    return create(TenantLeadSchema, { tenant, priority, leadMs: Math.round(lead) });
+    return create(TenantLeadSchema, {
+      tenant,
+      priority: toUint32(priority),
+      leadMs: toUint32(lead),
+    });
   });
   const speeds = digest.speeds.map(({ ageMs, bornMs, logFactor, targetId, weight }) => {
     return create(LearnedSpeedSchema, {
       targetId,
       ...encodeBornMs(bornMs),
-      logFactorMilli: Math.round(logFactor * MILLI),
-      weightCenti: Math.round(weight * CENTI),
-      ageMs: Math.round(ageMs),
+      logFactorMilli: toSint32(logFactor * MILLI),
+      weightCenti: toUint32(weight * CENTI),
+      ageMs: toUint32(ageMs),
     });
   });
   return create(HandoverSchema, {
--- a/packages/dispatch/src/grants/common/healthSharing.ts
+++ b/packages/dispatch/src/grants/common/healthSharing.ts
@@ -6,6 +6,7 @@
 import type { TargetState, HomeService, ServiceScheduler } from '@parsleymux/scheduling';
 import type { DatagramChannel } from './datagramChannel.js';
 import { decodeBornMs, decodeRate, encodeBornMs, encodeLimit } from './grantMessages.js';
+import { toUint32 } from './integerFields.js';
 import { ACTIVE_MS, SHARE_INTERVAL_MS } from '@parsleymux/scheduling';
 
 /** Older estimates are not sent, in ms: they have converged to the average of all targets. */
@@ -111,7 +112,7 @@
     targetId: target.record.id,
     ...encodeBornMs(target.record.bornMs),
     leaving: target.hasReportedDraining,
-    suspicionPermille: Math.round(evidence.suspicion * PERMILLE),
-    ageMs: Math.round(nowMs - evidence.updatedMs),
+    suspicionPermille: toUint32(evidence.suspicion * PERMILLE),
+    ageMs: toUint32(nowMs - evidence.updatedMs),
   });
 }
--- a/packages/dispatch/src/grants/common/homeSelector.ts
+++ b/packages/dispatch/src/grants/common/homeSelector.ts
@@ -22,6 +22,7 @@
 } from './grantMessages.js';
 import { HomeHealth } from './homeHealth.js';
 import { GrantRequestSender } from './grantRequestSender.js';
+import { toUint32 } from './integerFields.js';
 import type { IGrant, Selection } from './targetSelector.js';
 import { TargetSelector } from './targetSelector.js';
 
@@ -254,13 +255,13 @@
     const rateLimitMilli = encodeRate(rateLimit);
     const value = create(ReportSchema, {
       ...(rateLimitMilli === undefined ? {} : { rateLimitMilli }),
-      answerBytes,
+      answerBytes: toUint32(answerBytes),
       leaving: isDraining,
       askId,
       service: request.service,
       targetId: targetId ?? '',
       outcome: encodeOutcome(outcome),
-      latencyMs: Math.max(0, Math.round(latencyMs)),
+      latencyMs: toUint32(latencyMs),
       incarnation: this.options.incarnation,
       failureDomain: request.failureDomain,
     });
--- a/packages/dispatch/src/grants/common/retrySharing.test.ts
+++ b/packages/dispatch/src/grants/common/retrySharing.test.ts
@@ -16,9 +16,14 @@
   readonly homes: HomeService;
   readonly sharing: RetrySharing;
 
-  constructor(network: MemoryNetwork, address: string, rankHomes: () => readonly string[]) {
+  constructor(
+    network: MemoryNetwork,
+    address: string,
+    rankHomes: () => readonly string[],
+    windowMs = 10_000,
+  ) {
     const { clock } = network;
-    const retries = { windowMs: 10_000, ratio: 0.2, burst: BURST };
+    const retries = { windowMs, ratio: 0.2, burst: BURST };
     const log = createSilentLogger();
     const quarantine = makeQuarantine(clock);
     this.homes = new HomeService({ clock, log, quarantine, retries, floorShare: 0.7 });
@@ -50,10 +55,14 @@
   }
 }
 
-function openHomes(): { network: MemoryNetwork; ranking: string[]; homes: Home[] } {
+function openHomes(windowMs?: number): {
+  network: MemoryNetwork;
+  ranking: string[];
+  homes: Home[];
+} {
   const network = new MemoryNetwork(new ManualClock());
   const ranking = ['first', 'second', 'third'];
-  const homes = ranking.map((address) => new Home(network, address, () => ranking));
+  const homes = ranking.map((address) => new Home(network, address, () => ranking, windowMs));
   return { network, ranking, homes };
 }
 
@@ -105,3 +114,17 @@
   await network.clock.advanceBy(10);
   assert.equal(second.retries.countPeerRetries(network.clock.getMonotonicTime()), 0);
 });
+
+test('homes share retries whatever the length of the window', async () => {
+  // Guards against the end of a home's process at counts whose message can't be encoded.
+  for (const windowMs of [10_250, 4100.5, 4.1 * 1000, 333, 7]) {
+    const { homes, network, ranking } = openHomes(windowMs);
+    const [first, second] = homes as [Home, Home];
+    await network.clock.advanceBy(12_000);
+    assert.equal(first.requestRetries(BURST), BURST / 2);
+    first.sharing.announce();
+    await network.clock.advanceBy(1);
+    ranking.shift();
+    assert.equal(second.retries.countPeerRetries(network.clock.getMonotonicTime()), BURST / 2);
+  }
+});
--- a/packages/dispatch/src/grants/common/retrySharing.ts
+++ b/packages/dispatch/src/grants/common/retrySharing.ts
@@ -5,6 +5,7 @@
 import { RetryCountsSchema, RetryUseSchema } from '@parsleymux/schema';
 import type { HomeService, IRetryCounts, ServiceScheduler } from '@parsleymux/scheduling';
 import type { DatagramChannel } from './datagramChannel.js';
+import { toUint32 } from './integerFields.js';
 import { ACTIVE_MS, SHARE_INTERVAL_MS } from '@parsleymux/scheduling';
 
 /** Options of a {@link RetrySharing}. */
@@ -106,7 +107,7 @@
     };
     const value = create(RetryUseSchema, {
       service,
-      partMs: retries.partMs,
+      partMs: toUint32(retries.partMs),
       complete: retries.isComplete(nowMs),
       counts: [own, ...retries.listOthers(nowMs)].map((counts) => encodeCounts(counts, nowMs)),
     });
@@ -120,7 +121,7 @@
   return create(RetryCountsSchema, {
     home: counts.home,
     sequence: counts.sequence,
-    ageMs: Math.round(nowMs - countedMs),
+    ageMs: toUint32(nowMs - countedMs),
     requests: [...counts.requests],
     retries: [...counts.retries],
   });
--- a/packages/dispatch/src/grants/node/udpChannel.ts
+++ b/packages/dispatch/src/grants/node/udpChannel.ts
@@ -9,14 +9,14 @@
 import type { DatagramBody } from '../common/datagramChannel.js';
 import { DatagramChannel } from '../common/datagramChannel.js';
 
-/** Minimum interval between log lines on malformed datagrams, in ms. */
-const MALFORMED_LOG_MS = 1000;
+/** Minimum interval between log lines of one kind, in ms. */
+const LOG_INTERVAL_MS = 1000;
 
 /** A channel over a bound UDP socket. */
 export class UdpChannel extends DatagramChannel {
   private onDatagram: (sender: string, body: DatagramBody) => void = () => undefined;
   private isClosed = false;
-  private lastMalformedMs = -Infinity;
+  private readonly lastLogMs = { unsent: -Infinity, malformed: -Infinity };
   /** Number of datagrams that could not be sent, and of those that could not be decoded. */
   readonly counts = { unsent: 0, malformed: 0 };
 
@@ -48,7 +48,8 @@
   override send(address: string, body: DatagramBody): void {
     // Retransmissions of reports may be pending when the node stops; sending on a closed socket throws.
     if (this.isClosed) return;
-    const bytes = toBinary(DatagramSchema, create(DatagramSchema, { body }));
+    const bytes = this.encode(body);
+    if (bytes === undefined) return;
     const { host, port } = parseTargetAddress(address);
     this.socket.send(bytes, port, host, (error) => {
       if (error !== null) this.counts.unsent += 1;
@@ -70,22 +71,33 @@
     if (body !== undefined) this.onDatagram(`${sender.address}:${sender.port}`, body);
   }
 
+  /** Callers are timers too, where an exception would end the process. */
+  private encode(body: DatagramBody): Uint8Array | undefined {
+    try {
+      return toBinary(DatagramSchema, create(DatagramSchema, { body }));
+    } catch (error) {
+      this.counts.unsent += 1;
+      this.logDropped('unsent', `datagram ${body.case} can't be encoded`, error);
+      return undefined;
+    }
+  }
+
   private decode(bytes: Uint8Array): DatagramBody | undefined {
     try {
       const { body } = fromBinary(DatagramSchema, bytes);
       return body.case === undefined ? undefined : body;
     } catch (error) {
       this.counts.malformed += 1;
-      this.logMalformed(error);
+      this.logDropped('malformed', 'malformed datagram dropped', error);
       return undefined;
     }
   }
 
-  private logMalformed(error: unknown): void {
+  private logDropped(kind: keyof UdpChannel['counts'], message: string, error: unknown): void {
     const nowMs = performance.now();
-    if (nowMs - this.lastMalformedMs < MALFORMED_LOG_MS) return;
-    this.lastMalformedMs = nowMs;
+    if (nowMs - this.lastLogMs[kind] < LOG_INTERVAL_MS) return;
+    this.lastLogMs[kind] = nowMs;
     const reason = error instanceof Error ? error.message : String(error);
-    this.log.warn('malformed datagram dropped', { reason, total: this.counts.malformed });
+    this.log.warn(message, { reason, total: this.counts[kind] });
   }
 }
--- a/packages/dispatch/src/quarantine/common/quarantineMessages.ts
+++ b/packages/dispatch/src/quarantine/common/quarantineMessages.ts
@@ -3,8 +3,7 @@
 import type { CrashRecord } from '@parsleymux/schema';
 import { CrashRecordSchema } from '@parsleymux/schema';
 import type { ICrashHistoryRecord } from '@parsleymux/scheduling';
-
-const MAX_UINT32 = 0xffff_ffff;
+import { toUint32 } from '../../grants/common/integerFields.js';
 
 /**
  * Converts a fingerprint from its hexadecimal text to bytes.
@@ -26,10 +25,10 @@
   const { clearedAgeMs, crashes, fingerprint, holdMs, trials } = record;
   return create(CrashRecordSchema, {
     fingerprint: encodeFingerprint(fingerprint),
-    crashes: crashes.map(({ ageMs, target }) => ({ target, ageMs: toUint32Ms(ageMs) })),
-    trials,
-    holdMs: toUint32Ms(holdMs),
-    ...(clearedAgeMs === undefined ? {} : { clearedAgeMs: toUint32Ms(clearedAgeMs) }),
+    crashes: crashes.map(({ ageMs, target }) => ({ target, ageMs: toUint32(ageMs) })),
+    trials: toUint32(trials),
+    holdMs: toUint32(holdMs),
+    ...(clearedAgeMs === undefined ? {} : { clearedAgeMs: toUint32(clearedAgeMs) }),
   });
 }
 
@@ -44,7 +43,3 @@
     clearedAgeMs,
   };
 }
-
-function toUint32Ms(ms: number): number {
-  return Math.min(MAX_UINT32, Math.max(0, Math.round(ms)));
-}
--- a/packages/dispatch/src/quotas/common/quotaSharing.ts
+++ b/packages/dispatch/src/quotas/common/quotaSharing.ts
@@ -4,6 +4,7 @@
 import type { TenantUse } from '@parsleymux/schema';
 import { TenantRateSchema, TenantUseSchema } from '@parsleymux/schema';
 import type { DatagramChannel } from '../../grants/common/datagramChannel.js';
+import { toUint32 } from '../../grants/common/integerFields.js';
 import { ACTIVE_MS, SHARE_INTERVAL_MS } from '@parsleymux/scheduling';
 import type { HomeService, QuotaShares } from '@parsleymux/scheduling';
 
@@ -78,10 +79,10 @@
     const use = shares.summarize(getLimit);
     const rates = [...use.tenants].sort(([, left], [, right]) => right.perS - left.perS);
     const value = create(TenantUseSchema, {
-      atWorkMs: Math.round(use.atWorkMs),
-      totalMilli: Math.round(use.total * MILLI),
+      atWorkMs: toUint32(use.atWorkMs),
+      totalMilli: toUint32(use.total * MILLI),
       tenants: rates.slice(0, MAX_TENANTS).map(([tenant, { isNearLimit: near, perS }]) => {
-        return create(TenantRateSchema, { tenant, near, rateMilli: Math.round(perS * MILLI) });
+        return create(TenantRateSchema, { tenant, near, rateMilli: toUint32(perS * MILLI) });
       }),
     });
     for (const home of this.listHomes()) {
--- a/packages/dispatch/src/test/memoryNetwork.ts
+++ b/packages/dispatch/src/test/memoryNetwork.ts
@@ -1,13 +1,15 @@
 /** An in-memory network for the datagrams between the nodes of a test. */
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import type { ManualClock } from '@parsleymux/base';
 import { SeededRandom } from '@parsleymux/base';
+import { DatagramSchema } from '@parsleymux/schema';
 import type { DatagramBody } from '../grants/common/datagramChannel.js';
 import { DatagramChannel } from '../grants/common/datagramChannel.js';
 
 const DELAY_MS = 1;
 const SEED = 3;
 
-/** Delivers datagrams after a delay and drops a share of them. */
+/** Encodes datagrams, delivers them after a delay, and drops a share of them. */
 export class MemoryNetwork {
   readonly handlers = new Map<string, (sender: string, body: DatagramBody) => void>();
   readonly random = new SeededRandom(SEED);
@@ -41,8 +43,11 @@
   override send(address: string, body: DatagramBody): void {
     if (this.network.hasStopped(this)) return;
     if (this.network.random.getFloat() < this.network.lossShare) return;
+    const bytes = toBinary(DatagramSchema, create(DatagramSchema, { body }));
     this.network.clock.startTimer(DELAY_MS, () => {
-      this.network.handlers.get(address)?.(this.address, body);
+      const received = fromBinary(DatagramSchema, bytes).body;
+      if (received.case === undefined) return;
+      this.network.handlers.get(address)?.(this.address, received);
     });
   }
 
--- a/packages/scheduling/src/retries/common/retryWindow.ts
+++ b/packages/scheduling/src/retries/common/retryWindow.ts
@@ -1,7 +1,7 @@
 /** Limits the fleet's retries of one service to a share of its requests. */
 import type { IRetryCounts } from './peerRetryCounts.js';
 import { PeerRetryCounts } from './peerRetryCounts.js';
-import { SlidingCount } from '../../statistics/common/slidingCount.js';
+import { PARTS_PER_WINDOW, SlidingCount } from '../../statistics/common/slidingCount.js';
 
 /** Options of a {@link RetryWindow}. */
 export interface IRetryWindowOptions {
@@ -137,7 +137,7 @@
   listChanges(nowMs: number): readonly number[] {
     const { requests, retries } = this.listOwn(nowMs);
     const perRequest = RATIO_SHARE * this.options.ratio;
-    const parts = Math.round(this.options.windowMs / this.partMs);
+    const parts = PARTS_PER_WINDOW;
     const arriving = (perRequest * this.requests.count(nowMs)) / parts;
     let change = 0;
     return Array.from({ length: parts }, (_, part) => {
