--- a/packages/standins/src/metadata/node/metadataStandIn.ts
+++ b/packages/standins/src/metadata/node/metadataStandIn.ts
@@ -48,6 +48,8 @@
   maxPageRows = MAX_ROWS;
   /** Number of calls by path. */
   readonly calls = new Map<string, number>();
+  /** Called with the path of each call, before the call is handled. */
+  onWillHandle: (path: string) => void = () => undefined;
   private waiters: (() => void)[] = [];
   private readonly server = new LoopbackServer({
     handle: (request, response) => this.handle(request, response),
@@ -103,6 +105,7 @@
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://store');
     this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
+    this.onWillHandle(url.pathname);
     response.setHeader('store-era', String(this.rows.era));
     if (this.applyFault(request, response)) return;
     switch (url.pathname) {
