Count a table that is read whole as old as the begin of the read

After a lost change history, the copy counted as fresh as of the end of the read that replaced it, although its rows are of its begin: found while reading the paths related to tables of several pages. A slow response made a node rely on an old copy for as long as the read had taken. The two other reads of the whole table already count from the begin.

Before: the new test failed (age 0 ms after a read of 300 ms); after: 300 ms, tests of directory pass.

--- a/packages/dispatch/src/directory/common/storeFollower.test.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.test.ts
@@ -16,12 +16,16 @@
   override readonly malformedRows = 0;
   readonly calls: string[] = [];
 
+  /** Called when the whole table is read. */
+  onDidReadAll: () => Promise<void> = () => Promise.resolve();
+
   constructor(private readonly replies: Reply[]) {
     super();
   }
 
-  override readAll(signal: AbortSignal): Promise<ITableChanges<string>> {
+  override async readAll(signal: AbortSignal): Promise<ITableChanges<string>> {
     this.calls.push('all');
+    await this.onDidReadAll();
     return this.reply(signal);
   }
 
@@ -169,6 +173,18 @@
   stop.abort();
 });
 
+test('a table that is read whole is as old as the begin of the read', async () => {
+  // Guards against a copy that counts as fresh although it was read before its response arrived.
+  const stop = new AbortController();
+  const replies: Reply[] = [FIRST, StoreFailure.HistoryLost, SECOND];
+  const { clock, source, table } = startFixture(replies, stop.signal);
+  source.onDidReadAll = () => clock.sleep(300);
+  await clock.advanceBy(10 + 300);
+  stop.abort();
+  assert.equal(table.version, SECOND.version);
+  assert.equal(table.getAgeMs(), 300);
+});
+
 test('reads of an unavailable store are retried after a delay, and the copy is kept', async () => {
   const stop = new AbortController();
   const busy = [StoreFailure.Busy, StoreFailure.Silent, StoreFailure.Limited];
--- a/packages/dispatch/src/directory/common/storeFollower.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.ts
@@ -145,6 +145,7 @@
     } catch (error) {
       const isLost = error instanceof StoreCallError && error.failure === StoreFailure.HistoryLost;
       if (!isLost) throw error;
+      const readMs = clock.getMonotonicTime();
       const content = await source.readAll(signal);
       this.options.log.warn('change history of a table was lost; read the whole table', {
         table: table.name,
@@ -152,7 +153,7 @@
         readEra: content.era ?? 0,
         readVersion: content.version,
       });
-      return this.applyAll(content, clock.getMonotonicTime());
+      return this.applyAll(content, readMs);
     }
   }
 
