Limit the memory and the framing of responses without end

Targets in trouble may send bytes without end, in a head or a body. Found by tests of each place where bytes can go on (22), several at once, fast and slow.

Causes, all three shown by tests that fail without the limits (11 of 48): the limit of 64 MiB held for each response alone; small chunks kept much larger buffers; and empty lines, reason phrases, interim responses and the size or extension of a chunk were read until the deadline, as the parser skips them without an event. Heads, trailers and other bytes were limited before.

Fix: one limit for the memory of all incomplete responses, where the largest is given up, small chunks copied into blocks, and a limit on bytes that are not body, also on idle connections. A response that is too large and declared no length counts against its target.

--- a/packages/dispatch/src/entry/common/attemptOutcome.ts
+++ b/packages/dispatch/src/entry/common/attemptOutcome.ts
@@ -72,8 +72,10 @@
 export function decideFailureOutcome(error: unknown): IAttemptResult {
   if (!(error instanceof TransportError)) throw error;
   const isStale = error.failure === TransportFailure.Broken && error.reusedConnection;
+  // A target whose responses have no end fails whatever it is asked for.
+  const outcome = error.isUnbounded ? GrantOutcome.Broken : FAILURE_OUTCOMES[error.failure];
   return {
-    outcome: isStale ? GrantOutcome.Stale : FAILURE_OUTCOMES[error.failure],
+    outcome: isStale ? GrantOutcome.Stale : outcome,
     mayHaveRun: error.mayHaveRun,
     response: undefined,
     isConnectionReused: error.reusedConnection,
--- a/packages/routing/src/transport/common/targetTransport.ts
+++ b/packages/routing/src/transport/common/targetTransport.ts
@@ -86,6 +86,8 @@
   readonly mayHaveRun: boolean;
   /** The exchange used a connection with earlier requests, so the connection may be the cause. */
   readonly reusedConnection: boolean;
+  /** The response was too large without having declared its length, so it may have no end. Default false. */
+  readonly isUnbounded?: boolean;
   readonly cause?: unknown;
 }
 
@@ -94,6 +96,7 @@
   readonly failure: TransportFailure;
   readonly mayHaveRun: boolean;
   readonly reusedConnection: boolean;
+  readonly isUnbounded: boolean;
 
   constructor(options: ITransportErrorOptions) {
     super(
@@ -105,6 +108,7 @@
     this.failure = options.failure;
     this.mayHaveRun = options.mayHaveRun;
     this.reusedConnection = options.reusedConnection;
+    this.isUnbounded = options.isUnbounded ?? false;
   }
 }
 
--- a/packages/routing/src/transport/node/exchange.ts
+++ b/packages/routing/src/transport/node/exchange.ts
@@ -11,6 +11,7 @@
 import { TransportError, TransportFailure } from '../common/targetTransport.js';
 import { ResponseStream } from './responseStream.js';
 import type { AttemptSignal } from './attemptSignal.js';
+import type { ResponseBuffer, ResponseMemory } from './responseMemory.js';
 import type { TargetConnection } from './targetConnection.js';
 
 const FIRST_FINAL_STATUS = 200;
@@ -27,6 +28,8 @@
   readonly attempt: AttemptSignal;
   readonly clock: Clock;
   readonly invariants: InvariantRegistry;
+  /** Memory of all incomplete responses. */
+  readonly memory: ResponseMemory;
   readonly maxResponseBytes: number;
   readonly streamLarge: boolean;
   /** Maximum time without data on a streamed response while its reader waits, in ms. */
@@ -59,15 +62,19 @@
   private readonly startBytes: number;
   private waiter: IResponseWaiter | undefined;
   private head: IResponseHead | undefined;
-  private bufferedChunks: Uint8Array[] = [];
+  private readonly buffer: ResponseBuffer;
   private receivedBytes = 0;
   private stream: ResponseStream | undefined;
   private isEnded = false;
+  private isUnbounded = false;
 
   constructor(options: IExchangeOptions) {
     this.options = options;
     this.startMs = options.clock.getMonotonicTime();
     this.startBytes = options.connection.bytesWritten;
+    this.buffer = options.memory.open(() => {
+      this.endTooLarge();
+    });
   }
 
   /**
@@ -80,7 +87,9 @@
       this.waiter = { resolve, reject };
       attempt.signal.addEventListener('abort', this.onAbort, { once: true });
       try {
-        connection.dispatch(request, this);
+        connection.dispatch(request, this, () => {
+          this.end(TransportFailure.Truncated, new VError('response has too much framing'));
+        });
       } catch (error) {
         this.end(TransportFailure.Broken, error);
       }
@@ -114,10 +123,13 @@
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.isEnded) return;
     this.receivedBytes += chunk.byteLength;
-    if (this.stream === undefined) this.bufferedChunks.push(chunk);
-    else if (!this.stream.push(chunk)) this.options.connection.stopReading();
-    const isLarge = this.stream === undefined && this.receivedBytes > this.options.maxResponseBytes;
-    if (isLarge) this.startStream();
+    this.options.connection.recordBody(chunk.byteLength);
+    if (this.stream !== undefined) {
+      if (!this.stream.push(chunk)) this.options.connection.stopReading();
+      return;
+    }
+    this.buffer.push(chunk);
+    if (this.receivedBytes > this.options.maxResponseBytes) this.startStream();
   }
 
   onResponseEnd(): void {
@@ -132,11 +144,12 @@
       this.end(TransportFailure.Truncated);
       return;
     }
+    const body = joinChunks(this.buffer.take());
     this.finish();
     this.options.connection.startReading();
     this.options.onComplete();
     if (this.stream !== undefined) this.stream.end();
-    else this.waiter?.resolve(this.makeResponse(this.head, Buffer.concat(this.bufferedChunks)));
+    else this.waiter?.resolve(this.makeResponse(this.head, body));
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
@@ -165,24 +178,30 @@
       failure,
       mayHaveRun: connection.bytesWritten > this.startBytes,
       reusedConnection: connection.isReused,
+      isUnbounded: this.isUnbounded,
       cause,
     });
-    this.bufferedChunks = [];
     if (this.stream === undefined) this.waiter?.reject(error);
     else this.stream.close(error);
   }
 
   private finish(): void {
     this.isEnded = true;
+    this.buffer.dispose();
     this.options.attempt.signal.removeEventListener('abort', this.onAbort);
     this.options.onEnd();
   }
 
+  private endTooLarge(): void {
+    this.isUnbounded = this.head?.contentLength === undefined;
+    this.end(TransportFailure.TooLarge);
+  }
+
   private startStream(): void {
     const { attempt, streamIdleMs, streamLarge } = this.options;
-    if (this.head === undefined) return;
+    if (this.isEnded || this.head === undefined) return;
     if (!streamLarge) {
-      this.end(TransportFailure.TooLarge);
+      this.endTooLarge();
       return;
     }
     this.stream = new ResponseStream({
@@ -197,8 +216,10 @@
       },
     });
     attempt.setTimeLimit(undefined);
-    const isFull = this.bufferedChunks.map((chunk) => this.stream?.push(chunk)).includes(false);
-    this.bufferedChunks = [];
+    const isFull = this.buffer
+      .take()
+      .map((chunk) => this.stream?.push(chunk))
+      .includes(false);
     if (isFull) this.options.connection.stopReading();
     this.waiter?.resolve(this.makeResponse(this.head, this.stream));
   }
@@ -269,6 +290,11 @@
   return findHeader(head.headers, 'transfer-encoding') !== undefined;
 }
 
+function joinChunks(chunks: readonly Uint8Array[]): Uint8Array {
+  const [first] = chunks;
+  return first !== undefined && chunks.length === 1 ? first : Buffer.concat(chunks);
+}
+
 function isFramingError(error: Error): boolean {
   return (
     error instanceof errors.HTTPParserError ||
--- a/packages/routing/src/transport/node/httpTargetTransport.ts
+++ b/packages/routing/src/transport/node/httpTargetTransport.ts
@@ -12,6 +12,7 @@
 import { AttemptSignal } from './attemptSignal.js';
 import { ConnectionPool } from './connectionPool.js';
 import { Exchange } from './exchange.js';
+import { ResponseMemory } from './responseMemory.js';
 import type { TargetConnection } from './targetConnection.js';
 import { openConnection } from './targetConnection.js';
 import type { TargetConnector } from './targetConnector.js';
@@ -21,6 +22,7 @@
 const DEFAULT_CONNECTION_LIMIT = 64;
 const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
 const DEFAULT_STREAM_IDLE_MS = 30_000;
+const DEFAULT_BUFFERED_BYTES = 67_108_864;
 const ATTEMPT_PREFIX_BYTES = 8;
 
 /** Options of an {@link HttpTargetTransport}. */
@@ -44,6 +46,8 @@
    * Maximum time without data on a streamed response while its reader waits, in ms. Default 30000.
    */
   readonly streamIdleMs?: number;
+  /** Maximum memory of all incomplete responses together, in bytes. Default 64 MiB. */
+  readonly maxBufferedBytes?: number;
 }
 
 /**
@@ -60,6 +64,7 @@
   private readonly options: IHttpTargetTransportOptions;
   private readonly protocol: TargetProtocol;
   private readonly metrics: TransportMetrics;
+  private readonly memory: ResponseMemory;
   /** By member, then target: a joined key could be ambiguous. */
   private readonly pools = new Map<string, Map<string, ConnectionPool>>();
   private readonly attemptPrefix = randomBytes(ATTEMPT_PREFIX_BYTES).toString('hex');
@@ -72,6 +77,7 @@
     this.connector = options.connector ?? new TcpTargetConnector();
     this.invariants = options.invariants ?? new InvariantRegistry();
     this.protocol = options.protocol ?? new MuxTargetProtocol();
+    this.memory = new ResponseMemory(options.maxBufferedBytes ?? DEFAULT_BUFFERED_BYTES);
     this.metrics = new TransportMetrics(options.registry, () => this.listPools());
   }
 
@@ -129,6 +135,11 @@
     return this.pools.get(member)?.get(target)?.size ?? 0;
   }
 
+  /** Memory of incomplete responses, in bytes. */
+  get bufferedBytes(): number {
+    return this.memory.usedBytes;
+  }
+
   dispose(): void {
     for (const { pool } of this.listPools()) pool.dispose();
     this.pools.clear();
@@ -163,6 +174,7 @@
       attempt,
       clock: this.clock,
       invariants: this.invariants,
+      memory: this.memory,
       maxResponseBytes: options.maxResponseBytes,
       streamLarge: options.streamLarge ?? false,
       streamIdleMs: this.options.streamIdleMs ?? DEFAULT_STREAM_IDLE_MS,
--- a/packages/routing/src/transport/node/pausableSocket.ts
+++ b/packages/routing/src/transport/node/pausableSocket.ts
@@ -20,9 +20,14 @@
 export class PausableSocket extends Socket {
   private isReadingStopped = false;
   private isEndCheckPending = false;
+  /** Called with the size of each chunk before it is delivered; the chunk is dropped if it returns false. */
+  onWillDeliver: (bytes: number) => boolean = () => true;
 
   override read(size?: number): unknown {
-    return this.isReadingStopped ? null : (super.read(size) as unknown);
+    if (this.isReadingStopped) return null;
+    const chunk = super.read(size) as unknown;
+    if (!(chunk instanceof Uint8Array)) return chunk;
+    return this.onWillDeliver(chunk.byteLength) ? chunk : null;
   }
 
   /**
--- a/packages/routing/src/transport/node/targetConnection.ts
+++ b/packages/routing/src/transport/node/targetConnection.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from 'undici';
 import { Client } from 'undici';
 import VError from 'verror';
+import { FramingLimit } from './framingLimit.js';
 import { PausableSocket } from './pausableSocket.js';
 import type { TargetConnector } from './targetConnector.js';
 
@@ -78,6 +79,9 @@
   private readonly client: Client;
   private readonly socket: PausableSocket;
   private isSocketTaken = false;
+  /** Applies to the current response, and to what the target sends after it. */
+  private framingLimit = new FramingLimit();
+  private onExcess: () => void = () => undefined;
 
   constructor(socket: PausableSocket, target: string, generation: number) {
     this.socket = socket;
@@ -85,6 +89,7 @@
     // Without a listener, a reset of an idle connection would be an uncaught error and end the
     // process.
     socket.on('error', () => undefined);
+    socket.onWillDeliver = (bytes) => this.checkFraming(bytes);
     this.client = new Client(`http://${target}`, {
       pipelining: 1,
       // The exchange enforces timeouts on the injected clock.
@@ -133,12 +138,26 @@
     return this.socket.readableEnded;
   }
 
-  /** Sends a request; the handler receives all further events. */
-  dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+  /**
+   * Sends a request; the handler receives all further events. If the response has much more framing than
+   * body, `onExcess` is called, and the connection is closed.
+   */
+  dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+    onExcess: () => void,
+  ): void {
     this.dispatched += 1;
+    this.framingLimit = new FramingLimit();
+    this.onExcess = onExcess;
     this.client.dispatch(options, handler);
   }
 
+  /** Must be called with the size of each part of a body. */
+  recordBody(bytes: number): void {
+    this.framingLimit.recordBody(bytes);
+  }
+
   /** Stops reading the response until {@link startReading}. */
   stopReading(): void {
     this.socket.stopReading();
@@ -157,4 +176,11 @@
     this.socket.destroy();
     void this.client.destroy().catch(() => undefined);
   }
+
+  private checkFraming(bytes: number): boolean {
+    if (this.framingLimit.tryRead(bytes)) return true;
+    this.onExcess();
+    this.dispose();
+    return false;
+  }
 }
