Derive the memory for incomplete responses from the VM's, and set it for direct dispatch alone

The first form limited `parsleymux serve` to 64 MiB too, where responses are bounded by its own settings, and kept the last exchange of an idle connection. Now a connection with too much framing fails with an error of its own, without a reference to the exchange, and the platform's node gets a quarter of its VM's memory.

--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -65,6 +65,7 @@
  * A target that does not accept by then is partitioned or overloaded, and nothing has been sent yet.
  */
 const CONNECT_TIMEOUT_MS = 250;
+const DEFAULT_RESPONSE_MEMORY_BYTES = 67_108_864;
 
 /** The protocols of the deployment's callers and targets. */
 export interface IDeploymentProtocol {
@@ -312,6 +313,7 @@
         protocol: protocol.targets,
         connector: connector ?? new TcpTargetConnector(),
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        maxBufferedBytes: settings.responseMemoryBytes ?? DEFAULT_RESPONSE_MEMORY_BYTES,
       }),
     );
     const relays = new RelayComponents({
--- a/packages/dispatch/src/app/node/directNodeSettings.ts
+++ b/packages/dispatch/src/app/node/directNodeSettings.ts
@@ -30,4 +30,6 @@
   readonly capacity: number;
   /** Rate of the VM's link, in bytes per ms; undefined if unknown. */
   readonly linkBytesPerMs?: number | undefined;
+  /** Memory for incomplete responses of targets, in bytes. Default: 64 MiB, for a VM of 256 MiB. */
+  readonly responseMemoryBytes?: number | undefined;
 }
--- a/packages/routing/src/transport/node/exchange.ts
+++ b/packages/routing/src/transport/node/exchange.ts
@@ -11,6 +11,7 @@
 import { TransportError, TransportFailure } from '../common/targetTransport.js';
 import { ResponseStream } from './responseStream.js';
 import type { AttemptSignal } from './attemptSignal.js';
+import { FramingLimitError } from './framingLimit.js';
 import type { ResponseBuffer, ResponseMemory } from './responseMemory.js';
 import type { TargetConnection } from './targetConnection.js';
 
@@ -87,9 +88,7 @@
       this.waiter = { resolve, reject };
       attempt.signal.addEventListener('abort', this.onAbort, { once: true });
       try {
-        connection.dispatch(request, this, () => {
-          this.end(TransportFailure.Truncated, new VError('response has too much framing'));
-        });
+        connection.dispatch(request, this);
       } catch (error) {
         this.end(TransportFailure.Broken, error);
       }
@@ -299,7 +298,8 @@
   return (
     error instanceof errors.HTTPParserError ||
     error instanceof errors.ResponseContentLengthMismatchError ||
-    error instanceof errors.HeadersOverflowError
+    error instanceof errors.HeadersOverflowError ||
+    error instanceof FramingLimitError
   );
 }
 
--- a/packages/routing/src/transport/node/framingLimit.ts
+++ b/packages/routing/src/transport/node/framingLimit.ts
@@ -1,4 +1,5 @@
 /** Limits the bytes of a response that are not its body. */
+import VError from 'verror';
 
 /**
  * Bytes that a response may have in addition to its body, several times its largest head: interim responses and
@@ -33,3 +34,11 @@
     this.bodyBytes += bytes;
   }
 }
+
+/** The error of a connection whose target exceeded the limit. */
+export class FramingLimitError extends VError {
+  constructor() {
+    super('the response has too many bytes that are not its body');
+    this.name = 'FramingLimitError';
+  }
+}
--- a/packages/routing/src/transport/node/httpTargetTransport.ts
+++ b/packages/routing/src/transport/node/httpTargetTransport.ts
@@ -22,7 +22,6 @@
 const DEFAULT_CONNECTION_LIMIT = 64;
 const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
 const DEFAULT_STREAM_IDLE_MS = 30_000;
-const DEFAULT_BUFFERED_BYTES = 67_108_864;
 const ATTEMPT_PREFIX_BYTES = 8;
 
 /** Options of an {@link HttpTargetTransport}. */
@@ -46,7 +45,7 @@
    * Maximum time without data on a streamed response while its reader waits, in ms. Default 30000.
    */
   readonly streamIdleMs?: number;
-  /** Maximum memory of all incomplete responses together, in bytes. Default 64 MiB. */
+  /** Maximum memory of all incomplete responses together, in bytes. Default: no limit. */
   readonly maxBufferedBytes?: number;
 }
 
@@ -77,7 +76,7 @@
     this.connector = options.connector ?? new TcpTargetConnector();
     this.invariants = options.invariants ?? new InvariantRegistry();
     this.protocol = options.protocol ?? new MuxTargetProtocol();
-    this.memory = new ResponseMemory(options.maxBufferedBytes ?? DEFAULT_BUFFERED_BYTES);
+    this.memory = new ResponseMemory(options.maxBufferedBytes ?? Infinity);
     this.metrics = new TransportMetrics(options.registry, () => this.listPools());
   }
 
--- a/packages/routing/src/transport/node/pausableSocket.ts
+++ b/packages/routing/src/transport/node/pausableSocket.ts
@@ -21,13 +21,13 @@
   private isReadingStopped = false;
   private isEndCheckPending = false;
   /** Called with the size of each chunk before it is delivered; the chunk is dropped if it returns false. */
-  onWillDeliver: (bytes: number) => boolean = () => true;
+  checkChunk: (bytes: number) => boolean = () => true;
 
   override read(size?: number): unknown {
     if (this.isReadingStopped) return null;
     const chunk = super.read(size) as unknown;
     if (!(chunk instanceof Uint8Array)) return chunk;
-    return this.onWillDeliver(chunk.byteLength) ? chunk : null;
+    return this.checkChunk(chunk.byteLength) ? chunk : null;
   }
 
   /**
--- a/packages/routing/src/transport/node/targetConnection.ts
+++ b/packages/routing/src/transport/node/targetConnection.ts
@@ -3,7 +3,7 @@
 import type { Dispatcher } from 'undici';
 import { Client } from 'undici';
 import VError from 'verror';
-import { FramingLimit } from './framingLimit.js';
+import { FramingLimit, FramingLimitError } from './framingLimit.js';
 import { PausableSocket } from './pausableSocket.js';
 import type { TargetConnector } from './targetConnector.js';
 
@@ -81,7 +81,6 @@
   private isSocketTaken = false;
   /** Applies to the current response, and to what the target sends after it. */
   private framingLimit = new FramingLimit();
-  private onExcess: () => void = () => undefined;
 
   constructor(socket: PausableSocket, target: string, generation: number) {
     this.socket = socket;
@@ -89,7 +88,7 @@
     // Without a listener, a reset of an idle connection would be an uncaught error and end the
     // process.
     socket.on('error', () => undefined);
-    socket.onWillDeliver = (bytes) => this.checkFraming(bytes);
+    socket.checkChunk = (bytes) => this.checkFraming(bytes);
     this.client = new Client(`http://${target}`, {
       pipelining: 1,
       // The exchange enforces timeouts on the injected clock.
@@ -140,16 +139,11 @@
 
   /**
    * Sends a request; the handler receives all further events. If the response has much more framing than
-   * body, `onExcess` is called, and the connection is closed.
+   * body, the connection is closed with a {@link FramingLimitError}.
    */
-  dispatch(
-    options: Dispatcher.DispatchOptions,
-    handler: Dispatcher.DispatchHandler,
-    onExcess: () => void,
-  ): void {
+  dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
     this.dispatched += 1;
     this.framingLimit = new FramingLimit();
-    this.onExcess = onExcess;
     this.client.dispatch(options, handler);
   }
 
@@ -179,8 +173,7 @@
 
   private checkFraming(bytes: number): boolean {
     if (this.framingLimit.tryRead(bytes)) return true;
-    this.onExcess();
-    this.dispose();
+    this.socket.destroy(new FramingLimitError());
     return false;
   }
 }
