Log which configuration decided a request, and copies without news

The line of a request named the configuration in force at the response; it now names the one that decided, its age at that moment, and whether a newer one was known. Reads that return an older state are logged and counted instead of dropped without a word. A copy that gets no news for three quarters of the time in which changes have to be in force is logged once, with where its news should come from. No decision changes.

--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -218,6 +218,7 @@
       isFirstStart: settings.isFirstStart,
       seeds: settings.seeds,
       keyLeaseMs: settings.tenants.keyLeaseMs,
+      getApplyMs: () => this.settings.tenants.applyMs,
       hasReceivedRequests: () =>
         this.front?.connections.hasAcceptedConnection === true || homes.listSchedulers().length > 0,
     });
--- a/packages/dispatch/src/directory/common/announcedVersions.ts
+++ b/packages/dispatch/src/directory/common/announcedVersions.ts
@@ -28,6 +28,11 @@
     }
   }
 
+  /** The newest version that another node has in force; undefined if this node has it too. */
+  findNewest(): number | undefined {
+    return this.announcedMs.size === 0 ? undefined : Math.max(...this.announcedMs.keys());
+  }
+
   /** Time since a version was announced that is newer than the one in force, in ms; 0 if there is none. */
   getOldestAgeMs(): number {
     const [oldestMs] = this.announcedMs.values();
--- a/packages/dispatch/src/directory/common/followedTable.ts
+++ b/packages/dispatch/src/directory/common/followedTable.ts
@@ -57,6 +57,8 @@
   private readonly changed = new Emitter<readonly ITableChange<T>[]>();
   private readonly restoredEmitter = new Emitter<number>();
   private proof: IInstant | undefined;
+  /** Number of copies and changes that were ignored because they are older than this copy. */
+  ignoredStates = 0;
   /** The copy is at least as recent as this time, in ms of the monotonic clock. */
   freshMs = -Infinity;
 
@@ -137,9 +139,12 @@
   /** Replaces the content by a copy of the whole table that was read at `readMs`. */
   setAll(content: ITableChanges<T>, readMs: number): void {
     const { era = 0, isRetained, version } = content;
-    if (era < this.currentEra) return;
     const isRestored = this.currentVersion !== undefined && era > this.currentEra;
-    if (!isRestored && version < (this.currentVersion ?? -Infinity)) return;
+    const isOlder = !isRestored && version < (this.currentVersion ?? -Infinity);
+    if (era < this.currentEra || isOlder) {
+      this.ignoredStates += 1;
+      return;
+    }
     const keys = new Set(content.changes.map(({ key }) => key));
     const removed = [...this.entries.keys()]
       .filter((key) => !keys.has(key))
@@ -172,10 +177,14 @@
    */
   apply(after: number, content: ITableChanges<T>, readMs: number): boolean {
     const { era = 0, version } = content;
-    if (era < this.currentEra) return true;
+    if (era < this.currentEra) {
+      this.ignoredStates += 1;
+      return true;
+    }
     const current = this.currentVersion;
     if (era > this.currentEra || current === undefined || current < after) return false;
     if (version >= current) this.applyChanges(content.changes, version, readMs);
+    else this.ignoredStates += 1;
     return true;
   }
 
--- a/packages/dispatch/src/directory/common/storeFollower.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.ts
@@ -1,7 +1,7 @@
 /** Reads a table of the authority while this node is a follower or receives no updates from peers. */
 import type { Clock, Logger } from '@parsleymux/base';
 import { JoinedSignal } from '@parsleymux/base';
-import type { AuthorityTable, ITableChanges } from './authority.js';
+import type { AuthorityTable, ITableChanges, ITableState } from './authority.js';
 import { StoreCallError, StoreFailure } from './authority.js';
 import type { FollowedTable } from './followedTable.js';
 
@@ -52,6 +52,8 @@
  */
 export class StoreFollower<T> {
   private isStoreLost = false;
+  /** Whether the last read returned an older state than the copy had when the read was sent. */
+  private isReadOlder = false;
   private readStartMs: number | undefined;
   /** How long the store may hold the pending read, in ms. */
   private longPollMs = 0;
@@ -126,7 +128,7 @@
 
   private async readOnce(startMs: number, signal: AbortSignal): Promise<ITableChanges<T>> {
     const { clock, pollTiming, source, table } = this.options;
-    const after = table.version;
+    const { era, version: after } = table;
     if (after === undefined) return this.applyAll(await source.readAll(signal), startMs);
     try {
       this.longPollMs = pollTiming.getWaitMs?.() ?? pollTiming.waitMs;
@@ -136,6 +138,7 @@
       });
       // The store responds to a long poll at a change or at the end of the wait, so it is as of its end.
       const readMs = waitMs > 0 ? clock.getMonotonicTime() : startMs;
+      this.recordOlder(content, { era, version: after });
       // Versions of different epochs aren't comparable, so the whole table has to be read.
       if ((content.era ?? 0) > table.era) return await this.readRestored(content, signal);
       // The version isn't advanced past malformed rows, so that they are read again.
@@ -190,6 +193,23 @@
     return Math.max(IDLE_CHECK_MS, getMaxAgeMs() - table.getAgeMs() + 1);
   }
 
+  /** Records whether a read returned an older state than was known when it was sent, which has no effect. */
+  private recordOlder({ era = 0, version }: ITableChanges<T>, known: ITableState): void {
+    const { log, table } = this.options;
+    const isOlder = era < (known.era ?? 0) || (era === known.era && version < known.version);
+    if (isOlder && !this.isReadOlder) {
+      log.warn('store returned an older state, which is ignored', {
+        table: table.name,
+        era,
+        version,
+        eraBefore: known.era,
+        versionBefore: known.version,
+        ageMs: Math.round(table.getAgeMs()),
+      });
+    }
+    this.isReadOlder = isOlder;
+  }
+
   private getRetryMs(): number {
     const { isFirst, jitter } = this.options;
     return jitter(isFirst() ? FOLLOWER_RETRY_MS : OTHER_RETRY_MS);
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -7,6 +7,7 @@
 import type { Authority, IMember } from '../common/authority.js';
 import { CatalogSource } from '../common/catalogSource.js';
 import type { FollowedTable } from '../common/followedTable.js';
+import { CopyMonitor } from '../common/copyMonitor.js';
 import { FollowerRole } from '../common/followerRole.js';
 import { MemberRegistration } from '../common/memberRegistration.js';
 import type { NodeDirectory } from '../common/nodeDirectory.js';
@@ -47,6 +48,8 @@
 const LONG_POLL_LEASE_SHARE = 0.125;
 /** Age of the last freshness proof, as a share of the lease on keys, at which another is due immediately. */
 const URGENT_PROOF_SHARE = 0.5;
+/** Age of a copy, as a share of the time in which changes have to be in force, from which it is outdated. */
+const OUTDATED_SHARE = 0.75;
 const LEAVING = create(LeavingSchema);
 const HELLO = create(HelloSchema);
 
@@ -67,6 +70,8 @@
   readonly seeds: readonly string[];
   /** How long keys are valid without a new freshness proof, in ms; undefined: without limit. */
   readonly keyLeaseMs?: number | undefined;
+  /** Returns the time in which a change has to be in force on all nodes, in ms. Default: without limit. */
+  readonly getApplyMs?: () => number;
   /** Whether this node has received a request, from a caller or from a node on behalf of one. */
   readonly hasReceivedRequests: () => boolean;
 }
@@ -84,6 +89,9 @@
   private readonly targetsFollower: StoreFollower<unknown>;
   private readonly catalogFollower: StoreFollower<unknown>;
   private readonly membersFollower: StoreFollower<unknown>;
+  private readonly monitor: CopyMonitor;
+  /** The node that sent the last update, and when it arrived. */
+  private lastUpdate: { readonly sender: string; readonly atMs: number } | undefined;
   private readonly startMs: number;
   private helloMs: number | undefined;
   private readonly removing = new Set<string>();
@@ -117,6 +125,13 @@
       listPeers: () => this.listPeers(),
       fetchTable: (table, source) => fetcher.fetch(table, source),
     });
+    this.monitor = new CopyMonitor({
+      clock,
+      log,
+      tables: [catalog, targets] as unknown as FollowedTable<unknown>[],
+      getMaxAgeMs: () => this.getOutdatedAgeMs(),
+      describeSources: () => this.describeSources(),
+    });
     this.targetsFollower = this.createFollower('targets', TARGETS_POLLING, () => {
       if (targets.version === undefined) return this.isFirstReadDue();
       return this.hasToRead(targets.getAgeMs());
@@ -140,6 +155,7 @@
     await Promise.all([
       this.registration.run(signal),
       this.requestFromSeeds(signal),
+      this.monitor.run(signal),
       this.targetsFollower.run(signal),
       this.catalogFollower.run(signal),
       this.membersFollower.run(signal),
@@ -153,6 +169,7 @@
 
   handleUpdate(sender: string, update: Update): void {
     this.role.recordUpdate(sender);
+    this.lastUpdate = { sender, atMs: this.options.clock.getMonotonicTime() };
     this.options.directory.announcedVersions.recordAnnounced(Number(update.catalogVersion));
     this.relay.handleUpdate(sender, update);
   }
@@ -205,6 +222,28 @@
     return directory.tenants.getProofAgeMs() > keyLeaseMs * URGENT_PROOF_SHARE;
   }
 
+  /** Age from which a copy is outdated, in ms; infinite if there is no limit. */
+  private getOutdatedAgeMs(): number {
+    const applyMs = this.options.getApplyMs?.() ?? 0;
+    return applyMs > 0 ? applyMs * OUTDATED_SHARE + this.getExtraAgeMs() : Infinity;
+  }
+
+  private describeSources(): Readonly<Record<string, unknown>> {
+    const { clock, directory, self } = this.options;
+    const { lastUpdate } = this;
+    return {
+      isFollower: this.role.isFollower(),
+      isListed: directory.members.get(self.address) !== undefined,
+      followers: directory.rankFollowers(self.failureDomain).slice(0, MAX_HELLOS),
+      ...(lastUpdate === undefined
+        ? {}
+        : {
+            updateFrom: lastUpdate.sender,
+            updateAgeMs: Math.round(clock.getMonotonicTime() - lastUpdate.atMs),
+          }),
+    };
+  }
+
   private createFollower(
     name: 'catalog' | 'targets' | 'members',
     pollTiming: IPollTiming,
--- a/packages/dispatch/src/entry/common/entryRequest.ts
+++ b/packages/dispatch/src/entry/common/entryRequest.ts
@@ -15,6 +15,8 @@
   readonly sender: ICallerIdentity;
   /** Version of the configuration under which the request was accepted. */
   readonly catalogVersion: number;
+  /** Age of this node's copy of the configuration when the request was accepted, in ms. */
+  readonly catalogAgeMs: number;
   readonly method: string;
   readonly path: string;
   readonly headers: readonly Header[];
--- a/packages/dispatch/src/entry/common/requestRunner.test.ts
+++ b/packages/dispatch/src/entry/common/requestRunner.test.ts
@@ -120,6 +120,7 @@
     id: 'q1',
     sender: ANONYMOUS,
     catalogVersion: 1,
+    catalogAgeMs: 0,
     route: makeRoute({ isIdempotent }),
     service: 'booking',
     method: 'POST',
--- a/packages/dispatch/src/entry/node/frontServer.ts
+++ b/packages/dispatch/src/entry/node/frontServer.ts
@@ -62,6 +62,7 @@
       readonly kind: 'routed';
       readonly route: IRouteRule;
       readonly catalog: ICatalog;
+      readonly catalogAgeMs: number;
       readonly sender: ICallerIdentity;
     }
   | { readonly kind: 'refused'; readonly refusal: IEntryResponse };
@@ -216,7 +217,8 @@
     const { callers, keys } = this.options;
     const checked = keys.check(callers.readCredential(listHeaders(request)), match.route);
     if (checked.kind === 'refused') return refuse(checked.code, checked.retryAfterMs);
-    return { kind: 'routed', route: match.route, catalog, sender: checked.sender };
+    const catalogAgeMs = directory.catalog.getAgeMs();
+    return { kind: 'routed', route: match.route, catalog, catalogAgeMs, sender: checked.sender };
   }
 
   /** Reads the complete request; returns the refusal if it can't be accepted. */
@@ -227,7 +229,7 @@
     times: Pick<IEntryRequest, 'arrivedMs' | 'deadlineMs'>,
   ): Promise<IEntryRequest | IEntryResponse> {
     const { callers, picker } = this.options;
-    const { catalog, route, sender } = routed;
+    const { catalog, catalogAgeMs, route, sender } = routed;
     if (Number.isNaN(times.deadlineMs)) return makeEntryRefusal(ResultCode.MalformedDeadline);
     const result = await requestBody.read(request);
     if (result !== BodyResult.Complete) return this.refuseBody(result);
@@ -247,6 +249,7 @@
       service,
       sender,
       catalogVersion: catalog.version,
+      catalogAgeMs,
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       headers: this.listTargetHeaders(request, routed),
--- a/packages/dispatch/src/entry/node/requestLog.ts
+++ b/packages/dispatch/src/entry/node/requestLog.ts
@@ -69,6 +69,9 @@
       objectiveMs: request.route.objectiveMs,
       attempts: response.attempts,
       ...this.describeDirectory(),
+      // The configuration that decided, which may have been replaced since.
+      catalog: request.catalogVersion,
+      catalogAgeMs: Math.round(request.catalogAgeMs),
     });
   }
 
@@ -108,10 +111,14 @@
 
   private describeDirectory(): Readonly<Record<string, number | undefined>> {
     const { directory } = this.options;
+    const { announcedVersions } = directory;
+    const newestCatalog = announcedVersions.findNewest();
+    const newerCatalogAgeMs = Math.round(announcedVersions.getOldestAgeMs());
     return {
       catalog: directory.getCatalog()?.version,
       catalogAgeMs: Math.round(directory.catalog.getAgeMs()),
       targetsAgeMs: Math.round(directory.targets.getAgeMs()),
+      ...(newestCatalog === undefined ? {} : { newestCatalog, newerCatalogAgeMs }),
       ...(directory.getCatalog()?.requiresKeys === true
         ? { keysProofAgeMs: Math.round(directory.tenants.getProofAgeMs()) }
         : {}),
--- a/packages/lab/src/experiment/common/modelledCaller.ts
+++ b/packages/lab/src/experiment/common/modelledCaller.ts
@@ -98,6 +98,7 @@
     service: kind.service,
     sender: ANONYMOUS,
     catalogVersion: 0,
+    catalogAgeMs: 0,
     method: 'GET',
     path: '/',
     headers: [
