--- a/packages/standins/src/metadata/node/metadataStandIn.ts
+++ b/packages/standins/src/metadata/node/metadataStandIn.ts
@@ -46,6 +46,8 @@
   fault: MetadataFault = MetadataFault.None;
   /** Maximum number of rows per response. */
   maxPageRows = MAX_ROWS;
+  /** Store epoch that reads of changes state, in place of the one that all other calls state. */
+  feedEra: number | undefined;
   /** Number of calls by path. */
   readonly calls = new Map<string, number>();
   /** Called with the path of each call, before the call is handled. */
@@ -106,7 +108,8 @@
     const url = new URL(request.url ?? '/', 'http://store');
     this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
     this.onWillHandle(url.pathname);
-    response.setHeader('store-era', String(this.rows.era));
+    const isFeed = url.pathname === '/rows-feed';
+    response.setHeader('store-era', String((isFeed ? this.feedEra : undefined) ?? this.rows.era));
     if (this.applyFault(request, response)) return;
     switch (url.pathname) {
       case '/rows-tx':
