Request news from other nodes when none arrives

Callers of a node that nobody tells of a change are handled by an old configuration for as long as that lasts: the domain of nodes that lost the store as a whole had no other source, and a node that its peers had removed got no updates, although all other nodes had the change and reached it. A node can't tell an unchanged table from one whose changes don't reach it.

A copy without news for three quarters of the time in which changes have to be in force now makes the node ask the followers of its own and the other failure domains, one after the other. A follower that is helped that way sends on to its domain, so one node asks for all; its successor that reaches the store keeps reading. Grant requests state the version under which they were accepted, and decisions now state the home's if that is newer: a node that has known of a newer version for a fifth of that time asks the node that has it.

--- a/packages/dispatch/src/app/node/datagramRouter.ts
+++ b/packages/dispatch/src/app/node/datagramRouter.ts
@@ -36,9 +36,11 @@
     handlers;
   switch (body.case) {
     case 'ask':
+      service.recordVersion(sender, Number(body.value.catalogVersion));
       server.handleAsk(sender, body.value);
       break;
     case 'decision':
+      service.recordVersion(sender, Number(body.value.catalogVersion));
       selector.handleDecision(sender, body.value);
       break;
     case 'report':
--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -203,7 +203,8 @@
       }),
     );
     const quotas = this.store.add(this.tenants.createQuotaSharing(channel, homes));
-    const server = new GrantServer({ channel, homes, clock });
+    const getCatalogVersion = () => this.directory.getCatalog()?.version ?? 0;
+    const server = new GrantServer({ channel, homes, clock, getCatalogVersion });
     const self = this.makeMember(channel.address);
     const { authority } = this.options;
     const service = new DirectoryService({
--- a/packages/dispatch/src/directory/common/followedTable.test.ts
+++ b/packages/dispatch/src/directory/common/followedTable.test.ts
@@ -64,9 +64,11 @@
   assert.equal(third.hasToRead(1200), false);
   assert.equal(third.hasToRead(1350), true);
   assert.equal(second.isFollower(), true);
-  second.recordUpdate('c');
+  second.recordUpdate('c', true);
   assert.equal(second.isFollower(), true);
-  second.recordUpdate('a');
+  second.recordUpdate('a', false);
+  assert.equal(second.isFollower(), true);
+  second.recordUpdate('a', true);
   assert.equal(second.isFollower(), false);
 });
 
--- a/packages/dispatch/src/directory/common/followerRole.ts
+++ b/packages/dispatch/src/directory/common/followerRole.ts
@@ -55,8 +55,13 @@
     return Math.min(MAX_AGE_MS, waitMs);
   }
 
-  /** Records that a peer sent an update. */
-  recordUpdate(sender: string): void {
+  /**
+   * Records that a peer sent an update; `isCurrent` if its copies are at least as recent as those of this node.
+   * A peer that doesn't reach the store may send on what it received from another failure domain, which is
+   * no reason to stop reading.
+   */
+  recordUpdate(sender: string, isCurrent: boolean): void {
+    if (!isCurrent) return;
     const ranking = this.options.rankFollowers();
     const rank = ranking.indexOf(sender);
     if (rank !== -1 && rank < this.getRank()) this.hasTakenOver = false;
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -8,6 +8,7 @@
 import { CatalogSource } from '../common/catalogSource.js';
 import type { FollowedTable } from '../common/followedTable.js';
 import { CopyMonitor } from '../common/copyMonitor.js';
+import { DomainForwarder } from '../common/domainForwarder.js';
 import { FollowerRole } from '../common/followerRole.js';
 import { MemberRegistration } from '../common/memberRegistration.js';
 import type { NodeDirectory } from '../common/nodeDirectory.js';
@@ -15,6 +16,8 @@
 import { StoreFollower } from '../common/storeFollower.js';
 import { TableFetcher } from '../common/tableFetcher.js';
 import type { TableTransport } from '../common/tableTransport.js';
+import { UpdateRequester } from '../common/updateRequester.js';
+import { listUpdateSources } from '../common/updateSources.js';
 import { UpdateRelay } from '../common/updateRelay.js';
 
 /**
@@ -48,8 +51,14 @@
 const LONG_POLL_LEASE_SHARE = 0.125;
 /** Age of the last freshness proof, as a share of the lease on keys, at which another is due immediately. */
 const URGENT_PROOF_SHARE = 0.5;
-/** Age of a copy, as a share of the time in which changes have to be in force, from which it is outdated. */
+/**
+ * Age of a copy, as a share of the time in which changes have to be in force, from which it is outdated.
+ * Followers request updates first, as they send them on.
+ */
 const OUTDATED_SHARE = 0.75;
+const FOLLOWER_OUTDATED_SHARE = 0.7;
+/** The same share for how long a newer configuration may be known before it is requested. */
+const NEWER_WAIT_SHARE = 0.2;
 const LEAVING = create(LeavingSchema);
 const HELLO = create(HelloSchema);
 
@@ -90,6 +99,8 @@
   private readonly catalogFollower: StoreFollower<unknown>;
   private readonly membersFollower: StoreFollower<unknown>;
   private readonly monitor: CopyMonitor;
+  private readonly requester: UpdateRequester;
+  private readonly forwarder: DomainForwarder;
   /** The node that sent the last update, and when it arrived. */
   private lastUpdate: { readonly sender: string; readonly atMs: number } | undefined;
   private readonly startMs: number;
@@ -132,6 +143,29 @@
       getMaxAgeMs: () => this.getOutdatedAgeMs(),
       describeSources: () => this.describeSources(),
     });
+    this.requester = new UpdateRequester({
+      clock,
+      log,
+      announced: directory.announcedVersions,
+      monitor: this.monitor,
+      listSources: () => listUpdateSources(options),
+      getNewerWaitMs: () => this.getApplyShareMs(NEWER_WAIT_SHARE),
+      sendRequest: (address) => {
+        channel.send(address, { case: 'hello', value: HELLO });
+      },
+      onWillRequestNewer: () => {
+        this.catalogFollower.cancelRead();
+      },
+    });
+    this.forwarder = new DomainForwarder({
+      clock,
+      tables: directory.listTables(),
+      isFollower: () => this.role.isFollower(),
+      listPeers: () => this.listPeers(),
+      announce: () => {
+        this.relay.announce();
+      },
+    });
     this.targetsFollower = this.createFollower('targets', TARGETS_POLLING, () => {
       if (targets.version === undefined) return this.isFirstReadDue();
       return this.hasToRead(targets.getAgeMs());
@@ -168,10 +202,16 @@
   }
 
   handleUpdate(sender: string, update: Update): void {
-    this.role.recordUpdate(sender);
+    this.role.recordUpdate(sender, this.isCurrent(update));
     this.lastUpdate = { sender, atMs: this.options.clock.getMonotonicTime() };
-    this.options.directory.announcedVersions.recordAnnounced(Number(update.catalogVersion));
+    this.recordVersion(sender, Number(update.catalogVersion));
     this.relay.handleUpdate(sender, update);
+    this.forwarder.recordUpdate(sender);
+  }
+
+  /** Records the version of the configuration that another node has in force, 0 if it doesn't state it. */
+  recordVersion(sender: string, version: number): void {
+    this.options.directory.announcedVersions.recordAnnounced(version, sender);
   }
 
   handleHello(sender: string): void {
@@ -179,6 +219,7 @@
   }
 
   handleUpdateReceived(sender: string, received: UpdateReceived): void {
+    this.recordVersion(sender, Number(received.catalogVersion ?? 0n));
     this.relay.handleUpdateReceived(sender, received);
   }
 
@@ -199,6 +240,8 @@
   }
 
   dispose(): void {
+    this.requester.dispose();
+    this.forwarder.dispose();
     this.relay.clear();
   }
 
@@ -224,8 +267,14 @@
 
   /** Age from which a copy is outdated, in ms; infinite if there is no limit. */
   private getOutdatedAgeMs(): number {
+    const share = this.role.isFollower() ? FOLLOWER_OUTDATED_SHARE : OUTDATED_SHARE;
+    return this.getApplyShareMs(share) + this.getExtraAgeMs();
+  }
+
+  /** Returns a share of the time in which changes have to be in force, in ms; infinite without a limit. */
+  private getApplyShareMs(share: number): number {
     const applyMs = this.options.getApplyMs?.() ?? 0;
-    return applyMs > 0 ? applyMs * OUTDATED_SHARE + this.getExtraAgeMs() : Infinity;
+    return applyMs > 0 ? applyMs * share : Infinity;
   }
 
   private describeSources(): Readonly<Record<string, unknown>> {
@@ -244,6 +293,13 @@
     };
   }
 
+  /** Whether the sender's copy of the targets, which followers read most often, is as recent as this node's. */
+  private isCurrent({ changes }: Update): boolean {
+    const { targets } = this.options.directory;
+    const copy = changes.find(({ table }) => table === targets.name);
+    return copy !== undefined && copy.ageMs <= targets.getAgeMs();
+  }
+
   private createFollower(
     name: 'catalog' | 'targets' | 'members',
     pollTiming: IPollTiming,
--- a/packages/dispatch/src/grants/common/grantMessages.ts
+++ b/packages/dispatch/src/grants/common/grantMessages.ts
@@ -114,18 +114,28 @@
   };
 }
 
-/** Encodes the decision on a grant request; undefined stands for a queued request. */
+/** The fields of a grant request that its decisions refer to. */
+export type AskReference = Pick<Ask, 'id' | 'incarnation' | 'catalogVersion'>;
+
+/**
+ * Encodes the decision on a grant request; undefined stands for a queued request. It states `ownVersion`, the
+ * configuration that the home has in force, if the request was accepted under an older one.
+ */
 export function encodeDecision(
-  { id: askId, incarnation }: Pick<Ask, 'id' | 'incarnation'>,
+  { catalogVersion: askVersion, id: askId, incarnation }: AskReference,
   decision: GrantDecision | undefined,
+  ownVersion = 0,
 ): Decision {
+  const catalogVersion = ownVersion > Number(askVersion) ? BigInt(ownVersion) : 0n;
   if (decision === undefined) {
-    return create(DecisionSchema, { askId, incarnation, kind: DecisionKind.QUEUED });
+    const kind = DecisionKind.QUEUED;
+    return create(DecisionSchema, { askId, incarnation, catalogVersion, kind });
   }
   if (decision.kind === 'refused') {
     return create(DecisionSchema, {
       askId,
       incarnation,
+      catalogVersion,
       kind: DecisionKind.REFUSED,
       retryAfterMs: toUint32(Math.ceil(decision.retryAfterMs)),
       resultCode: decision.code,
@@ -134,6 +144,7 @@
   return create(DecisionSchema, {
     askId,
     incarnation,
+    catalogVersion,
     kind: DecisionKind.GRANTED,
     targetId: decision.target.id,
     ...encodeBornMs(decision.target.bornMs),
--- a/packages/dispatch/src/grants/common/grantServer.ts
+++ b/packages/dispatch/src/grants/common/grantServer.ts
@@ -5,6 +5,7 @@
 import { ReportReceivedSchema } from '@parsleymux/schema';
 import type { HomeService, ServiceScheduler, ITicket, GrantDecision } from '@parsleymux/scheduling';
 import type { DatagramChannel } from './datagramChannel.js';
+import type { AskReference } from './grantMessages.js';
 import { decodeAsk, decodeOutcome, decodeRate, encodeDecision } from './grantMessages.js';
 
 /** Retention of tickets after the deadline, in ms: longer than entries retransmit their requests. */
@@ -17,6 +18,8 @@
   readonly channel: DatagramChannel;
   readonly homes: HomeService;
   readonly clock: Clock;
+  /** Returns the version of the configuration that this node has in force. Default: 0, which is not stated. */
+  readonly getCatalogVersion?: () => number;
 }
 
 interface ICachedTicket {
@@ -38,11 +41,12 @@
   constructor(private readonly options: IGrantServerOptions) {}
 
   handleAsk(sender: string, ask: Ask): void {
-    const { id, incarnation } = ask;
+    const { catalogVersion, id, incarnation } = ask;
+    const reference = { catalogVersion, id, incarnation };
     const key = formatKey(sender, incarnation, id);
     const known = this.tickets.get(key);
     if (known !== undefined) {
-      this.sendDecision(sender, { id, incarnation }, known.ticket.decision);
+      this.sendDecision(sender, reference, known.ticket.decision);
       return;
     }
     // Without a response the entry tries the next home; see HomeService.hasReceivedTargets.
@@ -50,10 +54,10 @@
     this.clearExpired();
     const scheduler = this.options.homes.getScheduler(ask.service);
     const ticket = scheduler.requestGrant(decodeAsk(ask), sender, (decision) => {
-      this.sendDecision(sender, { id, incarnation }, decision);
+      this.sendDecision(sender, reference, decision);
     });
     this.tickets.set(key, { scheduler, ticket, isReported: false });
-    if (ticket.decision === undefined) this.sendDecision(sender, { id, incarnation }, undefined);
+    if (ticket.decision === undefined) this.sendDecision(sender, reference, undefined);
   }
 
   handleReport(sender: string, report: Report): void {
@@ -70,10 +74,10 @@
 
   private sendDecision(
     sender: string,
-    ask: Pick<Ask, 'id' | 'incarnation'>,
+    ask: AskReference,
     decision: GrantDecision | undefined,
   ): void {
-    const value = encodeDecision(ask, decision);
+    const value = encodeDecision(ask, decision, this.options.getCatalogVersion?.());
     this.options.channel.send(sender, { case: 'decision', value });
   }
 
--- a/packages/dispatch/src/grants/common/messageFields.test.ts
+++ b/packages/dispatch/src/grants/common/messageFields.test.ts
@@ -29,7 +29,7 @@
       limits: [{ targetId: 't1', bornMs: 1, ratePerS: number, ageMs: number }],
     });
     assertEncodable({ case: 'ask', value: encodeAsk(request, 1n, 1) });
-    const ask = { id: 1n, incarnation: 1 };
+    const ask = { id: 1n, incarnation: 1, catalogVersion: 1n };
     const code = ResultCode.NoTarget;
     const refusal = { kind: 'refused', code, retryAfterMs: number } as const;
     assertEncodable({ case: 'decision', value: encodeDecision(ask, refusal) });
