End reads and delays that hide changes after a store was lost

A long poll that was sent while the store was lost, or whose connection died alone, counts as a sign that nothing changed for up to 2.2 s, while reads of other tables renew the copy's age; a follower whose last read failed waits for up to 2.1 s more, although it has read the targets meanwhile.

Once the targets are read again, long polls are cancelled and the delays of failed reads end. A long poll whose response is 300 ms overdue is repeated at once if the targets were read lately; the next one gets its whole time, so a slow store is read too. A newer version is requested after an eighth instead of a fifth of the time in which changes have to be in force.

--- a/packages/dispatch/src/directory/common/storeFollower.test.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.test.ts
@@ -60,7 +60,11 @@
   readonly follower: StoreFollower<string>;
 }
 
-function startFixture(replies: Reply[], signal: AbortSignal): IFixture {
+function startFixture(
+  replies: Reply[],
+  signal: AbortSignal,
+  isStoreReachable = () => false,
+): IFixture {
   const clock = new ManualClock();
   const source = new ScriptedTable(replies);
   const table = new FollowedTable<string>({ name: 't', clock, isSame: (a, b) => a === b });
@@ -75,6 +79,7 @@
     getMaxAgeMs: () => 0,
     isFirst: () => true,
     onDidRead: () => undefined,
+    isStoreReachable,
   });
   void follower.run(signal);
   return { clock, source, table, follower };
@@ -142,6 +147,38 @@
   stop.abort();
 });
 
+test('a long poll whose response is overdue is repeated once if the store can be reached', async () => {
+  // Guards against a lost connection that hides changes for longer than they may take to be in force.
+  for (const isReachable of [true, false]) {
+    const stop = new AbortController();
+    const replies: Reply[] = [FIRST, 'none', 'none'];
+    const { clock, source } = startFixture(replies, stop.signal, () => isReachable);
+    await clock.advanceBy(1850);
+    assert.deepEqual(source.calls, [
+      'all',
+      ...(isReachable ? ['after 3', 'after 3'] : ['after 3']),
+    ]);
+    await clock.advanceBy(1850);
+    assert.equal(source.calls.length, isReachable ? 3 : 2);
+    stop.abort();
+  }
+});
+
+test('the delay after a failed read ends when another table was read', async () => {
+  // Guards against a follower that doesn't read the configuration for seconds after the store is back.
+  const stop = new AbortController();
+  const { clock, follower, table } = startFixture(
+    [FIRST, StoreFailure.Silent, SECOND],
+    stop.signal,
+  );
+  await clock.advanceBy(100);
+  assert.equal(table.get('config'), 'old');
+  follower.endRetryDelay();
+  await clock.advanceBy(10);
+  assert.equal(table.get('config'), 'new');
+  stop.abort();
+});
+
 test('a long poll whose response has begun is no sign that nothing changed', async () => {
   // Guards against a copy that counts as fresh while a large change is on its way.
   const stop = new AbortController();
--- a/packages/dispatch/src/directory/common/storeFollower.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.ts
@@ -1,5 +1,5 @@
 /** Reads a table of the authority while this node is a follower or receives no updates from peers. */
-import type { Clock, Logger } from '@parsleymux/base';
+import type { Clock, IDisposable, Logger } from '@parsleymux/base';
 import { JoinedSignal } from '@parsleymux/base';
 import type { AuthorityTable, ITableChanges, ITableState } from './authority.js';
 import { StoreCallError, StoreFailure } from './authority.js';
@@ -11,6 +11,8 @@
 const FIRST_READ_CHECK_MS = 20;
 /** Delay after a failed read by the first follower, in ms; short, because the other nodes depend on it. */
 const FOLLOWER_RETRY_MS = 400;
+/** How much longer than its wait time a long poll takes at most while the store is slow, in ms. */
+const OVERDUE_MS = 300;
 /** Delay after a failed read by any other node, in ms; jittered, so that they don't overload the store. */
 const OTHER_RETRY_MS = 1500;
 
@@ -42,6 +44,10 @@
   readonly onDidRead: (hasChanges: boolean) => void;
   /** Called after every failed read. */
   readonly onDidFail?: () => void;
+  /** Called after a successful read that follows a failed one. */
+  readonly onDidRegain?: () => void;
+  /** Whether reads of other tables show that the store can be reached. Default: never. */
+  readonly isStoreReachable?: () => boolean;
 }
 
 /**
@@ -55,11 +61,16 @@
   /** Whether the last read returned an older state than the copy had when the read was sent. */
   private isReadOlder = false;
   private readStartMs: number | undefined;
+  /** When the last read succeeded. */
+  private readMs = -Infinity;
   /** How long the store may hold the pending read, in ms. */
   private longPollMs = 0;
   /** Whether the response to the pending read has begun. */
   private hasResponse = false;
   private cancelled = new AbortController();
+  private retryDelay = new AbortController();
+  /** Whether the last read was cancelled because it was overdue. */
+  private wasOverdue = false;
   /** Number of successful reads, and of failed reads by kind of failure. */
   readonly counts = { succeeded: 0, failed: new Map<StoreFailure, number>() };
 
@@ -74,8 +85,8 @@
         continue;
       }
       const isRead = await this.read(signal);
-      const delayMs = isRead ? pollTiming.pauseMs : this.getRetryMs();
-      await clock.sleep(delayMs, signal).catch(() => undefined);
+      if (isRead) await clock.sleep(pollTiming.pauseMs, signal).catch(() => undefined);
+      else await this.sleepBeforeRetry(signal);
     }
   }
 
@@ -89,6 +100,11 @@
     return !this.hasResponse && this.longPollMs > 0 && pendingMs <= this.longPollMs;
   }
 
+  /** Whether a read succeeded within the last `limitMs`. */
+  isRecentlyRead(limitMs: number): boolean {
+    return this.options.clock.getMonotonicTime() - this.readMs < limitMs;
+  }
+
   /**
    * Cancels a pending read; the next one follows immediately. After a network partition, the request or its
    * response may be lost, and the pending read would wrongly indicate that nothing changes.
@@ -99,15 +115,29 @@
     this.cancelled.abort(new Error('read cancelled; its connection to the store may be lost'));
   }
 
+  /** Ends the delay after a failed read: another table was read, so the store can be reached again. */
+  endRetryDelay(): void {
+    this.retryDelay.abort(new Error('the store can be reached'));
+  }
+
+  private async sleepBeforeRetry(signal: AbortSignal): Promise<void> {
+    this.retryDelay = new AbortController();
+    const joined = new JoinedSignal([signal, this.retryDelay.signal]);
+    await this.options.clock.sleep(this.getRetryMs(), joined.signal).catch(() => undefined);
+    joined.dispose();
+  }
+
   private async read(signal: AbortSignal): Promise<boolean> {
     const { clock, table } = this.options;
     this.readStartMs = clock.getMonotonicTime();
     this.hasResponse = false;
     this.cancelled = new AbortController();
     const joined = new JoinedSignal([signal, this.cancelled.signal]);
+    const overdueTimer = this.startOverdueTimer();
     try {
       const content = await this.readOnce(this.readStartMs, joined.signal);
       this.counts.succeeded += 1;
+      this.readMs = clock.getMonotonicTime();
       this.recordRegained();
       this.options.onDidRead(content.changes.length > 0);
       return content.isPartial !== true;
@@ -121,11 +151,29 @@
       this.options.onDidFail?.();
       return false;
     } finally {
+      void overdueTimer?.dispose();
       joined.dispose();
       this.readStartMs = undefined;
     }
   }
 
+  /**
+   * Cancels a long poll whose response is overdue although the store can be reached: its connection is lost.
+   * The next read isn't cancelled for that reason, so that a store that is slower than usual is read too.
+   */
+  private startOverdueTimer(): IDisposable | undefined {
+    const { clock, isStoreReachable, pollTiming, table } = this.options;
+    const { wasOverdue } = this;
+    this.wasOverdue = false;
+    const waitMs = pollTiming.getWaitMs?.() ?? pollTiming.waitMs;
+    if (wasOverdue || waitMs === 0 || table.version === undefined) return undefined;
+    return clock.startTimer(waitMs + OVERDUE_MS, () => {
+      if (isStoreReachable?.() !== true) return;
+      this.wasOverdue = true;
+      this.cancelRead();
+    });
+  }
+
   private async readOnce(startMs: number, signal: AbortSignal): Promise<ITableChanges<T>> {
     const { clock, pollTiming, source, table } = this.options;
     const { era, version: after } = table;
@@ -226,5 +274,6 @@
     this.isStoreLost = false;
     const { table } = this.options;
     this.options.log.info('store regained', { table: table.name, version: table.version });
+    this.options.onDidRegain?.();
   }
 }
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -58,7 +58,7 @@
 const OUTDATED_SHARE = 0.75;
 const FOLLOWER_OUTDATED_SHARE = 0.7;
 /** The same share for how long a newer configuration may be known before it is requested. */
-const NEWER_WAIT_SHARE = 0.2;
+const NEWER_WAIT_SHARE = 0.125;
 const LEAVING = create(LeavingSchema);
 const HELLO = create(HelloSchema);
 
@@ -293,6 +293,11 @@
     };
   }
 
+  private cancelLongPolls(): void {
+    this.catalogFollower.cancelRead();
+    this.membersFollower.cancelRead();
+  }
+
   /** Whether the sender's copy of the targets, which followers read most often, is as recent as this node's. */
   private isCurrent({ changes }: Update): boolean {
     const { targets } = this.options.directory;
@@ -321,14 +326,25 @@
       jitter: (delayMs) => random.getJittered(delayMs, 0.4),
       isFirst: () => this.role.isFirst(),
       onDidRead: (hasChanges) => {
-        if (name === 'targets') this.checkEra();
+        if (name === 'targets') {
+          this.checkEra();
+          this.catalogFollower.endRetryDelay();
+          this.membersFollower.endRetryDelay();
+        }
         // Reads of the targets are frequent enough to confirm to peers that the other tables are unchanged.
         if (hasChanges || name === 'targets') this.announce();
       },
       onDidFail: () => {
-        if (name !== 'targets') return;
-        this.catalogFollower.cancelRead();
-        this.membersFollower.cancelRead();
+        if (name === 'targets') this.cancelLongPolls();
+      },
+      // Long polls that were sent while the store was lost are probably lost too.
+      onDidRegain: () => {
+        if (name === 'targets') this.cancelLongPolls();
+      },
+      isStoreReachable: () => {
+        return (
+          name !== 'targets' && this.targetsFollower.isRecentlyRead(TARGETS_POLLING.pauseMs * 2)
+        );
       },
     });
   }
--- a/packages/dispatch/src/test/distributionFleet.ts
+++ b/packages/dispatch/src/test/distributionFleet.ts
@@ -12,6 +12,7 @@
 const WARM_UP_MS = 4000;
 const CHECK_MS = 10;
 const DOMAINS = 3;
+const DOMAIN_SIZES = [1, 1, 1];
 /** Numbers of routes that changes of a series add. */
 const SERIES_COUNTS = [1, 1, 30, 400, 1400, 3000];
 /** Pause between the changes of a series, in ms: the minimum, and what is added at most. */
@@ -37,6 +38,10 @@
   readonly routes: number;
   /** Share of all links that requests take. Default: 0. */
   readonly busyShare?: number;
+  /** Time in which changes have to be in force, in ms. Default: without limit. */
+  readonly applyMs?: number;
+  /** Sizes of the failure domains, relative to each other. Default: three equal ones. */
+  readonly domainSizes?: readonly number[];
 }
 
 /** How a change of the configuration reached the nodes. */
@@ -62,6 +67,9 @@
   /** By address, which is also the state address. */
   readonly nodes = new Map<string, DistributionNode>();
   catalog: ICatalog;
+  /** Addresses of nodes whose registrations were removed. */
+  readonly removedMembers = new Set<string>();
+  membersVersion = 1;
   private readonly end = new AbortController();
   private running: readonly Promise<void>[] = [];
 
@@ -70,8 +78,12 @@
     this.random = new SeededRandom(options.seed);
     this.catalog = makeCatalog(1, makeRoutes(options.routes, this.random));
     const links = options.vms.flatMap((kind) => Array.from({ length: kind.count }, () => kind));
-    for (const { capacity, linkMbps } of links) {
-      const value = makeMember(this.members.length, capacity);
+    const { domainSizes = DOMAIN_SIZES } = options;
+    const domains = domainSizes.flatMap((size, domain) =>
+      Array.from({ length: size }, () => domain),
+    );
+    for (const [index, { capacity, linkMbps }] of links.entries()) {
+      const value = this.makeMember(index, domains[index % domains.length] ?? 0, capacity);
       this.members.push({ key: value.address, value });
       this.nodes.set(value.address, new DistributionNode(this, value, linkMbps));
     }
@@ -94,7 +106,16 @@
     return this.waitUntilApplied(limitMs);
   }
 
-  private putRoutes(count: number): void {
+  /** Removes a registration, or puts it back. */
+  setRemoved(address: string, isRemoved: boolean): void {
+    if (this.removedMembers.has(address) === isRemoved) return;
+    if (isRemoved) this.removedMembers.add(address);
+    else this.removedMembers.delete(address);
+    this.membersVersion += 1;
+  }
+
+  /** Adds routes in a new version. */
+  putRoutes(count: number): void {
     const { routes, version } = this.catalog;
     this.catalog = makeCatalog(version + 1, [...routes, ...makeRoutes(count, this.random)]);
   }
@@ -175,6 +196,13 @@
     return { lastMs, bytesPerNode: Math.round(bytes / this.nodes.size) };
   }
 
+  private makeMember(index: number, domain: number, capacity: number): IMember {
+    const failureDomain = formatDomain(domain);
+    const others = this.members.filter(({ value }) => value.failureDomain === failureDomain);
+    const address = `10.0.${domain}.${others.length}:7200`;
+    return { address, capacity, failureDomain, stateAddress: address, incarnation: index + 1 };
+  }
+
   private countOutdated(): number {
     const isOutdated = ({ directory, isDown }: DistributionNode) => {
       return !isDown && directory.getCatalog()?.version !== this.catalog.version;
@@ -192,18 +220,6 @@
   }
 }
 
-function formatDomain(domain: number): string {
+export function formatDomain(domain: number): string {
   return `domain-${domain}`;
 }
-
-function makeMember(index: number, capacity: number): IMember {
-  const domain = index % DOMAINS;
-  const address = `10.0.${domain}.${Math.floor(index / DOMAINS)}:7200`;
-  return {
-    address,
-    capacity,
-    failureDomain: formatDomain(domain),
-    stateAddress: address,
-    incarnation: index + 1,
-  };
-}
--- a/packages/dispatch/src/test/distributionNode.ts
+++ b/packages/dispatch/src/test/distributionNode.ts
@@ -4,7 +4,12 @@
 import { DatagramSchema } from '@parsleymux/schema';
 import type { ICatalog, ITargetRecord } from '@parsleymux/scheduling';
 import type { IMember, ITableChanges } from '../directory/common/authority.js';
-import { Authority, AuthorityTable } from '../directory/common/authority.js';
+import {
+  Authority,
+  AuthorityTable,
+  StoreCallError,
+  StoreFailure,
+} from '../directory/common/authority.js';
 import { NodeDirectory } from '../directory/common/nodeDirectory.js';
 import { TableServer } from '../directory/common/tableServer.js';
 import type {
@@ -31,6 +36,12 @@
 const BYTES_PER_MS_PER_MBPS = 125;
 const CONFIG_KEY = 'config';
 
+/** How long a node waits for a response of the store, in ms, besides the time for which the store may hold a read. */
+const STORE_TIMEOUT_MS = 700;
+
+/** How the store treats a node. */
+export type StoreAccess = 'open' | 'rejected' | 'silent';
+
 /** A node's access to a table of the store. */
 class ModelledTable<T> extends AuthorityTable<T> {
   override readonly malformedRows = 0;
@@ -43,7 +54,7 @@
   }
 
   override async readAll(signal: AbortSignal): Promise<ITableChanges<T>> {
-    await this.node.fleet.clock.sleep(STORE_LATENCY_MS, signal);
+    await this.request(0, signal);
     return this.receive(this.read(), signal);
   }
 
@@ -54,15 +65,31 @@
   ): Promise<ITableChanges<T>> {
     const { clock } = this.node.fleet;
     const endMs = clock.getMonotonicTime() + waitMs;
-    await clock.sleep(STORE_LATENCY_MS, signal);
+    const { heldReads } = this.node;
+    await this.request(waitMs, signal);
     for (;;) {
       const rows = this.read();
+      const isDue = rows.version > after || clock.getMonotonicTime() >= endMs;
+      const isLost = this.node.storeAccess !== 'open' || (waitMs > 0 && heldReads.aborted);
+      if (isDue && isLost) {
+        await clock.sleep(endMs + STORE_TIMEOUT_MS - clock.getMonotonicTime(), signal);
+        throw new StoreCallError(StoreFailure.Silent, 'no response');
+      }
       if (rows.version > after) return this.receive(rows, signal);
-      if (clock.getMonotonicTime() >= endMs) return { version: rows.version, changes: [] };
+      if (isDue) return { version: rows.version, changes: [] };
       await clock.sleep(POLL_MS, signal);
     }
   }
 
+  private async request(waitMs: number, signal: AbortSignal): Promise<void> {
+    const { clock } = this.node.fleet;
+    const { storeAccess } = this.node;
+    const isSilent = storeAccess === 'silent';
+    await clock.sleep(isSilent ? waitMs + STORE_TIMEOUT_MS : STORE_LATENCY_MS, signal);
+    if (isSilent) throw new StoreCallError(StoreFailure.Silent, 'no response');
+    if (storeAccess === 'rejected') throw new StoreCallError(StoreFailure.Limited, 'rejected');
+  }
+
   /** The store's row of the configuration has the names of columns once and not in each route. */
   private countBytes({ changes }: ITableChanges<T>): number {
     const { catalog } = this.node.fleet;
@@ -83,7 +110,7 @@
   override readonly targets: AuthorityTable<ITargetRecord>;
   override readonly members: AuthorityTable<IMember>;
 
-  constructor(node: DistributionNode) {
+  constructor(private readonly node: DistributionNode) {
     super();
     const { fleet } = node;
     this.catalog = new ModelledTable(node, () => ({
@@ -91,11 +118,20 @@
       changes: [{ key: CONFIG_KEY, value: fleet.catalog }],
     }));
     this.targets = new ModelledTable<ITargetRecord>(node, () => ({ version: 1, changes: [] }));
-    this.members = new ModelledTable(node, () => ({ version: 1, changes: fleet.members }));
+    this.members = new ModelledTable(node, () => ({
+      version: fleet.membersVersion,
+      changes: fleet.members.map(({ key, value }) => ({
+        key,
+        value: fleet.removedMembers.has(key) ? undefined : value,
+      })),
+    }));
   }
 
-  override putMember(): Promise<void> {
-    return Promise.resolve();
+  override async putMember({ address }: IMember): Promise<void> {
+    const { fleet, storeAccess } = this.node;
+    await fleet.clock.sleep(STORE_LATENCY_MS);
+    if (storeAccess !== 'open') throw new StoreCallError(StoreFailure.Silent, 'no response');
+    fleet.setRemoved(address, false);
   }
 
   override removeMember(): Promise<void> {
@@ -176,6 +212,8 @@
   readonly links: IModelledLinks;
   private readonly service: DirectoryService;
   private readonly lostController = new AbortController();
+  private heldReadsController = new AbortController();
+  storeAccess: StoreAccess = 'open';
 
   constructor(
     readonly fleet: DistributionFleet,
@@ -206,10 +244,29 @@
       self: member,
       isFirstStart: false,
       seeds: [],
+      ...(fleet.options.applyMs === undefined
+        ? {}
+        : { getApplyMs: () => fleet.options.applyMs ?? 0 }),
       hasReceivedRequests: () => true,
     });
   }
 
+  /** Aborts when the connections of the reads that the store holds are lost without notice. */
+  get heldReads(): AbortSignal {
+    return this.heldReadsController.signal;
+  }
+
+  stopHeldReads(): void {
+    this.heldReadsController.abort();
+    this.heldReadsController = new AbortController();
+  }
+
+  /** Receives a message for a request, which states the sender's version of the configuration. */
+  receiveRequest({ directory, member }: DistributionNode): void {
+    if (this.isDown) return;
+    this.service.recordVersion(member.address, directory.getCatalog()?.version ?? 0);
+  }
+
   /** Aborts when the VM loses power. */
   get lost(): AbortSignal {
     return this.lostController.signal;
