Read a table whole if the store returns an older state than before

A store whose reads of changes state an earlier epoch than its whole reads left all nodes on their first configuration, with no line in a log: each response counted as late and was dropped, the copies grew old, and the configuration was not read at all any more. A response can only be late if another one came since the read was sent; one that is older than what was known then is now followed by a read of the whole table, and logged once.

--- a/packages/dispatch/src/directory/common/storeFollower.test.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.test.ts
@@ -234,6 +234,21 @@
   stop.abort();
 });
 
+test('a read of changes that returns an older epoch or version is followed by a read of the whole table', async () => {
+  // Guards against a copy that never changes, because each response counts as a late one.
+  const first = { ...FIRST, era: 2 };
+  const second = { ...SECOND, era: 2 };
+  const empty = { version: 9, era: 1, changes: [] };
+  for (const older of [empty, { ...empty, era: 2, version: 2 }]) {
+    const stop = new AbortController();
+    const { clock, source, table } = startFixture([first, older, second], stop.signal);
+    await clock.advanceBy(100);
+    assert.equal(table.get('config'), 'new');
+    assert.deepEqual(source.calls.slice(0, 4), ['all', 'after 3', 'all', 'after 5']);
+    stop.abort();
+  }
+});
+
 test('a read of changes that returns a newer epoch is followed by a read of the whole table', async () => {
   // Guards against applying changes after a version that the restored store assigned a second time.
   const stop = new AbortController();
--- a/packages/dispatch/src/directory/common/storeFollower.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.ts
@@ -186,7 +186,7 @@
       });
       // The store responds to a long poll at a change or at the end of the wait, so it is as of its end.
       const readMs = waitMs > 0 ? clock.getMonotonicTime() : startMs;
-      this.recordOlder(content, { era, version: after });
+      if (this.recordOlder(content, { era, version: after })) return await this.readWhole(signal);
       // Versions of different epochs aren't comparable, so the whole table has to be read.
       if ((content.era ?? 0) > table.era) return await this.readRestored(content, signal);
       // The version isn't advanced past malformed rows, so that they are read again.
@@ -212,7 +212,7 @@
     { era, version }: ITableChanges<T>,
     signal: AbortSignal,
   ): Promise<ITableChanges<T>> {
-    const { clock, log, source, table } = this.options;
+    const { log, table } = this.options;
     const { era: eraBefore, version: versionBefore } = table;
     log.warn('store came back from an older copy; reading the table whole', {
       table: table.name,
@@ -221,8 +221,7 @@
       eraBefore,
       versionBefore,
     });
-    const startMs = clock.getMonotonicTime();
-    return this.applyAll(await source.readAll(signal), startMs);
+    return this.readWhole(signal);
   }
 
   private applyAll(content: ITableChanges<T>, readMs: number): ITableChanges<T> {
@@ -241,12 +240,19 @@
     return Math.max(IDLE_CHECK_MS, getMaxAgeMs() - table.getAgeMs() + 1);
   }
 
-  /** Records whether a read returned an older state than was known when it was sent, which has no effect. */
-  private recordOlder({ era = 0, version }: ITableChanges<T>, known: ITableState): void {
+  /** Reads the table whole: a state that is older than the copy would never have an effect. */
+  private async readWhole(signal: AbortSignal): Promise<ITableChanges<T>> {
+    const { clock, source } = this.options;
+    const startMs = clock.getMonotonicTime();
+    return this.applyAll(await source.readAll(signal), startMs);
+  }
+
+  /** Returns whether a read returned an older state than was known when it was sent. */
+  private recordOlder({ era = 0, version }: ITableChanges<T>, known: ITableState): boolean {
     const { log, table } = this.options;
     const isOlder = era < (known.era ?? 0) || (era === known.era && version < known.version);
     if (isOlder && !this.isReadOlder) {
-      log.warn('store returned an older state, which is ignored', {
+      log.warn('store returned an older state; reading the table whole', {
         table: table.name,
         era,
         version,
@@ -256,6 +262,7 @@
       });
     }
     this.isReadOlder = isOlder;
+    return isOlder;
   }
 
   private getRetryMs(): number {
