Change routes in more ways in the soak, and cut failure domains off from the store

The soak's operator added one route a version, numbered one after the other, to failure domains of equal size; no fault took the store from a whole failure domain. A request must be handled as a version allows that had not been replaced for the whole bound.

--- a/packages/lab/src/soak/common/boundChecks.ts
+++ b/packages/lab/src/soak/common/boundChecks.ts
@@ -6,10 +6,11 @@
 import { STORE_SCOPE, formatLinkScope, formatPathScope } from './disturbanceLog.js';
 import type { ISoakEvidence } from './soakEvidence.js';
 import type { ISoakRequestRecord } from './soakLedger.js';
-import { ROUTE_TIMEOUT_S, SOAK_BOUNDS } from './soakLayout.js';
+import { ROUTE_TIMEOUT_S, SOAK_BOUNDS, listChangingServices } from './soakLayout.js';
 import { describeArrival, describeRequestRecord } from './requestText.js';
 
 const MS_PER_S = 1000;
+const NOT_FOUND = 404;
 /** How long after its route's timeout a response may still arrive, in ms. */
 const TIMEOUT_SLACK_MS = 500;
 /** How long after its caller disconnected a request may still arrive or run at a target, in ms. */
@@ -28,6 +29,7 @@
   checkConfigApplied(evidence, findings);
   checkPathLosses(evidence, findings);
   for (const record of records) {
+    checkChangingRoute(record, evidence, findings);
     checkPlannedStop(record, evidence, findings);
     checkTimeout(record, evidence, findings);
     checkDisconnect(record, evidence, findings);
@@ -89,6 +91,37 @@
   }
 }
 
+/** A changing route is handled as a version allows that had not been replaced for the whole bound. */
+function checkChangingRoute(
+  { arrivals, reply, request }: ISoakRequestRecord,
+  { disturbances, versions }: ISoakEvidence,
+  findings: Findings,
+): void {
+  if (request.kind !== 'changing' || reply?.status === undefined) return;
+  const dueMs = request.sentMs - SOAK_BOUNDS.config_apply_s * MS_PER_S;
+  const newestDue = Math.max(
+    0,
+    ...versions.filter(({ acceptedMs }) => acceptedMs <= dueMs).map(({ version }) => version),
+  );
+  const possible = versions.filter(({ acceptedMs, version }) => {
+    return version >= newestDue && acceptedMs <= reply.endMs;
+  });
+  const isRefused = reply.status === NOT_FOUND && reply.stamp === undefined;
+  const service = arrivals.find(({ hasRun }) => hasRun)?.service;
+  if (!isRefused && service === undefined) return;
+  if (!disturbances.isUndisturbed([request.node, STORE_SCOPE], dueMs, reply.endMs)) return;
+  const isHandled = possible.some(({ version }) => {
+    const services = listChangingServices(version, request.path);
+    return service === undefined ? services.length === 0 : services.includes(service);
+  });
+  findings.check('changed routes are handled by a version in force', isHandled, () => {
+    const outcome = service ?? String(reply.status);
+    const due = versions.find(({ version }) => version === newestDue);
+    const ageMs = Math.round(request.sentMs - (due?.acceptedMs ?? 0));
+    return `${request.node} ${request.path}: ${outcome}, ${ageMs} ms after version ${newestDue} was accepted`;
+  });
+}
+
 function checkDrains(evidence: ISoakEvidence, findings: Findings): void {
   const { disturbances, drains, ledger } = evidence;
   const requests = new Map(ledger.listRequestRecords().map(({ request }) => [request.id, request]));
--- a/packages/lab/src/soak/common/safetyChecks.ts
+++ b/packages/lab/src/soak/common/safetyChecks.ts
@@ -1,8 +1,14 @@
 /** Checks of guarantees without a time bound, on the requests that callers and targets recorded. */
 import type { Findings } from '../../prove/common/findings.js';
-import type { ISoakEvidence, IVersionProbe } from './soakEvidence.js';
-import type { ISoakArrival, ISoakRequestRecord } from './soakLedger.js';
-import { BOOKING_SERVICE, LISTING_SERVICE, MAX_ATTEMPTS, SOAK_BOUNDS } from './soakLayout.js';
+import type { IAcceptedVersion, ISoakEvidence, IVersionProbe } from './soakEvidence.js';
+import type { ISoakArrival, ISoakRequest, ISoakRequestRecord } from './soakLedger.js';
+import {
+  BOOKING_SERVICE,
+  LISTING_SERVICE,
+  MAX_ATTEMPTS,
+  SOAK_BOUNDS,
+  listChangingServices,
+} from './soakLayout.js';
 import { describeArrival, describeRequestRecord, formatResponseBody } from './requestText.js';
 
 const MS_PER_S = 1000;
@@ -13,7 +19,9 @@
 
 /** Checks that hold on a machine of any speed. */
 export function checkSafety(evidence: ISoakEvidence, findings: Findings): void {
-  for (const record of evidence.ledger.listRequestRecords()) checkRequest(record, findings);
+  for (const record of evidence.ledger.listRequestRecords()) {
+    checkRequest(record, evidence, findings);
+  }
   const unsolicited = evidence.ledger.listUnsolicited();
   findings.check('targets get only what callers sent', unsolicited.length === 0, () => {
     return describeArrival(unsolicited[0]);
@@ -22,7 +30,11 @@
   checkConfigRegression(evidence.probes, findings);
 }
 
-function checkRequest(record: ISoakRequestRecord, findings: Findings): void {
+function checkRequest(
+  record: ISoakRequestRecord,
+  { versions }: ISoakEvidence,
+  findings: Findings,
+): void {
   const { arrivals, reply, request } = record;
   const ran = arrivals.filter(({ hasRun }) => hasRun);
   const describe = () => describeRequestRecord(record);
@@ -32,8 +44,7 @@
       arrival.path === request.path &&
       arrival.body === request.body;
     findings.check('targets get requests unchanged', isSame, describe);
-    const service = request.kind === 'booking' ? BOOKING_SERVICE : LISTING_SERVICE;
-    const isAllowed = !arrival.hasRun || arrival.service === service;
+    const isAllowed = !arrival.hasRun || listServices(request, versions).includes(arrival.service);
     findings.check('requests run where their route says', isAllowed, describe);
   }
   const targets = new Set(ran.map(({ target }) => target));
@@ -43,6 +54,17 @@
   checkReply(record, ran, findings);
 }
 
+/** Lists the services that may run a request under any version. */
+function listServices(
+  { kind, path }: ISoakRequest,
+  versions: readonly IAcceptedVersion[],
+): readonly string[] {
+  if (kind === 'changing') {
+    return versions.flatMap(({ version }) => listChangingServices(version, path));
+  }
+  return [kind === 'booking' ? BOOKING_SERVICE : LISTING_SERVICE];
+}
+
 function checkReply(
   record: ISoakRequestRecord,
   ran: readonly ISoakArrival[],
@@ -70,13 +92,17 @@
   }
   const isLocalDenial =
     stamp === undefined && status < FIRST_SERVER_ERROR && status >= FIRST_FAILURE;
-  const isDenied = isLocalDenial && !NOT_RUN_STATUSES.includes(status) && request.kind !== 'probe';
+  const isProbe = request.kind === 'probe' || request.kind === 'changing';
+  const isDenied = isLocalDenial && !NOT_RUN_STATUSES.includes(status) && !isProbe;
   findings.check('allowed requests are not denied', !isDenied, describe);
 }
 
 /** Checks the retries of each service over the whole fleet, in every window that ends with a retry. */
 function checkRetries(evidence: ISoakEvidence, findings: Findings): void {
-  const records = evidence.ledger.listRequestRecords();
+  // Requests for changing routes have one attempt each.
+  const records = evidence.ledger
+    .listRequestRecords()
+    .filter(({ request }) => request.kind !== 'changing');
   for (const service of [BOOKING_SERVICE, LISTING_SERVICE]) {
     const serviceRecords = records.filter(({ request }) => {
       return (request.kind === 'booking') === (service === BOOKING_SERVICE);
--- a/packages/lab/src/soak/common/soakFaultKind.ts
+++ b/packages/lab/src/soak/common/soakFaultKind.ts
@@ -29,14 +29,21 @@
   StoreRestore: 'store-restore',
   /** Nodes lose their path to all targets, while callers, peers and the store reach them. */
   NodePathLoss: 'node-path-loss',
+  /** All nodes of a failure domain lose their paths to the store, while the others reach it. */
+  DomainStoreLoss: 'domain-store-loss',
 } as const;
 
 export type SoakFaultKind = (typeof SoakFaultKind)[keyof typeof SoakFaultKind];
 
 export const SOAK_FAULT_KINDS: readonly SoakFaultKind[] = Object.values(SoakFaultKind);
 
+/** The selection before failure domains without the store. */
+export const FIFTH_FAULT_KINDS: readonly SoakFaultKind[] = SOAK_FAULT_KINDS.filter((kind) => {
+  return kind !== SoakFaultKind.DomainStoreLoss;
+});
+
 /** The selection before path losses. */
-export const FOURTH_FAULT_KINDS: readonly SoakFaultKind[] = SOAK_FAULT_KINDS.filter((kind) => {
+export const FOURTH_FAULT_KINDS: readonly SoakFaultKind[] = FIFTH_FAULT_KINDS.filter((kind) => {
   return kind !== SoakFaultKind.NodePathLoss;
 });
 
--- a/packages/lab/src/soak/common/soakLayout.ts
+++ b/packages/lab/src/soak/common/soakLayout.ts
@@ -7,6 +7,8 @@
 export const LISTING_SERVICE = 'listing';
 export const SOAK_SERVICES = [BOOKING_SERVICE, LISTING_SERVICE] as const;
 export const SOAK_FAILURE_DOMAINS = ['north', 'south', 'west'] as const;
+/** Failure domains of the nodes in turn, which have different sizes. */
+export const SOAK_NODE_DOMAINS = ['north', 'south', 'north', 'south', 'west'] as const;
 export const BOOKING_PREFIX = '/bookings/';
 export const LISTING_PREFIX = '/lists/';
 /** Requests with this path prefix crash the targets that run them. */
@@ -44,6 +46,53 @@
   return `/at-${version}/`;
 }
 
+const CHANGING_PREFIX = '/changing/';
+
+/** A route that versions add, drop, nest into another, move to another service or split. */
+interface IChangingRoute {
+  readonly prefix: string;
+  /** Without any, the version has no such route. */
+  readonly services: readonly string[];
+}
+
+/** Steps between the numbers of successive versions, which repeat. */
+const VERSION_STEPS = [1, 3, 2, 5];
+
+/** Returns the number of the next version, after `count` versions of which `previous` is the last. */
+export function computeNextVersion(previous: number, count: number): number {
+  return previous + (VERSION_STEPS[count % VERSION_STEPS.length] ?? 1);
+}
+
+function listChangingRoutes(version: number): readonly IChangingRoute[] {
+  const isOdd = version % 2 === 1;
+  const [service, other] = isOdd
+    ? [BOOKING_SERVICE, LISTING_SERVICE]
+    : [LISTING_SERVICE, BOOKING_SERVICE];
+  return [
+    { prefix: `${CHANGING_PREFIX}moved/`, services: [service] },
+    { prefix: `${CHANGING_PREFIX}moved/nested/`, services: version % 3 === 1 ? [other] : [] },
+    {
+      prefix: `${CHANGING_PREFIX}split/`,
+      services: version % 4 < 2 ? [service] : [service, other],
+    },
+    { prefix: `${CHANGING_PREFIX}dropped/`, services: isOdd ? [LISTING_SERVICE] : [] },
+  ];
+}
+
+/** Path prefixes whose routes change from version to version. */
+export const CHANGING_PREFIXES: readonly string[] = listChangingRoutes(0).map(
+  ({ prefix }) => prefix,
+);
+
+/** Lists the services that may handle a request for a changing route under a version; none means 404. */
+export function listChangingServices(version: number, path: string): readonly string[] {
+  const matching = listChangingRoutes(version).filter(({ prefix, services }) => {
+    return path.startsWith(prefix) && services.length > 0;
+  });
+  const [longest] = [...matching].sort((left, right) => right.prefix.length - left.prefix.length);
+  return longest?.services ?? [];
+}
+
 /** Every third version has this many routes more, which no caller uses. */
 const ADDED_ROUTES = 1400;
 const LARGE_VERSION_INTERVAL = 3;
@@ -61,7 +110,22 @@
     const name = `added-${version}-${index}`;
     return { ...common, name, prefix: `/${name}/`, kind: 'safe', maxAttempts: 1 } as const;
   });
+  const changing = listChangingRoutes(version).flatMap(({ prefix, services }) => {
+    const [service] = services;
+    if (service === undefined) return [];
+    const split = services.map((name) => ({ service: name, weight: 1 }));
+    const route = {
+      ...common,
+      name: prefix,
+      prefix,
+      kind: 'safe',
+      maxAttempts: 1,
+      service,
+    } as const;
+    return services.length > 1 ? { ...route, split } : route;
+  });
   const routes: readonly IMetadataRoute[] = [
+    ...changing,
     {
       ...common,
       name: 'bookings',
--- a/packages/lab/src/soak/common/soakLedger.ts
+++ b/packages/lab/src/soak/common/soakLedger.ts
@@ -1,7 +1,7 @@
 /** Records what callers sent and received and what targets ran in one run. */
 
 /** Kinds of requests that the soak's callers send. */
-export type SoakRequestKind = 'booking' | 'list' | 'probe' | 'crash';
+export type SoakRequestKind = 'booking' | 'list' | 'probe' | 'changing' | 'crash';
 
 /** One request of a caller. */
 export interface ISoakRequest {
--- a/packages/lab/src/soak/node/configurationReach.test.ts
+++ b/packages/lab/src/soak/node/configurationReach.test.ts
@@ -5,7 +5,7 @@
 import type { SoakNode } from './soakNode.js';
 import { SoakWorld } from './soakWorld.js';
 
-/** Three nodes in the first failure domain, two in each of the others. */
+/** Three nodes in each of the first two failure domains, one in the third. */
 const NODE_COUNT = 7;
 /** A node that hasn't received a change by then, in ms, never does. */
 const LIMIT_MS = 15_000;
@@ -54,10 +54,9 @@
 test('a failure domain without a path to the store gets changes from the others', async (t) => {
   // Guards against a whole failure domain that serves an old configuration while all others have a newer one.
   const world = await openWorld(t);
-  const [, first, , , second] = world.nodes;
-  assert.ok(first !== undefined && second !== undefined);
-  await cutStoreLink(first);
-  await cutStoreLink(second);
+  const nodes = world.nodes.filter(({ failureDomain }) => failureDomain === 'south');
+  assert.ok(nodes.length > 1);
+  for (const node of nodes) await cutStoreLink(node);
   assert.deepEqual(await listNodesWithoutChange(world), []);
 });
 
--- a/packages/lab/src/soak/node/main.ts
+++ b/packages/lab/src/soak/node/main.ts
@@ -10,6 +10,7 @@
 import { formatBreakModule, listBreakModules } from '../../prove/node/breakModules.js';
 import type { SoakFaultKind } from '../common/soakFaultKind.js';
 import {
+  FIFTH_FAULT_KINDS,
   FIRST_FAULT_KINDS,
   FOURTH_FAULT_KINDS,
   SECOND_FAULT_KINDS,
@@ -24,9 +25,9 @@
 const LAX_TARGETS = 'laxTargets';
 const USAGE = `npm run soak -- [--seed N] [--runs COUNT] [--seconds S] [--spacing MS] [--nodes COUNT]
   [--targets COUNT] [--only KIND,KIND] [--break NAME] [--logs DIRECTORY] [--regressions] [--second] [--third]
-  [--fourth]
---fourth: without the newest fault kinds, to replay seeds that failed before these were added; --third and
---second: also without the kinds added before those
+  [--fourth] [--fifth]
+--fifth: without the newest fault kind, to replay seeds that failed before it was added; --fourth, --third and
+--second: also without the kinds added before that
 kinds: ${SOAK_FAULT_KINDS.join(', ')}
 breaks: ${[LAX_TARGETS, ...listBreakModules(BREAKS)].join(', ')}`;
 
@@ -45,6 +46,7 @@
     second: { type: 'boolean', default: false },
     third: { type: 'boolean', default: false },
     fourth: { type: 'boolean', default: false },
+    fifth: { type: 'boolean', default: false },
     help: { type: 'boolean', default: false },
   },
 });
@@ -68,7 +70,8 @@
   if (values.regressions) return FIRST_FAULT_KINDS;
   if (values.second) return SECOND_FAULT_KINDS;
   if (values.third) return THIRD_FAULT_KINDS;
-  return values.fourth ? FOURTH_FAULT_KINDS : SOAK_FAULT_KINDS;
+  if (values.fourth) return FOURTH_FAULT_KINDS;
+  return values.fifth ? FIFTH_FAULT_KINDS : SOAK_FAULT_KINDS;
 }
 
 async function runSeed(seed: number, seconds: number): Promise<boolean> {
--- a/packages/lab/src/soak/node/soakCaller.ts
+++ b/packages/lab/src/soak/node/soakCaller.ts
@@ -112,6 +112,24 @@
   return reply.stamp === undefined ? undefined : true;
 }
 
+/** Sends a request for a route that changes from version to version; the ledger shows how it was handled. */
+export async function probeChangingRoute(
+  node: SoakNode,
+  path: string,
+  id: string,
+  ledger: SoakLedger,
+): Promise<void> {
+  const { incarnation, name } = node;
+  const base = { id, kind: 'changing', method: 'GET', path, body: '' } as const;
+  const sent: ISoakRequest = { ...base, node: name, incarnation, sentMs: performance.now() };
+  ledger.recordRequest(sent);
+  const agent = new Agent({ keepAlive: false });
+  ledger.recordReply(
+    id,
+    await sendRequest(node.front, sent, { agent, disconnectAfterMs: Infinity }),
+  );
+}
+
 /** Sends one copy of a request that crashes every target that runs it. */
 export async function sendCrashingRequest(
   node: SoakNode,
--- a/packages/lab/src/soak/node/soakFaults.ts
+++ b/packages/lab/src/soak/node/soakFaults.ts
@@ -5,7 +5,7 @@
 import { endNothing, pickElement } from '../../prove/node/faultInjector.js';
 import { STORE_SCOPE, formatLinkScope, formatPathScope } from '../common/disturbanceLog.js';
 import type { IPathLoss } from '../common/soakEvidence.js';
-import { CRASH_PREFIX, SOAK_BOUNDS } from '../common/soakLayout.js';
+import { CRASH_PREFIX, SOAK_BOUNDS, SOAK_FAILURE_DOMAINS } from '../common/soakLayout.js';
 import { SoakFaultKind } from '../common/soakFaultKind.js';
 import { sendCrashingRequest } from './soakCaller.js';
 import type { SoakNode } from './soakNode.js';
@@ -98,6 +98,8 @@
       return Promise.resolve(startStoreRestore(world));
     case SoakFaultKind.NodePathLoss:
       return Promise.resolve(startPathLoss(step, world));
+    case SoakFaultKind.DomainStoreLoss:
+      return startDomainStoreLoss(step, world);
     case SoakFaultKind.TargetAdvertisesLimit:
       return withTarget(step, world, (target) => startAdvertisedLimit(target, step));
   }
@@ -269,6 +271,32 @@
   };
 }
 
+/**
+ * Cuts the nodes of a failure domain off from the store. They aren't marked as disturbed: nodes of other failure
+ * domains send them what they read.
+ */
+async function startDomainStoreLoss(step: Step, world: SoakWorld): Promise<Injection> {
+  const domain = pickElement(SOAK_FAILURE_DOMAINS, step.pick);
+  const nodes = world.nodes.filter(({ failureDomain }) => failureDomain === domain);
+  const others = world.nodes.filter((node) => node.isUsable() && !nodes.includes(node));
+  // One at a time: the others have to learn of changes from somewhere.
+  const isPossible = nodes.length > 0 && others.length >= MIN_NODES && !world.isDomainCut;
+  if (!isPossible) return 'skipped';
+  world.isDomainCut = true;
+  const isSilent = step.size < 1 / 2;
+  const faults = isSilent ? { cutForward: true, cutBackward: true } : { refuse: true };
+  for (const { link } of nodes) {
+    await link.setFaults(faults);
+    if (!isSilent) link.resetConnections();
+  }
+  return async () => {
+    for (const { link } of nodes) {
+      await link.setFaults({ cutForward: false, cutBackward: false, refuse: false });
+    }
+    world.isDomainCut = false;
+  };
+}
+
 function startTargetFault(target: SoakTarget, step: Step, world: SoakWorld): Promise<EndFault> {
   const endDisturbance = markDisturbed(target.options.id, world);
   const modes = TARGET_MODES.filter((mode) => mode !== TargetMode.Healthy);
--- a/packages/lab/src/soak/node/soakNode.ts
+++ b/packages/lab/src/soak/node/soakNode.ts
@@ -11,7 +11,7 @@
 import type { IProcessEnd, ManagedProcess } from '../../processes/node/managedProcess.js';
 import type { ProcessFleet } from '../../processes/node/processFleet.js';
 import { Program } from '../../processes/node/programs.js';
-import { SOAK_BOUNDS, SOAK_SCHEDULING, SOAK_FAILURE_DOMAINS } from '../common/soakLayout.js';
+import { SOAK_BOUNDS, SOAK_NODE_DOMAINS, SOAK_SCHEDULING } from '../common/soakLayout.js';
 
 /** Number of ports in the node's `port_range`, besides the front and ready ports. */
 const PORT_RANGE_SIZE = 16;
@@ -62,6 +62,11 @@
     this.host = `127.${1 + (Math.floor(process.pid / NETWORKS) % NETWORKS)}.${network}.${FIRST_HOST + options.index}`;
   }
 
+  get failureDomain(): string {
+    const { index } = this.options;
+    return SOAK_NODE_DOMAINS[index % SOAK_NODE_DOMAINS.length] ?? SOAK_NODE_DOMAINS[0];
+  }
+
   get front(): string {
     return `${this.host}:${this.ports[0] ?? 0}`;
   }
@@ -186,11 +191,10 @@
     change: ISettingsChange,
   ): object {
     const [front, ready, first] = this.ports;
-    const { index } = this.options;
     const retry_burst = change.retryBurst ?? SOAK_BOUNDS.retry_burst;
     const machine = {
       node: this.name,
-      zone: SOAK_FAILURE_DOMAINS[index % SOAK_FAILURE_DOMAINS.length],
+      zone: this.failureDomain,
       ip: this.host,
       listen: { front: `${this.host}:${front}`, ready: `${this.host}:${ready}` },
       port_range: [first, (first ?? 0) + PORT_RANGE_SIZE - 1],
--- a/packages/lab/src/soak/node/soakRun.ts
+++ b/packages/lab/src/soak/node/soakRun.ts
@@ -10,7 +10,8 @@
 import { checkSafety } from '../common/safetyChecks.js';
 import type { IVersionProbe } from '../common/soakEvidence.js';
 import type { SoakFaultKind } from '../common/soakFaultKind.js';
-import { SoakCaller, probeVersion } from './soakCaller.js';
+import { CHANGING_PREFIXES } from '../common/soakLayout.js';
+import { SoakCaller, probeChangingRoute, probeVersion } from './soakCaller.js';
 import { startSoakFault } from './soakFaults.js';
 import type { SoakNode } from './soakNode.js';
 import type { ISoakWorldOptions } from './soakWorld.js';
@@ -159,14 +160,19 @@
   }
 }
 
-/** Probes every node for the newest version and for the one before it. */
+/** Probes every node for the newest version, for the one before it, and for one of the changing routes. */
 function probeNodes(world: SoakWorld, ready: ReadonlySet<SoakNode>, probes: IVersionProbe[]): void {
-  const newest = world.versions[world.versions.length - 1]?.version ?? 1;
+  const newest = world.versions.slice(-2).map(({ version }) => version);
+  const roundMs = performance.now();
+  const prefix =
+    CHANGING_PREFIXES[Math.floor(roundMs / PROBE_INTERVAL_MS) % CHANGING_PREFIXES.length];
   for (const node of ready) {
-    for (const version of [newest, Math.max(1, newest - 1)]) {
+    const suffix = `${node.name}-${Math.round(roundMs * 10)}`;
+    void probeChangingRoute(node, `${prefix ?? ''}${suffix}`, `changing-${suffix}`, world.ledger);
+    for (const version of newest) {
       const { incarnation } = node;
       const sentMs = performance.now();
-      const id = `probe-${node.name}-${version}-${Math.round(sentMs * 10)}`;
+      const id = `probe-${version}-${suffix}`;
       void probeVersion(node, version, id, world.ledger).then((isFound) => {
         if (isFound === undefined) return;
         probes.push({ node: node.name, incarnation, version, sentMs, isFound });
@@ -177,7 +183,7 @@
 
 function checkRecovery(world: SoakWorld, sinceMs: number): void {
   const late = world.ledger.listRequestRecords().filter(({ reply, request }) => {
-    const isCounted = request.kind !== 'probe' && request.kind !== 'crash';
+    const isCounted = request.kind === 'booking' || request.kind === 'list';
     return isCounted && request.sentMs >= sinceMs && reply?.hasDisconnected !== true;
   });
   const served = late.filter(({ reply }) => reply?.status === 200).length;
--- a/packages/lab/src/soak/node/soakWorld.ts
+++ b/packages/lab/src/soak/node/soakWorld.ts
@@ -21,6 +21,7 @@
   SOAK_BOUNDS,
   SOAK_FAILURE_DOMAINS,
   SOAK_SERVICES,
+  computeNextVersion,
   makeSoakConfig,
 } from '../common/soakLayout.js';
 import { SoakNode } from './soakNode.js';
@@ -64,6 +65,8 @@
   readonly random: SeededRandom;
   readonly nodes: SoakNode[] = [];
   readonly targets: SoakTarget[] = [];
+  /** Whether all nodes of a failure domain are cut off from the store. */
+  isDomainCut = false;
   private readonly fleet = new ProcessFleet({ graceMs: GRACE_MS, handleSignals: false });
   private readonly formerTargets: SoakTarget[] = [];
   /** Running targets whose entries are marked as draining. */
@@ -106,7 +109,8 @@
 
   /** Writes the next configuration. */
   putConfig(): void {
-    const version = (this.versions[this.versions.length - 1]?.version ?? 0) + 1;
+    const previous = this.versions[this.versions.length - 1]?.version ?? 0;
+    const version = computeNextVersion(previous, this.versions.length);
     this.store.put(CONFIG_TABLE, 'config', makeSoakConfig(version));
     this.versions.push({ version, acceptedMs: performance.now() });
   }
--- a/packages/standins/src/metadata/common/metadataTexts.ts
+++ b/packages/standins/src/metadata/common/metadataTexts.ts
@@ -10,6 +10,8 @@
   readonly objectiveS: number;
   readonly maxAttempts: number;
   readonly service: string;
+  /** Services with their shares, in place of the one service. Default: none. */
+  readonly split?: readonly { readonly service: string; readonly weight: number }[];
 }
 
 /** The entry of a target. */
@@ -64,6 +66,7 @@
         'target_latency_s',
         'max_attempts',
         'service',
+        'split',
       ],
       rows: routes.map((route) => [
         route.name,
@@ -73,7 +76,8 @@
         route.timeoutS,
         route.objectiveS,
         route.maxAttempts,
-        route.service,
+        route.split === undefined ? route.service : null,
+        route.split ?? null,
       ]),
     },
     services: {
