Take over an entry that a restored store lacked from a read of the whole table

A copy keeps the configuration that a restored store lacks, without an end, and left it out of each whole read, also when it had been written again. Only a read of changes could bring a newer one, and that needs a history that reaches back to the restore. Rows that the sender of a copy retains itself are still left out. The test failed before.

--- a/packages/dispatch/src/directory/common/followedTable.test.ts
+++ b/packages/dispatch/src/directory/common/followedTable.test.ts
@@ -241,3 +241,23 @@
   table.recordProof({ version: 70, era: 2 }, readInstant(clock));
   assert.equal(table.getProofAgeMs(), 0);
 });
+
+test('a whole copy brings back an entry that a restored authority lacked', () => {
+  // Guards against a configuration that stays in force forever because a restored store lacked it for a moment.
+  const clock = new ManualClock();
+  const table = new FollowedTable<string>({
+    name: 't',
+    clock,
+    isSame: (left, right) => left === right,
+    restoreGrace: { missingMs: Infinity, removedMs: 0 },
+  });
+  table.setAll({ era: 1, version: 5, changes: [{ key: 'config', value: 'old' }] }, 0);
+  table.setAll({ era: 2, version: 2, changes: [] }, 0);
+  assert.equal(table.get('config'), 'old');
+  const retained = [{ key: 'config', value: 'other', isMissing: true }];
+  table.setAll({ era: 2, version: 3, changes: retained }, 0);
+  assert.equal(table.get('config'), 'old');
+  table.setAll({ era: 2, version: 7, changes: [{ key: 'config', value: 'new' }] }, 0);
+  assert.equal(table.get('config'), 'new');
+  assert.equal(table.isMissing('config'), false);
+});
--- a/packages/dispatch/src/directory/common/followedTable.ts
+++ b/packages/dispatch/src/directory/common/followedTable.ts
@@ -252,8 +252,9 @@
   ): readonly ITableChange<T>[] {
     const { restored } = this;
     return changes.filter((change) => {
-      const { key, value } = change;
-      if (!isRestored) return !restored.isPending(key);
+      const { isMissing = false, key, value } = change;
+      const isRewritten = value !== undefined && !isMissing && restored.isMissing(key);
+      if (!isRestored) return isRewritten || !restored.isPending(key);
       if (value === undefined) return !restored.tryRetain(key);
       return this.entries.has(key) || !restored.tryWithhold(change);
     });
