Take a newer configuration from a node whose copy of the table is older

A read of changes that states the store's newest version without the row of that version moves a follower's copy past a change that it lacks. Copies of other nodes count as older then, and were dropped although their configuration is newer by its own number, as is one of a lower epoch.

A configuration that is newer by its number is now taken from an older state too, and a node that was sent an update by one with a newer configuration, and still lacks it, fetches the whole.

--- a/packages/dispatch/src/directory/common/followedTable.test.ts
+++ b/packages/dispatch/src/directory/common/followedTable.test.ts
@@ -261,3 +261,29 @@
   assert.equal(table.get('config'), 'new');
   assert.equal(table.isMissing('config'), false);
 });
+
+test('a value that is newer by itself is taken from an older state, which is not followed', () => {
+  // Guards against a copy that is ahead of the change that it lacks, and ignores each node that has it.
+  const clock = new ManualClock();
+  const table = new FollowedTable<number>({
+    name: 't',
+    clock,
+    isSame: (left, right) => left === right,
+    isNewer: (known, next) => next > known,
+  });
+  const changed: (number | undefined)[] = [];
+  table.onDidChange((changes) => changed.push(...changes.map(({ value }) => value)));
+  const makeState = (era: number, version: number, value: number) => {
+    return { era, version, changes: [{ key: 'k', value }] };
+  };
+  table.setAll(makeState(2, 150, 4), 0);
+  table.setAll(makeState(2, 140, 5), 0);
+  assert.equal(table.apply(130, makeState(2, 141, 6), 0), true);
+  assert.equal(table.apply(130, makeState(1, 900, 7), 0), true);
+  table.setAll(makeState(2, 149, 3), 0);
+  assert.deepEqual(changed, [4, 5, 6, 7]);
+  assert.equal(table.get('k'), 7);
+  assert.deepEqual([table.era, table.version, table.ignoredStates], [2, 150, 4]);
+  // Peers at the same state can't be brought up to date by changes.
+  assert.equal(table.listRecent(149).after, 150);
+});
--- a/packages/dispatch/src/directory/common/followedTable.ts
+++ b/packages/dispatch/src/directory/common/followedTable.ts
@@ -34,6 +34,11 @@
   readonly isOutdated?: (known: T, next: T) => boolean;
   /** Default: a restored state is applied immediately. */
   readonly restoreGrace?: IRestoreGrace;
+  /**
+   * Whether a value is newer than the known one, regardless of the state that it comes from. Such values are
+   * taken from older states too. Default: never.
+   */
+  readonly isNewer?: (known: T, next: T) => boolean;
 }
 
 /**
@@ -142,7 +147,7 @@
     const isRestored = this.currentVersion !== undefined && era > this.currentEra;
     const isOlder = !isRestored && version < (this.currentVersion ?? -Infinity);
     if (era < this.currentEra || isOlder) {
-      this.ignoredStates += 1;
+      this.applyOlder(content.changes);
       return;
     }
     const keys = new Set(content.changes.map(({ key }) => key));
@@ -178,13 +183,13 @@
   apply(after: number, content: ITableChanges<T>, readMs: number): boolean {
     const { era = 0, version } = content;
     if (era < this.currentEra) {
-      this.ignoredStates += 1;
+      this.applyOlder(content.changes);
       return true;
     }
     const current = this.currentVersion;
     if (era > this.currentEra || current === undefined || current < after) return false;
     if (version >= current) this.applyChanges(content.changes, version, readMs);
-    else this.ignoredStates += 1;
+    else this.applyOlder(content.changes);
     return true;
   }
 
@@ -282,6 +287,24 @@
     if (effective.length > 0) this.changed.fire(effective);
   }
 
+  /**
+   * Takes newer values from a state that is older than this copy, which stays at its state. The copy may have
+   * been advanced by a read that lacked a change.
+   */
+  private applyOlder(changes: readonly ITableChange<T>[]): void {
+    this.ignoredStates += 1;
+    const { isNewer } = this.options;
+    const newer = changes.filter(({ key, value }) => {
+      const known = this.entries.get(key);
+      return value !== undefined && known !== undefined && isNewer?.(known, value) === true;
+    });
+    if (newer.length === 0) return;
+    for (const change of newer) this.setEntry(change);
+    // Peers at the same state lack these values, so the changes after it are incomplete.
+    this.clearRecentChanges(this.currentVersion ?? 0);
+    this.changed.fire(newer);
+  }
+
   private isChange({ key, value }: ITableChange<T>): boolean {
     const known = this.entries.get(key);
     if (value === undefined || known === undefined) return value !== known;
--- a/packages/dispatch/src/directory/common/nodeDirectory.ts
+++ b/packages/dispatch/src/directory/common/nodeDirectory.ts
@@ -63,6 +63,7 @@
       clock,
       isSame: (left, right) => left.version === right.version,
       isOutdated: (known, next) => next.version < known.version,
+      isNewer: (known, next) => next.version > known.version,
       restoreGrace: { missingMs: Infinity, removedMs: 0 },
     });
     this.targets = new FollowedTable({
--- a/packages/dispatch/src/directory/common/tableEncoder.ts
+++ b/packages/dispatch/src/directory/common/tableEncoder.ts
@@ -33,6 +33,11 @@
 export class TableEncoder {
   constructor(private readonly options: ITableEncoderOptions) {}
 
+  /** Name of the table that holds the configuration. */
+  get catalogTable(): string {
+    return this.options.catalogTable;
+  }
+
   /** Version of the configuration that this node has in force; 0 if none. */
   get catalogVersion(): number {
     return this.options.history.version;
--- a/packages/dispatch/src/directory/common/tableFetcher.ts
+++ b/packages/dispatch/src/directory/common/tableFetcher.ts
@@ -19,6 +19,8 @@
   /** State address of the node that announced the state. */
   readonly stateAddress: string;
   readonly minimum?: IAnnouncedState | undefined;
+  /** Whether to fetch all rows, also if the source has an older state than this node. Default: false. */
+  readonly isWhole?: boolean | undefined;
 }
 
 /** Options of a {@link TableFetcher}. */
@@ -101,9 +103,10 @@
 
   private async request(table: FollowedTable<unknown>, attempt: IAttempt): Promise<TableReply> {
     const { clock, encoder, self, transport } = this.options;
-    const { isDirect, minimum, stateAddress } = attempt;
+    const { isDirect, isWhole = false, minimum, stateAddress } = attempt;
     const { era, isRetaining: isRetained, version } = table;
-    const known = { era, isRetained, version, catalogVersion: encoder.catalogVersion };
+    const { catalogVersion } = encoder;
+    const known = isWhole ? { catalogVersion } : { era, isRetained, version, catalogVersion };
     const request = { table: table.name, known, minimum, requester: self, isDirect };
     const stall = new StallTimeout(clock, RESPONSE_TIMEOUT_MS);
     const { signal } = stall;
--- a/packages/dispatch/src/directory/common/updateRelay.test.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.test.ts
@@ -6,9 +6,12 @@
 import { FollowedChangesSchema, UpdateReceivedSchema, UpdateSchema } from '@parsleymux/schema';
 import type { DatagramBody } from '../../grants/common/datagramChannel.js';
 import { DatagramChannel } from '../../grants/common/datagramChannel.js';
+import { makeCatalog } from '../../test/builders.js';
 import { CatalogHistory } from './catalogHistory.js';
 import { FollowedTable } from './followedTable.js';
+import { NodeDirectory } from './nodeDirectory.js';
 import { TableEncoder } from './tableEncoder.js';
+import type { ITableSource } from './tableFetcher.js';
 import { encodeChanges } from './tableMessages.js';
 import { UpdateRelay } from './updateRelay.js';
 
@@ -209,3 +212,37 @@
   assert.deepEqual(peer.fetched, ['t']);
   assert.equal(peer.table.version, 3, 'the change is not applied to an incomplete copy');
 });
+
+test('a newer configuration is fetched whole although this copy is of a later state', async () => {
+  // Guards against a node that refuses all requests as outdated, because a read has skipped the change.
+  const { channel, clock } = openFixture();
+  const directory = new NodeDirectory(clock);
+  const sources: ITableSource[] = [];
+  const relay = new UpdateRelay({
+    channel,
+    clock,
+    log: createSilentLogger(),
+    statePort: 7201,
+    tables: directory.listTables(),
+    encoder: directory.encoder,
+    listPeers: () => PEERS,
+    fetchTable: (_table, source) => {
+      sources.push(source);
+      return Promise.resolve();
+    },
+  });
+  directory.catalog.setAll(
+    { version: 150, changes: [{ key: 'config', value: makeCatalog(4, []) }] },
+    clock.getMonotonicTime(),
+  );
+  const changes = [encodeChanges('catalog', 140, { version: 140, changes: [] })];
+  const handleUpdate = (catalogVersion: bigint) => {
+    const update = create(UpdateSchema, { sequence: 1n, changes, statePort: 7202, catalogVersion });
+    relay.handleUpdate('127.0.0.9:1', update);
+  };
+  handleUpdate(4n);
+  assert.deepEqual(sources, []);
+  handleUpdate(5n);
+  await clock.advanceBy(10);
+  assert.deepEqual(sources, [{ stateAddress: '127.0.0.9:7202', isWhole: true }]);
+});
--- a/packages/dispatch/src/directory/common/updateRelay.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.ts
@@ -121,9 +121,22 @@
     for (const changes of update.changes) {
       this.applyChanges(changes, `${host}:${update.statePort}`, sentAfter);
     }
+    this.fetchNewerCatalog(update, `${host}:${update.statePort}`);
     this.confirm(sender, update);
   }
 
+  /**
+   * Fetches the configuration if the sender's is still newer after its changes were applied: this node's copy is
+   * of a later state, and lacks it all the same.
+   */
+  private fetchNewerCatalog({ catalogVersion }: Update, stateAddress: string): void {
+    const { encoder, tables } = this.options;
+    const table = tables.find(({ name }) => name === encoder.catalogTable);
+    const isMissing = Number(catalogVersion) > encoder.catalogVersion;
+    if (table === undefined || !isMissing || this.fetching.has(table.name)) return;
+    this.fetch(table, { stateAddress, isWhole: true });
+  }
+
   handleUpdateReceived(sender: string, received: UpdateReceived): void {
     const { catalogVersion, echo, sequence, urgent } = received;
     this.confirmedAtMs.set(sender, this.options.clock.getMonotonicTime());
--- a/packages/lab/src/soak/node/configurationReach.test.ts
+++ b/packages/lab/src/soak/node/configurationReach.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import type { TestContext } from 'node:test';
 import { test } from 'node:test';
-import { probeVersion } from './soakCaller.js';
+import { SeededRandom } from '@parsleymux/base';
+import { SoakCaller, probeVersion } from './soakCaller.js';
 import type { SoakNode } from './soakNode.js';
 import { SoakWorld } from './soakWorld.js';
 
@@ -81,3 +82,21 @@
   await listNodesWithoutChange(world);
   assert.deepEqual(await listNodesWithoutChange(world), []);
 });
+
+test('a change that a read of the store lacks is fetched from other nodes', async (t) => {
+  // Guards against a failure domain whose follower never learns of a change, because a read has skipped it.
+  const world = await openWorld(t);
+  const stopped = new AbortController();
+  const random = new SeededRandom(1);
+  const callers = Array.from({ length: NODE_COUNT }, (_, index) => {
+    const pickNode = () => world.nodes[index];
+    const caller = { name: `c${index}`, random, ledger: world.ledger, pauseMs: CHECK_MS, pickNode };
+    return new SoakCaller(caller).run(stopped.signal);
+  });
+  world.store.emptyReads = 1;
+  const missing = await listNodesWithoutChange(world);
+  stopped.abort();
+  await Promise.all(callers);
+  assert.equal(world.store.emptyReads, 0);
+  assert.deepEqual(missing, []);
+});
--- a/packages/standins/src/metadata/node/metadataStandIn.ts
+++ b/packages/standins/src/metadata/node/metadataStandIn.ts
@@ -48,6 +48,8 @@
   maxPageRows = MAX_ROWS;
   /** Store epoch that reads of changes state, in place of the one that all other calls state. */
   feedEra: number | undefined;
+  /** Number of further reads of changes that lack all rows, although they state the newest version. */
+  emptyReads = 0;
   /** Number of calls by path. */
   readonly calls = new Map<string, number>();
   /** Called with the path of each call, before the call is handled. */
@@ -173,10 +175,12 @@
       }
       const remainingMs = endMs - performance.now();
       if (changes.length > 0 || remainingMs <= 0) {
+        const isEmpty = changes.length > 0 && this.emptyReads > 0;
+        if (isEmpty) this.emptyReads -= 1;
         const rows = changes.map((row) =>
           row.value === undefined ? { ...row, tombstone: true } : row,
         );
-        this.send(response, OK, { rows });
+        this.send(response, OK, { rows: isEmpty ? [] : rows });
         return;
       }
       await this.waitForChange(remainingMs);
