Ask less often for news while no node has any

While the store is out, every node is without news. At the interval of 150 ms, each of 2,100 nodes would send some seven requests a second and get as many updates: more than the 2 KB/s that control may take, and thousands a second at the followers. After the first requests the interval doubles up to 1.2 s. Nodes whose first follower responds ask it alone, in their own failure domain; it asks the others. By reckoning, from the sizes of the messages; no outage of the store was measured at that size.

--- a/packages/dispatch/src/directory/common/updateRequester.test.ts
+++ b/packages/dispatch/src/directory/common/updateRequester.test.ts
@@ -71,6 +71,15 @@
   await stop();
 });
 
+test('a node without news asks less often while nobody has any', async () => {
+  // Guards against followers that are busy with requests while the store is out.
+  const { clock, requests, stop, table } = startFixture();
+  table.setAll({ version: 1, changes: [] }, clock.getMonotonicTime());
+  await clock.advanceBy(MAX_AGE_MS + 20_000);
+  assert.ok(requests.length <= 25, `${requests.length} requests in 20 s`);
+  await stop();
+});
+
 test('a newer configuration is requested from a node that has it, unless it arrives by itself', async () => {
   // Guards against a node that knows of a newer configuration and waits for a follower that lacks it.
   const { announced, clock, counts, requests, stop } = startFixture();
--- a/packages/dispatch/src/directory/common/updateRequester.ts
+++ b/packages/dispatch/src/directory/common/updateRequester.ts
@@ -5,6 +5,14 @@
 
 /** Interval at which a newer configuration is requested until it is in force, in ms. */
 const NEWER_INTERVAL_MS = 150;
+/**
+ * Shortest and longest interval between requests while there is no news, in ms. If the store is out, no node has
+ * any, and at the short interval the followers of a large fleet would be busy with requests alone.
+ */
+const MIN_INTERVAL_MS = 150;
+const MAX_INTERVAL_MS = 1200;
+/** Number of requests at the shortest interval; it doubles with each further one. */
+const EARLY_REQUESTS = 3;
 
 /** Options of an {@link UpdateRequester}. */
 export interface IUpdateRequesterOptions {
@@ -33,14 +41,17 @@
   private readonly subscriptions: readonly IDisposable[];
   private timer: IDisposable | undefined;
   private asked = 0;
+  /** Requests since there was news, and when the last one was sent. */
+  private unanswered = 0;
+  private askedMs = -Infinity;
   /** The newest version whose request was logged. */
   private loggedVersion = 0;
 
   constructor(private readonly options: IUpdateRequesterOptions) {
-    const { announced, listSources, monitor } = options;
+    const { announced, monitor } = options;
     this.subscriptions = [
       monitor.onDidFindOutdated(() => {
-        this.requestFrom(listSources());
+        this.requestNews();
       }),
       announced.onDidAnnounce(() => {
         this.startTimer(options.getNewerWaitMs());
@@ -53,6 +64,17 @@
     void this.timer?.dispose();
   }
 
+  private requestNews(): void {
+    const { clock, listSources } = this.options;
+    const sinceMs = clock.getMonotonicTime() - this.askedMs;
+    if (sinceMs > MAX_INTERVAL_MS * 2) this.unanswered = 0;
+    const doublings = Math.max(0, this.unanswered - EARLY_REQUESTS);
+    if (sinceMs < Math.min(MAX_INTERVAL_MS, MIN_INTERVAL_MS * 2 ** doublings)) return;
+    this.askedMs = clock.getMonotonicTime();
+    this.unanswered += 1;
+    this.requestFrom(listSources());
+  }
+
   private startTimer(delayMs: number): void {
     if (this.timer !== undefined || delayMs === Infinity) return;
     this.timer = this.options.clock.startTimer(delayMs, () => {
--- a/packages/dispatch/src/directory/common/updateSources.test.ts
+++ b/packages/dispatch/src/directory/common/updateSources.test.ts
@@ -23,4 +23,8 @@
   assert.deepEqual(listFor(first), ['b1:1', second]);
   assert.deepEqual(listFor(second), [first, 'b1:1']);
   assert.deepEqual(listFor(third), [first, second, 'b1:1']);
+  const listAfter = (lastSender: string) =>
+    listUpdateSources({ directory, self: makeMember(third, 'a'), seeds: [], lastSender });
+  assert.deepEqual(listAfter(first), [first]);
+  assert.deepEqual(listAfter(second), [first, second, 'b1:1']);
 });
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -59,6 +59,8 @@
 const FOLLOWER_OUTDATED_SHARE = 0.7;
 /** The same share for how long a newer configuration may be known before it is requested. */
 const NEWER_WAIT_SHARE = 0.125;
+/** A follower that sent an update within this time, in ms, is able to. */
+const RESPONSIVE_MS = 1500;
 const LEAVING = create(LeavingSchema);
 const HELLO = create(HelloSchema);
 
@@ -148,7 +150,7 @@
       log,
       announced: directory.announcedVersions,
       monitor: this.monitor,
-      listSources: () => listUpdateSources(options),
+      listSources: () => listUpdateSources({ ...options, lastSender: this.findLastSender() }),
       getNewerWaitMs: () => this.getApplyShareMs(NEWER_WAIT_SHARE),
       sendRequest: (address) => {
         channel.send(address, { case: 'hello', value: HELLO });
@@ -298,6 +300,14 @@
     this.membersFollower.cancelRead();
   }
 
+  /** The node that sent the last update, if that was lately. */
+  private findLastSender(): string | undefined {
+    if (this.lastUpdate === undefined) return undefined;
+    const { atMs, sender } = this.lastUpdate;
+    const ageMs = this.options.clock.getMonotonicTime() - atMs;
+    return ageMs < RESPONSIVE_MS ? sender : undefined;
+  }
+
   /** Whether the sender's copy of the targets, which followers read most often, is as recent as this node's. */
   private isCurrent({ changes }: Update): boolean {
     const { targets } = this.options.directory;
