--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -7,8 +7,6 @@
 import type { Authority, IMember } from '../common/authority.js';
 import { CatalogSource } from '../common/catalogSource.js';
 import type { FollowedTable } from '../common/followedTable.js';
-import { CopyMonitor } from '../common/copyMonitor.js';
-import { DomainForwarder } from '../common/domainForwarder.js';
 import { FollowerRole } from '../common/followerRole.js';
 import { MemberRegistration } from '../common/memberRegistration.js';
 import type { NodeDirectory } from '../common/nodeDirectory.js';
@@ -16,9 +14,8 @@
 import { StoreFollower } from '../common/storeFollower.js';
 import { TableFetcher } from '../common/tableFetcher.js';
 import type { TableTransport } from '../common/tableTransport.js';
-import { UpdateRequester } from '../common/updateRequester.js';
-import { listUpdateSources } from '../common/updateSources.js';
 import { UpdateRelay } from '../common/updateRelay.js';
+import { UpdateSupervisor } from '../common/updateSupervisor.js';
 
 /**
  * Reads are billed, so targets are read no more often than needed: all nodes have to receive the drain of a
@@ -51,16 +48,6 @@
 const LONG_POLL_LEASE_SHARE = 0.125;
 /** Age of the last freshness proof, as a share of the lease on keys, at which another is due immediately. */
 const URGENT_PROOF_SHARE = 0.5;
-/**
- * Age of a copy, as a share of the time in which changes have to be in force, from which it is outdated.
- * Followers request updates first, as they send them on.
- */
-const OUTDATED_SHARE = 0.75;
-const FOLLOWER_OUTDATED_SHARE = 0.7;
-/** The same share for how long a newer configuration may be known before it is requested. */
-const NEWER_WAIT_SHARE = 0.125;
-/** A follower that sent an update within this time, in ms, is able to. */
-const RESPONSIVE_MS = 1500;
 const LEAVING = create(LeavingSchema);
 const HELLO = create(HelloSchema);
 
@@ -100,11 +87,7 @@
   private readonly targetsFollower: StoreFollower<unknown>;
   private readonly catalogFollower: StoreFollower<unknown>;
   private readonly membersFollower: StoreFollower<unknown>;
-  private readonly monitor: CopyMonitor;
-  private readonly requester: UpdateRequester;
-  private readonly forwarder: DomainForwarder;
-  /** The node that sent the last update, and when it arrived. */
-  private lastUpdate: { readonly sender: string; readonly atMs: number } | undefined;
+  private readonly supervisor: UpdateSupervisor;
   private readonly startMs: number;
   private helloMs: number | undefined;
   private readonly removing = new Set<string>();
@@ -138,35 +121,20 @@
       listPeers: () => this.listPeers(),
       fetchTable: (table, source) => fetcher.fetch(table, source),
     });
-    this.monitor = new CopyMonitor({
-      clock,
-      log,
-      tables: [catalog, targets] as unknown as FollowedTable<unknown>[],
-      getMaxAgeMs: () => this.getOutdatedAgeMs(),
-      describeSources: () => this.describeSources(),
-    });
-    this.requester = new UpdateRequester({
-      clock,
-      log,
-      announced: directory.announcedVersions,
-      monitor: this.monitor,
-      listSources: () => listUpdateSources({ ...options, lastSender: this.findLastSender() }),
-      getNewerWaitMs: () => this.getApplyShareMs(NEWER_WAIT_SHARE),
+    this.supervisor = new UpdateSupervisor({
+      ...options,
+      role: this.role,
+      getExtraAgeMs: () => this.getExtraAgeMs(),
+      listPeers: () => this.listPeers(),
       sendRequest: (address) => {
         channel.send(address, { case: 'hello', value: HELLO });
       },
-      onWillRequestNewer: () => {
-        this.catalogFollower.cancelRead();
-      },
-    });
-    this.forwarder = new DomainForwarder({
-      clock,
-      tables: directory.listTables(),
-      isFollower: () => this.role.isFollower(),
-      listPeers: () => this.listPeers(),
       announce: () => {
         this.relay.announce();
       },
+      onWillRequestNewer: () => {
+        this.catalogFollower.cancelRead();
+      },
     });
     this.targetsFollower = this.createFollower('targets', TARGETS_POLLING, () => {
       if (targets.version === undefined) return this.isFirstReadDue();
@@ -191,7 +159,7 @@
     await Promise.all([
       this.registration.run(signal),
       this.requestFromSeeds(signal),
-      this.monitor.run(signal),
+      this.supervisor.run(signal),
       this.targetsFollower.run(signal),
       this.catalogFollower.run(signal),
       this.membersFollower.run(signal),
@@ -205,10 +173,9 @@
 
   handleUpdate(sender: string, update: Update): void {
     this.role.recordUpdate(sender, this.isCurrent(update));
-    this.lastUpdate = { sender, atMs: this.options.clock.getMonotonicTime() };
     this.recordVersion(sender, Number(update.catalogVersion));
     this.relay.handleUpdate(sender, update);
-    this.forwarder.recordUpdate(sender);
+    this.supervisor.recordUpdate(sender);
   }
 
   /** Records the version of the configuration that another node has in force, 0 if it doesn't state it. */
@@ -242,8 +209,7 @@
   }
 
   dispose(): void {
-    this.requester.dispose();
-    this.forwarder.dispose();
+    this.supervisor.dispose();
     this.relay.clear();
   }
 
@@ -267,47 +233,11 @@
     return directory.tenants.getProofAgeMs() > keyLeaseMs * URGENT_PROOF_SHARE;
   }
 
-  /** Age from which a copy is outdated, in ms; infinite if there is no limit. */
-  private getOutdatedAgeMs(): number {
-    const share = this.role.isFollower() ? FOLLOWER_OUTDATED_SHARE : OUTDATED_SHARE;
-    return this.getApplyShareMs(share) + this.getExtraAgeMs();
-  }
-
-  /** Returns a share of the time in which changes have to be in force, in ms; infinite without a limit. */
-  private getApplyShareMs(share: number): number {
-    const applyMs = this.options.getApplyMs?.() ?? 0;
-    return applyMs > 0 ? applyMs * share : Infinity;
-  }
-
-  private describeSources(): Readonly<Record<string, unknown>> {
-    const { clock, directory, self } = this.options;
-    const { lastUpdate } = this;
-    return {
-      isFollower: this.role.isFollower(),
-      isListed: directory.members.get(self.address) !== undefined,
-      followers: directory.rankFollowers(self.failureDomain).slice(0, MAX_HELLOS),
-      ...(lastUpdate === undefined
-        ? {}
-        : {
-            updateFrom: lastUpdate.sender,
-            updateAgeMs: Math.round(clock.getMonotonicTime() - lastUpdate.atMs),
-          }),
-    };
-  }
-
   private cancelLongPolls(): void {
     this.catalogFollower.cancelRead();
     this.membersFollower.cancelRead();
   }
 
-  /** The node that sent the last update, if that was lately. */
-  private findLastSender(): string | undefined {
-    if (this.lastUpdate === undefined) return undefined;
-    const { atMs, sender } = this.lastUpdate;
-    const ageMs = this.options.clock.getMonotonicTime() - atMs;
-    return ageMs < RESPONSIVE_MS ? sender : undefined;
-  }
-
   /** Whether the sender's copy of the targets, which followers read most often, is as recent as this node's. */
   private isCurrent({ changes }: Update): boolean {
     const { targets } = this.options.directory;
