--- a/packages/dispatch/src/directory/common/copyMonitor.test.ts
+++ b/packages/dispatch/src/directory/common/copyMonitor.test.ts
@@ -6,7 +6,7 @@
 
 const MAX_AGE_MS = 1500;
 
-test('a copy without news is logged once, and again when news arrives', async () => {
+test('an outdated copy is logged once, and again when it is current', async () => {
   // Guards against a node that serves an old configuration without a line in its log.
   const clock = new ManualClock();
   const lines: string[] = [];
@@ -36,8 +36,8 @@
   assert.deepEqual(
     parsed.map(({ message, table: name, version }) => [message, name, version]),
     [
-      ['no news of a table', 't', 7],
-      ['news of a table again', 't', 7],
+      ['copy is outdated', 't', 7],
+      ['copy is current again', 't', 7],
     ],
   );
 });
--- a/packages/dispatch/src/directory/common/copyMonitor.ts
+++ b/packages/dispatch/src/directory/common/copyMonitor.ts
@@ -1,4 +1,4 @@
-/** Detects copies of tables that have become too old because no news of them arrives. */
+/** Detects copies of tables that have become too old because no updates of them arrive. */
 import type { Clock, Event, Logger } from '@parsleymux/base';
 import { Emitter } from '@parsleymux/base';
 import type { FollowedTable } from './followedTable.js';
@@ -21,7 +21,7 @@
 }
 
 /**
- * Checks the ages of copies. Without news, a node can't tell an unchanged table from one whose changes don't
+ * Checks the ages of copies. Without updates, a node can't tell an unchanged table from one whose changes don't
  * reach it.
  *
  * @example
@@ -60,7 +60,7 @@
     const { clock, describeSources, log } = this.options;
     this.outdatedMs.set(name, clock.getMonotonicTime());
     const ageMs = Math.round(table.getAgeMs());
-    log.warn('no news of a table', { table: name, era, version, ageMs, ...describeSources() });
+    log.warn('copy is outdated', { table: name, era, version, ageMs, ...describeSources() });
   }
 
   private recordCurrent({ era, name, version }: FollowedTable<unknown>): void {
@@ -69,7 +69,7 @@
     this.outdatedMs.delete(name);
     const { clock, log } = this.options;
     const ms = Math.round(clock.getMonotonicTime() - sinceMs);
-    log.info('news of a table again', { table: name, era, version, ms });
+    log.info('copy is current again', { table: name, era, version, ms });
   }
 
   /** Until a copy may be outdated, so that the checks don't wake an idle node more often than needed. */
--- a/packages/dispatch/src/directory/common/updateRequester.test.ts
+++ b/packages/dispatch/src/directory/common/updateRequester.test.ts
@@ -57,8 +57,8 @@
   return { announced, clock, counts, requests, stop, table };
 }
 
-test('a node without news asks one source after the other until it has some', async () => {
-  // Guards against a node that waits for a follower that doesn't know of it, or that has no news itself.
+test('a node with outdated copies asks one source after the other until they are current', async () => {
+  // Guards against a node that waits for a follower that doesn't know of it, or that is outdated itself.
   const { clock, requests, stop, table } = startFixture();
   table.setAll({ version: 1, changes: [] }, clock.getMonotonicTime());
   await clock.advanceBy(MAX_AGE_MS - 1);
@@ -71,7 +71,7 @@
   await stop();
 });
 
-test('a node without news asks less often while nobody has any', async () => {
+test('a node asks less often while nobody sends it anything newer', async () => {
   // Guards against followers that are busy with requests while the store is out.
   const { clock, requests, stop, table } = startFixture();
   table.setAll({ version: 1, changes: [] }, clock.getMonotonicTime());
--- a/packages/dispatch/src/directory/common/updateRequester.ts
+++ b/packages/dispatch/src/directory/common/updateRequester.ts
@@ -6,7 +6,7 @@
 /** Interval at which a newer configuration is requested until it is in force, in ms. */
 const NEWER_INTERVAL_MS = 150;
 /**
- * Shortest and longest interval between requests while there is no news, in ms. If the store is out, no node has
+ * Shortest and longest interval between requests while copies are outdated, in ms. If the store is out, no node has
  * any, and at the short interval the followers of a large fleet would be busy with requests alone.
  */
 const MIN_INTERVAL_MS = 150;
@@ -31,7 +31,7 @@
 }
 
 /**
- * Asks one node after the other, so that a source that is down or has no news itself costs one interval.
+ * Asks one node after the other, so that a source that is down or outdated itself costs one interval.
  * Nodes that can't reach the store, or that their peers have removed from the list of members, depend on it.
  *
  * @example
@@ -41,7 +41,7 @@
   private readonly subscriptions: readonly IDisposable[];
   private timer: IDisposable | undefined;
   private asked = 0;
-  /** Requests since there was news, and when the last one was sent. */
+  /** Requests since copies were current, and when the last one was sent. */
   private unanswered = 0;
   private askedMs = -Infinity;
   /** The newest version whose request was logged. */
@@ -51,7 +51,7 @@
     const { announced, monitor } = options;
     this.subscriptions = [
       monitor.onDidFindOutdated(() => {
-        this.requestNews();
+        this.requestUpdate();
       }),
       announced.onDidAnnounce(() => {
         this.startTimer(options.getNewerWaitMs());
@@ -64,7 +64,7 @@
     void this.timer?.dispose();
   }
 
-  private requestNews(): void {
+  private requestUpdate(): void {
     const { clock, listSources } = this.options;
     const sinceMs = clock.getMonotonicTime() - this.askedMs;
     if (sinceMs > MAX_INTERVAL_MS * 2) this.unanswered = 0;
--- a/packages/dispatch/src/directory/common/updateSources.ts
+++ b/packages/dispatch/src/directory/common/updateSources.ts
@@ -1,4 +1,4 @@
-/** Chooses the nodes from which a node without news requests updates. */
+/** Chooses the nodes from which a node with outdated copies requests updates. */
 import type { IMember } from './authority.js';
 import type { NodeDirectory } from './nodeDirectory.js';
 
