Let the soak share few processors between many nodes, and kill half of them at once

The soak could not show it: its nodes had all processors, its storms allowed either of two states of a route, and nodes were killed one by one.

Versions keep the routes that earlier ones added, and each node is asked for the route of the newest version that is due, so a node that lacks it is seen during a storm too. The run prints how late its own process was.

--- a/packages/lab/src/processes/node/managedProcess.ts
+++ b/packages/lab/src/processes/node/managedProcess.ts
@@ -19,6 +19,8 @@
   readonly env?: Readonly<Record<string, string>>;
   /** Options of the Node.js runtime, such as a heap limit. */
   readonly nodeOptions?: readonly string[];
+  /** Processors that the process may use, as a list for `taskset`, such as "0,1". Default: all. */
+  readonly processors?: string | undefined;
 }
 
 /** How a process ended. */
@@ -50,7 +52,12 @@
   constructor(options: IManagedProcessOptions) {
     this.name = options.name;
     const args = [...(options.nodeOptions ?? []), options.script, ...(options.args ?? [])];
-    this.child = spawn(process.execPath, args, {
+    const { processors } = options;
+    const [file, prefix] =
+      processors === undefined
+        ? [process.execPath, []]
+        : ['taskset', ['-c', processors, process.execPath]];
+    this.child = spawn(file, [...prefix, ...args], {
       stdio: ['pipe', 'pipe', 'pipe'],
       env: { ...process.env, ...options.env },
     });
--- a/packages/lab/src/soak/common/soakFaultKind.ts
+++ b/packages/lab/src/soak/common/soakFaultKind.ts
@@ -31,14 +31,21 @@
   NodePathLoss: 'node-path-loss',
   /** All nodes of a failure domain lose their paths to the store, while the others reach it. */
   DomainStoreLoss: 'domain-store-loss',
+  /** Half of the nodes are killed at the same moment, and started again together. */
+  NodeHerdKill: 'node-herd-kill',
 } as const;
 
 export type SoakFaultKind = (typeof SoakFaultKind)[keyof typeof SoakFaultKind];
 
 export const SOAK_FAULT_KINDS: readonly SoakFaultKind[] = Object.values(SoakFaultKind);
 
+/** The selection before kills of many nodes at once. */
+export const SIXTH_FAULT_KINDS: readonly SoakFaultKind[] = SOAK_FAULT_KINDS.filter((kind) => {
+  return kind !== SoakFaultKind.NodeHerdKill;
+});
+
 /** The selection before failure domains without the store. */
-export const FIFTH_FAULT_KINDS: readonly SoakFaultKind[] = SOAK_FAULT_KINDS.filter((kind) => {
+export const FIFTH_FAULT_KINDS: readonly SoakFaultKind[] = SIXTH_FAULT_KINDS.filter((kind) => {
   return kind !== SoakFaultKind.DomainStoreLoss;
 });
 
--- a/packages/lab/src/soak/common/soakLayout.ts
+++ b/packages/lab/src/soak/common/soakLayout.ts
@@ -47,6 +47,17 @@
 }
 
 const CHANGING_PREFIX = '/changing/';
+const ADDED_PREFIX = `${CHANGING_PREFIX}since-`;
+/** A version keeps the routes that were added by versions with numbers up to this much lower. */
+const ADDED_SPAN = 100;
+
+/**
+ * Formats a path prefix that a version adds and later ones keep, so that one request shows whether a node has a
+ * version that is at least as new.
+ */
+export function formatAddedPrefix(version: number): string {
+  return `${ADDED_PREFIX}${version}/`;
+}
 
 /** A route that versions add, drop, nest into another, move to another service or split. */
 interface IChangingRoute {
@@ -79,6 +90,13 @@
   ];
 }
 
+function listAddedRoutes(version: number): readonly IChangingRoute[] {
+  const first = Math.max(1, version - ADDED_SPAN);
+  return Array.from({ length: version - first + 1 }, (_, index) => {
+    return { prefix: formatAddedPrefix(first + index), services: [LISTING_SERVICE] };
+  });
+}
+
 /** Path prefixes whose routes change from version to version. */
 export const CHANGING_PREFIXES: readonly string[] = listChangingRoutes(0).map(
   ({ prefix }) => prefix,
@@ -86,14 +104,16 @@
 
 /** Lists the services that may handle a request for a changing route under a version; none means 404. */
 export function listChangingServices(version: number, path: string): readonly string[] {
-  const matching = listChangingRoutes(version).filter(({ prefix, services }) => {
+  const isAdded = path.startsWith(ADDED_PREFIX);
+  const routes = isAdded ? listAddedRoutes(version) : listChangingRoutes(version);
+  const matching = routes.filter(({ prefix, services }) => {
     return path.startsWith(prefix) && services.length > 0;
   });
   const [longest] = [...matching].sort((left, right) => right.prefix.length - left.prefix.length);
   return longest?.services ?? [];
 }
 
-/** Every third version has this many routes more, which no caller uses. */
+/** Every third version has this many routes more by default, which no caller uses. */
 const ADDED_ROUTES = 1400;
 const LARGE_VERSION_INTERVAL = 3;
 
@@ -103,27 +123,29 @@
  * @example
  * store.put('op', 'config', makeSoakConfig(4));
  */
-export function makeSoakConfig(version: number): string {
+export function makeSoakConfig(version: number, addedRoutes = ADDED_ROUTES): string {
   const common = { host: SOAK_HOST, timeoutS: ROUTE_TIMEOUT_S, objectiveS: 0.6 };
-  const addedCount = version % LARGE_VERSION_INTERVAL === 0 ? ADDED_ROUTES : 0;
+  const addedCount = version % LARGE_VERSION_INTERVAL === 0 ? addedRoutes : 0;
   const added = Array.from({ length: addedCount }, (_, index) => {
     const name = `added-${version}-${index}`;
     return { ...common, name, prefix: `/${name}/`, kind: 'safe', maxAttempts: 1 } as const;
   });
-  const changing = listChangingRoutes(version).flatMap(({ prefix, services }) => {
-    const [service] = services;
-    if (service === undefined) return [];
-    const split = services.map((name) => ({ service: name, weight: 1 }));
-    const route = {
-      ...common,
-      name: prefix,
-      prefix,
-      kind: 'safe',
-      maxAttempts: 1,
-      service,
-    } as const;
-    return services.length > 1 ? { ...route, split } : route;
-  });
+  const changing = [...listChangingRoutes(version), ...listAddedRoutes(version)].flatMap(
+    ({ prefix, services }) => {
+      const [service] = services;
+      if (service === undefined) return [];
+      const split = services.map((name) => ({ service: name, weight: 1 }));
+      const route = {
+        ...common,
+        name: prefix,
+        prefix,
+        kind: 'safe',
+        maxAttempts: 1,
+        service,
+      } as const;
+      return services.length > 1 ? { ...route, split } : route;
+    },
+  );
   const routes: readonly IMetadataRoute[] = [
     ...changing,
     {
--- a/packages/lab/src/soak/node/main.ts
+++ b/packages/lab/src/soak/node/main.ts
@@ -14,6 +14,7 @@
   FIRST_FAULT_KINDS,
   FOURTH_FAULT_KINDS,
   SECOND_FAULT_KINDS,
+  SIXTH_FAULT_KINDS,
   SOAK_FAULT_KINDS,
   THIRD_FAULT_KINDS,
 } from '../common/soakFaultKind.js';
@@ -25,9 +26,12 @@
 const LAX_TARGETS = 'laxTargets';
 const USAGE = `npm run soak -- [--seed N] [--runs COUNT] [--seconds S] [--spacing MS] [--nodes COUNT]
   [--targets COUNT] [--only KIND,KIND] [--break NAME] [--logs DIRECTORY] [--regressions] [--second] [--third]
-  [--fourth] [--fifth]
---fifth: without the newest fault kind, to replay seeds that failed before it was added; --fourth, --third and
---second: also without the kinds added before that
+  [--fourth] [--fifth] [--sixth] [--processors LIST] [--callers COUNT]
+  [--added-routes COUNT]
+--sixth: without the newest fault kind, to replay seeds that failed before it was added; --fifth, --fourth, --third
+and --second: also without the kinds added before that
+--processors: the processors that all nodes share, such as 0,1; --callers: callers for each node
+--added-routes: routes that every third configuration has more
 kinds: ${SOAK_FAULT_KINDS.join(', ')}
 breaks: ${[LAX_TARGETS, ...listBreakModules(BREAKS)].join(', ')}`;
 
@@ -47,6 +51,10 @@
     third: { type: 'boolean', default: false },
     fourth: { type: 'boolean', default: false },
     fifth: { type: 'boolean', default: false },
+    sixth: { type: 'boolean', default: false },
+    processors: { type: 'string' },
+    callers: { type: 'string' },
+    'added-routes': { type: 'string' },
     help: { type: 'boolean', default: false },
   },
 });
@@ -71,7 +79,12 @@
   if (values.second) return SECOND_FAULT_KINDS;
   if (values.third) return THIRD_FAULT_KINDS;
   if (values.fourth) return FOURTH_FAULT_KINDS;
-  return values.fifth ? FIFTH_FAULT_KINDS : SOAK_FAULT_KINDS;
+  if (values.fifth) return FIFTH_FAULT_KINDS;
+  return values.sixth ? SIXTH_FAULT_KINDS : SOAK_FAULT_KINDS;
+}
+
+function parseCount(text: string | undefined): number | undefined {
+  return text === undefined ? undefined : Number(text);
 }
 
 async function runSeed(seed: number, seconds: number): Promise<boolean> {
@@ -85,6 +98,9 @@
     schedule,
     nodeCount: Number(values.nodes),
     targetsPerService: Number(values.targets),
+    processors: values.processors,
+    callersPerNode: parseCount(values.callers),
+    addedRoutes: parseCount(values['added-routes']),
     isCheckingBounds: true,
     storeLogs: (logs) => {
       storeLogs(seed, logs);
--- a/packages/lab/src/soak/node/soakFaults.ts
+++ b/packages/lab/src/soak/node/soakFaults.ts
@@ -54,6 +54,8 @@
   switch (step.kind) {
     case SoakFaultKind.NodeKill:
       return withNode(step, world, (node) => startKill(node, world));
+    case SoakFaultKind.NodeHerdKill:
+      return startHerdKill(world);
     case SoakFaultKind.NodePause:
       return withNode(step, world, (node) => startPause(node, world));
     case SoakFaultKind.NodeTerminate:
@@ -145,6 +147,17 @@
   };
 }
 
+/** Kills every second usable node; starts them again together when the fault ends. */
+async function startHerdKill(world: SoakWorld): Promise<Injection> {
+  const usable = world.nodes.filter((node) => node.isUsable());
+  const nodes = usable.filter((_, index) => index % 2 === 1);
+  if (usable.length - nodes.length < MIN_NODES) return 'skipped';
+  const ends = await Promise.all(nodes.map((node) => startKill(node, world)));
+  return async () => {
+    await Promise.all(ends.map((end) => end()));
+  };
+}
+
 function startPause(node: SoakNode, world: SoakWorld): Promise<EndFault> {
   const endDisturbance = markDisturbed(node.name, world);
   node.sendSignal('SIGSTOP');
--- a/packages/lab/src/soak/node/soakNode.ts
+++ b/packages/lab/src/soak/node/soakNode.ts
@@ -32,6 +32,8 @@
   readonly storeAddress: string;
   /** Module that the node loads first and that disables a mechanism in it. */
   readonly breakModule: string | undefined;
+  /** Processors that the process may use; undefined for all. */
+  readonly processors?: string | undefined;
   /** Called when a process ends; `isRequested` is true when the soak had sent SIGTERM or SIGKILL. */
   readonly onDidEnd: (node: SoakNode, end: IProcessEnd, isRequested: boolean) => void;
 }
@@ -120,11 +122,12 @@
     this.previousLines.push(...this.getCurrentLines(), `end of incarnation ${this.incarnation}`);
     this.incarnation += 1;
     this.isEndRequested = false;
-    const { breakModule, fleet } = this.options;
+    const { breakModule, fleet, processors } = this.options;
     const child = fleet.start({
       name: this.name,
       script: breakModule === undefined ? Program.PlatformNode : Program.PlatformModules,
       args: [this.settingsPath],
+      processors,
       nodeOptions: [
         ...['--import', PATH_CUT_MODULE],
         ...(breakModule === undefined ? [] : ['--import', breakModule]),
--- a/packages/lab/src/soak/node/soakRun.ts
+++ b/packages/lab/src/soak/node/soakRun.ts
@@ -1,4 +1,6 @@
 /** Runs one soak from start to result. */
+import type { IntervalHistogram } from 'node:perf_hooks';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { DisposableStore, SeededRandom } from '@parsleymux/base';
 import { disposeOnInterrupt } from '../../processes/node/interrupt.js';
 import type { IFaultStep } from '../../prove/common/faultSchedule.js';
@@ -10,7 +12,7 @@
 import { checkSafety } from '../common/safetyChecks.js';
 import type { IVersionProbe } from '../common/soakEvidence.js';
 import type { SoakFaultKind } from '../common/soakFaultKind.js';
-import { CHANGING_PREFIXES } from '../common/soakLayout.js';
+import { CHANGING_PREFIXES, SOAK_BOUNDS, formatAddedPrefix } from '../common/soakLayout.js';
 import { SoakCaller, probeChangingRoute, probeVersion } from './soakCaller.js';
 import { startSoakFault } from './soakFaults.js';
 import type { SoakNode } from './soakNode.js';
@@ -27,6 +29,8 @@
 const PROBE_INTERVAL_MS = 250;
 const CALLERS_PER_NODE = 8;
 const PAUSE_MS = 150;
+const MS_PER_S = 1000;
+const NS_PER_MS = 1e6;
 /** Minimum share of requests that is served after recovery. */
 const MIN_RECOVERED_SHARE = 0.95;
 /** Multiplies the seed, so that the callers' random numbers differ from those of the world. */
@@ -38,6 +42,8 @@
   readonly schedule: readonly IFaultStep<SoakFaultKind>[];
   /** Whether bounds of time are checked too; a machine that is busy with other work violates them. */
   readonly isCheckingBounds: boolean;
+  /** Number of callers for each node. Default 8. */
+  readonly callersPerNode?: number | undefined;
   /** Called with the logs of all nodes when a check fails. */
   readonly storeLogs?: (logs: ReadonlyMap<string, readonly string[]>) => void;
 }
@@ -71,6 +77,8 @@
 
 async function runInWorld(options: ISoakOptions, world: SoakWorld): Promise<ISoakResult> {
   const stopped = new AbortController();
+  const ownDelay = monitorEventLoopDelay();
+  ownDelay.enable();
   const ready = new Set<SoakNode>(world.nodes);
   const probes: IVersionProbe[] = [];
   const background = [
@@ -84,7 +92,7 @@
   ];
   const runner = new FaultRunner((step: IFaultStep<SoakFaultKind>) => startSoakFault(step, world));
   runner.start(options.schedule);
-  await sleep(options.seconds * 1000);
+  await sleep(options.seconds * MS_PER_S);
   await runner.finish();
   await world.clearFaults();
   await sleep(RECOVERY_MS);
@@ -111,6 +119,7 @@
     checkNotices(evidence, world.findings);
   }
   printFaults(runner.getCounts(), runner.getErrors());
+  printOwnDelay(ownDelay);
   return summarizeRun(options, world);
 }
 
@@ -132,12 +141,22 @@
   return { findings: world.findings, requests: records.length, served };
 }
 
+/** Prints how late this process was itself: store, targets and callers of the run are in it. */
+function printOwnDelay(delay: IntervalHistogram): void {
+  const toMs = (ns: number) => Math.round(ns / NS_PER_MS);
+  const high = toMs(delay.percentile(99));
+  console.log(
+    `\ndelay of the soak itself: 99 in 100 up to ${high} ms, at most ${toMs(delay.max)} ms`,
+  );
+  delay.disable();
+}
+
 function makeCallers(
   options: ISoakOptions,
   world: SoakWorld,
   ready: ReadonlySet<SoakNode>,
 ): readonly SoakCaller[] {
-  const count = CALLERS_PER_NODE * options.nodeCount;
+  const count = (options.callersPerNode ?? CALLERS_PER_NODE) * options.nodeCount;
   return Array.from({ length: count }, (_, index) => {
     const random = new SeededRandom(options.seed * CALLER_SEED_FACTOR + index);
     return new SoakCaller({
@@ -164,11 +183,16 @@
 function probeNodes(world: SoakWorld, ready: ReadonlySet<SoakNode>, probes: IVersionProbe[]): void {
   const newest = world.versions.slice(-2).map(({ version }) => version);
   const roundMs = performance.now();
+  const due = findDueVersion(world, roundMs);
   const prefix =
     CHANGING_PREFIXES[Math.floor(roundMs / PROBE_INTERVAL_MS) % CHANGING_PREFIXES.length];
   for (const node of ready) {
     const suffix = `${node.name}-${Math.round(roundMs * 10)}`;
     void probeChangingRoute(node, `${prefix ?? ''}${suffix}`, `changing-${suffix}`, world.ledger);
+    if (due !== undefined) {
+      const path = `${formatAddedPrefix(due)}${suffix}`;
+      void probeChangingRoute(node, path, `added-${suffix}`, world.ledger);
+    }
     for (const version of newest) {
       const { incarnation } = node;
       const sentMs = performance.now();
@@ -181,6 +205,12 @@
   }
 }
 
+/** The newest version that has to be in force. */
+function findDueVersion({ versions }: SoakWorld, nowMs: number): number | undefined {
+  const dueMs = nowMs - SOAK_BOUNDS.config_apply_s * MS_PER_S;
+  return versions.findLast(({ acceptedMs }) => acceptedMs <= dueMs)?.version;
+}
+
 function checkRecovery(world: SoakWorld, sinceMs: number): void {
   const late = world.ledger.listRequestRecords().filter(({ reply, request }) => {
     const isCounted = request.kind === 'booking' || request.kind === 'list';
--- a/packages/lab/src/soak/node/soakWorld.ts
+++ b/packages/lab/src/soak/node/soakWorld.ts
@@ -48,6 +48,10 @@
   readonly targetsPerService: number;
   /** Module that nodes load first and that disables a mechanism in them. */
   readonly breakModule?: string;
+  /** Processors that the nodes may use together, such as "0,1". Default: all. */
+  readonly processors?: string | undefined;
+  /** How many routes more every third version has, which no caller uses. Default 1400. */
+  readonly addedRoutes?: number | undefined;
   /** Whether targets run requests that are addressed to other targets. Default false. */
   readonly hasLaxTargets?: boolean;
 }
@@ -111,7 +115,7 @@
   putConfig(): void {
     const previous = this.versions[this.versions.length - 1]?.version ?? 0;
     const version = computeNextVersion(previous, this.versions.length);
-    this.store.put(CONFIG_TABLE, 'config', makeSoakConfig(version));
+    this.store.put(CONFIG_TABLE, 'config', makeSoakConfig(version, this.options.addedRoutes));
     this.versions.push({ version, acceptedMs: performance.now() });
   }
 
@@ -124,7 +128,11 @@
   restoreLostWrites(): void {
     const newest = this.versions[this.versions.length - 1];
     if (newest !== undefined) {
-      this.store.put(CONFIG_TABLE, 'config', makeSoakConfig(newest.version));
+      this.store.put(
+        CONFIG_TABLE,
+        'config',
+        makeSoakConfig(newest.version, this.options.addedRoutes),
+      );
     }
     this.writeTargets();
     const present = new Set(this.targets.map(({ options }) => options.id));
@@ -266,7 +274,7 @@
   }
 
   private async openNodes(): Promise<void> {
-    const { breakModule, nodeCount } = this.options;
+    const { breakModule, nodeCount, processors } = this.options;
     for (let index = 0; index < nodeCount; index += 1) {
       const node = new SoakNode({
         index,
@@ -274,6 +282,7 @@
         directory: this.directory,
         storeAddress: this.store.address,
         breakModule,
+        processors,
         onDidEnd: (ended, end, isRequested) => {
           this.findings.check('processes end only when asked', isRequested || this.isEnding, () => {
             const lines = ended.getLogLines().slice(-5).join('\n');
