--- a/packages/base/src/clock/common/clock.ts
+++ b/packages/base/src/clock/common/clock.ts
@@ -9,6 +9,14 @@
   /** Milliseconds from an arbitrary start that never goes backwards. Use it for durations. */
   abstract getMonotonicTime(): number;
 
+  /**
+   * How late timers have fired lately, in ms: how long this process was busy or was not run. 0 if the clock doesn't
+   * measure it.
+   */
+  getRecentDelayMs(): number {
+    return 0;
+  }
+
   /** Calls `callback` once after `delayMs`, unless the returned handle is disposed of first. */
   abstract startTimer(delayMs: number, callback: () => void): IDisposable;
 
--- /dev/null
+++ b/packages/base/src/clock/common/responseTimes.ts
@@ -0,0 +1,43 @@
+/** Estimates how long a response may take from how long earlier ones took. */
+
+/** Weights of a new sample in the mean and in the deviation, and the deviations added (RFC 6298). */
+const MEAN_GAIN = 1 / 8;
+const DEVIATION_GAIN = 1 / 4;
+const DEVIATIONS = 4;
+
+/**
+ * Learns a time limit as TCP's retransmission timer does. A fixed limit below the usual time of a busy peer or
+ * store would discard each response shortly before it arrives.
+ *
+ * @example
+ * times.recordResponse(nowMs - sentMs);
+ * const limitMs = times.getLimitMs(MIN_LIMIT_MS);
+ */
+export class ResponseTimes {
+  private meanMs: number | undefined;
+  private deviationMs = 0;
+
+  /** `maxLimitMs` bounds the limits, in ms. */
+  constructor(private readonly maxLimitMs: number) {}
+
+  recordResponse(tookMs: number): void {
+    if (this.meanMs === undefined) {
+      this.meanMs = tookMs;
+      this.deviationMs = tookMs / 2;
+      return;
+    }
+    const difference = Math.abs(tookMs - this.meanMs);
+    this.deviationMs += (difference - this.deviationMs) * DEVIATION_GAIN;
+    this.meanMs += (tookMs - this.meanMs) * MEAN_GAIN;
+  }
+
+  /** Time that few responses exceed, in ms; 0 before the first response. */
+  getProbableMs(): number {
+    return (this.meanMs ?? 0) + DEVIATIONS * this.deviationMs;
+  }
+
+  /** Time after which a response is overdue, in ms: at least `minLimitMs`, which holds for an idle peer. */
+  getLimitMs(minLimitMs: number): number {
+    return Math.max(minLimitMs, Math.min(this.maxLimitMs, this.getProbableMs()));
+  }
+}
--- a/packages/base/src/clock/common/stallTimeout.ts
+++ b/packages/base/src/clock/common/stallTimeout.ts
@@ -2,6 +2,9 @@
 import type { IDisposable } from '../../lifecycle/common/disposable.js';
 import type { Clock } from './clock.js';
 
+/** A timer that fires this much later than its time, in ms, shows that the process was not run. */
+const MIN_LATE_MS = 20;
+
 /**
  * Aborts its signal with a `TimeoutError` unless progress is recorded in time, until it is disposed of.
  *
@@ -36,8 +39,12 @@
   }
 
   private startTimer(limitMs: number): IDisposable {
+    const dueMs = this.clock.getMonotonicTime() + limitMs;
     return this.clock.startTimer(limitMs, () => {
-      this.controller.abort(new DOMException(`no progress for ${limitMs} ms`, 'TimeoutError'));
+      const lateMs = Math.round(this.clock.getMonotonicTime() - dueMs);
+      const late = lateMs < MIN_LATE_MS ? '' : `, noticed ${lateMs} ms late`;
+      const text = `no progress for ${Math.round(limitMs)} ms${late}`;
+      this.controller.abort(new DOMException(text, 'TimeoutError'));
     });
   }
 }
--- a/packages/base/src/clock/node/systemClock.ts
+++ b/packages/base/src/clock/node/systemClock.ts
@@ -2,6 +2,10 @@
 import { Clock } from '../common/clock.js';
 import type { IDisposable } from '../../lifecycle/common/disposable.js';
 import { toDisposable } from '../../lifecycle/common/disposable.js';
+import { RecentMaximum } from '../common/recentMaximum.js';
+
+/** How long a timer that fired late counts at least, in ms. */
+const DELAY_WINDOW_MS = 1000;
 
 /**
  * A clock on the operating system's wall clock, monotonic clock and timers.
@@ -10,6 +14,8 @@
  * const clock = new SystemClock();
  */
 export class SystemClock extends Clock {
+  private readonly delays = new RecentMaximum(DELAY_WINDOW_MS);
+
   override getWallTime(): number {
     return Date.now();
   }
@@ -18,8 +24,17 @@
     return performance.now();
   }
 
+  override getRecentDelayMs(): number {
+    return this.delays.get(performance.now());
+  }
+
   override startTimer(delayMs: number, callback: () => void): IDisposable {
-    const handle = setTimeout(callback, delayMs);
+    const dueMs = performance.now() + delayMs;
+    const handle = setTimeout(() => {
+      const nowMs = performance.now();
+      this.delays.record(nowMs - dueMs, nowMs);
+      callback();
+    }, delayMs);
     return toDisposable(() => {
       clearTimeout(handle);
     });
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -3,6 +3,8 @@
 export * from './clock/common/durations.js';
 export * from './clock/common/instant.js';
 export * from './clock/common/manualClock.js';
+export * from './clock/common/recentMaximum.js';
+export * from './clock/common/responseTimes.js';
 export * from './clock/common/stallTimeout.js';
 export * from './clock/node/systemClock.js';
 export * from './error/common/muxError.js';
--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -39,7 +39,7 @@
 import type { IConnectionLimits, IDirectNodeSettings } from './directNodeSettings.js';
 import { handleDatagram } from './datagramRouter.js';
 import { logDirectoryChanges } from './directoryLog.js';
-import { countDirectory } from './directoryMetrics.js';
+import { countDirectory, measureDelay } from './directoryMetrics.js';
 import { countFairness } from './fairnessMetrics.js';
 import { countHandovers } from './handoverMetrics.js';
 import { countRejections } from './rejectionMetrics.js';
@@ -154,6 +154,7 @@
     const channel = this.store.add(await UdpChannel.open(settings.datagramAddress, log));
     const homes = this.store.add(this.createHomes(channel.address));
     countDirectory(this.directory, homes, registry);
+    measureDelay(clock, registry);
     countFairness(homes, registry);
     countReturns(this.tenants.returns, homes, registry);
     countRejections(homes, registry);
--- a/packages/dispatch/src/app/node/directoryMetrics.ts
+++ b/packages/dispatch/src/app/node/directoryMetrics.ts
@@ -1,4 +1,5 @@
 /** Metrics of the tables and targets that a node follows. */
+import type { Clock } from '@parsleymux/base';
 import type { Registry } from 'prom-client';
 import { Counter, Gauge } from 'prom-client';
 import type { NodeDirectory } from '../../directory/common/nodeDirectory.js';
@@ -38,6 +39,23 @@
   });
 }
 
+/**
+ * Registers how late the process itself is: what it receives waits as long, and its time limits expire late.
+ *
+ * @example
+ * measureDelay(clock, registry);
+ */
+export function measureDelay(clock: Clock, registry: Registry): void {
+  new Gauge({
+    name: 'parsleymux_process_delay_seconds',
+    help: 'How late timers of this process have fired within the last seconds, at most.',
+    registers: [registry],
+    collect() {
+      this.set(clock.getRecentDelayMs() / MS_PER_S);
+    },
+  });
+}
+
 /** Registers how current the copies of the tables are. */
 function countCopies(directory: NodeDirectory, registry: Registry): void {
   const registers = [registry];
--- a/packages/dispatch/src/directory/common/updateSupervisor.ts
+++ b/packages/dispatch/src/directory/common/updateSupervisor.ts
@@ -117,6 +117,7 @@
       isFollower: role.isFollower(),
       isListed: directory.members.get(self.address) !== undefined,
       followers: directory.rankFollowers(self.failureDomain).slice(0, LOGGED_FOLLOWERS),
+      processDelayMs: Math.round(clock.getRecentDelayMs()),
     };
     if (lastUpdate === undefined) return sources;
     const updateAgeMs = Math.round(clock.getMonotonicTime() - lastUpdate.atMs);
--- a/packages/dispatch/src/entry/node/requestLog.ts
+++ b/packages/dispatch/src/entry/node/requestLog.ts
@@ -9,6 +9,8 @@
 /** Histogram buckets around the usual latency objectives of services, in seconds. */
 const LATENCY_BUCKETS = [0.01, 0.03, 0.1, 0.2, 0.4, 0.7, 1, 1.5, 2.5, 4, 6];
 const FIRST_FAILURE_STATUS = 400;
+/** Shortest delay of this process that a line states, in ms. */
+const MIN_LOGGED_DELAY_MS = 20;
 
 /** Options of a {@link RequestLog}. */
 export interface IRequestLogOptions {
@@ -110,7 +112,8 @@
   }
 
   private describeDirectory(): Readonly<Record<string, number | undefined>> {
-    const { directory } = this.options;
+    const { clock, directory } = this.options;
+    const processDelayMs = Math.round(clock.getRecentDelayMs());
     const { announcedVersions } = directory;
     const newestCatalog = announcedVersions.findNewest();
     const newerCatalogAgeMs = Math.round(announcedVersions.getOldestAgeMs());
@@ -118,6 +121,7 @@
       catalog: directory.getCatalog()?.version,
       catalogAgeMs: Math.round(directory.catalog.getAgeMs()),
       targetsAgeMs: Math.round(directory.targets.getAgeMs()),
+      ...(processDelayMs < MIN_LOGGED_DELAY_MS ? {} : { processDelayMs }),
       ...(newestCatalog === undefined ? {} : { newestCatalog, newerCatalogAgeMs }),
       ...(directory.getCatalog()?.requiresKeys === true
         ? { keysProofAgeMs: Math.round(directory.tenants.getProofAgeMs()) }
