--- a/packages/lab/src/soak/node/soakRun.ts
+++ b/packages/lab/src/soak/node/soakRun.ts
@@ -94,7 +94,11 @@
   runner.start(options.schedule);
   await sleep(options.seconds * MS_PER_S);
   await runner.finish();
+  const clearedMs = performance.now();
   await world.clearFaults();
+  console.log(
+    `all nodes are ready ${Math.round(performance.now() - clearedMs)} ms after the faults`,
+  );
   await sleep(RECOVERY_MS);
   const recoveredMs = performance.now();
   await sleep(WATCH_MS);
