Ask the next peer for a table beside a slow one, and learn how long peers take

What callers saw: on a fleet short of processor time, requests were handled as only an older version of the configuration allows. A transfer without a response for 300 ms was given up and begun anew at the next node.

The next peer now begins beside the slow one, which stays in the race; the time after which it does follows the responses of late (RFC 6298), from 300 ms up to 1.2 s. On idle peers nothing changes: nothing more is sent below 300 ms.

Ruled out: that this process noticed its responses late. 303 of 3,849 limits were noticed 100 ms late or more.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -5,6 +5,7 @@
 export * from './clock/common/manualClock.js';
 export * from './clock/common/recentMaximum.js';
 export * from './clock/common/responseTimes.js';
+export * from './clock/common/staggeredRace.js';
 export * from './clock/common/stallTimeout.js';
 export * from './clock/node/systemClock.js';
 export * from './error/common/muxError.js';
--- a/packages/dispatch/src/directory/common/tableFetcher.ts
+++ b/packages/dispatch/src/directory/common/tableFetcher.ts
@@ -1,17 +1,29 @@
 /** Fetches tables from peers. */
 import { fromBinary } from '@bufbuild/protobuf';
-import type { Clock, IInstant, Logger } from '@parsleymux/base';
-import { StallTimeout, computeEarlierInstant, readInstant } from '@parsleymux/base';
+import type { Clock, IInstant, IStaggeredAttempt, Logger } from '@parsleymux/base';
+import {
+  JoinedSignal,
+  ResponseTimes,
+  StallTimeout,
+  computeEarlierInstant,
+  startStaggered,
+  readInstant,
+} from '@parsleymux/base';
 import { FollowedChangesSchema } from '@parsleymux/schema';
 import VError from 'verror';
 import type { FollowedTable } from './followedTable.js';
 import type { TableEncoder } from './tableEncoder.js';
 import type { IAnnouncedState, TableReply, TableTransport } from './tableTransport.js';
 
-/** A peer that doesn't begin to respond within this time, in ms, is considered unreachable. */
-const RESPONSE_TIMEOUT_MS = 300;
-/** A transfer without progress for this long, in ms, is abandoned. */
-const STALL_TIMEOUT_MS = 500;
+/**
+ * A peer that makes no progress for this time, in ms, is joined by the next one, unless peers have been slower
+ * lately.
+ */
+const MIN_RESPONSE_MS = 300;
+/** The longest such time, in ms. */
+const MAX_RESPONSE_MS = 1200;
+/** A transfer without progress for this long, in ms, is given up. */
+const STALL_TIMEOUT_MS = 3000;
 const MAX_REDIRECTS = 8;
 
 /** Where to fetch a table from. */
@@ -38,38 +50,42 @@
 /** One attempt to fetch a table. */
 interface IAttempt extends ITableSource {
   readonly isDirect: boolean;
+  /** Aborts when another peer has sent the table. */
+  readonly signal: AbortSignal;
+  readonly recordProgress: () => void;
 }
 
 /**
- * Updates a table from the copy of a peer, or of another one if that one doesn't respond.
+ * Updates a table from the copy of a peer, or of another one if that one doesn't respond. A slow peer is not given up:
+ * its response may be the first all the same, and those of the others as slow.
  *
  * @example
  * await new TableFetcher(options).fetch(directory.catalog, { stateAddress: '10.1.0.4:7201' });
  */
 export class TableFetcher {
+  private readonly times = new ResponseTimes(MAX_RESPONSE_MS);
+
   constructor(private readonly options: ITableFetcherOptions) {}
 
   /** Rejects if no peer responds in time. */
   async fetch(table: FollowedTable<unknown>, source: ITableSource): Promise<void> {
-    const { listOthers, log } = this.options;
+    const { clock, listOthers } = this.options;
     const others = (listOthers?.() ?? []).filter((address) => address !== source.stateAddress);
     const addresses = [source.stateAddress, ...others];
-    let reason: unknown;
-    for (const [index, stateAddress] of addresses.entries()) {
-      try {
-        await this.fetchFrom(table, { ...source, stateAddress, isDirect: index > 0 });
-        return;
-      } catch (error) {
-        reason = error;
-        log.warn('table not fetched from peer', {
-          table: table.name,
-          peer: stateAddress,
-          isDirect: index > 0,
-          reason: error instanceof Error ? error.message : String(error),
-        });
-      }
+    const alternatives = addresses.map((stateAddress, index) => (attempt: IStaggeredAttempt) => {
+      return this.fetchFrom(table, { ...source, ...attempt, stateAddress, isDirect: index > 0 });
+    });
+    try {
+      await startStaggered(alternatives, {
+        clock,
+        getLimitMs: () => this.times.getLimitMs(MIN_RESPONSE_MS),
+        onDidFail: (index, error) => {
+          this.logFailed(table, addresses[index] ?? '', index > 0, error);
+        },
+      });
+    } catch (reason) {
+      throw new VError(reason instanceof Error ? reason : {}, 'no peer sent table %s', table.name);
     }
-    throw new VError(reason instanceof Error ? reason : {}, 'no peer sent table %s', table.name);
   }
 
   /** Follows redirects; if a node to which the request was redirected fails, the first one has to send. */
@@ -81,7 +97,7 @@
         if (next === undefined) return;
         stateAddress = next;
       } catch (error) {
-        if (redirects === 0) throw error;
+        if (redirects === 0 || attempt.signal.aborted) throw error;
         break;
       }
     }
@@ -103,20 +119,27 @@
 
   private async request(table: FollowedTable<unknown>, attempt: IAttempt): Promise<TableReply> {
     const { clock, encoder, self, transport } = this.options;
-    const { isDirect, isWhole = false, minimum, stateAddress } = attempt;
+    const { isDirect, isWhole = false, minimum, recordProgress, stateAddress } = attempt;
     const { era, isRetaining: isRetained, version } = table;
     const { catalogVersion } = encoder;
     const known = isWhole ? { catalogVersion } : { era, isRetained, version, catalogVersion };
     const request = { table: table.name, known, minimum, requester: self, isDirect };
-    const stall = new StallTimeout(clock, RESPONSE_TIMEOUT_MS);
-    const { signal } = stall;
+    const startMs = clock.getMonotonicTime();
+    const stall = new StallTimeout(clock, STALL_TIMEOUT_MS);
+    const joined = new JoinedSignal([stall.signal, attempt.signal]);
+    let hasBegun = false;
     const onDidProgress = () => {
+      if (!hasBegun) this.times.recordResponse(clock.getMonotonicTime() - startMs);
+      hasBegun = true;
       stall.reset(STALL_TIMEOUT_MS);
+      recordProgress();
     };
     try {
+      const { signal } = joined;
       return await transport.requestTable(stateAddress, request, { signal, onDidProgress });
     } finally {
       stall.dispose();
+      joined.dispose();
     }
   }
 
@@ -133,6 +156,16 @@
     table.recordProof(content, computeEarlierInstant(sentAt, message.proofAgeMs));
   }
 
+  private logFailed(
+    { name: table }: FollowedTable<unknown>,
+    peer: string,
+    isDirect: boolean,
+    error: unknown,
+  ): void {
+    const reason = error instanceof Error ? error.message : String(error);
+    this.options.log.warn('table not fetched from peer', { table, peer, isDirect, reason });
+  }
+
   private logFetched(
     { name, version }: FollowedTable<unknown>,
     peer: string,
