Await slow responses of the store, and learn how long it takes

A call to the store was given up after 700 ms, and sent again on a new connection. Beyond that time no response arrived any more, each call cost the store as much as a successful one, and a registration that was given up had been carried out and was announced to all nodes.

A read that is overdue is recorded as a failed one, as before, but its response is awaited, and one more read is sent beside it. What responses took moves the time at which one is overdue (RFC 6298, at most 3 s). Pending long polls are cancelled when the store is lost, not when it's only slow.

The age of a copy is now that of the request that proves it: a pending long poll proves only what was so when the last successful read of the targets was sent, and a response to a long poll is as old as responses of late took.

--- a/packages/base/src/clock/common/responseTimes.test.ts
+++ b/packages/base/src/clock/common/responseTimes.test.ts
@@ -22,6 +22,19 @@
   assert.equal(times.getLimitMs(MIN_MS), MIN_MS);
 });
 
+test('the limit doubles with each one that expires, until the next response', () => {
+  // Guards against a slow peer or store whose responses are all given up, so that nothing is learned of them.
+  const times = new ResponseTimes(MAX_MS);
+  times.recordExpired();
+  assert.equal(times.getLimitMs(MIN_MS), MIN_MS * 2);
+  times.recordExpired();
+  assert.equal(times.getLimitMs(MIN_MS), MIN_MS * 4);
+  for (let count = 0; count < 3000; count += 1) times.recordExpired();
+  assert.equal(times.getLimitMs(MIN_MS), MAX_MS);
+  times.recordResponse(10);
+  assert.equal(times.getLimitMs(MIN_MS), MIN_MS);
+});
+
 test('the limit has a maximum', () => {
   const times = new ResponseTimes(MAX_MS);
   times.recordResponse(60_000);
--- a/packages/base/src/clock/common/responseTimes.ts
+++ b/packages/base/src/clock/common/responseTimes.ts
@@ -16,11 +16,17 @@
 export class ResponseTimes {
   private meanMs: number | undefined;
   private deviationMs = 0;
+  /** Doubles with each limit that expired since the last response. */
+  private backoff = 1;
 
-  /** `maxLimitMs` bounds the limits, in ms. */
-  constructor(private readonly maxLimitMs: number) {}
+  /** `maxLimitMs` bounds the limits, in ms, and `maxBackoff` the factor by which limits that expired raise the least one. */
+  constructor(
+    private readonly maxLimitMs: number,
+    private readonly maxBackoff = Infinity,
+  ) {}
 
   recordResponse(tookMs: number): void {
+    this.backoff = 1;
     if (this.meanMs === undefined) {
       this.meanMs = tookMs;
       this.deviationMs = tookMs / 2;
@@ -31,6 +37,11 @@
     this.meanMs += (tookMs - this.meanMs) * MEAN_GAIN;
   }
 
+  /** Records that no response came in time: what it would have taken isn't known, only that it was more. */
+  recordExpired(): void {
+    this.backoff = Math.min(this.maxBackoff, this.backoff * 2);
+  }
+
   /** Time that few responses exceed, in ms; 0 before the first response. */
   getProbableMs(): number {
     return (this.meanMs ?? 0) + DEVIATIONS * this.deviationMs;
@@ -38,6 +49,6 @@
 
   /** Time after which a response is overdue, in ms: at least `minLimitMs`, which holds for an idle peer. */
   getLimitMs(minLimitMs: number): number {
-    return Math.max(minLimitMs, Math.min(this.maxLimitMs, this.getProbableMs()));
+    return Math.min(this.maxLimitMs, Math.max(minLimitMs * this.backoff, this.getProbableMs()));
   }
 }
--- a/packages/dispatch/src/directory/common/authority.ts
+++ b/packages/dispatch/src/directory/common/authority.ts
@@ -84,12 +84,12 @@
   /** Number of rows read since the start that could not be parsed and were ignored. */
   abstract readonly malformedRows: number;
 
-  /** Reads the whole table. */
-  abstract readAll(signal: AbortSignal): Promise<ITableChanges<T>>;
+  /** Reads the whole table. `onDidRespond` is called when a response begins, and for each further part of it. */
+  abstract readAll(signal: AbortSignal, onDidRespond?: () => void): Promise<ITableChanges<T>>;
 
   /**
    * Reads the changes after a version; waits up to `waitMs` for the first one. `onDidRespond` is called when
-   * the response begins, after which the table may change again.
+   * the response begins, after which the table may change again, and for each further part of it.
    */
   abstract readChanges(
     after: number,
--- a/packages/dispatch/src/directory/common/catalogSource.ts
+++ b/packages/dispatch/src/directory/common/catalogSource.ts
@@ -37,9 +37,12 @@
     return this.options.source.malformedRows;
   }
 
-  override async readAll(signal: AbortSignal): Promise<ITableChanges<ICatalog>> {
+  override async readAll(
+    signal: AbortSignal,
+    onDidRespond?: () => void,
+  ): Promise<ITableChanges<ICatalog>> {
     const sentAt = readInstant(this.options.clock);
-    const content = await this.options.source.readAll(signal);
+    const content = await this.options.source.readAll(signal, onDidRespond);
     if (content.changes.length === 0) this.advanceTenants(content);
     return this.applyRead(content, sentAt);
   }
@@ -50,7 +53,7 @@
     signal: AbortSignal,
     onDidRespond?: () => void,
   ): Promise<ITableChanges<ICatalog>> {
-    if (this.isBehind(after)) return this.readAll(signal);
+    if (this.isBehind(after)) return this.readAll(signal, onDidRespond);
     const sentAt = readInstant(this.options.clock);
     const { source } = this.options;
     const content = await source.readChanges(after, waitMs, signal, onDidRespond);
--- a/packages/dispatch/src/directory/common/storeFollower.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.ts
@@ -1,9 +1,10 @@
 /** Reads a table of the authority while this node is a follower or receives no updates from peers. */
 import type { Clock, IDisposable, Logger } from '@parsleymux/base';
-import { JoinedSignal } from '@parsleymux/base';
+import { JoinedSignal, ResponseTimes } from '@parsleymux/base';
 import type { AuthorityTable, ITableChanges, ITableState } from './authority.js';
 import { StoreCallError, StoreFailure } from './authority.js';
 import type { FollowedTable } from './followedTable.js';
+import { StoreRead } from './storeRead.js';
 
 /** How often a node checks whether it has to read, in ms, once its copy is old enough. */
 const IDLE_CHECK_MS = 150;
@@ -11,8 +12,17 @@
 const FIRST_READ_CHECK_MS = 20;
 /** Delay after a failed read by the first follower, in ms; short, because the other nodes depend on it. */
 const FOLLOWER_RETRY_MS = 400;
-/** How much longer than its wait time a long poll takes at most while the store is slow, in ms. */
-const OVERDUE_MS = 300;
+/**
+ * A response is overdue after this time, in ms, unless those of late took longer: a hundred times the usual latency.
+ * Another read is sent beside it then.
+ */
+const MIN_OVERDUE_MS = 700;
+/** Longest time after which a response is overdue, in ms. */
+export const MAX_OVERDUE_MS = 3000;
+/** Most overdue reads whose responses are awaited beside another one; none is sent beyond. */
+const MAX_OVERDUE_READS = 1;
+/** A long poll is repeated this long after its wait time, in ms, while reads of other tables are faster. */
+const MIN_OVERDUE_POLL_MS = 300;
 /** Delay after a failed read by any other node, in ms; jittered, so that they don't overload the store. */
 const OTHER_RETRY_MS = 1500;
 
@@ -42,12 +52,14 @@
   readonly isFirst: () => boolean;
   /** Called after every successful read; `hasChanges` if it returned changes. */
   readonly onDidRead: (hasChanges: boolean) => void;
-  /** Called after every failed read. */
-  readonly onDidFail?: () => void;
-  /** Called after a successful read that follows a failed one. */
-  readonly onDidRegain?: () => void;
+  /** Called after every failed read, and when one is overdue. */
+  readonly onDidFail?: (isOverdue: boolean) => void;
+  /** Called after a successful read that follows a failed one; `isLate` if the response had been overdue. */
+  readonly onDidRegain?: (isLate: boolean) => void;
   /** Whether reads of other tables show that the store can be reached. Default: never. */
   readonly isStoreReachable?: () => boolean;
+  /** What reads of the store took lately, in ms, shared by all tables. Default: what those of this table took. */
+  readonly responseTimes?: ResponseTimes;
 }
 
 /**
@@ -60,30 +72,40 @@
   private isStoreLost = false;
   /** Whether the last read returned an older state than the copy had when the read was sent. */
   private isReadOlder = false;
-  private readStartMs: number | undefined;
-  /** When the last read succeeded. */
+  /** When the last read succeeded, and when it was sent. */
   private readMs = -Infinity;
-  /** How long the store may hold the pending read, in ms. */
-  private longPollMs = 0;
-  /** Whether the response to the pending read has begun. */
-  private hasResponse = false;
-  private cancelled = new AbortController();
+  private lastStartMs = -Infinity;
+  /** The pending read, unless it is overdue. */
+  private current: StoreRead | undefined;
+  /** Overdue reads that are still pending, oldest first. */
+  private readonly overdue = new Set<StoreRead>();
+  private readonly responseTimes: ResponseTimes;
+  /** An unexpected error of an overdue read. */
+  private fault: { readonly error: unknown } | undefined;
   private retryDelay = new AbortController();
   /** Whether the last read was cancelled because it was overdue. */
   private wasOverdue = false;
   /** Number of successful reads, and of failed reads by kind of failure. */
   readonly counts = { succeeded: 0, failed: new Map<StoreFailure, number>() };
 
-  constructor(private readonly options: IStoreFollowerOptions<T>) {}
+  constructor(private readonly options: IStoreFollowerOptions<T>) {
+    this.responseTimes = options.responseTimes ?? new ResponseTimes(MAX_OVERDUE_MS);
+  }
 
   /** Ends when `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, hasToRead, pollTiming } = this.options;
     while (!signal.aborted) {
+      if (this.fault !== undefined) throw this.fault.error;
       if (!hasToRead()) {
         await clock.sleep(this.getIdleMs(), signal).catch(() => undefined);
         continue;
       }
+      // More of them would only make a slow store slower.
+      if (this.overdue.size > MAX_OVERDUE_READS) {
+        await this.sleepBeforeRetry(signal);
+        continue;
+      }
       const isRead = await this.read(signal);
       if (isRead) await clock.sleep(pollTiming.pauseMs, signal).catch(() => undefined);
       else await this.sleepBeforeRetry(signal);
@@ -95,9 +117,14 @@
    * since it began.
    */
   isLongPollPending(): boolean {
-    if (this.readStartMs === undefined) return false;
-    const pendingMs = this.options.clock.getMonotonicTime() - this.readStartMs;
-    return !this.hasResponse && this.longPollMs > 0 && pendingMs <= this.longPollMs;
+    const { current } = this;
+    if (current === undefined || current.hasResponse) return false;
+    return current.waitMs > 0 && current.getAgeMs() <= current.waitMs;
+  }
+
+  /** When the last successful read was sent, in ms of the monotonic clock. */
+  get lastReadStartMs(): number {
+    return this.lastStartMs;
   }
 
   /** Whether a read succeeded within the last `limitMs`. */
@@ -111,8 +138,8 @@
    */
   cancelRead(): void {
     // A response that has begun ends by its own time limit, and what arrived of it is not discarded.
-    if (this.hasResponse) return;
-    this.cancelled.abort(new Error('read cancelled; its connection to the store may be lost'));
+    if (this.current?.hasResponse === true) return;
+    this.current?.cancel('read cancelled; its connection to the store may be lost');
   }
 
   /** Ends the delay after a failed read: another table was read, so the store can be reached again. */
@@ -127,68 +154,125 @@
     joined.dispose();
   }
 
+  /** Reads once; returns whether the next read is due after the usual pause. */
   private async read(signal: AbortSignal): Promise<boolean> {
-    const { clock, table } = this.options;
-    this.readStartMs = clock.getMonotonicTime();
-    this.hasResponse = false;
-    this.cancelled = new AbortController();
-    const joined = new JoinedSignal([signal, this.cancelled.signal]);
-    const overdueTimer = this.startOverdueTimer();
+    const read = this.startRead(signal);
+    this.current = read;
+    const repeatTimer = this.startRepeatTimer(read);
+    const finished = this.finish(read, signal);
+    const isRead = await Promise.race([finished, read.overdue]).finally(() => {
+      void repeatTimer?.dispose();
+      this.current = undefined;
+    });
+    if (typeof isRead === 'boolean') return isRead;
+    this.watchOverdue(read, finished);
+    return false;
+  }
+
+  private startRead(signal: AbortSignal): StoreRead {
+    const { clock, pollTiming, table } = this.options;
+    const waitMs = pollTiming.getWaitMs?.() ?? pollTiming.waitMs;
+    return new StoreRead({
+      clock,
+      signal,
+      waitMs: table.version === undefined ? 0 : waitMs,
+      getLimitMs: () => this.responseTimes.getLimitMs(MIN_OVERDUE_MS),
+    });
+  }
+
+  private async finish(read: StoreRead, signal: AbortSignal): Promise<boolean> {
     try {
-      const content = await this.readOnce(this.readStartMs, joined.signal);
-      this.counts.succeeded += 1;
-      this.readMs = clock.getMonotonicTime();
-      this.recordRegained();
-      this.options.onDidRead(content.changes.length > 0);
+      const content = await this.readOnce(read);
+      this.recordRead(read, content);
       return content.isPartial !== true;
     } catch (error) {
       if (signal.aborted) return false;
-      if (this.cancelled.signal.aborted) return true;
+      if (read.isCancelled) return true;
       if (!(error instanceof StoreCallError)) throw error;
-      const { failure } = error;
-      this.counts.failed.set(failure, (this.counts.failed.get(failure) ?? 0) + 1);
-      this.recordLost(error, table.name);
-      this.options.onDidFail?.();
+      // An overdue read has been recorded as a failed one.
+      if (!this.overdue.has(read)) this.recordFailed(error);
       return false;
     } finally {
-      void overdueTimer?.dispose();
-      joined.dispose();
-      this.readStartMs = undefined;
+      if (this.overdue.delete(read)) this.endRetryDelay();
+      read.dispose();
     }
   }
 
+  /** Awaits the response of an overdue read further, beside the next reads. */
+  private watchOverdue(read: StoreRead, finished: Promise<boolean>): void {
+    this.overdue.add(read);
+    finished.catch((error: unknown) => {
+      this.fault = { error };
+      this.endRetryDelay();
+    });
+    const reason = `no response for ${Math.round(read.getAgeMs())} ms; waiting for it further`;
+    this.recordFailed(new StoreCallError(StoreFailure.Silent, reason), true);
+  }
+
+  private recordRead(read: StoreRead, { changes }: ITableChanges<T>): void {
+    const { clock, log, onDidRead, table } = this.options;
+    this.counts.succeeded += 1;
+    this.readMs = clock.getMonotonicTime();
+    this.lastStartMs = Math.max(this.lastStartMs, read.startMs);
+    const isLate = this.overdue.has(read);
+    if (isLate) {
+      log.info('late response of the store', {
+        table: table.name,
+        ms: Math.round(read.getAgeMs()),
+        waitMs: read.waitMs,
+      });
+    }
+    for (const other of this.overdue) {
+      if (other.startMs < read.startMs) other.cancel('a later read has succeeded');
+    }
+    this.recordRegained(isLate);
+    onDidRead(changes.length > 0);
+  }
+
+  private recordFailed(error: StoreCallError, isOverdue = false): void {
+    const { onDidFail, table } = this.options;
+    const { failure } = error;
+    this.counts.failed.set(failure, (this.counts.failed.get(failure) ?? 0) + 1);
+    this.recordLost(error, table.name);
+    onDidFail?.(isOverdue);
+  }
+
   /**
    * Cancels a long poll whose response is overdue although the store can be reached: its connection is lost.
    * The next read isn't cancelled for that reason, so that a store that is slower than usual is read too.
    */
-  private startOverdueTimer(): IDisposable | undefined {
-    const { clock, isStoreReachable, pollTiming, table } = this.options;
+  private startRepeatTimer(read: StoreRead): IDisposable | undefined {
+    const { clock, isStoreReachable } = this.options;
     const { wasOverdue } = this;
     this.wasOverdue = false;
-    const waitMs = pollTiming.getWaitMs?.() ?? pollTiming.waitMs;
-    if (wasOverdue || waitMs === 0 || table.version === undefined) return undefined;
-    return clock.startTimer(waitMs + OVERDUE_MS, () => {
+    if (wasOverdue || read.waitMs === 0) return undefined;
+    const limitMs = this.responseTimes.getLimitMs(MIN_OVERDUE_POLL_MS);
+    return clock.startTimer(read.waitMs + limitMs, () => {
       if (isStoreReachable?.() !== true) return;
       this.wasOverdue = true;
       this.cancelRead();
     });
   }
 
-  private async readOnce(startMs: number, signal: AbortSignal): Promise<ITableChanges<T>> {
-    const { clock, pollTiming, source, table } = this.options;
+  private async readOnce(read: StoreRead): Promise<ITableChanges<T>> {
+    const { clock, source, table } = this.options;
+    const { signal, startMs, waitMs } = read;
+    const onDidRespond = () => {
+      const tookMs = read.recordProgress();
+      if (tookMs !== undefined) this.responseTimes.recordResponse(tookMs);
+    };
     const { era, version: after } = table;
-    if (after === undefined) return this.applyAll(await source.readAll(signal), startMs);
+    if (after === undefined) {
+      return this.applyAll(await source.readAll(signal, onDidRespond), startMs);
+    }
     try {
-      this.longPollMs = pollTiming.getWaitMs?.() ?? pollTiming.waitMs;
-      const waitMs = this.longPollMs;
-      const content = await source.readChanges(after, waitMs, signal, () => {
-        this.hasResponse = true;
-      });
-      // The store responds to a long poll at a change or at the end of the wait, so it is as of its end.
-      const readMs = waitMs > 0 ? clock.getMonotonicTime() : startMs;
-      if (this.recordOlder(content, { era, version: after })) return await this.readWhole(signal);
+      const content = await source.readChanges(after, waitMs, signal, onDidRespond);
+      // The store responds to a long poll at a change or at the end of the wait.
+      const responseMs = clock.getMonotonicTime() - this.responseTimes.getProbableMs();
+      const readMs = waitMs > 0 ? Math.max(startMs, responseMs) : startMs;
+      if (this.recordOlder(content, { era, version: after })) return await this.readWhole(read);
       // Versions of different epochs aren't comparable, so the whole table has to be read.
-      if ((content.era ?? 0) > table.era) return await this.readRestored(content, signal);
+      if ((content.era ?? 0) > table.era) return await this.readRestored(content, read);
       // The version isn't advanced past malformed rows, so that they are read again.
       if (content.isPartial === true) table.freshMs = readMs;
       else table.apply(after, content, readMs);
@@ -197,7 +281,7 @@
       const isLost = error instanceof StoreCallError && error.failure === StoreFailure.HistoryLost;
       if (!isLost) throw error;
       const readMs = clock.getMonotonicTime();
-      const content = await source.readAll(signal);
+      const content = await source.readAll(signal, onDidRespond);
       this.options.log.warn('change history of a table was lost; read the whole table', {
         table: table.name,
         version: after,
@@ -210,7 +294,7 @@
 
   private async readRestored(
     { era, version }: ITableChanges<T>,
-    signal: AbortSignal,
+    read: StoreRead,
   ): Promise<ITableChanges<T>> {
     const { log, table } = this.options;
     const { era: eraBefore, version: versionBefore } = table;
@@ -221,7 +305,7 @@
       eraBefore,
       versionBefore,
     });
-    return this.readWhole(signal);
+    return this.readWhole(read);
   }
 
   private applyAll(content: ITableChanges<T>, readMs: number): ITableChanges<T> {
@@ -241,10 +325,13 @@
   }
 
   /** Reads the table whole: a state that is older than the copy would never have an effect. */
-  private async readWhole(signal: AbortSignal): Promise<ITableChanges<T>> {
+  private async readWhole(read: StoreRead): Promise<ITableChanges<T>> {
     const { clock, source } = this.options;
     const startMs = clock.getMonotonicTime();
-    return this.applyAll(await source.readAll(signal), startMs);
+    const onDidRespond = () => {
+      read.recordProgress();
+    };
+    return this.applyAll(await source.readAll(read.signal, onDidRespond), startMs);
   }
 
   /** Returns whether a read returned an older state than was known when it was sent. */
@@ -276,11 +363,11 @@
     this.options.log.warn('store lost', { table, failure: error.failure, reason: error.message });
   }
 
-  private recordRegained(): void {
+  private recordRegained(isLate: boolean): void {
     if (!this.isStoreLost) return;
     this.isStoreLost = false;
     const { table } = this.options;
     this.options.log.info('store regained', { table: table.name, version: table.version });
-    this.options.onDidRegain?.();
+    this.options.onDidRegain?.(isLate);
   }
 }
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -1,5 +1,6 @@
 /** Keeps a node's directory up to date from the store or from followers, and registers the node. */
 import type { Clock, IDisposable, Logger, RandomSource } from '@parsleymux/base';
+import { ResponseTimes } from '@parsleymux/base';
 import { create } from '@bufbuild/protobuf';
 import type { Update, UpdateReceived } from '@parsleymux/schema';
 import { HelloSchema, LeavingSchema } from '@parsleymux/schema';
@@ -11,7 +12,7 @@
 import { MemberRegistration } from '../common/memberRegistration.js';
 import type { NodeDirectory } from '../common/nodeDirectory.js';
 import type { IPollTiming } from '../common/storeFollower.js';
-import { StoreFollower } from '../common/storeFollower.js';
+import { MAX_OVERDUE_MS, StoreFollower } from '../common/storeFollower.js';
 import { TableFetcher } from '../common/tableFetcher.js';
 import type { TableTransport } from '../common/tableTransport.js';
 import { UpdateRelay } from '../common/updateRelay.js';
@@ -89,6 +90,7 @@
   private readonly membersFollower: StoreFollower<unknown>;
   private readonly supervisor: UpdateSupervisor;
   private readonly startMs: number;
+  private readonly responseTimes = new ResponseTimes(MAX_OVERDUE_MS);
   private helloMs: number | undefined;
   private readonly removing = new Set<string>();
 
@@ -261,6 +263,7 @@
       pollTiming,
       clock,
       log,
+      responseTimes: this.responseTimes,
       hasToRead,
       getMaxAgeMs: () => this.role.getMaxAgeMs(),
       jitter: (delayMs) => random.getJittered(delayMs, 0.4),
@@ -274,12 +277,12 @@
         // Reads of the targets are frequent enough to confirm to peers that the other tables are unchanged.
         if (hasChanges || name === 'targets') this.announce();
       },
-      onDidFail: () => {
-        if (name === 'targets') this.cancelLongPolls();
+      onDidFail: (isOverdue) => {
+        if (name === 'targets' && !isOverdue) this.cancelLongPolls();
       },
-      // Long polls that were sent while the store was lost are probably lost too.
-      onDidRegain: () => {
-        if (name === 'targets') this.cancelLongPolls();
+      // Long polls that were sent while the store was lost are probably lost too, but not if it was only slow.
+      onDidRegain: (isLate) => {
+        if (name === 'targets' && !isLate) this.cancelLongPolls();
       },
       isStoreReachable: () => {
         return (
@@ -325,11 +328,13 @@
 
   private announce(): void {
     if (!this.role.isFollower()) return;
-    const { clock, directory } = this.options;
-    const nowMs = clock.getMonotonicTime();
-    // While other reads succeed, a pending long poll shows that its table is unchanged.
-    if (this.catalogFollower.isLongPollPending()) directory.catalog.freshMs = nowMs;
-    if (this.membersFollower.isLongPollPending()) directory.members.freshMs = nowMs;
+    const { catalog, members } = this.options.directory;
+    // A pending long poll shows that its table had not changed when a read was sent that has succeeded meanwhile.
+    const sentMs = this.targetsFollower.lastReadStartMs;
+    if (this.catalogFollower.isLongPollPending())
+      catalog.freshMs = Math.max(catalog.freshMs, sentMs);
+    if (this.membersFollower.isLongPollPending())
+      members.freshMs = Math.max(members.freshMs, sentMs);
     this.relay.announce();
     this.removeSilentPeers();
   }
