Count the own delay into the age of what other nodes send

An update that waits in the socket of a process that is not run is older when it's read than its sender said, by up to the delay of that process.

--- a/packages/dispatch/src/directory/common/updateRelay.ts
+++ b/packages/dispatch/src/directory/common/updateRelay.ts
@@ -267,7 +267,9 @@
   ): void {
     const table = this.options.tables.find(({ name }) => name === changes.table);
     if (table === undefined) return;
-    const asOfMs = this.options.clock.getMonotonicTime() - changes.ageMs;
+    // The message may have waited to be read for as long as this process was late.
+    const { clock } = this.options;
+    const asOfMs = clock.getMonotonicTime() - changes.ageMs - clock.getRecentDelayMs();
     const minimum = { era: changes.era, version: Number(changes.version) };
     const decoded = this.options.encoder.decode(changes);
     if (decoded === undefined) {
