Refuse with 503, not 404, while a newer configuration may have the route

A 404 is final for callers. It now answers 503, 2013, with Retry-After; requests with a route are served as before, so that an outage of the store is no outage of the services.

--- a/packages/dispatch/src/app/node/directNode.ts
+++ b/packages/dispatch/src/app/node/directNode.ts
@@ -391,6 +391,7 @@
       callers: protocol.callers,
       keys: this.tenants.keys,
       isConfigurationOutdated: () => this.isConfigurationOutdated(),
+      isConfigurationCurrent: () => this.isConfigurationCurrent(),
       requestLog: new RequestLog({ clock, log, registry, directory: this.directory }),
       budget: createCallerMemory(settings.callerMemoryBytes, registry),
       maxConnections: this.connectionLimits.callers,
@@ -414,6 +415,14 @@
     return applyMs > 0 && ageMs > applyMs * MAX_OUTDATED_SHARE;
   }
 
+  /** Whether this node has each configuration that has to be in force; always without a time for that. */
+  private isConfigurationCurrent(): boolean {
+    const { applyMs } = this.settings.tenants;
+    const { announcedVersions, catalog } = this.directory;
+    if (applyMs === 0) return true;
+    return announcedVersions.findNewest() === undefined && catalog.getAgeMs() < applyMs;
+  }
+
   private makeMember(address: string): IMember {
     const { capacity, failureDomain, stateAddress } = this.options.settings;
     const { incarnation } = this;
--- a/packages/dispatch/src/entry/node/frontServer.ts
+++ b/packages/dispatch/src/entry/node/frontServer.ts
@@ -49,6 +49,8 @@
   readonly keys: KeyChecker;
   /** Whether other nodes have had a newer configuration for too long to serve requests by this one. */
   readonly isConfigurationOutdated: () => boolean;
+  /** Whether no other configuration can have to be in force. */
+  readonly isConfigurationCurrent: () => boolean;
   readonly log: Logger;
   readonly requestLog: RequestLog;
   /** Memory for what callers send, and for responses that they have not read. */
@@ -206,9 +208,9 @@
     }
     switch (match.kind) {
       case 'unknown-host':
-        return refuse(ResultCode.UnknownHost);
+        return this.refuseUnknown(ResultCode.UnknownHost);
       case 'unknown-path':
-        return refuse(ResultCode.UnknownRoute);
+        return this.refuseUnknown(ResultCode.UnknownRoute);
       case 'found':
         break;
     }
@@ -221,6 +223,12 @@
     return { kind: 'routed', route: match.route, catalog, catalogAgeMs, sender: checked.sender };
   }
 
+  /** A newer configuration may have the route, and callers don't repeat a request that no route handles. */
+  private refuseUnknown(code: ResultCode): Routed {
+    const isCurrent = this.options.isConfigurationCurrent();
+    return isCurrent ? refuse(code) : refuse(ResultCode.ConfigurationOutdated, OUTDATED_RETRY_MS);
+  }
+
   /** Reads the complete request; returns the refusal if it can't be accepted. */
   private async read(
     request: IncomingMessage,
--- a/packages/dispatch/src/test/frontFixture.ts
+++ b/packages/dispatch/src/test/frontFixture.ts
@@ -224,6 +224,7 @@
     picker: new DestinationPicker(random),
     callers: new TestProtocol(),
     isConfigurationOutdated: () => false,
+    isConfigurationCurrent: () => true,
     requestLog: new RequestLog({ clock, log, directory, registry: new Registry() }),
     budget: new MemoryBudget({ limitBytes: Infinity }),
     maxConnections: Infinity,
