Derive from the store's response times when it can be read

With a store that takes 2 s for each response no node received a change within 10 s (simulated, 40 nodes): the configuration was read only while the targets were younger than 1.7 s, which such a store can't make them. The same limit decided whether long polls were repeated, 0.3 s after their time, and a node that had heard of a newer configuration cancelled its long poll 0.25 s later, while the response was on its way.

All three follow the response times now, also for reads that began before they rose. A response that takes as long as all others is never overdue.

--- a/packages/base/src/clock/common/responseTimes.test.ts
+++ b/packages/base/src/clock/common/responseTimes.test.ts
@@ -22,6 +22,12 @@
   assert.equal(times.getLimitMs(MIN_MS), MIN_MS);
 });
 
+test('responses that take equally long are within the limit', () => {
+  const times = new ResponseTimes(MAX_MS);
+  for (let count = 0; count < 500; count += 1) times.recordResponse(1000);
+  assert.equal(times.getLimitMs(MIN_MS), 1500);
+});
+
 test('the limit doubles with each one that expires, until the next response', () => {
   // Guards against a slow peer or store whose responses are all given up, so that nothing is learned of them.
   const times = new ResponseTimes(MAX_MS);
--- a/packages/base/src/clock/common/responseTimes.ts
+++ b/packages/base/src/clock/common/responseTimes.ts
@@ -4,6 +4,8 @@
 const MEAN_GAIN = 1 / 8;
 const DEVIATION_GAIN = 1 / 4;
 const DEVIATIONS = 4;
+/** What is added at least, as a share of the mean: responses that take equally long must not be overdue either. */
+const MIN_MARGIN_SHARE = 0.5;
 
 /**
  * Learns a time limit as TCP's retransmission timer does. A fixed limit below the usual time of a busy peer or
@@ -44,7 +46,8 @@
 
   /** Time that few responses exceed, in ms; 0 before the first response. */
   getProbableMs(): number {
-    return (this.meanMs ?? 0) + DEVIATIONS * this.deviationMs;
+    const { deviationMs, meanMs = 0 } = this;
+    return meanMs + Math.max(DEVIATIONS * deviationMs, MIN_MARGIN_SHARE * meanMs);
   }
 
   /** Time after which a response is overdue, in ms: at least `minLimitMs`, which holds for an idle peer. */
--- a/packages/dispatch/src/directory/common/storeFollower.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.ts
@@ -246,9 +246,11 @@
     const { wasOverdue } = this;
     this.wasOverdue = false;
     if (wasOverdue || read.waitMs === 0) return undefined;
-    const limitMs = this.responseTimes.getLimitMs(MIN_OVERDUE_POLL_MS);
-    return clock.startTimer(read.waitMs + limitMs, () => {
-      if (isStoreReachable?.() !== true) return;
+    const dueMs = read.waitMs + this.responseTimes.getLimitMs(MIN_OVERDUE_POLL_MS);
+    return clock.startTimer(dueMs - read.getAgeMs(), () => {
+      // Responses may have become slower meanwhile.
+      const limitMs = this.responseTimes.getLimitMs(MIN_OVERDUE_POLL_MS);
+      if (isStoreReachable?.() !== true || read.getAgeMs() < read.waitMs + limitMs) return;
       this.wasOverdue = true;
       this.cancelRead();
     });
--- a/packages/dispatch/src/directory/common/storeRead.ts
+++ b/packages/dispatch/src/directory/common/storeRead.ts
@@ -32,13 +32,13 @@
   private resolveOverdue: () => void = () => undefined;
 
   constructor(private readonly options: IStoreReadOptions) {
-    const { clock, getLimitMs, signal, waitMs } = options;
+    const { clock, signal, waitMs } = options;
     this.startMs = clock.getMonotonicTime();
     this.joined = new JoinedSignal([signal, this.cancelled.signal]);
     this.overdue = new Promise((resolve) => {
       this.resolveOverdue = resolve;
     });
-    this.timer = this.startTimer(waitMs + getLimitMs());
+    this.timer = this.startTimer(waitMs);
   }
 
   get signal(): AbortSignal {
@@ -68,9 +68,9 @@
    * time for which it held the read; undefined if that isn't known, since the store ends a long poll at a change.
    */
   recordProgress(): number | undefined {
-    const { getLimitMs, waitMs } = this.options;
+    const { waitMs } = this.options;
     void this.timer.dispose();
-    this.timer = this.startTimer(getLimitMs());
+    this.timer = this.startTimer(0);
     if (this.responseMs !== undefined) return undefined;
     this.responseMs = this.getAgeMs();
     return this.responseMs < waitMs ? undefined : this.responseMs - waitMs;
@@ -85,9 +85,17 @@
     this.joined.dispose();
   }
 
-  private startTimer(delayMs: number): IDisposable {
-    return this.options.clock.startTimer(delayMs, () => {
-      this.resolveOverdue();
-    });
+  /** Responses of other reads may show meanwhile that the store has become slower. */
+  private startTimer(waitMs: number): IDisposable {
+    const { clock, getLimitMs } = this.options;
+    const startMs = clock.getMonotonicTime();
+    const startNext = (delayMs: number): IDisposable => {
+      return clock.startTimer(delayMs, () => {
+        const remainingMs = startMs + waitMs + getLimitMs() - clock.getMonotonicTime();
+        if (remainingMs > 0) this.timer = startNext(remainingMs);
+        else this.resolveOverdue();
+      });
+    };
+    return startNext(waitMs + getLimitMs());
   }
 }
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -135,7 +135,9 @@
         this.relay.announce();
       },
       onWillRequestNewer: () => {
-        this.catalogFollower.cancelRead();
+        // Until then, the response of the store may be on its way.
+        const knownMs = directory.announcedVersions.getOldestAgeMs();
+        if (knownMs > this.responseTimes.getProbableMs()) this.catalogFollower.cancelRead();
       },
     });
     this.targetsFollower = this.createFollower('targets', TARGETS_POLLING, () => {
@@ -144,7 +146,7 @@
     });
     // While the targets can't be read, reads of other tables would only add to the calls.
     const isStoreReadable = () =>
-      targets.version === undefined || targets.getAgeMs() < TARGETS_POLLING.pauseMs * 2;
+      targets.version === undefined || targets.getAgeMs() < this.getReadIntervalMs() * 2;
     const catalogPolling = { ...CATALOG_POLLING, getWaitMs: () => this.getCatalogWaitMs() };
     this.catalogFollower = this.createFollower('catalog', catalogPolling, () => {
       if (catalog.version === undefined) return this.isFirstReadDue();
@@ -229,6 +231,11 @@
     return Math.min(CATALOG_POLLING.waitMs, keyLeaseMs * LONG_POLL_LEASE_SHARE);
   }
 
+  /** Time between two reads of the targets, in ms, as the store responds at the moment. */
+  private getReadIntervalMs(): number {
+    return TARGETS_POLLING.pauseMs + this.responseTimes.getLimitMs(0);
+  }
+
   private isProofDue(): boolean {
     const { directory, keyLeaseMs } = this.options;
     if (keyLeaseMs === undefined || directory.getCatalog()?.requiresKeys !== true) return false;
@@ -286,7 +293,7 @@
       },
       isStoreReachable: () => {
         return (
-          name !== 'targets' && this.targetsFollower.isRecentlyRead(TARGETS_POLLING.pauseMs * 2)
+          name !== 'targets' && this.targetsFollower.isRecentlyRead(this.getReadIntervalMs() * 2)
         );
       },
     });
--- a/packages/dispatch/src/test/distributionFleet.ts
+++ b/packages/dispatch/src/test/distributionFleet.ts
@@ -70,6 +70,10 @@
   /** Addresses of nodes whose registrations were removed. */
   readonly removedMembers = new Set<string>();
   membersVersion = 1;
+  /** How much longer than usual the store takes for each response, in ms. */
+  storeDelayMs = 0;
+  /** Responses of the slow store, and how many of them nobody awaited any more. */
+  readonly slowResponses = { sent: 0, discarded: 0 };
   private readonly end = new AbortController();
   private running: readonly Promise<void>[] = [];
 
