--- a/packages/dispatch/src/test/distributionNode.ts
+++ b/packages/dispatch/src/test/distributionNode.ts
@@ -59,7 +59,7 @@
   ): Promise<ITableChanges<T>> {
     await this.request(0, signal);
     const rows = this.read();
-    await this.delayResponse(signal);
+    await this.waitForSlowStore(signal);
     onDidRespond?.();
     return this.receive(rows, signal);
   }
@@ -83,7 +83,7 @@
         throw new StoreCallError(StoreFailure.Silent, 'no response');
       }
       if (isDue) {
-        await this.delayResponse(signal);
+        await this.waitForSlowStore(signal);
         onDidRespond?.();
         if (rows.version > after) return this.receive(rows, signal);
         return { version: rows.version, changes: [] };
@@ -93,7 +93,7 @@
   }
 
   /** Takes the time of a slow store, and counts the response if it is no longer awaited. */
-  private async delayResponse(signal: AbortSignal): Promise<void> {
+  private async waitForSlowStore(signal: AbortSignal): Promise<void> {
     const { fleet } = this.node;
     if (fleet.storeDelayMs === 0) return;
     fleet.slowResponses.sent += 1;
