--- a/packages/base/src/result/common/resultTable.ts
+++ b/packages/base/src/result/common/resultTable.ts
@@ -108,7 +108,7 @@
   ConfigurationOutdated: [
     503,
     NotRun,
-    'Other nodes have a newer configuration, which this node has not received in time.',
+    'Other nodes have a newer configuration, or may have one, that this node has not received.',
     'Retry after the delay in Retry-After; another node may respond.',
   ],
   NoPathToTargets: [
