Let only a long poll sent before a read prove what was so at that read

A copy counted as young as the last successful read of the targets while a long poll was pending that had been sent after that read.

--- a/packages/dispatch/src/directory/common/storeFollower.ts
+++ b/packages/dispatch/src/directory/common/storeFollower.ts
@@ -113,12 +113,12 @@
   }
 
   /**
-   * Whether a long poll is pending within its wait time and has no response yet, so that nothing has changed
-   * since it began.
+   * Whether a long poll that was sent at `sinceMs` at the latest is pending within its wait time and has no response
+   * yet, so that nothing had changed when a later read was sent that has a response.
    */
-  isLongPollPending(): boolean {
+  isLongPollPending(sinceMs = Infinity): boolean {
     const { current } = this;
-    if (current === undefined || current.hasResponse) return false;
+    if (current === undefined || current.hasResponse || current.startMs > sinceMs) return false;
     return current.waitMs > 0 && current.getAgeMs() <= current.waitMs;
   }
 
--- a/packages/dispatch/src/directory/node/directoryService.ts
+++ b/packages/dispatch/src/directory/node/directoryService.ts
@@ -338,9 +338,9 @@
     const { catalog, members } = this.options.directory;
     // A pending long poll shows that its table had not changed when a read was sent that has succeeded meanwhile.
     const sentMs = this.targetsFollower.lastReadStartMs;
-    if (this.catalogFollower.isLongPollPending())
+    if (this.catalogFollower.isLongPollPending(sentMs))
       catalog.freshMs = Math.max(catalog.freshMs, sentMs);
-    if (this.membersFollower.isLongPollPending())
+    if (this.membersFollower.isLongPollPending(sentMs))
       members.freshMs = Math.max(members.freshMs, sentMs);
     this.relay.announce();
     this.removeSilentPeers();
--- a/packages/dispatch/src/directory/node/slowStore.test.ts
+++ b/packages/dispatch/src/directory/node/slowStore.test.ts
@@ -41,3 +41,40 @@
     );
   });
 }
+
+/** Most that a copy may be older than it counts, in ms: what messages take. */
+const TOLERANCE_MS = 50;
+const CHECK_MS = 10;
+const CHANGE_INTERVAL_MS = 3170;
+
+/** How much older copies that lack the last change are than they count, in ms. */
+function listUnknownAgesMs(
+  { catalog, nodes }: DistributionFleet,
+  sinceMs: number,
+): readonly number[] {
+  return [...nodes.values()]
+    .filter(({ directory }) => (directory.getCatalog()?.version ?? 0) < catalog.version)
+    .map(({ directory }) => sinceMs - directory.catalog.getAgeMs());
+}
+
+test('a copy that lacks a change counts as at least as old as the change', async () => {
+  // Guards against nodes that answer by a configuration that they take for current.
+  const clock = new ManualClock();
+  const options = { clock, seed: 1, vms: VMS, routes: 20, domainSizes: [2, 2, 1] };
+  const fleet = new DistributionFleet({ ...options, applyMs: BOUND_MS });
+  await fleet.start();
+  let mostMs = 0;
+  for (const storeDelayMs of [0, 500, 1000, 2000]) {
+    fleet.storeDelayMs = storeDelayMs;
+    await clock.advanceBy(LEARNING_MS);
+    for (let change = 0; change < CHANGES; change += 1) {
+      fleet.putRoutes(1);
+      for (let sinceMs = 0; sinceMs < CHANGE_INTERVAL_MS; sinceMs += CHECK_MS) {
+        mostMs = Math.max(mostMs, ...listUnknownAgesMs(fleet, sinceMs));
+        await clock.advanceBy(CHECK_MS);
+      }
+    }
+  }
+  await fleet.stop();
+  assert.ok(mostMs <= TOLERANCE_MS, `a copy was ${mostMs} ms older than it counted`);
+});
