--- a/packages/dispatch/src/directory/common/tableFetcher.ts
+++ b/packages/dispatch/src/directory/common/tableFetcher.ts
@@ -6,8 +6,8 @@
   ResponseTimes,
   StallTimeout,
   computeEarlierInstant,
-  startStaggered,
   readInstant,
+  startStaggered,
 } from '@parsleymux/base';
 import { FollowedChangesSchema } from '@parsleymux/schema';
 import VError from 'verror';
