Restore a path when a target is reached and none that had failed is left

What callers saw: after a pause of 8 s a node refused all requests with 2014 NoPathToTargets, for ever.

Cause, by log lines in a trial: the path was lost with two failed targets, which left the list before the first check; 47 checks found none failed and reached others, and recordReached returned because nothing had failed.

The new test fails without the fix.

--- a/packages/dispatch/src/relay/common/pathMonitor.test.ts
+++ b/packages/dispatch/src/relay/common/pathMonitor.test.ts
@@ -18,7 +18,7 @@
   readonly checked: string[];
 }
 
-function makeMonitor(unreachable: readonly ITargetRecord[]): IFixture {
+function makeMonitor(unreachable: readonly ITargetRecord[], listTargets = () => TARGETS): IFixture {
   const clock = new ManualClock();
   const ids = new Set(unreachable.map(({ id }) => id));
   const checked: string[] = [];
@@ -26,7 +26,7 @@
     clock,
     random: new SeededRandom(1),
     log: createSilentLogger(),
-    listTargets: () => TARGETS,
+    listTargets,
     tryConnect: async ({ id }) => {
       checked.push(id);
       if (ids.has(id)) await clock.sleep(CONNECT_TIMEOUT_MS);
@@ -71,6 +71,20 @@
   assert.equal(monitor.isLost, false);
 });
 
+test('a path is restored although all targets that had failed are gone', async () => {
+  // Guards against a node that refuses all requests for ever, after its failed targets left while it was paused.
+  let targets = TARGETS;
+  const { clock, monitor, unreachable } = makeMonitor(TARGETS, () => targets);
+  const verified = monitor.verifyFailure(TARGETS[0]!);
+  await clock.advanceBy(CONNECT_TIMEOUT_MS);
+  assert.equal(await verified, true);
+  const failed = TARGETS.slice(0, 3);
+  targets = TARGETS.filter((target) => !failed.includes(target)).slice(-1);
+  for (const { id } of targets) unreachable.delete(id);
+  await clock.advanceBy(1000);
+  assert.equal(monitor.isLost, false);
+});
+
 test('a silent target on a path that hangs is enough to detect the loss within half a second', async () => {
   // Guards against requests that hang on connections from before a partition until their deadlines.
   const { clock, monitor } = makeMonitor(TARGETS);
--- a/packages/dispatch/src/relay/common/pathMonitor.ts
+++ b/packages/dispatch/src/relay/common/pathMonitor.ts
@@ -145,7 +145,9 @@
   }
 
   private recordReached({ id }: ITargetRecord): void {
-    if (this.failedMs.delete(id) && this.isLost) {
+    const hadFailed = this.failedMs.delete(id);
+    // All targets that had failed may have left the list meanwhile.
+    if (this.isLost && (hadFailed || this.failedMs.size === 0)) {
       this.markRestored();
       return;
     }
