Restore a path without failed targets only after as many were reached as are needed for its loss

Now two have to be reached, as many as failures make a path count as lost. The test passes again, and so do those of the path monitor (its new test has two targets left in place of one; without any fix it fails as before: one target or two, the loss never ended).

--- a/packages/dispatch/src/relay/common/pathMonitor.test.ts
+++ b/packages/dispatch/src/relay/common/pathMonitor.test.ts
@@ -79,7 +79,7 @@
   await clock.advanceBy(CONNECT_TIMEOUT_MS);
   assert.equal(await verified, true);
   const failed = TARGETS.slice(0, 3);
-  targets = TARGETS.filter((target) => !failed.includes(target)).slice(-1);
+  targets = TARGETS.filter((target) => !failed.includes(target)).slice(-2);
   for (const { id } of targets) unreachable.delete(id);
   await clock.advanceBy(1000);
   assert.equal(monitor.isLost, false);
--- a/packages/dispatch/src/relay/common/pathMonitor.ts
+++ b/packages/dispatch/src/relay/common/pathMonitor.ts
@@ -145,15 +145,15 @@
   }
 
   private recordReached({ id }: ITargetRecord): void {
-    const hadFailed = this.failedMs.delete(id);
-    // All targets that had failed may have left the list meanwhile.
-    if (this.isLost && (hadFailed || this.failedMs.size === 0)) {
+    if (this.failedMs.delete(id) && this.isLost) {
       this.markRestored();
       return;
     }
-    if (this.failedMs.size === 0) return;
+    if (this.failedMs.size === 0 && !this.isLost) return;
     this.reached.add(id);
-    if (this.reached.size >= this.failedMs.size) this.markRestored();
+    // All targets that had failed may have left the list meanwhile.
+    const failed = this.failedMs.size === 0 ? MIN_FAILED_TARGETS : this.failedMs.size;
+    if (this.reached.size >= failed) this.markRestored();
   }
 
   private removeExpired(): void {
